--- /dev/null
+++ b/cmd/plantain-standin/main.go
@@ -0,0 +1,56 @@
+// Command plantain-standin runs stand-ins of the platform, of a model engine
+// or of a plain service, for development and tests.
+package main
+
+import (
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"plantainrelay/test/standin"
+)
+
+const headerReadLimit = 10 * time.Second
+
+type registrar interface {
+	Register(mux *http.ServeMux)
+}
+
+func main() {
+	root := &cobra.Command{
+		Use:          "plantain-standin",
+		Short:        "Stand-ins for development and tests; never for production",
+		SilenceUsage: true,
+	}
+	root.AddCommand(
+		command("platform", "object API, origin of weights and list of instances", func() []registrar {
+			return []registrar{standin.NewStore(), standin.NewOrigin(), standin.NewList()}
+		}),
+		command("engine", "a model engine", func() []registrar { return []registrar{standin.NewEngine()} }),
+		command("service", "a plain service", func() []registrar { return []registrar{standin.NewService()} }),
+	)
+	if err := root.Execute(); err != nil {
+		os.Exit(1)
+	}
+}
+
+func command(name, short string, parts func() []registrar) *cobra.Command {
+	var listen string
+	cmd := &cobra.Command{
+		Use:     name,
+		Short:   "Run " + short,
+		Example: "  plantain-standin " + name + " --listen 127.0.0.1:9000",
+		RunE: func(*cobra.Command, []string) error {
+			mux := http.NewServeMux()
+			for _, part := range parts() {
+				part.Register(mux)
+			}
+			server := &http.Server{Addr: listen, Handler: mux, ReadHeaderTimeout: headerReadLimit}
+			return server.ListenAndServe()
+		},
+	}
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:9000", "address to listen on")
+	return cmd
+}
--- /dev/null
+++ b/internal/admin/operators.go
@@ -0,0 +1,97 @@
+// Package admin is the administration API: operators read, check and edit the
+// tables and see the state of the fleet.
+package admin
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"gopkg.in/ini.v1"
+
+	"plantainrelay/internal/failure"
+)
+
+// Role is what an operator may do.
+type Role string
+
+// The roles. An editor may do what a viewer may.
+const (
+	RoleViewer Role = "viewer"
+	RoleEditor Role = "editor"
+)
+
+// Operator is a person who administers the tables.
+type Operator struct {
+	Name string
+	Role Role
+	// tokenHash is the SHA-256 digest of the operator's bearer token.
+	tokenHash []byte
+}
+
+// Operators are all who may use the administration API.
+type Operators struct {
+	list []Operator
+}
+
+// LoadOperators reads the operators file: one INI section [operator NAME] with
+// the keys role and token_sha256 for each.
+func LoadOperators(path string) (*Operators, error) {
+	file, err := ini.Load(path)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Invalid, "name a readable INI file as operators_file", "the operators file %s cannot be read", path)
+	}
+	operators := &Operators{}
+	var problems []string
+	for _, section := range file.Sections() {
+		if section.Name() == ini.DefaultSection {
+			continue
+		}
+		operator, problem := parseOperator(section)
+		if problem != "" {
+			problems = append(problems, fmt.Sprintf("%s: [%s] %s", path, section.Name(), problem))
+			continue
+		}
+		operators.list = append(operators.list, operator)
+	}
+	if len(problems) > 0 {
+		return nil, failure.New(failure.Invalid, "correct the lines above; nothing was started",
+			"%d problem(s) in the operators file:\n%s\n", len(problems), strings.Join(problems, "\n"))
+	}
+	return operators, nil
+}
+
+func parseOperator(section *ini.Section) (Operator, string) {
+	name, found := strings.CutPrefix(section.Name(), "operator ")
+	if !found || name == "" {
+		return Operator{}, "unknown section; use [operator NAME]"
+	}
+	role := Role(section.Key("role").String())
+	if role != RoleViewer && role != RoleEditor {
+		return Operator{}, "role: set it to viewer or editor"
+	}
+	hash, err := hex.DecodeString(section.Key("token_sha256").String())
+	if err != nil || len(hash) != sha256.Size {
+		return Operator{}, "token_sha256: set it to the SHA-256 digest of the token in hexadecimal"
+	}
+	return Operator{Name: name, Role: role, tokenHash: hash}, ""
+}
+
+// identify returns the operator whose token the request carries.
+func (o *Operators) identify(r *http.Request) (Operator, bool) {
+	token, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !found {
+		return Operator{}, false
+	}
+	hash := sha256.Sum256([]byte(token))
+	identified, ok := Operator{}, false
+	for _, operator := range o.list {
+		if subtle.ConstantTimeCompare(hash[:], operator.tokenHash) == 1 {
+			identified, ok = operator, true
+		}
+	}
+	return identified, ok
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,186 @@
+package agent
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/sirupsen/logrus"
+
+	"plantainrelay/internal/daemon"
+	"plantainrelay/internal/distribute"
+	"plantainrelay/internal/engine"
+	"plantainrelay/internal/gate"
+	"plantainrelay/internal/logging"
+	"plantainrelay/internal/membership"
+	"plantainrelay/internal/message"
+	"plantainrelay/internal/peer"
+	"plantainrelay/internal/platform"
+	"plantainrelay/internal/tablesync"
+)
+
+const (
+	maxRecords       = 20000
+	decisionTick     = 50 * time.Millisecond
+	announceInterval = 250 * time.Millisecond
+	loadRetry        = time.Second
+	readyCheck       = 200 * time.Millisecond
+)
+
+// Run runs an agent until it was told to stop and has drained.
+func Run(s Settings) error {
+	log := logging.New(os.Stderr, s.LogLevel, s.Instance, s.AvailabilityZone)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	p, err := newParts(s, log)
+	if err != nil {
+		return err
+	}
+	if err := p.serveControl(s, log); err != nil {
+		return err
+	}
+	d := daemon.New(daemon.Config{Name: "plantain-agent", LeaveDelay: s.LeaveDelay, DrainLimit: s.DrainLimit}, log)
+	d.OnDrain(p.gate.Leave)
+	if err := p.listen(d, s, log); err != nil {
+		return err
+	}
+	p.start(ctx)
+	return d.Run()
+}
+
+// parts are the duties of an agent.
+type parts struct {
+	settings    Settings
+	incarnation string
+	security    peer.Security
+	members     *membership.View
+	sync        *tablesync.Sync
+	gate        *gate.Gate
+	driver      *distribute.Driver
+	readiness   *daemon.Readiness
+}
+
+func newParts(s Settings, log *logrus.Entry) (*parts, error) {
+	p := &parts{
+		settings:    s,
+		incarnation: uuid.NewString(),
+		security:    peer.Security{Key: []byte(s.FleetKey)},
+		readiness:   daemon.NewReadiness(),
+	}
+	outside := platform.New(platform.Config{StoreURL: s.StoreURL, OriginURL: s.OriginURL, ListURL: s.ListURL})
+	client := peer.NewClient(p.security)
+	p.members = membership.New(outside, s.ListInterval, log)
+	p.sync = tablesync.New(tablesync.Config{
+		Self:             s.Instance,
+		AvailabilityZone: s.AvailabilityZone,
+		ExchangeInterval: s.ExchangeInterval,
+	}, outside, p.members, client, log)
+	var err error
+	p.gate, err = gate.New(gate.Config{
+		Incarnation:  p.incarnation,
+		MaxRunning:   int(s.MaxRunning),
+		MaxRecords:   maxRecords,
+		MaxKeptBytes: int(s.MaxKept),
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.driver = distribute.New(distribute.Config{
+		Self:             s.Instance,
+		AvailabilityZone: s.AvailabilityZone,
+		Region:           s.Region,
+		HTTPAddress:      s.HTTPAddress,
+		Key:              s.FleetKey,
+		Tick:             decisionTick,
+		AnnounceInterval: announceInterval,
+		MaxInFlight:      int(s.MaxInFlight),
+		ChunkTimeout:     s.ChunkTimeout,
+		Patience:         s.Patience,
+		LoadTimeout:      s.LoadTimeout,
+		LoadRetry:        loadRetry,
+	}, engine.New(s.BackendURL), outside, p.gate, p.sync, p.members, client, log)
+	return p, nil
+}
+
+func (p *parts) serveControl(s Settings, log *logrus.Entry) error {
+	server := peer.NewServer(p.security, log)
+	if err := server.Register("Tables", tablesync.NewService(p.sync)); err != nil {
+		return err
+	}
+	if err := server.Register("Agent", &Service{parts: p}); err != nil {
+		return err
+	}
+	return server.Listen(s.ControlAddress)
+}
+
+func (p *parts) listen(d *daemon.Daemon, s Settings, log *logrus.Entry) error {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	routes := append(daemon.OperationRoutes(p.readiness, registry), p.driver.ChunkRoute())
+	return d.Listen(s.HTTPAddress, routes, gate.NewHandler(p.gate, s.BackendURL, s.FleetKey, log))
+}
+
+func (p *parts) start(ctx context.Context) {
+	go p.members.Run(ctx)
+	go p.sync.Run(ctx)
+	go p.driver.Run(ctx)
+	go p.watchReadiness(ctx)
+}
+
+func (p *parts) watchReadiness(ctx context.Context) {
+	ticker := time.NewTicker(readyCheck)
+	defer ticker.Stop()
+	for {
+		p.readiness.Set("gate", p.notReady())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (p *parts) notReady() string {
+	if p.sync.Current() == nil {
+		return "no tables are known yet"
+	}
+	if !p.gate.State().Open {
+		return "the gate is closed; the distribution is at stage " + string(p.driver.Status().Stage)
+	}
+	return ""
+}
+
+// Service is the net/rpc service "Agent".
+type Service struct {
+	parts *parts
+}
+
+// State returns the state of this agent.
+func (s *Service) State(_ message.StateArgs, reply *message.StateReply) error {
+	state, status := s.parts.gate.State(), s.parts.driver.Status()
+	*reply = message.StateReply{
+		Instance:    s.parts.settings.Instance,
+		Incarnation: s.parts.incarnation,
+		Revision:    s.parts.sync.Revision(),
+		Pool:        status.Pool,
+		Open:        state.Open,
+		Version:     state.Admitted.Version,
+		Manifest:    state.Admitted.Manifest,
+		Running:     state.Running,
+		Stage:       status.Stage,
+		Held:        status.Held,
+		Chunks:      status.Chunks,
+		Failures:    status.Failures,
+		Cause:       status.Cause,
+	}
+	return nil
+}
+
+// Fate tells what became of an attempt and bars it when it has not started.
+func (s *Service) Fate(args message.FateArgs, reply *message.FateReply) error {
+	*reply = s.parts.gate.Fate(args)
+	return nil
+}
--- /dev/null
+++ b/internal/agent/settings.go
@@ -0,0 +1,51 @@
+// Package agent wires the duties of plantain-agent together.
+package agent
+
+import (
+	"time"
+
+	"plantainrelay/internal/settings"
+)
+
+// Settings are the settings of plantain-agent.
+type Settings struct {
+	settings.Common
+	// HTTPAddress takes attempts from entries and chunk requests from agents.
+	HTTPAddress string
+	// BackendURL is the backend server beside this agent.
+	BackendURL string
+	// MaxRunning bounds the requests in progress on the backend server.
+	MaxRunning int64
+	// MaxKept bounds one kept answer in bytes.
+	MaxKept int64
+	// MaxInFlight bounds the chunks fetched at once.
+	MaxInFlight  int64
+	ChunkTimeout time.Duration
+	Patience     time.Duration
+	LoadTimeout  time.Duration
+}
+
+const (
+	defaultKept = 64 << 10
+	maxKept     = 16 << 20
+)
+
+// LoadSettings reads and checks the settings file at path.
+func LoadSettings(path string) (Settings, error) {
+	r, err := settings.Open(path)
+	if err != nil {
+		return Settings{}, err
+	}
+	loaded := Settings{
+		Common:       settings.ReadCommon(r),
+		HTTPAddress:  r.Address("listen", "http"),
+		BackendURL:   r.URL("backend", "url"),
+		MaxRunning:   r.Int("backend", "max_running", 64, 1, 100000),
+		MaxKept:      r.Bytes("backend", "max_kept_answer", defaultKept, 0, maxKept),
+		MaxInFlight:  r.Int("weights", "max_in_flight", 4, 1, 64),
+		ChunkTimeout: r.Duration("weights", "chunk_timeout", 30*time.Second, time.Second, time.Hour),
+		Patience:     r.Duration("weights", "patience", 10*time.Second, time.Second, time.Hour),
+		LoadTimeout:  r.Duration("weights", "load_timeout", 10*time.Minute, time.Second, 24*time.Hour),
+	}
+	return loaded, r.Finish()
+}
--- /dev/null
+++ b/internal/balance/balance.go
@@ -0,0 +1,54 @@
+// Package balance chooses the backend server instance for one attempt. It does
+// no I/O.
+package balance
+
+import (
+	"math/rand/v2"
+)
+
+// Candidate is an instance that may take an attempt.
+type Candidate struct {
+	Name             string
+	AvailabilityZone string
+	// Reported is the number of requests that the instance last reported.
+	Reported int
+	// InFlight is the number of attempts that this process has open there.
+	InFlight int
+}
+
+func (c Candidate) load() int {
+	return max(c.Reported, c.InFlight)
+}
+
+// Choose picks by the power of two choices among the candidates of zone, or
+// among all when zone has none. Names in tried are left out. It returns false
+// when nothing is left.
+func Choose(candidates []Candidate, zone string, tried map[string]bool, random *rand.Rand) (Candidate, bool) {
+	local, all := split(candidates, zone, tried)
+	from := local
+	if len(from) == 0 {
+		from = all
+	}
+	if len(from) == 0 {
+		return Candidate{}, false
+	}
+	first := from[random.IntN(len(from))]
+	second := from[random.IntN(len(from))]
+	if second.load() < first.load() {
+		return second, true
+	}
+	return first, true
+}
+
+func split(candidates []Candidate, zone string, tried map[string]bool) (local, all []Candidate) {
+	for _, candidate := range candidates {
+		if tried[candidate.Name] {
+			continue
+		}
+		all = append(all, candidate)
+		if candidate.AvailabilityZone == zone {
+			local = append(local, candidate)
+		}
+	}
+	return local, all
+}
--- /dev/null
+++ b/internal/ctl/client.go
@@ -0,0 +1,92 @@
+// Package ctl implements plantainctl, the operators' command line.
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"plantainrelay/internal/admin"
+	"plantainrelay/internal/failure"
+)
+
+const (
+	callTimeout    = 30 * time.Second
+	maxAnswerBytes = 16 << 20
+)
+
+// client calls the administration API of one entry.
+type client struct {
+	server    string
+	tokenFile string
+}
+
+func (c *client) token() (string, error) {
+	raw, err := os.ReadFile(c.tokenFile)
+	if err != nil {
+		return "", failure.Wrap(err, failure.Invalid, "name your token's file with --token-file", "the token file cannot be read")
+	}
+	return strings.TrimSpace(string(raw)), nil
+}
+
+// call sends in as JSON, when not nil, and decodes the answer into out. An
+// answer that is not a success comes back as an error of its kind.
+func (c *client) call(ctx context.Context, method, path string, in, out any) error {
+	token, err := c.token()
+	if err != nil {
+		return err
+	}
+	var body io.Reader = http.NoBody
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return failure.Wrap(err, failure.Internal, "report this", "the request cannot be encoded")
+		}
+		body = bytes.NewReader(raw)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(c.server, "/")+path, body)
+	if err != nil {
+		return failure.Wrap(err, failure.Invalid, "write --server as http://IP:port", "the server's address is not usable")
+	}
+	request.Header.Set("Authorization", "Bearer "+token)
+	request.Header.Set("Content-Type", "application/json")
+	return send(request, out)
+}
+
+func send(request *http.Request, out any) error {
+	response, err := httpc.DoRequest(request)
+	if err != nil {
+		kind := failure.NotReachable
+		if request.Method != http.MethodGet {
+			kind = failure.Unknown
+		}
+		return failure.Wrap(err, kind, "try another entry with --server", "the entry did not answer")
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return failure.Wrap(err, failure.Unknown, "try again", "the entry's answer was cut off")
+	}
+	if response.StatusCode == http.StatusOK {
+		err := json.Unmarshal(raw, out)
+		return failure.Wrap(err, failure.Unknown, "try again", "the entry's answer is garbled")
+	}
+	return problem(response.StatusCode, raw)
+}
+
+func problem(status int, raw []byte) error {
+	var answer admin.Problem
+	if err := json.Unmarshal(raw, &answer); err != nil || answer.Kind == "" {
+		return failure.New(failure.Refused, "check --server", "the server answered status %d", status)
+	}
+	return failure.New(answer.Kind, "see above", "%s", answer.Message)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,162 @@
+// Package daemon runs the HTTP servers of a process and its graceful shutdown.
+//
+// The go-zero middlewares that would decide about requests in this project's
+// place (shedding, breaker, timeout, recover) are off; see
+// docs/decisions/0002-go-zero.md.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/proc"
+	"github.com/zeromicro/go-zero/core/service"
+	"github.com/zeromicro/go-zero/rest"
+
+	"plantainrelay/internal/failure"
+	"plantainrelay/internal/logging"
+)
+
+const (
+	headerReadLimit   = 10 * time.Second
+	idleLimit         = 2 * time.Minute
+	maxHeaderBytes    = 32 << 10
+	forceQuitMargin   = time.Minute
+	frameworkMaxConns = 10000
+)
+
+// Config describes the shutdown of a process.
+type Config struct {
+	// Name appears in the framework's traces.
+	Name string
+	// LeaveDelay is how long the listeners still accept requests after the
+	// first SIGTERM, while other instances learn of the departure.
+	LeaveDelay time.Duration
+	// DrainLimit bounds the time for requests in progress after LeaveDelay.
+	DrainLimit time.Duration
+}
+
+// Daemon owns the HTTP servers of one process.
+type Daemon struct {
+	config  Config
+	log     *logrus.Entry
+	servers []*rest.Server
+	onDrain []func()
+	signals chan os.Signal
+}
+
+// New returns a daemon. It takes over SIGTERM and SIGINT at once.
+func New(config Config, log *logrus.Entry) *Daemon {
+	d := &Daemon{config: config, log: log, signals: make(chan os.Signal, 8)}
+	signal.Notify(d.signals, syscall.SIGTERM, syscall.SIGINT)
+	return d
+}
+
+// OnDrain registers fn to run when the first SIGTERM arrives.
+func (d *Daemon) OnDrain(fn func()) {
+	d.onDrain = append(d.onDrain, fn)
+}
+
+// Listen adds an HTTP server at address ("IP:port"). Requests that match no
+// route go to fallback; a nil fallback answers 404.
+func (d *Daemon) Listen(address string, routes []rest.Route, fallback http.Handler) error {
+	host, portText, err := net.SplitHostPort(address)
+	if err != nil {
+		return failure.Wrap(err, failure.Invalid, "use IP:port", "address %q cannot be used", address)
+	}
+	port, err := strconv.Atoi(portText)
+	if err != nil {
+		return failure.Wrap(err, failure.Invalid, "use IP:port", "address %q cannot be used", address)
+	}
+	options := []rest.RunOption{}
+	if fallback != nil {
+		options = append(options, rest.WithNotFoundHandler(fallback))
+	}
+	server, err := rest.NewServer(d.restConfig(host, port), options...)
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, "report this", "the HTTP server cannot be set up")
+	}
+	server.AddRoutes(routes)
+	d.servers = append(d.servers, server)
+	logging.CaptureFramework(d.log)
+	return nil
+}
+
+func (d *Daemon) restConfig(host string, port int) rest.RestConf {
+	total := d.config.LeaveDelay + d.config.DrainLimit + forceQuitMargin
+	return rest.RestConf{
+		ServiceConf: service.ServiceConf{
+			Name:     d.config.Name,
+			Mode:     service.ProMode,
+			Log:      logx.LogConf{Mode: "console", Encoding: "json", Level: "error", Stat: false},
+			Shutdown: proc.ShutdownConf{WrapUpTime: d.config.LeaveDelay, WaitTime: total},
+		},
+		Host:     host,
+		Port:     port,
+		MaxConns: frameworkMaxConns,
+	}
+}
+
+// Run serves until the process was told to stop and its requests in progress
+// have ended or the drain limit has passed. It returns nil in both cases.
+func (d *Daemon) Run() error {
+	stopped := make(chan struct{})
+	var group sync.WaitGroup
+	for _, server := range d.servers {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			server.StartWithOpts(limitConnections)
+		}()
+	}
+	go func() {
+		group.Wait()
+		close(stopped)
+	}()
+	return d.wait(stopped)
+}
+
+func (d *Daemon) wait(stopped <-chan struct{}) error {
+	var limit <-chan time.Time
+	draining := false
+	for {
+		select {
+		case received := <-d.signals:
+			if draining {
+				d.log.WithField("signal", received.String()).Warning("already draining; the signal changes nothing")
+				continue
+			}
+			draining = true
+			d.log.WithField("signal", received.String()).Info("draining")
+			for _, fn := range d.onDrain {
+				go fn()
+			}
+			limit = time.After(d.config.LeaveDelay + d.config.DrainLimit)
+		case <-limit:
+			d.log.Warning("the drain limit passed with requests still in progress")
+			return nil
+		case <-stopped:
+			if draining {
+				d.log.Info("drained")
+				return nil
+			}
+			return failure.New(failure.Internal, "check that the listen addresses are free", "an HTTP server stopped")
+		}
+	}
+}
+
+func limitConnections(server *http.Server) {
+	server.ReadHeaderTimeout = headerReadLimit
+	server.IdleTimeout = idleLimit
+	server.MaxHeaderBytes = maxHeaderBytes
+	server.BaseContext = func(net.Listener) context.Context { return context.Background() }
+}
--- /dev/null
+++ b/internal/daemon/health.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"net/http"
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/httpx"
+)
+
+// Readiness holds the reasons for which a process is not ready.
+type Readiness struct {
+	mu      sync.Mutex
+	reasons map[string]string
+}
+
+// NewReadiness returns a readiness with no reasons against it.
+func NewReadiness() *Readiness {
+	return &Readiness{reasons: map[string]string{}}
+}
+
+// Set records a reason under key; an empty reason clears it.
+func (r *Readiness) Set(key, reason string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if reason == "" {
+		delete(r.reasons, key)
+		return
+	}
+	r.reasons[key] = reason
+}
+
+// Reasons returns a copy of the reasons by key.
+func (r *Readiness) Reasons() map[string]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reasons := make(map[string]string, len(r.reasons))
+	for key, reason := range r.reasons {
+		reasons[key] = reason
+	}
+	return reasons
+}
+
+type healthAnswer struct {
+	Status  string            `json:"status"`
+	Reasons map[string]string `json:"reasons,omitempty"`
+}
+
+// OperationRoutes returns /healthz, /readyz and /metrics.
+func OperationRoutes(readiness *Readiness, registry *prometheus.Registry) []rest.Route {
+	metrics := promhttp.HandlerFor(registry, promhttp.HandlerOpts{})
+	return []rest.Route{
+		{Method: http.MethodGet, Path: "/healthz", Handler: func(w http.ResponseWriter, _ *http.Request) {
+			httpx.WriteJson(w, http.StatusOK, healthAnswer{Status: "ok"})
+		}},
+		{Method: http.MethodGet, Path: "/readyz", Handler: readiness.serve},
+		{Method: http.MethodGet, Path: "/metrics", Handler: metrics.ServeHTTP},
+	}
+}
+
+func (r *Readiness) serve(w http.ResponseWriter, _ *http.Request) {
+	reasons := r.Reasons()
+	if len(reasons) > 0 {
+		httpx.WriteJson(w, http.StatusServiceUnavailable, healthAnswer{Status: "not ready", Reasons: reasons})
+		return
+	}
+	httpx.WriteJson(w, http.StatusOK, healthAnswer{Status: "ready"})
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,149 @@
+// Package engine holds the port to a model engine's orders and its HTTP
+// client. Requests to engines and plain services pass through package gate.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"plantainrelay/internal/failure"
+	"plantainrelay/internal/weights"
+)
+
+const (
+	maxAnswerBytes = 1 << 20
+	remedyEngine   = "check the engine on this instance"
+)
+
+// Response headers by which an engine names the weights that made an answer.
+const (
+	HeaderVersion  = "X-Engine-Version"
+	HeaderManifest = "X-Engine-Manifest"
+	HeaderWhole    = "X-Engine-Whole"
+)
+
+// Status is what an engine reports of itself.
+type Status struct {
+	// Incarnation changes when the engine restarts.
+	Incarnation string         `json:"incarnation"`
+	Version     string         `json:"version"`
+	Manifest    weights.Digest `json:"manifest"`
+	// Whole is the digest of the weights that it serves.
+	Whole weights.Digest `json:"whole"`
+	// Fence is the highest fencing number accepted.
+	Fence   int64 `json:"fence"`
+	Running int   `json:"running"`
+	Queued  int   `json:"queued"`
+}
+
+// Order tells an engine to load staged weights.
+type Order struct {
+	Version  string         `json:"version"`
+	Manifest weights.Digest `json:"manifest"`
+	Whole    weights.Digest `json:"whole"`
+	Chunks   int            `json:"chunks"`
+	// Fence is the fencing number; an engine that honours it refuses an order
+	// with a lower one than it has accepted.
+	Fence int64 `json:"fence"`
+}
+
+// Model is the port to a model engine's orders.
+type Model interface {
+	// Status returns what the engine serves now.
+	Status(ctx context.Context) (Status, error)
+	// Staged returns the chunks of manifest that the engine holds.
+	Staged(ctx context.Context, manifest weights.Digest) ([]int, error)
+	// Stage hands over one verified chunk.
+	Stage(ctx context.Context, manifest weights.Digest, chunk int, data []byte) error
+	// ReadStaged returns a staged chunk; failure.NotFound when absent.
+	ReadStaged(ctx context.Context, manifest weights.Digest, chunk int) ([]byte, error)
+	// Load orders the engine to serve staged weights and waits for the result.
+	// It returns failure.Refused when the engine rejects the order.
+	Load(ctx context.Context, order Order) error
+}
+
+// Client reaches a model engine over HTTP. It implements Model.
+type Client struct {
+	base string
+}
+
+// New returns a client for the engine at base, an absolute URL.
+func New(base string) *Client {
+	return &Client{base: base}
+}
+
+// Status implements Model.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var status Status
+	raw, err := c.do(ctx, http.MethodGet, "/v1/status", nil)
+	if err != nil {
+		return status, err
+	}
+	err = json.Unmarshal(raw, &status)
+	return status, failure.Wrap(err, failure.Unknown, remedyEngine, "the engine's status is garbled")
+}
+
+// Staged implements Model.
+func (c *Client) Staged(ctx context.Context, manifest weights.Digest) ([]int, error) {
+	raw, err := c.do(ctx, http.MethodGet, "/v1/staging/"+string(manifest), nil)
+	if err != nil {
+		return nil, err
+	}
+	var chunks []int
+	err = json.Unmarshal(raw, &chunks)
+	return chunks, failure.Wrap(err, failure.Unknown, remedyEngine, "the engine's list of chunks is garbled")
+}
+
+// Stage implements Model.
+func (c *Client) Stage(ctx context.Context, manifest weights.Digest, chunk int, data []byte) error {
+	_, err := c.do(ctx, http.MethodPut, chunkPath(manifest, chunk), data)
+	return err
+}
+
+// ReadStaged implements Model.
+func (c *Client) ReadStaged(ctx context.Context, manifest weights.Digest, chunk int) ([]byte, error) {
+	return c.do(ctx, http.MethodGet, chunkPath(manifest, chunk), nil)
+}
+
+// Load implements Model.
+func (c *Client) Load(ctx context.Context, order Order) error {
+	raw, err := json.Marshal(order)
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, "report this", "the order cannot be encoded")
+	}
+	_, err = c.do(ctx, http.MethodPost, "/v1/load", raw)
+	return err
+}
+
+func chunkPath(manifest weights.Digest, chunk int) string {
+	return fmt.Sprintf("/v1/staging/%s/%d", manifest, chunk)
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Invalid, remedyEngine, "the engine's address is not usable")
+	}
+	response, err := httpc.DoRequest(request)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.NotReachable, remedyEngine, "the engine did not answer %s", path)
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(response.Body, weights.MaxChunkBytes+maxAnswerBytes))
+	if err != nil {
+		return nil, failure.Wrap(err, failure.NotReachable, remedyEngine, "the engine's answer to %s was cut off", path)
+	}
+	switch {
+	case response.StatusCode == http.StatusOK:
+		return raw, nil
+	case response.StatusCode == http.StatusNotFound:
+		return nil, failure.New(failure.NotFound, remedyEngine, "the engine does not hold %s", path)
+	}
+	return nil, failure.New(failure.Refused, remedyEngine, "the engine refused %s with status %d: %.200s", path, response.StatusCode, raw)
+}
--- /dev/null
+++ b/internal/failure/failure.go
@@ -0,0 +1,79 @@
+// Package failure defines the typed kinds of error that every part of
+// plantainrelay reports. Each error carries a kind, which programs act on, and
+// a remedy, which people act on.
+package failure
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/samber/oops"
+)
+
+// Kind classifies an error by what the receiver may do about it.
+type Kind string
+
+// The kinds of error.
+const (
+	// Invalid means that the input breaks a documented rule.
+	Invalid Kind = "invalid"
+	// Refused means that the request is well formed and not permitted now.
+	Refused Kind = "refused"
+	// Conflict means that another writer changed the object first.
+	Conflict Kind = "conflict"
+	// NotFound means that the named object does not exist.
+	NotFound Kind = "not_found"
+	// Unauthorized means that the credentials are missing, wrong or too weak.
+	Unauthorized Kind = "unauthorized"
+	// NotReachable means that the request was not delivered.
+	NotReachable Kind = "not_reachable"
+	// Unknown means that the request may or may not have taken effect.
+	Unknown Kind = "unknown"
+	// Internal means a defect in this program.
+	Internal Kind = "internal"
+)
+
+// New returns an error of the given kind. The message ends with the remedy.
+func New(kind Kind, remedy, format string, args ...any) error {
+	return oops.Code(string(kind)).Hint(remedy).Errorf("%s; %s", fmt.Sprintf(format, args...), remedy)
+}
+
+// Wrap returns an error of the given kind with err as its cause. It returns
+// nil when err is nil.
+func Wrap(err error, kind Kind, remedy, format string, args ...any) error {
+	if err == nil {
+		return nil
+	}
+	return oops.Code(string(kind)).Hint(remedy).Wrapf(err, "%s (%s)", fmt.Sprintf(format, args...), remedy)
+}
+
+// Of returns the kind of err: Internal for an error without one, and the empty
+// kind for nil.
+func Of(err error) Kind {
+	if err == nil {
+		return ""
+	}
+	var typed oops.OopsError
+	if !errors.As(err, &typed) {
+		return Internal
+	}
+	code, ok := typed.Code().(string)
+	if !ok {
+		return Internal
+	}
+	return Kind(code)
+}
+
+// Is reports whether err is of the given kind.
+func Is(err error, kind Kind) bool {
+	return Of(err) == kind
+}
+
+// Remedy returns the remedy that err carries, or an empty string.
+func Remedy(err error) string {
+	var typed oops.OopsError
+	if !errors.As(err, &typed) {
+		return ""
+	}
+	return typed.Hint()
+}
--- /dev/null
+++ b/internal/gateway/handler.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"github.com/zeromicro/go-zero/rest/httpx"
+
+	"plantainrelay/internal/dispatch"
+	"plantainrelay/internal/logging"
+	"plantainrelay/internal/message"
+	"plantainrelay/internal/peer"
+	"plantainrelay/internal/table"
+	"plantainrelay/internal/tablesync"
+)
+
+// Config holds the settings of the request path.
+type Config struct {
+	Self             string
+	AvailabilityZone string
+	// Key is the fleet's key.
+	Key string
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int64
+	// MaxAttempts bounds the attempts of one request.
+	MaxAttempts int
+	// AskInterval is the pause between two questions about one attempt.
+	AskInterval time.Duration
+	// MaxWait bounds how long a request waits for an available instance.
+	MaxWait time.Duration
+	// MaxSilence bounds how long a silent agent is asked about an attempt.
+	MaxSilence time.Duration
+	// RetryAfter is the time after which a caller may ask again.
+	RetryAfter time.Duration
+}
+
+// waitInterval is the pause between two looks for an available instance.
+const waitInterval = 50 * time.Millisecond
+
+// Handler takes callers' requests.
+type Handler struct {
+	config Config
+	tables *tablesync.Sync
+	states *States
+	client *peer.Client
+	http   *http.Client
+	log    *logrus.Entry
+}
+
+// NewHandler returns the handler of callers' requests.
+func NewHandler(config Config, tables *tablesync.Sync, states *States, client *peer.Client, log *logrus.Entry) *Handler {
+	return &Handler{config: config, tables: tables, states: states, client: client, http: newAttemptClient(), log: log}
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	snapshot := h.tables.Current()
+	if snapshot == nil {
+		h.refuse(w, http.StatusServiceUnavailable, "no tables are known yet; ask again")
+		return
+	}
+	customer := r.Header.Get(message.HeaderCustomer)
+	if customer == "" {
+		h.refuse(w, http.StatusUnauthorized, "name the customer in the header "+message.HeaderCustomer)
+		return
+	}
+	route, found := snapshot.Match(table.Request{Customer: customer, Path: r.URL.Path, Header: r.Header.Get})
+	if !found {
+		h.refuse(w, http.StatusNotFound, "no route takes this request; check its path and customer")
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.config.MaxBodyBytes))
+	if err != nil {
+		h.refuse(w, http.StatusRequestEntityTooLarge, "the body could not be read; send at most "+strconv.FormatInt(h.config.MaxBodyBytes, 10)+" bytes")
+		return
+	}
+	h.run(w, r, route, customer, body)
+}
+
+func (h *Handler) run(w http.ResponseWriter, r *http.Request, route table.Route, customer string, body []byte) {
+	deadline := time.Now().Add(route.Deadline)
+	e := &exchange{
+		handler:  h,
+		w:        w,
+		r:        r,
+		route:    route,
+		customer: customer,
+		body:     body,
+		deadline: deadline,
+		request:  uuid.NewString(),
+		tried:    map[string]bool{},
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	e.decision = dispatch.New(dispatch.Config{
+		Repeatable:   route.Repeatable,
+		Deadline:     deadline,
+		MaxAttempts:  h.config.MaxAttempts,
+		AskInterval:  h.config.AskInterval,
+		MaxSilence:   h.config.MaxSilence,
+		MaxWait:      h.config.MaxWait,
+		WaitInterval: waitInterval,
+	})
+	outcome := e.run()
+	h.log.WithFields(logrus.Fields{
+		logging.FieldRequest:  e.request,
+		logging.FieldCustomer: customer,
+		logging.FieldPool:     route.Pool,
+		"outcome":             outcome,
+	}).Debug("request finished")
+}
+
+// outcomeBody is the body of an answer that did not come from a backend
+// server.
+type outcomeBody struct {
+	Outcome dispatch.Outcome `json:"outcome"`
+	Message string           `json:"message"`
+}
+
+// refuse answers not_run without any attempt.
+func (h *Handler) refuse(w http.ResponseWriter, status int, text string) {
+	h.finish(w, status, dispatch.NotRun, text)
+}
+
+func (h *Handler) finish(w http.ResponseWriter, status int, outcome dispatch.Outcome, text string) {
+	w.Header().Set(message.HeaderOutcome, string(outcome))
+	if outcome == dispatch.NotRun && status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", strconv.Itoa(max(1, int(h.config.RetryAfter.Seconds()))))
+	}
+	httpx.WriteJson(w, status, outcomeBody{Outcome: outcome, Message: text})
+}
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,73 @@
+// Package logging sets up JSON-line logs through logrus and routes go-zero's
+// own logs the same way.
+package logging
+
+import (
+	"fmt"
+	"io"
+	"log"
+
+	"github.com/sirupsen/logrus"
+	"github.com/zeromicro/go-zero/core/logx"
+)
+
+// The standard field names of log lines.
+const (
+	FieldRequest          = "request"
+	FieldAttempt          = "attempt"
+	FieldCustomer         = "customer"
+	FieldPool             = "pool"
+	FieldVersion          = "version"
+	FieldRevision         = "revision"
+	FieldInstance         = "instance"
+	FieldAvailabilityZone = "availability_zone"
+	FieldComponent        = "component"
+)
+
+// New returns a logger that writes JSON lines to out. The level is one of
+// debug, info, warning and error; another text means info.
+func New(out io.Writer, level, instance, availabilityZone string) *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(out)
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		parsed = logrus.InfoLevel
+	}
+	logger.SetLevel(parsed)
+	return logger.WithFields(logrus.Fields{
+		FieldInstance:         instance,
+		FieldAvailabilityZone: availabilityZone,
+	})
+}
+
+// CaptureFramework sends go-zero's logs and the standard library's to entry.
+func CaptureFramework(entry *logrus.Entry) {
+	framework := entry.WithField(FieldComponent, "framework")
+	logx.SetWriter(&writer{entry: framework})
+	log.SetFlags(0)
+	log.SetOutput(framework.WriterLevel(logrus.WarnLevel))
+}
+
+// writer implements logx.Writer over logrus.
+type writer struct {
+	entry *logrus.Entry
+}
+
+func (w *writer) with(fields []logx.LogField) *logrus.Entry {
+	entry := w.entry
+	for _, field := range fields {
+		entry = entry.WithField(field.Key, field.Value)
+	}
+	return entry
+}
+
+func (w *writer) Alert(v any)                          { w.entry.Error(fmt.Sprint(v)) }
+func (w *writer) Close() error                         { return nil }
+func (w *writer) Debug(v any, fields ...logx.LogField) { w.with(fields).Debug(fmt.Sprint(v)) }
+func (w *writer) Error(v any, fields ...logx.LogField) { w.with(fields).Error(fmt.Sprint(v)) }
+func (w *writer) Info(v any, fields ...logx.LogField)  { w.with(fields).Debug(fmt.Sprint(v)) }
+func (w *writer) Severe(v any)                         { w.entry.Error(fmt.Sprint(v)) }
+func (w *writer) Slow(v any, fields ...logx.LogField)  { w.with(fields).Warning(fmt.Sprint(v)) }
+func (w *writer) Stack(v any)                          { w.entry.Error(fmt.Sprint(v)) }
+func (w *writer) Stat(v any, fields ...logx.LogField)  { w.with(fields).Debug(fmt.Sprint(v)) }
--- /dev/null
+++ b/internal/message/message.go
@@ -0,0 +1,159 @@
+// Package message defines what plantainrelay's own processes say to each
+// other: net/rpc arguments and replies, and the headers of an attempt.
+package message
+
+import (
+	"plantainrelay/internal/dispatch"
+	"plantainrelay/internal/rollout"
+	"plantainrelay/internal/table"
+	"plantainrelay/internal/weights"
+)
+
+// The net/rpc methods.
+const (
+	MethodExchange = "Tables.Exchange"
+	MethodOffer    = "Tables.Offer"
+	MethodState    = "Agent.State"
+	MethodFate     = "Agent.Fate"
+	MethodAnnounce = "Tracker.Announce"
+)
+
+// Headers between entry and agent.
+const (
+	HeaderAttempt     = "X-Plantain-Attempt"
+	HeaderIncarnation = "X-Plantain-Incarnation"
+	HeaderRequest     = "X-Plantain-Request"
+	HeaderPool        = "X-Plantain-Pool"
+	HeaderCustomer    = "X-Plantain-Customer"
+	HeaderKey         = "X-Plantain-Key"
+	HeaderRepeatable  = "X-Plantain-Repeatable"
+	// HeaderDeadline is the time at which the request is given up, in Unix
+	// milliseconds.
+	HeaderDeadline = "X-Plantain-Deadline"
+	// HeaderRefusal names the reason for which an attempt was not started.
+	HeaderRefusal = "X-Plantain-Refusal"
+	// HeaderComplete is the trailer that closes a whole answer.
+	HeaderComplete = "X-Plantain-Complete"
+	// HeaderOutcome tells a caller the outcome of its request.
+	HeaderOutcome = "X-Plantain-Outcome"
+	// HeaderVersion tells a caller which weights made the answer.
+	HeaderVersion = "X-Plantain-Version"
+)
+
+// Paths of the agent's HTTP listener.
+const (
+	PathAttempt = "/attempt"
+	PathChunk   = "/plantain/v1/chunks/:manifest/:chunk"
+)
+
+// Refusal is the reason for which an agent did not start an attempt.
+type Refusal string
+
+// The refusals. All but RefusalDuplicate prove that the attempt did not start.
+const (
+	RefusalGateClosed  Refusal = "gate_closed"
+	RefusalIncarnation Refusal = "other_incarnation"
+	RefusalBarred      Refusal = "barred"
+	RefusalDraining    Refusal = "draining"
+	RefusalDeadline    Refusal = "deadline_passed"
+	RefusalFull        Refusal = "full"
+	RefusalDuplicate   Refusal = "duplicate"
+)
+
+// ExchangeArgs tells a peer which revision the caller holds.
+type ExchangeArgs struct {
+	From     string
+	Revision int64
+}
+
+// ExchangeReply holds the peer's revision, and its snapshot when newer.
+type ExchangeReply struct {
+	Revision int64
+	Snapshot *table.Snapshot
+}
+
+// OfferArgs pushes a snapshot to a peer.
+type OfferArgs struct {
+	From     string
+	Snapshot *table.Snapshot
+}
+
+// OfferReply holds the revision that the peer holds afterwards.
+type OfferReply struct {
+	Revision int64
+}
+
+// StateArgs asks an agent for its state.
+type StateArgs struct {
+	From string
+}
+
+// StateReply is the state of one agent.
+type StateReply struct {
+	Instance    string
+	Incarnation string
+	// Revision is the revision of the tables that the agent holds.
+	Revision int64
+	Pool     string
+	// Open says that the gate admits new requests.
+	Open bool
+	// Version and Manifest name the weights that the gate admits.
+	Version  string
+	Manifest weights.Digest
+	// Running is the number of requests in progress.
+	Running int
+	Stage   rollout.Stage
+	// Held and Chunks count the target's chunks.
+	Held, Chunks int
+	Failures     int
+	Cause        string
+}
+
+// FateArgs asks an agent what became of an attempt. An attempt that it has not
+// started is barred for good by the question.
+type FateArgs struct {
+	Attempt     string
+	Incarnation string
+}
+
+// FateReply is the agent's word on an attempt, with the kept answer when done.
+type FateReply struct {
+	Fate   dispatch.Fate
+	Answer *Answer
+}
+
+// Answer is a whole answer kept by an agent.
+type Answer struct {
+	Status  int
+	Header  map[string][]string
+	Body    []byte
+	Version string
+}
+
+// AnnounceArgs tells a tracker what an agent holds of a manifest.
+type AnnounceArgs struct {
+	Instance         string
+	Pool             string
+	AvailabilityZone string
+	Region           string
+	HTTPAddress      string
+	Manifest         weights.Digest
+	Have             weights.Bitmap
+	Stage            rollout.Stage
+}
+
+// Holder is another instance that takes the same manifest.
+type Holder struct {
+	Instance         string
+	AvailabilityZone string
+	Region           string
+	HTTPAddress      string
+	Have             weights.Bitmap
+}
+
+// AnnounceReply holds the other instances and, for an instance that waits for
+// it, the permit to switch.
+type AnnounceReply struct {
+	Holders []Holder
+	Permit  bool
+}
--- /dev/null
+++ b/internal/peer/conn.go
@@ -0,0 +1,142 @@
+// Package peer carries messages between plantainrelay's own processes with
+// net/rpc, with deadlines, a shared fleet key and optional mutual TLS.
+package peer
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/rpc"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"plantainrelay/internal/failure"
+)
+
+const (
+	nonceBytes       = 32
+	handshakeTimeout = 5 * time.Second
+	maxConnections   = 4096
+)
+
+// Security holds what proves membership of the fleet.
+type Security struct {
+	// Key is the fleet's shared key. Both sides of a connection must hold it.
+	Key []byte
+	// ServerTLS and ClientTLS, when set, wrap every connection.
+	ServerTLS *tls.Config
+	ClientTLS *tls.Config
+}
+
+func proof(key, nonce []byte) []byte {
+	mac := hmac.New(sha256.New, key)
+	mac.Write(nonce)
+	return mac.Sum(nil)
+}
+
+// accept runs the server's side of the handshake: it sends a nonce and expects
+// its HMAC-SHA256 under the fleet's key.
+func accept(conn net.Conn, key []byte) error {
+	nonce := make([]byte, nonceBytes)
+	if _, err := rand.Read(nonce); err != nil {
+		return err
+	}
+	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return err
+	}
+	if _, err := conn.Write(nonce); err != nil {
+		return err
+	}
+	answer := make([]byte, sha256.Size)
+	if _, err := io.ReadFull(conn, answer); err != nil {
+		return err
+	}
+	if !hmac.Equal(answer, proof(key, nonce)) {
+		return failure.New(failure.Unauthorized, "give both processes the same fleet key", "a peer does not hold the fleet's key")
+	}
+	return conn.SetDeadline(time.Time{})
+}
+
+// introduce runs the client's side of the handshake.
+func introduce(conn net.Conn, key []byte, deadline time.Time) error {
+	if err := conn.SetDeadline(deadline); err != nil {
+		return err
+	}
+	nonce := make([]byte, nonceBytes)
+	if _, err := io.ReadFull(conn, nonce); err != nil {
+		return err
+	}
+	if _, err := conn.Write(proof(key, nonce)); err != nil {
+		return err
+	}
+	return conn.SetDeadline(time.Time{})
+}
+
+// Server serves net/rpc to other processes of the fleet.
+type Server struct {
+	security Security
+	log      *logrus.Entry
+	rpc      *rpc.Server
+	slots    chan struct{}
+}
+
+// NewServer returns a server without services.
+func NewServer(security Security, log *logrus.Entry) *Server {
+	return &Server{
+		security: security,
+		log:      log,
+		rpc:      rpc.NewServer(),
+		slots:    make(chan struct{}, maxConnections),
+	}
+}
+
+// Register adds the exported methods of service under name.
+func (s *Server) Register(name string, service any) error {
+	err := s.rpc.RegisterName(name, service)
+	return failure.Wrap(err, failure.Internal, "report this", "service %s cannot be registered", name)
+}
+
+// Listen accepts connections at address until the process ends.
+func (s *Server) Listen(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return failure.Wrap(err, failure.Invalid, "free the address or change the settings", "control address %s cannot be used", address)
+	}
+	if s.security.ServerTLS != nil {
+		listener = tls.NewListener(listener, s.security.ServerTLS)
+	}
+	go s.serve(listener)
+	return nil
+}
+
+func (s *Server) serve(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			s.log.WithError(err).Warning("control connection not accepted")
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		select {
+		case s.slots <- struct{}{}:
+			go s.serveConn(conn)
+		default:
+			s.log.Warning("too many control connections; one was closed")
+			conn.Close()
+		}
+	}
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	defer func() { <-s.slots }()
+	defer conn.Close()
+	if err := accept(conn, s.security.Key); err != nil {
+		s.log.WithError(err).Debug("control connection refused")
+		return
+	}
+	s.rpc.ServeConn(conn)
+}
--- /dev/null
+++ b/internal/settings/common.go
@@ -0,0 +1,53 @@
+package settings
+
+import (
+	"time"
+)
+
+// Common holds the settings that every daemon has.
+type Common struct {
+	// Instance is this instance's name in the platform's list.
+	Instance         string
+	AvailabilityZone string
+	Region           string
+	LogLevel         string
+	// FleetKey is the secret shared by all processes of the fleet.
+	FleetKey string
+	// ControlAddress is where this process listens for net/rpc.
+	ControlAddress string
+
+	StoreURL  string
+	OriginURL string
+	ListURL   string
+
+	// ExchangeInterval is the time between two revision exchanges.
+	ExchangeInterval time.Duration
+	// ListInterval is the time between two reads of the list of instances.
+	ListInterval time.Duration
+	// LeaveDelay and DrainLimit: see daemon.Config.
+	LeaveDelay time.Duration
+	DrainLimit time.Duration
+}
+
+// ReadCommon reads the settings that every daemon has.
+func ReadCommon(r *Reader) Common {
+	common := Common{
+		Instance:         r.Required("instance", "name", "this instance's name in the platform's list"),
+		AvailabilityZone: r.Required("instance", "availability_zone", "the availability zone's name"),
+		Region:           r.Required("instance", "region", "the region's name"),
+		LogLevel:         r.Choice("log", "level", "info", "debug", "info", "warning", "error"),
+		FleetKey:         r.Secret("fleet", "key_file"),
+		ControlAddress:   r.Address("listen", "control"),
+		StoreURL:         r.URL("platform", "store_url"),
+		OriginURL:        r.URL("platform", "origin_url"),
+		ListURL:          r.URL("platform", "list_url"),
+		ExchangeInterval: r.Duration("control", "exchange_interval", 500*time.Millisecond, 50*time.Millisecond, time.Minute),
+		ListInterval:     r.Duration("control", "list_interval", time.Second, 100*time.Millisecond, time.Minute),
+		LeaveDelay:       r.Duration("shutdown", "leave_delay", 5*time.Second, 0, time.Minute),
+		DrainLimit:       r.Duration("shutdown", "drain_limit", 10*time.Minute, time.Second, 24*time.Hour),
+	}
+	if common.FleetKey == "" {
+		r.Problem("fleet", "key_file", "missing", "the path of a file that holds the fleet's key")
+	}
+	return common
+}
--- /dev/null
+++ b/test/cluster/cluster.go
@@ -0,0 +1,549 @@
+// Package cluster runs the real programs of this project with stand-ins on
+// loopback, for end-to-end tests, benchmarks and the demonstration.
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"plantainrelay/internal/admin"
+	"plantainrelay/internal/member"
+	"plantainrelay/internal/table"
+	"plantainrelay/internal/weights"
+)
+
+// Programs are the names of the programs that Build makes.
+var Programs = []string{"plantain-entry", "plantain-agent", "plantainctl", "plantain-standin"}
+
+// Build compiles the programs into dir.
+func Build(dir string) error {
+	args := []string{"build", "-o", dir + string(filepath.Separator)}
+	for _, program := range Programs {
+		args = append(args, "plantainrelay/cmd/"+program)
+	}
+	output, err := exec.Command("go", args...).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("build: %w\n%s", err, output)
+	}
+	return nil
+}
+
+// Instance describes one process to run.
+type Instance struct {
+	Name             string
+	AvailabilityZone string
+	Region           string
+	// Service makes the backend server a plain service; agents only.
+	Service bool
+	// Extra holds further settings, such as "[weights]\npatience = 2s".
+	Extra string
+}
+
+// Config describes a cluster.
+type Config struct {
+	// Bin is the directory that holds the programs.
+	Bin string
+	// Dir takes settings and logs.
+	Dir     string
+	Entries []Instance
+	Agents  []Instance
+}
+
+// Process is one running program.
+type Process struct {
+	Name    string
+	Command *exec.Cmd
+	LogPath string
+	exited  chan struct{}
+	err     error
+}
+
+// Cluster is a running cluster.
+type Cluster struct {
+	config Config
+	// PlatformURL is the base URL of the platform's stand-in.
+	PlatformURL string
+	// Token is the token of the operator with the role editor.
+	Token string
+
+	mu        sync.Mutex
+	processes map[string]*Process
+	instances map[string]member.Instance
+	backends  map[string]string
+	admins    map[string]string
+}
+
+const (
+	fleetKey    = "test fleet key"
+	editorToken = "test editor token"
+	viewerToken = "test viewer token"
+	// StartLimit bounds the wait for a process to answer.
+	StartLimit = 60 * time.Second
+	pollPause  = 20 * time.Millisecond
+)
+
+// Start runs the stand-ins and all entries and agents of config.
+func Start(config Config) (*Cluster, error) {
+	c := &Cluster{
+		config:    config,
+		Token:     editorToken,
+		processes: map[string]*Process{},
+		instances: map[string]member.Instance{},
+		backends:  map[string]string{},
+		admins:    map[string]string{},
+	}
+	if err := c.writeSecrets(); err != nil {
+		return nil, err
+	}
+	if err := c.startPlatform(); err != nil {
+		return nil, err
+	}
+	for _, instance := range config.Entries {
+		if err := c.StartEntry(instance); err != nil {
+			return c, err
+		}
+	}
+	for _, instance := range config.Agents {
+		if err := c.StartAgent(instance); err != nil {
+			return c, err
+		}
+	}
+	return c, c.PublishList()
+}
+
+func (c *Cluster) writeSecrets() error {
+	hash := func(token string) string {
+		sum := sha256.Sum256([]byte(token))
+		return hex.EncodeToString(sum[:])
+	}
+	operators := fmt.Sprintf("[operator alice]\nrole = editor\ntoken_sha256 = %s\n[operator bob]\nrole = viewer\ntoken_sha256 = %s\n",
+		hash(editorToken), hash(viewerToken))
+	return errors.Join(
+		os.WriteFile(c.path("fleet.key"), []byte(fleetKey), 0o600),
+		os.WriteFile(c.path("operators.ini"), []byte(operators), 0o600),
+		os.WriteFile(c.path("editor.token"), []byte(editorToken), 0o600),
+		os.WriteFile(c.path("viewer.token"), []byte(viewerToken), 0o600),
+	)
+}
+
+func (c *Cluster) path(name string) string {
+	return filepath.Join(c.config.Dir, name)
+}
+
+// TokenFile returns the path of the editor's token file.
+func (c *Cluster) TokenFile() string { return c.path("editor.token") }
+
+// FreeAddress returns an unused loopback address.
+func FreeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+func freeAddresses(count int) ([]string, error) {
+	var listeners []net.Listener
+	var addresses []string
+	defer func() {
+		for _, listener := range listeners {
+			listener.Close()
+		}
+	}()
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		listeners = append(listeners, listener)
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+func (c *Cluster) startPlatform() error {
+	address, err := FreeAddress()
+	if err != nil {
+		return err
+	}
+	c.PlatformURL = "http://" + address
+	if _, err := c.run("platform", "plantain-standin", "platform", "--listen", address); err != nil {
+		return err
+	}
+	return WaitHTTP(c.PlatformURL + "/instances")
+}
+
+func (c *Cluster) run(name, program string, args ...string) (*Process, error) {
+	logPath := c.path(name + ".log")
+	file, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	command := exec.Command(filepath.Join(c.config.Bin, program), args...)
+	command.Stdout, command.Stderr = file, file
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		return nil, err
+	}
+	process := &Process{Name: name, Command: command, LogPath: logPath, exited: make(chan struct{})}
+	go func() {
+		process.err = command.Wait()
+		close(process.exited)
+	}()
+	c.mu.Lock()
+	c.processes[name] = process
+	c.mu.Unlock()
+	return process, nil
+}
+
+func (c *Cluster) commonSettings(instance Instance, control string) string {
+	return fmt.Sprintf(`[instance]
+name = %s
+availability_zone = %s
+region = %s
+[log]
+level = debug
+[fleet]
+key_file = %s
+[platform]
+store_url = %s
+origin_url = %s
+list_url = %s
+[control]
+exchange_interval = 200ms
+list_interval = 200ms
+[shutdown]
+leave_delay = 1s
+drain_limit = 2m
+[listen]
+control = %s
+`, instance.Name, instance.AvailabilityZone, instance.Region, c.path("fleet.key"), c.PlatformURL, c.PlatformURL, c.PlatformURL, control)
+}
+
+// StartEntry runs an entry; it is not in the list until PublishList.
+func (c *Cluster) StartEntry(instance Instance) error {
+	addresses, err := freeAddresses(3)
+	if err != nil {
+		return err
+	}
+	control, public, adminAddress := addresses[0], addresses[1], addresses[2]
+	text := c.commonSettings(instance, control) + fmt.Sprintf("public = %s\nadmin = %s\n[admin]\noperators_file = %s\n%s\n",
+		public, adminAddress, c.path("operators.ini"), instance.Extra)
+	if err := c.startDaemon(instance.Name, "plantain-entry", text); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	c.instances[instance.Name] = c.row(instance, member.RoleEntry, public, control)
+	c.admins[instance.Name] = "http://" + adminAddress
+	c.mu.Unlock()
+	return WaitHTTP("http://" + adminAddress + "/healthz")
+}
+
+// StartAgent runs an agent and its backend server.
+func (c *Cluster) StartAgent(instance Instance) error {
+	addresses, err := freeAddresses(3)
+	if err != nil {
+		return err
+	}
+	control, public, backend := addresses[0], addresses[1], addresses[2]
+	kind := "engine"
+	if instance.Service {
+		kind = "service"
+	}
+	if _, err := c.run(instance.Name+"-backend", "plantain-standin", kind, "--listen", backend); err != nil {
+		return err
+	}
+	if err := WaitHTTP("http://" + backend + "/v1/status"); err != nil {
+		return err
+	}
+	text := c.commonSettings(instance, control) + fmt.Sprintf("http = %s\n[backend]\nurl = http://%s\n%s\n", public, backend, instance.Extra)
+	if err := c.startDaemon(instance.Name, "plantain-agent", text); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	c.instances[instance.Name] = c.row(instance, member.RoleAgent, public, control)
+	c.backends[instance.Name] = "http://" + backend
+	c.mu.Unlock()
+	return WaitHTTP("http://" + public + "/healthz")
+}
+
+// RestartDaemon starts an entry or agent again with its former settings.
+func (c *Cluster) RestartDaemon(name string) error {
+	c.mu.Lock()
+	row := c.instances[name]
+	c.mu.Unlock()
+	_, err := c.run(name, "plantain-"+string(row.Role), "--settings", c.path(name+".ini"))
+	return err
+}
+
+func (c *Cluster) startDaemon(name, program, text string) error {
+	path := c.path(name + ".ini")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return err
+	}
+	_, err := c.run(name, program, "--settings", path)
+	return err
+}
+
+func (c *Cluster) row(instance Instance, role member.Role, public, control string) member.Instance {
+	return member.Instance{
+		Name:             instance.Name,
+		Role:             role,
+		State:            member.StateLive,
+		Region:           instance.Region,
+		AvailabilityZone: instance.AvailabilityZone,
+		HTTPAddress:      public,
+		ControlAddress:   control,
+	}
+}
+
+// SetState changes what the list says of an instance; an empty state removes
+// it. PublishList makes it visible.
+func (c *Cluster) SetState(name string, state member.State) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state == "" {
+		delete(c.instances, name)
+		return
+	}
+	row := c.instances[name]
+	row.State = state
+	c.instances[name] = row
+}
+
+// SetAddresses changes the addresses that the list gives for an instance, for
+// example to those of a proxy before it. Empty addresses stay as they are.
+func (c *Cluster) SetAddresses(name, public, control string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	row := c.instances[name]
+	if public != "" {
+		row.HTTPAddress = public
+	}
+	if control != "" {
+		row.ControlAddress = control
+	}
+	c.instances[name] = row
+}
+
+// PublishList writes the current instances to the platform's list.
+func (c *Cluster) PublishList() error {
+	c.mu.Lock()
+	var list member.List
+	for _, row := range c.instances {
+		list.Instances = append(list.Instances, row)
+	}
+	c.mu.Unlock()
+	return PutJSON(c.PlatformURL+"/instances", list)
+}
+
+// Row returns the list's row of an instance.
+func (c *Cluster) Row(name string) member.Instance {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.instances[name]
+}
+
+// PublicURL returns the base URL of an entry's public listener.
+func (c *Cluster) PublicURL(entry string) string { return "http://" + c.Row(entry).HTTPAddress }
+
+// AdminURL returns the base URL of an entry's administration listener.
+func (c *Cluster) AdminURL(entry string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.admins[entry]
+}
+
+// BackendURL returns the base URL of an agent's backend server.
+func (c *Cluster) BackendURL(agent string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.backends[agent]
+}
+
+// Process returns the running process of the given name.
+func (c *Cluster) Process(name string) *Process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.processes[name]
+}
+
+// Signal sends a signal to the process of the given name.
+func (c *Cluster) Signal(name string, signal syscall.Signal) error {
+	return c.Process(name).Command.Process.Signal(signal)
+}
+
+// Exited returns a channel that is closed when the process has ended.
+func (p *Process) Exited() <-chan struct{} { return p.exited }
+
+// Err returns how the process ended; call it after Exited.
+func (p *Process) Err() error { return p.err }
+
+// Stop kills all processes and waits for them.
+func (c *Cluster) Stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, process := range c.processes {
+		_ = process.Command.Process.Kill()
+		<-process.exited
+	}
+}
+
+// Publish puts weights into the origin and returns their manifest's digest.
+func (c *Cluster) Publish(version string, base weights.Digest, data []byte, chunkSize int64) (weights.Digest, error) {
+	manifest, raw, digest, err := weights.Build(version, base, data, chunkSize)
+	if err != nil {
+		return "", err
+	}
+	for i, chunk := range manifest.Chunks {
+		start := int64(i) * chunkSize
+		if err := put(c.PlatformURL+"/chunks/"+string(chunk), data[start:start+manifest.ChunkBytes(i)]); err != nil {
+			return "", err
+		}
+	}
+	return digest, put(c.PlatformURL+"/manifests/"+string(digest), raw)
+}
+
+// Apply edits the tables through an entry and returns the new revision.
+func (c *Cluster) Apply(entry string, expected int64, tables table.Tables) (int64, error) {
+	raw, err := json.Marshal(admin.Edit{ExpectedRevision: expected, Tables: tables})
+	if err != nil {
+		return 0, err
+	}
+	request, err := http.NewRequest(http.MethodPut, c.AdminURL(entry)+"/v1/tables", bytes.NewReader(raw))
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Authorization", "Bearer "+c.Token)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("status %d: %s", response.StatusCode, body)
+	}
+	var accepted admin.Accepted
+	err = json.Unmarshal(body, &accepted)
+	return accepted.Revision, err
+}
+
+// Status reads the fleet's state from an entry.
+func (c *Cluster) Status(entry string) (admin.Status, error) {
+	var status admin.Status
+	request, err := http.NewRequest(http.MethodGet, c.AdminURL(entry)+"/v1/status", nil)
+	if err != nil {
+		return status, err
+	}
+	request.Header.Set("Authorization", "Bearer "+c.Token)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return status, err
+	}
+	defer response.Body.Close()
+	return status, json.NewDecoder(response.Body).Decode(&status)
+}
+
+// WaitVersion waits until all named agents serve version, as entry sees it.
+func (c *Cluster) WaitVersion(ctx context.Context, entry, version string, agents ...string) error {
+	return WaitFor(ctx, func() (bool, string) {
+		status, err := c.Status(entry)
+		if err != nil {
+			return false, err.Error()
+		}
+		for _, name := range agents {
+			agent, found := status.Agents[name]
+			if !found || !agent.Open || agent.Version != version {
+				return false, fmt.Sprintf("%s: %+v", name, agent)
+			}
+		}
+		return true, ""
+	})
+}
+
+// WaitFor polls check until it is true or ctx ends; the text that check
+// returns tells what is missing.
+func WaitFor(ctx context.Context, check func() (bool, string)) error {
+	for {
+		ok, missing := check()
+		if ok {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("gave up waiting: %s", missing)
+		case <-time.After(pollPause):
+		}
+	}
+}
+
+// WaitHTTP waits until a GET of url answers with any status.
+func WaitHTTP(url string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), StartLimit)
+	defer cancel()
+	return WaitFor(ctx, func() (bool, string) {
+		response, err := http.Get(url)
+		if err != nil {
+			return false, err.Error()
+		}
+		response.Body.Close()
+		return true, ""
+	})
+}
+
+// PutJSON sends value to url with PUT.
+func PutJSON(url string, value any) error {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	return put(url, raw)
+}
+
+func put(url string, body []byte) error {
+	request, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(response.Body)
+		return fmt.Errorf("status %d: %s", response.StatusCode, strings.TrimSpace(string(text)))
+	}
+	return nil
+}
+
+// GetJSON reads url into value.
+func GetJSON(url string, value any) error {
+	response, err := http.Get(url)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	return json.NewDecoder(response.Body).Decode(value)
+}
--- /dev/null
+++ b/test/e2e/main_test.go
@@ -0,0 +1,86 @@
+// Package e2e_test runs the real programs with stand-ins and checks what their
+// users rely on.
+package e2e_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/internal/table"
+	"plantainrelay/internal/weights"
+	"plantainrelay/test/cluster"
+)
+
+// limit bounds each wait of these tests; no verdict depends on how much of it
+// is used.
+const limit = 120 * time.Second
+
+var binDir string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "plantain-bin-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binDir = dir
+	if err := cluster.Build(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// start runs a cluster that ends with the test, and prints the logs' place of
+// a failed one.
+func start(t *testing.T, config cluster.Config) *cluster.Cluster {
+	t.Helper()
+	config.Bin = binDir
+	config.Dir = t.TempDir()
+	c, err := cluster.Start(config)
+	if c != nil {
+		t.Cleanup(c.Stop)
+	}
+	qt.Assert(t, err, qt.IsNil)
+	return c
+}
+
+func waitContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// randomWeights returns deterministic bytes that differ between seeds.
+func randomWeights(seed byte, size int) []byte {
+	data := make([]byte, size)
+	state := uint32(seed) + 1
+	for i := range data {
+		state = state*1664525 + 1013904223
+		data[i] = byte(state >> 24)
+	}
+	return data
+}
+
+func twoPools(version string, manifest weights.Digest) table.Tables {
+	return table.Tables{
+		Pools: []table.Pool{
+			{Name: "model", Kind: table.KindModel, Instances: []string{"model-*"}, Version: version, Manifest: string(manifest), MaxUnavailable: 1, Prefer: table.PreferTime},
+			{Name: "booking", Kind: table.KindService, Instances: []string{"booking-*"}},
+		},
+		Routes: []table.Route{
+			{Name: "lookup", Customer: "*", Path: "/lookup", Pool: "model", Repeatable: true, Priority: table.PriorityNormal, Deadline: time.Minute},
+			{Name: "book", Customer: "*", Path: "/book", Pool: "booking", Priority: table.PriorityUrgent, Deadline: time.Minute},
+		},
+	}
+}
--- /dev/null
+++ b/test/imports/imports_test.go
@@ -0,0 +1,111 @@
+// Package imports_test checks the rule that decision packages do no I/O.
+package imports_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// decisionPackages take events and a passed-in time and return actions.
+var decisionPackages = []string{
+	"admission", "balance", "burn", "dispatch", "member", "ownership",
+	"rollout", "swarm", "table", "usage", "weights",
+}
+
+// modulePrefix starts the import path of this module's packages.
+const modulePrefix = "plantainrelay/internal/"
+
+// allowedOwn are this module's other packages that decisions may import.
+var allowedOwn = map[string]bool{"failure": true}
+
+var forbiddenImports = []string{"net", "os", "syscall", "io/fs", "database/sql", "github.com/zeromicro", "github.com/sirupsen"}
+
+var forbiddenCalls = map[string]map[string]bool{
+	"time": {"Now": true, "Sleep": true, "After": true, "AfterFunc": true, "Tick": true, "NewTimer": true, "NewTicker": true, "Since": true, "Until": true},
+	"rand": {"Int": true, "IntN": true, "Intn": true, "N": true, "Float64": true, "Perm": true, "Shuffle": true, "Uint64": true, "Int64N": true, "Read": true},
+	"uuid": {"New": true, "NewString": true},
+}
+
+func TestDecisionPackagesDoNoIO(t *testing.T) {
+	c := qt.New(t)
+	checked := 0
+	for _, name := range decisionPackages {
+		files, err := filepath.Glob(filepath.Join("..", "..", "internal", name, "*.go"))
+		c.Assert(err, qt.IsNil)
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			source, err := os.ReadFile(file)
+			c.Assert(err, qt.IsNil)
+			c.Check(breaches(t, file, string(source)), qt.HasLen, 0)
+			checked++
+		}
+	}
+	c.Assert(checked > 0, qt.IsTrue)
+}
+
+func TestBreachesAreFound(t *testing.T) {
+	for _, source := range []string{
+		`package p; import _ "net"`,
+		`package p; import _ "net/http"`,
+		`package p; import _ "os"`,
+		`package p; import _ "plantainrelay/internal/peer"`,
+		`package p; import "time"; var now = time.Now()`,
+		`package p; import "math/rand/v2"; var n = rand.IntN(3)`,
+		`package p; func f() { go f() }`,
+	} {
+		qt.Check(t, breaches(t, "sample.go", source), qt.HasLen, 1, qt.Commentf("%s", source))
+	}
+}
+
+func breaches(t *testing.T, name, source string) []string {
+	file, err := parser.ParseFile(token.NewFileSet(), name, source, parser.SkipObjectResolution)
+	qt.Assert(t, err, qt.IsNil)
+	var found []string
+	for _, spec := range file.Imports {
+		if path := strings.Trim(spec.Path.Value, `"`); forbidden(path) {
+			found = append(found, name+" imports "+path)
+		}
+	}
+	ast.Inspect(file, func(node ast.Node) bool {
+		switch typed := node.(type) {
+		case *ast.GoStmt:
+			found = append(found, name+" starts a goroutine")
+		case *ast.SelectorExpr:
+			if base, ok := typed.X.(*ast.Ident); ok && forbiddenCalls[base.Name][typed.Sel.Name] {
+				found = append(found, name+" uses "+base.Name+"."+typed.Sel.Name)
+			}
+		}
+		return true
+	})
+	return found
+}
+
+func forbidden(path string) bool {
+	if own, found := strings.CutPrefix(path, modulePrefix); found {
+		return !allowedOwn[own] && !isDecision(own)
+	}
+	for _, prefix := range forbiddenImports {
+		if path == prefix || strings.HasPrefix(path, prefix+"/") {
+			return true
+		}
+	}
+	return false
+}
+
+func isDecision(name string) bool {
+	for _, decision := range decisionPackages {
+		if name == decision {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/test/standin/engine.go
@@ -0,0 +1,298 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"plantainrelay/internal/engine"
+	"plantainrelay/internal/weights"
+)
+
+// EngineFaults are the faults of a model engine or plain service.
+type EngineFaults struct {
+	// IgnoreFences accepts orders with a lower fencing number.
+	IgnoreFences bool `json:"ignore_fences"`
+	// FailLoads refuses every load order.
+	FailLoads bool `json:"fail_loads"`
+	// LoadDelay is how long a load takes.
+	LoadDelay time.Duration `json:"load_delay"`
+	// TokenDelay is the time between tokens.
+	TokenDelay time.Duration `json:"token_delay"`
+	// Delay is added before an answer begins, after the run was recorded.
+	Delay time.Duration `json:"delay"`
+	// CutAnswers drops the connection in the middle of each answer.
+	CutAnswers bool `json:"cut_answers"`
+	// LoseAnswers drops the connection after the run, before any answer.
+	LoseAnswers bool `json:"lose_answers"`
+}
+
+// Execution is one run that an engine or service has recorded.
+type Execution struct {
+	Attempt  string         `json:"attempt"`
+	Key      string         `json:"key"`
+	Customer string         `json:"customer"`
+	Path     string         `json:"path"`
+	Body     string         `json:"body"`
+	Version  string         `json:"version"`
+	Manifest weights.Digest `json:"manifest"`
+	Whole    weights.Digest `json:"whole"`
+	Started  time.Time      `json:"started"`
+}
+
+// Engine is the stand-in of a model engine or of a plain service.
+type Engine struct {
+	model       bool
+	incarnation string
+
+	mu         sync.Mutex
+	status     engine.Status
+	staged     map[weights.Digest]map[int][]byte
+	faults     EngineFaults
+	executions []Execution
+}
+
+const (
+	defaultTokens = 8
+	maxTokens     = 100000
+	recordedBody  = 4096
+)
+
+// NewEngine returns a model engine without weights.
+func NewEngine() *Engine {
+	return &Engine{model: true, incarnation: uuid.NewString(), staged: map[weights.Digest]map[int][]byte{}}
+}
+
+// NewService returns a plain service.
+func NewService() *Engine {
+	return &Engine{incarnation: uuid.NewString()}
+}
+
+// Register adds the routes to mux.
+func (e *Engine) Register(mux *http.ServeMux) {
+	if e.model {
+		mux.HandleFunc("GET /v1/staging/{manifest}", e.listStaged)
+		mux.HandleFunc("PUT /v1/staging/{manifest}/{chunk}", e.stage)
+		mux.HandleFunc("GET /v1/staging/{manifest}/{chunk}", e.readStaged)
+		mux.HandleFunc("POST /v1/load", e.load)
+	}
+	mux.HandleFunc("GET /v1/status", e.getStatus)
+	mux.HandleFunc("PUT /faults/engine", e.setFaults)
+	mux.HandleFunc("GET /records/engine", e.records)
+	mux.HandleFunc("/", e.run)
+}
+
+func (e *Engine) getStatus(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	status := e.status
+	status.Incarnation = e.incarnation
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, status)
+}
+
+func (e *Engine) listStaged(w http.ResponseWriter, r *http.Request) {
+	chunks := []int{}
+	e.mu.Lock()
+	for chunk := range e.staged[weights.Digest(r.PathValue("manifest"))] {
+		chunks = append(chunks, chunk)
+	}
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, chunks)
+}
+
+func (e *Engine) stage(w http.ResponseWriter, r *http.Request) {
+	chunk, err := strconv.Atoi(r.PathValue("chunk"))
+	data, readErr := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil || readErr != nil {
+		http.Error(w, "bad chunk", http.StatusBadRequest)
+		return
+	}
+	manifest := weights.Digest(r.PathValue("manifest"))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.staged[manifest] == nil {
+		e.staged[manifest] = map[int][]byte{}
+	}
+	e.staged[manifest][chunk] = data
+}
+
+func (e *Engine) readStaged(w http.ResponseWriter, r *http.Request) {
+	chunk, _ := strconv.Atoi(r.PathValue("chunk"))
+	e.mu.Lock()
+	data, found := e.staged[weights.Digest(r.PathValue("manifest"))][chunk]
+	e.mu.Unlock()
+	if !found {
+		http.NotFound(w, r)
+		return
+	}
+	_, _ = w.Write(data)
+}
+
+func (e *Engine) load(w http.ResponseWriter, r *http.Request) {
+	var order engine.Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	faults := e.faults
+	e.mu.Unlock()
+	time.Sleep(faults.LoadDelay)
+	if faults.FailLoads {
+		http.Error(w, "the load failed", http.StatusInternalServerError)
+		return
+	}
+	if message := e.apply(order); message != "" {
+		http.Error(w, message, http.StatusConflict)
+	}
+}
+
+// apply loads whatever is staged, whole or not: the agent has to prevent a
+// partial load.
+func (e *Engine) apply(order engine.Order) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if order.Fence < e.status.Fence && !e.faults.IgnoreFences {
+		return fmt.Sprintf("fencing number %d is lower than %d", order.Fence, e.status.Fence)
+	}
+	var data []byte
+	for chunk := range order.Chunks {
+		data = append(data, e.staged[order.Manifest][chunk]...)
+	}
+	e.status.Version = order.Version
+	e.status.Manifest = order.Manifest
+	e.status.Whole = weights.DigestOf(data)
+	e.status.Fence = max(e.status.Fence, order.Fence)
+	for manifest := range e.staged {
+		if manifest != order.Manifest {
+			delete(e.staged, manifest)
+		}
+	}
+	return ""
+}
+
+// run answers any other request: a JSON object, or a stream of tokens when the
+// query holds "stream". The number of tokens comes from the query's "tokens".
+func (e *Engine) run(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		return
+	}
+	execution, faults := e.record(r, body)
+	defer e.finish()
+	sleep(r, faults.Delay)
+	if faults.LoseAnswers {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(engine.HeaderVersion, execution.Version)
+	w.Header().Set(engine.HeaderManifest, string(execution.Manifest))
+	w.Header().Set(engine.HeaderWhole, string(execution.Whole))
+	tokens, err := strconv.Atoi(r.URL.Query().Get("tokens"))
+	if err != nil || tokens < 1 || tokens > maxTokens {
+		tokens = defaultTokens
+	}
+	if r.URL.Query().Has("stream") {
+		e.stream(w, r, execution, tokens, faults)
+		return
+	}
+	sleep(r, faults.TokenDelay*time.Duration(tokens))
+	e.answer(w, execution, tokens, faults)
+}
+
+func (e *Engine) record(r *http.Request, body []byte) (Execution, EngineFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	execution := Execution{
+		Attempt:  r.Header.Get("X-Plantain-Attempt"),
+		Key:      r.Header.Get("X-Plantain-Key"),
+		Customer: r.Header.Get("X-Plantain-Customer"),
+		Path:     r.URL.Path,
+		Body:     string(body[:min(len(body), recordedBody)]),
+		Version:  e.status.Version,
+		Manifest: e.status.Manifest,
+		Whole:    e.status.Whole,
+		Started:  time.Now(),
+	}
+	e.executions = append(e.executions, execution)
+	e.status.Running++
+	return execution, e.faults
+}
+
+func (e *Engine) finish() {
+	e.mu.Lock()
+	e.status.Running--
+	e.mu.Unlock()
+}
+
+// Answer is the body of an unary answer.
+type Answer struct {
+	Echo    string         `json:"echo"`
+	Version string         `json:"version"`
+	Whole   weights.Digest `json:"whole"`
+	Tokens  int            `json:"tokens"`
+}
+
+func (e *Engine) answer(w http.ResponseWriter, execution Execution, tokens int, faults EngineFaults) {
+	raw, _ := json.Marshal(Answer{Echo: execution.Body, Version: execution.Version, Whole: execution.Whole, Tokens: tokens})
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("X-Tokens-Out", strconv.Itoa(tokens))
+	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+	if faults.CutAnswers {
+		raw = raw[:len(raw)/2]
+	}
+	_, _ = w.Write(raw)
+	if faults.CutAnswers {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, execution Execution, tokens int, faults EngineFaults) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	controller := http.NewResponseController(w)
+	for token := range tokens {
+		if faults.CutAnswers && token == tokens/2 {
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(w, "data: {\"token\":%d,\"echo\":%q,\"version\":%q,\"whole\":%q}\n\n", token, execution.Body, execution.Version, execution.Whole)
+		_ = controller.Flush()
+		sleep(r, faults.TokenDelay)
+		if r.Context().Err() != nil {
+			return
+		}
+	}
+	fmt.Fprint(w, "event: done\ndata: {}\n\n")
+}
+
+func sleep(r *http.Request, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	select {
+	case <-time.After(wait):
+	case <-r.Context().Done():
+	}
+}
+
+func (e *Engine) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults EngineFaults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	e.faults = faults
+	e.mu.Unlock()
+}
+
+func (e *Engine) records(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	executions := append([]Execution{}, e.executions...)
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, executions)
+}
--- /dev/null
+++ b/test/standin/store.go
@@ -0,0 +1,185 @@
+// Package standin holds small stand-ins for what the platform gives: object
+// API, origin of weights, list of instances, model engines and plain services.
+// They serve development and tests only. Each has faults that can be switched
+// on over HTTP, and records what was asked of it.
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"plantainrelay/internal/platform"
+)
+
+// StoreFaults are the faults of the object API.
+type StoreFaults struct {
+	// Down refuses every call.
+	Down bool `json:"down"`
+	// LoseAnswers drops the connection after a write has taken effect.
+	LoseAnswers bool `json:"lose_answers"`
+	// Delay is added to every call.
+	Delay time.Duration `json:"delay"`
+}
+
+// Store is the stand-in of the object API.
+type Store struct {
+	mu      sync.Mutex
+	changed chan struct{}
+	version int64
+	objects map[string]platform.Object
+	faults  StoreFaults
+	writes  []platform.Object
+	calls   int64
+}
+
+const maxValueBytes = 1 << 20
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{changed: make(chan struct{}), objects: map[string]platform.Object{}}
+}
+
+// Register adds the store's routes to mux.
+func (s *Store) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /objects/{kind}/{name}", s.guard(s.get))
+	mux.HandleFunc("PUT /objects/{kind}/{name}", s.guard(s.put))
+	mux.HandleFunc("GET /objects/{kind}", s.guard(s.list))
+	mux.HandleFunc("GET /watch/{kind}", s.guard(s.watch))
+	mux.HandleFunc("PUT /faults/store", s.setFaults)
+	mux.HandleFunc("GET /records/store", s.records)
+}
+
+func (s *Store) guard(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		faults := s.faults
+		s.calls++
+		s.mu.Unlock()
+		time.Sleep(faults.Delay)
+		if faults.Down {
+			panic(http.ErrAbortHandler)
+		}
+		next(w, r)
+	}
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	object, found := s.objects[r.PathValue("kind")+"/"+r.PathValue("name")]
+	s.mu.Unlock()
+	if !found {
+		http.NotFound(w, r)
+		return
+	}
+	writeJSON(w, http.StatusOK, object)
+}
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	objects := s.above(r.PathValue("kind"), 0)
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, objects)
+}
+
+func (s *Store) above(kind string, version int64) []platform.Object {
+	objects := []platform.Object{}
+	for _, object := range s.objects {
+		if object.Kind == kind && object.Version > version {
+			objects = append(objects, object)
+		}
+	}
+	return objects
+}
+
+func (s *Store) put(w http.ResponseWriter, r *http.Request) {
+	expected, err := strconv.ParseInt(r.URL.Query().Get("expected"), 10, 64)
+	value, readErr := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValueBytes))
+	if err != nil || readErr != nil || !json.Valid(value) {
+		http.Error(w, "bad write", http.StatusBadRequest)
+		return
+	}
+	object := platform.Object{Kind: r.PathValue("kind"), Name: r.PathValue("name"), Value: value}
+	stored, lose, ok := s.apply(object, expected)
+	if !ok {
+		http.Error(w, "version conflict", http.StatusConflict)
+		return
+	}
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, http.StatusOK, stored)
+}
+
+func (s *Store) apply(object platform.Object, expected int64) (platform.Object, bool, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := object.Kind + "/" + object.Name
+	if s.objects[key].Version != expected {
+		return platform.Object{}, false, false
+	}
+	s.version++
+	object.Version = s.version
+	s.objects[key] = object
+	s.writes = append(s.writes, object)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return object, s.faults.LoseAnswers, true
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	waitMillis, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
+	timeout := time.After(time.Duration(waitMillis) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		objects := s.above(r.PathValue("kind"), after)
+		changed := s.changed
+		s.mu.Unlock()
+		if len(objects) > 0 {
+			writeJSON(w, http.StatusOK, objects)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			writeJSON(w, http.StatusOK, objects)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults StoreFaults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	s.faults = faults
+	s.mu.Unlock()
+}
+
+// StoreRecords is what the store has seen.
+type StoreRecords struct {
+	Calls  int64             `json:"calls"`
+	Writes []platform.Object `json:"writes"`
+}
+
+func (s *Store) records(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	records := StoreRecords{Calls: s.calls, Writes: append([]platform.Object{}, s.writes...)}
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, records)
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
