--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Commands for developers; README.md explains the two main ones.
-.PHONY: demo test check build
+.PHONY: demo test check build soak bench-capacity
 
 build:
 	mkdir -p bin
@@ -14,3 +14,11 @@
 test:
 	go test -race ./internal/... ./test/imports/...
 	go test -count=1 -timeout 30m ./test/e2e/...
+
+SOAK_FLAGS ?= --firm dumitrescu
+
+soak: build
+	go run ./test/soak/cmd --bin bin $(SOAK_FLAGS)
+
+bench-capacity: build
+	go run ./bench/capacity --bin bin
--- /dev/null
+++ b/bench/capacity/idle.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"plantainrelay/internal/table"
+	"plantainrelay/test/cluster"
+	"plantainrelay/test/standin"
+)
+
+// Sizes at the target of the first letter.
+const (
+	targetEntries = 330
+	targetAgents  = 600
+)
+
+// The names of the measured instances.
+const (
+	entryName = "entry-1"
+	agentName = "service-1"
+)
+
+func idleByAgents(bin string, r *results) error {
+	for _, agents := range []int{6, 18, 36} {
+		err := withFleet(bin, fleetConfig{entries: 2, agents: agents}, func(p *probe) error {
+			return idle(p, r, "agents (2 entries)", float64(agents), targetAgents)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func idleByEntries(bin string, r *results) error {
+	for _, entries := range []int{2, 8, 20, 36} {
+		err := withFleet(bin, fleetConfig{entries: entries, agents: 4}, func(p *probe) error {
+			return idle(p, r, "entries (4 agents)", float64(entries), targetEntries)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// idle measures both processes and the store while no request runs.
+func idle(p *probe, r *results, by string, size, target float64) error {
+	var calls standin.StoreRecords
+	if err := cluster.GetJSON(p.fleet.PlatformURL+"/records/store", &calls); err != nil {
+		return err
+	}
+	before := calls.Calls
+	var agent rates
+	entry, err := p.over(entryName, placeEntry, func() error {
+		var err error
+		agent, err = p.over(agentName, placeAgent, func() error {
+			time.Sleep(idleTime)
+			return nil
+		})
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	if err := cluster.GetJSON(p.fleet.PlatformURL+"/records/store", &calls); err != nil {
+		return err
+	}
+	idleRow(r, "entry idle", by, entry, target, size)
+	idleRow(r, "agent idle", by, agent, target, size)
+	r.add("store calls of the fleet", by, "1/s", target, size, float64(calls.Calls-before)/idleTime.Seconds())
+	return nil
+}
+
+func idleRow(r *results, name, by string, measured rates, target, size float64) {
+	r.add(name+" CPU", by, "% of a core", target, size, 100*measured.cores)
+	r.add(name+" memory", by, "MiB", target, size, measured.residentMiB)
+	r.add(name+" control traffic", by, "B/s", target, size, measured.control)
+	r.add(name+" store traffic", by, "B/s", target, size, measured.store)
+	r.add(name+" list traffic", by, "B/s", target, size, measured.list)
+}
+
+const (
+	editsBySize  = 4
+	editPause    = 2 * time.Second
+	targetRoutes = table.MaxRoutes
+)
+
+// editByRoutes measures the bytes that one edit costs each process.
+func editByRoutes(bin string, r *results) error {
+	return withFleet(bin, fleetConfig{entries: 4, agents: 4}, func(p *probe) error {
+		for _, routes := range []int{10, 100, 400} {
+			if err := edits(p, r, routes); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func edits(p *probe, r *results, routes int) error {
+	quiet := func() error {
+		time.Sleep(editsBySize * editPause)
+		return nil
+	}
+	busy := func() error {
+		for range editsBySize {
+			if err := editOnce(p.fleet, routes); err != nil {
+				return err
+			}
+			time.Sleep(editPause)
+		}
+		return nil
+	}
+	for _, one := range []struct{ name, place string }{{entryName, placeEntry}, {agentName, placeAgent}} {
+		idle, err := p.over(one.name, one.place, quiet)
+		if err != nil {
+			return err
+		}
+		edited, err := p.over(one.name, one.place, busy)
+		if err != nil {
+			return err
+		}
+		seconds := (editsBySize * editPause).Seconds()
+		name := "edit at " + one.name
+		r.add(name+" control traffic", "routes", "B each", targetRoutes, float64(routes), (edited.control-idle.control)*seconds/editsBySize)
+		r.add(name+" CPU", "routes", "ms each", targetRoutes, float64(routes), 1000*(edited.cores-idle.cores)*seconds/editsBySize)
+	}
+	return nil
+}
+
+var editNumber int
+
+func editOnce(fleet *cluster.Cluster, routes int) error {
+	status, err := fleet.Status(editor(fleet))
+	if err != nil {
+		return err
+	}
+	return putTables(fleet, status.Revision, routes)
+}
+
+// editor is the entry that takes the edits: not the measured one, if any.
+func editor(fleet *cluster.Cluster) string {
+	if fleet.AdminURL("entry-2") != "" {
+		return "entry-2"
+	}
+	return entryName
+}
+
+func putTables(fleet *cluster.Cluster, expected int64, routes int) error {
+	editNumber++
+	tables := table.Tables{Pools: []table.Pool{{Name: "service", Kind: table.KindService, Instances: []string{"service-*"}}}}
+	for i := range routes {
+		tables.Routes = append(tables.Routes, table.Route{
+			Name: fmt.Sprintf("route-%d-%d", editNumber, i), Customer: fmt.Sprintf("customer-%d", i), Path: "/service", Pool: "service",
+			Priority: table.PriorityNormal, Deadline: time.Minute, Repeatable: true,
+		})
+	}
+	_, err := fleet.Apply(editor(fleet), expected, tables)
+	return err
+}
--- /dev/null
+++ b/bench/capacity/load.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"plantainrelay/internal/message"
+	"plantainrelay/test/cluster"
+	"plantainrelay/test/standin"
+)
+
+const (
+	manyRunning = "[backend]\nmax_running = 5000\n"
+	workers     = 8
+	readyLimit  = time.Minute
+	streamsOpen = 16
+	fastToken   = time.Millisecond
+	slowToken   = 2 * time.Second
+	openPause   = 4 * time.Second
+)
+
+var caller = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096}}
+
+// loadCost measures the processor time of requests and of streamed tokens.
+func loadCost(bin string, r *results) error {
+	return withFleet(bin, fleetConfig{entries: 1, agents: 1, agentExtra: manyRunning}, func(p *probe) error {
+		if err := ready(p.fleet); err != nil {
+			return err
+		}
+		if err := ask(p.fleet, 200, 1, false); err != nil {
+			return err
+		}
+		for _, count := range []int{2000, 4000, 8000} {
+			if err := cost(p, r, "unary requests", float64(count), func() error { return ask(p.fleet, count, 1, false) }); err != nil {
+				return err
+			}
+		}
+		if err := setTokenDelay(p.fleet, fastToken); err != nil {
+			return err
+		}
+		for _, tokens := range []int{500, 1000, 2000} {
+			all := float64(tokens * streamsOpen)
+			if err := cost(p, r, "streamed tokens", all, func() error { return ask(p.fleet, streamsOpen, tokens, true) }); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// cost adds the processor time of entry and agent during work of a size.
+func cost(p *probe, r *results, by string, size float64, work func() error) error {
+	var agent sample
+	entry, err := p.read(entryName, placeEntry)
+	if err != nil {
+		return err
+	}
+	if agent, err = p.read(agentName, placeAgent); err != nil {
+		return err
+	}
+	if err := work(); err != nil {
+		return err
+	}
+	entryAfter, err := p.read(entryName, placeEntry)
+	if err != nil {
+		return err
+	}
+	agentAfter, err := p.read(agentName, placeAgent)
+	if err != nil {
+		return err
+	}
+	r.add("entry CPU", by, "ms", 0, size, float64((entryAfter.cpu-entry.cpu).Microseconds())/1000)
+	r.add("agent CPU", by, "ms", 0, size, float64((agentAfter.cpu-agent.cpu).Microseconds())/1000)
+	return nil
+}
+
+// streamMemory measures the resident memory with many open streams.
+func streamMemory(bin string, r *results) error {
+	return withFleet(bin, fleetConfig{entries: 1, agents: 1, agentExtra: manyRunning}, func(p *probe) error {
+		if err := ready(p.fleet); err != nil {
+			return err
+		}
+		if err := setTokenDelay(p.fleet, slowToken); err != nil {
+			return err
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		defer group.Wait()
+		defer cancel()
+		open := 0
+		for _, wanted := range []int{100, 400, 1000, 2000} {
+			for ; open < wanted; open++ {
+				group.Add(1)
+				go func() {
+					defer group.Done()
+					_ = one(ctx, p.fleet, 60, true)
+				}()
+			}
+			time.Sleep(openPause)
+			if err := memory(p, r, float64(wanted)); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func memory(p *probe, r *results, streams float64) error {
+	for _, process := range []struct{ label, name, place string }{{"entry", entryName, placeEntry}, {"agent", agentName, placeAgent}} {
+		state, err := p.read(process.name, process.place)
+		if err != nil {
+			return err
+		}
+		r.add(process.label+" memory", "open streams", "MiB", 0, streams, float64(state.resident)/(1<<20))
+	}
+	return nil
+}
+
+func setTokenDelay(fleet *cluster.Cluster, delay time.Duration) error {
+	return cluster.PutJSON(fleet.BackendURL(agentName)+"/faults/engine", standin.EngineFaults{TokenDelay: delay})
+}
+
+// ready waits until a request is answered.
+func ready(fleet *cluster.Cluster) error {
+	ctx, cancel := context.WithTimeout(context.Background(), readyLimit)
+	defer cancel()
+	return cluster.WaitFor(ctx, func() (bool, string) {
+		err := one(ctx, fleet, 1, false)
+		return err == nil, fmt.Sprint(err)
+	})
+}
+
+// ask sends count requests over a few workers, or all streams at once.
+func ask(fleet *cluster.Cluster, count, tokens int, stream bool) error {
+	parallel := workers
+	if stream {
+		parallel = count
+	}
+	work := make(chan struct{}, count)
+	for range count {
+		work <- struct{}{}
+	}
+	close(work)
+	failures := make(chan error, parallel)
+	for range parallel {
+		go func() {
+			var failed error
+			for range work {
+				if err := one(context.Background(), fleet, tokens, stream); err != nil {
+					failed = err
+				}
+			}
+			failures <- failed
+		}()
+	}
+	var failed error
+	for range parallel {
+		if err := <-failures; err != nil {
+			failed = err
+		}
+	}
+	return failed
+}
+
+func one(ctx context.Context, fleet *cluster.Cluster, tokens int, stream bool) error {
+	url := fmt.Sprintf("%s/service?tokens=%d", fleet.PublicURL(entryName), tokens)
+	if stream {
+		url += "&stream"
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("a request body"))
+	if err != nil {
+		return err
+	}
+	request.Header.Set(message.HeaderCustomer, "customer-0")
+	response, err := caller.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return err
+	}
+	if outcome := response.Header.Get(message.HeaderOutcome); outcome != "done" {
+		return fmt.Errorf("status %d, outcome %q", response.StatusCode, outcome)
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/capacity/main.go
@@ -0,0 +1,133 @@
+// Command capacity measures, with real processes, how the cost of an entry and
+// of an agent grows with the size of the fleet and with the load, and fits a
+// line to each.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"plantainrelay/test/cluster"
+	"plantainrelay/test/faultproxy"
+)
+
+const (
+	idleTime = 8 * time.Second
+	// settleTime passes after the start before anything is measured.
+	settleTime = 3 * time.Second
+	// productControl are the product's own default intervals.
+	productControl = "[log]\nlevel = info\n[control]\nexchange_interval = 500ms\nlist_interval = 1s\n"
+)
+
+func main() {
+	var bin, output string
+	cmd := &cobra.Command{
+		Use:          "capacity",
+		Short:        "Measure the slopes of cost against size",
+		Example:      "  go run ./bench/capacity --bin bin --output docs/measurements/capacity.md",
+		SilenceUsage: true,
+		RunE: func(*cobra.Command, []string) error {
+			path, err := filepath.Abs(bin)
+			if err != nil {
+				return err
+			}
+			r, err := measureAll(path)
+			if err != nil {
+				return err
+			}
+			r.write(os.Stdout)
+			if output == "" {
+				return nil
+			}
+			return appendTo(output, r)
+		},
+	}
+	cmd.Flags().StringVar(&bin, "bin", "bin", "directory that holds the programs")
+	cmd.Flags().StringVar(&output, "output", "", "Markdown file to which the table is appended")
+	if cmd.Execute() != nil {
+		os.Exit(1)
+	}
+}
+
+func appendTo(path string, r *results) error {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(file, "\n")
+	r.write(io.Writer(file))
+	return file.Close()
+}
+
+func measureAll(bin string) (*results, error) {
+	r := &results{}
+	for _, step := range []struct {
+		name string
+		run  func(string, *results) error
+	}{
+		{"idle cost by agents", idleByAgents},
+		{"idle cost by entries", idleByEntries},
+		{"cost of an edit by the size of the tables", editByRoutes},
+		{"cost of requests and tokens", loadCost},
+		{"memory of open streams", streamMemory},
+	} {
+		fmt.Fprintln(os.Stderr, step.name)
+		if err := step.run(bin, r); err != nil {
+			return nil, fmt.Errorf("%s: %w", step.name, err)
+		}
+	}
+	return r, nil
+}
+
+// fleetConfig describes a cluster with one measured entry and one measured
+// agent, each alone in its place.
+type fleetConfig struct {
+	entries, agents int
+	agentExtra      string
+}
+
+// withFleet runs during on a fleet and stops it.
+func withFleet(bin string, config fleetConfig, during func(p *probe) error) error {
+	dir, err := os.MkdirTemp("", "plantain-capacity-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	network := faultproxy.NewNetwork(func(string, string) faultproxy.Path { return faultproxy.Path{} })
+	defer network.Close()
+	fleet, err := cluster.Start(cluster.Config{
+		Bin: bin, Dir: dir, Network: network, StoreZone: placeStore,
+		Entries: instances("entry", placeEntry, config.entries, false, productControl),
+		Agents:  instances("service", placeAgent, config.agents, true, productControl+config.agentExtra),
+	})
+	if fleet != nil {
+		defer fleet.Stop()
+	}
+	if err != nil {
+		return err
+	}
+	if err := putTables(fleet, 0, 1); err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	return during(&probe{fleet: fleet, network: network})
+}
+
+func instances(prefix, first string, count int, service bool, extra string) []cluster.Instance {
+	var all []cluster.Instance
+	for i := range count {
+		place := placeRest
+		if i == 0 {
+			place = first
+		}
+		all = append(all, cluster.Instance{
+			Name: fmt.Sprintf("%s-%d", prefix, i+1), AvailabilityZone: place, Region: "region", Service: service, Extra: extra,
+		})
+	}
+	return all
+}
--- /dev/null
+++ b/bench/capacity/probe.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"plantainrelay/test/cluster"
+	"plantainrelay/test/faultproxy"
+)
+
+// The places of the measured processes; all others are in placeRest.
+const (
+	placeEntry = "measured-entry"
+	placeAgent = "measured-agent"
+	placeRest  = "rest"
+	placeStore = "store"
+)
+
+// sample is the state of one process at a time.
+type sample struct {
+	at       time.Time
+	cpu      time.Duration
+	resident int64
+	control  int64
+	store    int64
+	list     int64
+}
+
+// rates are the differences of two samples by second.
+type rates struct {
+	// cores is processor time by time.
+	cores                float64
+	residentMiB          float64
+	control, store, list float64
+}
+
+func (a sample) until(b sample) rates {
+	seconds := b.at.Sub(a.at).Seconds()
+	return rates{
+		cores:       (b.cpu - a.cpu).Seconds() / seconds,
+		residentMiB: float64(b.resident) / (1 << 20),
+		control:     float64(b.control-a.control) / seconds,
+		store:       float64(b.store-a.store) / seconds,
+		list:        float64(b.list-a.list) / seconds,
+	}
+}
+
+// probe reads the processes of a cluster.
+type probe struct {
+	fleet   *cluster.Cluster
+	network *faultproxy.Network
+}
+
+// read returns the sample of the process that alone runs in place.
+func (p *probe) read(name, place string) (sample, error) {
+	pid := p.fleet.Process(name).Command.Process.Pid
+	cpu, err := processorTime(pid)
+	if err != nil {
+		return sample{}, err
+	}
+	resident, err := cluster.ResidentBytes(pid)
+	if err != nil {
+		return sample{}, err
+	}
+	s := sample{at: time.Now(), cpu: cpu, resident: resident, list: p.fleet.ListBytes(place)}
+	for _, other := range []string{placeEntry, placeAgent, placeRest} {
+		if other != place {
+			s.control += p.network.Bytes(place, other) + p.network.Bytes(other, place)
+		}
+	}
+	s.store = p.network.Bytes(place, placeStore) + p.network.Bytes(placeStore, place)
+	return s, nil
+}
+
+// over returns the rates of the process during the pause.
+func (p *probe) over(name, place string, during func() error) (rates, error) {
+	before, err := p.read(name, place)
+	if err != nil {
+		return rates{}, err
+	}
+	if err := during(); err != nil {
+		return rates{}, err
+	}
+	after, err := p.read(name, place)
+	return before.until(after), err
+}
+
+// processorTime adds up the processor time of a process's threads.
+func processorTime(pid int) (time.Duration, error) {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	if err != nil {
+		return 0, err
+	}
+	var total time.Duration
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			continue
+		}
+		var running, waiting, slices int64
+		if _, err := fmt.Sscan(string(raw), &running, &waiting, &slices); err != nil {
+			return 0, err
+		}
+		total += time.Duration(running)
+	}
+	return total, nil
+}
--- a/cmd/plantain-standin/main.go
+++ b/cmd/plantain-standin/main.go
@@ -37,7 +37,7 @@
 }
 
 func command(name, short string, parts func() []registrar) *cobra.Command {
-	var listen string
+	var listen, records string
 	cmd := &cobra.Command{
 		Use:     name,
 		Short:   "Run " + short,
@@ -45,6 +45,9 @@
 		RunE: func(*cobra.Command, []string) error {
 			mux := http.NewServeMux()
 			for _, part := range parts() {
+				if err := recordTo(part, records); err != nil {
+					return err
+				}
 				part.Register(mux)
 			}
 			server := &http.Server{Addr: listen, Handler: mux, ReadHeaderTimeout: headerReadLimit}
@@ -52,5 +55,20 @@
 		},
 	}
 	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:9000", "address to listen on")
+	cmd.Flags().StringVar(&records, "records", "", "file that takes each execution as a line of JSON")
 	return cmd
 }
+
+// recordTo opens the file of records for a part that writes one.
+func recordTo(part registrar, path string) error {
+	engine, ok := part.(*standin.Engine)
+	if !ok || path == "" {
+		return nil
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	engine.RecordTo(file)
+	return nil
+}
--- a/internal/distribute/fetch.go
+++ b/internal/distribute/fetch.go
@@ -181,7 +181,7 @@
 	d.addresses = map[string]string{}
 	peers := make([]swarm.Peer, 0, len(e.reply.Holders))
 	for _, holder := range e.reply.Holders {
-		d.addresses[holder.Instance] = holder.HTTPAddress
+		d.addresses[holder.Instance] = d.addressOf(holder)
 		peers = append(peers, swarm.Peer{Name: holder.Instance, AvailabilityZone: holder.AvailabilityZone, Region: holder.Region, Have: holder.Have})
 	}
 	d.plan.SetPeers(peers)
@@ -189,3 +189,12 @@
 		d.act(ctx, d.rollout.Permitted(e.digest, time.Now()))
 	}
 }
+
+// addressOf returns the address at which this process reaches a holder: the
+// one in its own list, or else the one that the holder announced.
+func (d *Driver) addressOf(holder message.Holder) string {
+	if instance, found := d.members.Current().Find(holder.Instance); found {
+		return instance.HTTPAddress
+	}
+	return holder.HTTPAddress
+}
--- /dev/null
+++ b/test/checker/requests.go
@@ -0,0 +1,196 @@
+package checker
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"plantainrelay/internal/weights"
+	"plantainrelay/test/standin"
+)
+
+// wholeWeights is G1.
+func wholeWeights(h *History) *Judgement {
+	j := &Judgement{Name: "G1", Text: "no answer from partial or mixed weights"}
+	executions, answers := j.count("executions"), j.count("answers")
+	partial, mixed := j.bad("executions from partial weights"), j.bad("answers from partial or mixed weights")
+	for _, execution := range h.Executions {
+		if !execution.Model {
+			continue
+		}
+		executions.N++
+		if h.Versions[execution.Version] != execution.Whole {
+			partial.add("%s ran call %s with weights %.12s named %q", execution.Instance, execution.Call, execution.Whole, execution.Version)
+		}
+	}
+	for _, call := range h.Calls {
+		if !call.Model || call.Outcome != Done {
+			continue
+		}
+		answers.N++
+		for _, part := range parts(&call) {
+			if part.Version != call.Version || h.Versions[part.Version] != part.Whole {
+				mixed.add("call %s was told version %q and got an answer of %q", call.ID, call.Version, part.Version)
+				break
+			}
+		}
+	}
+	return j
+}
+
+// part is a unary answer or one event of a stream.
+type part struct {
+	Echo    string         `json:"echo"`
+	Version string         `json:"version"`
+	Whole   weights.Digest `json:"whole"`
+	Token   int            `json:"token"`
+}
+
+const (
+	eventPrefix = "data: "
+	finalEvent  = "event: done"
+)
+
+// parts decodes what can be decoded of an answer.
+func parts(call *Call) []part {
+	if !call.Stream {
+		var one part
+		if json.Unmarshal(call.Answer, &one) != nil {
+			return nil
+		}
+		return []part{one}
+	}
+	var all []part
+	for line := range bytes.Lines(call.Answer) {
+		text, found := strings.CutPrefix(string(line), eventPrefix)
+		var one part
+		if found && json.Unmarshal([]byte(text), &one) == nil && one.Echo != "" {
+			all = append(all, one)
+		}
+	}
+	return all
+}
+
+// ownAnswer is G2.
+func ownAnswer(h *History) *Judgement {
+	j := &Judgement{Name: "G2", Text: "the whole answer to the caller's own request"}
+	calls, done := j.count("calls"), j.count("answers shown as whole")
+	unknown, notRun, broken := j.count("unknown"), j.count("not_run"), j.count("shown as cut")
+	crossed, truncated := j.bad("crossed"), j.bad("cut but shown as whole")
+	for _, call := range h.Calls {
+		calls.N++
+		switch call.Outcome {
+		case Unknown:
+			unknown.N++
+		case NotRun:
+			notRun.N++
+		case Broken:
+			broken.N++
+		case Done:
+			done.N++
+			checkAnswer(&call, crossed, truncated)
+		}
+	}
+	return j
+}
+
+func checkAnswer(call *Call, crossed, truncated *Count) {
+	all := parts(call)
+	for _, one := range all {
+		if one.Echo != call.Body {
+			crossed.add("call %s (%q) got the answer of %q", call.ID, call.Body, one.Echo)
+			return
+		}
+	}
+	if !call.Stream {
+		var answer standin.Answer
+		if json.Unmarshal(call.Answer, &answer) != nil || answer.Tokens != call.Tokens {
+			truncated.add("call %s: %d bytes, wanted %d tokens: %.80q", call.ID, len(call.Answer), call.Tokens, call.Answer)
+		}
+		return
+	}
+	inOrder := len(all) == call.Tokens && bytes.Contains(call.Answer, []byte(finalEvent))
+	for i, one := range all {
+		inOrder = inOrder && one.Token == i
+	}
+	if !inOrder {
+		truncated.add("stream %s: %d of %d tokens or out of order", call.ID, len(all), call.Tokens)
+	}
+}
+
+// notRunMeansNotRun is G3.
+func notRunMeansNotRun(h *History) *Judgement {
+	j := &Judgement{Name: "G3", Text: "not_run means not run"}
+	notRun := j.count("not_run answers")
+	falseCalls := j.bad("not_run although this call ran")
+	falseKeys := j.bad("not_run although the key had run")
+	byCall, byKey := h.executionsByCall(), h.executionsByKey()
+	for _, call := range h.Calls {
+		if call.Outcome != NotRun {
+			continue
+		}
+		notRun.N++
+		if ran := byCall[call.ID]; len(ran) > 0 {
+			falseCalls.add("call %s through %s ran on %s", call.ID, call.Entry, ran[0].Instance)
+			continue
+		}
+		if first, found := firstRun(byKey[call.Key], call.Ended); call.Key != "" && found {
+			falseKeys.add("key %s through %s ran on %s before", call.Key, call.Entry, first.Instance)
+		}
+	}
+	return j
+}
+
+func firstRun(executions []Execution, before time.Time) (Execution, bool) {
+	for _, execution := range executions {
+		if execution.Started.Before(before) {
+			return execution, true
+		}
+	}
+	return Execution{}, false
+}
+
+// atMostOnce is G4.
+func atMostOnce(h *History) *Judgement {
+	j := &Judgement{Name: "G4", Text: "bookings and certificates run at most once"}
+	keys, ran, retried := j.count("keys"), j.count("keys run"), j.count("calls sent again")
+	unanswered := j.count("keys without a final answer")
+	duplicates, twice := j.bad("duplicates of a key"), j.bad("calls run twice")
+	byKey := h.executionsByKey()
+	answered, seen := map[string]bool{}, map[string]int{}
+	for _, call := range h.Calls {
+		if call.Key == "" {
+			continue
+		}
+		seen[call.Key]++
+		answered[call.Key] = answered[call.Key] || call.Outcome == Done
+	}
+	for key, calls := range seen {
+		keys.N++
+		retried.N += calls - 1
+		if !answered[key] {
+			unanswered.N++
+		}
+		countRuns(byKey[key], ran, duplicates, twice)
+	}
+	return j
+}
+
+// countRuns tells runs of one call from runs of several calls of a key.
+func countRuns(executions []Execution, ran, duplicates, twice *Count) {
+	if len(executions) == 0 {
+		return
+	}
+	ran.N++
+	calls := map[string]bool{}
+	for i, execution := range executions {
+		if i > 0 && calls[execution.Call] {
+			twice.add("call %s of key %s ran again on %s", execution.Call, execution.Key, execution.Instance)
+		} else if i > 0 {
+			duplicates.add("key %s ran on %s and on %s %s later", execution.Key, executions[0].Instance, execution.Instance,
+				execution.Started.Sub(executions[0].Started).Round(time.Millisecond))
+		}
+		calls[execution.Call] = true
+	}
+}
--- /dev/null
+++ b/test/checker/tables.go
@@ -0,0 +1,135 @@
+package checker
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"plantainrelay/internal/table"
+	"plantainrelay/internal/tablesync"
+)
+
+// editsInForce is G7.
+func editsInForce(h *History, bound time.Duration) *Judgement {
+	j := &Judgement{Name: "G7", Text: "accepted edits are in force everywhere within seconds and never revert"}
+	accepted, refused, uncertain := j.count("accepted"), j.count("refused"), j.count("uncertain")
+	lost, applied := j.bad("accepted edits lost"), j.bad("refused edits in the store")
+	written := writtenEdits(h)
+	for _, edit := range h.Edits {
+		revision, found := written[edit.ID]
+		switch edit.Verdict {
+		case Accepted:
+			accepted.N++
+			if !found || revision != edit.Revision {
+				lost.add("edit %s was accepted as revision %d; the store has it as %d", edit.ID, edit.Revision, revision)
+			}
+		case Refused:
+			refused.N++
+			if found {
+				applied.add("edit %s was refused (%s) and is revision %d", edit.ID, edit.Detail, revision)
+			}
+		default:
+			uncertain.N++
+		}
+	}
+	histories := j.bad("histories of edits that no order explains")
+	if !linearizable(h.Edits) {
+		histories.add("%d edits", len(h.Edits))
+	}
+	reverts(h, j)
+	late(h, j, bound)
+	return j
+}
+
+func writtenEdits(h *History) map[string]int64 {
+	written := map[string]int64{}
+	for _, write := range h.Writes {
+		var snapshot table.Snapshot
+		if write.Kind != tablesync.ObjectKind || write.Name != tablesync.ObjectName || json.Unmarshal(write.Value, &snapshot) != nil {
+			continue
+		}
+		if _, found := written[snapshot.EditID]; !found {
+			written[snapshot.EditID] = write.Version
+		}
+	}
+	return written
+}
+
+// linearizable checks the edits against a register with a conditional write.
+func linearizable(edits []Edit) bool {
+	var operations []porcupine.Operation
+	for _, edit := range edits {
+		if edit.Verdict != Accepted {
+			continue
+		}
+		operations = append(operations, porcupine.Operation{
+			ClientId: edit.Operator,
+			Input:    edit.Expected,
+			Output:   edit.Revision,
+			Call:     edit.Sent.UnixNano(),
+			Return:   edit.Ended.UnixNano(),
+		})
+	}
+	return porcupine.CheckOperations(conditionalWrites, operations)
+}
+
+// conditionalWrites is a register whose writes name the revision that they
+// expect. Writes with an uncertain result may lie between two accepted ones,
+// so the state may have moved on to the expected revision.
+var conditionalWrites = porcupine.Model{
+	Init: func() any { return int64(0) },
+	Step: func(state, input, output any) (bool, any) {
+		expected, revision := input.(int64), output.(int64)
+		return expected >= state.(int64) && revision > expected, revision
+	},
+}
+
+// reverts counts instances that went back to an older revision.
+func reverts(h *History, j *Judgement) {
+	observed, reverted := j.count("observations"), j.bad("reverts")
+	newest := map[string]Observation{}
+	for _, seen := range h.Observations {
+		observed.N++
+		if seen.Revision == 0 {
+			continue
+		}
+		before := newest[seen.Instance]
+		if seen.Revision < before.Revision {
+			reverted.add("%s went from revision %d to %d (process %d, before %d)", seen.Instance, before.Revision, seen.Revision, seen.Process, before.Process)
+			continue
+		}
+		newest[seen.Instance] = seen
+	}
+}
+
+// late counts accepted edits that an instance did not hold in time. A process
+// that has just started, or was itself stopped, has the bound from then on.
+func late(h *History, j *Judgement, bound time.Duration) {
+	missed := j.bad("not in force within " + bound.String())
+	for _, edit := range h.Edits {
+		if edit.Verdict != Accepted {
+			continue
+		}
+		reported := map[string]bool{}
+		for _, seen := range h.Observations {
+			due := later(edit.Ended, seen.Started).Add(bound)
+			if seen.Revision >= edit.Revision || seen.At.Before(due) || reported[seen.Instance] {
+				continue
+			}
+			if h.stopped(seen.Instance, seen.At.Add(-bound), seen.At) {
+				continue
+			}
+			reported[seen.Instance] = true
+			missed.add("%s in %s held revision %d %s after revision %d was accepted", seen.Instance, seen.AvailabilityZone,
+				seen.Revision, seen.At.Sub(edit.Ended).Round(time.Millisecond), edit.Revision)
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -62,6 +62,13 @@
 	Dir     string
 	Entries []Instance
 	Agents  []Instance
+	// Network, when set, lies between the availability zones; the platform is
+	// in StoreZone.
+	Network   Network
+	StoreZone string
+	// Record makes the backend servers record their executions in files, which
+	// outlive them.
+	Record bool
 }
 
 // Process is one running program.
@@ -81,6 +88,10 @@
 	// Token is the token of the operator with the role editor.
 	Token string
 
+	listURL   string
+	lists     *http.Server
+	listBytes map[string]int64
+
 	mu        sync.Mutex
 	processes map[string]*Process
 	instances map[string]member.Instance
@@ -106,6 +117,7 @@
 		instances: map[string]member.Instance{},
 		backends:  map[string]string{},
 		admins:    map[string]string{},
+		listBytes: map[string]int64{},
 	}
 	if err := c.writeSecrets(); err != nil {
 		return nil, err
@@ -113,6 +125,9 @@
 	if err := c.startPlatform(); err != nil {
 		return nil, err
 	}
+	if err := c.startLists(); err != nil {
+		return c, err
+	}
 	for _, instance := range config.Entries {
 		if err := c.StartEntry(instance); err != nil {
 			return c, err
@@ -213,7 +228,7 @@
 	return process, nil
 }
 
-func (c *Cluster) commonSettings(instance Instance, control string) string {
+func (c *Cluster) commonSettings(instance Instance, control string, platform platformURLs) string {
 	return fmt.Sprintf(`[instance]
 name = %s
 availability_zone = %s
@@ -234,7 +249,7 @@
 drain_limit = 2m
 [listen]
 control = %s
-`, instance.Name, instance.AvailabilityZone, instance.Region, c.path("fleet.key"), c.PlatformURL, c.PlatformURL, c.PlatformURL, control)
+`, instance.Name, instance.AvailabilityZone, instance.Region, c.path("fleet.key"), platform.store, platform.origin, platform.list, control)
 }
 
 // StartEntry runs an entry; it is not in the list until PublishList.
@@ -244,7 +259,11 @@
 		return err
 	}
 	control, public, adminAddress := addresses[0], addresses[1], addresses[2]
-	text := c.commonSettings(instance, control) + fmt.Sprintf("public = %s\nadmin = %s\n[admin]\noperators_file = %s\n%s\n",
+	platform, err := c.platformOf(instance)
+	if err != nil {
+		return err
+	}
+	text := c.commonSettings(instance, control, platform) + fmt.Sprintf("public = %s\nadmin = %s\n[admin]\noperators_file = %s\n%s\n",
 		public, adminAddress, c.path("operators.ini"), instance.Extra)
 	if err := c.startDaemon(instance.Name, "plantain-entry", text); err != nil {
 		return err
@@ -267,13 +286,21 @@
 	if instance.Service {
 		kind = "service"
 	}
-	if _, err := c.run(instance.Name+"-backend", "plantain-standin", kind, "--listen", backend); err != nil {
+	platform, err := c.platformOf(instance)
+	if err != nil {
+		return err
+	}
+	args := []string{kind, "--listen", backend}
+	if c.config.Record {
+		args = append(args, "--records", c.RecordsPath(instance.Name))
+	}
+	if _, err := c.run(instance.Name+"-backend", "plantain-standin", args...); err != nil {
 		return err
 	}
 	if err := WaitHTTP("http://" + backend + "/v1/status"); err != nil {
 		return err
 	}
-	text := c.commonSettings(instance, control) + fmt.Sprintf("http = %s\n[backend]\nurl = http://%s\n%s\n", public, backend, instance.Extra)
+	text := c.commonSettings(instance, control, platform) + fmt.Sprintf("http = %s\n[backend]\nurl = http://%s\n%s\n", public, backend, instance.Extra)
 	if err := c.startDaemon(instance.Name, "plantain-agent", text); err != nil {
 		return err
 	}
@@ -404,6 +431,9 @@
 		_ = process.Command.Process.Kill()
 		<-process.exited
 	}
+	if c.lists != nil {
+		_ = c.lists.Close()
+	}
 }
 
 // Publish puts weights into the origin and returns their manifest's digest.
--- /dev/null
+++ b/test/cluster/links.go
@@ -0,0 +1,151 @@
+package cluster
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"plantainrelay/internal/member"
+)
+
+// Network gives each place its own addresses of the listeners elsewhere.
+// Places are the availability zones' names and PlaceClients.
+type Network interface {
+	Address(from, to, upstream string) (string, error)
+}
+
+// PlaceClients is the place of the callers.
+const PlaceClients = "clients"
+
+// listReadLimit bounds the reading of a request's header.
+const listReadLimit = 10 * time.Second
+
+// platformURLs are the base URLs that one process has in its settings.
+type platformURLs struct {
+	store, origin, list string
+}
+
+// platformOf returns the platform's URLs as seen from the instance's
+// availability zone.
+func (c *Cluster) platformOf(instance Instance) (platformURLs, error) {
+	if c.config.Network == nil {
+		return platformURLs{store: c.PlatformURL, origin: c.PlatformURL, list: c.PlatformURL}, nil
+	}
+	upstream := strings.TrimPrefix(c.PlatformURL, "http://")
+	address, err := c.config.Network.Address(instance.AvailabilityZone, c.config.StoreZone, upstream)
+	if err != nil {
+		return platformURLs{}, err
+	}
+	return platformURLs{store: "http://" + address, origin: "http://" + address, list: c.listURL + "/" + instance.AvailabilityZone}, nil
+}
+
+// startLists serves the list of instances to each place with the addresses
+// that hold there.
+func (c *Cluster) startLists() error {
+	if c.config.Network == nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	c.listURL = "http://" + listener.Addr().String()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /{place}/instances", c.serveList)
+	c.lists = &http.Server{Handler: mux, ReadHeaderTimeout: listReadLimit}
+	go func() { _ = c.lists.Serve(listener) }()
+	return nil
+}
+
+func (c *Cluster) serveList(w http.ResponseWriter, r *http.Request) {
+	var list member.List
+	if err := GetJSON(c.PlatformURL+"/instances", &list); err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	for i, row := range list.Instances {
+		seen, err := c.seenFrom(r.PathValue("place"), row)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		list.Instances[i] = seen
+	}
+	raw, err := json.Marshal(list)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	c.mu.Lock()
+	c.listBytes[r.PathValue("place")] += int64(len(raw))
+	c.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(raw)
+}
+
+// ListBytes returns the bytes of the list's bodies that a place has read.
+func (c *Cluster) ListBytes(place string) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.listBytes[place]
+}
+
+func (c *Cluster) seenFrom(place string, row member.Instance) (member.Instance, error) {
+	public, err := c.config.Network.Address(place, row.AvailabilityZone, row.HTTPAddress)
+	if err != nil {
+		return row, err
+	}
+	control, err := c.config.Network.Address(place, row.AvailabilityZone, row.ControlAddress)
+	row.HTTPAddress, row.ControlAddress = public, control
+	return row, err
+}
+
+// ClientAddress returns the address at which callers reach an entry's public
+// listener.
+func (c *Cluster) ClientAddress(entry string) (string, error) {
+	row := c.Row(entry)
+	if c.config.Network == nil {
+		return row.HTTPAddress, nil
+	}
+	return c.config.Network.Address(PlaceClients, row.AvailabilityZone, row.HTTPAddress)
+}
+
+// FleetKey returns the key that all processes of the cluster share.
+func (c *Cluster) FleetKey() string { return fleetKey }
+
+// RecordsPath returns the file in which the backend server beside an agent
+// records its executions when Config.Record is set.
+func (c *Cluster) RecordsPath(agent string) string { return c.path(agent + "-backend.records") }
+
+// TotalRSS returns the resident memory of all running processes and their
+// number.
+func (c *Cluster) TotalRSS() (int64, int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var total int64
+	count := 0
+	for _, process := range c.processes {
+		if bytes, err := ResidentBytes(process.Command.Process.Pid); err == nil {
+			total += bytes
+			count++
+		}
+	}
+	return total, count
+}
+
+// ResidentBytes reads the resident memory of a process.
+func ResidentBytes(pid int) (int64, error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0, err
+	}
+	var size, resident int64
+	if _, err := fmt.Sscan(string(raw), &size, &resident); err != nil {
+		return 0, err
+	}
+	return resident * int64(os.Getpagesize()), nil
+}
--- /dev/null
+++ b/test/soak/firm.go
@@ -0,0 +1,109 @@
+// Package soak runs the whole system with real processes behind
+// fault-injecting proxies, under open-loop load and injected faults, and
+// records what the checker judges.
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	"plantainrelay/internal/table"
+	"plantainrelay/internal/weights"
+	"plantainrelay/test/cluster"
+	"plantainrelay/test/faultproxy"
+)
+
+// Firm holds the sizes and the network of one user today.
+type Firm struct {
+	Name string
+	// Zones are availability zones, each in the region of the same name; the
+	// store is in the first.
+	Zones []string
+	// Entries, Models, Ledgers and Records count instances.
+	Entries, Models, Ledgers, Records int
+	// ModelName, LedgerName and RecordName begin the instances' names; the
+	// paths of requests are the same words.
+	ModelName, LedgerName, RecordName string
+	// ZoneDelay, RegionDelay and ClientDelay are one-way.
+	ZoneDelay, RegionDelay, ClientDelay time.Duration
+	Prefer                              table.Preference
+}
+
+// regionBytesPerSecond is 20 Mbit/s each way.
+const regionBytesPerSecond = 20_000_000 / 8
+
+// Firms are the two users.
+var Firms = map[string]Firm{
+	"dumitrescu": {
+		Name: "dumitrescu", Zones: []string{"muntenia", "ardeal", "moldova"},
+		Entries: 8, Models: 16, Ledgers: 3, Records: 1,
+		ModelName: "model", LedgerName: "booking", RecordName: "records",
+		ZoneDelay: 5 * time.Millisecond, RegionDelay: 3 * time.Millisecond, ClientDelay: 3 * time.Millisecond,
+		Prefer: table.PreferTime,
+	},
+	"autentica": {
+		Name: "autentica", Zones: []string{"santiago", "valparaiso", "biobio"},
+		Entries: 8, Models: 14, Ledgers: 3, Records: 1,
+		ModelName: "verdict", LedgerName: "ledger", RecordName: "portal",
+		ZoneDelay: 4 * time.Millisecond, RegionDelay: time.Millisecond, ClientDelay: 3 * time.Millisecond,
+		Prefer: table.PreferOriginBytes,
+	},
+}
+
+// Small returns the firm with fewer instances, for CI.
+func (f Firm) Small() Firm {
+	f.Entries, f.Models, f.Ledgers = 3, 4, 2
+	return f
+}
+
+// path tells what lies between two places. Each zone is a region of its own,
+// so a way between zones has the delays of both.
+func (f Firm) path(from, to string) faultproxy.Path {
+	if from == cluster.PlaceClients || to == cluster.PlaceClients {
+		return faultproxy.Path{Delay: f.ClientDelay}
+	}
+	return faultproxy.Path{Delay: f.ZoneDelay + f.RegionDelay, BytesPerSecond: regionBytesPerSecond}
+}
+
+func (f Firm) instances(prefix string, count int, service bool) []cluster.Instance {
+	var all []cluster.Instance
+	for i := range count {
+		zone := f.Zones[i%len(f.Zones)]
+		all = append(all, cluster.Instance{
+			Name: fmt.Sprintf("%s-%d", prefix, i+1), AvailabilityZone: zone, Region: zone, Service: service,
+		})
+	}
+	return all
+}
+
+func (f Firm) entries() []cluster.Instance { return f.instances("entry", f.Entries, false) }
+
+func (f Firm) agents() []cluster.Instance {
+	all := f.instances(f.ModelName, f.Models, false)
+	all = append(all, f.instances(f.LedgerName, f.Ledgers, true)...)
+	return append(all, f.instances(f.RecordName, f.Records, true)...)
+}
+
+const (
+	lookupDeadline = 20 * time.Second
+	bookDeadline   = 20 * time.Second
+	maxUnavailable = 2
+)
+
+// tables returns the tables that name version; the number makes edits differ.
+func (f Firm) tables(version string, manifest weights.Digest, number int) table.Tables {
+	return table.Tables{
+		Pools: []table.Pool{
+			{Name: f.ModelName, Kind: table.KindModel, Instances: []string{f.ModelName + "-*"}, Version: version,
+				Manifest: string(manifest), MaxUnavailable: maxUnavailable, Prefer: f.Prefer},
+			{Name: f.LedgerName, Kind: table.KindService, Instances: []string{f.LedgerName + "-*"}},
+			{Name: f.RecordName, Kind: table.KindService, Instances: []string{f.RecordName + "-*"}},
+		},
+		Routes: []table.Route{
+			{Name: fmt.Sprintf("edit-%d", number), Customer: "*", Path: "/nobody-asks-this", Pool: f.RecordName, Priority: table.PriorityBatch, Deadline: lookupDeadline},
+			{Name: "model", Customer: "*", Path: "/" + f.ModelName, Pool: f.ModelName, Repeatable: true, Priority: table.PriorityNormal, Deadline: lookupDeadline},
+			{Name: "ledger", Customer: "*", Path: "/" + f.LedgerName, Pool: f.LedgerName, Priority: table.PriorityUrgent, Deadline: bookDeadline},
+			{Name: "record", Customer: "*", Path: "/" + f.RecordName, Pool: f.RecordName, Repeatable: true, Priority: table.PriorityNormal, Deadline: lookupDeadline},
+		},
+	}
+}
--- /dev/null
+++ b/test/soak/observer.go
@@ -0,0 +1,81 @@
+package soak
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"plantainrelay/internal/message"
+	"plantainrelay/internal/peer"
+	"plantainrelay/test/checker"
+)
+
+const (
+	observeInterval = 300 * time.Millisecond
+	observeTimeout  = time.Second
+)
+
+// observed is one process whose revision is read.
+type observed struct {
+	instance, zone string
+	process        int
+	started        time.Time
+	control        string
+}
+
+// observer reads the revision that each process holds, past the network.
+type observer struct {
+	client *peer.Client
+
+	mu    sync.Mutex
+	stops map[string]context.CancelFunc
+	seen  []checker.Observation
+}
+
+func newObserver(key string) *observer {
+	return &observer{client: peer.NewClient(peer.Security{Key: []byte(key)}), stops: map[string]context.CancelFunc{}}
+}
+
+// watch reads one process until ctx ends or its instance is watched anew.
+func (o *observer) watch(ctx context.Context, process observed) {
+	ctx, cancel := context.WithCancel(ctx)
+	o.mu.Lock()
+	if stop, found := o.stops[process.instance]; found {
+		stop()
+	}
+	o.stops[process.instance] = cancel
+	o.mu.Unlock()
+	go func() {
+		for ctx.Err() == nil {
+			o.read(ctx, process)
+			wait(ctx, observeInterval)
+		}
+	}()
+}
+
+func (o *observer) read(ctx context.Context, process observed) {
+	call, cancel := context.WithTimeout(ctx, observeTimeout)
+	defer cancel()
+	at := time.Now()
+	var reply message.ExchangeReply
+	args := message.ExchangeArgs{From: "observer", Revision: math.MaxInt64}
+	if o.client.Call(call, process.control, message.MethodExchange, args, &reply) != nil {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
+	o.seen = append(o.seen, checker.Observation{
+		Instance: process.instance, AvailabilityZone: process.zone, Process: process.process,
+		Started: process.started, At: at, Revision: reply.Revision,
+	})
+}
+
+func (o *observer) observations() []checker.Observation {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]checker.Observation(nil), o.seen...)
+}
--- /dev/null
+++ b/test/soak/operators.go
@@ -0,0 +1,153 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"plantainrelay/internal/admin"
+	"plantainrelay/internal/table"
+	"plantainrelay/internal/weights"
+	"plantainrelay/test/checker"
+	"plantainrelay/test/cluster"
+)
+
+const (
+	editTimeout  = 15 * time.Second
+	editInterval = 4 * time.Second
+	releaseTries = 20
+	releasePause = 500 * time.Millisecond
+)
+
+// target is the version that the tables name.
+type target struct {
+	version  string
+	manifest weights.Digest
+	whole    weights.Digest
+}
+
+// operators edit the tables through any entry and log the answers.
+type operators struct {
+	firm    Firm
+	cluster *cluster.Cluster
+	entry   func() string
+
+	mu     sync.Mutex
+	edits  []checker.Edit
+	target target
+	number int
+}
+
+// race makes two operators send an edit of the same revision at once, again
+// and again until ctx ends.
+func (o *operators) race(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(editInterval):
+		}
+		expected, err := o.revision(o.entry())
+		if err != nil {
+			continue
+		}
+		var both sync.WaitGroup
+		for operator := range 2 {
+			both.Add(1)
+			go func() {
+				defer both.Done()
+				o.apply(operator, expected, o.next())
+			}()
+		}
+		both.Wait()
+	}
+}
+
+// next returns the tables with the current target and a new number.
+func (o *operators) next() table.Tables {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.number++
+	return o.firm.tables(o.target.version, o.target.manifest, o.number)
+}
+
+// release puts a version in force, trying again when another edit came first.
+func (o *operators) release(to target) error {
+	o.mu.Lock()
+	o.target = to
+	o.mu.Unlock()
+	var last checker.Edit
+	for range releaseTries {
+		if expected, err := o.revision(o.entry()); err == nil {
+			last = o.apply(2, expected, o.next())
+			if last.Verdict == checker.Accepted {
+				return nil
+			}
+		}
+		time.Sleep(releasePause)
+	}
+	return fmt.Errorf("the release of %s was not accepted: %s", to.version, last.Detail)
+}
+
+func (o *operators) apply(operator int, expected int64, tables table.Tables) checker.Edit {
+	edit := checker.Edit{ID: uuid.NewString(), Operator: operator, Expected: expected, Sent: time.Now()}
+	var accepted admin.Accepted
+	status, detail := o.call(http.MethodPut, o.entry(), admin.Edit{ID: edit.ID, ExpectedRevision: expected, Tables: tables}, &accepted)
+	edit.Ended, edit.Detail = time.Now(), detail
+	switch status {
+	case http.StatusOK:
+		edit.Verdict, edit.Revision = checker.Accepted, accepted.Revision
+	case 0, http.StatusGatewayTimeout, http.StatusInternalServerError:
+		edit.Verdict = checker.Uncertain
+	default:
+		edit.Verdict = checker.Refused
+	}
+	o.mu.Lock()
+	o.edits = append(o.edits, edit)
+	o.mu.Unlock()
+	return edit
+}
+
+func (o *operators) revision(entry string) (int64, error) {
+	var snapshot table.Snapshot
+	status, detail := o.call(http.MethodGet, entry, nil, &snapshot)
+	if status != http.StatusOK {
+		return 0, fmt.Errorf("status %d: %s", status, detail)
+	}
+	return snapshot.Revision, nil
+}
+
+// call returns status 0 when no answer came.
+func (o *operators) call(method, entry string, in, out any) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), editTimeout)
+	defer cancel()
+	raw, err := json.Marshal(in)
+	if err != nil {
+		return 0, err.Error()
+	}
+	request, err := http.NewRequestWithContext(ctx, method, o.cluster.AdminURL(entry)+"/v1/tables", bytes.NewReader(raw))
+	if err != nil {
+		return 0, err.Error()
+	}
+	request.Header.Set("Authorization", "Bearer "+o.cluster.Token)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	if response.StatusCode == http.StatusOK && json.Unmarshal(body, out) != nil {
+		return 0, "garbled answer"
+	}
+	return response.StatusCode, string(body)
+}
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,133 @@
+package soak
+
+import (
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/internal/platform"
+	"plantainrelay/test/checker"
+	"plantainrelay/test/cluster"
+)
+
+// ciBounds are generous, so that the verdict does not depend on the machine;
+// make soak judges by the stated ones.
+var ciBounds = checker.Bounds{Leave: 30 * time.Second, Force: 60 * time.Second}
+
+const (
+	ciSeed     = 20
+	ciDuration = 21 * time.Second
+)
+
+// ciFaults come one at a time; make soak also draws pairs.
+var ciFaults = []string{"version changed mid-flight", "agent left", "agent killed and replaced", "entry left", "store down", "process paused"}
+
+func TestShortRunHoldsAndItsPlantedFaultsAreFound(t *testing.T) {
+	c := qt.New(t)
+	bin := t.TempDir()
+	c.Assert(cluster.Build(bin), qt.IsNil)
+	result, err := Run(Config{
+		Firm: Firms["dumitrescu"].Small(), Seed: ciSeed, Duration: ciDuration, Rate: 1, FaultInterval: ciDuration / time.Duration(len(ciFaults)),
+		Faults: ciFaults, WeightBytes: 1 << 20, Bin: bin, Dir: t.TempDir(), Log: os.Stderr,
+	})
+	c.Assert(err, qt.IsNil)
+	report := checker.Check(result.History, ciBounds)
+	result.Write(os.Stderr, report)
+	c.Check(result.Settled, qt.Equals, "yes")
+	c.Check(result.FaultErrors, qt.HasLen, 0)
+	c.Check(report.Broken(), qt.HasLen, 0)
+	c.Assert(len(result.History.Leaves) > 0, qt.IsTrue)
+	c.Assert(len(result.History.Edits) > 0, qt.IsTrue)
+	for _, planted := range plantedFaults {
+		history := copyOf(result.History)
+		c.Assert(planted.plant(history), qt.IsTrue, qt.Commentf("%s: nothing to plant it in", planted.name))
+		broken := checker.Check(history, ciBounds).Broken()
+		c.Check(slices.Contains(broken, planted.breaks), qt.IsTrue, qt.Commentf("%s: broken %v", planted.name, broken))
+	}
+}
+
+func copyOf(h *checker.History) *checker.History {
+	other := *h
+	other.Calls, other.Executions, other.Leaves = slices.Clone(h.Calls), slices.Clone(h.Executions), slices.Clone(h.Leaves)
+	other.Edits, other.Writes, other.Observations = slices.Clone(h.Edits), slices.Clone(h.Writes), slices.Clone(h.Observations)
+	return &other
+}
+
+// find returns the first element that fits.
+func find[T any](all []T, fits func(T) bool) (*T, bool) {
+	index := slices.IndexFunc(all, fits)
+	if index < 0 {
+		return nil, false
+	}
+	return &all[index], true
+}
+
+// plantedFaults change the history of a real run, one for each guarantee;
+// plant returns false when the history has no place for it.
+var plantedFaults = []struct {
+	name, breaks string
+	plant        func(h *checker.History) bool
+}{
+	{"an engine answers from partial weights", "G1", func(h *checker.History) bool {
+		execution, found := find(h.Executions, func(e checker.Execution) bool { return e.Model })
+		if found {
+			execution.Whole = "partial"
+		}
+		return found
+	}},
+	{"a caller gets the answer of another", "G2", func(h *checker.History) bool {
+		first, found := find(h.Calls, func(c checker.Call) bool { return c.Outcome == checker.Done && c.Model && !c.Stream })
+		if !found {
+			return false
+		}
+		second, found := find(h.Calls, func(c checker.Call) bool {
+			return c.Outcome == checker.Done && c.Model && !c.Stream && c.ID != first.ID
+		})
+		if found {
+			first.Answer = second.Answer
+		}
+		return found
+	}},
+	{"a booking that ran is answered not_run", "G3", func(h *checker.History) bool {
+		call, found := find(h.Calls, func(c checker.Call) bool { return c.Outcome == checker.Done && c.Key != "" })
+		if found {
+			call.Outcome = checker.NotRun
+		}
+		return found
+	}},
+	{"a booking runs twice", "G4", func(h *checker.History) bool {
+		execution, found := find(h.Executions, func(e checker.Execution) bool { return e.Key != "" })
+		if found {
+			h.Executions = append(h.Executions, *execution)
+		}
+		return found
+	}},
+	{"a leaving instance gets a request", "G5", func(h *checker.History) bool {
+		leave, found := find(h.Leaves, func(l checker.Leave) bool { return !l.Entry })
+		if found {
+			leave.Asked = leave.Ended.Add(-2 * ciBounds.Leave)
+			late := checker.Execution{Instance: leave.Instance}
+			late.Started = leave.Ended.Add(-time.Second)
+			h.Executions = append(h.Executions, late)
+		}
+		return found
+	}},
+	{"a call is cut in drain", "G6", func(h *checker.History) bool {
+		leave, found := find(h.Leaves, func(l checker.Leave) bool { return l.Entry })
+		if found {
+			h.Calls = append(h.Calls, checker.Call{ID: "cut", Entry: leave.Instance, Sent: leave.Asked, Ended: leave.Ended, Outcome: checker.Broken})
+			h.Faults = nil
+		}
+		return found
+	}},
+	{"an accepted edit is lost", "G7", func(h *checker.History) bool {
+		edit, found := find(h.Edits, func(e checker.Edit) bool { return e.Verdict == checker.Accepted })
+		if found {
+			h.Writes = slices.DeleteFunc(h.Writes, func(w platform.Object) bool { return w.Version == edit.Revision })
+		}
+		return found
+	}},
+}
--- a/test/standin/engine.go
+++ b/test/standin/engine.go
@@ -44,8 +44,13 @@
 	Manifest weights.Digest `json:"manifest"`
 	Whole    weights.Digest `json:"whole"`
 	Started  time.Time      `json:"started"`
+	// Call is the caller's own number of the call, when it sent one.
+	Call string `json:"call,omitempty"`
 }
 
+// HeaderCall carries a caller's own number of a call to the records.
+const HeaderCall = "X-Test-Call"
+
 // Engine is the stand-in of a model engine or of a plain service.
 type Engine struct {
 	model       bool
@@ -56,6 +61,13 @@
 	staged     map[weights.Digest]map[int][]byte
 	faults     EngineFaults
 	executions []Execution
+	file       io.Writer
+}
+
+// RecordTo also writes each execution to file as a line of JSON before it
+// runs, so that the records outlive the process.
+func (e *Engine) RecordTo(file io.Writer) {
+	e.file = file
 }
 
 const (
@@ -218,6 +230,11 @@
 		Manifest: e.status.Manifest,
 		Whole:    e.status.Whole,
 		Started:  time.Now(),
+		Call:     r.Header.Get(HeaderCall),
+	}
+	if e.file != nil {
+		raw, _ := json.Marshal(execution)
+		_, _ = e.file.Write(append(raw, '\n'))
 	}
 	e.executions = append(e.executions, execution)
 	e.status.Running++
