--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -24,6 +24,8 @@
 
 const (
 	maxRecords       = 20000
+	maxKeys          = 100000
+	confirmInterval  = 250 * time.Millisecond
 	decisionTick     = 50 * time.Millisecond
 	announceInterval = 250 * time.Millisecond
 	loadRetry        = time.Second
@@ -80,10 +82,13 @@
 	}, outside, p.members, client, log)
 	var err error
 	p.gate, err = gate.New(gate.Config{
+		Instance:     s.Instance,
 		Incarnation:  p.incarnation,
 		MaxRunning:   int(s.MaxRunning),
 		MaxRecords:   maxRecords,
+		MaxKeys:      maxKeys,
 		MaxKeptBytes: int(s.MaxKept),
+		MaxKeptTotal: int(s.MaxKeptTotal),
 	})
 	if err != nil {
 		return nil, err
@@ -128,6 +133,7 @@
 	go p.sync.Run(ctx)
 	go p.driver.Run(ctx)
 	go p.watchReadiness(ctx)
+	go p.confirmOwnership(ctx)
 }
 
 func (p *parts) watchReadiness(ctx context.Context) {
@@ -170,11 +176,16 @@
 		Version:     state.Admitted.Version,
 		Manifest:    state.Admitted.Manifest,
 		Running:     state.Running,
-		Stage:       status.Stage,
-		Held:        status.Held,
-		Chunks:      status.Chunks,
-		Failures:    status.Failures,
-		Cause:       status.Cause,
+
+		OwnersRevision: state.OwnersRevision,
+		Released:       state.Released,
+		HighestIssued:  state.HighestIssued,
+
+		Stage:    status.Stage,
+		Held:     status.Held,
+		Chunks:   status.Chunks,
+		Failures: status.Failures,
+		Cause:    status.Cause,
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/agent/keys.go
@@ -0,0 +1,56 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"plantainrelay/internal/message"
+)
+
+// confirmOwnership tells the gate when the platform last named this instance.
+func (p *parts) confirmOwnership(ctx context.Context) {
+	started := time.Now()
+	ticker := time.NewTicker(confirmInterval)
+	defer ticker.Stop()
+	for {
+		list, readAt := p.members.Read()
+		if _, listed := list.Find(p.settings.Instance); listed {
+			p.gate.Confirm(earlier(started, readAt))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// earlier returns the earlier of what the clock said at the given time and what
+// it would have said without any jump since the start.
+func earlier(started, at time.Time) time.Time {
+	steady := started.Add(at.Sub(started)).Round(0)
+	if wall := at.Round(0); wall.Before(steady) {
+		return wall
+	}
+	return steady
+}
+
+// Owners applies the map of owners that the caller offers and returns the one
+// held when it is newer than the caller's.
+func (s *Service) Owners(args message.OwnersArgs, reply *message.OwnersReply) error {
+	held := s.parts.gate.Owners(args.Offer)
+	if held == nil {
+		return nil
+	}
+	reply.Revision = held.Revision
+	if held.Revision > args.Revision {
+		reply.Owners = held
+	}
+	return nil
+}
+
+// KeyFate tells what became of a key and bars it when it was never run.
+func (s *Service) KeyFate(args message.KeyFateArgs, reply *message.KeyFateReply) error {
+	*reply = s.parts.gate.KeyFate(args)
+	return nil
+}
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -18,6 +18,8 @@
 	MaxRunning int64
 	// MaxKept bounds one kept answer in bytes.
 	MaxKept int64
+	// MaxKeptTotal bounds all kept answers in bytes.
+	MaxKeptTotal int64
 	// MaxInFlight bounds the chunks fetched at once.
 	MaxInFlight  int64
 	ChunkTimeout time.Duration
@@ -28,6 +30,9 @@
 const (
 	defaultKept = 64 << 10
 	maxKept     = 16 << 20
+
+	defaultKeptTotal = 32 << 20
+	maxKeptTotal     = 1 << 30
 )
 
 // LoadSettings reads and checks the settings file at path.
@@ -42,6 +47,7 @@
 		BackendURL:   r.URL("backend", "url"),
 		MaxRunning:   r.Int("backend", "max_running", 64, 1, 100000),
 		MaxKept:      r.Bytes("backend", "max_kept_answer", defaultKept, 0, maxKept),
+		MaxKeptTotal: r.Bytes("backend", "max_kept_total", defaultKeptTotal, 0, maxKeptTotal),
 		MaxInFlight:  r.Int("weights", "max_in_flight", 4, 1, 64),
 		ChunkTimeout: r.Duration("weights", "chunk_timeout", 30*time.Second, time.Second, time.Hour),
 		Patience:     r.Duration("weights", "patience", 10*time.Second, time.Second, time.Hour),
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -113,6 +113,21 @@
 	return r.again(now, 0)
 }
 
+// Held reports that the request's key is held by another attempt, which takes
+// the place of the last one: the next action asks about it.
+func (r *Request) Held(now time.Time) Action {
+	r.attempts--
+	r.silentSince = now
+	return Action{Kind: Ask}
+}
+
+// Refused reports that the last attempt certainly did not start and that no
+// other would.
+func (r *Request) Refused() Action {
+	r.attempts--
+	return r.giveUp()
+}
+
 // Broken reports that the last attempt ended without a whole answer.
 // delivered says that the caller has received a part of the answer.
 func (r *Request) Broken(delivered bool, now time.Time) Action {
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,74 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"plantainrelay/internal/dispatch"
+)
+
+// TestOutcomeIsTrue drives requests through arbitrary attempts: one that is
+// not repeatable never starts twice, and not_run is told only when nothing
+// started.
+func TestOutcomeIsTrue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		repeatable := rapid.Bool().Draw(t, "repeatable")
+		now := time.UnixMilli(1_700_000_000_000)
+		r := dispatch.New(dispatch.Config{
+			Repeatable:   repeatable,
+			Deadline:     now.Add(20 * time.Second),
+			MaxAttempts:  3,
+			AskInterval:  300 * time.Millisecond,
+			MaxWait:      5 * time.Second,
+			WaitInterval: 50 * time.Millisecond,
+			MaxSilence:   10 * time.Second,
+		})
+		runs, sent, started := 0, 0, false
+		action := r.Start(now)
+		for range 2000 {
+			now = now.Add(action.Wait + time.Duration(rapid.IntRange(0, 500).Draw(t, "ms"))*time.Millisecond)
+			switch action.Kind {
+			case dispatch.Send:
+				sent++
+				started = false
+				switch rapid.SampledFrom([]string{"no instance", "refused", "lost", "broken"}).Draw(t, "attempt") {
+				case "no instance":
+					action = r.NoInstance(now)
+				case "refused":
+					action = r.NotStarted(now)
+				case "lost":
+					action = r.Broken(false, now)
+				case "broken":
+					runs++
+					started = true
+					action = r.Broken(false, now)
+				}
+			case dispatch.Ask:
+				switch {
+				case rapid.Bool().Draw(t, "silent"):
+					action = r.Silent(now)
+				case !started:
+					action = r.Told(dispatch.FateNeverStarted, now)
+				default:
+					action = r.Told(rapid.SampledFrom([]dispatch.Fate{dispatch.FateRunning, dispatch.FateDone, dispatch.FateUnknown}).Draw(t, "fate"), now)
+				}
+			case dispatch.Deliver:
+				if !started {
+					t.Fatal("an answer is delivered of an attempt that did not start")
+				}
+				return
+			case dispatch.Finish:
+				if action.Outcome == dispatch.NotRun && runs > 0 {
+					t.Fatalf("told not_run after %d runs", runs)
+				}
+				return
+			}
+			if !repeatable && runs > 1 {
+				t.Fatalf("ran %d times", runs)
+			}
+		}
+		t.Fatalf("no outcome after 2000 actions, %d attempts", sent)
+	})
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,7 +24,7 @@
 const (
 	watchWait   = 10 * time.Second
 	askInterval = 300 * time.Millisecond
-	retryAfter  = time.Second
+	retryAfter  = 3 * time.Second
 	readyCheck  = 200 * time.Millisecond
 )
 
@@ -59,6 +59,7 @@
 	sync      *tablesync.Sync
 	tracker   *tracker.Tracker
 	states    *gateway.States
+	owners    *gateway.Owners
 	addresses *gateway.Addresses
 	requests  *gateway.Handler
 	readiness *daemon.Readiness
@@ -79,6 +80,7 @@
 	}, p.store, p.members, p.client, log)
 	p.tracker = tracker.New(p.sync.Current, time.Now)
 	p.states = gateway.NewStates(p.members, p.client, s.Instance, s.StateInterval)
+	p.owners = gateway.NewOwners(s.Instance, p.store, p.sync, p.members, p.states, p.client, log)
 	p.addresses = gateway.NewAddresses(p.members, s.Instance)
 	p.requests = gateway.NewHandler(gateway.Config{
 		Self:             s.Instance,
@@ -90,7 +92,7 @@
 		MaxSilence:       s.MaxSilence,
 		MaxWait:          s.MaxWait,
 		RetryAfter:       retryAfter,
-	}, p.sync, p.states, p.client, log)
+	}, p.sync, p.states, p.owners, p.client, log)
 	p.readiness.Set("tables", "no tables are known yet")
 	return p
 }
@@ -121,6 +123,7 @@
 	go p.members.Run(ctx)
 	go p.sync.Run(ctx)
 	go p.states.Run(ctx)
+	go p.owners.Run(ctx)
 	go p.watchReadiness(ctx)
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -6,11 +6,10 @@
 	"sync"
 	"time"
 
-	lru "github.com/hashicorp/golang-lru/v2"
-
 	"plantainrelay/internal/dispatch"
 	"plantainrelay/internal/failure"
 	"plantainrelay/internal/message"
+	"plantainrelay/internal/ownership"
 	"plantainrelay/internal/weights"
 )
 
@@ -23,19 +22,18 @@
 
 // Config holds the limits of a gate.
 type Config struct {
+	Instance    string
 	Incarnation string
 	// MaxRunning bounds the requests in progress.
 	MaxRunning int
-	// MaxRecords bounds the attempts that are remembered.
+	// MaxRecords bounds the attempts without a key that are remembered.
 	MaxRecords int
+	// MaxKeys bounds the keys that are remembered.
+	MaxKeys int
 	// MaxKeptBytes bounds the body of one kept answer.
 	MaxKeptBytes int
-}
-
-// record is what the gate remembers of one attempt.
-type record struct {
-	fate   dispatch.Fate
-	answer *message.Answer
+	// MaxKeptTotal bounds the bodies of all kept answers.
+	MaxKeptTotal int
 }
 
 // Gate admits attempts and remembers them. It is safe for concurrent use.
@@ -48,16 +46,21 @@
 	admitted Admitted
 	running  int
 	idle     []chan struct{}
-	records  *lru.Cache[string, *record]
+	records  *records
+	keys     *ownership.Table
+	latest   time.Time
 }
 
 // New returns a closed gate.
 func New(config Config) (*Gate, error) {
-	records, err := lru.New[string, *record](config.MaxRecords)
-	if err != nil {
-		return nil, failure.Wrap(err, failure.Invalid, "set max_records above 0", "the gate cannot be set up")
+	if config.MaxRecords < 1 || config.MaxKeys < 1 {
+		return nil, failure.New(failure.Invalid, "set both limits above 0", "the gate cannot remember %d attempts and %d keys", config.MaxRecords, config.MaxKeys)
 	}
-	return &Gate{config: config, records: records}, nil
+	return &Gate{
+		config:  config,
+		records: newRecords(config.MaxRecords, config.MaxKeptTotal),
+		keys:    ownership.NewTable(config.Instance, config.Incarnation, config.MaxKeys),
+	}, nil
 }
 
 // Open admits new attempts, whose answers must come from admitted.
@@ -82,10 +85,11 @@
 	return idle
 }
 
-// Leave refuses new attempts for good.
+// Leave refuses new attempts for good and gives up the ownership of keys.
 func (g *Gate) Leave() {
 	g.mu.Lock()
 	g.leaving = true
+	g.keys.Release()
 	g.mu.Unlock()
 }
 
@@ -94,41 +98,95 @@
 	Open     bool
 	Admitted Admitted
 	Running  int
+	// Released says that no further key is run; HighestIssued is the latest
+	// issue time that was.
+	Released       bool
+	HighestIssued  int64
+	OwnersRevision int64
 }
 
 // State returns the current summary.
 func (g *Gate) State() State {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return State{Open: g.open && !g.leaving, Admitted: g.admitted, Running: g.running}
+	return State{
+		Open:           g.open && !g.leaving,
+		Admitted:       g.admitted,
+		Running:        g.running,
+		Released:       g.keys.Released(),
+		HighestIssued:  g.keys.HighestIssued(),
+		OwnersRevision: g.keys.Revision(),
+	}
+}
+
+// order is what an entry says of an attempt that it hands over.
+type order struct {
+	attempt     string
+	incarnation string
+	deadline    time.Time
+	// submission is set for a request that bears a key and is not repeatable.
+	submission *ownership.Submission
 }
 
 // begin admits an attempt and records it as running, or returns the refusal.
-func (g *Gate) begin(attempt, incarnation string, deadline, now time.Time) (Admitted, message.Refusal) {
+// For a key that another attempt holds, holder names that attempt.
+func (g *Gate) begin(o order, now time.Time) (admitted Admitted, refusal message.Refusal, holder string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if refusal := g.refusal(attempt, incarnation, deadline, now); refusal != "" {
-		return Admitted{}, refusal
+	now = g.clock(now)
+	if known := g.records.get(o.attempt); known != nil {
+		return Admitted{}, known.refusal(), ""
+	}
+	if o.submission != nil && o.incarnation == g.config.Incarnation {
+		if verdict, holder := g.peek(*o.submission); verdict != ownership.Run {
+			return Admitted{}, message.Refusal(verdict), holder
+		}
+	}
+	if refusal := g.refusal(o, now); refusal != "" {
+		return Admitted{}, refusal, ""
+	}
+	if o.submission == nil {
+		if !g.records.addRunning(o.attempt, o.deadline, now) {
+			return Admitted{}, message.RefusalFull, ""
+		}
+		g.running++
+		return g.admitted, "", ""
 	}
-	g.records.Add(attempt, &record{fate: dispatch.FateRunning})
+	verdict, holder, evicted := g.keys.Begin(*o.submission, now)
+	g.records.forget(evicted)
+	if verdict != ownership.Run {
+		return Admitted{}, message.Refusal(verdict), holder
+	}
+	g.records.addKeyed(o.attempt)
 	g.running++
-	return g.admitted, ""
+	return g.admitted, "", ""
+}
+
+// peek finds a key that was already run, also when the gate is closed.
+func (g *Gate) peek(s ownership.Submission) (ownership.Verdict, string) {
+	if verdict, holder, found := g.keys.Known(s); found {
+		return verdict, holder
+	}
+	return ownership.Run, ""
 }
 
-func (g *Gate) refusal(attempt, incarnation string, deadline, now time.Time) message.Refusal {
-	known, found := g.records.Get(attempt)
+// clock never goes back, so that a record that has expired stays expired.
+func (g *Gate) clock(now time.Time) time.Time {
+	if now.After(g.latest) {
+		g.latest = now
+	}
+	return g.latest
+}
+
+func (g *Gate) refusal(o order, now time.Time) message.Refusal {
 	switch {
-	case found && known.fate == dispatch.FateNeverStarted:
-		return message.RefusalBarred
-	case found:
-		return message.RefusalDuplicate
-	case incarnation != g.config.Incarnation:
+	case o.incarnation != g.config.Incarnation:
 		return message.RefusalIncarnation
 	case g.leaving:
 		return message.RefusalDraining
 	case !g.open:
 		return message.RefusalGateClosed
-	case !now.Before(deadline):
+	case !now.Before(o.deadline):
 		return message.RefusalDeadline
 	case g.running >= g.config.MaxRunning:
 		return message.RefusalFull
@@ -141,11 +199,7 @@
 func (g *Gate) end(attempt string, answer *message.Answer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	result := &record{fate: dispatch.FateUnknown}
-	if answer != nil {
-		result = &record{fate: dispatch.FateDone, answer: answer}
-	}
-	g.records.Add(attempt, result)
+	g.records.finish(attempt, answer)
 	g.running--
 	if g.running > 0 {
 		return
@@ -161,13 +215,53 @@
 func (g *Gate) Fate(args message.FateArgs) message.FateReply {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := g.clock(time.Now())
 	if args.Incarnation != g.config.Incarnation {
 		return message.FateReply{Fate: dispatch.FateUnknown}
 	}
-	known, found := g.records.Get(args.Attempt)
-	if !found {
-		known = &record{fate: dispatch.FateNeverStarted}
-		g.records.Add(args.Attempt, known)
+	if known := g.records.get(args.Attempt); known != nil {
+		return message.FateReply{Fate: known.fate, Answer: known.answer}
 	}
-	return message.FateReply{Fate: known.fate, Answer: known.answer}
+	deadline := time.UnixMilli(args.Deadline)
+	if deadline.Add(recordMargin).Before(now) || !g.records.bar(args.Attempt, deadline, now) {
+		return message.FateReply{Fate: dispatch.FateUnknown}
+	}
+	return message.FateReply{Fate: dispatch.FateNeverStarted}
+}
+
+// KeyFate tells what became of a key. A key that was never run is barred
+// against submissions received before now.
+func (g *Gate) KeyFate(args message.KeyFateArgs) message.KeyFateReply {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if args.Incarnation != g.config.Incarnation {
+		return message.KeyFateReply{Fate: dispatch.FateUnknown}
+	}
+	verdict, holder, evicted := g.keys.Ask(args.Submission, g.clock(time.Now()))
+	g.records.forget(evicted)
+	switch verdict {
+	case ownership.Free:
+		return message.KeyFateReply{Fate: dispatch.FateNeverStarted}
+	case ownership.Duplicate:
+		known := g.records.get(holder)
+		if known != nil {
+			return message.KeyFateReply{Fate: known.fate, Holder: holder, Answer: known.answer}
+		}
+	}
+	return message.KeyFateReply{Fate: dispatch.FateUnknown}
+}
+
+// Owners applies a newer map of owners and returns the one held.
+func (g *Gate) Owners(offer *ownership.Map) *ownership.Map {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.keys.Offer(offer)
+	return g.keys.Owners()
+}
+
+// Confirm records that the platform named this instance at the given time.
+func (g *Gate) Confirm(at time.Time) {
+	g.mu.Lock()
+	g.keys.Confirm(at)
+	g.mu.Unlock()
 }
--- /dev/null
+++ b/internal/gate/gate_test.go
@@ -0,0 +1,77 @@
+package gate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/internal/dispatch"
+	"plantainrelay/internal/message"
+)
+
+func openGate(c *qt.C, config Config) *Gate {
+	config.Instance, config.Incarnation, config.MaxKeys = "booking-1", "one", 10
+	g, err := New(config)
+	c.Assert(err, qt.IsNil)
+	g.Open(Admitted{})
+	return g
+}
+
+func start(g *Gate, attempt string, deadline, now time.Time) message.Refusal {
+	_, refusal, _ := g.begin(order{attempt: attempt, incarnation: "one", deadline: deadline}, now)
+	return refusal
+}
+
+// TestBarredAttemptStaysBarred covers an attempt that arrives late, after many
+// others, once its entry was told that it never started.
+func TestBarredAttemptStaysBarred(t *testing.T) {
+	c := qt.New(t)
+	g := openGate(c, Config{MaxRunning: 10, MaxRecords: 5, MaxKeptTotal: 100})
+	now := time.Now()
+	deadline := now.Add(time.Minute)
+	told := g.Fate(message.FateArgs{Attempt: "late", Incarnation: "one", Deadline: deadline.UnixMilli()})
+	c.Assert(told.Fate, qt.Equals, dispatch.FateNeverStarted)
+	for i := range 20 {
+		attempt := fmt.Sprintf("attempt-%d", i)
+		if start(g, attempt, deadline, now) == "" {
+			g.end(attempt, nil)
+		}
+	}
+	c.Assert(start(g, "late", deadline, now), qt.Equals, message.RefusalBarred)
+	// Past its record's life the deadline refuses it, also when the clock goes
+	// back afterwards.
+	after := deadline.Add(2 * recordMargin)
+	c.Assert(start(g, "other", after.Add(time.Minute), after), qt.Equals, message.Refusal(""))
+	c.Assert(start(g, "late", deadline, now), qt.Equals, message.RefusalDeadline)
+}
+
+func TestNoRoomIsNotToldNeverStarted(t *testing.T) {
+	c := qt.New(t)
+	g := openGate(c, Config{MaxRunning: 10, MaxRecords: 1})
+	deadline := time.Now().Add(time.Minute)
+	c.Assert(start(g, "first", deadline, time.Now()), qt.Equals, message.Refusal(""))
+	told := g.Fate(message.FateArgs{Attempt: "second", Incarnation: "one", Deadline: deadline.UnixMilli()})
+	c.Assert(told.Fate, qt.Equals, dispatch.FateUnknown)
+}
+
+func TestKeptAnswersAreBoundedAndFatesStay(t *testing.T) {
+	c := qt.New(t)
+	g := openGate(c, Config{MaxRunning: 10, MaxRecords: 100, MaxKeptTotal: 100})
+	deadline := time.Now().Add(time.Minute)
+	for i := range 10 {
+		attempt := fmt.Sprintf("attempt-%d", i)
+		c.Assert(start(g, attempt, deadline, time.Now()), qt.Equals, message.Refusal(""))
+		g.end(attempt, &message.Answer{Body: make([]byte, 40)})
+	}
+	kept := 0
+	for i := range 10 {
+		told := g.Fate(message.FateArgs{Attempt: fmt.Sprintf("attempt-%d", i), Incarnation: "one", Deadline: deadline.UnixMilli()})
+		c.Assert(told.Fate, qt.Equals, dispatch.FateDone)
+		if told.Answer != nil {
+			kept++
+		}
+	}
+	c.Assert(kept, qt.Equals, 2)
+}
--- /dev/null
+++ b/internal/gate/records.go
@@ -0,0 +1,142 @@
+package gate
+
+import (
+	"time"
+
+	"plantainrelay/internal/dispatch"
+	"plantainrelay/internal/message"
+)
+
+const (
+	// recordMargin is how long past its deadline an attempt is remembered.
+	recordMargin = time.Minute
+	// sweepInterval is the least time between two removals of old records.
+	sweepInterval = time.Second
+)
+
+// record is what the gate remembers of one attempt.
+type record struct {
+	fate   dispatch.Fate
+	answer *message.Answer
+	// expires is zero for the attempt of a key, which lasts as long as the key.
+	expires time.Time
+}
+
+func (r *record) refusal() message.Refusal {
+	if r.fate == dispatch.FateNeverStarted {
+		return message.RefusalBarred
+	}
+	return message.RefusalDuplicate
+}
+
+// records remembers attempts. A record is never pushed out by others: it
+// expires after its attempt's deadline, past which the gate starts nothing, and
+// when there is no room a new attempt is refused. Kept answers are pushed out,
+// oldest first; their attempts stay known.
+type records struct {
+	capacity  int
+	keptLimit int
+
+	all       map[string]*record
+	temporary int
+	swept     time.Time
+	kept      []string
+	keptBytes int
+}
+
+func newRecords(capacity, keptLimit int) *records {
+	return &records{capacity: capacity, keptLimit: keptLimit, all: map[string]*record{}}
+}
+
+func (r *records) get(attempt string) *record {
+	return r.all[attempt]
+}
+
+// addRunning records a start; it returns false when there is no room.
+func (r *records) addRunning(attempt string, deadline, now time.Time) bool {
+	return r.add(attempt, &record{fate: dispatch.FateRunning, expires: deadline.Add(recordMargin)}, now)
+}
+
+// bar records that an attempt must not start; it returns false when there is
+// no room.
+func (r *records) bar(attempt string, deadline, now time.Time) bool {
+	return r.add(attempt, &record{fate: dispatch.FateNeverStarted, expires: deadline.Add(recordMargin)}, now)
+}
+
+func (r *records) add(attempt string, added *record, now time.Time) bool {
+	r.sweep(now)
+	if r.temporary >= r.capacity {
+		return false
+	}
+	r.all[attempt] = added
+	r.temporary++
+	return true
+}
+
+// addKeyed records the start of a key's attempt.
+func (r *records) addKeyed(attempt string) {
+	r.all[attempt] = &record{fate: dispatch.FateRunning}
+}
+
+// forget removes the attempts of forgotten keys.
+func (r *records) forget(attempts []string) {
+	for _, attempt := range attempts {
+		if known := r.all[attempt]; known != nil {
+			r.dropAnswer(known)
+			delete(r.all, attempt)
+		}
+	}
+}
+
+func (r *records) finish(attempt string, answer *message.Answer) {
+	known := r.all[attempt]
+	if known == nil {
+		return
+	}
+	known.fate = dispatch.FateUnknown
+	if answer == nil {
+		return
+	}
+	known.fate, known.answer = dispatch.FateDone, answer
+	r.kept = append(r.kept, attempt)
+	r.keptBytes += len(answer.Body)
+	for r.keptBytes > r.keptLimit && len(r.kept) > 0 {
+		if oldest := r.all[r.kept[0]]; oldest != nil {
+			r.dropAnswer(oldest)
+		}
+		r.kept = r.kept[1:]
+	}
+}
+
+func (r *records) dropAnswer(known *record) {
+	if known.answer != nil {
+		r.keptBytes -= len(known.answer.Body)
+		known.answer = nil
+	}
+}
+
+func (r *records) sweep(now time.Time) {
+	if now.Sub(r.swept) < sweepInterval && r.temporary < r.capacity {
+		return
+	}
+	r.swept = now
+	for attempt, known := range r.all {
+		if known.expires.IsZero() || known.fate == dispatch.FateRunning || now.Before(known.expires) {
+			continue
+		}
+		r.dropAnswer(known)
+		delete(r.all, attempt)
+		r.temporary--
+	}
+	r.kept = r.withAnswer()
+}
+
+func (r *records) withAnswer() []string {
+	var still []string
+	for _, attempt := range r.kept {
+		if known := r.all[attempt]; known != nil && known.answer != nil {
+			still = append(still, attempt)
+		}
+	}
+	return still
+}
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -15,6 +15,7 @@
 	"plantainrelay/internal/engine"
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/message"
+	"plantainrelay/internal/ownership"
 )
 
 const (
@@ -58,32 +59,67 @@
 		http.NotFound(w, r)
 		return
 	}
-	attempt := r.Header.Get(message.HeaderAttempt)
-	deadline := unixMillis(r.Header.Get(message.HeaderDeadline))
 	// The body is read before the start, so that an attempt whose body was
 	// cut off is not run.
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	admitted, refusal := h.gate.begin(attempt, r.Header.Get(message.HeaderIncarnation), deadline, time.Now())
-	w.Header().Set(message.HeaderAttempt, attempt)
+	o := orderOf(r)
+	admitted, refusal, holder := h.gate.begin(o, time.Now())
+	w.Header().Set(message.HeaderAttempt, o.attempt)
 	if refusal != "" {
 		w.Header().Set(message.HeaderRefusal, string(refusal))
+		w.Header().Set(message.HeaderKeyHolder, holder)
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
-	run := &execution{handler: h, attempt: attempt, admitted: admitted, w: w}
-	defer func() { h.gate.end(attempt, run.kept) }()
-	run.serve(r, path, body, deadline)
+	run := &execution{handler: h, attempt: o.attempt, admitted: admitted, w: w}
+	defer func() { h.gate.end(o.attempt, run.kept) }()
+	run.serve(r, path, body, o.deadline)
 }
 
-func unixMillis(text string) time.Time {
-	millis, err := strconv.ParseInt(text, 10, 64)
+func orderOf(r *http.Request) order {
+	o := order{
+		attempt:     r.Header.Get(message.HeaderAttempt),
+		incarnation: r.Header.Get(message.HeaderIncarnation),
+		deadline:    time.UnixMilli(millis(r, message.HeaderDeadline)),
+	}
+	key := r.Header.Get(message.HeaderKey)
+	if key == "" || repeatable(r) {
+		return o
+	}
+	o.submission = &ownership.Submission{
+		ID:        ownership.ID{Pool: r.Header.Get(message.HeaderPool), Customer: r.Header.Get(message.HeaderCustomer), Key: key},
+		Attempt:   o.attempt,
+		Digest:    number(r, message.HeaderKeyDigest),
+		Issued:    millis(r, message.HeaderKeyIssued),
+		Stamped:   r.Header.Get(message.HeaderKeyStamped) != "",
+		Submitted: millis(r, message.HeaderSubmitted),
+	}
+	return o
+}
+
+func repeatable(r *http.Request) bool {
+	return r.Header.Get(message.HeaderRepeatable) == "yes"
+}
+
+// number reads a header that holds an unsigned number; 0 when it is garbled.
+func number(r *http.Request, name string) uint64 {
+	value, err := strconv.ParseUint(r.Header.Get(name), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return value
+}
+
+// millis reads a header that holds Unix milliseconds; 0 when it is garbled.
+func millis(r *http.Request, name string) int64 {
+	value, err := strconv.ParseInt(r.Header.Get(name), 10, 64)
 	if err != nil {
-		return time.Time{}
+		return 0
 	}
-	return time.UnixMilli(millis)
+	return value
 }
 
 // execution is one attempt that was started.
@@ -97,7 +133,7 @@
 
 func (e *execution) serve(r *http.Request, path string, body []byte, deadline time.Time) {
 	ctx := r.Context()
-	if r.Header.Get(message.HeaderRepeatable) != "yes" {
+	if !repeatable(r) {
 		// The run goes on when the entry leaves, since its answer is kept.
 		ctx = context.WithoutCancel(ctx)
 	}
@@ -113,7 +149,7 @@
 		e.handler.log.WithField(logging.FieldAttempt, e.attempt).Error("an answer came from weights that are not admitted; it was discarded")
 		panic(http.ErrAbortHandler)
 	}
-	e.relay(response)
+	e.relay(response, !repeatable(r))
 }
 
 func (e *execution) forward(ctx context.Context, r *http.Request, path string, body []byte) (*http.Response, error) {
@@ -121,12 +157,11 @@
 	if r.URL.RawQuery != "" {
 		target += "?" + r.URL.RawQuery
 	}
-	request, err := http.NewRequestWithContext(ctx, r.Method, target, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, r.Method, target, message.OnceBody(body))
 	if err != nil {
 		return nil, err
 	}
-	// Without GetBody the HTTP client never sends the request a second time.
-	request.GetBody = nil
+	request.ContentLength = int64(len(body))
 	request.Header = r.Header.Clone()
 	request.Header.Del("Authorization")
 	request.Header.Del("Connection")
@@ -141,28 +176,45 @@
 		response.Header.Get(engine.HeaderWhole) == string(e.admitted.Whole)
 }
 
-// relay copies the answer to the entry as it is made and keeps it. When the
-// entry has left, it still reads the rest.
-func (e *execution) relay(response *http.Response) {
+// relay copies the answer to the entry as it is made and, when keep is set,
+// keeps it. When the entry has left, it still reads the rest.
+func (e *execution) relay(response *http.Response, keep bool) {
+	answered := answerHeader(response.Header)
 	header := e.w.Header()
-	for name, values := range response.Header {
-		if name != "Connection" && name != "Content-Length" && name != "Transfer-Encoding" {
-			header[name] = values
-		}
+	for name, values := range answered {
+		header[name] = values
 	}
 	header.Set(message.HeaderAttempt, e.attempt)
 	header.Set(message.HeaderVersion, e.admitted.Version)
-	header.Set("Trailer", message.HeaderComplete)
+	if message.Bodiless(response.Request.Method, response.StatusCode) {
+		header.Set(message.HeaderComplete, message.Complete)
+	} else {
+		header.Set("Trailer", message.HeaderComplete)
+	}
 	e.w.WriteHeader(response.StatusCode)
 	var kept bytes.Buffer
-	whole := e.copy(response.Body, &kept)
-	if !whole {
+	if !e.copy(response.Body, &kept) {
 		panic(http.ErrAbortHandler)
 	}
-	header.Set(message.HeaderComplete, "yes")
-	if kept.Len() <= e.handler.gate.config.MaxKeptBytes {
-		e.kept = &message.Answer{Status: response.StatusCode, Header: response.Header, Body: kept.Bytes(), Version: e.admitted.Version}
+	header.Set(message.HeaderComplete, message.Complete)
+	if keep && kept.Len() <= e.handler.gate.config.MaxKeptBytes {
+		e.kept = &message.Answer{Status: response.StatusCode, Header: answered, Body: kept.Bytes(), Version: e.admitted.Version}
+	}
+}
+
+// answerHeader returns what the backend server said, without the headers of
+// the connection and without any that only this project may set.
+func answerHeader(from http.Header) http.Header {
+	kept := http.Header{}
+	for name, values := range from {
+		switch {
+		case strings.HasPrefix(name, message.HeaderPrefix):
+		case name == "Connection", name == "Content-Length", name == "Transfer-Encoding", name == "Trailer":
+		default:
+			kept[name] = values
+		}
 	}
+	return kept
 }
 
 func (e *execution) copy(from io.Reader, kept *bytes.Buffer) bool {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -1,13 +1,14 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
+	"mime"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -17,12 +18,14 @@
 	"plantainrelay/internal/balance"
 	"plantainrelay/internal/dispatch"
 	"plantainrelay/internal/message"
+	"plantainrelay/internal/ownership"
 	"plantainrelay/internal/table"
 )
 
 const (
 	dialTimeout      = 2 * time.Second
 	askTimeout       = 2 * time.Second
+	minAskTimeout    = 200 * time.Millisecond
 	maxIdlePerAgent  = 256
 	maxBufferedBytes = 8 << 20
 	copyBytes        = 32 << 10
@@ -52,6 +55,8 @@
 	decision *dispatch.Request
 	tried    map[string]bool
 	random   *rand.Rand
+	// key is nil for a request that may be run by any instance.
+	key *requestKey
 
 	agent     agentState
 	attempt   string
@@ -59,57 +64,90 @@
 	delivered bool
 }
 
-// run carries out the decisions until the request has its outcome.
+// run carries out the decisions until the request has its outcome or the
+// caller has left.
 func (e *exchange) run() dispatch.Outcome {
 	action := e.decision.Start(time.Now())
 	for {
+		if !e.wait(action.Wait) {
+			return dispatch.Unknown
+		}
 		switch action.Kind {
 		case dispatch.Send:
-			e.wait(action.Wait)
 			next, done := e.send()
 			if done {
 				return dispatch.Done
 			}
 			action = next
 		case dispatch.Ask:
-			e.wait(action.Wait)
 			action = e.ask()
 		case dispatch.Deliver:
 			return e.deliverKept()
 		case dispatch.Finish:
+			if action.Outcome == dispatch.NotRun && e.key != nil && !e.key.settled {
+				action = e.settle()
+				continue
+			}
 			return e.finish(action.Outcome)
 		}
 	}
 }
 
-func (e *exchange) wait(pause time.Duration) {
-	if pause > 0 {
-		time.Sleep(pause)
+// wait returns false when the caller left.
+func (e *exchange) wait(pause time.Duration) bool {
+	if pause <= 0 {
+		return e.r.Context().Err() == nil
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-e.r.Context().Done():
+		return false
 	}
 }
 
 // send makes one attempt. It returns true when the whole answer was given.
 func (e *exchange) send() (dispatch.Action, bool) {
-	candidates := e.handler.states.candidates(e.route.Pool)
-	chosen, found := balance.Choose(candidates, e.handler.config.AvailabilityZone, e.tried, e.random)
+	name, found := e.choose()
 	if !found {
 		clear(e.tried)
 		return e.decision.NoInstance(time.Now()), false
 	}
-	e.tried[chosen.Name] = true
-	agent, found := e.handler.states.start(chosen.Name)
+	e.tried[name] = true
+	agent, alive, found := e.handler.states.start(name)
 	if !found {
-		return e.decision.NotStarted(time.Now()), false
+		return e.decision.NoInstance(time.Now()), false
+	}
+	defer e.handler.states.end(name)
+	if e.key != nil && agent.Incarnation != e.key.owner.Incarnation {
+		return e.decision.NoInstance(time.Now()), false
 	}
-	defer e.handler.states.end(chosen.Name)
 	e.agent, e.attempt = agent, uuid.NewString()
-	return e.exchangeWith()
+	return e.exchangeWith(alive)
+}
+
+// choose returns the instance for the next attempt: the owner of the key, or
+// any that the balance prefers.
+func (e *exchange) choose() (string, bool) {
+	if e.key != nil {
+		e.key.settled = false
+		owner, found := e.handler.owners.of(e.route.Pool, e.customer, e.key.id.Key)
+		e.key.owner = owner
+		return owner.Instance, found
+	}
+	candidates := e.handler.states.candidates(e.route.Pool)
+	chosen, found := balance.Choose(candidates, e.handler.config.AvailabilityZone, e.tried, e.random)
+	return chosen.Name, found
 }
 
-func (e *exchange) exchangeWith() (dispatch.Action, bool) {
+func (e *exchange) exchangeWith(alive context.Context) (dispatch.Action, bool) {
 	ctx, cancel := context.WithDeadline(e.r.Context(), e.deadline)
 	defer cancel()
+	release := context.AfterFunc(alive, cancel)
 	response, err := e.forward(ctx)
+	release()
 	if err != nil {
 		return e.failed(err), false
 	}
@@ -118,7 +156,7 @@
 		return e.decision.Broken(false, time.Now()), false
 	}
 	if refusal := message.Refusal(response.Header.Get(message.HeaderRefusal)); refusal != "" {
-		return e.refused(refusal), false
+		return e.refused(refusal, response.Header.Get(message.HeaderKeyHolder)), false
 	}
 	if e.relay(response) {
 		return dispatch.Action{}, true
@@ -131,24 +169,32 @@
 	if e.r.URL.RawQuery != "" {
 		target += "?" + e.r.URL.RawQuery
 	}
-	request, err := http.NewRequestWithContext(ctx, e.r.Method, target, bytes.NewReader(e.body))
+	request, err := http.NewRequestWithContext(ctx, e.r.Method, target, message.OnceBody(e.body))
 	if err != nil {
 		return nil, err
 	}
-	// Without GetBody, and without the header that marks a request as
-	// idempotent to it, the HTTP client never sends the request a second time.
-	request.GetBody = nil
+	request.ContentLength = int64(len(e.body))
 	request.Header = e.attemptHeader()
 	return e.handler.http.Do(request)
 }
 
+// connectionHeaders end at this process.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Expect", "Authorization", "Idempotency-Key", "X-Idempotency-Key",
+}
+
+// attemptHeader returns the caller's headers with those of the attempt. No
+// header of this project comes from the caller unchecked.
 func (e *exchange) attemptHeader() http.Header {
-	header := e.r.Header.Clone()
-	for _, name := range []string{"Connection", "Idempotency-Key", "X-Idempotency-Key", "Te", "Trailer", "Transfer-Encoding", "Upgrade"} {
-		header.Del(name)
+	header := http.Header{}
+	for name, values := range e.r.Header {
+		if !strings.HasPrefix(name, message.HeaderPrefix) {
+			header[name] = values
+		}
 	}
-	if key := e.r.Header.Get("Idempotency-Key"); key != "" && header.Get(message.HeaderKey) == "" {
-		header.Set(message.HeaderKey, key)
+	for _, name := range connectionHeaders {
+		header.Del(name)
 	}
 	header.Set("Authorization", "Bearer "+e.handler.config.Key)
 	header.Set(message.HeaderAttempt, e.attempt)
@@ -157,10 +203,15 @@
 	header.Set(message.HeaderPool, e.route.Pool)
 	header.Set(message.HeaderCustomer, e.customer)
 	header.Set(message.HeaderDeadline, strconv.FormatInt(e.deadline.UnixMilli(), 10))
-	header.Del(message.HeaderRepeatable)
+	if key := callersKey(e.r); key != "" {
+		header.Set(message.HeaderKey, key)
+	}
 	if e.route.Repeatable {
 		header.Set(message.HeaderRepeatable, "yes")
 	}
+	if e.key != nil {
+		e.key.addTo(header)
+	}
 	return header
 }
 
@@ -170,23 +221,37 @@
 	e.handler.states.distrust(e.agent.instance.Name)
 	var operation *net.OpError
 	if errors.As(err, &operation) && operation.Op == "dial" {
-		return e.decision.NotStarted(time.Now())
+		return e.notStarted()
 	}
 	return e.decision.Broken(false, time.Now())
 }
 
-func (e *exchange) refused(refusal message.Refusal) dispatch.Action {
+// notStarted goes on after an attempt that certainly did not start. A key has
+// one owner only, which is given time.
+func (e *exchange) notStarted() dispatch.Action {
+	if e.key != nil {
+		return e.decision.NoInstance(time.Now())
+	}
+	return e.decision.NotStarted(time.Now())
+}
+
+func (e *exchange) refused(refusal message.Refusal, holder string) dispatch.Action {
 	if refusal == message.RefusalDuplicate {
 		return e.decision.Broken(false, time.Now())
 	}
+	if e.key != nil {
+		if action, decided := e.refusedKey(ownership.Verdict(refusal), holder); decided {
+			return action
+		}
+	}
 	e.handler.states.distrust(e.agent.instance.Name)
-	return e.decision.NotStarted(time.Now())
+	return e.notStarted()
 }
 
 // relay gives the answer to the caller and reports whether it was whole. A
 // stream flows as it is made; any other answer is delivered only when whole.
 func (e *exchange) relay(response *http.Response) bool {
-	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+	if streams(response.Header.Get("Content-Type")) {
 		return e.relayStream(response, nil)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
@@ -196,7 +261,7 @@
 	if len(body) == maxBufferedBytes {
 		return e.relayStream(response, body)
 	}
-	if response.Trailer.Get(message.HeaderComplete) != "yes" {
+	if !complete(e.r.Method, response) {
 		return false
 	}
 	e.writeHeader(response.StatusCode, response.Header)
@@ -204,6 +269,23 @@
 	return true
 }
 
+// streamTypes are the media types whose parts are passed on as they are made.
+var streamTypes = []string{"text/event-stream", "application/x-ndjson", "application/jsonl", "application/stream+json"}
+
+func streams(contentType string) bool {
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	return err == nil && slices.Contains(streamTypes, mediaType)
+}
+
+// complete reports whether the agent has closed the answer as whole; call it
+// after the body was read to its end.
+func complete(method string, response *http.Response) bool {
+	if message.Bodiless(method, response.StatusCode) {
+		return response.Header.Get(message.HeaderComplete) == message.Complete
+	}
+	return response.Trailer.Get(message.HeaderComplete) == message.Complete
+}
+
 func (e *exchange) relayStream(response *http.Response, start []byte) bool {
 	controller := http.NewResponseController(e.w)
 	buffer := make([]byte, copyBytes)
@@ -221,7 +303,7 @@
 			_ = controller.Flush()
 		}
 		if err == io.EOF {
-			return response.Trailer.Get(message.HeaderComplete) == "yes"
+			return complete(e.r.Method, response)
 		}
 		if err != nil {
 			return false
@@ -229,24 +311,25 @@
 	}
 }
 
-// hidden are the headers of an attempt that callers do not see.
+// hidden are the headers of an attempt that callers do not see, besides those
+// of this project.
 var hidden = map[string]bool{
-	"Connection":             true,
-	"Content-Length":         true,
-	"Transfer-Encoding":      true,
-	"Trailer":                true,
-	message.HeaderAttempt:    true,
-	message.HeaderComplete:   true,
-	"X-Engine-Manifest":      true,
-	"X-Engine-Whole":         true,
-	message.HeaderRefusal:    true,
-	message.HeaderRepeatable: true,
+	"Connection":        true,
+	"Content-Length":    true,
+	"Transfer-Encoding": true,
+	"Trailer":           true,
+	"X-Engine-Manifest": true,
+	"X-Engine-Whole":    true,
+}
+
+func shown(name string) bool {
+	return !hidden[name] && (name == message.HeaderVersion || !strings.HasPrefix(name, message.HeaderPrefix))
 }
 
 func (e *exchange) writeHeader(status int, from http.Header) {
 	header := e.w.Header()
 	for name, values := range from {
-		if !hidden[name] {
+		if shown(name) {
 			header[name] = values
 		}
 	}
@@ -255,11 +338,17 @@
 	e.w.WriteHeader(status)
 }
 
+// askLimit bounds one question; the request's final answer is not held back
+// past its deadline by it.
+func (e *exchange) askLimit() time.Duration {
+	return max(minAskTimeout, min(askTimeout, time.Until(e.deadline)))
+}
+
 // ask asks the agent about the last attempt.
 func (e *exchange) ask() dispatch.Action {
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), e.askLimit())
 	defer cancel()
-	args := message.FateArgs{Attempt: e.attempt, Incarnation: e.agent.Incarnation}
+	args := message.FateArgs{Attempt: e.attempt, Incarnation: e.agent.Incarnation, Deadline: e.deadline.UnixMilli()}
 	var reply message.FateReply
 	err := e.handler.client.Call(ctx, e.agent.instance.ControlAddress, message.MethodFate, args, &reply)
 	if err != nil {
@@ -280,6 +369,12 @@
 	return dispatch.Done
 }
 
+const (
+	textNotRun  = "the request was not run; ask again after the time in Retry-After"
+	textUnknown = "the request may have been run; ask again with the same key, or look the result up before sending it anew"
+	textReused  = "the key was used for another request; use a new key"
+)
+
 func (e *exchange) finish(outcome dispatch.Outcome) dispatch.Outcome {
 	if e.delivered {
 		// A part was delivered: cutting the connection shows the caller that
@@ -287,10 +382,16 @@
 		panic(http.ErrAbortHandler)
 	}
 	e.w.Header().Set(message.HeaderRequest, e.request)
-	if outcome == dispatch.NotRun {
-		e.handler.finish(e.w, http.StatusServiceUnavailable, outcome, "the request was not run; ask again after the time in Retry-After")
-		return outcome
+	body := outcomeBody{Outcome: outcome, Message: textUnknown}
+	status := http.StatusGatewayTimeout
+	switch {
+	case e.key != nil && e.key.reused:
+		body.Message, status = textReused, http.StatusUnprocessableEntity
+	case outcome == dispatch.NotRun:
+		body.Message, status = textNotRun, http.StatusServiceUnavailable
+	case e.key != nil && e.key.submissionNotRun:
+		body.Submission = dispatch.NotRun
 	}
-	e.handler.finish(e.w, http.StatusGatewayTimeout, outcome, "the request may have been run; ask again with the same key, or look the result up before sending it anew")
+	e.handler.finish(e.w, status, body)
 	return outcome
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -47,14 +47,15 @@
 	config Config
 	tables *tablesync.Sync
 	states *States
+	owners *Owners
 	client *peer.Client
 	http   *http.Client
 	log    *logrus.Entry
 }
 
 // NewHandler returns the handler of callers' requests.
-func NewHandler(config Config, tables *tablesync.Sync, states *States, client *peer.Client, log *logrus.Entry) *Handler {
-	return &Handler{config: config, tables: tables, states: states, client: client, http: newAttemptClient(), log: log}
+func NewHandler(config Config, tables *tablesync.Sync, states *States, owners *Owners, client *peer.Client, log *logrus.Entry) *Handler {
+	return &Handler{config: config, tables: tables, states: states, owners: owners, client: client, http: newAttemptClient(), log: log}
 }
 
 // ServeHTTP implements http.Handler.
@@ -79,10 +80,15 @@
 		h.refuse(w, http.StatusRequestEntityTooLarge, "the body could not be read; send at most "+strconv.FormatInt(h.config.MaxBodyBytes, 10)+" bytes")
 		return
 	}
-	h.run(w, r, route, customer, body)
+	key, err := keyOf(r, route, customer, body, time.Now())
+	if err != nil {
+		h.refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	h.run(w, r, route, customer, body, key)
 }
 
-func (h *Handler) run(w http.ResponseWriter, r *http.Request, route table.Route, customer string, body []byte) {
+func (h *Handler) run(w http.ResponseWriter, r *http.Request, route table.Route, customer string, body []byte, key *requestKey) {
 	deadline := time.Now().Add(route.Deadline)
 	e := &exchange{
 		handler:  h,
@@ -93,6 +99,7 @@
 		body:     body,
 		deadline: deadline,
 		request:  uuid.NewString(),
+		key:      key,
 		tried:    map[string]bool{},
 		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -118,18 +125,25 @@
 // server.
 type outcomeBody struct {
 	Outcome dispatch.Outcome `json:"outcome"`
-	Message string           `json:"message"`
+	// Submission is not_run when this submission of a key was not run while the
+	// outcome of the key is unknown, since an earlier one may have been.
+	Submission dispatch.Outcome `json:"submission,omitempty"`
+	Message    string           `json:"message"`
 }
 
 // refuse answers not_run without any attempt.
 func (h *Handler) refuse(w http.ResponseWriter, status int, text string) {
-	h.finish(w, status, dispatch.NotRun, text)
+	h.finish(w, status, outcomeBody{Outcome: dispatch.NotRun, Message: text})
 }
 
-func (h *Handler) finish(w http.ResponseWriter, status int, outcome dispatch.Outcome, text string) {
-	w.Header().Set(message.HeaderOutcome, string(outcome))
-	if outcome == dispatch.NotRun && status == http.StatusServiceUnavailable {
+func (h *Handler) finish(w http.ResponseWriter, status int, body outcomeBody) {
+	w.Header().Set(message.HeaderOutcome, string(body.Outcome))
+	if body.Submission != "" {
+		w.Header().Set(message.HeaderSubmission, string(body.Submission))
+	}
+	again := body.Outcome == dispatch.NotRun || body.Submission == dispatch.NotRun
+	if again && status >= http.StatusInternalServerError {
 		w.Header().Set("Retry-After", strconv.Itoa(max(1, int(h.config.RetryAfter.Seconds()))))
 	}
-	httpx.WriteJson(w, status, outcomeBody{Outcome: outcome, Message: text})
+	httpx.WriteJson(w, status, body)
 }
--- a/internal/gateway/states.go
+++ b/internal/gateway/states.go
@@ -18,6 +18,9 @@
 	stateTimeout = 2 * time.Second
 	// stateTTL is how long a state counts after it was read.
 	stateTTL = 5 * time.Second
+	// silentAfter is how long an agent may leave its peers without an answer
+	// before attempts that wait for it are broken off.
+	silentAfter = 5 * time.Second
 )
 
 // agentState is the last state read from one agent.
@@ -39,6 +42,14 @@
 	agents   map[string]agentState
 	polling  map[string]bool
 	inFlight map[string]int
+	pulses   map[string]*pulse
+}
+
+// pulse is when an agent last answered; its context ends when it fell silent.
+type pulse struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	at     time.Time
 }
 
 // NewStates returns states that are read at the given interval once Run is
@@ -52,6 +63,7 @@
 		agents:   map[string]agentState{},
 		polling:  map[string]bool{},
 		inFlight: map[string]int{},
+		pulses:   map[string]*pulse{},
 	}
 }
 
@@ -91,8 +103,10 @@
 		delete(s.polling, instance.Name)
 		if err != nil {
 			delete(s.agents, instance.Name)
+			s.missed(instance.Name)
 			return
 		}
+		s.beat(instance.Name)
 		s.agents[instance.Name] = agentState{StateReply: reply, instance: instance, at: time.Now()}
 	}()
 }
@@ -102,6 +116,11 @@
 	list := s.members.Current()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for name := range s.pulses {
+		if _, listed := list.Find(name); !listed {
+			s.missed(name)
+		}
+	}
 	for name, state := range s.agents {
 		instance, listed := list.Find(name)
 		if !listed || time.Since(state.at) > stateTTL {
@@ -143,14 +162,42 @@
 	return found
 }
 
-// start counts an attempt on the named instance and returns its state.
-func (s *States) start(name string) (agentState, bool) {
+// beat notes an answer; the caller holds the lock.
+func (s *States) beat(name string) {
+	if s.pulses[name] == nil {
+		ctx, cancel := context.WithCancel(context.Background())
+		s.pulses[name] = &pulse{ctx: ctx, cancel: cancel}
+	}
+	s.pulses[name].at = time.Now()
+}
+
+// missed breaks off what waits for an agent that has been silent for long; the
+// caller holds the lock.
+func (s *States) missed(name string) {
+	if last := s.pulses[name]; last != nil && time.Since(last.at) > silentAfter {
+		last.cancel()
+		delete(s.pulses, name)
+	}
+}
+
+// start counts an attempt on the named instance and returns its state, with a
+// context that ends when the agent falls silent.
+func (s *States) start(name string) (agentState, context.Context, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state, found := s.agents[name]
-	if found {
-		s.inFlight[name]++
+	if !found || s.pulses[name] == nil {
+		return agentState{}, nil, false
 	}
+	s.inFlight[name]++
+	return state, s.pulses[name].ctx, true
+}
+
+// state returns the known state of the named instance.
+func (s *States) state(name string) (agentState, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state, found := s.agents[name]
 	return state, found
 }
 
@@ -170,3 +217,26 @@
 	delete(s.agents, name)
 	s.mu.Unlock()
 }
+
+// ofPool returns the known states of the agents that serve pool.
+func (s *States) ofPool(pool string) []agentState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []agentState
+	for _, state := range s.agents {
+		if state.Pool == pool {
+			found = append(found, state)
+		}
+	}
+	return found
+}
+
+// heldOwners notes the revision of the map of owners that an agent holds.
+func (s *States) heldOwners(name string, revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state, found := s.agents[name]; found && state.OwnersRevision < revision {
+		state.OwnersRevision = revision
+		s.agents[name] = state
+	}
+}
--- /dev/null
+++ b/internal/message/http.go
@@ -0,0 +1,31 @@
+package message
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+)
+
+// Complete is the value of HeaderComplete on a whole answer.
+const Complete = "yes"
+
+// OnceBody returns a request body that Go's HTTP client cannot rewind, so that
+// it never sends the request a second time by itself; that holds for methods
+// without a body as well.
+func OnceBody(body []byte) io.Reader {
+	return &onceReader{from: bytes.NewReader(body)}
+}
+
+type onceReader struct {
+	from io.Reader
+}
+
+func (o *onceReader) Read(into []byte) (int, error) {
+	return o.from.Read(into)
+}
+
+// Bodiless reports whether the answer to a request of this method and status
+// carries no body, and so no trailer either.
+func Bodiless(method string, status int) bool {
+	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -102,7 +102,13 @@
 	Manifest weights.Digest
 	// Running is the number of requests in progress.
 	Running int
-	Stage   rollout.Stage
+	// OwnersRevision is the revision of the map of owners that the agent holds.
+	OwnersRevision int64
+	// Released says that the agent runs no further key; HighestIssued is the
+	// latest issue time that it has run, in Unix milliseconds.
+	Released      bool
+	HighestIssued int64
+	Stage         rollout.Stage
 	// Held and Chunks count the target's chunks.
 	Held, Chunks int
 	Failures     int
@@ -114,6 +120,8 @@
 type FateArgs struct {
 	Attempt     string
 	Incarnation string
+	// Deadline is the attempt's, in Unix milliseconds.
+	Deadline int64
 }
 
 // FateReply is the agent's word on an attempt, with the kept answer when done.
--- /dev/null
+++ b/internal/ownership/table.go
@@ -0,0 +1,268 @@
+package ownership
+
+import (
+	"slices"
+	"time"
+)
+
+// ID identifies a key: keys of different pools or customers are different.
+type ID struct {
+	Pool     string
+	Customer string
+	Key      string
+}
+
+// Submission is one arrival of a key at its owner.
+type Submission struct {
+	ID
+	Attempt string
+	// Digest identifies the request's method, path and body.
+	Digest uint64
+	// Issued is the key's issue time in Unix milliseconds. Stamped says that
+	// the key carries none and that the entry put its own time.
+	Issued  int64
+	Stamped bool
+	// Submitted is when an entry received the submission, in Unix
+	// milliseconds.
+	Submitted int64
+}
+
+// Verdict is the owner's decision on a submission.
+type Verdict string
+
+// The verdicts.
+const (
+	// Run means that the key is recorded and must be run now.
+	Run Verdict = "run"
+	// Duplicate means that another attempt holds the key.
+	Duplicate Verdict = "duplicate_key"
+	// Mismatch means that the key was used for another request.
+	Mismatch Verdict = "key_reused"
+	// Barred means that the key was told not run after this submission.
+	Barred Verdict = "key_barred"
+	// NotOwner means that this instance may not run the key.
+	NotOwner Verdict = "not_owner"
+	// Before means that the key was issued before this owner's time, or is
+	// older than what it remembers.
+	Before Verdict = "key_issued_before"
+	// Unconfirmed means that the key was issued after the time that the last
+	// proof of ownership covers.
+	Unconfirmed Verdict = "ownership_unconfirmed"
+	// Full means that no further key can be remembered.
+	Full Verdict = "keys_full"
+	// Free is the answer to a question: the key was never run and is barred.
+	Free Verdict = "free"
+)
+
+type record struct {
+	attempt     string
+	digest      uint64
+	issued      int64
+	barredUntil int64
+}
+
+// Table is one instance's memory of the keys that it has run. It is not safe
+// for concurrent use.
+type Table struct {
+	instance    string
+	incarnation string
+	capacity    int
+
+	owners    *Map
+	confirmed int64
+	released  bool
+	highest   int64
+	records   map[ID]*record
+	forgotten [SlotCount]int64
+	// owned and since hold the slots that this incarnation ever owned.
+	owned [SlotCount]bool
+	since [SlotCount]int64
+}
+
+// NewTable returns the empty memory of one incarnation of an instance.
+func NewTable(instance, incarnation string, capacity int) *Table {
+	return &Table{instance: instance, incarnation: incarnation, capacity: capacity, records: map[ID]*record{}}
+}
+
+// Offer applies a newer map; an older or equal one changes nothing.
+func (t *Table) Offer(owners *Map) {
+	if owners == nil || len(owners.Slots) != SlotCount || owners.Revision <= t.Revision() {
+		return
+	}
+	if t.owners != nil && t.owners.Pool != owners.Pool {
+		t.owned = [SlotCount]bool{}
+	}
+	t.owners = owners
+	for slot, owner := range owners.Slots {
+		if t.owns(owner) {
+			t.owned[slot], t.since[slot] = true, owner.Since
+		}
+	}
+}
+
+func (t *Table) holds(pool string) bool {
+	return t.owners != nil && t.owners.Pool == pool
+}
+
+func (t *Table) owns(owner Owner) bool {
+	return owner.Instance == t.instance && owner.Incarnation == t.incarnation
+}
+
+// Revision returns the revision of the map held, or 0.
+func (t *Table) Revision() int64 {
+	if t.owners == nil {
+		return 0
+	}
+	return t.owners.Revision
+}
+
+// Owners returns the map held, or nil.
+func (t *Table) Owners() *Map {
+	return t.owners
+}
+
+// Confirm records that the platform named this instance at the given time.
+func (t *Table) Confirm(at time.Time) {
+	t.confirmed = max(t.confirmed, at.UnixMilli())
+}
+
+// Release makes the instance run no further key, for good.
+func (t *Table) Release() {
+	t.released = true
+}
+
+// Released reports whether Release was called.
+func (t *Table) Released() bool {
+	return t.released
+}
+
+// HighestIssued returns the latest issue time that was run.
+func (t *Table) HighestIssued() int64 {
+	return t.highest
+}
+
+// Begin decides on a submission. With Run the key is recorded; evicted names
+// the attempts that were forgotten for it. With Duplicate, holder is the
+// attempt that holds the key.
+func (t *Table) Begin(s Submission, now time.Time) (verdict Verdict, holder string, evicted []string) {
+	if verdict, holder, found := t.Known(s); found {
+		return verdict, holder, nil
+	}
+	_, found := t.records[s.ID]
+	if verdict := t.mayRun(s); verdict != Run {
+		return verdict, "", nil
+	}
+	evicted, room := t.makeRoom(now)
+	if !room && !found {
+		return Full, "", nil
+	}
+	t.records[s.ID] = &record{attempt: s.Attempt, digest: s.Digest, issued: s.Issued}
+	t.highest = max(t.highest, s.Issued)
+	return Run, "", evicted
+}
+
+// Known decides on a submission of a key that is remembered and must not run.
+func (t *Table) Known(s Submission) (verdict Verdict, holder string, found bool) {
+	known := t.records[s.ID]
+	switch {
+	case known == nil:
+		return "", "", false
+	case known.attempt != "" && known.digest != s.Digest:
+		return Mismatch, known.attempt, true
+	case known.attempt != "":
+		return Duplicate, known.attempt, true
+	case s.Submitted <= known.barredUntil:
+		return Barred, "", true
+	}
+	return "", "", false
+}
+
+// Ask tells what is known of a key. A key that was never run is barred: no
+// submission that an entry received before now will run it.
+func (t *Table) Ask(s Submission, now time.Time) (verdict Verdict, holder string, evicted []string) {
+	known, found := t.records[s.ID]
+	if found && known.attempt != "" && known.digest != s.Digest {
+		return Mismatch, known.attempt, nil
+	}
+	if found && known.attempt != "" {
+		return Duplicate, known.attempt, nil
+	}
+	until := now.Add(BarTime).UnixMilli()
+	if found {
+		known.barredUntil = max(known.barredUntil, until)
+		return Free, "", nil
+	}
+	if verdict := t.mayTell(s); verdict != Run {
+		return verdict, "", nil
+	}
+	evicted, room := t.makeRoom(now)
+	if !room {
+		return Full, "", nil
+	}
+	t.records[s.ID] = &record{issued: s.Issued, barredUntil: until}
+	t.highest = max(t.highest, s.Issued)
+	return Free, "", evicted
+}
+
+// mayRun decides on a key of which nothing is remembered.
+func (t *Table) mayRun(s Submission) Verdict {
+	if t.released || !t.holds(s.Pool) {
+		return NotOwner
+	}
+	slot := SlotOf(s.Customer, s.Key)
+	if !t.owns(t.owners.Slots[slot]) {
+		return NotOwner
+	}
+	return t.covers(s, slot)
+}
+
+// mayTell reports whether this instance's memory alone tells a key's fate. An
+// owner that has released its slots still knows the keys of its own time, and
+// its successor runs none of them.
+func (t *Table) mayTell(s Submission) Verdict {
+	if !t.released {
+		return t.mayRun(s)
+	}
+	slot := SlotOf(s.Customer, s.Key)
+	if !t.holds(s.Pool) || !t.owned[slot] || s.Stamped || s.Issued > t.highest {
+		return NotOwner
+	}
+	return t.covers(s, slot)
+}
+
+// covers reports whether the key was issued within the time of this owner.
+func (t *Table) covers(s Submission, slot int) Verdict {
+	since := t.since[slot]
+	if s.Stamped && since > 0 {
+		since += Horizon.Milliseconds()
+	}
+	if s.Issued < since || s.Issued <= t.forgotten[slot] {
+		return Before
+	}
+	if s.Issued > t.confirmed+Grace.Milliseconds() {
+		return Unconfirmed
+	}
+	return Run
+}
+
+// makeRoom forgets the oldest keys beyond the horizon when the memory is full.
+// What is forgotten is answered Before from then on.
+func (t *Table) makeRoom(now time.Time) (evicted []string, room bool) {
+	if len(t.records) < t.capacity {
+		return nil, true
+	}
+	limit := now.Add(-Horizon).UnixMilli()
+	for id, known := range t.records {
+		if known.issued >= limit {
+			continue
+		}
+		slot := SlotOf(id.Customer, id.Key)
+		t.forgotten[slot] = max(t.forgotten[slot], known.issued)
+		if known.attempt != "" {
+			evicted = append(evicted, known.attempt)
+		}
+		delete(t.records, id)
+	}
+	slices.Sort(evicted)
+	return evicted, len(t.records) < t.capacity
+}
