--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"os"
 	"time"
 
@@ -23,11 +24,8 @@
 )
 
 const (
-	maxRecords       = 20000
-	decisionTick     = 50 * time.Millisecond
-	announceInterval = 250 * time.Millisecond
-	loadRetry        = time.Second
-	readyCheck       = 200 * time.Millisecond
+	decisionTick = 50 * time.Millisecond
+	readyCheck   = 200 * time.Millisecond
 )
 
 // Run runs an agent until it was told to stop and has drained.
@@ -35,6 +33,7 @@
 	log := logging.New(os.Stderr, s.LogLevel, s.Instance, s.AvailabilityZone)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	daemon.BoundDefaultTransport(s.LoadTimeout)
 	p, err := newParts(s, log)
 	if err != nil {
 		return err
@@ -42,7 +41,7 @@
 	if err := p.serveControl(s, log); err != nil {
 		return err
 	}
-	d := daemon.New(daemon.Config{Name: "plantain-agent", LeaveDelay: s.LeaveDelay, DrainLimit: s.DrainLimit}, log)
+	d := daemon.New(daemonConfig(s), log)
 	d.OnDrain(p.gate.Leave)
 	if err := p.listen(d, s, log); err != nil {
 		return err
@@ -51,6 +50,16 @@
 	return d.Run()
 }
 
+func daemonConfig(s Settings) daemon.Config {
+	return daemon.Config{
+		Name:           "plantain-agent",
+		LeaveDelay:     s.LeaveDelay,
+		DrainLimit:     s.DrainLimit,
+		MaxConnections: int(s.MaxConnections),
+		StallLimit:     s.StallLimit,
+	}
+}
+
 // parts are the duties of an agent.
 type parts struct {
 	settings    Settings
@@ -64,10 +73,14 @@
 }
 
 func newParts(s Settings, log *logrus.Entry) (*parts, error) {
+	security, err := peer.LoadSecurity(s.FleetKey, s.FleetCertificate, s.FleetServerName)
+	if err != nil {
+		return nil, err
+	}
 	p := &parts{
 		settings:    s,
 		incarnation: uuid.NewString(),
-		security:    peer.Security{Key: []byte(s.FleetKey)},
+		security:    security,
 		readiness:   daemon.NewReadiness(),
 	}
 	outside := platform.New(platform.Config{StoreURL: s.StoreURL, OriginURL: s.OriginURL, ListURL: s.ListURL})
@@ -78,11 +91,10 @@
 		AvailabilityZone: s.AvailabilityZone,
 		ExchangeInterval: s.ExchangeInterval,
 	}, outside, p.members, client, log)
-	var err error
 	p.gate, err = gate.New(gate.Config{
 		Incarnation:  p.incarnation,
 		MaxRunning:   int(s.MaxRunning),
-		MaxRecords:   maxRecords,
+		MaxRecords:   int(s.MaxRecords),
 		MaxKeptBytes: int(s.MaxKept),
 	})
 	if err != nil {
@@ -93,14 +105,14 @@
 		AvailabilityZone: s.AvailabilityZone,
 		Region:           s.Region,
 		HTTPAddress:      s.HTTPAddress,
-		Key:              s.FleetKey,
+		Security:         p.security,
 		Tick:             decisionTick,
-		AnnounceInterval: announceInterval,
+		AnnounceInterval: s.AnnounceInterval,
 		MaxInFlight:      int(s.MaxInFlight),
 		ChunkTimeout:     s.ChunkTimeout,
 		Patience:         s.Patience,
 		LoadTimeout:      s.LoadTimeout,
-		LoadRetry:        loadRetry,
+		LoadRetry:        s.LoadRetry,
 	}, engine.New(s.BackendURL), outside, p.gate, p.sync, p.members, client, log)
 	return p, nil
 }
@@ -120,7 +132,14 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	routes := append(daemon.OperationRoutes(p.readiness, registry), p.driver.ChunkRoute())
-	return d.Listen(s.HTTPAddress, routes, gate.NewHandler(p.gate, s.BackendURL, s.FleetKey, log))
+	return d.Listen(daemon.Listener{
+		Address:      s.HTTPAddress,
+		Routes:       routes,
+		Fallback:     gate.NewHandler(p.gate, s.BackendURL, p.security, log),
+		MaxBodyBytes: s.MaxBodyBytes,
+		Certificate:  s.FleetCertificate,
+		ClientAuth:   tls.VerifyClientCertIfGiven,
+	})
 }
 
 func (p *parts) start(ctx context.Context) {
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -23,11 +23,21 @@
 	ChunkTimeout time.Duration
 	Patience     time.Duration
 	LoadTimeout  time.Duration
+	// LoadRetry is the pause after a failed load.
+	LoadRetry time.Duration
+	// AnnounceInterval is the time between two announcements to a tracker.
+	AnnounceInterval time.Duration
+	// MaxRecords bounds the attempts that are remembered.
+	MaxRecords int64
+	// MaxBodyBytes bounds the body of an attempt.
+	MaxBodyBytes int64
 }
 
 const (
 	defaultKept = 64 << 10
 	maxKept     = 16 << 20
+	// maxBodyBytes is also the highest bound that an entry may be given.
+	maxBodyBytes = 64 << 20
 )
 
 // LoadSettings reads and checks the settings file at path.
@@ -36,6 +46,11 @@
 	if err != nil {
 		return Settings{}, err
 	}
+	return ReadSettings(r)
+}
+
+// ReadSettings reads and checks the settings of r.
+func ReadSettings(r *settings.Reader) (Settings, error) {
 	loaded := Settings{
 		Common:       settings.ReadCommon(r),
 		HTTPAddress:  r.Address("listen", "http"),
@@ -46,6 +61,18 @@
 		ChunkTimeout: r.Duration("weights", "chunk_timeout", 30*time.Second, time.Second, time.Hour),
 		Patience:     r.Duration("weights", "patience", 10*time.Second, time.Second, time.Hour),
 		LoadTimeout:  r.Duration("weights", "load_timeout", 10*time.Minute, time.Second, 24*time.Hour),
+		LoadRetry:    r.Duration("weights", "load_retry", time.Second, 100*time.Millisecond, 10*time.Minute),
+
+		AnnounceInterval: r.Duration("weights", "announce_interval", 250*time.Millisecond, 50*time.Millisecond, time.Minute),
+		MaxRecords:       r.Int("backend", "max_records", 20000, 1000, 1000000),
+		MaxBodyBytes:     r.Bytes("backend", "max_body", maxBodyBytes, 1, maxBodyBytes),
+	}
+	if loaded.MaxRecords < 2*loaded.MaxRunning {
+		r.Problem("backend", "max_records", "less than twice max_running", "at least twice max_running")
 	}
+	r.Distinct(
+		settings.Key{Section: "listen", Name: "control", Value: loaded.ControlAddress},
+		settings.Key{Section: "listen", Name: "http", Value: loaded.HTTPAddress},
+	)
 	return loaded, r.Finish()
 }
--- /dev/null
+++ b/internal/certs/certs.go
@@ -0,0 +1,79 @@
+// Package certs loads certificates for TLS listeners and clients.
+package certs
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"plantainrelay/internal/failure"
+)
+
+// Files names the PEM files of one side of a TLS connection. The zero value
+// means that TLS is off.
+type Files struct {
+	Certificate string
+	Key         string
+	// CA verifies the other side. Empty means that it needs no certificate.
+	CA string
+}
+
+// Enabled reports whether TLS is on.
+func (f Files) Enabled() bool {
+	return f.Certificate != ""
+}
+
+// Server returns the configuration of a listener, or nil when TLS is off. The
+// other side's certificate is verified according to auth when CA is set.
+func (f Files) Server(auth tls.ClientAuthType) (*tls.Config, error) {
+	if !f.Enabled() {
+		return nil, nil
+	}
+	config, err := f.own()
+	if err != nil || f.CA == "" {
+		return config, err
+	}
+	config.ClientAuth = auth
+	config.ClientCAs, err = f.pool()
+	return config, err
+}
+
+// Client returns the configuration of a client that expects serverName in the
+// other side's certificate, or nil when TLS is off.
+func (f Files) Client(serverName string) (*tls.Config, error) {
+	if !f.Enabled() {
+		return nil, nil
+	}
+	config, err := f.own()
+	if err != nil {
+		return nil, err
+	}
+	config.ServerName = serverName
+	config.RootCAs, err = f.pool()
+	return config, err
+}
+
+func (f Files) own() (*tls.Config, error) {
+	pair, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Invalid, "name a PEM certificate and its key", "the certificate %s and the key %s cannot be used", f.Certificate, f.Key)
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{pair}}, nil
+}
+
+func (f Files) pool() (*x509.CertPool, error) {
+	return Pool(f.CA)
+}
+
+// Pool returns the certificates of the authorities in the PEM file at path.
+func Pool(path string) (*x509.CertPool, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Invalid, "name a readable PEM file", "the certificates of %s cannot be read", path)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(raw) {
+		return nil, failure.New(failure.Invalid, "name a PEM file with certificates", "%s holds no certificate", path)
+	}
+	return pool, nil
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,7 +6,7 @@
 package daemon
 
 import (
-	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"os"
@@ -22,16 +22,16 @@
 	"github.com/zeromicro/go-zero/core/service"
 	"github.com/zeromicro/go-zero/rest"
 
+	"plantainrelay/internal/certs"
 	"plantainrelay/internal/failure"
 	"plantainrelay/internal/logging"
 )
 
 const (
-	headerReadLimit   = 10 * time.Second
-	idleLimit         = 2 * time.Minute
-	maxHeaderBytes    = 32 << 10
-	forceQuitMargin   = time.Minute
-	frameworkMaxConns = 10000
+	headerReadLimit = 10 * time.Second
+	idleLimit       = 2 * time.Minute
+	maxHeaderBytes  = 32 << 10
+	forceQuitMargin = time.Minute
 )
 
 // Config describes the shutdown of a process.
@@ -43,13 +43,38 @@
 	LeaveDelay time.Duration
 	// DrainLimit bounds the time for requests in progress after LeaveDelay.
 	DrainLimit time.Duration
+	// MaxConnections bounds the connections of each listener.
+	MaxConnections int
+	// StallLimit bounds how long a connection may make no progress in the
+	// middle of a request's body or of an answer.
+	StallLimit time.Duration
+}
+
+// Listener describes one HTTP server.
+type Listener struct {
+	// Address is "IP:port".
+	Address string
+	Routes  []rest.Route
+	// Fallback takes the requests that match no route; nil answers 404.
+	Fallback http.Handler
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes int64
+	// Certificate, when set, makes the listener use TLS with ClientAuth.
+	Certificate certs.Files
+	ClientAuth  tls.ClientAuthType
+}
+
+// server is a listener that was set up.
+type server struct {
+	rest     *rest.Server
+	listener Listener
 }
 
 // Daemon owns the HTTP servers of one process.
 type Daemon struct {
 	config  Config
 	log     *logrus.Entry
-	servers []*rest.Server
+	servers []server
 	onDrain []func()
 	signals chan os.Signal
 }
@@ -66,31 +91,47 @@
 	d.onDrain = append(d.onDrain, fn)
 }
 
-// Listen adds an HTTP server at address ("IP:port"). Requests that match no
-// route go to fallback; a nil fallback answers 404.
-func (d *Daemon) Listen(address string, routes []rest.Route, fallback http.Handler) error {
-	host, portText, err := net.SplitHostPort(address)
+// Listen adds an HTTP server.
+func (d *Daemon) Listen(listener Listener) error {
+	host, portText, err := net.SplitHostPort(listener.Address)
 	if err != nil {
-		return failure.Wrap(err, failure.Invalid, "use IP:port", "address %q cannot be used", address)
+		return failure.Wrap(err, failure.Invalid, "use IP:port", "address %q cannot be used", listener.Address)
 	}
 	port, err := strconv.Atoi(portText)
 	if err != nil {
-		return failure.Wrap(err, failure.Invalid, "use IP:port", "address %q cannot be used", address)
+		return failure.Wrap(err, failure.Invalid, "use IP:port", "address %q cannot be used", listener.Address)
 	}
-	options := []rest.RunOption{}
-	if fallback != nil {
-		options = append(options, rest.WithNotFoundHandler(fallback))
+	options, err := listenerOptions(listener)
+	if err != nil {
+		return err
 	}
-	server, err := rest.NewServer(d.restConfig(host, port), options...)
+	config := d.restConfig(host, port)
+	config.CertFile, config.KeyFile = listener.Certificate.Certificate, listener.Certificate.Key
+	framework, err := rest.NewServer(config, options...)
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "report this", "the HTTP server cannot be set up")
 	}
-	server.AddRoutes(routes)
-	d.servers = append(d.servers, server)
+	framework.AddRoutes(listener.Routes)
+	d.servers = append(d.servers, server{rest: framework, listener: listener})
 	logging.CaptureFramework(d.log)
 	return nil
 }
 
+func listenerOptions(listener Listener) ([]rest.RunOption, error) {
+	var options []rest.RunOption
+	if listener.Fallback != nil {
+		options = append(options, rest.WithNotFoundHandler(listener.Fallback))
+	}
+	config, err := listener.Certificate.Server(listener.ClientAuth)
+	if err != nil {
+		return nil, err
+	}
+	if config != nil {
+		options = append(options, rest.WithTLSConfig(config))
+	}
+	return options, nil
+}
+
 func (d *Daemon) restConfig(host string, port int) rest.RestConf {
 	total := d.config.LeaveDelay + d.config.DrainLimit + forceQuitMargin
 	return rest.RestConf{
@@ -100,9 +141,8 @@
 			Log:      logx.LogConf{Mode: "console", Encoding: "json", Level: "error", Stat: false},
 			Shutdown: proc.ShutdownConf{WrapUpTime: d.config.LeaveDelay, WaitTime: total},
 		},
-		Host:     host,
-		Port:     port,
-		MaxConns: frameworkMaxConns,
+		Host: host,
+		Port: port,
 	}
 }
 
@@ -115,7 +155,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			server.StartWithOpts(limitConnections)
+			server.rest.StartWithOpts(d.limits(server.listener))
 		}()
 	}
 	go func() {
@@ -154,9 +194,14 @@
 	}
 }
 
-func limitConnections(server *http.Server) {
-	server.ReadHeaderTimeout = headerReadLimit
-	server.IdleTimeout = idleLimit
-	server.MaxHeaderBytes = maxHeaderBytes
-	server.BaseContext = func(net.Listener) context.Context { return context.Background() }
+// limits returns the option that bounds the connections and requests of a
+// listener.
+func (d *Daemon) limits(listener Listener) rest.StartOption {
+	return func(server *http.Server) {
+		server.ReadHeaderTimeout = headerReadLimit
+		server.IdleTimeout = idleLimit
+		server.MaxHeaderBytes = maxHeaderBytes
+		server.ConnState = newConnections(d.config.MaxConnections).changed
+		server.Handler = boundRequests(server.Handler, listener.MaxBodyBytes, d.config.StallLimit)
+	}
 }
--- /dev/null
+++ b/internal/daemon/limits_test.go
@@ -0,0 +1,137 @@
+package daemon
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	testStall = 200 * time.Millisecond
+	testLimit = 30 * time.Second
+)
+
+func serve(t *testing.T, handler http.HandlerFunc, maxConnections int) *httptest.Server {
+	server := httptest.NewUnstartedServer(boundRequests(handler, 1000, testStall))
+	server.Config.ConnState = newConnections(maxConnections).changed
+	server.Start()
+	t.Cleanup(server.CloseClientConnections)
+	return server
+}
+
+func TestLargeBodyIsRefused(t *testing.T) {
+	read := make(chan error, 1)
+	server := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(r.Body)
+		read <- err
+	}, 10)
+	response, err := http.Post(server.URL, "text/plain", strings.NewReader(strings.Repeat("x", 1001)))
+	qt.Assert(t, err, qt.IsNil)
+	response.Body.Close()
+	qt.Assert(t, <-read, qt.ErrorMatches, "http: request body too large")
+}
+
+func TestStalledBodyIsGivenUp(t *testing.T) {
+	read := make(chan error, 1)
+	server := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(r.Body)
+		read <- err
+	}, 10)
+	conn := dial(t, server)
+	fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc")
+	select {
+	case err := <-read:
+		qt.Assert(t, err, qt.IsNotNil)
+	case <-time.After(testLimit):
+		t.Fatal("the handler still waits for the body")
+	}
+}
+
+func TestCallerThatDoesNotReadIsGivenUp(t *testing.T) {
+	written := make(chan error, 1)
+	server := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		var err error
+		for err == nil {
+			_, err = w.Write(make([]byte, 1<<20))
+		}
+		written <- err
+	}, 10)
+	conn := dial(t, server)
+	fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	select {
+	case err := <-written:
+		qt.Assert(t, err, qt.IsNotNil)
+	case <-time.After(testLimit):
+		t.Fatal("the handler still writes")
+	}
+}
+
+// TestLongAnswerIsNotCut checks that an answer with pauses longer than the
+// stall limit arrives whole, on a connection that is then used again.
+func TestLongAnswerIsNotCut(t *testing.T) {
+	server := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		for range 3 {
+			fmt.Fprint(w, "part ")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(2 * testStall)
+		}
+		if r.Context().Err() == nil {
+			fmt.Fprint(w, "end")
+		}
+	}, 10)
+	conn := dial(t, server)
+	reader := bufio.NewReader(conn)
+	for range 2 {
+		fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc")
+		response, err := http.ReadResponse(reader, nil)
+		qt.Assert(t, err, qt.IsNil)
+		body, err := io.ReadAll(response.Body)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(body), qt.Equals, "part part part end")
+		time.Sleep(2 * testStall)
+	}
+}
+
+// TestIdleConnectionsKeepNobodyOut checks that a caller is served although
+// strangers hold all connections, and that a request in progress is not cut.
+func TestIdleConnectionsKeepNobodyOut(t *testing.T) {
+	started, finish := make(chan struct{}), make(chan struct{})
+	server := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			close(started)
+			<-finish
+		}
+		fmt.Fprint(w, "answer")
+	}, 4)
+	long := dial(t, server)
+	fmt.Fprint(long, "GET /long HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-started
+	for range 20 {
+		dial(t, server)
+	}
+	response, err := http.Get(server.URL)
+	qt.Assert(t, err, qt.IsNil)
+	response.Body.Close()
+	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusOK)
+	close(finish)
+	answer, err := http.ReadResponse(bufio.NewReader(long), nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, answer.StatusCode, qt.Equals, http.StatusOK)
+}
+
+func dial(t *testing.T, server *httptest.Server) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
--- a/internal/distribute/driver.go
+++ b/internal/distribute/driver.go
@@ -35,8 +35,8 @@
 	AvailabilityZone string
 	Region           string
 	HTTPAddress      string
-	// Key is the fleet's key.
-	Key string
+	// Security proves membership of the fleet.
+	Security peer.Security
 	// Tick is the time between two decisions without events.
 	Tick time.Duration
 	// AnnounceInterval is the time between two announcements.
@@ -101,7 +101,7 @@
 		tables:  tables,
 		members: members,
 		client:  client,
-		chunks:  newChunkClient(config.Key, config.ChunkTimeout),
+		chunks:  newChunkClient(config.Security, config.ChunkTimeout),
 		log:     log,
 		events:  make(chan event, eventQueue),
 		rollout: rollout.New(config.LoadRetry),
--- a/internal/distribute/fetch.go
+++ b/internal/distribute/fetch.go
@@ -11,6 +11,7 @@
 	"plantainrelay/internal/failure"
 	"plantainrelay/internal/member"
 	"plantainrelay/internal/message"
+	"plantainrelay/internal/peer"
 	"plantainrelay/internal/swarm"
 	"plantainrelay/internal/weights"
 )
@@ -22,26 +23,27 @@
 
 // chunkClient reads chunks from other agents over HTTP.
 type chunkClient struct {
-	key    string
-	client *http.Client
+	security peer.Security
+	client   *http.Client
 }
 
-func newChunkClient(key string, timeout time.Duration) *chunkClient {
+func newChunkClient(security peer.Security, timeout time.Duration) *chunkClient {
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdlePerSource,
 		DisableCompression:  true,
+		TLSClientConfig:     security.ClientTLS,
 	}
-	return &chunkClient{key: key, client: &http.Client{Transport: transport, Timeout: timeout}}
+	return &chunkClient{security: security, client: &http.Client{Transport: transport, Timeout: timeout}}
 }
 
 func (c *chunkClient) open(ctx context.Context, address string, manifest weights.Digest, chunk int) (io.ReadCloser, error) {
-	url := fmt.Sprintf("http://%s/plantain/v1/chunks/%s/%d", address, manifest, chunk)
+	url := fmt.Sprintf("%s://%s/plantain/v1/chunks/%s/%d", c.security.Scheme(), address, manifest, chunk)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
 	}
-	request.Header.Set("Authorization", "Bearer "+c.key)
+	c.security.Authorize(request.Header)
 	response, err := c.client.Do(request)
 	if err != nil {
 		return nil, err
--- a/internal/distribute/load.go
+++ b/internal/distribute/load.go
@@ -89,8 +89,8 @@
 }
 
 func (d *Driver) serveChunk(w http.ResponseWriter, r *http.Request) {
-	if r.Header.Get("Authorization") != "Bearer "+d.config.Key {
-		http.Error(w, "the fleet's key is missing or wrong", http.StatusUnauthorized)
+	if !d.config.Security.Authorized(r) {
+		http.Error(w, "the fleet's key or certificate is missing or wrong", http.StatusUnauthorized)
 		return
 	}
 	vars := pathvar.Vars(r)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"os"
 	"time"
 
@@ -22,10 +23,9 @@
 )
 
 const (
-	watchWait   = 10 * time.Second
-	askInterval = 300 * time.Millisecond
-	retryAfter  = time.Second
-	readyCheck  = 200 * time.Millisecond
+	watchMargin   = 10 * time.Second
+	readyCheck    = 200 * time.Millisecond
+	maxAdminBytes = 2 << 20
 )
 
 // Run runs an entry until it was told to stop and has drained.
@@ -37,11 +37,15 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	p := newParts(s, log)
+	daemon.BoundDefaultTransport(s.WatchWait + watchMargin)
+	p, err := newParts(s, log)
+	if err != nil {
+		return err
+	}
 	if err := p.serveControl(s, log); err != nil {
 		return err
 	}
-	d := daemon.New(daemon.Config{Name: "plantain-entry", LeaveDelay: s.LeaveDelay, DrainLimit: s.DrainLimit}, log)
+	d := daemon.New(daemonConfig(s), log)
 	d.OnDrain(p.addresses.Leave)
 	d.OnDrain(p.tracker.Leave)
 	if err := p.listen(d, s, operators, log); err != nil {
@@ -51,6 +55,16 @@
 	return d.Run()
 }
 
+func daemonConfig(s Settings) daemon.Config {
+	return daemon.Config{
+		Name:           "plantain-entry",
+		LeaveDelay:     s.LeaveDelay,
+		DrainLimit:     s.DrainLimit,
+		MaxConnections: int(s.MaxConnections),
+		StallLimit:     s.StallLimit,
+	}
+}
+
 // parts are the duties of an entry.
 type parts struct {
 	store     *platform.Client
@@ -65,8 +79,16 @@
 	security  peer.Security
 }
 
-func newParts(s Settings, log *logrus.Entry) *parts {
-	p := &parts{readiness: daemon.NewReadiness(), security: peer.Security{Key: []byte(s.FleetKey)}}
+func newParts(s Settings, log *logrus.Entry) (*parts, error) {
+	security, err := peer.LoadSecurity(s.FleetKey, s.FleetCertificate, s.FleetServerName)
+	if err != nil {
+		return nil, err
+	}
+	customers, err := loadCustomers(s)
+	if err != nil {
+		return nil, err
+	}
+	p := &parts{readiness: daemon.NewReadiness(), security: security}
 	p.store = platform.New(platform.Config{StoreURL: s.StoreURL, OriginURL: s.OriginURL, ListURL: s.ListURL})
 	p.members = membership.New(p.store, s.ListInterval, log)
 	p.client = peer.NewClient(p.security)
@@ -75,7 +97,7 @@
 		AvailabilityZone: s.AvailabilityZone,
 		Watches:          true,
 		ExchangeInterval: s.ExchangeInterval,
-		WatchWait:        watchWait,
+		WatchWait:        s.WatchWait,
 	}, p.store, p.members, p.client, log)
 	p.tracker = tracker.New(p.sync.Current, time.Now)
 	p.states = gateway.NewStates(p.members, p.client, s.Instance, s.StateInterval)
@@ -83,16 +105,24 @@
 	p.requests = gateway.NewHandler(gateway.Config{
 		Self:             s.Instance,
 		AvailabilityZone: s.AvailabilityZone,
-		Key:              s.FleetKey,
+		Security:         p.security,
+		Customers:        customers,
 		MaxBodyBytes:     s.MaxBodyBytes,
 		MaxAttempts:      int(s.MaxAttempts),
-		AskInterval:      askInterval,
+		AskInterval:      s.AskInterval,
 		MaxSilence:       s.MaxSilence,
 		MaxWait:          s.MaxWait,
-		RetryAfter:       retryAfter,
+		RetryAfter:       s.RetryAfter,
 	}, p.sync, p.states, p.client, log)
 	p.readiness.Set("tables", "no tables are known yet")
-	return p
+	return p, nil
+}
+
+func loadCustomers(s Settings) (gateway.Customers, error) {
+	if s.TrustHeader {
+		return gateway.HeaderCustomers{}, nil
+	}
+	return gateway.LoadCustomers(s.CustomersFile)
 }
 
 func (p *parts) serveControl(s Settings, log *logrus.Entry) error {
@@ -111,10 +141,23 @@
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	api := admin.New(operators, admin.NewEditor(p.store, p.sync), p.sync, p.states.All, log)
 	routes := append(daemon.OperationRoutes(p.readiness, registry), api.Routes()...)
-	if err := d.Listen(s.AdminAddress, routes, nil); err != nil {
+	if err := d.Listen(daemon.Listener{
+		Address:      s.AdminAddress,
+		Routes:       routes,
+		MaxBodyBytes: maxAdminBytes,
+		Certificate:  s.AdminCertificate,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+	}); err != nil {
 		return err
 	}
-	return d.Listen(s.PublicAddress, []rest.Route{p.addresses.Route()}, p.requests)
+	return d.Listen(daemon.Listener{
+		Address:      s.PublicAddress,
+		Routes:       []rest.Route{p.addresses.Route()},
+		Fallback:     p.requests,
+		MaxBodyBytes: s.MaxBodyBytes,
+		Certificate:  s.CallersCertificate,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+	})
 }
 
 func (p *parts) start(ctx context.Context) {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -4,6 +4,9 @@
 import (
 	"time"
 
+	"plantainrelay/internal/admin"
+	"plantainrelay/internal/certs"
+	"plantainrelay/internal/gateway"
 	"plantainrelay/internal/settings"
 )
 
@@ -23,6 +26,20 @@
 	MaxSilence    time.Duration
 	// MaxWait bounds how long a request waits for an available instance.
 	MaxWait time.Duration
+	// AskInterval is the pause between two questions about one attempt.
+	AskInterval time.Duration
+	// RetryAfter is the time after which a refused caller may ask again.
+	RetryAfter time.Duration
+	// WatchWait is how long one watch call of the store waits.
+	WatchWait time.Duration
+	// CustomersFile holds the customers' keys; without it TrustHeader is set,
+	// and the header that names the customer is believed.
+	CustomersFile string
+	TrustHeader   bool
+	// CallersCertificate, when set, turns on TLS towards callers, mutual when
+	// it names authorities; AdminCertificate does it for the administration API.
+	CallersCertificate certs.Files
+	AdminCertificate   certs.Files
 }
 
 const (
@@ -36,6 +53,11 @@
 	if err != nil {
 		return Settings{}, err
 	}
+	return ReadSettings(r)
+}
+
+// ReadSettings reads and checks the settings of r.
+func ReadSettings(r *settings.Reader) (Settings, error) {
 	loaded := Settings{
 		Common:        settings.ReadCommon(r),
 		PublicAddress: r.Address("listen", "public"),
@@ -46,6 +68,43 @@
 		MaxAttempts:   r.Int("requests", "max_attempts", 3, 1, 10),
 		MaxWait:       r.Duration("requests", "max_wait", 5*time.Second, 0, time.Minute),
 		MaxSilence:    r.Duration("requests", "max_silence", 10*time.Second, 100*time.Millisecond, 10*time.Minute),
+		AskInterval:   r.Duration("requests", "ask_interval", 300*time.Millisecond, 10*time.Millisecond, 10*time.Second),
+		RetryAfter:    r.Duration("requests", "retry_after", time.Second, time.Second, 10*time.Minute),
+		WatchWait:     r.Duration("control", "watch_wait", 10*time.Second, time.Second, time.Minute),
+		CustomersFile: r.String("customers", "keys_file", ""),
+		TrustHeader:   r.Choice("customers", "trust_header", "no", "yes", "no") == "yes",
+
+		CallersCertificate: r.CertificateFiles("callers", false),
+		AdminCertificate:   r.CertificateFiles("admin", false),
 	}
+	check(r, loaded)
 	return loaded, r.Finish()
 }
+
+// check records the problems that span several keys or files.
+func check(r *settings.Reader, s Settings) {
+	const choice = "a file of customers' keys as keys_file, or trust_header = yes where nobody else can reach the entries"
+	switch {
+	case s.CustomersFile == "" && !s.TrustHeader:
+		r.Problem("customers", "keys_file", "missing, and trust_header is no", choice)
+	case s.CustomersFile != "" && s.TrustHeader:
+		r.Problem("customers", "trust_header", "contradicts keys_file", choice)
+	case s.CustomersFile != "":
+		if _, err := gateway.LoadCustomers(s.CustomersFile); err != nil {
+			r.Problem("customers", "keys_file", err.Error(), "the path of a valid file of customers' keys")
+		}
+	}
+	if s.OperatorsFile != "" {
+		if _, err := admin.LoadOperators(s.OperatorsFile); err != nil {
+			r.Problem("admin", "operators_file", err.Error(), "the path of a valid operators file")
+		}
+	}
+	if s.AskInterval >= s.MaxSilence {
+		r.Problem("requests", "ask_interval", "not below max_silence", "a time below "+s.MaxSilence.String())
+	}
+	r.Distinct(
+		settings.Key{Section: "listen", Name: "control", Value: s.ControlAddress},
+		settings.Key{Section: "listen", Name: "public", Value: s.PublicAddress},
+		settings.Key{Section: "listen", Name: "admin", Value: s.AdminAddress},
+	)
+}
--- /dev/null
+++ b/internal/gate/reserved_test.go
@@ -0,0 +1,46 @@
+package gate_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"plantainrelay/internal/gate"
+	"plantainrelay/internal/message"
+	"plantainrelay/internal/peer"
+)
+
+// TestBackendCannotForgeRefusals checks that a backend server that ran a
+// request cannot make the entry believe that it was not started, which would
+// run a booking twice.
+func TestBackendCannotForgeRefusals(t *testing.T) {
+	c := qt.New(t)
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(message.HeaderRefusal, string(message.RefusalFull))
+		w.Header().Set(message.HeaderAttempt, "another")
+		w.WriteHeader(http.StatusConflict)
+	}))
+	defer backend.Close()
+	g, err := gate.New(gate.Config{Incarnation: "one", MaxRunning: 1, MaxRecords: 10, MaxKeptBytes: 100})
+	c.Assert(err, qt.IsNil)
+	g.Open(gate.Admitted{})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	security := peer.Security{Key: []byte("key")}
+	request := httptest.NewRequest(http.MethodPost, message.PathAttempt+"/book", http.NoBody)
+	security.Authorize(request.Header)
+	request.Header.Set(message.HeaderAttempt, "attempt")
+	request.Header.Set(message.HeaderIncarnation, "one")
+	request.Header.Set(message.HeaderDeadline, strconv.FormatInt(time.Now().Add(time.Hour).UnixMilli(), 10))
+	answer := httptest.NewRecorder()
+	gate.NewHandler(g, backend.URL, security, logrus.NewEntry(log)).ServeHTTP(answer, request)
+	c.Assert(answer.Code, qt.Equals, http.StatusConflict)
+	c.Assert(answer.Header().Get(message.HeaderRefusal), qt.Equals, "")
+	c.Assert(answer.Header().Get(message.HeaderAttempt), qt.Equals, "attempt")
+}
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -15,6 +15,7 @@
 	"plantainrelay/internal/engine"
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/message"
+	"plantainrelay/internal/peer"
 )
 
 const (
@@ -25,22 +26,22 @@
 
 // Handler passes attempts through the gate to the backend server.
 type Handler struct {
-	gate    *Gate
-	backend string
-	key     string
-	client  *http.Client
-	log     *logrus.Entry
+	gate     *Gate
+	backend  string
+	security peer.Security
+	client   *http.Client
+	log      *logrus.Entry
 }
 
 // NewHandler returns the handler for the backend server at the URL backend.
-// Only requests that carry key as their bearer token are taken.
-func NewHandler(gate *Gate, backend, key string, log *logrus.Entry) *Handler {
+// Only requests that security authorizes are taken.
+func NewHandler(gate *Gate, backend string, security peer.Security, log *logrus.Entry) *Handler {
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxBackendConns,
 		DisableCompression:  true,
 	}
-	return &Handler{gate: gate, backend: backend, key: key, client: &http.Client{Transport: transport, CheckRedirect: keepRedirect}, log: log}
+	return &Handler{gate: gate, backend: backend, security: security, client: &http.Client{Transport: transport, CheckRedirect: keepRedirect}, log: log}
 }
 
 func keepRedirect(*http.Request, []*http.Request) error {
@@ -49,8 +50,8 @@
 
 // ServeHTTP implements http.Handler for paths below message.PathAttempt.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.Header.Get("Authorization") != "Bearer "+h.key {
-		http.Error(w, "the fleet's key is missing or wrong", http.StatusUnauthorized)
+	if !h.security.Authorized(r) {
+		http.Error(w, "the fleet's key or certificate is missing or wrong", http.StatusUnauthorized)
 		return
 	}
 	path, found := strings.CutPrefix(r.URL.EscapedPath(), message.PathAttempt)
@@ -146,7 +147,7 @@
 func (e *execution) relay(response *http.Response) {
 	header := e.w.Header()
 	for name, values := range response.Header {
-		if name != "Connection" && name != "Content-Length" && name != "Transfer-Encoding" {
+		if name != "Connection" && name != "Content-Length" && name != "Transfer-Encoding" && !message.Reserved(name) {
 			header[name] = values
 		}
 	}
--- /dev/null
+++ b/internal/gateway/customers.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"gopkg.in/ini.v1"
+
+	"plantainrelay/internal/failure"
+	"plantainrelay/internal/message"
+)
+
+// Customers tells which customer sent a request.
+type Customers interface {
+	// Identify returns the customer, or an empty name and what to do.
+	Identify(r *http.Request) (customer, remedy string)
+}
+
+// HeaderCustomers believes the header that names the customer. It is for
+// networks in which nobody else can reach the entries.
+type HeaderCustomers struct{}
+
+// Identify implements Customers.
+func (HeaderCustomers) Identify(r *http.Request) (string, string) {
+	customer := r.Header.Get(message.HeaderCustomer)
+	if !validCustomer(customer) {
+		return "", fmt.Sprintf("name the customer in the header %s, with at most %d printable characters", message.HeaderCustomer, maxCustomerBytes)
+	}
+	return customer, ""
+}
+
+// maxCustomerBytes bounds the name of a customer.
+const maxCustomerBytes = 64
+
+func validCustomer(name string) bool {
+	if name == "" || len(name) > maxCustomerBytes {
+		return false
+	}
+	for _, char := range []byte(name) {
+		if char <= ' ' || char > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// KeyCustomers identifies customers by bearer tokens.
+type KeyCustomers struct {
+	// byHash maps the SHA-256 digest of a token to the customer. A look-up by
+	// digest tells a stranger nothing about how close a guess was.
+	byHash map[[sha256.Size]byte]string
+}
+
+// LoadCustomers reads the file of customers' keys: one INI section
+// [customer NAME] for each, with the key token_sha256, which may list several
+// digests separated by commas, so that a token can be replaced.
+func LoadCustomers(path string) (*KeyCustomers, error) {
+	file, err := ini.Load(path)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Invalid, "name a readable INI file", "the customers' keys %s cannot be read", path)
+	}
+	customers := &KeyCustomers{byHash: map[[sha256.Size]byte]string{}}
+	var problems []string
+	for _, section := range file.Sections() {
+		if section.Name() == ini.DefaultSection && len(section.Keys()) == 0 {
+			continue
+		}
+		if problem := customers.add(section); problem != "" {
+			problems = append(problems, fmt.Sprintf("%s: [%s] %s", path, section.Name(), problem))
+		}
+	}
+	if len(problems) > 0 {
+		return nil, failure.New(failure.Invalid, "correct these lines", "%d problem(s) in the customers' keys: %s", len(problems), strings.Join(problems, "; "))
+	}
+	if len(customers.byHash) == 0 {
+		return nil, failure.New(failure.Invalid, "add a section [customer NAME]", "%s names no customer", path)
+	}
+	return customers, nil
+}
+
+func (c *KeyCustomers) add(section *ini.Section) string {
+	name, found := strings.CutPrefix(section.Name(), "customer ")
+	if !found || !validCustomer(name) {
+		return "unknown section; use [customer NAME]"
+	}
+	for _, text := range section.Key("token_sha256").Strings(",") {
+		raw, err := hex.DecodeString(text)
+		if err != nil || len(raw) != sha256.Size {
+			return "token_sha256: set it to the SHA-256 digests of the customer's tokens in hexadecimal"
+		}
+		hash := [sha256.Size]byte(raw)
+		if other, taken := c.byHash[hash]; taken && other != name {
+			return "token_sha256: " + other + " has the same token; give each customer its own"
+		}
+		c.byHash[hash] = name
+	}
+	if !section.HasKey("token_sha256") || len(section.Keys()) != 1 {
+		return "set the key token_sha256 and no other"
+	}
+	return ""
+}
+
+// Identify implements Customers.
+func (c *KeyCustomers) Identify(r *http.Request) (string, string) {
+	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	customer, found := c.byHash[sha256.Sum256([]byte(token))]
+	if !found {
+		return "", "send a valid customer's token as Authorization: Bearer"
+	}
+	return customer, ""
+}
+
+// callerHeader returns a copy of a caller's header without the headers that
+// only processes of the fleet may set. The idempotency key is the caller's.
+func callerHeader(from http.Header) http.Header {
+	header := from.Clone()
+	for name := range header {
+		if message.Reserved(name) && name != message.HeaderKey {
+			header.Del(name)
+		}
+	}
+	return header
+}
--- /dev/null
+++ b/internal/gateway/customers_test.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/internal/message"
+)
+
+func digest(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+func customersFile(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "customers.ini")
+	qt.Assert(t, os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+	return path
+}
+
+// TestCustomersByKey checks that nobody's usage is charged to a customer whose
+// key they do not hold.
+func TestCustomersByKey(t *testing.T) {
+	c := qt.New(t)
+	customers, err := LoadCustomers(customersFile(t, "[customer large]\ntoken_sha256 = "+digest("one")+", "+digest("two")+"\n[customer small]\ntoken_sha256 = "+digest("three")))
+	c.Assert(err, qt.IsNil)
+	for token, wanted := range map[string]string{"one": "large", "two": "large", "three": "small", "four": "", "": ""} {
+		request := &http.Request{Header: http.Header{}}
+		request.Header.Set("Authorization", "Bearer "+token)
+		request.Header.Set(message.HeaderCustomer, "small")
+		customer, _ := customers.Identify(request)
+		c.Check(customer, qt.Equals, wanted, qt.Commentf("%q", token))
+	}
+}
+
+func TestBadCustomersFiles(t *testing.T) {
+	for _, text := range []string{
+		"",
+		"[customer a]\n",
+		"[customer a]\ntoken_sha256 = 12\n",
+		"[operator a]\ntoken_sha256 = " + digest("x"),
+		"[customer a]\ntoken_sha256 = " + digest("x") + "\n[customer b]\ntoken_sha256 = " + digest("x"),
+		"[customer a]\ntoken_sha256 = " + digest("x") + "\nrole = y\n",
+	} {
+		_, err := LoadCustomers(customersFile(t, text))
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%s", text))
+	}
+}
+
+// TestCallersCannotForgeFleetHeaders checks that a caller can neither bar nor
+// name attempts, nor pass as another customer behind the entry.
+func TestCallersCannotForgeFleetHeaders(t *testing.T) {
+	header := http.Header{}
+	for _, name := range []string{message.HeaderAttempt, message.HeaderIncarnation, message.HeaderCustomer, message.HeaderRepeatable, message.HeaderRefusal, "x-plantain-new"} {
+		header.Set(name, "forged")
+	}
+	header.Set(message.HeaderKey, "key")
+	header.Set("X-Site", "7")
+	qt.Assert(t, callerHeader(header), qt.DeepEquals, http.Header{message.HeaderKey: {"key"}, "X-Site": {"7"}})
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -17,6 +17,7 @@
 	"plantainrelay/internal/balance"
 	"plantainrelay/internal/dispatch"
 	"plantainrelay/internal/message"
+	"plantainrelay/internal/peer"
 	"plantainrelay/internal/table"
 )
 
@@ -28,12 +29,13 @@
 	copyBytes        = 32 << 10
 )
 
-func newAttemptClient() *http.Client {
+func newAttemptClient(security peer.Security) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: maxIdlePerAgent,
 			DisableCompression:  true,
+			TLSClientConfig:     security.ClientTLS,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -127,7 +129,7 @@
 }
 
 func (e *exchange) forward(ctx context.Context) (*http.Response, error) {
-	target := "http://" + e.agent.instance.HTTPAddress + message.PathAttempt + e.r.URL.EscapedPath()
+	target := e.handler.config.Security.Scheme() + "://" + e.agent.instance.HTTPAddress + message.PathAttempt + e.r.URL.EscapedPath()
 	if e.r.URL.RawQuery != "" {
 		target += "?" + e.r.URL.RawQuery
 	}
@@ -143,14 +145,14 @@
 }
 
 func (e *exchange) attemptHeader() http.Header {
-	header := e.r.Header.Clone()
+	header := callerHeader(e.r.Header)
 	for _, name := range []string{"Connection", "Idempotency-Key", "X-Idempotency-Key", "Te", "Trailer", "Transfer-Encoding", "Upgrade"} {
 		header.Del(name)
 	}
 	if key := e.r.Header.Get("Idempotency-Key"); key != "" && header.Get(message.HeaderKey) == "" {
 		header.Set(message.HeaderKey, key)
 	}
-	header.Set("Authorization", "Bearer "+e.handler.config.Key)
+	e.handler.config.Security.Authorize(header)
 	header.Set(message.HeaderAttempt, e.attempt)
 	header.Set(message.HeaderRequest, e.request)
 	header.Set(message.HeaderIncarnation, e.agent.Incarnation)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -23,8 +23,10 @@
 type Config struct {
 	Self             string
 	AvailabilityZone string
-	// Key is the fleet's key.
-	Key string
+	// Security proves membership of the fleet.
+	Security peer.Security
+	// Customers identifies the customer of a request.
+	Customers Customers
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
 	// MaxAttempts bounds the attempts of one request.
@@ -54,7 +56,7 @@
 
 // NewHandler returns the handler of callers' requests.
 func NewHandler(config Config, tables *tablesync.Sync, states *States, client *peer.Client, log *logrus.Entry) *Handler {
-	return &Handler{config: config, tables: tables, states: states, client: client, http: newAttemptClient(), log: log}
+	return &Handler{config: config, tables: tables, states: states, client: client, http: newAttemptClient(config.Security), log: log}
 }
 
 // ServeHTTP implements http.Handler.
@@ -64,9 +66,9 @@
 		h.refuse(w, http.StatusServiceUnavailable, "no tables are known yet; ask again")
 		return
 	}
-	customer := r.Header.Get(message.HeaderCustomer)
+	customer, remedy := h.config.Customers.Identify(r)
 	if customer == "" {
-		h.refuse(w, http.StatusUnauthorized, "name the customer in the header "+message.HeaderCustomer)
+		h.refuse(w, http.StatusUnauthorized, remedy)
 		return
 	}
 	route, found := snapshot.Match(table.Request{Customer: customer, Path: r.URL.Path, Header: r.Header.Get})
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -81,6 +81,7 @@
 	security Security
 	log      *logrus.Entry
 	rpc      *rpc.Server
+	pending  *pending
 	slots    chan struct{}
 }
 
@@ -90,6 +91,7 @@
 		security: security,
 		log:      log,
 		rpc:      rpc.NewServer(),
+		pending:  newPending(maxPending),
 		slots:    make(chan struct{}, maxConnections),
 	}
 }
@@ -121,22 +123,24 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		select {
-		case s.slots <- struct{}{}:
-			go s.serveConn(conn)
-		default:
-			s.log.Warning("too many control connections; one was closed")
-			conn.Close()
-		}
+		go s.serveConn(conn, s.pending.add(conn))
 	}
 }
 
-func (s *Server) serveConn(conn net.Conn) {
-	defer func() { <-s.slots }()
+// serveConn runs the handshake and serves the calls of a member of the fleet.
+func (s *Server) serveConn(conn net.Conn, proven func()) {
 	defer conn.Close()
-	if err := accept(conn, s.security.Key); err != nil {
+	err := accept(conn, s.security.Key)
+	proven()
+	if err != nil {
 		s.log.WithError(err).Debug("control connection refused")
 		return
 	}
-	s.rpc.ServeConn(conn)
+	select {
+	case s.slots <- struct{}{}:
+		defer func() { <-s.slots }()
+		s.rpc.ServeConn(conn)
+	default:
+		s.log.Warning("too many control connections; one was closed")
+	}
 }
--- /dev/null
+++ b/internal/peer/security.go
@@ -0,0 +1,20 @@
+package peer
+
+import (
+	"crypto/tls"
+
+	"plantainrelay/internal/certs"
+)
+
+// LoadSecurity returns the security of a process that holds key and, when
+// files is set, a certificate. serverName stands in every certificate of the
+// fleet.
+func LoadSecurity(key string, files certs.Files, serverName string) (Security, error) {
+	security := Security{Key: []byte(key)}
+	var err error
+	if security.ServerTLS, err = files.Server(tls.VerifyClientCertIfGiven); err != nil {
+		return security, err
+	}
+	security.ClientTLS, err = files.Client(serverName)
+	return security, err
+}
--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"plantainrelay/internal/certs"
 )
 
 // Common holds the settings that every daemon has.
@@ -27,6 +29,15 @@
 	// LeaveDelay and DrainLimit: see daemon.Config.
 	LeaveDelay time.Duration
 	DrainLimit time.Duration
+	// MaxConnections and StallLimit: see daemon.Config.
+	MaxConnections int64
+	StallLimit     time.Duration
+	// FleetCertificate, when set, turns on mutual TLS between the processes of
+	// the fleet; FleetServerName stands in each of its certificates.
+	FleetCertificate certs.Files
+	FleetServerName  string
+	// UsageInterval is the time between two reports of usage to the store.
+	UsageInterval time.Duration
 }
 
 // ReadCommon reads the settings that every daemon has.
@@ -45,6 +56,11 @@
 		ListInterval:     r.Duration("control", "list_interval", time.Second, 100*time.Millisecond, time.Minute),
 		LeaveDelay:       r.Duration("shutdown", "leave_delay", 5*time.Second, 0, time.Minute),
 		DrainLimit:       r.Duration("shutdown", "drain_limit", 10*time.Minute, time.Second, 24*time.Hour),
+		MaxConnections:   r.Int("listen", "max_connections", 4096, 16, 65536),
+		StallLimit:       r.Duration("listen", "stall_limit", 30*time.Second, time.Second, 10*time.Minute),
+		FleetCertificate: r.CertificateFiles("fleet", true),
+		FleetServerName:  r.String(sectionTLS, "fleet_server_name", "plantainrelay"),
+		UsageInterval:    r.Duration("usage", "flush_interval", time.Minute, 100*time.Millisecond, time.Hour),
 	}
 	if common.FleetKey == "" {
 		r.Problem("fleet", "key_file", "missing", "the path of a file that holds the fleet's key")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -208,6 +208,34 @@
 	return strings.TrimSuffix(text, "/")
 }
 
+// Key is a key with the value that was read from it.
+type Key struct {
+	Section, Name, Value string
+}
+
+// Distinct records a problem for each key that repeats the value of an earlier
+// one. Empty values are not compared.
+func (r *Reader) Distinct(keys ...Key) {
+	for i, key := range keys {
+		for _, earlier := range keys[:i] {
+			if key.Value != "" && key.Value == earlier.Value {
+				r.Problem(key.Section, key.Name, fmt.Sprintf("the same as [%s] %s", earlier.Section, earlier.Name), "another value than "+key.Value)
+			}
+		}
+	}
+}
+
+// Keys returns the sections and keys that were asked for.
+func (r *Reader) Keys() []Key {
+	var keys []Key
+	for section, names := range r.known {
+		for name := range names {
+			keys = append(keys, Key{Section: section, Name: name})
+		}
+	}
+	return keys
+}
+
 // Secret reads the file that the key names and returns its trimmed content. An
 // absent key gives an empty secret. The content never appears in a message.
 func (r *Reader) Secret(section, key string) string {
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -62,6 +62,19 @@
 	Dir     string
 	Entries []Instance
 	Agents  []Instance
+	// Client reaches the listeners of entries and agents; nil means
+	// http.DefaultClient over plain HTTP.
+	Client *http.Client
+	// Customers replaces the keys of the section customers, in which the
+	// header that names the customer is trusted.
+	Customers string
+}
+
+func (c Config) customers() string {
+	if c.Customers != "" {
+		return c.Customers
+	}
+	return "trust_header = yes"
 }
 
 // Process is one running program.
@@ -244,16 +257,16 @@
 		return err
 	}
 	control, public, adminAddress := addresses[0], addresses[1], addresses[2]
-	text := c.commonSettings(instance, control) + fmt.Sprintf("public = %s\nadmin = %s\n[admin]\noperators_file = %s\n%s\n",
-		public, adminAddress, c.path("operators.ini"), instance.Extra)
+	text := c.commonSettings(instance, control) + fmt.Sprintf("public = %s\nadmin = %s\n[admin]\noperators_file = %s\n[customers]\n%s\n%s\n",
+		public, adminAddress, c.path("operators.ini"), c.config.customers(), instance.Extra)
 	if err := c.startDaemon(instance.Name, "plantain-entry", text); err != nil {
 		return err
 	}
 	c.mu.Lock()
 	c.instances[instance.Name] = c.row(instance, member.RoleEntry, public, control)
-	c.admins[instance.Name] = "http://" + adminAddress
+	c.admins[instance.Name] = c.scheme() + adminAddress
 	c.mu.Unlock()
-	return WaitHTTP("http://" + adminAddress + "/healthz")
+	return c.waitHTTP(c.scheme() + adminAddress + "/healthz")
 }
 
 // StartAgent runs an agent and its backend server.
@@ -281,7 +294,7 @@
 	c.instances[instance.Name] = c.row(instance, member.RoleAgent, public, control)
 	c.backends[instance.Name] = "http://" + backend
 	c.mu.Unlock()
-	return WaitHTTP("http://" + public + "/healthz")
+	return c.waitHTTP(c.scheme() + public + "/healthz")
 }
 
 // RestartDaemon starts an entry or agent again with its former settings.
@@ -362,7 +375,21 @@
 }
 
 // PublicURL returns the base URL of an entry's public listener.
-func (c *Cluster) PublicURL(entry string) string { return "http://" + c.Row(entry).HTTPAddress }
+func (c *Cluster) PublicURL(entry string) string { return c.scheme() + c.Row(entry).HTTPAddress }
+
+func (c *Cluster) scheme() string {
+	if c.config.Client != nil {
+		return "https://"
+	}
+	return "http://"
+}
+
+func (c *Cluster) client() *http.Client {
+	if c.config.Client != nil {
+		return c.config.Client
+	}
+	return http.DefaultClient
+}
 
 // AdminURL returns the base URL of an entry's administration listener.
 func (c *Cluster) AdminURL(entry string) string {
@@ -432,7 +459,7 @@
 		return 0, err
 	}
 	request.Header.Set("Authorization", "Bearer "+c.Token)
-	response, err := http.DefaultClient.Do(request)
+	response, err := c.client().Do(request)
 	if err != nil {
 		return 0, err
 	}
@@ -457,7 +484,7 @@
 		return status, err
 	}
 	request.Header.Set("Authorization", "Bearer "+c.Token)
-	response, err := http.DefaultClient.Do(request)
+	response, err := c.client().Do(request)
 	if err != nil {
 		return status, err
 	}
@@ -500,10 +527,18 @@
 
 // WaitHTTP waits until a GET of url answers with any status.
 func WaitHTTP(url string) error {
+	return waitHTTP(http.DefaultClient, url)
+}
+
+func (c *Cluster) waitHTTP(url string) error {
+	return waitHTTP(c.client(), url)
+}
+
+func waitHTTP(client *http.Client, url string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), StartLimit)
 	defer cancel()
 	return WaitFor(ctx, func() (bool, string) {
-		response, err := http.Get(url)
+		response, err := client.Get(url)
 		if err != nil {
 			return false, err.Error()
 		}
--- /dev/null
+++ b/test/e2e/product_shutdown_test.go
@@ -0,0 +1,166 @@
+package e2e_test
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/internal/gateway"
+	"plantainrelay/internal/message"
+	"plantainrelay/test/cluster"
+	"plantainrelay/test/standin"
+)
+
+const (
+	streamTokens = 40
+	tokenDelay   = 500 * time.Millisecond
+	leaveLimit   = 5 * time.Second
+)
+
+// streamed is the end of a streamed answer as its caller sees it.
+type streamed struct {
+	tokens int
+	closed bool
+	err    error
+}
+
+// startStream begins a streamed lookup and returns once its first token came.
+func startStream(t *testing.T, url string) <-chan streamed {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader("night shift"))
+	qt.Assert(t, err, qt.IsNil)
+	request.Header.Set(message.HeaderCustomer, "small")
+	response, err := http.DefaultClient.Do(request)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusOK)
+	lines := bufio.NewScanner(response.Body)
+	qt.Assert(t, lines.Scan(), qt.IsTrue)
+	ended := make(chan streamed, 1)
+	go func() {
+		defer response.Body.Close()
+		got := streamed{tokens: 1}
+		for lines.Scan() {
+			got.closed = got.closed || lines.Text() == "event: done"
+			if strings.HasPrefix(lines.Text(), "data: {\"token\"") {
+				got.tokens++
+			}
+		}
+		got.err = lines.Err()
+		ended <- got
+	}()
+	return ended
+}
+
+// waitExit waits until the named process has ended and returns its exit code.
+func waitExit(t *testing.T, fleet *cluster.Cluster, name string) int {
+	t.Helper()
+	process := fleet.Process(name)
+	select {
+	case <-process.Exited():
+	case <-time.After(limit):
+		t.Fatalf("%s did not end", name)
+	}
+	return process.Command.ProcessState.ExitCode()
+}
+
+func waitLog(ctx context.Context, fleet *cluster.Cluster, name, text string) error {
+	return cluster.WaitFor(ctx, func() (bool, string) {
+		raw, err := os.ReadFile(fleet.Process(name).LogPath)
+		return err == nil && strings.Contains(string(raw), text), name + " has not logged: " + text
+	})
+}
+
+func executions(t *testing.T, fleet *cluster.Cluster, agent string) int {
+	t.Helper()
+	var runs []standin.Execution
+	qt.Assert(t, cluster.GetJSON(fleet.BackendURL(agent)+"/records/engine", &runs), qt.IsNil)
+	return len(runs)
+}
+
+// TestStreamSurvivesSIGTERM stops the entry and the agent under a streamed
+// answer of 20 s, which must arrive whole.
+func TestStreamSurvivesSIGTERM(t *testing.T) {
+	c := qt.New(t)
+	fleet := start(t, cluster.Config{
+		Entries: []cluster.Instance{
+			{Name: "entry-1", AvailabilityZone: "a", Region: "north"},
+			{Name: "entry-2", AvailabilityZone: "a", Region: "north"},
+		},
+		Agents: []cluster.Instance{
+			{Name: "model-1", AvailabilityZone: "a", Region: "north"},
+			{Name: "model-2", AvailabilityZone: "a", Region: "north"},
+		},
+	})
+	ctx := waitContext(t)
+	manifest, err := fleet.Publish("v1", "", randomWeights(1, 1<<20), 64<<10)
+	c.Assert(err, qt.IsNil)
+	_, err = fleet.Apply("entry-1", 0, twoPools("v1", manifest))
+	c.Assert(err, qt.IsNil)
+	for _, entry := range []string{"entry-1", "entry-2"} {
+		c.Assert(fleet.WaitVersion(ctx, entry, "v1", "model-1", "model-2"), qt.IsNil)
+	}
+	for _, agent := range []string{"model-1", "model-2"} {
+		c.Assert(cluster.PutJSON(fleet.BackendURL(agent)+"/faults/engine", standin.EngineFaults{TokenDelay: tokenDelay}), qt.IsNil)
+	}
+	url := fleet.PublicURL("entry-1") + "/lookup?stream&tokens=40"
+	ended := startStream(t, url)
+	leaving, staying := "model-1", "model-2"
+	if executions(t, fleet, leaving) == 0 {
+		leaving, staying = staying, leaving
+	}
+
+	c.Assert(fleet.Signal("entry-1", syscall.SIGTERM), qt.IsNil)
+	c.Assert(fleet.Signal(leaving, syscall.SIGTERM), qt.IsNil)
+	c.Assert(waitLog(ctx, fleet, "entry-1", `"draining"`), qt.IsNil)
+	c.Assert(waitLog(ctx, fleet, leaving, `"draining"`), qt.IsNil)
+	checkAddress(t, fleet)
+	c.Assert(fleet.Signal("entry-1", syscall.SIGTERM), qt.IsNil)
+	c.Assert(fleet.Signal(leaving, syscall.SIGTERM), qt.IsNil)
+	c.Assert(waitLog(ctx, fleet, "entry-1", "already draining"), qt.IsNil)
+	c.Assert(waitLog(ctx, fleet, leaving, "already draining"), qt.IsNil)
+	time.Sleep(leaveLimit)
+	checkNoNewRequests(t, fleet, leaving, staying)
+
+	got := <-ended
+	c.Assert(got, qt.Equals, streamed{tokens: streamTokens, closed: true})
+	c.Assert(waitExit(t, fleet, "entry-1"), qt.Equals, 0)
+	c.Assert(waitExit(t, fleet, leaving), qt.Equals, 0)
+}
+
+// checkAddress checks that the leaving entry no longer names itself.
+func checkAddress(t *testing.T, fleet *cluster.Cluster) {
+	t.Helper()
+	for range 20 {
+		var answer gateway.AddressAnswer
+		err := cluster.GetJSON(fleet.PublicURL("entry-1")+"/plantain/v1/address?availability_zone=a", &answer)
+		if err != nil {
+			return // its listener is closed: no caller is told anything
+		}
+		qt.Assert(t, "http://"+answer.Address, qt.Equals, fleet.PublicURL("entry-2"))
+		qt.Assert(t, "http://"+answer.Alternate, qt.Not(qt.Equals), fleet.PublicURL("entry-1"))
+	}
+}
+
+// checkNoNewRequests checks that requests no longer reach a leaving entry or
+// agent, and that the others answer them.
+func checkNoNewRequests(t *testing.T, fleet *cluster.Cluster, leaving, staying string) {
+	t.Helper()
+	before, other := executions(t, fleet, leaving), executions(t, fleet, staying)
+	const lookups = 4
+	for range lookups {
+		got := call("POST", fleet.PublicURL("entry-2")+"/lookup?tokens=1", "small", "", "late")
+		qt.Assert(t, got.err, qt.IsNil)
+		qt.Assert(t, got.outcome, qt.Equals, "done", qt.Commentf("%s", got.body))
+	}
+	qt.Assert(t, executions(t, fleet, leaving), qt.Equals, before)
+	qt.Assert(t, executions(t, fleet, staying), qt.Equals, other+lookups)
+	refused := call("POST", fleet.PublicURL("entry-1")+"/lookup?tokens=1", "small", "", "late")
+	qt.Assert(t, refused.err, qt.IsNotNil)
+}
