--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,11 +16,14 @@
 	"plantainrelay/internal/engine"
 	"plantainrelay/internal/gate"
 	"plantainrelay/internal/logging"
+	"plantainrelay/internal/member"
 	"plantainrelay/internal/membership"
 	"plantainrelay/internal/message"
+	"plantainrelay/internal/metering"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/platform"
 	"plantainrelay/internal/tablesync"
+	"plantainrelay/internal/usage"
 )
 
 const (
@@ -47,7 +50,9 @@
 		return err
 	}
 	p.start(ctx)
-	return d.Run()
+	err = d.Run()
+	p.meter.Close(ctx)
+	return err
 }
 
 func daemonConfig(s Settings) daemon.Config {
@@ -70,6 +75,7 @@
 	gate        *gate.Gate
 	driver      *distribute.Driver
 	readiness   *daemon.Readiness
+	meter       *metering.Meter
 }
 
 func newParts(s Settings, log *logrus.Entry) (*parts, error) {
@@ -84,6 +90,8 @@
 		readiness:   daemon.NewReadiness(),
 	}
 	outside := platform.New(platform.Config{StoreURL: s.StoreURL, OriginURL: s.OriginURL, ListURL: s.ListURL})
+	source := usage.Source{Name: s.Instance + "/" + p.incarnation[:8], Role: member.RoleAgent}
+	p.meter = metering.New(source, outside, s.UsageInterval, log)
 	client := peer.NewClient(p.security)
 	p.members = membership.New(outside, s.ListInterval, log)
 	p.sync = tablesync.New(tablesync.Config{
@@ -135,7 +143,7 @@
 	return d.Listen(daemon.Listener{
 		Address:      s.HTTPAddress,
 		Routes:       routes,
-		Fallback:     gate.NewHandler(p.gate, s.BackendURL, p.security, log),
+		Fallback:     gate.NewHandler(p.gate, s.BackendURL, p.security, p.meter, log),
 		MaxBodyBytes: s.MaxBodyBytes,
 		Certificate:  s.FleetCertificate,
 		ClientAuth:   tls.VerifyClientCertIfGiven,
@@ -146,6 +154,7 @@
 	go p.members.Run(ctx)
 	go p.sync.Run(ctx)
 	go p.driver.Run(ctx)
+	go p.meter.Run(ctx)
 	go p.watchReadiness(ctx)
 }
 
--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -51,7 +51,13 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return failure.Wrap(err, failure.Invalid, "see --help", "the flags are not usable")
 	})
-	if err := root.Execute(); err != nil {
+	started := false
+	root.PersistentPreRun = func(*cobra.Command, []string) { started = true }
+	err := root.Execute()
+	if err != nil && !started {
+		err = failure.Wrap(err, failure.Invalid, "see --help", "the command is not usable")
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, root.Name()+": "+err.Error())
 		os.Exit(ExitCode(err))
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -28,6 +28,13 @@
 	HeaderWhole    = "X-Engine-Whole"
 )
 
+// Response headers by which a backend server gives the tokens of a request and
+// of its answer. A stream without HeaderTokensOut has one token in each event.
+const (
+	HeaderTokensIn  = "X-Tokens-In"
+	HeaderTokensOut = "X-Tokens-Out"
+)
+
 // Status is what an engine reports of itself.
 type Status struct {
 	// Incarnation changes when the engine restarts.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/sirupsen/logrus"
@@ -15,11 +16,14 @@
 	"plantainrelay/internal/daemon"
 	"plantainrelay/internal/gateway"
 	"plantainrelay/internal/logging"
+	"plantainrelay/internal/member"
 	"plantainrelay/internal/membership"
+	"plantainrelay/internal/metering"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/platform"
 	"plantainrelay/internal/tablesync"
 	"plantainrelay/internal/tracker"
+	"plantainrelay/internal/usage"
 )
 
 const (
@@ -52,7 +56,9 @@
 		return err
 	}
 	p.start(ctx)
-	return d.Run()
+	err = d.Run()
+	p.meter.Close(ctx)
+	return err
 }
 
 func daemonConfig(s Settings) daemon.Config {
@@ -77,6 +83,7 @@
 	requests  *gateway.Handler
 	readiness *daemon.Readiness
 	security  peer.Security
+	meter     *metering.Meter
 }
 
 func newParts(s Settings, log *logrus.Entry) (*parts, error) {
@@ -90,6 +97,8 @@
 	}
 	p := &parts{readiness: daemon.NewReadiness(), security: security}
 	p.store = platform.New(platform.Config{StoreURL: s.StoreURL, OriginURL: s.OriginURL, ListURL: s.ListURL})
+	source := usage.Source{Name: s.Instance + "/" + uuid.NewString()[:8], Role: member.RoleEntry}
+	p.meter = metering.New(source, p.store, s.UsageInterval, log)
 	p.members = membership.New(p.store, s.ListInterval, log)
 	p.client = peer.NewClient(p.security)
 	p.sync = tablesync.New(tablesync.Config{
@@ -107,6 +116,7 @@
 		AvailabilityZone: s.AvailabilityZone,
 		Security:         p.security,
 		Customers:        customers,
+		Usage:            p.meter,
 		MaxBodyBytes:     s.MaxBodyBytes,
 		MaxAttempts:      int(s.MaxAttempts),
 		AskInterval:      s.AskInterval,
@@ -141,6 +151,7 @@
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	api := admin.New(operators, admin.NewEditor(p.store, p.sync), p.sync, p.states.All, log)
 	routes := append(daemon.OperationRoutes(p.readiness, registry), api.Routes()...)
+	routes = append(routes, api.UsageRoute(metering.NewReporter(p.store)))
 	if err := d.Listen(daemon.Listener{
 		Address:      s.AdminAddress,
 		Routes:       routes,
@@ -164,6 +175,7 @@
 	go p.members.Run(ctx)
 	go p.sync.Run(ctx)
 	go p.states.Run(ctx)
+	go p.meter.Run(ctx)
 	go p.watchReadiness(ctx)
 }
 
--- a/internal/gate/reserved_test.go
+++ b/internal/gate/reserved_test.go
@@ -13,6 +13,7 @@
 
 	"plantainrelay/internal/gate"
 	"plantainrelay/internal/message"
+	"plantainrelay/internal/metering"
 	"plantainrelay/internal/peer"
 )
 
@@ -39,7 +40,7 @@
 	request.Header.Set(message.HeaderIncarnation, "one")
 	request.Header.Set(message.HeaderDeadline, strconv.FormatInt(time.Now().Add(time.Hour).UnixMilli(), 10))
 	answer := httptest.NewRecorder()
-	gate.NewHandler(g, backend.URL, security, logrus.NewEntry(log)).ServeHTTP(answer, request)
+	gate.NewHandler(g, backend.URL, security, metering.Discard{}, logrus.NewEntry(log)).ServeHTTP(answer, request)
 	c.Assert(answer.Code, qt.Equals, http.StatusConflict)
 	c.Assert(answer.Header().Get(message.HeaderRefusal), qt.Equals, "")
 	c.Assert(answer.Header().Get(message.HeaderAttempt), qt.Equals, "attempt")
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -15,6 +15,7 @@
 	"plantainrelay/internal/engine"
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/message"
+	"plantainrelay/internal/metering"
 	"plantainrelay/internal/peer"
 )
 
@@ -29,19 +30,21 @@
 	gate     *Gate
 	backend  string
 	security peer.Security
+	usage    metering.Recorder
 	client   *http.Client
 	log      *logrus.Entry
 }
 
 // NewHandler returns the handler for the backend server at the URL backend.
-// Only requests that security authorizes are taken.
-func NewHandler(gate *Gate, backend string, security peer.Security, log *logrus.Entry) *Handler {
+// Only requests that security authorizes are taken; usage is told of each
+// attempt that was started.
+func NewHandler(gate *Gate, backend string, security peer.Security, usage metering.Recorder, log *logrus.Entry) *Handler {
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxBackendConns,
 		DisableCompression:  true,
 	}
-	return &Handler{gate: gate, backend: backend, security: security, client: &http.Client{Transport: transport, CheckRedirect: keepRedirect}, log: log}
+	return &Handler{gate: gate, backend: backend, security: security, usage: usage, client: &http.Client{Transport: transport, CheckRedirect: keepRedirect}, log: log}
 }
 
 func keepRedirect(*http.Request, []*http.Request) error {
@@ -74,7 +77,9 @@
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
-	run := &execution{handler: h, attempt: attempt, admitted: admitted, w: w}
+	metered := metering.Wrap(w, h.usage, r.Header.Get(message.HeaderCustomer), r.Header.Get(message.HeaderPool))
+	defer metered.EndAttempt()
+	run := &execution{handler: h, attempt: attempt, admitted: admitted, w: metered}
 	defer func() { h.gate.end(attempt, run.kept) }()
 	run.serve(r, path, body, deadline)
 }
@@ -146,8 +151,9 @@
 // entry has left, it still reads the rest.
 func (e *execution) relay(response *http.Response) {
 	header := e.w.Header()
-	for name, values := range response.Header {
-		if name != "Connection" && name != "Content-Length" && name != "Transfer-Encoding" && !message.Reserved(name) {
+	fromBackend := message.WithoutReserved(response.Header)
+	for name, values := range fromBackend {
+		if name != "Connection" && name != "Content-Length" && name != "Transfer-Encoding" {
 			header[name] = values
 		}
 	}
@@ -162,7 +168,7 @@
 	}
 	header.Set(message.HeaderComplete, "yes")
 	if kept.Len() <= e.handler.gate.config.MaxKeptBytes {
-		e.kept = &message.Answer{Status: response.StatusCode, Header: response.Header, Body: kept.Bytes(), Version: e.admitted.Version}
+		e.kept = &message.Answer{Status: response.StatusCode, Header: fromBackend, Body: kept.Bytes(), Version: e.admitted.Version}
 	}
 }
 
--- a/internal/gateway/customers.go
+++ b/internal/gateway/customers.go
@@ -116,11 +116,9 @@
 // callerHeader returns a copy of a caller's header without the headers that
 // only processes of the fleet may set. The idempotency key is the caller's.
 func callerHeader(from http.Header) http.Header {
-	header := from.Clone()
-	for name := range header {
-		if message.Reserved(name) && name != message.HeaderKey {
-			header.Del(name)
-		}
+	header := message.WithoutReserved(from)
+	if key := from.Get(message.HeaderKey); key != "" {
+		header.Set(message.HeaderKey, key)
 	}
 	return header
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -14,6 +14,7 @@
 	"plantainrelay/internal/dispatch"
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/message"
+	"plantainrelay/internal/metering"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/table"
 	"plantainrelay/internal/tablesync"
@@ -27,6 +28,8 @@
 	Security peer.Security
 	// Customers identifies the customer of a request.
 	Customers Customers
+	// Usage is told of each request that a route took.
+	Usage metering.Recorder
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
 	// MaxAttempts bounds the attempts of one request.
@@ -86,9 +89,12 @@
 
 func (h *Handler) run(w http.ResponseWriter, r *http.Request, route table.Route, customer string, body []byte) {
 	deadline := time.Now().Add(route.Deadline)
+	metered := metering.Wrap(w, h.config.Usage, customer, route.Pool)
+	outcome := dispatch.Unknown
+	defer func() { metered.End(outcome) }()
 	e := &exchange{
 		handler:  h,
-		w:        w,
+		w:        metered,
 		r:        r,
 		route:    route,
 		customer: customer,
@@ -107,7 +113,7 @@
 		MaxWait:      h.config.MaxWait,
 		WaitInterval: waitInterval,
 	})
-	outcome := e.run()
+	outcome = e.run()
 	h.log.WithFields(logrus.Fields{
 		logging.FieldRequest:  e.request,
 		logging.FieldCustomer: customer,
--- /dev/null
+++ b/internal/metering/meter.go
@@ -0,0 +1,172 @@
+// Package metering drives package usage: it takes the events of a daemon's
+// request path, writes them to the store and reads reports back.
+package metering
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"plantainrelay/internal/failure"
+	"plantainrelay/internal/platform"
+	"plantainrelay/internal/usage"
+)
+
+// ObjectKind is the kind of the objects that hold usage documents.
+const ObjectKind = "usage"
+
+const (
+	callTimeout = 5 * time.Second
+	// maxTries bounds the conflicts of one document in one flush.
+	maxTries  = 8
+	firstWait = 20 * time.Millisecond
+	// maxDocumentBytes bounds a document, so that a daemon's share of the
+	// network stays small; the store takes 1 MB.
+	maxDocumentBytes = 256 << 10
+	maxHours         = 48
+	maxRows          = 400
+)
+
+// Meter counts the usage of one daemon. It is safe for concurrent use.
+type Meter struct {
+	store    platform.ObjectStore
+	interval time.Duration
+	log      *logrus.Entry
+
+	mu      sync.Mutex
+	counter *usage.Counter
+	// writing is held by the flush in progress.
+	writing sync.Mutex
+}
+
+// New returns a meter that writes to store at the given interval while it runs.
+func New(source usage.Source, store platform.ObjectStore, interval time.Duration, log *logrus.Entry) *Meter {
+	return &Meter{
+		store:    store,
+		interval: interval,
+		log:      log,
+		counter:  usage.NewCounter(source, usage.Limits{MaxHours: maxHours, MaxRows: maxRows}),
+	}
+}
+
+// Record counts one event.
+func (m *Meter) Record(event usage.Event) {
+	m.mu.Lock()
+	m.counter.Count(event, time.Now())
+	m.mu.Unlock()
+}
+
+// Run writes to the store until ctx ends.
+func (m *Meter) Run(ctx context.Context) {
+	for {
+		// The jitter spreads the daemons' writes over the interval.
+		wait := m.interval/2 + rand.N(m.interval)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+			m.Flush(ctx)
+		}
+	}
+}
+
+// Close writes everything for the last time.
+func (m *Meter) Close(ctx context.Context) {
+	m.mu.Lock()
+	m.counter.End()
+	m.mu.Unlock()
+	m.Flush(ctx)
+}
+
+// Flush writes what the store does not have. What cannot be written now is
+// written by a later flush.
+func (m *Meter) Flush(ctx context.Context) {
+	m.writing.Lock()
+	defer m.writing.Unlock()
+	m.mu.Lock()
+	pending := m.counter.Pending(time.Now())
+	m.mu.Unlock()
+	grouped := map[string][]usage.Report{}
+	var names []string
+	for _, report := range pending {
+		name := usage.DocumentName(report.Source, report.Hour)
+		if grouped[name] == nil {
+			names = append(names, name)
+		}
+		grouped[name] = append(grouped[name], report)
+	}
+	for _, name := range names {
+		if err := m.write(ctx, name, grouped[name]); err != nil {
+			m.log.WithError(err).Warning("usage could not be written; it is kept and written later")
+			return
+		}
+		m.written(grouped[name])
+	}
+}
+
+func (m *Meter) written(reports []usage.Report) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, report := range reports {
+		m.counter.Written(report)
+	}
+}
+
+// write merges reports into a document by conditional updates. After a
+// conflict or a lost answer it reads the document again: what has taken effect
+// already is not added twice.
+func (m *Meter) write(ctx context.Context, name string, reports []usage.Report) error {
+	wait := firstWait
+	var err error
+	for range maxTries {
+		if err = m.writeOnce(ctx, name, reports); err == nil {
+			return nil
+		}
+		if !failure.Is(err, failure.Conflict) && !failure.Is(err, failure.Unknown) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(wait/2 + rand.N(wait)):
+		}
+		wait *= 2
+	}
+	return err
+}
+
+func (m *Meter) writeOnce(ctx context.Context, name string, reports []usage.Report) error {
+	document, version, err := read(ctx, m.store, name)
+	if err != nil {
+		return err
+	}
+	for _, report := range reports {
+		document.Merge(report)
+	}
+	raw, err := document.Encode(maxDocumentBytes)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err = m.store.Put(ctx, ObjectKind, name, raw, version)
+	return err
+}
+
+// read returns a document and its version; an absent one is empty.
+func read(ctx context.Context, store platform.ObjectStore, name string) (*usage.Document, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	object, err := store.Get(ctx, ObjectKind, name)
+	if failure.Is(err, failure.NotFound) {
+		return &usage.Document{}, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	document, err := usage.Decode(object.Value)
+	return document, object.Version, err
+}
--- /dev/null
+++ b/internal/metering/writer.go
@@ -0,0 +1,91 @@
+package metering
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"plantainrelay/internal/dispatch"
+	"plantainrelay/internal/engine"
+	"plantainrelay/internal/message"
+	"plantainrelay/internal/usage"
+)
+
+// Recorder takes the end of a request or attempt.
+type Recorder interface {
+	Record(event usage.Event)
+}
+
+// Writer passes an answer on and counts its tokens.
+type Writer struct {
+	http.ResponseWriter
+	recorder Recorder
+	key      usage.Key
+	stream   *usage.StreamTokens
+	header   bool
+}
+
+// Wrap returns a writer for the answer to a request of customer to pool.
+func Wrap(w http.ResponseWriter, recorder Recorder, customer, pool string) *Writer {
+	return &Writer{ResponseWriter: w, recorder: recorder, key: usage.Key{Customer: customer, Pool: pool}}
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *Writer) WriteHeader(status int) {
+	w.header = true
+	if strings.HasPrefix(w.Header().Get("Content-Type"), "text/event-stream") {
+		w.stream = &usage.StreamTokens{}
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *Writer) Write(data []byte) (int, error) {
+	if !w.header {
+		w.WriteHeader(http.StatusOK)
+	}
+	if w.stream != nil {
+		_, _ = w.stream.Write(data)
+	}
+	return w.ResponseWriter.Write(data)
+}
+
+// Unwrap gives http.ResponseController the writer below.
+func (w *Writer) Unwrap() http.ResponseWriter {
+	return w.ResponseWriter
+}
+
+// End records the request with its outcome.
+func (w *Writer) End(outcome dispatch.Outcome) {
+	header := w.Header()
+	w.key.Version = header.Get(message.HeaderVersion)
+	event := usage.Event{Key: w.key, Outcome: outcome, TokensIn: count(header, engine.HeaderTokensIn), TokensOut: count(header, engine.HeaderTokensOut)}
+	if w.stream != nil && event.TokensOut == 0 {
+		event.TokensOut = w.stream.Count()
+	}
+	w.recorder.Record(event)
+}
+
+// EndAttempt records an attempt, which is done when its answer was closed as
+// whole.
+func (w *Writer) EndAttempt() {
+	outcome := dispatch.Unknown
+	if w.Header().Get(message.HeaderComplete) != "" {
+		outcome = dispatch.Done
+	}
+	w.End(outcome)
+}
+
+func count(header http.Header, name string) int64 {
+	value, err := strconv.ParseInt(header.Get(name), 10, 64)
+	if err != nil || value < 0 {
+		return 0
+	}
+	return value
+}
+
+// Discard is a recorder that drops every event.
+type Discard struct{}
+
+// Record implements Recorder.
+func (Discard) Record(usage.Event) {}
--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -60,7 +60,7 @@
 		StallLimit:       r.Duration("listen", "stall_limit", 30*time.Second, time.Second, 10*time.Minute),
 		FleetCertificate: r.CertificateFiles("fleet", true),
 		FleetServerName:  r.String(sectionTLS, "fleet_server_name", "plantainrelay"),
-		UsageInterval:    r.Duration("usage", "flush_interval", time.Minute, 100*time.Millisecond, time.Hour),
+		UsageInterval:    r.Duration("usage", "flush_interval", 5*time.Minute, 100*time.Millisecond, time.Hour),
 	}
 	if common.FleetKey == "" {
 		r.Problem("fleet", "key_file", "missing", "the path of a file that holds the fleet's key")
--- /dev/null
+++ b/internal/usage/document.go
@@ -0,0 +1,221 @@
+package usage
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"plantainrelay/internal/failure"
+	"plantainrelay/internal/member"
+)
+
+// Shards is the number of documents of one day.
+const Shards = 64
+
+// DocumentName returns the name of the document that takes the reports of a
+// source for an hour. All reports of a source go to the same shard.
+func DocumentName(source Source, hour Hour) string {
+	return ShardName(hour.Day(), int(xxhash.Sum64String(source.Name)%Shards))
+}
+
+// ShardName returns the name of the document of a day and a shard.
+func ShardName(day string, shard int) string {
+	return fmt.Sprintf("%s-%02d", day, shard)
+}
+
+// Document holds the reports of many sources for one day.
+type Document struct {
+	// Keys are named by their index in the rows.
+	Keys []Key `json:"keys"`
+	// Live holds the reports for hours that their sources have not closed.
+	Live []liveHour `json:"live"`
+	// Sums holds the totals of the closed ones.
+	Sums []span `json:"sums"`
+	// Folded names the reports that are in the sums.
+	Folded []foldedHour `json:"folded"`
+}
+
+// indexedRow is a key's index, done, not run, unknown, tokens in, tokens out.
+type indexedRow [6]int64
+
+type liveHour struct {
+	Source string       `json:"source"`
+	Role   member.Role  `json:"role"`
+	Hour   Hour         `json:"hour"`
+	Rows   []indexedRow `json:"rows"`
+}
+
+type foldedHour struct {
+	Source string `json:"source"`
+	Hour   Hour   `json:"hour"`
+}
+
+// span is the total of the hours from From to To, both included.
+type span struct {
+	Role member.Role  `json:"role"`
+	From Hour         `json:"from"`
+	To   Hour         `json:"to"`
+	Rows []indexedRow `json:"rows"`
+}
+
+// Decode returns the document that raw holds; nothing gives an empty one.
+func Decode(raw []byte) (*Document, error) {
+	document := &Document{}
+	if len(raw) == 0 {
+		return document, nil
+	}
+	if err := json.Unmarshal(raw, document); err != nil {
+		return nil, failure.Wrap(err, failure.Invalid, "restore the object", "a usage document is garbled")
+	}
+	return document, document.check()
+}
+
+func (d *Document) check() error {
+	for _, list := range d.allRows() {
+		for _, row := range list {
+			if row[0] < 0 || row[0] >= int64(len(d.Keys)) {
+				return failure.New(failure.Invalid, "restore the object", "a usage document names key %d of %d", row[0], len(d.Keys))
+			}
+		}
+	}
+	return nil
+}
+
+func (d *Document) allRows() [][]indexedRow {
+	var all [][]indexedRow
+	for _, live := range d.Live {
+		all = append(all, live.Rows)
+	}
+	for _, sum := range d.Sums {
+		all = append(all, sum.Rows)
+	}
+	return all
+}
+
+// Merge takes a report. It may be given any number of times: a later report of
+// the same source and hour replaces an earlier one, and a closed one is added
+// to the sums once.
+func (d *Document) Merge(report Report) {
+	if slices.Contains(d.Folded, foldedHour{Source: report.Source.Name, Hour: report.Hour}) {
+		return
+	}
+	d.Live = slices.DeleteFunc(d.Live, func(live liveHour) bool {
+		return live.Source == report.Source.Name && live.Hour == report.Hour
+	})
+	if !report.Closed {
+		d.Live = append(d.Live, liveHour{Source: report.Source.Name, Role: report.Source.Role, Hour: report.Hour, Rows: d.index(report.Rows)})
+		return
+	}
+	sum := d.span(report.Source.Role, report.Hour)
+	sum.Rows = d.index(append(d.rowsOf(sum.Rows), report.Rows...))
+	d.Folded = append(d.Folded, foldedHour{Source: report.Source.Name, Hour: report.Hour})
+}
+
+// span returns the sum that covers the hour for the role.
+func (d *Document) span(role member.Role, hour Hour) *span {
+	for i := range d.Sums {
+		if d.Sums[i].Role == role && d.Sums[i].From <= hour && hour <= d.Sums[i].To {
+			return &d.Sums[i]
+		}
+	}
+	d.Sums = append(d.Sums, span{Role: role, From: hour, To: hour})
+	return &d.Sums[len(d.Sums)-1]
+}
+
+// index returns list with keys replaced by their index; equal keys are added.
+func (d *Document) index(list []Row) []indexedRow {
+	totals := map[Key]Counts{}
+	for _, row := range list {
+		totals[row.Key] = totals[row.Key].Add(row.Counts)
+	}
+	known := make(map[Key]int, len(d.Keys))
+	for i, key := range d.Keys {
+		known[key] = i
+	}
+	indexed := make([]indexedRow, 0, len(totals))
+	for _, row := range rows(totals) {
+		i, found := known[row.Key]
+		if !found {
+			i = len(d.Keys)
+			known[row.Key] = i
+			d.Keys = append(d.Keys, row.Key)
+		}
+		indexed = append(indexed, indexedRow{int64(i), row.Done, row.NotRun, row.Unknown, row.TokensIn, row.TokensOut})
+	}
+	return indexed
+}
+
+func (d *Document) rowsOf(indexed []indexedRow) []Row {
+	list := make([]Row, 0, len(indexed))
+	for _, row := range indexed {
+		counts := Counts{Done: row[1], NotRun: row[2], Unknown: row[3], TokensIn: row[4], TokensOut: row[5]}
+		list = append(list, Row{Key: d.Keys[row[0]], Counts: counts})
+	}
+	return list
+}
+
+// Encode returns the document in at most maxBytes. Where needed, it joins the
+// oldest hours, and then the versions of the sums. It returns failure.Refused
+// when that does not suffice.
+func (d *Document) Encode(maxBytes int) ([]byte, error) {
+	for {
+		raw, err := json.Marshal(d)
+		if err != nil {
+			return nil, failure.Wrap(err, failure.Internal, "report this", "a usage document cannot be encoded")
+		}
+		if len(raw) <= maxBytes {
+			return raw, nil
+		}
+		if !d.joinHours() && !d.joinVersions() {
+			return nil, failure.New(failure.Refused, "use fewer customers, pools and versions in one day",
+				"a usage document takes %d bytes, more than %d", len(raw), maxBytes)
+		}
+	}
+}
+
+// joinHours joins the two oldest sums of one role.
+func (d *Document) joinHours() bool {
+	slices.SortFunc(d.Sums, func(a, b span) int {
+		return cmp.Or(strings.Compare(string(a.Role), string(b.Role)), cmp.Compare(a.From, b.From))
+	})
+	for i := 1; i < len(d.Sums); i++ {
+		older, newer := &d.Sums[i-1], d.Sums[i]
+		if older.Role != newer.Role {
+			continue
+		}
+		older.To = newer.To
+		older.Rows = d.index(append(d.rowsOf(older.Rows), d.rowsOf(newer.Rows)...))
+		d.Sums = slices.Delete(d.Sums, i, i+1)
+		return true
+	}
+	return false
+}
+
+// AllVersions stands for the versions that were joined to save space.
+const AllVersions = "(all)"
+
+// joinVersions joins the rows of the sums that differ in their version only,
+// and drops the keys that are no longer named.
+func (d *Document) joinVersions() bool {
+	joined := false
+	before := *d
+	d.Keys = nil
+	d.Live = slices.Clone(before.Live)
+	for i := range d.Live {
+		d.Live[i].Rows = d.index(before.rowsOf(before.Live[i].Rows))
+	}
+	d.Sums = slices.Clone(before.Sums)
+	for i := range d.Sums {
+		list := before.rowsOf(before.Sums[i].Rows)
+		for j := range list {
+			joined = joined || list[j].Version != AllVersions
+			list[j].Version = AllVersions
+		}
+		d.Sums[i].Rows = d.index(list)
+	}
+	return joined
+}
--- /dev/null
+++ b/internal/usage/summary.go
@@ -0,0 +1,71 @@
+package usage
+
+import (
+	"slices"
+
+	"plantainrelay/internal/member"
+)
+
+// Line is the usage of one key as the entries and as the agents counted it.
+// The agents count attempts, of which a repeatable request may need several.
+type Line struct {
+	Key
+	Entries Counts `json:"entries"`
+	Agents  Counts `json:"agents"`
+}
+
+// Summary is the usage of a range of hours.
+type Summary struct {
+	// From and To bound the hours that the lines cover, To excluded. They are
+	// wider than asked for where old hours have been joined.
+	From, To Hour
+
+	askedFrom, askedTo Hour
+	lines              map[Key]Line
+}
+
+// NewSummary returns an empty summary of the hours from from up to to, without
+// to itself.
+func NewSummary(from, to Hour) *Summary {
+	return &Summary{From: from, To: to, askedFrom: from, askedTo: to, lines: map[Key]Line{}}
+}
+
+// Add adds what document holds of the hours asked for.
+func (s *Summary) Add(document *Document) {
+	from, to := s.askedFrom, s.askedTo
+	for _, live := range document.Live {
+		if from <= live.Hour && live.Hour < to {
+			s.add(live.Role, document.rowsOf(live.Rows))
+		}
+	}
+	for _, sum := range document.Sums {
+		if sum.To < from || sum.From >= to {
+			continue
+		}
+		s.add(sum.Role, document.rowsOf(sum.Rows))
+		s.From, s.To = min(s.From, sum.From), max(s.To, sum.To+1)
+	}
+}
+
+func (s *Summary) add(role member.Role, list []Row) {
+	for _, row := range list {
+		line := s.lines[row.Key]
+		line.Key = row.Key
+		if role == member.RoleEntry {
+			line.Entries = line.Entries.Add(row.Counts)
+		} else {
+			line.Agents = line.Agents.Add(row.Counts)
+		}
+		s.lines[row.Key] = line
+	}
+}
+
+// Lines returns the lines in the order of their keys.
+func (s *Summary) Lines() []Line {
+	list := make([]Line, 0, len(s.lines))
+	for _, line := range s.lines {
+		list = append(list, line)
+	}
+	slices.SortFunc(list, func(a, b Line) int { return compareKeys(a.Key, b.Key) })
+	return list
+}
--- /dev/null
+++ b/test/e2e/product_usage_test.go
@@ -0,0 +1,155 @@
+package e2e_test
+
+import (
+	"bytes"
+	"encoding/csv"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/internal/message"
+	"plantainrelay/internal/metering"
+	"plantainrelay/internal/usage"
+	"plantainrelay/test/cluster"
+	"plantainrelay/test/standin"
+)
+
+// callersLog is what the callers of a test saw.
+type callersLog map[usage.Key]usage.Counts
+
+func (l callersLog) ask(t *testing.T, fleet *cluster.Cluster, entry, customer, path, body string) {
+	t.Helper()
+	got := call("POST", fleet.PublicURL(entry)+path, customer, "", body)
+	qt.Assert(t, got.err, qt.IsNil)
+	pool := "model"
+	if strings.HasPrefix(path, "/book") {
+		pool = "booking"
+	}
+	key := usage.Key{Customer: customer, Pool: pool, Version: got.header.Get(message.HeaderVersion)}
+	seen := usage.Counts{}
+	switch got.outcome {
+	case "done":
+		seen = usage.Counts{Done: 1, TokensIn: int64(len(strings.Fields(body))), TokensOut: 5}
+	case "not_run":
+		seen.NotRun = 1
+	default:
+		seen.Unknown = 1
+	}
+	l[key] = l[key].Add(seen)
+}
+
+// ctl runs plantainctl against an entry and returns its output.
+func ctl(t *testing.T, fleet *cluster.Cluster, entry string, args ...string) []byte {
+	t.Helper()
+	args = append(args, "--server", fleet.AdminURL(entry), "--token-file", fleet.TokenFile())
+	var problems bytes.Buffer
+	command := exec.Command(filepath.Join(binDir, "plantainctl"), args...)
+	command.Stderr = &problems
+	out, err := command.Output()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", problems.String()))
+	return out
+}
+
+func usageReport(t *testing.T, fleet *cluster.Cluster, entry string) metering.Report {
+	t.Helper()
+	var report metering.Report
+	qt.Assert(t, json.Unmarshal(ctl(t, fleet, entry, "usage", "--output", "json"), &report), qt.IsNil)
+	return report
+}
+
+// sides returns the report as the callers' log would show it, by side.
+func sides(report metering.Report) (entries, agents callersLog) {
+	entries, agents = callersLog{}, callersLog{}
+	for _, line := range report.Lines {
+		if line.Entries != (usage.Counts{}) {
+			entries[line.Key] = line.Entries
+		}
+		if line.Agents != (usage.Counts{}) {
+			agents[line.Key] = line.Agents
+		}
+	}
+	return entries, agents
+}
+
+// TestUsageEqualsCallersLog asks through an outage of the store and lost
+// answers of it, and stops daemons meanwhile. Each request must be in the
+// report once, on both sides.
+func TestUsageEqualsCallersLog(t *testing.T) {
+	c := qt.New(t)
+	const often = "[usage]\nflush_interval = 100ms\n"
+	fleet := start(t, cluster.Config{
+		Entries: []cluster.Instance{
+			{Name: "entry-1", AvailabilityZone: "a", Region: "north", Extra: often},
+			{Name: "entry-2", AvailabilityZone: "a", Region: "north", Extra: often},
+		},
+		Agents: []cluster.Instance{
+			{Name: "model-1", AvailabilityZone: "a", Region: "north", Extra: often},
+			{Name: "booking-1", AvailabilityZone: "a", Region: "north", Service: true, Extra: often},
+		},
+	})
+	ctx := waitContext(t)
+	manifest, err := fleet.Publish("v1", "", randomWeights(1, 1<<20), 64<<10)
+	c.Assert(err, qt.IsNil)
+	_, err = fleet.Apply("entry-1", 0, twoPools("v1", manifest))
+	c.Assert(err, qt.IsNil)
+	for _, entry := range []string{"entry-1", "entry-2"} {
+		c.Assert(fleet.WaitVersion(ctx, entry, "v1", "model-1"), qt.IsNil)
+		c.Assert(fleet.WaitVersion(ctx, entry, "", "booking-1"), qt.IsNil)
+	}
+	log := callersLog{}
+	round := func() {
+		for i := range 12 {
+			entry, customer := fmt.Sprint("entry-", 1+i%2), []string{"small", "large", "large"}[i%3]
+			path := []string{"/lookup?tokens=5", "/lookup?stream&tokens=5", "/book?tokens=5"}[i/4]
+			log.ask(t, fleet, entry, customer, path, "panel seven reports a fault")
+		}
+	}
+	faults := func(faults standin.StoreFaults) {
+		c.Assert(cluster.PutJSON(fleet.PlatformURL+"/faults/store", faults), qt.IsNil)
+	}
+	round()
+	faults(standin.StoreFaults{Down: true})
+	round()
+	c.Assert(waitLog(ctx, fleet, "entry-1", "usage could not be written"), qt.IsNil)
+	faults(standin.StoreFaults{LoseAnswers: true})
+	round()
+	c.Assert(waitLog(ctx, fleet, "model-1", "usage could not be written"), qt.IsNil)
+	faults(standin.StoreFaults{})
+	round()
+	// A graceful stop writes what is left.
+	c.Assert(fleet.Signal("entry-2", syscall.SIGTERM), qt.IsNil)
+	c.Assert(fleet.Signal("booking-1", syscall.SIGTERM), qt.IsNil)
+	c.Assert(waitExit(t, fleet, "entry-2"), qt.Equals, 0)
+	c.Assert(waitExit(t, fleet, "booking-1"), qt.Equals, 0)
+
+	c.Assert(cluster.WaitFor(ctx, func() (bool, string) {
+		entries, agents := sides(usageReport(t, fleet, "entry-1"))
+		return maps.Equal(entries, log) && maps.Equal(agents, log), fmt.Sprintf("callers %v\nentries %v\nagents  %v", log, entries, agents)
+	}), qt.IsNil)
+	checkUsageCSV(t, fleet, log)
+
+	faults(standin.StoreFaults{Down: true})
+	report := usageReport(t, fleet, "entry-1")
+	c.Assert(report.Lines, qt.HasLen, 0)
+	c.Assert(len(report.Unreachable) >= usage.Shards, qt.IsTrue)
+}
+
+func checkUsageCSV(t *testing.T, fleet *cluster.Cluster, log callersLog) {
+	t.Helper()
+	lines, err := csv.NewReader(bytes.NewReader(ctl(t, fleet, "entry-1", "usage", "--output", "csv"))).ReadAll()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, lines, qt.HasLen, 1+len(log))
+	for _, line := range lines[1:] {
+		counts, found := log[usage.Key{Customer: line[2], Pool: line[3], Version: line[4]}]
+		qt.Assert(t, found, qt.IsTrue)
+		qt.Assert(t, line[5], qt.Equals, fmt.Sprint(counts.Done))
+		qt.Assert(t, line[14], qt.Equals, fmt.Sprint(counts.TokensOut))
+	}
+}
--- a/test/standin/engine.go
+++ b/test/standin/engine.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -193,6 +194,7 @@
 	w.Header().Set(engine.HeaderVersion, execution.Version)
 	w.Header().Set(engine.HeaderManifest, string(execution.Manifest))
 	w.Header().Set(engine.HeaderWhole, string(execution.Whole))
+	w.Header().Set(engine.HeaderTokensIn, strconv.Itoa(len(strings.Fields(string(body)))))
 	tokens, err := strconv.Atoi(r.URL.Query().Get("tokens"))
 	if err != nil || tokens < 1 || tokens > maxTokens {
 		tokens = defaultTokens
@@ -241,7 +243,7 @@
 func (e *Engine) answer(w http.ResponseWriter, execution Execution, tokens int, faults EngineFaults) {
 	raw, _ := json.Marshal(Answer{Echo: execution.Body, Version: execution.Version, Whole: execution.Whole, Tokens: tokens})
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("X-Tokens-Out", strconv.Itoa(tokens))
+	w.Header().Set(engine.HeaderTokensOut, strconv.Itoa(tokens))
 	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
 	if faults.CutAnswers {
 		raw = raw[:len(raw)/2]
