--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -27,8 +27,10 @@
 )
 
 const (
-	decisionTick = 50 * time.Millisecond
-	readyCheck   = 200 * time.Millisecond
+	maxKeys         = 100000
+	confirmInterval = 250 * time.Millisecond
+	decisionTick    = 50 * time.Millisecond
+	readyCheck      = 200 * time.Millisecond
 )
 
 // Run runs an agent until it was told to stop and has drained.
@@ -100,10 +102,13 @@
 		ExchangeInterval: s.ExchangeInterval,
 	}, outside, p.members, client, log)
 	p.gate, err = gate.New(gate.Config{
+		Instance:     s.Instance,
 		Incarnation:  p.incarnation,
 		MaxRunning:   int(s.MaxRunning),
 		MaxRecords:   int(s.MaxRecords),
+		MaxKeys:      maxKeys,
 		MaxKeptBytes: int(s.MaxKept),
+		MaxKeptTotal: int(s.MaxKeptTotal),
 	})
 	if err != nil {
 		return nil, err
@@ -156,6 +161,7 @@
 	go p.driver.Run(ctx)
 	go p.meter.Run(ctx)
 	go p.watchReadiness(ctx)
+	go p.confirmOwnership(ctx)
 }
 
 func (p *parts) watchReadiness(ctx context.Context) {
@@ -198,11 +204,16 @@
 		Version:     state.Admitted.Version,
 		Manifest:    state.Admitted.Manifest,
 		Running:     state.Running,
-		Stage:       status.Stage,
-		Held:        status.Held,
-		Chunks:      status.Chunks,
-		Failures:    status.Failures,
-		Cause:       status.Cause,
+
+		OwnersRevision: state.OwnersRevision,
+		Released:       state.Released,
+		HighestIssued:  state.HighestIssued,
+
+		Stage:    status.Stage,
+		Held:     status.Held,
+		Chunks:   status.Chunks,
+		Failures: status.Failures,
+		Cause:    status.Cause,
 	}
 	return nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -79,6 +79,7 @@
 	sync      *tablesync.Sync
 	tracker   *tracker.Tracker
 	states    *gateway.States
+	owners    *gateway.Owners
 	addresses *gateway.Addresses
 	requests  *gateway.Handler
 	readiness *daemon.Readiness
@@ -110,6 +111,7 @@
 	}, p.store, p.members, p.client, log)
 	p.tracker = tracker.New(p.sync.Current, time.Now)
 	p.states = gateway.NewStates(p.members, p.client, s.Instance, s.StateInterval)
+	p.owners = gateway.NewOwners(s.Instance, p.store, p.sync, p.members, p.states, p.client, log)
 	p.addresses = gateway.NewAddresses(p.members, s.Instance)
 	p.requests = gateway.NewHandler(gateway.Config{
 		Self:             s.Instance,
@@ -123,7 +125,7 @@
 		MaxSilence:       s.MaxSilence,
 		MaxWait:          s.MaxWait,
 		RetryAfter:       s.RetryAfter,
-	}, p.sync, p.states, p.client, log)
+	}, p.sync, p.states, p.owners, p.client, log)
 	p.readiness.Set("tables", "no tables are known yet")
 	return p, nil
 }
@@ -176,6 +178,7 @@
 	go p.sync.Run(ctx)
 	go p.states.Run(ctx)
 	go p.meter.Run(ctx)
+	go p.owners.Run(ctx)
 	go p.watchReadiness(ctx)
 }
 
--- a/internal/gateway/customers.go
+++ b/internal/gateway/customers.go
@@ -112,13 +112,3 @@
 	}
 	return customer, ""
 }
-
-// callerHeader returns a copy of a caller's header without the headers that
-// only processes of the fleet may set. The idempotency key is the caller's.
-func callerHeader(from http.Header) http.Header {
-	header := message.WithoutReserved(from)
-	if key := from.Get(message.HeaderKey); key != "" {
-		header.Set(message.HeaderKey, key)
-	}
-	return header
-}
