--- /dev/null
+++ b/internal/ctl/plots.go
@@ -0,0 +1,200 @@
+package ctl
+
+import (
+	"bytes"
+	"html/template"
+	"image/color"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/font"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"plantainrelay/internal/burn"
+	"plantainrelay/internal/failure"
+)
+
+const (
+	plotWidth  = 8 * vg.Inch
+	plotHeight = 3.4 * vg.Inch
+	barWidth   = 16
+	lineWidth  = 1.5
+	// budgetRate is the burn rate that uses up the budget exactly.
+	budgetRate = 1.0
+)
+
+// palette are colours that differ for readers who see no red or green.
+var palette = []color.RGBA{
+	{R: 0, G: 114, B: 178, A: 255}, {R: 230, G: 159, B: 0, A: 255}, {R: 0, G: 158, B: 115, A: 255},
+	{R: 204, G: 121, B: 167, A: 255}, {R: 86, G: 180, B: 233, A: 255}, {R: 213, G: 94, B: 0, A: 255},
+}
+
+func newPlot(title, x, y string) *plot.Plot {
+	p := plot.New()
+	sans := font.Font{Typeface: "Liberation", Variant: "Sans"}
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
+	for _, style := range []*draw.TextStyle{&p.Title.TextStyle, &p.X.Label.TextStyle, &p.Y.Label.TextStyle, &p.X.Tick.Label, &p.Y.Tick.Label, &p.Legend.TextStyle} {
+		style.Font = font.From(sans, style.Font.Size)
+	}
+	p.Legend.Top = true
+	p.Add(plotter.NewGrid())
+	return p
+}
+
+// svg returns the plot as an inline element.
+func svg(p *plot.Plot) (template.HTML, error) {
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	var out bytes.Buffer
+	if _, err := canvas.WriteTo(&out); err != nil {
+		return "", failure.Wrap(err, failure.Internal, "report this", "a plot cannot be drawn")
+	}
+	text := out.String()
+	// The XML declaration has no place inside a page. The library escapes the
+	// labels.
+	return template.HTML(text[max(strings.Index(text, "<svg"), 0):]), nil
+}
+
+// ratePlot shows the fastest burn of each objective over the windows.
+func ratePlot(report *burn.Report) (*plot.Plot, error) {
+	p := newPlot("Fastest burn of each objective", "window", "burn rate")
+	worst := map[burn.Objective]plotter.Values{}
+	var order []burn.Objective
+	for i := range report.Lines {
+		line := &report.Lines[i]
+		if worst[line.Objective] == nil {
+			worst[line.Objective] = make(plotter.Values, len(burn.Windows))
+			order = append(order, line.Objective)
+		}
+		for window := range line.Windows {
+			worst[line.Objective][window] = max(worst[line.Objective][window], line.Rate(window))
+		}
+	}
+	for i, objective := range order {
+		offset := vg.Length(float64(i)-float64(len(order)-1)/2) * barWidth
+		if err := addBars(p, string(objective), worst[objective], offset, palette[i%len(palette)]); err != nil {
+			return nil, err
+		}
+	}
+	names := make([]string, len(burn.Windows))
+	for i, window := range burn.Windows {
+		names[i] = window.Name
+	}
+	p.NominalX(names...)
+	p.Y.Min = 0
+	return p, addLevel(p, "budget", budgetRate, float64(len(names)))
+}
+
+// customerPlot shows how fast each customer's availability budget burns.
+func customerPlot(report *burn.Report, window int) (*plot.Plot, error) {
+	p := newPlot("Availability by customer, window "+burn.Windows[window].Name, "customer", "burn rate")
+	rates := map[string]float64{}
+	var names []string
+	for i := range report.Lines {
+		line := &report.Lines[i]
+		if line.Objective != burn.Availability {
+			continue
+		}
+		if _, known := rates[line.Customer]; !known {
+			names = append(names, line.Customer)
+		}
+		rates[line.Customer] = max(rates[line.Customer], line.Rate(window))
+	}
+	values := make(plotter.Values, len(names))
+	for i, name := range names {
+		values[i] = rates[name]
+	}
+	if len(values) == 0 {
+		return p, nil
+	}
+	if err := addBars(p, "fastest route", values, 0, palette[0]); err != nil {
+		return nil, err
+	}
+	p.NominalX(names...)
+	p.Y.Min = 0
+	return p, addLevel(p, "budget", budgetRate, float64(len(names)))
+}
+
+func addBars(p *plot.Plot, name string, values plotter.Values, offset vg.Length, fill color.Color) error {
+	bars, err := plotter.NewBarChart(values, barWidth)
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, "report this", "the bars of %s cannot be drawn", name)
+	}
+	bars.Offset, bars.Color = offset, fill
+	bars.LineStyle.Width = 0
+	p.Add(bars)
+	p.Legend.Add(name, bars)
+	return nil
+}
+
+// percentiles are the points of a plot of times.
+var percentiles = []float64{1, 5, 10, 25, 50, 75, 90, 95, 99, 99.9, 100}
+
+// timesPlot shows the distribution of an objective's times by customer.
+func timesPlot(report *burn.Report, objective burn.Objective, title string) (*plot.Plot, error) {
+	p := newPlot(title, "percentile", "milliseconds")
+	var bound float64
+	drawn := 0
+	for i := range report.Lines {
+		line := &report.Lines[i]
+		if line.Objective != objective {
+			continue
+		}
+		points, err := distribution(line)
+		if err != nil {
+			return nil, err
+		}
+		curve, err := plotter.NewLine(points)
+		if err != nil {
+			return nil, failure.Wrap(err, failure.Internal, "report this", "the times cannot be drawn")
+		}
+		curve.Color = palette[drawn%len(palette)]
+		curve.Width = vg.Points(lineWidth)
+		curve.Dashes = dashes(drawn / len(palette))
+		p.Add(curve)
+		p.Legend.Add(line.Customer+" "+line.Route, curve)
+		bound = float64(line.Target.Bound.Microseconds()) / 1000
+		drawn++
+	}
+	p.Legend.Left = true
+	p.X.Min, p.X.Max, p.Y.Min = 0, 100, 0
+	if drawn == 0 {
+		return p, nil
+	}
+	return p, addLevel(p, "objective", bound, 100)
+}
+
+func dashes(style int) []vg.Length {
+	if style == 0 {
+		return nil
+	}
+	return []vg.Length{vg.Points(float64(2 + 3*style)), vg.Points(2)}
+}
+
+func distribution(line *burn.Line) (plotter.XYs, error) {
+	times, err := line.Times()
+	if err != nil || times == nil {
+		return nil, err
+	}
+	points := make(plotter.XYs, len(percentiles))
+	for i, percentile := range percentiles {
+		points[i] = plotter.XY{X: percentile, Y: float64(burn.AtPercentile(times, percentile).Microseconds()) / 1000}
+	}
+	return points, nil
+}
+
+// addLevel draws a horizontal line.
+func addLevel(p *plot.Plot, name string, y, width float64) error {
+	level, err := plotter.NewLine(plotter.XYs{{X: -0.5, Y: y}, {X: width, Y: y}})
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, "report this", "the level of %s cannot be drawn", name)
+	}
+	level.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+	level.Width = vg.Points(lineWidth)
+	p.Add(level)
+	p.Legend.Add(name, level)
+	return nil
+}
--- /dev/null
+++ b/internal/ctl/report.go
@@ -0,0 +1,116 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"plantainrelay/internal/burn"
+	"plantainrelay/internal/failure"
+	"plantainrelay/internal/servicelevel"
+)
+
+func reportCommand(o *options) *cobra.Command {
+	parent := &cobra.Command{Use: "report", Short: "Report on the service"}
+	parent.AddCommand(burnCommand(o))
+	return parent
+}
+
+func burnCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "burn",
+		Short: "Show how fast the error budgets of the service levels burn, summed over all entries",
+		Example: "  plantainctl report burn\n" +
+			"  plantainctl report burn --output html > burn.html",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var gathered servicelevel.Gathered
+			if err := o.call(cmd.Context(), "GET", servicelevel.Path, nil, &gathered); err != nil {
+				return err
+			}
+			switch o.output {
+			case "json":
+				return printJSON(cmd.OutOrStdout(), gathered)
+			case "html":
+				return writeBurnPage(cmd.OutOrStdout(), &gathered, time.Now())
+			case "text":
+				return printBurn(cmd.OutOrStdout(), &gathered)
+			}
+			return failure.New(failure.Invalid, "use --output text, json or html", "unknown output %q", o.output)
+		},
+	}
+}
+
+// burnRow is one line of the report in words.
+type burnRow struct {
+	Objective, Customer, Route string
+	Target                     string
+	Events, Bad                uint64
+	BudgetLeft                 string
+	Rates                      []string
+	Alert                      burn.Alert
+	P50, P95, P99              string
+}
+
+func burnRows(report *burn.Report) ([]burnRow, error) {
+	rows := make([]burnRow, 0, len(report.Lines))
+	for i := range report.Lines {
+		line := &report.Lines[i]
+		longest := line.Windows[len(line.Windows)-1]
+		row := burnRow{
+			Objective: string(line.Objective), Customer: line.Customer, Route: line.Route, Target: targetText(line.Target),
+			Events: longest.Total, Bad: longest.Bad, Alert: line.Alert(),
+			BudgetLeft: fmt.Sprintf("%.1f%%", 100*line.BudgetLeft()),
+		}
+		for window := range line.Windows {
+			row.Rates = append(row.Rates, fmt.Sprintf("%.2f", line.Rate(window)))
+		}
+		times, err := line.Times()
+		if err != nil {
+			return nil, err
+		}
+		if times != nil {
+			row.P50, row.P95, row.P99 = percentileText(burn.AtPercentile(times, 50)), percentileText(burn.AtPercentile(times, 95)), percentileText(burn.AtPercentile(times, 99))
+		}
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+func percentileText(took time.Duration) string {
+	return took.Round(100 * time.Microsecond).String()
+}
+
+func targetText(target burn.Target) string {
+	good := strings.TrimRight(strings.TrimRight(fmt.Sprintf("%.4f", 100-float64(target.BadPerMillion)/10_000), "0"), ".")
+	if target.Bound == 0 {
+		return good + "%"
+	}
+	return fmt.Sprintf("%s%% in %s", good, target.Bound)
+}
+
+func printBurn(out io.Writer, gathered *servicelevel.Gathered) error {
+	rows, err := burnRows(&gathered.Report)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "entries: %s\n", strings.Join(gathered.Entries, ", "))
+	if len(gathered.Unreachable) > 0 {
+		fmt.Fprintf(out, "NOT REACHED, their counts are missing: %s\n", strings.Join(gathered.Unreachable, ", "))
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprint(w, "OBJECTIVE\tCUSTOMER\tROUTE\tTARGET\tEVENTS\tBAD\tBUDGET LEFT")
+	for _, window := range burn.Windows {
+		fmt.Fprintf(w, "\tBURN %s", window.Name)
+	}
+	fmt.Fprintln(w, "\tALERT\tP50\tP95\tP99")
+	for _, row := range rows {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\n", row.Objective, row.Customer, row.Route, row.Target,
+			row.Events, row.Bad, row.BudgetLeft, strings.Join(row.Rates, "\t"), row.Alert, row.P50, row.P95, row.P99)
+	}
+	return w.Flush()
+}
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -9,6 +9,7 @@
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
+	"github.com/zeromicro/go-zero/core/logx"
 
 	"plantainrelay/internal/admin"
 	"plantainrelay/internal/command"
@@ -25,6 +26,9 @@
 
 // New returns the root command.
 func New() *cobra.Command {
+	// go-zero's client logs each call to standard output, which belongs to the
+	// commands' own output.
+	logx.Disable()
 	o := &options{}
 	root := &cobra.Command{
 		Use:   "plantainctl",
@@ -33,8 +37,8 @@
 	flags := root.PersistentFlags()
 	flags.StringVar(&o.server, "server", "http://127.0.0.1:8081", "administration address of any entry")
 	flags.StringVar(&o.tokenFile, "token-file", os.Getenv("PLANTAIN_TOKEN_FILE"), "file that holds your operator token")
-	flags.StringVar(&o.output, "output", "text", "text or json")
-	root.AddCommand(tableCommand(o), statusCommand(o), command.VersionCommand())
+	flags.StringVar(&o.output, "output", "text", "text or json; report burn also html")
+	root.AddCommand(tableCommand(o), statusCommand(o), reportCommand(o), command.VersionCommand())
 	return root
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"plantainrelay/internal/membership"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/platform"
+	"plantainrelay/internal/servicelevel"
 	"plantainrelay/internal/tablesync"
 	"plantainrelay/internal/tracker"
 )
@@ -63,6 +64,8 @@
 	requests  *gateway.Handler
 	readiness *daemon.Readiness
 	security  peer.Security
+	levels    *servicelevel.Recorder
+	gatherer  *servicelevel.Gatherer
 }
 
 func newParts(s Settings, log *logrus.Entry) *parts {
@@ -91,6 +94,8 @@
 		MaxWait:          s.MaxWait,
 		RetryAfter:       retryAfter,
 	}, p.sync, p.states, p.client, log)
+	p.levels = servicelevel.NewRecorder(s.Objectives)
+	p.gatherer = servicelevel.NewGatherer(s.Instance, p.levels, p.members, p.client)
 	p.readiness.Set("tables", "no tables are known yet")
 	return p
 }
@@ -103,6 +108,9 @@
 	if err := server.Register("Tracker", tracker.NewService(p.tracker)); err != nil {
 		return err
 	}
+	if err := server.Register("ServiceLevel", servicelevel.NewService(p.levels)); err != nil {
+		return err
+	}
 	return server.Listen(s.ControlAddress)
 }
 
@@ -111,16 +119,18 @@
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	api := admin.New(operators, admin.NewEditor(p.store, p.sync), p.sync, p.states.All, log)
 	routes := append(daemon.OperationRoutes(p.readiness, registry), api.Routes()...)
+	routes = append(routes, api.ReportRoute(servicelevel.Path, func(ctx context.Context) (any, error) { return p.gatherer.Gather(ctx) }))
 	if err := d.Listen(s.AdminAddress, routes, nil); err != nil {
 		return err
 	}
-	return d.Listen(s.PublicAddress, []rest.Route{p.addresses.Route()}, p.requests)
+	return d.Listen(s.PublicAddress, []rest.Route{p.addresses.Route()}, p.levels.Wrap(p.requests))
 }
 
 func (p *parts) start(ctx context.Context) {
 	go p.members.Run(ctx)
 	go p.sync.Run(ctx)
 	go p.states.Run(ctx)
+	go p.levels.Run(ctx, p.sync.Current, p.states.All)
 	go p.watchReadiness(ctx)
 }
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -4,6 +4,8 @@
 import (
 	"time"
 
+	"plantainrelay/internal/burn"
+	"plantainrelay/internal/servicelevel"
 	"plantainrelay/internal/settings"
 )
 
@@ -23,6 +25,8 @@
 	MaxSilence    time.Duration
 	// MaxWait bounds how long a request waits for an available instance.
 	MaxWait time.Duration
+	// Objectives are the promises of the service-level report.
+	Objectives burn.Targets
 }
 
 const (
@@ -46,6 +50,7 @@
 		MaxAttempts:   r.Int("requests", "max_attempts", 3, 1, 10),
 		MaxWait:       r.Duration("requests", "max_wait", 5*time.Second, 0, time.Minute),
 		MaxSilence:    r.Duration("requests", "max_silence", 10*time.Second, 100*time.Millisecond, 10*time.Minute),
+		Objectives:    servicelevel.ReadTargets(r),
 	}
 	return loaded, r.Finish()
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -15,6 +15,7 @@
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/message"
 	"plantainrelay/internal/peer"
+	"plantainrelay/internal/servicelevel"
 	"plantainrelay/internal/table"
 	"plantainrelay/internal/tablesync"
 )
@@ -74,6 +75,7 @@
 		h.refuse(w, http.StatusNotFound, "no route takes this request; check its path and customer")
 		return
 	}
+	servicelevel.SetRoute(r.Context(), route.Name)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.config.MaxBodyBytes))
 	if err != nil {
 		h.refuse(w, http.StatusRequestEntityTooLarge, "the body could not be read; send at most "+strconv.FormatInt(h.config.MaxBodyBytes, 10)+" bytes")
--- /dev/null
+++ b/internal/servicelevel/recorder.go
@@ -0,0 +1,177 @@
+// Package servicelevel drives the aggregate burn: it watches callers' answers
+// and the state of the fleet, and reports how fast the error budgets burn.
+package servicelevel
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"plantainrelay/internal/burn"
+	"plantainrelay/internal/dispatch"
+	"plantainrelay/internal/failure"
+	"plantainrelay/internal/message"
+	"plantainrelay/internal/table"
+)
+
+const (
+	// maxSeries bounds the series of one entry.
+	maxSeries       = 512
+	observeInterval = 200 * time.Millisecond
+)
+
+// Recorder counts the service levels of one entry. It is safe for concurrent
+// use.
+type Recorder struct {
+	mu     sync.Mutex
+	ledger *burn.Ledger
+}
+
+// NewRecorder returns a recorder of the given promises.
+func NewRecorder(targets burn.Targets) *Recorder {
+	return &Recorder{ledger: burn.NewLedger(targets, maxSeries)}
+}
+
+// Report returns the counts of this entry.
+func (r *Recorder) Report() (burn.Report, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	report, err := r.ledger.Report(time.Now())
+	return report, failure.Wrap(err, failure.Internal, "report this", "the report cannot be made")
+}
+
+func (r *Recorder) took(key burn.Key, took time.Duration) {
+	r.mu.Lock()
+	r.ledger.Took(time.Now(), key, took)
+	r.mu.Unlock()
+}
+
+func (r *Recorder) answered(customer, route string, whole bool) {
+	r.mu.Lock()
+	r.ledger.Answered(time.Now(), customer, route, whole)
+	r.mu.Unlock()
+}
+
+// Run measures how long changes of the tables and of versions take, until ctx
+// ends.
+func (r *Recorder) Run(ctx context.Context, tables func() *table.Snapshot, states func() map[string]message.StateReply) {
+	ticker := time.NewTicker(observeInterval)
+	defer ticker.Stop()
+	convergence := burn.NewConvergence()
+	for {
+		if snapshot := tables(); snapshot != nil {
+			r.mu.Lock()
+			convergence.Observe(time.Now(), wanted(snapshot), holders(states()), r.ledger)
+			r.mu.Unlock()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func wanted(snapshot *table.Snapshot) burn.Wanted {
+	wanted := burn.Wanted{Revision: snapshot.Revision, Versions: map[string]string{}}
+	for _, pool := range snapshot.Pools {
+		if pool.Kind == table.KindModel {
+			wanted.Versions[pool.Name] = pool.Version
+		}
+	}
+	return wanted
+}
+
+func holders(states map[string]message.StateReply) map[string]burn.Holder {
+	holders := make(map[string]burn.Holder, len(states))
+	for name, state := range states {
+		holder := burn.Holder{Revision: state.Revision, Pool: state.Pool}
+		if state.Open {
+			holder.Version = state.Version
+		}
+		holders[name] = holder
+	}
+	return holders
+}
+
+// request is one caller's request as the recorder sees it. It belongs to the
+// goroutine that serves the request.
+type request struct {
+	recorder *Recorder
+	http.ResponseWriter
+	started  time.Time
+	customer string
+
+	route  string
+	status int
+	stream bool
+	last   time.Time
+}
+
+type contextKey struct{}
+
+// SetRoute tells the recorder which route a request takes. A request without
+// a route is not counted.
+func SetRoute(ctx context.Context, route string) {
+	if watched, ok := ctx.Value(contextKey{}).(*request); ok {
+		watched.route = route
+	}
+}
+
+// Wrap returns next with each answer counted.
+func (r *Recorder) Wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, from *http.Request) {
+		watched := &request{recorder: r, ResponseWriter: w, started: time.Now(), customer: from.Header.Get(message.HeaderCustomer)}
+		// A cut answer ends the handler with a panic, which passes on.
+		finished := false
+		defer func() { watched.end(from.Context(), finished) }()
+		next.ServeHTTP(watched, from.WithContext(context.WithValue(from.Context(), contextKey{}, watched)))
+		finished = true
+	})
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (q *request) Unwrap() http.ResponseWriter { return q.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (q *request) WriteHeader(status int) {
+	if q.status == 0 {
+		q.status = status
+		q.stream = strings.HasPrefix(q.Header().Get("Content-Type"), "text/event-stream")
+	}
+	q.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter. Each write of a stream counts as the
+// arrival of a token.
+func (q *request) Write(data []byte) (int, error) {
+	if q.status == 0 {
+		q.WriteHeader(http.StatusOK)
+	}
+	if q.stream && len(data) > 0 {
+		q.token(time.Now())
+	}
+	return q.ResponseWriter.Write(data)
+}
+
+func (q *request) token(now time.Time) {
+	key := burn.Key{Objective: burn.BetweenTokens, Customer: q.customer, Route: q.route}
+	since := q.last
+	if since.IsZero() {
+		key.Objective, since = burn.FirstToken, q.started
+	}
+	q.last = now
+	q.recorder.took(key, now.Sub(since))
+}
+
+// end counts the request. One whose caller has left, or who was over its own
+// limit, says nothing about the service.
+func (q *request) end(ctx context.Context, finished bool) {
+	if q.route == "" || ctx.Err() != nil || q.status == http.StatusTooManyRequests {
+		return
+	}
+	outcome := dispatch.Outcome(q.Header().Get(message.HeaderOutcome))
+	q.recorder.answered(q.customer, q.route, finished && outcome == dispatch.Done)
+}
--- /dev/null
+++ b/test/e2e/burn_report_test.go
@@ -0,0 +1,92 @@
+package e2e_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/internal/burn"
+	"plantainrelay/internal/servicelevel"
+	"plantainrelay/test/cluster"
+)
+
+// report runs plantainctl report burn.
+func report(c *qt.C, fleet *cluster.Cluster, entry, output string) string {
+	command := exec.Command(filepath.Join(binDir, "plantainctl"), "report", "burn",
+		"--server", fleet.AdminURL(entry), "--token-file", fleet.TokenFile(), "--output", output)
+	out, err := command.Output()
+	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
+	return string(out)
+}
+
+// TestBurnReportSumsAllEntries sends known numbers of requests to each entry
+// and finds their sum in each form of the report; an entry that has died is
+// named.
+func TestBurnReportSumsAllEntries(t *testing.T) {
+	c := qt.New(t)
+	fleet := start(t, cluster.Config{
+		Entries: []cluster.Instance{
+			{Name: "entry-1", AvailabilityZone: "a", Region: "north"},
+			{Name: "entry-2", AvailabilityZone: "b", Region: "north"},
+			{Name: "entry-3", AvailabilityZone: "c", Region: "north"},
+		},
+		Agents: []cluster.Instance{
+			{Name: "model-1", AvailabilityZone: "a", Region: "north"},
+			{Name: "booking-1", AvailabilityZone: "a", Region: "north", Service: true},
+		},
+	})
+	data := randomWeights(1, 1<<20)
+	manifest, err := fleet.Publish("v1", "", data, 64<<10)
+	c.Assert(err, qt.IsNil)
+	_, err = fleet.Apply("entry-1", 0, twoPools("v1", manifest))
+	c.Assert(err, qt.IsNil)
+	ctx := waitContext(t)
+	for _, entry := range []string{"entry-1", "entry-2", "entry-3"} {
+		c.Assert(fleet.WaitVersion(ctx, entry, "v1", "model-1"), qt.IsNil)
+		c.Assert(fleet.WaitVersion(ctx, entry, "", "booking-1"), qt.IsNil)
+	}
+	const perEntry, tokens = 5, 10
+	for _, entry := range []string{"entry-1", "entry-2", "entry-3"} {
+		for i := range perEntry {
+			got := call("POST", fmt.Sprintf("%s/lookup?stream&tokens=%d", fleet.PublicURL(entry), tokens), "large", "", fmt.Sprint(i))
+			c.Assert(got.outcome, qt.Equals, "done", qt.Commentf("%s", got.body))
+			booked := call("POST", fleet.PublicURL(entry)+"/book", "small", fmt.Sprintf("%s-%d", entry, i), "site")
+			c.Assert(booked.outcome, qt.Equals, "done", qt.Commentf("%s", booked.body))
+		}
+	}
+	got := counts(c, report(c, fleet, "entry-2", "json"), 3)
+	c.Assert(got[burn.Key{Objective: burn.Availability, Customer: "large", Route: "lookup"}], qt.Equals, burn.Count{Total: 3 * perEntry})
+	c.Assert(got[burn.Key{Objective: burn.Availability, Customer: "small", Route: "book"}], qt.Equals, burn.Count{Total: 3 * perEntry})
+	c.Assert(got[burn.Key{Objective: burn.FirstToken, Customer: "large", Route: "lookup"}].Total, qt.Equals, uint64(3*perEntry))
+
+	page := report(c, fleet, "entry-1", "html")
+	c.Assert(strings.Count(page, "<svg"), qt.Equals, 4)
+	c.Assert(strings.Contains(page, "src="), qt.IsFalse)
+	c.Assert(strings.Contains(page, "not reached"), qt.IsFalse)
+
+	c.Assert(fleet.Signal("entry-3", syscall.SIGKILL), qt.IsNil)
+	<-fleet.Process("entry-3").Exited()
+	c.Assert(report(c, fleet, "entry-1", "text"), qt.Contains, "NOT REACHED, their counts are missing: entry-3")
+	c.Assert(report(c, fleet, "entry-1", "html"), qt.Contains, "Not reached, their counts are missing: entry-3")
+	rest := counts(c, report(c, fleet, "entry-1", "json"), 2)
+	c.Assert(rest[burn.Key{Objective: burn.Availability, Customer: "large", Route: "lookup"}], qt.Equals, burn.Count{Total: 2 * perEntry})
+}
+
+// counts decodes a report of the given number of entries and returns the
+// counts of its longest window.
+func counts(c *qt.C, raw string, entries int) map[burn.Key]burn.Count {
+	var gathered servicelevel.Gathered
+	c.Assert(json.Unmarshal([]byte(raw), &gathered), qt.IsNil, qt.Commentf("%s", raw))
+	c.Assert(gathered.Entries, qt.HasLen, entries)
+	found := map[burn.Key]burn.Count{}
+	for _, line := range gathered.Lines {
+		found[line.Key] = line.Windows[len(line.Windows)-1]
+	}
+	return found
+}
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -23,6 +24,7 @@
 	listLagTime    = 8 * time.Second
 	listLag        = 3 * time.Second
 	engineTime     = 3 * time.Second
+	rackTime       = 6 * time.Second
 	corruptTime    = 4 * time.Second
 	midFlightPause = 1200 * time.Millisecond
 	// goneAfter is how long the list still names an instance that has died.
@@ -47,6 +49,7 @@
 var faults = []fault{
 	{"agent killed and replaced", (*run).killAgent},
 	{"agent process restarted", (*run).restartAgent},
+	{"all ledger agents restarted", (*run).restartLedgers},
 	{"agent left", (*run).leaveAgent},
 	{"entry killed and replaced", (*run).killEntry},
 	{"entry left", (*run).leaveEntry},
@@ -188,6 +191,40 @@
 	return cluster.WaitHTTP("http://" + r.fleet.Row(name).HTTPAddress + "/healthz")
 }
 
+// restartLedgers kills every agent of the ledger pool at once, as when a rack
+// goes, and starts them again.
+func (r *run) restartLedgers(ctx context.Context) error {
+	var names []string
+	for {
+		name, done, err := r.take(r.liveLedgers)
+		if err != nil {
+			break
+		}
+		defer done()
+		names = append(names, name)
+	}
+	end := r.began("all ledger agents restarted", true, names...)
+	defer end()
+	for _, name := range names {
+		_ = r.fleet.Signal(name, syscall.SIGKILL)
+		<-r.fleet.Process(name).Exited()
+	}
+	wait(ctx, rackTime)
+	for _, name := range names {
+		if err := r.fleet.RestartDaemon(name); err != nil {
+			return err
+		}
+		r.restarted(name)
+	}
+	return nil
+}
+
+func (r *run) liveLedgers() []string {
+	return slices.DeleteFunc(r.liveAgents(), func(name string) bool {
+		return !strings.HasPrefix(name, r.config.Firm.LedgerName)
+	})
+}
+
 func (r *run) killEntry(ctx context.Context) error {
 	name, done, err := r.take(r.liveEntries)
 	if err != nil {
