Make the burn page readable and count bookings that are lost

Plots of times are logarithmic, long names are turned, urgent rows come first. The run keeps its burn report, and the checker counts keys that were never run and never told so.

--- a/Makefile
+++ b/Makefile
@@ -12,8 +12,9 @@
 	./.ci/check
 
 test:
-	go test -race ./internal/... ./test/imports/...
+	go test -race ./internal/... ./test/imports/... ./test/checker/... ./test/faultproxy/...
 	go test -count=1 -timeout 30m ./test/e2e/...
+	go test -count=1 -timeout 10m ./test/soak/
 
 SOAK_FLAGS ?= --firm dumitrescu
 
--- a/bench/capacity/idle.go
+++ b/bench/capacity/idle.go
@@ -52,14 +52,9 @@
 		return err
 	}
 	before := calls.Calls
-	var agent rates
-	entry, err := p.over(entryName, placeEntry, func() error {
-		var err error
-		agent, err = p.over(agentName, placeAgent, func() error {
-			time.Sleep(idleTime)
-			return nil
-		})
-		return err
+	measured, err := p.both(func() error {
+		time.Sleep(idleTime)
+		return nil
 	})
 	if err != nil {
 		return err
@@ -67,8 +62,8 @@
 	if err := cluster.GetJSON(p.fleet.PlatformURL+"/records/store", &calls); err != nil {
 		return err
 	}
-	idleRow(r, "entry idle", by, entry, target, size)
-	idleRow(r, "agent idle", by, agent, target, size)
+	idleRow(r, "entry idle", by, measured[0], target, size)
+	idleRow(r, "agent idle", by, measured[1], target, size)
 	r.add("store calls of the fleet", by, "1/s", target, size, float64(calls.Calls-before)/idleTime.Seconds())
 	return nil
 }
@@ -113,19 +108,18 @@
 		}
 		return nil
 	}
-	for _, one := range []struct{ name, place string }{{entryName, placeEntry}, {agentName, placeAgent}} {
-		idle, err := p.over(one.name, one.place, quiet)
-		if err != nil {
-			return err
-		}
-		edited, err := p.over(one.name, one.place, busy)
-		if err != nil {
-			return err
-		}
-		seconds := (editsBySize * editPause).Seconds()
-		name := "edit at " + one.name
-		r.add(name+" control traffic", "routes", "B each", targetRoutes, float64(routes), (edited.control-idle.control)*seconds/editsBySize)
-		r.add(name+" CPU", "routes", "ms each", targetRoutes, float64(routes), 1000*(edited.cores-idle.cores)*seconds/editsBySize)
+	idle, err := p.both(quiet)
+	if err != nil {
+		return err
+	}
+	edited, err := p.both(busy)
+	if err != nil {
+		return err
+	}
+	seconds := (editsBySize * editPause).Seconds()
+	for i, name := range []string{"edit at an entry", "edit at an agent"} {
+		r.add(name+" control traffic", "routes", "B each", targetRoutes, float64(routes), (edited[i].control-idle[i].control)*seconds/editsBySize)
+		r.add(name+" CPU", "routes", "ms each", targetRoutes, float64(routes), 1000*(edited[i].cores-idle[i].cores)*seconds/editsBySize)
 	}
 	return nil
 }
--- a/bench/capacity/load.go
+++ b/bench/capacity/load.go
@@ -55,27 +55,20 @@
 
 // cost adds the processor time of entry and agent during work of a size.
 func cost(p *probe, r *results, by string, size float64, work func() error) error {
-	var agent sample
-	entry, err := p.read(entryName, placeEntry)
+	before, err := p.readBoth()
 	if err != nil {
 		return err
 	}
-	if agent, err = p.read(agentName, placeAgent); err != nil {
-		return err
-	}
 	if err := work(); err != nil {
 		return err
 	}
-	entryAfter, err := p.read(entryName, placeEntry)
+	after, err := p.readBoth()
 	if err != nil {
 		return err
 	}
-	agentAfter, err := p.read(agentName, placeAgent)
-	if err != nil {
-		return err
+	for i, name := range []string{"entry CPU", "agent CPU"} {
+		r.add(name, by, "ms", 0, size, float64((after[i].cpu-before[i].cpu).Microseconds())/1000)
 	}
-	r.add("entry CPU", by, "ms", 0, size, float64((entryAfter.cpu-entry.cpu).Microseconds())/1000)
-	r.add("agent CPU", by, "ms", 0, size, float64((agentAfter.cpu-agent.cpu).Microseconds())/1000)
 	return nil
 }
 
@@ -111,12 +104,12 @@
 }
 
 func memory(p *probe, r *results, streams float64) error {
-	for _, process := range []struct{ label, name, place string }{{"entry", entryName, placeEntry}, {"agent", agentName, placeAgent}} {
-		state, err := p.read(process.name, process.place)
-		if err != nil {
-			return err
-		}
-		r.add(process.label+" memory", "open streams", "MiB", 0, streams, float64(state.resident)/(1<<20))
+	state, err := p.readBoth()
+	if err != nil {
+		return err
+	}
+	for i, name := range []string{"entry memory", "agent memory"} {
+		r.add(name, "open streams", "MiB", 0, streams, float64(state[i].resident)/(1<<20))
 	}
 	return nil
 }
--- a/bench/capacity/main.go
+++ b/bench/capacity/main.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -25,7 +26,7 @@
 )
 
 func main() {
-	var bin, output string
+	var bin, output, only string
 	cmd := &cobra.Command{
 		Use:          "capacity",
 		Short:        "Measure the slopes of cost against size",
@@ -36,7 +37,7 @@
 			if err != nil {
 				return err
 			}
-			r, err := measureAll(path)
+			r, err := measureAll(path, only)
 			if err != nil {
 				return err
 			}
@@ -49,6 +50,7 @@
 	}
 	cmd.Flags().StringVar(&bin, "bin", "bin", "directory that holds the programs")
 	cmd.Flags().StringVar(&output, "output", "", "Markdown file to which the table is appended")
+	cmd.Flags().StringVar(&only, "only", "", "measure only the step whose name holds this text")
 	if cmd.Execute() != nil {
 		os.Exit(1)
 	}
@@ -64,7 +66,7 @@
 	return file.Close()
 }
 
-func measureAll(bin string) (*results, error) {
+func measureAll(bin, only string) (*results, error) {
 	r := &results{}
 	for _, step := range []struct {
 		name string
@@ -76,6 +78,9 @@
 		{"cost of requests and tokens", loadCost},
 		{"memory of open streams", streamMemory},
 	} {
+		if !strings.Contains(step.name, only) {
+			continue
+		}
 		fmt.Fprintln(os.Stderr, step.name)
 		if err := step.run(bin, r); err != nil {
 			return nil, fmt.Errorf("%s: %w", step.name, err)
--- a/bench/capacity/probe.go
+++ b/bench/capacity/probe.go
@@ -74,17 +74,33 @@
 	return s, nil
 }
 
-// over returns the rates of the process during the pause.
-func (p *probe) over(name, place string, during func() error) (rates, error) {
-	before, err := p.read(name, place)
+// both returns the rates of the measured entry and agent during some work.
+func (p *probe) both(during func() error) ([2]rates, error) {
+	var measured [2]rates
+	before, err := p.readBoth()
 	if err != nil {
-		return rates{}, err
+		return measured, err
 	}
 	if err := during(); err != nil {
-		return rates{}, err
+		return measured, err
 	}
-	after, err := p.read(name, place)
-	return before.until(after), err
+	after, err := p.readBoth()
+	if err != nil {
+		return measured, err
+	}
+	for i := range measured {
+		measured[i] = before[i].until(after[i])
+	}
+	return measured, nil
+}
+
+func (p *probe) readBoth() ([2]sample, error) {
+	entry, err := p.read(entryName, placeEntry)
+	if err != nil {
+		return [2]sample{}, err
+	}
+	agent, err := p.read(agentName, placeAgent)
+	return [2]sample{entry, agent}, err
 }
 
 // processorTime adds up the processor time of a process's threads.
--- /dev/null
+++ b/internal/ctl/page_test.go
@@ -0,0 +1,43 @@
+package ctl
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/internal/burn"
+	"plantainrelay/internal/servicelevel"
+)
+
+var pageTime = time.Unix(1_700_000_000, 0)
+
+func TestPageOfAnEmptyReport(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	c.Assert(writeBurnPage(&out, &servicelevel.Gathered{Entries: []string{"entry-1"}}, pageTime), qt.IsNil)
+	c.Assert(strings.Count(out.String(), "<svg"), qt.Equals, 4)
+	c.Assert(printBurn(&out, &servicelevel.Gathered{}), qt.IsNil)
+}
+
+// TestPageEscapesNamesOfCallers uses a customer's name, which callers choose,
+// that would run as a script.
+func TestPageEscapesNamesOfCallers(t *testing.T) {
+	c := qt.New(t)
+	const name = `<script>alert("x")</script>`
+	ledger := burn.NewLedger(burn.Targets{
+		burn.Availability: {BadPerMillion: 1000},
+		burn.FirstToken:   {BadPerMillion: 1000, Bound: time.Second},
+	}, 10)
+	ledger.Answered(pageTime, name, "lookup", false)
+	ledger.Took(pageTime, burn.Key{Objective: burn.FirstToken, Customer: name, Route: "lookup"}, time.Second)
+	report, err := ledger.Report(pageTime)
+	c.Assert(err, qt.IsNil)
+	var out bytes.Buffer
+	c.Assert(writeBurnPage(&out, &servicelevel.Gathered{Unreachable: []string{"entry-9"}, Report: report}, pageTime), qt.IsNil)
+	c.Assert(strings.Contains(out.String(), "<script"), qt.IsFalse)
+	c.Assert(strings.Contains(out.String(), "&lt;script&gt;"), qt.IsTrue)
+	c.Assert(out.String(), qt.Contains, "their counts are missing: entry-9")
+}
--- a/internal/ctl/plots.go
+++ b/internal/ctl/plots.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"html/template"
 	"image/color"
+	"math"
 	"strings"
 
 	"gonum.org/v1/plot"
@@ -18,12 +19,16 @@
 )
 
 const (
-	plotWidth  = 8 * vg.Inch
-	plotHeight = 3.4 * vg.Inch
+	plotWidth  = 11 * vg.Inch
+	plotHeight = 4 * vg.Inch
 	barWidth   = 16
 	lineWidth  = 1.5
-	// budgetRate is the burn rate that uses up the budget exactly.
-	budgetRate = 1.0
+	// headroom is the part of a plot's height kept free for its legend.
+	headroom = 0.4
+	// labelTurn is the angle of long labels, in radians.
+	labelTurn = 0.4
+	// leastMillis is the least time that a plot of times shows.
+	leastMillis = 0.1
 )
 
 // palette are colours that differ for readers who see no red or green.
@@ -84,8 +89,20 @@
 		names[i] = window.Name
 	}
 	p.NominalX(names...)
-	p.Y.Min = 0
-	return p, addLevel(p, "budget", budgetRate, float64(len(names)))
+	return p, addRateLevels(p, len(names))
+}
+
+// addRateLevels draws the burn rates that matter and leaves room for the
+// legend.
+func addRateLevels(p *plot.Plot, names int) error {
+	if err := addLevel(p, "budget", burn.TicketRate, float64(names), color.Black); err != nil {
+		return err
+	}
+	if err := addLevel(p, "page", burn.PageRate, float64(names), palette[len(palette)-1]); err != nil {
+		return err
+	}
+	p.Y.Min, p.Y.Max = 0, p.Y.Max*(1+headroom)
+	return nil
 }
 
 // customerPlot shows how fast each customer's availability budget burns.
@@ -114,8 +131,9 @@
 		return nil, err
 	}
 	p.NominalX(names...)
-	p.Y.Min = 0
-	return p, addLevel(p, "budget", budgetRate, float64(len(names)))
+	p.X.Tick.Label.Rotation = labelTurn
+	p.X.Tick.Label.XAlign = draw.XRight
+	return p, addRateLevels(p, len(names))
 }
 
 func addBars(p *plot.Plot, name string, values plotter.Values, offset vg.Length, fill color.Color) error {
@@ -147,6 +165,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if len(points) == 0 {
+			continue
+		}
 		curve, err := plotter.NewLine(points)
 		if err != nil {
 			return nil, failure.Wrap(err, failure.Internal, "report this", "the times cannot be drawn")
@@ -160,11 +181,17 @@
 		drawn++
 	}
 	p.Legend.Left = true
-	p.X.Min, p.X.Max, p.Y.Min = 0, 100, 0
+	p.X.Min, p.X.Max = 0, 100
 	if drawn == 0 {
 		return p, nil
 	}
-	return p, addLevel(p, "objective", bound, 100)
+	if err := addLevel(p, "objective", bound, 100, color.Black); err != nil {
+		return nil, err
+	}
+	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	p.Y.Min = leastMillis
+	p.Y.Max = max(p.Y.Max, 10*leastMillis) * math.Pow(p.Y.Max/leastMillis, headroom)
+	return p, nil
 }
 
 func dashes(style int) []vg.Length {
@@ -181,19 +208,19 @@
 	}
 	points := make(plotter.XYs, len(percentiles))
 	for i, percentile := range percentiles {
-		points[i] = plotter.XY{X: percentile, Y: float64(burn.AtPercentile(times, percentile).Microseconds()) / 1000}
+		points[i] = plotter.XY{X: percentile, Y: max(leastMillis, float64(burn.AtPercentile(times, percentile).Microseconds())/1000)}
 	}
 	return points, nil
 }
 
 // addLevel draws a horizontal line.
-func addLevel(p *plot.Plot, name string, y, width float64) error {
+func addLevel(p *plot.Plot, name string, y, width float64, stroke color.Color) error {
 	level, err := plotter.NewLine(plotter.XYs{{X: -0.5, Y: y}, {X: width, Y: y}})
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "report this", "the level of %s cannot be drawn", name)
 	}
 	level.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
-	level.Width = vg.Points(lineWidth)
+	level.Width, level.Color = vg.Points(lineWidth), stroke
 	p.Add(level)
 	p.Legend.Add(name, level)
 	return nil
--- a/internal/ctl/report.go
+++ b/internal/ctl/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -56,6 +57,10 @@
 	P50, P95, P99              string
 }
 
+// urgency orders the alerts.
+var urgency = map[burn.Alert]int{burn.AlertTicket: 1, burn.AlertPage: 2}
+
+// burnRows returns the lines of the report, the most urgent first.
 func burnRows(report *burn.Report) ([]burnRow, error) {
 	rows := make([]burnRow, 0, len(report.Lines))
 	for i := range report.Lines {
@@ -78,6 +83,7 @@
 		}
 		rows = append(rows, row)
 	}
+	slices.SortStableFunc(rows, func(a, b burnRow) int { return urgency[b.Alert] - urgency[a.Alert] })
 	return rows, nil
 }
 
--- a/internal/servicelevel/recorder.go
+++ b/internal/servicelevel/recorder.go
@@ -18,8 +18,10 @@
 
 const (
 	// maxSeries bounds the series of one entry.
-	maxSeries       = 512
-	observeInterval = 200 * time.Millisecond
+	maxSeries = 512
+	// maxCustomerBytes bounds a customer's name, which callers choose.
+	maxCustomerBytes = 64
+	observeInterval  = 200 * time.Millisecond
 )
 
 // Recorder counts the service levels of one entry. It is safe for concurrent
@@ -123,7 +125,7 @@
 // Wrap returns next with each answer counted.
 func (r *Recorder) Wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, from *http.Request) {
-		watched := &request{recorder: r, ResponseWriter: w, started: time.Now(), customer: from.Header.Get(message.HeaderCustomer)}
+		watched := &request{recorder: r, ResponseWriter: w, started: time.Now(), customer: customerOf(from)}
 		// A cut answer ends the handler with a panic, which passes on.
 		finished := false
 		defer func() { watched.end(from.Context(), finished) }()
@@ -132,6 +134,13 @@
 	})
 }
 
+func customerOf(r *http.Request) string {
+	if customer := r.Header.Get(message.HeaderCustomer); len(customer) <= maxCustomerBytes {
+		return customer
+	}
+	return burn.Other
+}
+
 // Unwrap lets http.ResponseController reach the connection.
 func (q *request) Unwrap() http.ResponseWriter { return q.ResponseWriter }
 
--- a/test/checker/requests.go
+++ b/test/checker/requests.go
@@ -155,7 +155,7 @@
 func atMostOnce(h *History) *Judgement {
 	j := &Judgement{Name: "G4", Text: "bookings and certificates run at most once"}
 	keys, ran, retried := j.count("keys"), j.count("keys run"), j.count("calls sent again")
-	unanswered := j.count("keys without a final answer")
+	unanswered, lost := j.count("keys without a final answer"), j.count("of these never run")
 	duplicates, twice := j.bad("duplicates of a key"), j.bad("calls run twice")
 	byKey := h.executionsByKey()
 	answered, seen := map[string]bool{}, map[string]int{}
@@ -172,6 +172,9 @@
 		if !answered[key] {
 			unanswered.N++
 		}
+		if !answered[key] && len(byKey[key]) == 0 {
+			lost.N++
+		}
 		countRuns(byKey[key], ran, duplicates, twice)
 	}
 	return j
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -9,6 +9,8 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -251,7 +253,24 @@
 	if err := r.settle(settleLimit); err != nil {
 		result.Settled = err.Error()
 	}
-	return result, r.collect(result)
+	return result, errors.Join(r.collect(result), r.saveBurn())
+}
+
+// saveBurn keeps the service-level report of the run beside its logs.
+func (r *run) saveBurn() error {
+	entry := r.anyEntry()
+	for _, form := range []struct{ output, file string }{{"text", "burn.txt"}, {"json", "burn.json"}, {"html", "burn.html"}} {
+		command := exec.Command(filepath.Join(r.config.Bin, "plantainctl"), "report", "burn",
+			"--server", r.fleet.AdminURL(entry), "--token-file", r.fleet.TokenFile(), "--output", form.output)
+		out, err := command.Output()
+		if err != nil {
+			return fmt.Errorf("report burn --output %s: %w", form.output, err)
+		}
+		if err := os.WriteFile(filepath.Join(r.config.Dir, form.file), out, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // settle waits until all agents of the model pool serve the current target.
