--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"plantainrelay/internal/metering"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/platform"
+	"plantainrelay/internal/servicelevel"
 	"plantainrelay/internal/tablesync"
 	"plantainrelay/internal/tracker"
 	"plantainrelay/internal/usage"
@@ -85,6 +86,8 @@
 	readiness *daemon.Readiness
 	security  peer.Security
 	meter     *metering.Meter
+	levels    *servicelevel.Recorder
+	gatherer  *servicelevel.Gatherer
 }
 
 func newParts(s Settings, log *logrus.Entry) (*parts, error) {
@@ -126,6 +129,8 @@
 		MaxWait:          s.MaxWait,
 		RetryAfter:       s.RetryAfter,
 	}, p.sync, p.states, p.owners, p.client, log)
+	p.levels = servicelevel.NewRecorder(s.Objectives)
+	p.gatherer = servicelevel.NewGatherer(s.Instance, p.levels, p.members, p.client)
 	p.readiness.Set("tables", "no tables are known yet")
 	return p, nil
 }
@@ -145,6 +150,9 @@
 	if err := server.Register("Tracker", tracker.NewService(p.tracker)); err != nil {
 		return err
 	}
+	if err := server.Register("ServiceLevel", servicelevel.NewService(p.levels)); err != nil {
+		return err
+	}
 	return server.Listen(s.ControlAddress)
 }
 
@@ -154,6 +162,7 @@
 	api := admin.New(operators, admin.NewEditor(p.store, p.sync), p.sync, p.states.All, log)
 	routes := append(daemon.OperationRoutes(p.readiness, registry), api.Routes()...)
 	routes = append(routes, api.UsageRoute(metering.NewReporter(p.store)))
+	routes = append(routes, api.ReportRoute(servicelevel.Path, func(ctx context.Context) (any, error) { return p.gatherer.Gather(ctx) }))
 	if err := d.Listen(daemon.Listener{
 		Address:      s.AdminAddress,
 		Routes:       routes,
@@ -166,7 +175,7 @@
 	return d.Listen(daemon.Listener{
 		Address:      s.PublicAddress,
 		Routes:       []rest.Route{p.addresses.Route()},
-		Fallback:     p.requests,
+		Fallback:     p.levels.Wrap(p.requests),
 		MaxBodyBytes: s.MaxBodyBytes,
 		Certificate:  s.CallersCertificate,
 		ClientAuth:   tls.RequireAndVerifyClientCert,
@@ -179,6 +188,7 @@
 	go p.states.Run(ctx)
 	go p.meter.Run(ctx)
 	go p.owners.Run(ctx)
+	go p.levels.Run(ctx, p.sync.Current, p.states.All)
 	go p.watchReadiness(ctx)
 }
 
