--- a/Makefile
+++ b/Makefile
@@ -12,9 +12,8 @@
 	./.ci/check
 
 test:
-	go test -race ./internal/... ./test/imports/... ./test/checker/... ./test/faultproxy/...
-	go test -count=1 -timeout 30m ./test/e2e/...
-	go test -count=1 -timeout 10m ./test/soak/
+	go test -race $$(go list ./... | grep -v -e /test/e2e -e /test/soak)
+	go test -count=1 -p 1 -timeout 30m ./test/e2e/... ./test/soak/...
 
 SOAK_FLAGS ?= --firm dumitrescu
 
