--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -38,11 +38,11 @@
 const (
 	defaultKept = 64 << 10
 	maxKept     = 16 << 20
+	// maxBodyBytes is also the highest bound that an entry may be given.
+	maxBodyBytes = 64 << 20
 
 	defaultKeptTotal = 32 << 20
 	maxKeptTotal     = 1 << 30
-	// maxBodyBytes is also the highest bound that an entry may be given.
-	maxBodyBytes = 64 << 20
 )
 
 // LoadSettings reads and checks the settings file at path.
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -26,8 +26,7 @@
 
 // New returns the root command.
 func New() *cobra.Command {
-	// go-zero's client logs each call to standard output, which belongs to the
-	// commands' own output.
+	// The framework would write its log lines among the output.
 	logx.Disable()
 	o := &options{}
 	root := &cobra.Command{
@@ -37,8 +36,8 @@
 	flags := root.PersistentFlags()
 	flags.StringVar(&o.server, "server", "http://127.0.0.1:8081", "administration address of any entry")
 	flags.StringVar(&o.tokenFile, "token-file", os.Getenv("PLANTAIN_TOKEN_FILE"), "file that holds your operator token")
-	flags.StringVar(&o.output, "output", "text", "text or json; report burn also html")
-	root.AddCommand(tableCommand(o), statusCommand(o), reportCommand(o), command.VersionCommand())
+	flags.StringVar(&o.output, "output", "text", "text or json; usage also csv, report burn also html")
+	root.AddCommand(tableCommand(o), statusCommand(o), usageCommand(o), reportCommand(o), command.VersionCommand())
 	return root
 }
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -74,7 +74,7 @@
 		MaxSilence:    r.Duration("requests", "max_silence", 10*time.Second, 100*time.Millisecond, 10*time.Minute),
 		Objectives:    servicelevel.ReadTargets(r),
 		AskInterval:   r.Duration("requests", "ask_interval", 300*time.Millisecond, 10*time.Millisecond, 10*time.Second),
-		RetryAfter:    r.Duration("requests", "retry_after", time.Second, time.Second, 10*time.Minute),
+		RetryAfter:    r.Duration("requests", "retry_after", 3*time.Second, time.Second, 10*time.Minute),
 		WatchWait:     r.Duration("control", "watch_wait", 10*time.Second, time.Second, time.Minute),
 		CustomersFile: r.String("customers", "keys_file", ""),
 		TrustHeader:   r.Choice("customers", "trust_header", "no", "yes", "no") == "yes",
--- a/internal/gate/reserved_test.go
+++ b/internal/gate/reserved_test.go
@@ -13,6 +13,7 @@
 
 	"plantainrelay/internal/gate"
 	"plantainrelay/internal/message"
+	"plantainrelay/internal/metering"
 	"plantainrelay/internal/peer"
 )
 
@@ -27,7 +28,7 @@
 		w.WriteHeader(http.StatusConflict)
 	}))
 	defer backend.Close()
-	g, err := gate.New(gate.Config{Incarnation: "one", MaxRunning: 1, MaxRecords: 10, MaxKeys: 10, MaxKeptBytes: 100})
+	g, err := gate.New(gate.Config{Incarnation: "one", MaxRunning: 1, MaxRecords: 10, MaxKeys: 10, MaxKeptBytes: 100, MaxKeptTotal: 1000})
 	c.Assert(err, qt.IsNil)
 	g.Open(gate.Admitted{})
 	log := logrus.New()
@@ -39,7 +40,7 @@
 	request.Header.Set(message.HeaderIncarnation, "one")
 	request.Header.Set(message.HeaderDeadline, strconv.FormatInt(time.Now().Add(time.Hour).UnixMilli(), 10))
 	answer := httptest.NewRecorder()
-	gate.NewHandler(g, backend.URL, security, logrus.NewEntry(log)).ServeHTTP(answer, request)
+	gate.NewHandler(g, backend.URL, security, metering.Discard{}, logrus.NewEntry(log)).ServeHTTP(answer, request)
 	c.Assert(answer.Code, qt.Equals, http.StatusConflict)
 	c.Assert(answer.Header().Get(message.HeaderRefusal), qt.Equals, "")
 	c.Assert(answer.Header().Get(message.HeaderAttempt), qt.Equals, "attempt")
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -15,6 +15,7 @@
 	"plantainrelay/internal/engine"
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/message"
+	"plantainrelay/internal/metering"
 	"plantainrelay/internal/ownership"
 	"plantainrelay/internal/peer"
 )
@@ -30,19 +31,21 @@
 	gate     *Gate
 	backend  string
 	security peer.Security
+	usage    metering.Recorder
 	client   *http.Client
 	log      *logrus.Entry
 }
 
 // NewHandler returns the handler for the backend server at the URL backend.
-// Only requests that security authorizes are taken.
-func NewHandler(gate *Gate, backend string, security peer.Security, log *logrus.Entry) *Handler {
+// Only requests that security authorizes are taken; usage is told of each
+// attempt that was started.
+func NewHandler(gate *Gate, backend string, security peer.Security, usage metering.Recorder, log *logrus.Entry) *Handler {
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxBackendConns,
 		DisableCompression:  true,
 	}
-	return &Handler{gate: gate, backend: backend, security: security, client: &http.Client{Transport: transport, CheckRedirect: keepRedirect}, log: log}
+	return &Handler{gate: gate, backend: backend, security: security, usage: usage, client: &http.Client{Transport: transport, CheckRedirect: keepRedirect}, log: log}
 }
 
 func keepRedirect(*http.Request, []*http.Request) error {
@@ -75,7 +78,9 @@
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
-	run := &execution{handler: h, attempt: o.attempt, admitted: admitted, w: w}
+	metered := metering.Wrap(w, h.usage, r.Header.Get(message.HeaderCustomer), r.Header.Get(message.HeaderPool))
+	defer metered.EndAttempt()
+	run := &execution{handler: h, attempt: o.attempt, admitted: admitted, w: metered}
 	defer func() { h.gate.end(o.attempt, run.kept) }()
 	run.serve(r, path, body, o.deadline)
 }
