--- a/internal/servicelevel/recorder.go
+++ b/internal/servicelevel/recorder.go
@@ -114,18 +114,18 @@
 
 type contextKey struct{}
 
-// SetRoute tells the recorder which route a request takes. A request without
-// a route is not counted.
-func SetRoute(ctx context.Context, route string) {
+// SetRoute tells the recorder whose request takes which route. A request
+// without a route is not counted.
+func SetRoute(ctx context.Context, customer, route string) {
 	if watched, ok := ctx.Value(contextKey{}).(*request); ok {
-		watched.route = route
+		watched.customer, watched.route = bounded(customer), route
 	}
 }
 
 // Wrap returns next with each answer counted.
 func (r *Recorder) Wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, from *http.Request) {
-		watched := &request{recorder: r, ResponseWriter: w, started: time.Now(), customer: customerOf(from)}
+		watched := &request{recorder: r, ResponseWriter: w, started: time.Now()}
 		// A cut answer ends the handler with a panic, which passes on.
 		finished := false
 		defer func() { watched.end(from.Context(), finished) }()
@@ -134,8 +134,8 @@
 	})
 }
 
-func customerOf(r *http.Request) string {
-	if customer := r.Header.Get(message.HeaderCustomer); len(customer) <= maxCustomerBytes {
+func bounded(customer string) string {
+	if len(customer) <= maxCustomerBytes {
 		return customer
 	}
 	return burn.Other
--- a/internal/servicelevel/recorder_test.go
+++ b/internal/servicelevel/recorder_test.go
@@ -25,7 +25,6 @@
 	defer server.Close()
 	request, err := http.NewRequest(http.MethodPost, server.URL, nil)
 	c.Assert(err, qt.IsNil)
-	request.Header.Set(message.HeaderCustomer, "small")
 	if response, err := http.DefaultClient.Do(request); err == nil {
 		response.Body.Close()
 	}
@@ -48,23 +47,23 @@
 		want    map[burn.Objective]burn.Count
 	}{
 		{"done", func(w http.ResponseWriter, r *http.Request) {
-			SetRoute(r.Context(), "lookup")
+			SetRoute(r.Context(), "small", "lookup")
 			w.Header().Set(message.HeaderOutcome, "done")
 		}, map[burn.Objective]burn.Count{burn.Availability: {Total: 1}}},
 		{"not run", func(w http.ResponseWriter, r *http.Request) {
-			SetRoute(r.Context(), "lookup")
+			SetRoute(r.Context(), "small", "lookup")
 			w.Header().Set(message.HeaderOutcome, "not_run")
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}, map[burn.Objective]burn.Count{burn.Availability: {Total: 1, Bad: 1}}},
 		{"over the customer's limit", func(w http.ResponseWriter, r *http.Request) {
-			SetRoute(r.Context(), "lookup")
+			SetRoute(r.Context(), "small", "lookup")
 			w.WriteHeader(http.StatusTooManyRequests)
 		}, map[burn.Objective]burn.Count{}},
 		{"no route", func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(http.StatusNotFound)
 		}, map[burn.Objective]burn.Count{}},
 		{"a stream that is cut", func(w http.ResponseWriter, r *http.Request) {
-			SetRoute(r.Context(), "lookup")
+			SetRoute(r.Context(), "small", "lookup")
 			w.Header().Set(message.HeaderOutcome, "done")
 			w.Header().Set("Content-Type", "text/event-stream")
 			for range 3 {
