Check bookings against executions under faults; hand keys over when an owner leaves

Change: distrust keeps the state and reads it again at once; a leaving agent stays until its slots have moved; an attempt that could not be connected to the backend server is told not started.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -26,6 +26,8 @@
 	maxRecords       = 20000
 	maxKeys          = 100000
 	confirmInterval  = 250 * time.Millisecond
+	successorLimit   = 10 * time.Second
+	successorCheck   = 50 * time.Millisecond
 	decisionTick     = 50 * time.Millisecond
 	announceInterval = 250 * time.Millisecond
 	loadRetry        = time.Second
@@ -50,7 +52,9 @@
 		return err
 	}
 	p.start(ctx)
-	return d.Run()
+	err = d.Run()
+	p.awaitSuccessors(ctx)
+	return err
 }
 
 // parts are the duties of an agent.
--- a/internal/agent/keys.go
+++ b/internal/agent/keys.go
@@ -25,6 +25,20 @@
 	}
 }
 
+// awaitSuccessors waits, up to its limit, until other instances own the slots
+// of this one, so that they learn from it which keys it has run.
+func (p *parts) awaitSuccessors(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, successorLimit)
+	defer cancel()
+	for p.gate.OwnsSlots() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(successorCheck):
+		}
+	}
+}
+
 // earlier returns the earlier of what the clock said at the given time and what
 // it would have said without any jump since the start.
 func earlier(started, at time.Time) time.Time {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -200,6 +200,22 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.records.finish(attempt, answer)
+	g.ended()
+}
+
+// unstart records that an attempt which was admitted certainly did not reach
+// the backend server. The attempt is barred; its key may run for another.
+func (g *Gate) unstart(o order) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.records.unstart(o.attempt, o.deadline)
+	if o.submission != nil {
+		g.keys.Unstart(o.submission.ID, o.attempt)
+	}
+	g.ended()
+}
+
+func (g *Gate) ended() {
 	g.running--
 	if g.running > 0 {
 		return
@@ -259,6 +275,13 @@
 	return g.keys.Owners()
 }
 
+// OwnsSlots reports whether this instance owns slots of its pool's keys.
+func (g *Gate) OwnsSlots() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.keys.OwnsSlots()
+}
+
 // Confirm records that the platform named this instance at the given time.
 func (g *Gate) Confirm(at time.Time) {
 	g.mu.Lock()
--- a/internal/gate/records.go
+++ b/internal/gate/records.go
@@ -78,6 +78,19 @@
 	r.all[attempt] = &record{fate: dispatch.FateRunning}
 }
 
+// unstart bars an attempt that was recorded as running.
+func (r *records) unstart(attempt string, deadline time.Time) {
+	known := r.all[attempt]
+	if known == nil {
+		return
+	}
+	if known.expires.IsZero() {
+		known.expires = deadline.Add(recordMargin)
+		r.temporary++
+	}
+	known.fate = dispatch.FateNeverStarted
+}
+
 // forget removes the attempts of forgotten keys.
 func (r *records) forget(attempts []string) {
 	for _, attempt := range attempts {
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -75,7 +76,13 @@
 		return
 	}
 	run := &execution{handler: h, attempt: o.attempt, admitted: admitted, w: w}
-	defer func() { h.gate.end(o.attempt, run.kept) }()
+	defer func() {
+		if run.notStarted {
+			h.gate.unstart(o)
+			return
+		}
+		h.gate.end(o.attempt, run.kept)
+	}()
 	run.serve(r, path, body, o.deadline)
 }
 
@@ -129,6 +136,8 @@
 	admitted Admitted
 	w        http.ResponseWriter
 	kept     *message.Answer
+	// notStarted says that the backend server certainly did not get the request.
+	notStarted bool
 }
 
 func (e *execution) serve(r *http.Request, path string, body []byte, deadline time.Time) {
@@ -142,7 +151,8 @@
 	response, err := e.forward(ctx, r, path, body)
 	if err != nil {
 		e.handler.log.WithError(err).WithField(logging.FieldAttempt, e.attempt).Warning("the backend server did not answer")
-		panic(http.ErrAbortHandler)
+		e.failed(err)
+		return
 	}
 	defer response.Body.Close()
 	if !e.fromAdmitted(response) {
@@ -152,6 +162,19 @@
 	e.relay(response, !repeatable(r))
 }
 
+// failed tells the entry that the attempt did not start, when that is certain,
+// and cuts the connection otherwise.
+func (e *execution) failed(err error) {
+	var operation *net.OpError
+	if !errors.As(err, &operation) || operation.Op != "dial" {
+		panic(http.ErrAbortHandler)
+	}
+	e.notStarted = true
+	e.w.Header().Set(message.HeaderAttempt, e.attempt)
+	e.w.Header().Set(message.HeaderRefusal, string(message.RefusalBackend))
+	e.w.WriteHeader(http.StatusConflict)
+}
+
 func (e *execution) forward(ctx context.Context, r *http.Request, path string, body []byte) (*http.Response, error) {
 	target := e.handler.backend + path
 	if r.URL.RawQuery != "" {
--- a/internal/gateway/states.go
+++ b/internal/gateway/states.go
@@ -38,11 +38,13 @@
 	self     string
 	interval time.Duration
 
-	mu       sync.Mutex
-	agents   map[string]agentState
-	polling  map[string]bool
-	inFlight map[string]int
-	pulses   map[string]*pulse
+	mu      sync.Mutex
+	agents  map[string]agentState
+	polling map[string]bool
+	// distrusted instances take no attempt until their state is read again.
+	distrusted map[string]bool
+	inFlight   map[string]int
+	pulses     map[string]*pulse
 }
 
 // pulse is when an agent last answered; its context ends when it fell silent.
@@ -62,8 +64,10 @@
 		interval: interval,
 		agents:   map[string]agentState{},
 		polling:  map[string]bool{},
-		inFlight: map[string]int{},
-		pulses:   map[string]*pulse{},
+
+		distrusted: map[string]bool{},
+		inFlight:   map[string]int{},
+		pulses:     map[string]*pulse{},
 	}
 }
 
@@ -107,6 +111,7 @@
 			return
 		}
 		s.beat(instance.Name)
+		delete(s.distrusted, instance.Name)
 		s.agents[instance.Name] = agentState{StateReply: reply, instance: instance, at: time.Now()}
 	}()
 }
@@ -125,6 +130,7 @@
 		instance, listed := list.Find(name)
 		if !listed || time.Since(state.at) > stateTTL {
 			delete(s.agents, name)
+			delete(s.distrusted, name)
 			continue
 		}
 		state.instance = instance
@@ -149,7 +155,7 @@
 	defer s.mu.Unlock()
 	var found []balance.Candidate
 	for name, state := range s.agents {
-		if state.Pool != pool || !state.Open || state.instance.State != member.StateLive {
+		if state.Pool != pool || !state.Open || s.distrusted[name] || state.instance.State != member.StateLive {
 			continue
 		}
 		found = append(found, balance.Candidate{
@@ -211,11 +217,16 @@
 	}
 }
 
-// distrust stops the use of an instance until its state is read again.
+// distrust stops the use of an instance until its state is read again, which
+// begins at once.
 func (s *States) distrust(name string) {
 	s.mu.Lock()
-	delete(s.agents, name)
+	state, found := s.agents[name]
+	s.distrusted[name] = true
 	s.mu.Unlock()
+	if found {
+		s.poll(context.Background(), state.instance)
+	}
 }
 
 // ofPool returns the known states of the agents that serve pool.
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -57,6 +57,8 @@
 	RefusalDraining    Refusal = "draining"
 	RefusalDeadline    Refusal = "deadline_passed"
 	RefusalFull        Refusal = "full"
+	// RefusalBackend means that the backend server cannot be reached.
+	RefusalBackend     Refusal = "backend_unreachable"
 	RefusalDuplicate   Refusal = "duplicate"
 )
 
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -100,6 +100,11 @@
 	}
 }
 
+// OwnsSlots reports whether the map held gives this incarnation any slot.
+func (t *Table) OwnsSlots() bool {
+	return t.owners != nil && slices.ContainsFunc(t.owners.Slots, t.owns)
+}
+
 func (t *Table) holds(pool string) bool {
 	return t.owners != nil && t.owners.Pool == pool
 }
@@ -245,6 +250,13 @@
 	return Run
 }
 
+// Unstart takes back the record of an attempt that certainly did not start.
+func (t *Table) Unstart(id ID, attempt string) {
+	if known := t.records[id]; known != nil && known.attempt == attempt {
+		known.attempt = ""
+	}
+}
+
 // makeRoom forgets the oldest keys beyond the horizon when the memory is full.
 // What is forgotten is answered Before from then on.
 func (t *Table) makeRoom(now time.Time) (evicted []string, room bool) {
--- /dev/null
+++ b/test/e2e/requests_keys_test.go
@@ -0,0 +1,397 @@
+package e2e_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"plantainrelay/internal/dispatch"
+	"plantainrelay/internal/member"
+	"plantainrelay/internal/table"
+	"plantainrelay/test/cluster"
+	"plantainrelay/test/history"
+	"plantainrelay/test/standin"
+)
+
+const (
+	requestSettings = "[requests]\nmax_silence = 3s\nmax_wait = 2s"
+	bookers         = 6
+	bookDeadline    = 10 * time.Second
+)
+
+// bookings is a fleet that takes bookings, with callers that record what they
+// were told.
+type bookings struct {
+	*cluster.Cluster
+	t        *testing.T
+	recorder history.Recorder
+	// dead entries are skipped by callers.
+	dead sync.Map
+	next atomic.Int64
+}
+
+var bookingAgents = []string{"booking-1", "booking-2", "booking-3"}
+
+func startBookings(t *testing.T) *bookings {
+	config := cluster.Config{}
+	for i := 1; i <= 2; i++ {
+		config.Entries = append(config.Entries, cluster.Instance{Name: fmt.Sprintf("entry-%d", i), AvailabilityZone: "a", Region: "north", Extra: requestSettings})
+	}
+	for _, name := range bookingAgents {
+		config.Agents = append(config.Agents, cluster.Instance{Name: name, AvailabilityZone: "a", Region: "north", Service: true})
+	}
+	b := &bookings{Cluster: start(t, config), t: t}
+	tables := table.Tables{
+		Pools:  []table.Pool{{Name: "booking", Kind: table.KindService, Instances: []string{"booking-*"}}},
+		Routes: []table.Route{{Name: "book", Customer: "*", Path: "/book", Pool: "booking", Priority: table.PriorityUrgent, Deadline: bookDeadline}},
+	}
+	_, err := b.Apply("entry-1", 0, tables)
+	qt.Assert(t, err, qt.IsNil)
+	for _, entry := range []string{"entry-1", "entry-2"} {
+		qt.Assert(t, b.WaitVersion(waitContext(t), entry, "", bookingAgents...), qt.IsNil)
+		b.waitBooked(entry)
+	}
+	return b
+}
+
+// waitBooked waits until a booking through entry is done.
+func (b *bookings) waitBooked(entry string) {
+	err := cluster.WaitFor(waitContext(b.t), func() (bool, string) {
+		got := b.submit(entry, newKey(), "warm-up")
+		return got.outcome == string(dispatch.Done), fmt.Sprintf("%s: %d %s %v", entry, got.status, got.body, got.err)
+	})
+	qt.Assert(b.t, err, qt.IsNil)
+}
+
+func newKey() string {
+	return uuid.Must(uuid.NewV7()).String()
+}
+
+// submit sends one submission and records what the caller was told.
+func (b *bookings) submit(entry, key, body string) reply {
+	submission := history.Submission{Key: key, Body: body, Start: time.Now()}
+	got := call("POST", b.PublicURL(entry)+"/book", "small", key, body)
+	submission.End = time.Now()
+	if got.err == nil {
+		submission.Outcome = dispatch.Outcome(got.outcome)
+	}
+	if got.outcome == string(dispatch.Done) {
+		var answer standin.Answer
+		_ = json.Unmarshal(got.body, &answer)
+		submission.Echo = answer.Echo
+	}
+	b.recorder.Add(submission)
+	return got
+}
+
+// bookUntil runs callers until the function returned is called. Each books
+// under a fresh key and submits again through the other entry what it was not
+// told done.
+func (b *bookings) bookUntil() (stop func()) {
+	done := make(chan struct{})
+	var group sync.WaitGroup
+	for caller := range bookers {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					b.book(caller)
+				}
+			}
+		}()
+	}
+	return func() {
+		close(done)
+		group.Wait()
+	}
+}
+
+func (b *bookings) book(caller int) {
+	key, body := newKey(), fmt.Sprintf("site %d", b.next.Add(1))
+	for try := range 3 {
+		entry := fmt.Sprintf("entry-%d", (caller+try)%2+1)
+		if _, dead := b.dead.Load(entry); dead && try > 0 {
+			continue
+		}
+		got := b.submit(entry, key, body)
+		if got.outcome == string(dispatch.Done) {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// checkHistory compares what callers were told with what was executed.
+func (b *bookings) checkHistory() {
+	executed := map[string]int{}
+	for _, name := range bookingAgents {
+		var executions []standin.Execution
+		qt.Assert(b.t, cluster.GetJSON(b.BackendURL(name)+"/records/engine", &executions), qt.IsNil)
+		for _, execution := range executions {
+			executed[execution.Key]++
+		}
+	}
+	qt.Assert(b.t, b.recorder.Check(executed), qt.IsNil)
+	b.t.Logf("submissions by outcome: %v, keys executed: %d", b.recorder.Outcomes(), len(executed))
+}
+
+// backendFaults sets the faults of all backend servers.
+func (b *bookings) backendFaults(faults standin.EngineFaults) {
+	for _, name := range bookingAgents {
+		qt.Assert(b.t, cluster.PutJSON(b.BackendURL(name)+"/faults/engine", faults), qt.IsNil)
+	}
+}
+
+// doneAfter waits for a number of further bookings that were done.
+func (b *bookings) doneAfter(more int) {
+	before := b.recorder.Outcomes()[dispatch.Done]
+	err := cluster.WaitFor(waitContext(b.t), func() (bool, string) {
+		outcomes := b.recorder.Outcomes()
+		return outcomes[dispatch.Done] >= before+more, fmt.Sprintf("outcomes %v", outcomes)
+	})
+	qt.Assert(b.t, err, qt.IsNil)
+}
+
+// TestSecondSubmissionGetsTheFirstAnswer covers a finished key, a running key
+// and a key that was used for another request, each through the other entry.
+func TestSecondSubmissionGetsTheFirstAnswer(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := startBookings(t)
+	b.backendFaults(standin.EngineFaults{Delay: time.Second})
+	key := newKey()
+	answers := make([]reply, 2)
+	var group sync.WaitGroup
+	for i := range answers {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			answers[i] = b.submit(fmt.Sprintf("entry-%d", i+1), key, "site 1")
+		}()
+	}
+	group.Wait()
+	again := b.submit("entry-2", key, "site 1")
+	for _, got := range append(answers, again) {
+		c.Assert(got.outcome, qt.Equals, string(dispatch.Done), qt.Commentf("%s", got.body))
+		c.Assert(string(got.body), qt.Equals, string(answers[0].body))
+	}
+	other := call("POST", b.PublicURL("entry-1")+"/book", "small", key, "site 2")
+	c.Assert(other.status, qt.Equals, http.StatusUnprocessableEntity)
+	b.checkHistory()
+}
+
+// TestKeylessBookingRunsOnce covers the backend server that dies or loses its
+// answer under a booking without a key.
+func TestKeylessBookingRunsOnce(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := startBookings(t)
+	b.backendFaults(standin.EngineFaults{LoseAnswers: true})
+	got := call("POST", b.PublicURL("entry-1")+"/book", "small", "", "keyless")
+	c.Assert(got.outcome, qt.Equals, string(dispatch.Unknown))
+	c.Assert(b.executionsOf("keyless"), qt.Equals, 1)
+	b.backendFaults(standin.EngineFaults{})
+	c.Assert(b.Signal("booking-1-backend", syscall.SIGKILL), qt.IsNil)
+	<-b.Process("booking-1-backend").Exited()
+	for i := range 20 {
+		got := call("POST", b.PublicURL("entry-1")+"/book", "small", "", fmt.Sprintf("after %d", i))
+		c.Assert(got.outcome, qt.Equals, string(dispatch.Done), qt.Commentf("%s", got.body))
+	}
+}
+
+func (b *bookings) executionsOf(body string) int {
+	total := 0
+	for _, name := range bookingAgents {
+		var executions []standin.Execution
+		qt.Assert(b.t, cluster.GetJSON(b.BackendURL(name)+"/records/engine", &executions), qt.IsNil)
+		for _, execution := range executions {
+			if execution.Body == body {
+				total++
+			}
+		}
+	}
+	return total
+}
+
+// TestBookingsUnderFaults books through both entries while a fault is caused,
+// and checks the history of all keys.
+func TestBookingsUnderFaults(t *testing.T) {
+	for name, cause := range map[string]func(b *bookings){
+		"answers lost after the run":      answersLost,
+		"agent paused past every timeout": agentPaused,
+		"agent restarted":                 agentRestarted,
+		"owner gone and back":             ownerGoneAndBack,
+		"owner leaves":                    ownerLeaves,
+		"entry killed, store down":        entryKilledStoreDown,
+		"link stalled both ways":          linkStalled,
+		"link stalled, answers lost":      linkStalledAnswersLost,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := startBookings(t)
+			b.backendFaults(standin.EngineFaults{Delay: 30 * time.Millisecond})
+			stop := b.bookUntil()
+			b.doneAfter(50)
+			cause(b)
+			b.doneAfter(50)
+			stop()
+			b.checkHistory()
+		})
+	}
+}
+
+func answersLost(b *bookings) {
+	b.backendFaults(standin.EngineFaults{LoseAnswers: true})
+	b.waitOutcome(dispatch.Unknown, 20)
+	b.backendFaults(standin.EngineFaults{})
+}
+
+func (b *bookings) waitOutcome(outcome dispatch.Outcome, more int) {
+	before := b.recorder.Outcomes()[outcome]
+	err := cluster.WaitFor(waitContext(b.t), func() (bool, string) {
+		outcomes := b.recorder.Outcomes()
+		return outcomes[outcome] >= before+more, fmt.Sprintf("outcomes %v", outcomes)
+	})
+	qt.Assert(b.t, err, qt.IsNil)
+}
+
+func agentPaused(b *bookings) {
+	qt.Assert(b.t, b.Signal("booking-1", syscall.SIGSTOP), qt.IsNil)
+	b.waitOutcome(dispatch.Unknown, 6)
+	qt.Assert(b.t, b.Signal("booking-1", syscall.SIGCONT), qt.IsNil)
+}
+
+func agentRestarted(b *bookings) {
+	qt.Assert(b.t, b.Signal("booking-1", syscall.SIGKILL), qt.IsNil)
+	<-b.Process("booking-1").Exited()
+	qt.Assert(b.t, b.RestartDaemon("booking-1"), qt.IsNil)
+	b.waitOwner("booking-1", true)
+}
+
+// ownerGoneAndBack pauses an owner, lets the platform declare it gone and
+// continues it after its slots have moved.
+func ownerGoneAndBack(b *bookings) {
+	qt.Assert(b.t, b.Signal("booking-1", syscall.SIGSTOP), qt.IsNil)
+	b.SetState("booking-1", "")
+	qt.Assert(b.t, b.PublishList(), qt.IsNil)
+	b.waitOwner("booking-1", false)
+	qt.Assert(b.t, b.Signal("booking-1", syscall.SIGCONT), qt.IsNil)
+}
+
+// ownerLeaves drains an owner; its keys stay answered.
+func ownerLeaves(b *bookings) {
+	b.SetState("booking-1", member.StateLeaving)
+	qt.Assert(b.t, b.PublishList(), qt.IsNil)
+	qt.Assert(b.t, b.Signal("booking-1", syscall.SIGTERM), qt.IsNil)
+	<-b.Process("booking-1").Exited()
+	qt.Assert(b.t, b.Process("booking-1").Err(), qt.IsNil)
+	outcomes := b.recorder.Outcomes()
+	qt.Assert(b.t, outcomes[dispatch.Unknown]+outcomes[dispatch.NotRun]+outcomes[""], qt.Equals, 0, qt.Commentf("%v", outcomes))
+	b.SetState("booking-1", "")
+	qt.Assert(b.t, b.PublishList(), qt.IsNil)
+}
+
+func entryKilledStoreDown(b *bookings) {
+	qt.Assert(b.t, cluster.PutJSON(b.PlatformURL+"/faults/store", standin.StoreFaults{Down: true}), qt.IsNil)
+	b.doneAfter(20)
+	qt.Assert(b.t, b.Signal("entry-1", syscall.SIGKILL), qt.IsNil)
+	<-b.Process("entry-1").Exited()
+	b.dead.Store("entry-1", true)
+	b.doneAfter(20)
+	qt.Assert(b.t, b.RestartDaemon("entry-1"), qt.IsNil)
+	qt.Assert(b.t, cluster.WaitHTTP(b.PublicURL("entry-1")+"/plantain/v1/address"), qt.IsNil)
+	b.dead.Delete("entry-1")
+	b.waitBooked("entry-1")
+}
+
+func linkStalled(b *bookings) {
+	resume := b.stallLinks("booking-1")
+	b.waitOutcome(dispatch.Unknown, 6)
+	resume()
+}
+
+func linkStalledAnswersLost(b *bookings) {
+	resume := b.stallLinks("booking-1")
+	b.backendFaults(standin.EngineFaults{LoseAnswers: true})
+	b.waitOutcome(dispatch.Unknown, 10)
+	b.backendFaults(standin.EngineFaults{})
+	resume()
+}
+
+// stallLinks puts proxies before an agent's listeners, lets bookings flow
+// through them and then holds all data both ways until the function returned
+// is called. What was held arrives late.
+func (b *bookings) stallLinks(agent string) (resume func()) {
+	row := b.Row(agent)
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	var proxies []*toxiproxy.Proxy
+	for i, upstream := range []string{row.HTTPAddress, row.ControlAddress} {
+		proxy := toxiproxy.NewProxy(server, agent+strconv.Itoa(i), "127.0.0.1:0", upstream)
+		qt.Assert(b.t, proxy.Start(), qt.IsNil)
+		b.t.Cleanup(proxy.Stop)
+		proxies = append(proxies, proxy)
+	}
+	b.SetAddresses(agent, proxies[0].Listen, proxies[1].Listen)
+	qt.Assert(b.t, b.PublishList(), qt.IsNil)
+	b.doneAfter(60)
+	for _, proxy := range proxies {
+		b.setLatency(proxy, "upstream")
+		b.setLatency(proxy, "downstream")
+	}
+	return func() {
+		for _, proxy := range proxies {
+			for _, stream := range []string{"upstream", "downstream"} {
+				qt.Assert(b.t, proxy.Toxics.RemoveToxic(b.t.Context(), "late_"+stream), qt.IsNil)
+			}
+		}
+	}
+}
+
+// setLatency makes one direction later than every timeout of a request.
+func (b *bookings) setLatency(proxy *toxiproxy.Proxy, stream string) {
+	late := (bookDeadline + 5*time.Second).Milliseconds()
+	toxic := fmt.Sprintf(`{"name":"late_%s","type":"latency","stream":%q,"attributes":{"latency":%d}}`, stream, stream, late)
+	_, err := proxy.Toxics.AddToxicJson(bytes.NewReader([]byte(toxic)))
+	qt.Assert(b.t, err, qt.IsNil)
+}
+
+// waitOwner waits until the stored map of owners names the present incarnation
+// of an agent, or no longer names the agent.
+func (b *bookings) waitOwner(agent string, present bool) {
+	err := cluster.WaitFor(waitContext(b.t), func() (bool, string) {
+		response, err := http.Get(b.PlatformURL + "/objects/ownership/booking")
+		if err != nil {
+			return false, err.Error()
+		}
+		defer response.Body.Close()
+		raw, _ := io.ReadAll(response.Body)
+		if !present {
+			return !bytes.Contains(raw, []byte(agent)), "the agent still owns slots"
+		}
+		status, err := b.Status("entry-2")
+		if err != nil {
+			return false, err.Error()
+		}
+		incarnation := status.Agents[agent].Incarnation
+		return incarnation != "" && bytes.Contains(raw, []byte(incarnation)), "the new incarnation owns no slot"
+	})
+	qt.Assert(b.t, err, qt.IsNil)
+}
+
--- /dev/null
+++ b/test/history/history_test.go
@@ -0,0 +1,42 @@
+package history_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/internal/dispatch"
+	"plantainrelay/test/history"
+)
+
+func record(outcomes ...dispatch.Outcome) *history.Recorder {
+	r := &history.Recorder{}
+	for i, outcome := range outcomes {
+		start := time.Unix(int64(10*i), 0)
+		r.Add(history.Submission{Key: "k", Body: "b", Echo: "b", Outcome: outcome, Start: start, End: start.Add(time.Second)})
+	}
+	return r
+}
+
+func TestTrueHistoriesAreAccepted(t *testing.T) {
+	c := qt.New(t)
+	c.Check(record(dispatch.Done, dispatch.Done).Check(map[string]int{"k": 1}), qt.IsNil)
+	c.Check(record(dispatch.NotRun, dispatch.Done).Check(map[string]int{"k": 1}), qt.IsNil)
+	c.Check(record(dispatch.Unknown, dispatch.NotRun).Check(map[string]int{}), qt.IsNil)
+	c.Check(record(dispatch.Unknown, dispatch.NotRun).Check(map[string]int{"k": 1}), qt.IsNil, qt.Commentf("a lost request may run later"))
+	c.Check(record("").Check(map[string]int{"k": 1}), qt.IsNil)
+}
+
+func TestFalseHistoriesAreFound(t *testing.T) {
+	c := qt.New(t)
+	c.Check(record(dispatch.Done, dispatch.Done).Check(map[string]int{"k": 2}), qt.IsNotNil)
+	c.Check(record(dispatch.Unknown, "").Check(map[string]int{"k": 2}), qt.IsNotNil)
+	c.Check(record(dispatch.NotRun).Check(map[string]int{"k": 1}), qt.IsNotNil)
+	c.Check(record(dispatch.Done, dispatch.NotRun).Check(map[string]int{"k": 1}), qt.IsNotNil)
+	c.Check(record(dispatch.Done).Check(map[string]int{}), qt.IsNotNil)
+	c.Check(record(dispatch.Done).Check(map[string]int{"k": 1, "other": 1}), qt.IsNotNil)
+	crossed := &history.Recorder{}
+	crossed.Add(history.Submission{Key: "k", Body: "b", Echo: "other", Outcome: dispatch.Done})
+	c.Check(crossed.Check(map[string]int{"k": 1}), qt.IsNotNil)
+}
