--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -29,6 +29,8 @@
 const (
 	maxKeys         = 100000
 	confirmInterval = 250 * time.Millisecond
+	successorLimit  = 10 * time.Second
+	successorCheck  = 50 * time.Millisecond
 	decisionTick    = 50 * time.Millisecond
 	readyCheck      = 200 * time.Millisecond
 )
@@ -53,6 +55,7 @@
 	}
 	p.start(ctx)
 	err = d.Run()
+	p.awaitSuccessors(ctx)
 	p.meter.Close(ctx)
 	return err
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -57,7 +57,9 @@
 	RefusalDraining    Refusal = "draining"
 	RefusalDeadline    Refusal = "deadline_passed"
 	RefusalFull        Refusal = "full"
-	RefusalDuplicate   Refusal = "duplicate"
+	// RefusalBackend means that the backend server cannot be reached.
+	RefusalBackend   Refusal = "backend_unreachable"
+	RefusalDuplicate Refusal = "duplicate"
 )
 
 // ExchangeArgs tells a peer which revision the caller holds.
