--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/sirupsen/logrus"
 
 	"plantainrelay/internal/daemon"
@@ -20,6 +18,7 @@
 	"plantainrelay/internal/membership"
 	"plantainrelay/internal/message"
 	"plantainrelay/internal/metering"
+	"plantainrelay/internal/metrics"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/platform"
 	"plantainrelay/internal/tablesync"
@@ -78,6 +77,7 @@
 	driver      *distribute.Driver
 	readiness   *daemon.Readiness
 	meter       *metering.Meter
+	metrics     *metrics.Metrics
 }
 
 func newParts(s Settings, log *logrus.Entry) (*parts, error) {
@@ -90,6 +90,7 @@
 		incarnation: uuid.NewString(),
 		security:    security,
 		readiness:   daemon.NewReadiness(),
+		metrics:     metrics.New(),
 	}
 	outside := platform.New(platform.Config{StoreURL: s.StoreURL, OriginURL: s.OriginURL, ListURL: s.ListURL})
 	source := usage.Source{Name: s.Instance + "/" + p.incarnation[:8], Role: member.RoleAgent}
@@ -142,13 +143,13 @@
 }
 
 func (p *parts) listen(d *daemon.Daemon, s Settings, log *logrus.Entry) error {
-	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	routes := append(daemon.OperationRoutes(p.readiness, registry), p.driver.ChunkRoute())
+	p.register()
+	attempts := p.metrics.Requests("attempts", "Attempts that ended at this agent by outcome.", p.meter)
+	routes := append(daemon.OperationRoutes(p.readiness, p.metrics.Registry), p.driver.ChunkRoute())
 	return d.Listen(daemon.Listener{
 		Address:      s.HTTPAddress,
 		Routes:       routes,
-		Fallback:     gate.NewHandler(p.gate, s.BackendURL, p.security, p.meter, log),
+		Fallback:     gate.NewHandler(p.gate, s.BackendURL, p.security, attempts, log),
 		MaxBodyBytes: s.MaxBodyBytes,
 		Certificate:  s.FleetCertificate,
 		ClientAuth:   tls.VerifyClientCertIfGiven,
--- /dev/null
+++ b/internal/agent/metrics.go
@@ -0,0 +1,43 @@
+package agent
+
+import (
+	"time"
+
+	"plantainrelay/internal/metrics"
+)
+
+// register adds the metrics of an agent.
+func (p *parts) register() {
+	m := p.metrics
+	m.Gauge("tables_revision", "Revision of the tables in force here; 0 means none.", func() float64 {
+		return float64(p.sync.Revision())
+	})
+	m.Gauge("ready", "1 when this process is ready.", func() float64 {
+		return metrics.Bool(len(p.readiness.Reasons()) == 0)
+	})
+	m.Gauge("gate_open", "1 when requests are admitted to the backend server.", func() float64 {
+		return metrics.Bool(p.gate.State().Open)
+	})
+	m.Gauge("requests_running", "Requests in progress on the backend server.", func() float64 {
+		return float64(p.gate.State().Running)
+	})
+	m.Gauge("chunks_held", "Chunks of the intended weights that are held here.", func() float64 {
+		return float64(p.driver.Status().Held)
+	})
+	m.Gauge("chunks_needed", "Chunks of the intended weights.", func() float64 {
+		return float64(p.driver.Status().Chunks)
+	})
+	m.Gauge("load_failures", "Failed loads of the present target.", func() float64 {
+		return float64(p.driver.Status().Failures)
+	})
+	m.Gauge("list_age_seconds", "Age of the platform's list of instances in use here.", func() float64 {
+		_, at := p.members.Read()
+		return time.Since(at).Seconds()
+	})
+	m.Counter("usage_write_failures_total", "Writes of usage to the store that failed.", func() float64 {
+		return float64(p.meter.Failures())
+	})
+	m.Gauge("usage_pending_hours", "Hours of usage that the store does not have in full.", func() float64 {
+		return float64(p.meter.PendingHours())
+	})
+}
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -26,6 +26,7 @@
 type client struct {
 	server    string
 	tokenFile string
+	tls       tlsFlags
 }
 
 func (c *client) token() (string, error) {
@@ -43,6 +44,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.tls.apply(); err != nil {
+		return err
+	}
 	var body io.Reader = http.NoBody
 	if in != nil {
 		raw, err := json.Marshal(in)
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -37,6 +37,7 @@
 	flags.StringVar(&o.server, "server", "http://127.0.0.1:8081", "administration address of any entry")
 	flags.StringVar(&o.tokenFile, "token-file", os.Getenv("PLANTAIN_TOKEN_FILE"), "file that holds your operator token")
 	flags.StringVar(&o.output, "output", "text", "text or json; usage also csv")
+	o.tls.register(root)
 	root.AddCommand(tableCommand(o), statusCommand(o), usageCommand(o), command.VersionCommand())
 	return root
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/sirupsen/logrus"
 	"github.com/zeromicro/go-zero/rest"
 
@@ -19,6 +17,7 @@
 	"plantainrelay/internal/member"
 	"plantainrelay/internal/membership"
 	"plantainrelay/internal/metering"
+	"plantainrelay/internal/metrics"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/platform"
 	"plantainrelay/internal/tablesync"
@@ -85,6 +84,7 @@
 	readiness *daemon.Readiness
 	security  peer.Security
 	meter     *metering.Meter
+	metrics   *metrics.Metrics
 }
 
 func newParts(s Settings, log *logrus.Entry) (*parts, error) {
@@ -96,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &parts{readiness: daemon.NewReadiness(), security: security}
+	p := &parts{readiness: daemon.NewReadiness(), security: security, metrics: metrics.New()}
 	p.store = platform.New(platform.Config{StoreURL: s.StoreURL, OriginURL: s.OriginURL, ListURL: s.ListURL})
 	source := usage.Source{Name: s.Instance + "/" + uuid.NewString()[:8], Role: member.RoleEntry}
 	p.meter = metering.New(source, p.store, s.UsageInterval, log)
@@ -118,7 +118,7 @@
 		AvailabilityZone: s.AvailabilityZone,
 		Security:         p.security,
 		Customers:        customers,
-		Usage:            p.meter,
+		Usage:            p.metrics.Requests("requests", "Requests that ended at this entry by outcome.", p.meter),
 		MaxBodyBytes:     s.MaxBodyBytes,
 		MaxAttempts:      int(s.MaxAttempts),
 		AskInterval:      s.AskInterval,
@@ -149,10 +149,9 @@
 }
 
 func (p *parts) listen(d *daemon.Daemon, s Settings, operators *admin.Operators, log *logrus.Entry) error {
-	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	p.register()
 	api := admin.New(operators, admin.NewEditor(p.store, p.sync), p.sync, p.states.All, log)
-	routes := append(daemon.OperationRoutes(p.readiness, registry), api.Routes()...)
+	routes := append(daemon.OperationRoutes(p.readiness, p.metrics.Registry), api.Routes()...)
 	routes = append(routes, api.UsageRoute(metering.NewReporter(p.store)))
 	if err := d.Listen(daemon.Listener{
 		Address:      s.AdminAddress,
--- /dev/null
+++ b/internal/message/fuzz_test.go
@@ -0,0 +1,71 @@
+package message_test
+
+import (
+	"bytes"
+	"encoding/gob"
+	"testing"
+
+	"plantainrelay/internal/message"
+	"plantainrelay/internal/table"
+	"plantainrelay/internal/weights"
+)
+
+// messages are new values of what processes of the fleet send to each other.
+var messages = []func() any{
+	func() any { return &message.ExchangeArgs{} },
+	func() any { return &message.ExchangeReply{} },
+	func() any { return &message.OfferArgs{} },
+	func() any { return &message.StateReply{} },
+	func() any { return &message.FateArgs{} },
+	func() any { return &message.FateReply{} },
+	func() any { return &message.AnnounceArgs{} },
+	func() any { return &message.AnnounceReply{} },
+	func() any { return &message.OwnersArgs{} },
+	func() any { return &message.OwnersReply{} },
+	func() any { return &message.KeyFateArgs{} },
+	func() any { return &message.KeyFateReply{} },
+}
+
+// FuzzMessages decodes bytes as each message, as net/rpc does with what a peer
+// sends, and uses what comes out.
+func FuzzMessages(f *testing.F) {
+	snapshot := &table.Snapshot{Revision: 7, Tables: table.Tables{Pools: []table.Pool{{Name: "model", Instances: []string{"a-*"}}}}}
+	for _, seed := range []any{
+		message.OfferArgs{From: "a", Snapshot: snapshot},
+		message.AnnounceArgs{Instance: "a", Have: weights.Bitmap{0xff}},
+		message.FateReply{Answer: &message.Answer{Status: 200, Header: map[string][]string{"A": {"b"}}, Body: []byte("x")}},
+	} {
+		var raw bytes.Buffer
+		if err := gob.NewEncoder(&raw).Encode(seed); err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw.Bytes())
+	}
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		for _, empty := range messages {
+			value := empty()
+			if gob.NewDecoder(bytes.NewReader(raw)).Decode(value) != nil {
+				continue
+			}
+			switch decoded := value.(type) {
+			case *message.OfferArgs:
+				use(decoded.Snapshot)
+			case *message.ExchangeReply:
+				use(decoded.Snapshot)
+			case *message.AnnounceArgs:
+				_, _ = decoded.Have.Count(), decoded.Have.Has(-1)
+			}
+		}
+	})
+}
+
+func use(snapshot *table.Snapshot) {
+	var holder table.Holder
+	holder.Offer(snapshot)
+	if snapshot == nil {
+		return
+	}
+	snapshot.Match(table.Request{Customer: "a", Path: "/", Header: func(string) string { return "" }})
+	snapshot.PoolOf("a")
+	table.Validate(&snapshot.Tables)
+}
--- a/internal/metering/meter.go
+++ b/internal/metering/meter.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -39,7 +40,8 @@
 	mu      sync.Mutex
 	counter *usage.Counter
 	// writing is held by the flush in progress.
-	writing sync.Mutex
+	writing  sync.Mutex
+	failures atomic.Int64
 }
 
 // New returns a meter that writes to store at the given interval while it runs.
@@ -100,6 +102,7 @@
 	}
 	for _, name := range names {
 		if err := m.write(ctx, name, grouped[name]); err != nil {
+			m.failures.Add(1)
 			m.log.WithError(err).Warning("usage could not be written; it is kept and written later")
 			return
 		}
@@ -107,6 +110,19 @@
 	}
 }
 
+// Failures returns the number of failed flushes.
+func (m *Meter) Failures() int64 {
+	return m.failures.Load()
+}
+
+// PendingHours returns the number of hours that the store does not have in
+// full.
+func (m *Meter) PendingHours() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.counter.Hours()
+}
+
 func (m *Meter) written(reports []usage.Report) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -95,6 +95,11 @@
 	}
 }
 
+// Hours returns the number of hours that the store does not have in full.
+func (c *Counter) Hours() int {
+	return len(c.periods)
+}
+
 // rows returns the totals in the order of their keys.
 func rows(totals map[Key]Counts) []Row {
 	list := make([]Row, 0, len(totals))
--- a/test/e2e/product_security_test.go
+++ b/test/e2e/product_security_test.go
@@ -93,6 +93,9 @@
 		c.Assert(err, qt.IsNotNil)
 	}
 	checkAgentRefuses(t, fleet, authority)
+	out := ctl(t, fleet, "entry-1", "status", "--ca-file", authority.Path("ca.crt"),
+		"--certificate-file", authority.Path("caller.crt"), "--key-file", authority.Path("caller.pem"))
+	c.Assert(strings.Contains(string(out), "model-1"), qt.IsTrue, qt.Commentf("%s", out))
 }
 
 // checkCustomer checks the customer that the backend servers were told.
--- a/test/e2e/product_usage_test.go
+++ b/test/e2e/product_usage_test.go
@@ -5,7 +5,9 @@
 	"encoding/csv"
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
+	"net/http"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -134,6 +136,7 @@
 		return maps.Equal(entries, log) && maps.Equal(agents, log), fmt.Sprintf("callers %v\nentries %v\nagents  %v", log, entries, agents)
 	}), qt.IsNil)
 	checkUsageCSV(t, fleet, log)
+	checkMetrics(t, fleet, log)
 
 	faults(standin.StoreFaults{Down: true})
 	report := usageReport(t, fleet, "entry-1")
@@ -153,3 +156,25 @@
 		qt.Assert(t, line[14], qt.Equals, fmt.Sprint(counts.TokensOut))
 	}
 }
+
+// checkMetrics checks that the agent's metrics agree with the callers' log.
+func checkMetrics(t *testing.T, fleet *cluster.Cluster, log callersLog) {
+	t.Helper()
+	var done int64
+	for key, counts := range log {
+		if key.Pool == "model" {
+			done += counts.Done
+		}
+	}
+	response, err := http.Get("http://" + fleet.Row("model-1").HTTPAddress + "/metrics")
+	qt.Assert(t, err, qt.IsNil)
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	qt.Assert(t, err, qt.IsNil)
+	for _, wanted := range []string{
+		fmt.Sprintf("plantain_attempts_total{outcome=\"done\",pool=\"model\"} %d\n", done),
+		"plantain_gate_open 1\n", "plantain_ready 1\n", "plantain_requests_running 0\n",
+	} {
+		qt.Check(t, strings.Contains(string(raw), wanted), qt.IsTrue, qt.Commentf("lacks %s", wanted))
+	}
+}
--- /dev/null
+++ b/test/verdict/verdict_test.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const listing = `Tests that fail for a real fault.
+plantainrelay/test/e2e TestRed
+    go test ./test/e2e -run TestRed, seed 1: what was seen; issue 5
+plantainrelay/test/e2e TestMany/red
+`
+
+func lines(events ...string) string {
+	var text strings.Builder
+	for _, event := range events {
+		fields := strings.Fields(event)
+		test := ""
+		if len(fields) == 3 {
+			test = fields[2]
+		}
+		text.WriteString(`{"Action":"` + fields[0] + `","Package":"plantainrelay/test/` + fields[1] + `","Test":"` + test + `"}` + "\n")
+	}
+	return text.String()
+}
+
+func TestVerdict(t *testing.T) {
+	for _, sample := range []struct {
+		name   string
+		events []string
+		passes bool
+	}{
+		{"all pass", []string{"run e2e TestA", "pass e2e TestA", "pass e2e"}, true},
+		{"a test fails", []string{"run e2e TestA", "fail e2e TestA", "fail e2e"}, false},
+		{"a known one fails", []string{"run e2e TestRed", "fail e2e TestRed", "fail e2e"}, true},
+		{"a known one and another fail", []string{"run e2e TestRed", "fail e2e TestRed", "run e2e TestA", "fail e2e TestA", "fail e2e"}, false},
+		{"the name is known in another package", []string{"run soak TestRed", "fail soak TestRed", "fail soak"}, false},
+		{"a known subtest fails", []string{"run e2e TestMany", "run e2e TestMany/red", "fail e2e TestMany/red", "fail e2e TestMany", "fail e2e"}, true},
+		{"a known subtest and its sibling fail", []string{"fail e2e TestMany/red", "fail e2e TestMany/green", "fail e2e TestMany", "fail e2e"}, false},
+		{"a package does not build", []string{"fail e2e"}, false},
+		{"a package breaks in a test", []string{"run e2e TestA", "fail e2e"}, false},
+		{"a package breaks beside a known one", []string{"run e2e TestRed", "fail e2e TestRed", "run e2e TestA", "fail e2e"}, false},
+	} {
+		results, err := read(strings.NewReader(lines(sample.events...)))
+		qt.Assert(t, err, qt.IsNil)
+		failed := strings.Contains(strings.Join(sample.events, " "), "fail")
+		err = judge(io.Discard, results, known(listing), failed)
+		qt.Check(t, err == nil, qt.Equals, sample.passes, qt.Commentf("%s: %v", sample.name, err))
+	}
+}
