--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -214,7 +214,7 @@
 	kept := http.Header{}
 	for name, values := range from {
 		switch {
-		case strings.HasPrefix(name, message.HeaderPrefix):
+		case message.Reserved(name):
 		case name == "Connection", name == "Content-Length", name == "Transfer-Encoding", name == "Trailer":
 		default:
 			kept[name] = values
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -191,7 +190,7 @@
 func (e *exchange) attemptHeader() http.Header {
 	header := http.Header{}
 	for name, values := range e.r.Header {
-		if !strings.HasPrefix(name, message.HeaderPrefix) {
+		if !message.Reserved(name) {
 			header[name] = values
 		}
 	}
@@ -325,7 +324,7 @@
 }
 
 func shown(name string) bool {
-	return !hidden[name] && (name == message.HeaderVersion || !strings.HasPrefix(name, message.HeaderPrefix))
+	return !hidden[name] && (name == message.HeaderVersion || !message.Reserved(name))
 }
 
 func (e *exchange) writeHeader(status int, from http.Header) {
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -62,12 +62,6 @@
 	Dir     string
 	Entries []Instance
 	Agents  []Instance
-	// Client reaches the listeners of entries and agents; nil means
-	// http.DefaultClient over plain HTTP.
-	Client *http.Client
-	// Customers replaces the keys of the section customers, in which the
-	// header that names the customer is trusted.
-	Customers string
 	// Network, when set, lies between the availability zones; the platform is
 	// in StoreZone.
 	Network   Network
@@ -75,6 +69,12 @@
 	// Record makes the backend servers record their executions in files, which
 	// outlive them.
 	Record bool
+	// Client reaches the listeners of entries and agents; nil means
+	// http.DefaultClient over plain HTTP.
+	Client *http.Client
+	// Customers replaces the keys of the section customers, in which the
+	// header that names the customer is trusted.
+	Customers string
 }
 
 func (c Config) customers() string {
