--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
+	"strconv"
 
 	"github.com/sirupsen/logrus"
 	"github.com/zeromicro/go-zero/rest"
@@ -10,9 +12,12 @@
 
 	"plantainrelay/internal/failure"
 	"plantainrelay/internal/logging"
+	"plantainrelay/internal/member"
 	"plantainrelay/internal/message"
+	"plantainrelay/internal/propagate"
 	"plantainrelay/internal/table"
 	"plantainrelay/internal/tablesync"
+	"plantainrelay/internal/tabletext"
 )
 
 // API serves the administration API.
@@ -33,6 +38,8 @@
 type Problem struct {
 	Kind    failure.Kind `json:"kind"`
 	Message string       `json:"message"`
+	// Conflict is set when Kind is failure.Conflict and the tables are known.
+	Conflict *Conflict `json:"conflict,omitempty"`
 }
 
 // Accepted is the answer to an accepted edit.
@@ -41,6 +48,20 @@
 	EditID   string `json:"edit_id"`
 }
 
+// TablesStatus tells where a revision is in force and how the entry that
+// answers sees the store and the instances.
+type TablesStatus struct {
+	// Revision is the revision asked for, or else the entry's own.
+	Revision int64 `json:"revision"`
+	// State says whether the entry may serve from its tables.
+	State propagate.CurrencyState `json:"state"`
+	Store tablesync.StoreStatus   `json:"store"`
+	// Members counts the instances by standing.
+	Members map[member.Standing]int `json:"members"`
+	// AvailabilityZones is the result of a survey of all instances.
+	AvailabilityZones map[string]message.SurveyReply `json:"availability_zones"`
+}
+
 // Status is the state of the fleet as this entry knows it.
 type Status struct {
 	Revision int64                         `json:"revision"`
@@ -54,7 +75,12 @@
 	return []rest.Route{
 		{Method: http.MethodGet, Path: "/v1/tables", Handler: a.guard(RoleViewer, a.getTables)},
 		{Method: http.MethodPost, Path: "/v1/tables/validate", Handler: a.guard(RoleViewer, a.validate)},
+		{Method: http.MethodPost, Path: "/v1/tables/diff", Handler: a.guard(RoleViewer, a.diff)},
+		{Method: http.MethodGet, Path: "/v1/tables/history", Handler: a.guard(RoleViewer, a.history)},
+		{Method: http.MethodGet, Path: "/v1/tables/status", Handler: a.guard(RoleViewer, a.tablesStatus)},
 		{Method: http.MethodPut, Path: "/v1/tables", Handler: a.guard(RoleEditor, a.apply)},
+		{Method: http.MethodPost, Path: "/v1/tables/rollback", Handler: a.guard(RoleEditor, a.rollback)},
+		{Method: http.MethodPost, Path: "/v1/tables/recover", Handler: a.guard(RoleEditor, a.recover)},
 		{Method: http.MethodGet, Path: "/v1/status", Handler: a.guard(RoleViewer, a.status)},
 	}
 }
@@ -76,11 +102,20 @@
 		r.Body = http.MaxBytesReader(w, r.Body, maxRequestBytes)
 		err := a.authorize(r, needed, func(operator Operator) error { return next(w, r, operator) })
 		if err != nil {
-			httpx.WriteJson(w, statusByKind[failure.Of(err)], Problem{Kind: failure.Of(err), Message: err.Error()})
+			httpx.WriteJson(w, statusByKind[failure.Of(err)], problemOf(err))
 		}
 	}
 }
 
+func problemOf(err error) Problem {
+	problem := Problem{Kind: failure.Of(err), Message: err.Error()}
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		problem.Conflict = &conflict.Conflict
+	}
+	return problem
+}
+
 func (a *API) authorize(r *http.Request, needed Role, next func(Operator) error) error {
 	operator, found := a.operators.identify(r)
 	if !found {
@@ -114,19 +149,99 @@
 	return nil
 }
 
+func (a *API) diff(w http.ResponseWriter, r *http.Request, _ Operator) error {
+	edit, err := readEdit(r)
+	if err != nil {
+		return err
+	}
+	current := a.sync.Current()
+	if current == nil {
+		current = &table.Snapshot{}
+	}
+	lines := tabletext.Diff(&current.Tables, &edit.Tables)
+	if lines == nil {
+		lines = []string{}
+	}
+	httpx.WriteJson(w, http.StatusOK, Difference{Revision: current.Revision, Lines: lines})
+	return nil
+}
+
+// Difference leads from the tables in force to others.
+type Difference struct {
+	Revision int64    `json:"revision"`
+	Lines    []string `json:"lines"`
+}
+
+func (a *API) history(w http.ResponseWriter, _ *http.Request, _ Operator) error {
+	edits := []table.EditRecord{}
+	if current := a.sync.Current(); current != nil {
+		edits = append(edits, current.Edits...)
+	}
+	httpx.WriteJson(w, http.StatusOK, edits)
+	return nil
+}
+
+func (a *API) tablesStatus(w http.ResponseWriter, r *http.Request, _ Operator) error {
+	revision := a.sync.Revision()
+	if text := r.URL.Query().Get("revision"); text != "" {
+		asked, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return failure.Wrap(err, failure.Invalid, "give a whole number", "the revision cannot be read")
+		}
+		revision = asked
+	}
+	httpx.WriteJson(w, http.StatusOK, TablesStatus{
+		Revision:          revision,
+		State:             a.sync.State(),
+		Store:             a.sync.Store(),
+		Members:           a.sync.Standings(),
+		AvailabilityZones: a.sync.Survey(r.Context(), revision),
+	})
+	return nil
+}
+
 func (a *API) apply(w http.ResponseWriter, r *http.Request, operator Operator) error {
 	edit, err := readEdit(r)
 	if err != nil {
 		return err
 	}
-	snapshot, err := a.editor.Apply(r.Context(), operator.Name, edit)
-	audit := a.log.WithFields(logrus.Fields{"audit": true, "operator": operator.Name, "edit": edit.ID})
+	record, err := a.editor.Apply(r.Context(), operator.Name, edit)
+	return a.finish(w, operator, edit.ID, record, err)
+}
+
+func (a *API) rollback(w http.ResponseWriter, r *http.Request, operator Operator) error {
+	var rollback Rollback
+	if err := readJSON(r, &rollback); err != nil {
+		return err
+	}
+	record, err := a.editor.Rollback(r.Context(), operator.Name, rollback)
+	return a.finish(w, operator, rollback.ID, record, err)
+}
+
+// RecoverRequest asks for the fleet's tables to be written to a store that was
+// restored to an older state.
+type RecoverRequest struct {
+	ID string `json:"edit_id"`
+}
+
+func (a *API) recover(w http.ResponseWriter, r *http.Request, operator Operator) error {
+	var request RecoverRequest
+	if err := readJSON(r, &request); err != nil {
+		return err
+	}
+	record, err := a.editor.Recover(r.Context(), operator.Name, request.ID)
+	return a.finish(w, operator, request.ID, record, err)
+}
+
+// finish writes the audit line of an edit and its answer.
+func (a *API) finish(w http.ResponseWriter, operator Operator, editID string, record *table.EditRecord, err error) error {
+	audit := a.log.WithFields(logrus.Fields{"audit": true, "operator": operator.Name, "edit": editID})
 	if err != nil {
 		audit.WithError(err).Warning("edit not accepted")
 		return err
 	}
-	audit.WithField(logging.FieldRevision, snapshot.Revision).Info("edit accepted")
-	httpx.WriteJson(w, http.StatusOK, Accepted{Revision: snapshot.Revision, EditID: snapshot.EditID})
+	audit.WithFields(logrus.Fields{logging.FieldRevision: record.Revision, "edit": record.EditID}).Info("edit accepted")
+	httpx.WriteJson(w, http.StatusOK, Accepted{Revision: record.Revision, EditID: record.EditID})
 	return nil
 }
 
@@ -137,8 +252,13 @@
 
 func readEdit(r *http.Request) (Edit, error) {
 	var edit Edit
+	err := readJSON(r, &edit)
+	return edit, err
+}
+
+func readJSON(r *http.Request, into any) error {
 	decoder := json.NewDecoder(r.Body)
 	decoder.DisallowUnknownFields()
-	err := decoder.Decode(&edit)
-	return edit, failure.Wrap(err, failure.Invalid, "send the tables as JSON with known fields only", "the edit cannot be read")
+	err := decoder.Decode(into)
+	return failure.Wrap(err, failure.Invalid, "send JSON with the fields of docs/openapi.yaml only", "the request cannot be read")
 }
--- a/internal/admin/editor.go
+++ b/internal/admin/editor.go
@@ -11,6 +11,7 @@
 	"plantainrelay/internal/platform"
 	"plantainrelay/internal/table"
 	"plantainrelay/internal/tablesync"
+	"plantainrelay/internal/tabletext"
 )
 
 const (
@@ -31,88 +32,226 @@
 	table.Tables
 }
 
+// ConflictError is the answer to an edit of another revision than the current
+// one. It wraps an error of the kind failure.Conflict.
+type ConflictError struct {
+	Conflict
+	cause error
+}
+
+// Conflict describes a conflict between an edit and the tables in force.
+type Conflict struct {
+	ExpectedRevision int64 `json:"expected_revision"`
+	CurrentRevision  int64 `json:"current_revision"`
+	// Author is the operator who made the current revision.
+	Author string `json:"author"`
+	// Diff leads from the current tables to those of the edit.
+	Diff []string `json:"diff"`
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the error that carries the kind.
+func (e *ConflictError) Unwrap() error { return e.cause }
+
 // Editor writes the tables to the store and puts them in force.
 type Editor struct {
 	store platform.ObjectStore
 	sync  *tablesync.Sync
+	now   func() time.Time
 }
 
 // NewEditor returns an editor over store that offers accepted tables to sync.
 func NewEditor(store platform.ObjectStore, sync *tablesync.Sync) *Editor {
-	return &Editor{store: store, sync: sync}
+	return &Editor{store: store, sync: sync, now: time.Now}
+}
+
+// stored is a state of the stored object.
+type stored struct {
+	version  int64
+	snapshot *table.Snapshot
 }
 
-// Apply checks an edit, writes it and returns the accepted snapshot. It
-// returns failure.Invalid for tables that break a rule, failure.Conflict when
+// Apply checks an edit, writes it and returns the record of the accepted edit.
+// The same edit may be applied again under its ID, also after other edits. It
+// returns failure.Invalid for tables that break a rule, a ConflictError when
 // another edit came first, failure.NotReachable when the store did not take
 // the edit and failure.Unknown when it cannot be told whether it did.
-func (e *Editor) Apply(ctx context.Context, author string, edit Edit) (*table.Snapshot, error) {
+func (e *Editor) Apply(ctx context.Context, author string, edit Edit) (*table.EditRecord, error) {
 	if err := table.Invalid(table.Validate(&edit.Tables)); err != nil {
 		return nil, err
 	}
+	if err := e.sync.Compared(ctx); err != nil {
+		return nil, err
+	}
+	base, err := e.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if base.snapshot.Revision < e.sync.Revision() {
+		if base, err = e.readAgain(ctx); err != nil {
+			return nil, err
+		}
+	}
+	return e.write(ctx, base, base.snapshot, e.draft(author, edit))
+}
+
+func (e *Editor) draft(author string, edit Edit) table.Draft {
 	if edit.ID == "" {
 		edit.ID = uuid.NewString()
 	}
-	snapshot := &table.Snapshot{EditID: edit.ID, Author: author, Tables: edit.Tables}
-	value, err := json.Marshal(snapshot)
-	if err != nil {
-		return nil, failure.Wrap(err, failure.Internal, "report this", "the tables cannot be encoded")
+	return table.Draft{ID: edit.ID, Author: author, At: e.now().UTC(), Expected: edit.ExpectedRevision, Tables: edit.Tables}
+}
+
+// readAgain follows a read that was older than the held tables: the read was
+// stale, or the store was restored to an older state.
+func (e *Editor) readAgain(ctx context.Context) (stored, error) {
+	for range readBackTries {
+		if err := pause(ctx, readBackPause); err != nil {
+			return stored{}, err
+		}
+		base, err := e.read(ctx)
+		if err != nil {
+			return stored{}, err
+		}
+		if base.snapshot.Revision >= e.sync.Revision() {
+			return base, nil
+		}
 	}
-	if len(value) > maxTablesBytes {
-		return nil, failure.New(failure.Invalid, "remove rows or shorten them", "the tables take %d bytes, more than the store's %d", len(value), maxTablesBytes)
+	return stored{}, failure.New(failure.Refused, "run plantainctl table recover, then repeat the edit",
+		"the store holds older tables than the fleet, which is at revision %d; the store was restored to an older state", e.sync.Revision())
+}
+
+// Recover writes the tables that the fleet holds, as a new revision, to a
+// store that was restored to an older state.
+func (e *Editor) Recover(ctx context.Context, author, editID string) (*table.EditRecord, error) {
+	if err := e.sync.Compared(ctx); err != nil {
+		return nil, err
 	}
-	object, err := e.write(ctx, edit, value)
+	base, err := e.read(ctx)
 	if err != nil {
 		return nil, err
 	}
-	snapshot.Revision = object.Version
-	e.sync.Offer(snapshot)
-	return snapshot, nil
+	held := e.sync.Current()
+	if held == nil || base.snapshot.Revision >= held.Revision {
+		return nil, failure.New(failure.Refused, "nothing has to be recovered", "the store holds revision %d, as new as the fleet", base.snapshot.Revision)
+	}
+	draft := e.draft(author, Edit{ID: editID, ExpectedRevision: held.Revision, Tables: held.Tables})
+	return e.write(ctx, base, held, draft)
 }
 
-func (e *Editor) write(ctx context.Context, edit Edit, value json.RawMessage) (platform.Object, error) {
+// write puts draft on top of parent in place of the stored object.
+func (e *Editor) write(ctx context.Context, base stored, parent *table.Snapshot, draft table.Draft) (*table.EditRecord, error) {
+	next, accepted, err := table.Next(parent, draft)
+	if failure.Is(err, failure.Conflict) {
+		return nil, conflict(err, parent, draft)
+	}
+	if err != nil || accepted != nil {
+		return accepted, err
+	}
+	value, err := encode(next)
+	if err != nil {
+		return nil, err
+	}
+	if err := e.archive(ctx, parent); err != nil {
+		return nil, err
+	}
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	object, err := e.store.Put(call, tablesync.ObjectKind, tablesync.ObjectName, value, edit.ExpectedRevision)
-	if !failure.Is(err, failure.Unknown) && !failure.Is(err, failure.Conflict) {
-		return object, err
+	_, err = e.store.Put(call, tablesync.ObjectKind, tablesync.ObjectName, value, base.version)
+	if failure.Is(err, failure.Unknown) || failure.Is(err, failure.Conflict) {
+		// The answer may belong to an earlier write of this same edit.
+		return e.readBack(ctx, base, draft, err)
+	}
+	if err != nil {
+		return nil, err
+	}
+	e.sync.Offer(next)
+	return &next.Edits[0], nil
+}
+
+func encode(snapshot *table.Snapshot) (json.RawMessage, error) {
+	value, err := json.Marshal(snapshot)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Internal, "report this", "the tables cannot be encoded")
+	}
+	if len(value) > maxTablesBytes {
+		return nil, failure.New(failure.Invalid, "remove rows or shorten them", "the tables take %d bytes, more than the store's %d", len(value), maxTablesBytes)
 	}
-	// The answer may belong to an earlier write of this same edit.
-	return e.readBack(ctx, edit, err)
+	return value, nil
 }
 
-// readBack resolves a write whose answer was lost by comparing the edit IDs.
-func (e *Editor) readBack(ctx context.Context, edit Edit, cause error) (platform.Object, error) {
+func conflict(cause error, current *table.Snapshot, draft table.Draft) error {
+	return &ConflictError{cause: cause, Conflict: Conflict{
+		ExpectedRevision: draft.Expected,
+		CurrentRevision:  current.Revision,
+		Author:           current.Author,
+		Diff:             tabletext.Diff(&current.Tables, &draft.Tables),
+	}}
+}
+
+// readBack resolves a write whose answer was lost: the stored tables name the
+// edits that made them.
+func (e *Editor) readBack(ctx context.Context, base stored, draft table.Draft, cause error) (*table.EditRecord, error) {
 	for range readBackTries {
-		object, stored, err := e.read(ctx)
+		now, err := e.read(ctx)
 		switch {
-		case err == nil && stored.EditID == edit.ID:
-			return object, nil
-		case err == nil && object.Version != edit.ExpectedRevision:
-			return object, failure.New(failure.Conflict, "read the tables again and repeat the edit",
-				"the tables are at revision %d, the edit expected %d", object.Version, edit.ExpectedRevision)
-		case err == nil:
-			return object, failure.New(failure.NotReachable, "send the edit again", "the store did not take the edit")
+		case err != nil || now.version < base.version:
+			// No answer, or one from before this edit was begun.
+		case now.version == base.version && failure.Is(cause, failure.Unknown):
+			// The write may still be under way.
+		case now.version == base.version:
+			// A conflict with a version that is not to be seen yet.
+		default:
+			return e.resolve(now, draft)
 		}
-		select {
-		case <-ctx.Done():
-			return platform.Object{}, cause
-		case <-time.After(readBackPause):
+		if pause(ctx, readBackPause) != nil {
+			break
 		}
 	}
-	return platform.Object{}, cause
+	return nil, failure.Wrap(cause, failure.Unknown, "send the edit again under the edit ID "+draft.ID,
+		"it cannot be told whether the edit was accepted")
+}
+
+// resolve tells what became of draft, now that the object has changed.
+func (e *Editor) resolve(now stored, draft table.Draft) (*table.EditRecord, error) {
+	_, accepted, err := table.Next(now.snapshot, draft)
+	switch {
+	case accepted != nil:
+		return accepted, nil
+	case failure.Is(err, failure.Conflict):
+		return nil, conflict(err, now.snapshot, draft)
+	case err != nil:
+		return nil, err
+	}
+	return nil, failure.New(failure.NotReachable, "send the edit again", "the store did not take the edit")
 }
 
-func (e *Editor) read(ctx context.Context) (platform.Object, *table.Snapshot, error) {
+// read returns the stored tables and puts them in force when they are newer.
+func (e *Editor) read(ctx context.Context) (stored, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	object, err := e.store.Get(ctx, tablesync.ObjectKind, tablesync.ObjectName)
 	if failure.Is(err, failure.NotFound) {
-		return platform.Object{}, &table.Snapshot{}, nil
+		return stored{snapshot: &table.Snapshot{}}, nil
 	}
 	if err != nil {
-		return object, nil, err
+		return stored{}, err
 	}
 	snapshot, err := tablesync.Decode(object)
-	return object, snapshot, err
+	if err != nil {
+		return stored{}, err
+	}
+	e.sync.Offer(snapshot)
+	return stored{version: object.Version, snapshot: snapshot}, nil
+}
+
+func pause(ctx context.Context, wait time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return failure.Wrap(ctx.Err(), failure.NotReachable, "send the request again", "the request was given up")
+	case <-time.After(wait):
+		return nil
+	}
 }
--- /dev/null
+++ b/internal/admin/history.go
@@ -0,0 +1,102 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+
+	"plantainrelay/internal/failure"
+	"plantainrelay/internal/platform"
+	"plantainrelay/internal/table"
+)
+
+const (
+	// historyKind is the kind of the objects that hold replaced revisions.
+	historyKind = "table-history"
+	// historySlots is the number of replaced revisions that are kept.
+	historySlots = 64
+)
+
+func historySlot(revision int64) string {
+	return "slot-" + strconv.FormatInt(revision%historySlots, 10)
+}
+
+// archive keeps a revision that is about to be replaced. It is written before
+// its successor, so that the history has no gaps.
+func (e *Editor) archive(ctx context.Context, snapshot *table.Snapshot) error {
+	if snapshot.Revision == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	object, kept, err := e.slot(ctx, snapshot.Revision)
+	if err != nil {
+		return err
+	}
+	if kept.Revision >= snapshot.Revision && kept.EditID == snapshot.EditID {
+		return nil
+	}
+	value, err := json.Marshal(snapshot)
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, "report this", "the tables cannot be encoded")
+	}
+	_, err = e.store.Put(ctx, historyKind, historySlot(snapshot.Revision), value, object.Version)
+	if failure.Is(err, failure.Conflict) || failure.Is(err, failure.Unknown) {
+		return e.archived(ctx, snapshot, err)
+	}
+	return err
+}
+
+// archived checks a write to the history whose outcome is not known. Another
+// editor may have kept the same revision.
+func (e *Editor) archived(ctx context.Context, snapshot *table.Snapshot, cause error) error {
+	for range readBackTries {
+		_, kept, err := e.slot(ctx, snapshot.Revision)
+		if err == nil && kept.Revision >= snapshot.Revision {
+			return nil
+		}
+		if err := pause(ctx, readBackPause); err != nil {
+			break
+		}
+	}
+	return failure.Wrap(cause, failure.NotReachable, "send the edit again", "the history could not be written; nothing was changed")
+}
+
+func (e *Editor) slot(ctx context.Context, revision int64) (platform.Object, *table.Snapshot, error) {
+	object, err := e.store.Get(ctx, historyKind, historySlot(revision))
+	if failure.Is(err, failure.NotFound) {
+		return platform.Object{}, &table.Snapshot{}, nil
+	}
+	if err != nil {
+		return object, nil, err
+	}
+	kept := &table.Snapshot{}
+	if err := json.Unmarshal(object.Value, kept); err != nil {
+		// A garbled slot holds nothing worth keeping.
+		return object, &table.Snapshot{}, nil
+	}
+	return object, kept, nil
+}
+
+// Rollback asks for the tables of an earlier revision as a new one.
+type Rollback struct {
+	ID               string `json:"edit_id"`
+	ExpectedRevision int64  `json:"expected_revision"`
+	// Revision is the revision to return to.
+	Revision int64 `json:"revision"`
+}
+
+// Rollback puts the tables of an earlier revision in force as a new revision.
+func (e *Editor) Rollback(ctx context.Context, author string, rollback Rollback) (*table.EditRecord, error) {
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, kept, err := e.slot(call, rollback.Revision)
+	if err != nil {
+		return nil, err
+	}
+	if kept.Revision != rollback.Revision || rollback.Revision == 0 {
+		return nil, failure.New(failure.NotFound, "choose one of the last revisions from plantainctl table history",
+			"revision %d is not in the history of the last %d replaced revisions", rollback.Revision, historySlots)
+	}
+	return e.Apply(ctx, author, Edit{ID: rollback.ID, ExpectedRevision: rollback.ExpectedRevision, Tables: kept.Tables})
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"os"
 	"time"
 
@@ -15,6 +16,7 @@
 	"plantainrelay/internal/engine"
 	"plantainrelay/internal/gate"
 	"plantainrelay/internal/logging"
+	"plantainrelay/internal/member"
 	"plantainrelay/internal/membership"
 	"plantainrelay/internal/message"
 	"plantainrelay/internal/peer"
@@ -72,10 +74,14 @@
 	}
 	outside := platform.New(platform.Config{StoreURL: s.StoreURL, OriginURL: s.OriginURL, ListURL: s.ListURL})
 	client := peer.NewClient(p.security)
-	p.members = membership.New(outside, s.ListInterval, log)
+	self := member.Instance{
+		Name: s.Instance, Role: member.RoleAgent, State: member.StateLive, Region: s.Region,
+		AvailabilityZone: s.AvailabilityZone, HTTPAddress: s.HTTPAddress, ControlAddress: s.ControlAddress,
+	}
+	p.members = membership.New(membership.Config{Self: self, Interval: s.ListInterval}, outside, log)
 	p.sync = tablesync.New(tablesync.Config{
-		Self:             s.Instance,
-		AvailabilityZone: s.AvailabilityZone,
+		Self:             self,
+		Incarnation:      rand.Uint64(),
 		ExchangeInterval: s.ExchangeInterval,
 	}, outside, p.members, client, log)
 	var err error
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -88,5 +88,9 @@
 	if err := json.Unmarshal(raw, &answer); err != nil || answer.Kind == "" {
 		return failure.New(failure.Refused, "check --server", "the server answered status %d", status)
 	}
-	return failure.New(answer.Kind, "see above", "%s", answer.Message)
+	cause := failure.New(answer.Kind, "see above", "%s", answer.Message)
+	if answer.Conflict != nil {
+		return &conflictError{conflict: *answer.Conflict, cause: cause}
+	}
+	return cause
 }
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -12,9 +12,6 @@
 
 	"plantainrelay/internal/admin"
 	"plantainrelay/internal/command"
-	"plantainrelay/internal/failure"
-	"plantainrelay/internal/table"
-	"plantainrelay/internal/tabletext"
 )
 
 // options are the flags that all commands share.
@@ -38,94 +35,6 @@
 	return root
 }
 
-func tableCommand(o *options) *cobra.Command {
-	parent := &cobra.Command{Use: "table", Short: "Read, check and edit the tables"}
-	parent.AddCommand(getCommand(o), validateCommand(), applyCommand(o))
-	return parent
-}
-
-func getCommand(o *options) *cobra.Command {
-	return &cobra.Command{
-		Use:     "get",
-		Short:   "Print the tables in force at an entry",
-		Example: "  plantainctl table get > tables.ini",
-		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			var snapshot table.Snapshot
-			if err := o.call(cmd.Context(), "GET", "/v1/tables", nil, &snapshot); err != nil {
-				return err
-			}
-			if o.output == "json" {
-				return printJSON(cmd.OutOrStdout(), snapshot)
-			}
-			fmt.Fprintf(cmd.OutOrStdout(), "# revision %d\n%s", snapshot.Revision, tabletext.Format(&snapshot.Tables))
-			return nil
-		},
-	}
-}
-
-func validateCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:     "validate FILE",
-		Short:   "Check a file of tables without any server",
-		Example: "  plantainctl table validate tables.ini",
-		Args:    cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			tables, err := readTables(args[0])
-			if err != nil {
-				return err
-			}
-			fmt.Fprintf(cmd.OutOrStdout(), "valid: %d routes, %d pools\n", len(tables.Routes), len(tables.Pools))
-			return nil
-		},
-	}
-}
-
-func readTables(path string) (*table.Tables, error) {
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return nil, failure.Wrap(err, failure.Invalid, "name a readable file", "the tables cannot be read")
-	}
-	return tabletext.Parse(raw)
-}
-
-func applyCommand(o *options) *cobra.Command {
-	var expected int64
-	var editID string
-	cmd := &cobra.Command{
-		Use:     "apply FILE",
-		Short:   "Put a file of tables in force",
-		Example: "  plantainctl table apply tables.ini --expected-revision 17",
-		Args:    cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			tables, err := readTables(args[0])
-			if err != nil {
-				return err
-			}
-			edit := admin.Edit{ID: editID, ExpectedRevision: expected, Tables: *tables}
-			if !cmd.Flags().Changed("expected-revision") {
-				var current table.Snapshot
-				if err := o.call(cmd.Context(), "GET", "/v1/tables", nil, &current); err != nil {
-					return err
-				}
-				edit.ExpectedRevision = current.Revision
-			}
-			var accepted admin.Accepted
-			if err := o.call(cmd.Context(), "PUT", "/v1/tables", edit, &accepted); err != nil {
-				return err
-			}
-			if o.output == "json" {
-				return printJSON(cmd.OutOrStdout(), accepted)
-			}
-			fmt.Fprintf(cmd.OutOrStdout(), "accepted as revision %d\n", accepted.Revision)
-			return nil
-		},
-	}
-	cmd.Flags().Int64Var(&expected, "expected-revision", 0, "revision that you edited (default: the entry's current one)")
-	cmd.Flags().StringVar(&editID, "edit-id", "", "identifies the edit, so that it may be sent again")
-	return cmd
-}
-
 func statusCommand(o *options) *cobra.Command {
 	return &cobra.Command{
 		Use:     "status",
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"os"
 	"time"
 
@@ -14,6 +15,7 @@
 	"plantainrelay/internal/daemon"
 	"plantainrelay/internal/gateway"
 	"plantainrelay/internal/logging"
+	"plantainrelay/internal/member"
 	"plantainrelay/internal/membership"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/platform"
@@ -22,10 +24,11 @@
 )
 
 const (
-	watchWait   = 10 * time.Second
-	askInterval = 300 * time.Millisecond
-	retryAfter  = time.Second
-	readyCheck  = 200 * time.Millisecond
+	watchWait      = 10 * time.Second
+	verifyInterval = 10 * time.Second
+	askInterval    = 300 * time.Millisecond
+	retryAfter     = time.Second
+	readyCheck     = 200 * time.Millisecond
 )
 
 // Run runs an entry until it was told to stop and has drained.
@@ -68,14 +71,18 @@
 func newParts(s Settings, log *logrus.Entry) *parts {
 	p := &parts{readiness: daemon.NewReadiness(), security: peer.Security{Key: []byte(s.FleetKey)}}
 	p.store = platform.New(platform.Config{StoreURL: s.StoreURL, OriginURL: s.OriginURL, ListURL: s.ListURL})
-	p.members = membership.New(p.store, s.ListInterval, log)
+	self := member.Instance{
+		Name: s.Instance, Role: member.RoleEntry, State: member.StateLive, Region: s.Region,
+		AvailabilityZone: s.AvailabilityZone, HTTPAddress: s.PublicAddress, ControlAddress: s.ControlAddress,
+	}
+	p.members = membership.New(membership.Config{Self: self, Interval: s.ListInterval}, p.store, log)
 	p.client = peer.NewClient(p.security)
 	p.sync = tablesync.New(tablesync.Config{
-		Self:             s.Instance,
-		AvailabilityZone: s.AvailabilityZone,
-		Watches:          true,
+		Self:             self,
+		Incarnation:      rand.Uint64(),
 		ExchangeInterval: s.ExchangeInterval,
 		WatchWait:        watchWait,
+		VerifyInterval:   verifyInterval,
 	}, p.store, p.members, p.client, log)
 	p.tracker = tracker.New(p.sync.Current, time.Now)
 	p.states = gateway.NewStates(p.members, p.client, s.Instance, s.StateInterval)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -59,9 +59,9 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	snapshot := h.tables.Current()
-	if snapshot == nil {
-		h.refuse(w, http.StatusServiceUnavailable, "no tables are known yet; ask again")
+	snapshot, err := h.tables.Admit(r.Context())
+	if err != nil {
+		h.refuse(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
 	customer := r.Header.Get(message.HeaderCustomer)
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -5,14 +5,11 @@
 import (
 	"plantainrelay/internal/dispatch"
 	"plantainrelay/internal/rollout"
-	"plantainrelay/internal/table"
 	"plantainrelay/internal/weights"
 )
 
 // The net/rpc methods.
 const (
-	MethodExchange = "Tables.Exchange"
-	MethodOffer    = "Tables.Offer"
 	MethodState    = "Agent.State"
 	MethodFate     = "Agent.Fate"
 	MethodAnnounce = "Tracker.Announce"
@@ -60,29 +57,6 @@
 	RefusalDuplicate   Refusal = "duplicate"
 )
 
-// ExchangeArgs tells a peer which revision the caller holds.
-type ExchangeArgs struct {
-	From     string
-	Revision int64
-}
-
-// ExchangeReply holds the peer's revision, and its snapshot when newer.
-type ExchangeReply struct {
-	Revision int64
-	Snapshot *table.Snapshot
-}
-
-// OfferArgs pushes a snapshot to a peer.
-type OfferArgs struct {
-	From     string
-	Snapshot *table.Snapshot
-}
-
-// OfferReply holds the revision that the peer holds afterwards.
-type OfferReply struct {
-	Revision int64
-}
-
 // StateArgs asks an agent for its state.
 type StateArgs struct {
 	From string
--- /dev/null
+++ b/internal/message/survey.go
@@ -0,0 +1,23 @@
+package message
+
+// MethodSurvey asks a process which members of its availability zone hold a
+// revision of the tables.
+const MethodSurvey = "Tables.Survey"
+
+// SurveyArgs names the revision asked for.
+type SurveyArgs struct {
+	Revision int64
+}
+
+// SurveyReply is the result in one availability zone.
+type SurveyReply struct {
+	// Members is the number of instances that the list names there.
+	Members int
+	// Reached is the number of those that hold the revision or a newer one.
+	Reached int
+	// Missing names the others, at most MaxMissing of them.
+	Missing []string
+}
+
+// MaxMissing bounds the names in a SurveyReply.
+const MaxMissing = 20
--- /dev/null
+++ b/internal/propagate/core.go
@@ -0,0 +1,337 @@
+package propagate
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"plantainrelay/internal/member"
+)
+
+const (
+	// randomEvery is the share of exchanges that go to a random instance in
+	// place of a link: one in randomEvery.
+	randomEvery = 4
+	// suspectTime is how long a peer that did not answer is passed over.
+	suspectTime = 5 * time.Second
+	// fetchPatience is how long a fetch may take before another peer is asked
+	// as well.
+	fetchPatience = 300 * time.Millisecond
+	// maxAhead bounds the remembered peers that hold something newer.
+	maxAhead = 8
+	// compareWidth is the number of peers asked at once by a process that has
+	// to compare before it serves.
+	compareWidth = 4
+	// comparePause is the time between two rounds of comparing.
+	comparePause = 250 * time.Millisecond
+	// maxCalls bounds the exchanges in progress.
+	maxCalls = 32
+)
+
+// Digest is what two processes compare.
+type Digest struct {
+	// Revision is the revision of the tables held.
+	Revision int64
+	// Stamp and Hash describe the list held; see member.Directory.
+	Stamp int64
+	Hash  uint64
+}
+
+// Behind reports whether the holder of d lacks something that other has.
+func (d Digest) Behind(other Digest) bool {
+	if other.Revision > d.Revision {
+		return true
+	}
+	return other.Hash != d.Hash && other.Stamp >= d.Stamp
+}
+
+// ActionKind says what the driver has to do.
+type ActionKind int
+
+// The kinds of action.
+const (
+	// Exchange sends the own digest to the peer and returns the peer's.
+	Exchange ActionKind = iota
+	// Fetch gets what the peer holds and this process lacks.
+	Fetch
+)
+
+// Action is one call to a peer. The driver reports its end with Answered,
+// Fetched or Failed.
+type Action struct {
+	Kind ActionKind
+	Peer member.Instance
+	// Epoch is the currency's epoch at the start of the call.
+	Epoch int
+}
+
+// Config holds the settings of a Core.
+type Config struct {
+	Self member.Instance
+	// Interval is the mean time between two exchanges at rest.
+	Interval time.Duration
+	// Seed makes the random choices differ between processes.
+	Seed uint64
+}
+
+// Core decides for one process. Its methods are not safe for concurrent use.
+type Core struct {
+	config   Config
+	random   *rand.Rand
+	topology *Topology
+	links    []member.Instance
+	digest   Digest
+	currency *Currency
+
+	suspects map[string]time.Time
+	relink   bool
+	busy     map[string]bool
+	again    map[string]bool
+	ahead    []aheadPeer
+	fetching string
+	fetchEnd time.Time
+	due      time.Time
+	turn     int
+}
+
+type aheadPeer struct {
+	peer   member.Instance
+	digest Digest
+}
+
+// New returns a core that knows no peers and must compare before it serves.
+func New(config Config, now time.Time) *Core {
+	return &Core{
+		config:   config,
+		random:   rand.New(rand.NewPCG(config.Seed, uint64(len(config.Self.Name)))),
+		topology: NewTopology(nil),
+		currency: NewCurrency(now),
+		suspects: map[string]time.Time{},
+		busy:     map[string]bool{},
+		again:    map[string]bool{},
+		due:      now,
+	}
+}
+
+// Currency tells whether the process may serve from what it holds.
+func (c *Core) Currency() *Currency { return c.currency }
+
+// SetTopology replaces the instances that may be called.
+func (c *Core) SetTopology(topology *Topology) {
+	c.topology = topology
+	c.relink = true
+}
+
+// Digest returns what the process holds.
+func (c *Core) Digest() Digest { return c.digest }
+
+// Holds records what the process holds now, and returns the exchanges that
+// tell its links of a change. from names the peer that it came from, if any.
+func (c *Core) Holds(digest Digest, from string, now time.Time) []Action {
+	changed := digest.Revision > c.digest.Revision || digest.Hash != c.digest.Hash
+	c.digest = digest
+	if !changed {
+		return nil
+	}
+	var actions []Action
+	for _, peer := range c.Links(now) {
+		if peer.Name != from {
+			actions = c.exchange(actions, peer)
+		}
+	}
+	return actions
+}
+
+// Links returns the peers that are told of changes.
+func (c *Core) Links(now time.Time) []member.Instance {
+	for name, since := range c.suspects {
+		if now.Sub(since) >= suspectTime {
+			delete(c.suspects, name)
+			c.relink = true
+		}
+	}
+	if c.relink {
+		c.relink = false
+		c.links = c.topology.Links(c.config.Self, c.suspected)
+	}
+	return c.links
+}
+
+func (c *Core) suspected(name string) bool {
+	_, found := c.suspects[name]
+	return found
+}
+
+// exchange adds an exchange with peer. While one is in progress the next one
+// waits for its end, so that a change in between is told too.
+func (c *Core) exchange(actions []Action, peer member.Instance) []Action {
+	if c.busy[peer.Name] {
+		c.again[peer.Name] = true
+		return actions
+	}
+	if len(c.busy) >= maxCalls {
+		return actions
+	}
+	c.busy[peer.Name] = true
+	return append(actions, Action{Kind: Exchange, Peer: peer, Epoch: c.currency.Epoch()})
+}
+
+// Tick returns the exchanges that are due. The driver calls it often; a long
+// gap between two calls is taken for a pause of the process.
+func (c *Core) Tick(now time.Time) []Action {
+	c.currency.Tick(now)
+	actions := c.fetchElsewhere(now)
+	if now.Before(c.due) {
+		return actions
+	}
+	if c.currency.State() != Current {
+		c.due = now.Add(comparePause)
+		return c.compare(actions, now)
+	}
+	spread := time.Duration(c.random.Int64N(int64(c.config.Interval) + 1))
+	c.due = now.Add(c.config.Interval/2 + spread)
+	peer, found := c.next(now)
+	if !found {
+		return actions
+	}
+	return c.exchange(actions, peer)
+}
+
+// compare asks several peers at once, links and random ones.
+func (c *Core) compare(actions []Action, now time.Time) []Action {
+	for range compareWidth {
+		if peer, found := c.next(now); found {
+			actions = c.exchange(actions, peer)
+		}
+	}
+	return actions
+}
+
+func (c *Core) next(now time.Time) (member.Instance, bool) {
+	c.turn++
+	links := c.Links(now)
+	if len(links) > 0 && c.turn%randomEvery != 0 {
+		return links[c.turn%len(links)], true
+	}
+	return c.anyPeer()
+}
+
+func (c *Core) anyPeer() (member.Instance, bool) {
+	list := c.topology.list
+	if len(list) == 0 {
+		return member.Instance{}, false
+	}
+	start := c.random.IntN(len(list))
+	for i := range list {
+		peer := list[(start+i)%len(list)]
+		if peer.Name != c.config.Self.Name {
+			return peer, true
+		}
+	}
+	return member.Instance{}, false
+}
+
+// Probe returns an exchange with peer.
+func (c *Core) Probe(peer member.Instance) []Action {
+	return c.exchange(nil, peer)
+}
+
+// Heard records the digest of a peer that sent an exchange, and returns a
+// fetch when the peer holds something newer.
+func (c *Core) Heard(peer member.Instance, digest Digest, now time.Time) []Action {
+	if _, found := c.suspects[peer.Name]; found {
+		delete(c.suspects, peer.Name)
+		c.relink = true
+	}
+	if !c.digest.Behind(digest) {
+		return nil
+	}
+	if len(c.ahead) >= maxAhead {
+		c.ahead = c.ahead[1:]
+	}
+	c.ahead = append(c.ahead, aheadPeer{peer: peer, digest: digest})
+	return c.fetch(nil, now)
+}
+
+// Answered records the answer to an exchange. current says that the peer
+// itself has compared.
+func (c *Core) Answered(action Action, digest Digest, current bool, now time.Time) []Action {
+	actions := c.ended(action.Peer)
+	actions = append(actions, c.Heard(action.Peer, digest, now)...)
+	c.currency.Answered(Answer{Peer: action.Peer.Name, Revision: digest.Revision, Current: current, Epoch: action.Epoch}, now)
+	c.currency.Holds(c.digest.Revision)
+	return actions
+}
+
+// Failed records an exchange or a fetch that was not answered.
+func (c *Core) Failed(action Action, now time.Time) []Action {
+	c.suspects[action.Peer.Name] = now
+	c.relink = true
+	if action.Kind == Fetch {
+		return c.fetchEnded(action.Peer.Name, now)
+	}
+	return c.ended(action.Peer)
+}
+
+// ended follows an exchange; a change that came meanwhile is told now.
+func (c *Core) ended(peer member.Instance) []Action {
+	delete(c.busy, peer.Name)
+	if !c.again[peer.Name] {
+		return nil
+	}
+	delete(c.again, peer.Name)
+	return c.exchange(nil, peer)
+}
+
+// Fetched records the end of a fetch; the driver has called Holds before.
+func (c *Core) Fetched(peer member.Instance, now time.Time) []Action {
+	c.currency.Holds(c.digest.Revision)
+	return c.fetchEnded(peer.Name, now)
+}
+
+func (c *Core) fetchEnded(name string, now time.Time) []Action {
+	kept := c.ahead[:0]
+	for _, candidate := range c.ahead {
+		if candidate.peer.Name != name {
+			kept = append(kept, candidate)
+		}
+	}
+	c.ahead = kept
+	if c.fetching == name {
+		c.fetching = ""
+	}
+	return c.fetch(nil, now)
+}
+
+// fetchElsewhere follows a fetch that takes long: another peer that is ahead
+// is asked too.
+func (c *Core) fetchElsewhere(now time.Time) []Action {
+	if c.fetching == "" || now.Before(c.fetchEnd) {
+		return nil
+	}
+	return c.fetchEnded(c.fetching, now)
+}
+
+// fetch starts a fetch from the newest peer that is ahead, one at a time.
+func (c *Core) fetch(actions []Action, now time.Time) []Action {
+	if c.fetching != "" {
+		return actions
+	}
+	kept := c.ahead[:0]
+	best := -1
+	for _, candidate := range c.ahead {
+		if !c.digest.Behind(candidate.digest) {
+			continue
+		}
+		kept = append(kept, candidate)
+		if best < 0 || candidate.digest.Revision > kept[best].digest.Revision {
+			best = len(kept) - 1
+		}
+	}
+	c.ahead = kept
+	if best < 0 {
+		return actions
+	}
+	peer := c.ahead[best].peer
+	c.fetching, c.fetchEnd = peer.Name, now.Add(fetchPatience)
+	return append(actions, Action{Kind: Fetch, Peer: peer})
+}
--- /dev/null
+++ b/internal/propagate/duty.go
@@ -0,0 +1,55 @@
+package propagate
+
+import (
+	"slices"
+	"time"
+
+	"plantainrelay/internal/member"
+)
+
+const (
+	// watchersPerZone entries of each availability zone watch the store.
+	watchersPerZone = 2
+	// readersPerZone members of each availability zone read the platform's
+	// list of instances.
+	readersPerZone = 2
+	// maxReadersPerZone bounds them when the first ones fall silent.
+	maxReadersPerZone = 6
+	// readerSilence is the age of the last known read of the list at which one
+	// more member reads it.
+	readerSilence = 10 * time.Second
+)
+
+// Watches reports whether self is to watch the store. An entry that the list
+// does not name watches, to be able to start.
+func Watches(self member.Instance, list []member.Instance) bool {
+	if self.Role != member.RoleEntry {
+		return false
+	}
+	rank, listed := rankOf("watch", self, list)
+	return !listed || rank < watchersPerZone
+}
+
+// Reads reports whether self is to read the platform's list. sinceRead is the
+// age of the newest read that self knows of, its own or another's. An instance
+// that the list does not name reads it, to be able to start.
+func Reads(self member.Instance, list []member.Instance, sinceRead time.Duration) bool {
+	rank, listed := rankOf("list", self, list)
+	if !listed {
+		return true
+	}
+	extra := int(sinceRead / readerSilence)
+	return rank < min(readersPerZone+extra, maxReadersPerZone)
+}
+
+func rankOf(key string, self member.Instance, list []member.Instance) (int, bool) {
+	var zone []member.Instance
+	for _, instance := range list {
+		if instance.AvailabilityZone == self.AvailabilityZone {
+			zone = append(zone, instance)
+		}
+	}
+	ranked := RankMembers(key, zone)
+	index := slices.IndexFunc(ranked, func(instance member.Instance) bool { return instance.Name == self.Name })
+	return index, index >= 0
+}
--- /dev/null
+++ b/internal/propagate/links.go
@@ -0,0 +1,194 @@
+// Package propagate decides how the tables and the list of instances spread
+// through the fleet: whom a process tells of a change, whom it compares with,
+// from whom it fetches, and when it may serve from what it holds. It does no
+// I/O.
+package propagate
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"plantainrelay/internal/member"
+)
+
+const (
+	// ringsPerZone is the number of random rings through the members of an
+	// availability zone; each member tells its successor in each ring.
+	ringsPerZone = 3
+	// relaysPerZone members of each availability zone keep links to the
+	// relays of all others.
+	relaysPerZone = 4
+)
+
+// ringNames are the keys that order the members of a zone in each ring.
+var ringNames = [ringsPerZone]string{"ring-0", "ring-1", "ring-2"}
+
+// Topology is a list of instances prepared for the choice of links. It does
+// not change and may be shared.
+type Topology struct {
+	list  []member.Instance
+	zones map[string]*zone
+	names []string
+}
+
+// zone is the members of one availability zone.
+type zone struct {
+	members []member.Instance
+	// positions holds the place of each member in each ring.
+	positions [][ringsPerZone]uint64
+	// relays holds all members in the order in which they serve as relays.
+	relays []member.Instance
+}
+
+// NewTopology prepares list, which must not change any more.
+func NewTopology(list []member.Instance) *Topology {
+	t := &Topology{list: list, zones: map[string]*zone{}}
+	for _, instance := range list {
+		members := t.zones[instance.AvailabilityZone]
+		if members == nil {
+			members = &zone{}
+			t.zones[instance.AvailabilityZone] = members
+			t.names = append(t.names, instance.AvailabilityZone)
+		}
+		members.members = append(members.members, instance)
+		members.positions = append(members.positions, ringPositions(instance.Name))
+	}
+	for _, members := range t.zones {
+		members.relays = RankMembers("relay", members.members)
+	}
+	slices.Sort(t.names)
+	return t
+}
+
+func ringPositions(name string) [ringsPerZone]uint64 {
+	var positions [ringsPerZone]uint64
+	for ring, key := range ringNames {
+		positions[ring] = position(key, name)
+	}
+	return positions
+}
+
+// Links returns the peers that self tells of changes: its successors in the
+// rings of its availability zone and, when self is a relay of the zone, one
+// relay in every other zone. Peers for which avoid is true are passed over as
+// long as another one can take their place. The result is the same in every
+// process that holds the same list and avoids the same peers.
+func (t *Topology) Links(self member.Instance, avoid func(name string) bool) []member.Instance {
+	links := &linkSet{self: self.Name, seen: map[string]bool{}}
+	own := t.zones[self.AvailabilityZone]
+	if own == nil {
+		return nil
+	}
+	for ring, start := range ringPositions(self.Name) {
+		links.add(own.successor(ring, start, self.Name, avoid))
+	}
+	relays := own.firstRelays(avoid)
+	index := slices.IndexFunc(relays, func(relay member.Instance) bool { return relay.Name == self.Name })
+	if index < 0 {
+		return links.peers
+	}
+	for _, name := range t.names {
+		if name == self.AvailabilityZone {
+			continue
+		}
+		others := t.zones[name].firstRelays(avoid)
+		links.add(others[index%len(others)], true)
+	}
+	return links.peers
+}
+
+type linkSet struct {
+	self  string
+	seen  map[string]bool
+	peers []member.Instance
+}
+
+func (l *linkSet) add(peer member.Instance, found bool) {
+	if !found || peer.Name == l.self || l.seen[peer.Name] {
+		return
+	}
+	l.seen[peer.Name] = true
+	l.peers = append(l.peers, peer)
+}
+
+// successor returns the member that follows start in the given ring.
+func (z *zone) successor(ring int, start uint64, name string, avoid func(string) bool) (member.Instance, bool) {
+	best, bestDistance := -1, uint64(0)
+	for i, instance := range z.members {
+		distance := z.positions[i][ring] - start
+		if best >= 0 && distance >= bestDistance {
+			continue
+		}
+		if instance.Name == name || avoid(instance.Name) {
+			continue
+		}
+		best, bestDistance = i, distance
+	}
+	if best < 0 {
+		return member.Instance{}, false
+	}
+	return z.members[best], true
+}
+
+// firstRelays returns the members that keep links to other zones: entries
+// before agents, avoided ones only for want of others.
+func (z *zone) firstRelays(avoid func(string) bool) []member.Instance {
+	chosen := make([]member.Instance, 0, relaysPerZone)
+	for _, avoided := range []bool{false, true} {
+		for _, instance := range z.relays {
+			if len(chosen) == relaysPerZone {
+				return chosen
+			}
+			if avoid(instance.Name) == avoided {
+				chosen = append(chosen, instance)
+			}
+		}
+	}
+	return chosen
+}
+
+func position(key, name string) uint64 {
+	return xxhash.Sum64String(key + "\x00" + name)
+}
+
+// RankMembers orders members for key by rendezvous hashing, live entries
+// before all others.
+func RankMembers(key string, members []member.Instance) []member.Instance {
+	type scored struct {
+		instance member.Instance
+		class    int
+		score    uint64
+	}
+	all := make([]scored, len(members))
+	for i, instance := range members {
+		all[i] = scored{instance: instance, class: class(instance), score: position(key, instance.Name)}
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		switch {
+		case a.class != b.class:
+			return a.class - b.class
+		case a.score > b.score:
+			return -1
+		case a.score < b.score:
+			return 1
+		}
+		return strings.Compare(a.instance.Name, b.instance.Name)
+	})
+	ranked := make([]member.Instance, len(all))
+	for i, entry := range all {
+		ranked[i] = entry.instance
+	}
+	return ranked
+}
+
+func class(instance member.Instance) int {
+	switch {
+	case instance.State != member.StateLive:
+		return 2
+	case instance.Role != member.RoleEntry:
+		return 1
+	}
+	return 0
+}
--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -41,8 +41,8 @@
 		StoreURL:         r.URL("platform", "store_url"),
 		OriginURL:        r.URL("platform", "origin_url"),
 		ListURL:          r.URL("platform", "list_url"),
-		ExchangeInterval: r.Duration("control", "exchange_interval", 500*time.Millisecond, 50*time.Millisecond, time.Minute),
-		ListInterval:     r.Duration("control", "list_interval", time.Second, 100*time.Millisecond, time.Minute),
+		ExchangeInterval: r.Duration("control", "exchange_interval", 2*time.Second, 50*time.Millisecond, time.Minute),
+		ListInterval:     r.Duration("control", "list_interval", 2*time.Second, 100*time.Millisecond, time.Minute),
 		LeaveDelay:       r.Duration("shutdown", "leave_delay", 5*time.Second, 0, time.Minute),
 		DrainLimit:       r.Duration("shutdown", "drain_limit", 10*time.Minute, time.Second, 24*time.Hour),
 	}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -92,13 +92,15 @@
 
 // Snapshot is one accepted state of the tables. It is immutable once shared.
 type Snapshot struct {
-	// Revision is the version of the object that holds the tables. It grows
-	// with every accepted edit.
+	// Revision counts the accepted edits. It stands inside the stored object,
+	// so that it goes on to grow when the store was restored to an older state.
 	Revision int64 `json:"revision"`
 	// EditID identifies the edit that made this revision.
 	EditID string `json:"edit_id"`
 	// Author is the operator who made the edit.
 	Author string `json:"author"`
+	// Edits are the last accepted edits, newest first, this one included.
+	Edits []EditRecord `json:"edits,omitempty"`
 	Tables
 }
 
@@ -163,32 +165,3 @@
 	}
 	return true
 }
-
-// Holder keeps the newest snapshot that one process knows. Its methods are not
-// safe for concurrent use.
-type Holder struct {
-	current *Snapshot
-}
-
-// Current returns the newest snapshot, or nil when none is known.
-func (h *Holder) Current() *Snapshot {
-	return h.current
-}
-
-// Revision returns the newest revision, or 0 when none is known.
-func (h *Holder) Revision() int64 {
-	if h.current == nil {
-		return 0
-	}
-	return h.current.Revision
-}
-
-// Offer applies snapshot when its revision is higher than the current one, and
-// reports whether it did. A lower or equal revision never replaces a held one.
-func (h *Holder) Offer(snapshot *Snapshot) bool {
-	if snapshot == nil || snapshot.Revision <= h.Revision() {
-		return false
-	}
-	h.current = snapshot
-	return true
-}
--- /dev/null
+++ b/internal/tablesync/spread.go
@@ -0,0 +1,158 @@
+package tablesync
+
+import (
+	"context"
+	"time"
+
+	"plantainrelay/internal/failure"
+	"plantainrelay/internal/member"
+	"plantainrelay/internal/message"
+	"plantainrelay/internal/propagate"
+)
+
+// run starts the calls that the core decided on. The core bounds how many
+// there are at once.
+func (s *Sync) run(actions []propagate.Action) {
+	for _, action := range actions {
+		go s.perform(action)
+	}
+}
+
+func (s *Sync) perform(action propagate.Action) {
+	timeout := exchangeTimeout
+	if action.Kind == propagate.Fetch {
+		timeout = fetchTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	var err error
+	if action.Kind == propagate.Fetch {
+		err = s.fetch(ctx, action)
+	} else {
+		err = s.exchange(ctx, action)
+	}
+	if err == nil {
+		return
+	}
+	s.log.WithError(err).WithField("peer", action.Peer.Name).Debug("peer does not answer")
+	s.members.Failed(action.Peer.Name)
+	s.mu.Lock()
+	actions := s.core.Failed(action, time.Now())
+	s.mu.Unlock()
+	s.run(actions)
+}
+
+func (s *Sync) exchange(ctx context.Context, action propagate.Action) error {
+	args := s.summary()
+	var reply message.Summary
+	if err := s.client.Call(ctx, action.Peer.ControlAddress, message.MethodExchange, args, &reply); err != nil {
+		return err
+	}
+	if reply.From != action.Peer.Name {
+		return failure.New(failure.NotReachable, "wait for the list of instances", "%s answers at the address of %s", reply.From, action.Peer.Name)
+	}
+	s.members.Answered(reply.From, reply.Incarnation)
+	s.learnRead(reply)
+	now := time.Now()
+	s.mu.Lock()
+	actions := s.core.Answered(action, digestOf(reply), reply.Current, now)
+	s.noteState(now)
+	s.mu.Unlock()
+	s.run(actions)
+	return nil
+}
+
+func (s *Sync) fetch(ctx context.Context, action propagate.Action) error {
+	args := message.FetchArgs{From: s.config.Self.Name, Revision: s.Revision(), Stamps: s.members.Stamps()}
+	var reply message.FetchReply
+	if err := s.client.Call(ctx, action.Peer.ControlAddress, message.MethodFetch, args, &reply); err != nil {
+		return err
+	}
+	s.members.Merge(reply.Parts)
+	s.offerFrom(reply.Snapshot, action.Peer.Name)
+	now := time.Now()
+	s.mu.Lock()
+	actions := s.core.Fetched(action.Peer, now)
+	s.noteState(now)
+	s.mu.Unlock()
+	s.run(actions)
+	return nil
+}
+
+// summary describes this process to a peer.
+func (s *Sync) summary() message.Summary {
+	s.mu.Lock()
+	digest := s.digest()
+	current := s.core.Currency().State() == propagate.Current
+	s.mu.Unlock()
+	summary := message.Summary{
+		From:        s.config.Self.Name,
+		Incarnation: s.config.Incarnation,
+		Revision:    digest.Revision,
+		Stamp:       digest.Stamp,
+		Hash:        digest.Hash,
+		Current:     current,
+	}
+	if last := s.members.LastRead(); !last.IsZero() {
+		summary.ReadAge = 1 + time.Since(last).Milliseconds()
+	}
+	return summary
+}
+
+func (s *Sync) learnRead(summary message.Summary) {
+	if summary.ReadAge > 0 {
+		s.members.LearnRead(time.Now().Add(-time.Duration(summary.ReadAge-1) * time.Millisecond))
+	}
+}
+
+func digestOf(summary message.Summary) propagate.Digest {
+	return propagate.Digest{Revision: summary.Revision, Stamp: summary.Stamp, Hash: summary.Hash}
+}
+
+// heard takes in the summary of a peer that called.
+func (s *Sync) heard(summary message.Summary) {
+	peer, listed := s.members.Current().Find(summary.From)
+	if !listed {
+		s.members.Answered(summary.From, summary.Incarnation)
+		return
+	}
+	s.learnRead(summary)
+	s.mu.Lock()
+	actions := s.core.Heard(peer, digestOf(summary), time.Now())
+	s.mu.Unlock()
+	s.run(actions)
+}
+
+// Service is the net/rpc service "Tables" over a Sync.
+type Service struct {
+	sync *Sync
+}
+
+// NewService returns the service over s.
+func NewService(s *Sync) *Service {
+	return &Service{sync: s}
+}
+
+// Exchange takes in what a peer holds and returns what this process holds.
+func (v *Service) Exchange(args message.Summary, reply *message.Summary) error {
+	v.sync.heard(args)
+	// A process that was paused must not vouch for its tables.
+	v.sync.State()
+	*reply = v.sync.summary()
+	return nil
+}
+
+// Fetch returns what the caller lacks.
+func (v *Service) Fetch(args message.FetchArgs, reply *message.FetchReply) error {
+	snapshot := v.sync.Current()
+	if snapshot != nil && snapshot.Revision > args.Revision {
+		reply.Snapshot = snapshot
+	}
+	reply.Parts = v.sync.members.Newer(args.Stamps)
+	return nil
+}
+
+// Standings counts the instances by standing.
+func (s *Sync) Standings() map[member.Standing]int {
+	return s.members.Standings()
+}
--- /dev/null
+++ b/internal/tablesync/survey.go
@@ -0,0 +1,122 @@
+package tablesync
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"plantainrelay/internal/member"
+	"plantainrelay/internal/message"
+	"plantainrelay/internal/propagate"
+)
+
+const (
+	surveyCallTimeout = time.Second
+	surveyTimeout     = 4 * time.Second
+	surveysAtOnce     = 32
+	// surveyors is the number of members of a zone that are tried in turn.
+	surveyors = 3
+)
+
+// Survey returns, by availability zone, which instances hold revision. One
+// member of each zone asks the others there.
+func (s *Sync) Survey(ctx context.Context, revision int64) map[string]message.SurveyReply {
+	zones := map[string][]member.Instance{}
+	for _, instance := range s.members.Current().Instances {
+		zones[instance.AvailabilityZone] = append(zones[instance.AvailabilityZone], instance)
+	}
+	results := map[string]message.SurveyReply{}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for zone, instances := range zones {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			reply := s.surveyZone(ctx, zone, instances, revision)
+			mu.Lock()
+			results[zone] = reply
+			mu.Unlock()
+		}()
+	}
+	group.Wait()
+	return results
+}
+
+func (s *Sync) surveyZone(ctx context.Context, zone string, instances []member.Instance, revision int64) message.SurveyReply {
+	if zone == s.config.Self.AvailabilityZone {
+		return s.surveyOwn(ctx, revision)
+	}
+	ranked := propagate.RankMembers("survey", instances)
+	for _, instance := range ranked[:min(surveyors, len(ranked))] {
+		call, cancel := context.WithTimeout(ctx, surveyTimeout)
+		var reply message.SurveyReply
+		err := s.client.Call(call, instance.ControlAddress, message.MethodSurvey, message.SurveyArgs{Revision: revision}, &reply)
+		cancel()
+		if err == nil && reply.Members > 0 {
+			return reply
+		}
+	}
+	return summarize(instances, map[string]bool{})
+}
+
+// surveyOwn asks the members of the own availability zone.
+func (s *Sync) surveyOwn(ctx context.Context, revision int64) message.SurveyReply {
+	var zone []member.Instance
+	for _, instance := range s.members.Current().Instances {
+		if instance.AvailabilityZone == s.config.Self.AvailabilityZone {
+			zone = append(zone, instance)
+		}
+	}
+	holds := map[string]bool{}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	slots := make(chan struct{}, surveysAtOnce)
+	for _, instance := range zone {
+		slots <- struct{}{}
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			defer func() { <-slots }()
+			held := s.holds(ctx, instance, revision)
+			mu.Lock()
+			holds[instance.Name] = held
+			mu.Unlock()
+		}()
+	}
+	group.Wait()
+	return summarize(zone, holds)
+}
+
+func (s *Sync) holds(ctx context.Context, instance member.Instance, revision int64) bool {
+	if instance.Name == s.config.Self.Name {
+		return s.Revision() >= revision
+	}
+	ctx, cancel := context.WithTimeout(ctx, surveyCallTimeout)
+	defer cancel()
+	var reply message.Summary
+	err := s.client.Call(ctx, instance.ControlAddress, message.MethodExchange, s.summary(), &reply)
+	return err == nil && reply.From == instance.Name && reply.Revision >= revision
+}
+
+func summarize(instances []member.Instance, holds map[string]bool) message.SurveyReply {
+	reply := message.SurveyReply{Members: len(instances)}
+	for _, instance := range instances {
+		if holds[instance.Name] {
+			reply.Reached++
+			continue
+		}
+		reply.Missing = append(reply.Missing, instance.Name)
+	}
+	slices.Sort(reply.Missing)
+	reply.Missing = reply.Missing[:min(len(reply.Missing), message.MaxMissing)]
+	return reply
+}
+
+// Survey tells which members of this process's zone hold a revision.
+func (v *Service) Survey(args message.SurveyArgs, reply *message.SurveyReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), surveyTimeout)
+	defer cancel()
+	*reply = v.sync.surveyOwn(ctx, args.Revision)
+	return nil
+}
--- a/internal/tablesync/sync.go
+++ b/internal/tablesync/sync.go
@@ -1,10 +1,10 @@
 // Package tablesync keeps the newest tables in a process: it watches the
-// store, exchanges revisions with peers and pushes changes to them.
+// store, compares with peers and tells them of changes. What to do is decided
+// in package propagate; this package does it.
 package tablesync
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -16,36 +16,38 @@
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/member"
 	"plantainrelay/internal/membership"
-	"plantainrelay/internal/message"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/platform"
+	"plantainrelay/internal/propagate"
 	"plantainrelay/internal/table"
 )
 
-// The object that holds the tables.
 const (
-	ObjectKind = "config"
-	ObjectName = "tables"
-)
+	exchangeTimeout = 700 * time.Millisecond
+	fetchTimeout    = 5 * time.Second
+	storeTimeout    = 2 * time.Second
 
-const (
-	callTimeout     = 2 * time.Second
-	watchMargin     = 3 * time.Second
-	watchRetry      = 500 * time.Millisecond
-	watchersPerZone = 2
-	pushesAtOnce    = 16
+	tickInterval = 100 * time.Millisecond
+	// admitTick is the age of the last tick up to which requests are admitted
+	// without a further look.
+	admitTick = 500 * time.Millisecond
+	// holdLimit bounds how long a request waits for the comparison.
+	holdLimit = 5 * time.Second
+	holdPause = 20 * time.Millisecond
 )
 
 // Config holds the settings of the synchronisation.
 type Config struct {
-	Self             string
-	AvailabilityZone string
-	// Watches says that this process may watch the store.
-	Watches bool
-	// ExchangeInterval is the time between two revision exchanges.
+	Self member.Instance
+	// Incarnation differs between two runs of the same instance.
+	Incarnation uint64
+	// ExchangeInterval is the mean time between two exchanges at rest.
 	ExchangeInterval time.Duration
 	// WatchWait is how long one watch call waits.
 	WatchWait time.Duration
+	// VerifyInterval is the time between two reads of the stored tables by a
+	// process that watches the store.
+	VerifyInterval time.Duration
 }
 
 // Sync holds the newest tables. It is safe for concurrent use.
@@ -55,16 +57,25 @@
 	members *membership.View
 	client  *peer.Client
 	log     *logrus.Entry
+	started time.Time
 
-	mu      sync.Mutex
-	holder  table.Holder
 	current atomic.Pointer[table.Snapshot]
-	subs    []chan struct{}
+	// serving and lastTick let requests pass without a lock.
+	serving  atomic.Bool
+	lastTick atomic.Int64
+
+	mu     sync.Mutex
+	holder table.Holder
+	core   *propagate.Core
+	subs   []chan struct{}
+	watch  watchState
 }
 
 // New returns a synchronisation that holds no tables yet.
 func New(config Config, store platform.ObjectStore, members *membership.View, client *peer.Client, log *logrus.Entry) *Sync {
-	return &Sync{config: config, store: store, members: members, client: client, log: log}
+	now := time.Now()
+	core := propagate.New(propagate.Config{Self: config.Self, Interval: config.ExchangeInterval, Seed: rand.Uint64()}, now)
+	return &Sync{config: config, store: store, members: members, client: client, log: log, started: now, core: core}
 }
 
 // Current returns the newest snapshot, or nil. It never goes back to an older
@@ -81,6 +92,69 @@
 	return 0
 }
 
+// Admit returns the snapshot that a new request is to be served from. After a
+// start or a pause of this process it waits until the tables were compared
+// with those of peers, and returns failure.NotReachable when that takes too
+// long or no tables are known.
+func (s *Sync) Admit(ctx context.Context) (*table.Snapshot, error) {
+	if err := s.Compared(ctx); err != nil {
+		return nil, err
+	}
+	snapshot := s.Current()
+	if snapshot == nil {
+		return nil, failure.New(failure.NotReachable, "ask again", "no tables are known yet")
+	}
+	return snapshot, nil
+}
+
+// Compared waits until the tables held were compared with those of peers.
+func (s *Sync) Compared(ctx context.Context) error {
+	if s.serving.Load() && time.Since(s.started)-time.Duration(s.lastTick.Load()) < admitTick {
+		return nil
+	}
+	limit := time.After(holdLimit)
+	for {
+		if s.State() != propagate.Comparing {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return failure.Wrap(ctx.Err(), failure.NotReachable, "ask again", "the tables are being compared with peers")
+		case <-limit:
+			return failure.New(failure.NotReachable, "ask again", "the tables are being compared with peers")
+		case <-time.After(holdPause):
+		}
+	}
+}
+
+// State tells whether this process may serve from the tables it holds.
+func (s *Sync) State() propagate.CurrencyState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if s.core.Currency().Paused(now) {
+		s.tick(now)
+	}
+	return s.core.Currency().State()
+}
+
+// tick runs the core's clock. The caller holds mu.
+func (s *Sync) tick(now time.Time) []propagate.Action {
+	before := s.core.Currency().Epoch()
+	actions := s.core.Tick(now)
+	if s.core.Currency().Epoch() != before {
+		s.log.Warning("this process did not run for a while; new requests wait until the tables were compared with peers")
+	}
+	s.noteState(now)
+	return actions
+}
+
+// noteState publishes the state for requests. The caller holds mu.
+func (s *Sync) noteState(now time.Time) {
+	s.serving.Store(s.core.Currency().State() != propagate.Comparing)
+	s.lastTick.Store(int64(now.Sub(s.started)))
+}
+
 // Subscribe returns a channel that receives a value after each change.
 // Changes in quick succession may be merged.
 func (s *Sync) Subscribe() <-chan struct{} {
@@ -91,22 +165,43 @@
 	return changed
 }
 
-// Offer applies a newer snapshot and passes it on. It reports whether the
+// Offer applies a newer snapshot and tells peers of it. It reports whether the
 // snapshot was newer.
 func (s *Sync) Offer(snapshot *table.Snapshot) bool {
+	return s.offerFrom(snapshot, "")
+}
+
+func (s *Sync) offerFrom(snapshot *table.Snapshot, from string) bool {
+	now := time.Now()
 	s.mu.Lock()
-	applied := s.holder.Offer(snapshot)
-	if applied {
+	offering := s.holder.Offer(snapshot)
+	if offering == table.Applied {
 		s.current.Store(snapshot)
 		for _, changed := range s.subs {
 			notify(changed)
 		}
 	}
+	actions := s.core.Holds(s.digest(), from, now)
 	s.mu.Unlock()
-	if applied {
+	s.run(actions)
+	s.report(offering, snapshot)
+	return offering == table.Applied
+}
+
+func (s *Sync) report(offering table.Offering, snapshot *table.Snapshot) {
+	switch offering {
+	case table.Applied:
 		s.log.WithField(logging.FieldRevision, snapshot.Revision).Info("tables in force")
+	case table.Forked:
+		s.log.WithFields(logrus.Fields{logging.FieldRevision: snapshot.Revision, "edit": snapshot.EditID}).
+			Error("another edit has made the same revision; the held one stays, see docs/operators/tables.md on a restored store")
 	}
-	return applied
+}
+
+// digest describes what this process holds. The caller holds mu.
+func (s *Sync) digest() propagate.Digest {
+	stamp, hash := s.members.Digest()
+	return propagate.Digest{Revision: s.holder.Revision(), Stamp: stamp, Hash: hash}
 }
 
 func notify(changed chan struct{}) {
@@ -118,150 +213,41 @@
 
 // Run keeps the tables new until ctx ends.
 func (s *Sync) Run(ctx context.Context) {
-	if s.config.Watches {
-		go s.watch(ctx)
-		go s.push(ctx)
-	}
-	s.exchange(ctx)
-}
-
-// Decode returns the snapshot that the store's object holds.
-func Decode(object platform.Object) (*table.Snapshot, error) {
-	snapshot := &table.Snapshot{}
-	if err := json.Unmarshal(object.Value, snapshot); err != nil {
-		return nil, failure.Wrap(err, failure.Invalid, "write the tables again", "the tables in the store are garbled")
+	if s.config.Self.Role == member.RoleEntry {
+		go s.watchStore(ctx)
+		go s.verifyStore(ctx)
 	}
-	snapshot.Revision = object.Version
-	return snapshot, nil
-}
-
-func (s *Sync) watch(ctx context.Context) {
-	for ctx.Err() == nil {
-		if !s.responsible() {
-			pause(ctx, watchRetry)
-			continue
-		}
-		if err := s.watchOnce(ctx); err != nil {
-			s.log.WithError(err).Warning("the store cannot be watched; peers still pass on changes")
-			pause(ctx, watchRetry)
-		}
-	}
-}
-
-// responsible reports whether this process is one of the watchers of its
-// availability zone. Without a list it watches, to be able to start.
-func (s *Sync) responsible() bool {
-	var names []string
-	for _, instance := range s.members.Current().Role(member.RoleEntry) {
-		if instance.AvailabilityZone == s.config.AvailabilityZone && instance.State == member.StateLive {
-			names = append(names, instance.Name)
-		}
-	}
-	ranked := member.Rank("watch", names)
-	if len(ranked) <= watchersPerZone {
-		return true
-	}
-	for _, name := range ranked[:watchersPerZone] {
-		if name == s.config.Self {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *Sync) watchOnce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, s.config.WatchWait+watchMargin)
-	defer cancel()
-	objects, err := s.store.Watch(ctx, ObjectKind, s.Revision(), s.config.WatchWait)
-	if err != nil {
-		return err
-	}
-	for _, object := range objects {
-		if object.Name != ObjectName {
-			continue
-		}
-		snapshot, err := Decode(object)
-		if err != nil {
-			return err
-		}
-		s.Offer(snapshot)
-	}
-	return nil
-}
-
-// push offers each change to all other entries.
-func (s *Sync) push(ctx context.Context) {
-	changed := s.Subscribe()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-changed:
-			s.pushOnce(ctx)
-		}
-	}
-}
-
-func (s *Sync) pushOnce(ctx context.Context) {
-	args := message.OfferArgs{From: s.config.Self, Snapshot: s.Current()}
-	slots := make(chan struct{}, pushesAtOnce)
-	var group sync.WaitGroup
-	for _, instance := range s.members.Current().Role(member.RoleEntry) {
-		if instance.Name == s.config.Self {
-			continue
-		}
-		slots <- struct{}{}
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			defer func() { <-slots }()
-			call, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			_ = s.client.Call(call, instance.ControlAddress, message.MethodOffer, args, &message.OfferReply{})
-		}()
-	}
-	group.Wait()
-}
-
-func (s *Sync) exchange(ctx context.Context) {
-	for ctx.Err() == nil {
-		if instance, found := s.randomPeer(); found {
-			s.exchangeWith(ctx, instance)
+		case <-s.members.Changed():
+			s.membersChanged()
+		case <-ticker.C:
+			s.step(time.Now())
 		}
-		pause(ctx, s.config.ExchangeInterval)
 	}
 }
 
-func (s *Sync) randomPeer() (member.Instance, bool) {
-	var others []member.Instance
-	for _, instance := range s.members.Current().Instances {
-		if instance.Name != s.config.Self {
-			others = append(others, instance)
-		}
-	}
-	if len(others) == 0 {
-		return member.Instance{}, false
+func (s *Sync) step(now time.Time) {
+	s.mu.Lock()
+	actions := s.tick(now)
+	for _, instance := range s.members.Probes() {
+		actions = append(actions, s.core.Probe(instance)...)
 	}
-	return others[rand.IntN(len(others))], true
+	s.mu.Unlock()
+	s.run(actions)
 }
 
-func (s *Sync) exchangeWith(ctx context.Context, instance member.Instance) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	args := message.ExchangeArgs{From: s.config.Self, Revision: s.Revision()}
-	var reply message.ExchangeReply
-	if err := s.client.Call(ctx, instance.ControlAddress, message.MethodExchange, args, &reply); err != nil {
-		s.log.WithError(err).WithField("peer", instance.Name).Debug("revision exchange failed")
-		return
-	}
-	if reply.Snapshot != nil {
-		s.Offer(reply.Snapshot)
-		return
-	}
-	if reply.Revision < s.Revision() {
-		offer := message.OfferArgs{From: s.config.Self, Snapshot: s.Current()}
-		_ = s.client.Call(ctx, instance.ControlAddress, message.MethodOffer, offer, &message.OfferReply{})
-	}
+func (s *Sync) membersChanged() {
+	topology := propagate.NewTopology(s.members.Current().Instances)
+	s.mu.Lock()
+	s.core.SetTopology(topology)
+	actions := s.core.Holds(s.digest(), "", time.Now())
+	s.mu.Unlock()
+	s.run(actions)
 }
 
 func pause(ctx context.Context, wait time.Duration) {
@@ -270,33 +256,3 @@
 	case <-time.After(wait):
 	}
 }
-
-// Service is the net/rpc service "Tables" over a Sync.
-type Service struct {
-	sync *Sync
-}
-
-// NewService returns the service over s.
-func NewService(s *Sync) *Service {
-	return &Service{sync: s}
-}
-
-// Exchange returns this process's revision, and its snapshot when newer.
-func (v *Service) Exchange(args message.ExchangeArgs, reply *message.ExchangeReply) error {
-	snapshot := v.sync.Current()
-	if snapshot == nil {
-		return nil
-	}
-	reply.Revision = snapshot.Revision
-	if snapshot.Revision > args.Revision {
-		reply.Snapshot = snapshot
-	}
-	return nil
-}
-
-// Offer applies the snapshot when it is newer.
-func (v *Service) Offer(args message.OfferArgs, reply *message.OfferReply) error {
-	v.sync.Offer(args.Snapshot)
-	reply.Revision = v.sync.Revision()
-	return nil
-}
--- a/test/imports/imports_test.go
+++ b/test/imports/imports_test.go
@@ -16,7 +16,7 @@
 // decisionPackages take events and a passed-in time and return actions.
 var decisionPackages = []string{
 	"admission", "balance", "burn", "dispatch", "member", "ownership",
-	"rollout", "swarm", "table", "usage", "weights",
+	"propagate", "rollout", "swarm", "table", "usage", "weights",
 }
 
 // modulePrefix starts the import path of this module's packages.
--- /dev/null
+++ b/test/propagation/fleet_test.go
@@ -0,0 +1,138 @@
+package propagation
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/internal/propagate"
+)
+
+// target is the size that decides the design.
+func target(seed uint64) Config {
+	return Config{Entries: 330, Agents: 1600, Zones: 8, Regions: 3, Interval: 2 * time.Second, Loss: 0.01, Seed: seed}
+}
+
+// spread accepts edits and returns how long each node took to have each.
+func spread(f *Fleet, edits int) []time.Duration {
+	var took []time.Duration
+	for i := range edits {
+		accepted := f.Now()
+		revision := f.Accept(f.Nodes[(i*37)%f.config.Entries])
+		f.RunUntil(30*time.Second, func() bool { return f.Everywhere(revision) })
+		for _, node := range f.Nodes {
+			if node.Revision < revision {
+				took = append(took, time.Hour)
+				continue
+			}
+			took = append(took, node.Applied.Sub(accepted))
+		}
+		f.Run(500 * time.Millisecond)
+	}
+	slices.Sort(took)
+	return took
+}
+
+func percentile(sorted []time.Duration, share float64) time.Duration {
+	return sorted[int(share*float64(len(sorted)-1))]
+}
+
+func TestAcceptedEditIsInForceWithinTheBound(t *testing.T) {
+	f := New(target(1))
+	f.Run(5 * time.Second)
+	took := spread(f, 10)
+	t.Logf("p50 %v p99 %v max %v", percentile(took, 0.5), percentile(took, 0.99), took[len(took)-1])
+	qt.Check(t, percentile(took, 0.99) <= 2*time.Second, qt.IsTrue, qt.Commentf("p99 %v", percentile(took, 0.99)))
+	qt.Check(t, took[len(took)-1] <= 6*time.Second, qt.IsTrue, qt.Commentf("max %v", took[len(took)-1]))
+}
+
+func TestEditPassesRoundACutPairOfRegions(t *testing.T) {
+	for _, pair := range [][2]string{{"region-0", "region-1"}, {"region-1", "region-2"}} {
+		f := New(target(2))
+		f.Run(5 * time.Second)
+		f.Cut(pair[0], pair[1])
+		took := spread(f, 10)
+		t.Logf("%v: p50 %v p99 %v max %v", pair, percentile(took, 0.5), percentile(took, 0.99), took[len(took)-1])
+		qt.Check(t, took[len(took)-1] <= 6*time.Second, qt.IsTrue, qt.Commentf("%v: max %v", pair, took[len(took)-1]))
+	}
+}
+
+func TestEditSpreadsWhileTheStoreIsDownForWatchers(t *testing.T) {
+	f := New(target(3))
+	f.StoreDown = true
+	f.Run(5 * time.Second)
+	took := spread(f, 5)
+	qt.Check(t, took[len(took)-1] <= 6*time.Second, qt.IsTrue, qt.Commentf("max %v", took[len(took)-1]))
+}
+
+func TestAllEntriesReplacedRecoverFromAgents(t *testing.T) {
+	f := New(target(4))
+	f.Run(5 * time.Second)
+	revision := f.Accept(f.Nodes[0])
+	f.Run(6 * time.Second)
+	f.StoreDown = true
+	for _, node := range f.Nodes[:f.config.Entries] {
+		f.Replace(node)
+	}
+	f.Run(6 * time.Second)
+	for _, node := range f.Nodes {
+		qt.Assert(t, node.Revision, qt.Equals, revision, qt.Commentf("%s", node.Instance.Name))
+		qt.Assert(t, node.State(), qt.Equals, propagate.Current, qt.Commentf("%s", node.Instance.Name))
+	}
+}
+
+func TestPausedProcessDoesNotServeOldTables(t *testing.T) {
+	f := New(target(5))
+	f.Run(5 * time.Second)
+	paused := f.Nodes[7]
+	f.Pause(paused)
+	revision := f.Accept(f.Nodes[0])
+	f.Run(time.Minute)
+	f.Observe = func() {
+		if paused.Serves(f.Now()) && paused.Revision < revision {
+			t.Fatalf("serves revision %d after a pause; %d is in force", paused.Revision, revision)
+		}
+	}
+	f.Resume(paused)
+	f.Observe()
+	waited := f.RunUntil(10*time.Second, func() bool { return paused.Serves(f.Now()) })
+	qt.Check(t, paused.State(), qt.Equals, propagate.Current)
+	qt.Check(t, waited <= 3*time.Second, qt.IsTrue, qt.Commentf("%v", waited))
+}
+
+func TestProcessWithoutAnyPeerServesWhatItHolds(t *testing.T) {
+	f := New(Config{Entries: 6, Agents: 3, Zones: 3, Regions: 3, Interval: 2 * time.Second, Seed: 6})
+	f.Run(5 * time.Second)
+	alone := f.Nodes[0]
+	f.Pause(alone)
+	f.Run(10 * time.Second)
+	f.Cut("region-0", "region-0")
+	f.Cut("region-0", "region-1")
+	f.Cut("region-0", "region-2")
+	f.Resume(alone)
+	f.Run(100 * time.Millisecond)
+	qt.Check(t, alone.State(), qt.Equals, propagate.Comparing)
+	f.Run(5 * time.Second)
+	qt.Check(t, alone.State(), qt.Equals, propagate.Isolated)
+	revision := f.Accept(f.Nodes[1])
+	f.Heal()
+	f.Observe = func() {
+		if alone.Serves(f.Now()) && alone.Revision < revision {
+			t.Fatalf("serves revision %d; peers that it reaches hold %d", alone.Revision, revision)
+		}
+	}
+	f.RunUntil(10*time.Second, func() bool { return alone.State() == propagate.Current })
+	qt.Check(t, alone.Revision, qt.Equals, revision)
+}
+
+func TestListChangeReachesAll(t *testing.T) {
+	f := New(target(7))
+	f.Run(5 * time.Second)
+	f.ChangeList(f.Nodes[11])
+	f.Run(4 * time.Second)
+	for _, node := range f.Nodes {
+		qt.Assert(t, node.List, qt.Equals, f.Nodes[11].List, qt.Commentf("%s", node.Instance.Name))
+	}
+}
