--- /dev/null
+++ b/internal/agent/keys.go
@@ -0,0 +1,76 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"plantainrelay/internal/message"
+	"plantainrelay/internal/table"
+)
+
+// confirmOwnership tells the gate when the platform last named this instance.
+func (p *parts) confirmOwnership(ctx context.Context) {
+	started := time.Now()
+	ticker := time.NewTicker(confirmInterval)
+	defer ticker.Stop()
+	for {
+		if p.ownsKeys() {
+			p.confirmOnce(started)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// ownsKeys reports whether this instance is in a pool whose keys are owned.
+func (p *parts) ownsKeys() bool {
+	snapshot := p.sync.Current()
+	if snapshot == nil {
+		return false
+	}
+	pool, found := snapshot.PoolOf(p.settings.Instance)
+	return found && slices.ContainsFunc(snapshot.Routes, func(route table.Route) bool {
+		return route.Pool == pool.Name && !route.Repeatable
+	})
+}
+
+func (p *parts) confirmOnce(started time.Time) {
+	list, readAt := p.members.Read()
+	if _, listed := list.Find(p.settings.Instance); listed {
+		p.gate.Confirm(earlier(started, readAt))
+	}
+}
+
+// earlier returns the earlier of what the clock said at the given time and what
+// it would have said without any jump since the start.
+func earlier(started, at time.Time) time.Time {
+	steady := started.Add(at.Sub(started)).Round(0)
+	if wall := at.Round(0); wall.Before(steady) {
+		return wall
+	}
+	return steady
+}
+
+// Owners applies the map of owners that the caller offers and returns the one
+// held when it is newer than the caller's.
+func (s *Service) Owners(args message.OwnersArgs, reply *message.OwnersReply) error {
+	held := s.parts.gate.Owners(args.Offer)
+	if held == nil {
+		return nil
+	}
+	reply.Revision = held.Revision
+	if held.Revision > args.Revision {
+		reply.Owners = held
+	}
+	return nil
+}
+
+// KeyFate tells what became of a key and bars it when it was never run.
+func (s *Service) KeyFate(args message.KeyFateArgs, reply *message.KeyFateReply) error {
+	*reply = s.parts.gate.KeyFate(args)
+	return nil
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -14,6 +14,7 @@
 	"plantainrelay/internal/dispatch"
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/message"
+	"plantainrelay/internal/metering"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/table"
 	"plantainrelay/internal/tablesync"
@@ -23,8 +24,12 @@
 type Config struct {
 	Self             string
 	AvailabilityZone string
-	// Key is the fleet's key.
-	Key string
+	// Security proves membership of the fleet.
+	Security peer.Security
+	// Customers identifies the customer of a request.
+	Customers Customers
+	// Usage is told of each request that a route took.
+	Usage metering.Recorder
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
 	// MaxAttempts bounds the attempts of one request.
@@ -47,14 +52,15 @@
 	config Config
 	tables *tablesync.Sync
 	states *States
+	owners *Owners
 	client *peer.Client
 	http   *http.Client
 	log    *logrus.Entry
 }
 
 // NewHandler returns the handler of callers' requests.
-func NewHandler(config Config, tables *tablesync.Sync, states *States, client *peer.Client, log *logrus.Entry) *Handler {
-	return &Handler{config: config, tables: tables, states: states, client: client, http: newAttemptClient(), log: log}
+func NewHandler(config Config, tables *tablesync.Sync, states *States, owners *Owners, client *peer.Client, log *logrus.Entry) *Handler {
+	return &Handler{config: config, tables: tables, states: states, owners: owners, client: client, http: newAttemptClient(config.Security), log: log}
 }
 
 // ServeHTTP implements http.Handler.
@@ -64,9 +70,9 @@
 		h.refuse(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
-	customer := r.Header.Get(message.HeaderCustomer)
+	customer, remedy := h.config.Customers.Identify(r)
 	if customer == "" {
-		h.refuse(w, http.StatusUnauthorized, "name the customer in the header "+message.HeaderCustomer)
+		h.refuse(w, http.StatusUnauthorized, remedy)
 		return
 	}
 	route, found := snapshot.Match(table.Request{Customer: customer, Path: r.URL.Path, Header: r.Header.Get})
@@ -79,20 +85,29 @@
 		h.refuse(w, http.StatusRequestEntityTooLarge, "the body could not be read; send at most "+strconv.FormatInt(h.config.MaxBodyBytes, 10)+" bytes")
 		return
 	}
-	h.run(w, r, route, customer, body)
+	key, err := keyOf(r, route, customer, body, time.Now())
+	if err != nil {
+		h.refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	h.run(w, r, route, customer, body, key)
 }
 
-func (h *Handler) run(w http.ResponseWriter, r *http.Request, route table.Route, customer string, body []byte) {
+func (h *Handler) run(w http.ResponseWriter, r *http.Request, route table.Route, customer string, body []byte, key *requestKey) {
 	deadline := time.Now().Add(route.Deadline)
+	metered := metering.Wrap(w, h.config.Usage, customer, route.Pool)
+	outcome := dispatch.Unknown
+	defer func() { metered.End(outcome) }()
 	e := &exchange{
 		handler:  h,
-		w:        w,
+		w:        metered,
 		r:        r,
 		route:    route,
 		customer: customer,
 		body:     body,
 		deadline: deadline,
 		request:  uuid.NewString(),
+		key:      key,
 		tried:    map[string]bool{},
 		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -105,7 +120,7 @@
 		MaxWait:      h.config.MaxWait,
 		WaitInterval: waitInterval,
 	})
-	outcome := e.run()
+	outcome = e.run()
 	h.log.WithFields(logrus.Fields{
 		logging.FieldRequest:  e.request,
 		logging.FieldCustomer: customer,
@@ -118,18 +133,25 @@
 // server.
 type outcomeBody struct {
 	Outcome dispatch.Outcome `json:"outcome"`
-	Message string           `json:"message"`
+	// Submission is not_run when this submission of a key was not run while the
+	// outcome of the key is unknown, since an earlier one may have been.
+	Submission dispatch.Outcome `json:"submission,omitempty"`
+	Message    string           `json:"message"`
 }
 
 // refuse answers not_run without any attempt.
 func (h *Handler) refuse(w http.ResponseWriter, status int, text string) {
-	h.finish(w, status, dispatch.NotRun, text)
+	h.finish(w, status, outcomeBody{Outcome: dispatch.NotRun, Message: text})
 }
 
-func (h *Handler) finish(w http.ResponseWriter, status int, outcome dispatch.Outcome, text string) {
-	w.Header().Set(message.HeaderOutcome, string(outcome))
-	if outcome == dispatch.NotRun && status == http.StatusServiceUnavailable {
+func (h *Handler) finish(w http.ResponseWriter, status int, body outcomeBody) {
+	w.Header().Set(message.HeaderOutcome, string(body.Outcome))
+	if body.Submission != "" {
+		w.Header().Set(message.HeaderSubmission, string(body.Submission))
+	}
+	again := body.Outcome == dispatch.NotRun || body.Submission == dispatch.NotRun
+	if again && status >= http.StatusInternalServerError {
 		w.Header().Set("Retry-After", strconv.Itoa(max(1, int(h.config.RetryAfter.Seconds()))))
 	}
-	httpx.WriteJson(w, status, outcomeBody{Outcome: outcome, Message: text})
+	httpx.WriteJson(w, status, body)
 }
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -22,6 +22,8 @@
 	callTimeout = 3 * time.Second
 	// maxBackoff is the highest factor on the interval while reads fail.
 	maxBackoff = 8
+	// demandTime is how long a call of Read makes this process read the list.
+	demandTime = 10 * time.Second
 )
 
 // Config holds the settings of a View.
@@ -39,7 +41,10 @@
 	port    platform.InstanceList
 	log     *logrus.Entry
 	current atomic.Pointer[member.List]
+	reading atomic.Pointer[reading]
 	reads   atomic.Int64
+	// demanded is when Read was last called, in Unix nanoseconds.
+	demanded atomic.Int64
 
 	mu        sync.Mutex
 	directory member.Directory
@@ -53,6 +58,7 @@
 func New(config Config, port platform.InstanceList, log *logrus.Entry) *View {
 	view := &View{config: config, port: port, log: log, book: member.NewBook(), changed: make(chan struct{}, 1)}
 	view.current.Store(&member.List{})
+	view.reading.Store(&reading{})
 	return view
 }
 
@@ -62,6 +68,22 @@
 	return v.current.Load()
 }
 
+// Read returns the list as this process itself last read it from the platform,
+// and when that was asked for; the time is zero before the first read. It is
+// what the ownership of keys rests on. A process that calls it goes on to read
+// the list itself, whether or not it is one of its zone's readers.
+func (v *View) Read() (*member.List, time.Time) {
+	v.demanded.Store(time.Now().UnixNano())
+	last := v.reading.Load()
+	return &last.list, last.at
+}
+
+// reading is one list with the time at which it was asked for.
+type reading struct {
+	list member.List
+	at   time.Time
+}
+
 // Changed receives a value after each change. It has one receiver.
 func (v *View) Changed() <-chan struct{} { return v.changed }
 
@@ -84,6 +106,9 @@
 }
 
 func (v *View) reader() bool {
+	if time.Since(time.Unix(0, v.demanded.Load())) < demandTime {
+		return true
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return propagate.Reads(v.config.Self, v.Current().Instances, time.Since(v.lastRead))
@@ -101,6 +126,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	v.reads.Add(1)
+	at := time.Now()
 	list, err := v.port.Instances(ctx)
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -111,6 +137,7 @@
 	}
 	v.failures = 0
 	v.lastRead = time.Now()
+	v.reading.Store(&reading{list: list, at: at})
 	if v.directory.Read(&list, v.lastRead.UnixMilli()) {
 		v.update()
 	}
--- a/internal/tablesync/spread.go
+++ b/internal/tablesync/spread.go
@@ -112,6 +112,9 @@
 // heard takes in the summary of a peer that called.
 func (s *Sync) heard(summary message.Summary) {
 	peer, listed := s.members.Current().Find(summary.From)
+	if !listed && summary.Incarnation == 0 {
+		return
+	}
 	if !listed {
 		s.members.Answered(summary.From, summary.Incarnation)
 		return
