--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"math/rand/v2"
 	"os"
 	"time"
 
@@ -99,10 +100,14 @@
 	source := usage.Source{Name: s.Instance + "/" + p.incarnation[:8], Role: member.RoleAgent}
 	p.meter = metering.New(source, outside, s.UsageInterval, log)
 	client := peer.NewClient(p.security)
-	p.members = membership.New(outside, s.ListInterval, log)
+	self := member.Instance{
+		Name: s.Instance, Role: member.RoleAgent, State: member.StateLive, Region: s.Region,
+		AvailabilityZone: s.AvailabilityZone, HTTPAddress: s.HTTPAddress, ControlAddress: s.ControlAddress,
+	}
+	p.members = membership.New(membership.Config{Self: self, Interval: s.ListInterval}, outside, log)
 	p.sync = tablesync.New(tablesync.Config{
-		Self:             s.Instance,
-		AvailabilityZone: s.AvailabilityZone,
+		Self:             self,
+		Incarnation:      rand.Uint64(),
 		ExchangeInterval: s.ExchangeInterval,
 	}, outside, p.members, client, log)
 	p.gate, err = gate.New(gate.Config{
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"math/rand/v2"
 	"os"
 	"time"
 
@@ -27,9 +28,10 @@
 )
 
 const (
-	watchMargin   = 10 * time.Second
-	readyCheck    = 200 * time.Millisecond
-	maxAdminBytes = 2 << 20
+	verifyInterval = 10 * time.Second
+	watchMargin    = 10 * time.Second
+	readyCheck     = 200 * time.Millisecond
+	maxAdminBytes  = 2 << 20
 )
 
 // Run runs an entry until it was told to stop and has drained.
@@ -103,14 +105,18 @@
 	p.store = platform.New(platform.Config{StoreURL: s.StoreURL, OriginURL: s.OriginURL, ListURL: s.ListURL})
 	source := usage.Source{Name: s.Instance + "/" + uuid.NewString()[:8], Role: member.RoleEntry}
 	p.meter = metering.New(source, p.store, s.UsageInterval, log)
-	p.members = membership.New(p.store, s.ListInterval, log)
+	self := member.Instance{
+		Name: s.Instance, Role: member.RoleEntry, State: member.StateLive, Region: s.Region,
+		AvailabilityZone: s.AvailabilityZone, HTTPAddress: s.PublicAddress, ControlAddress: s.ControlAddress,
+	}
+	p.members = membership.New(membership.Config{Self: self, Interval: s.ListInterval}, p.store, log)
 	p.client = peer.NewClient(p.security)
 	p.sync = tablesync.New(tablesync.Config{
-		Self:             s.Instance,
-		AvailabilityZone: s.AvailabilityZone,
-		Watches:          true,
+		Self:             self,
+		Incarnation:      rand.Uint64(),
 		ExchangeInterval: s.ExchangeInterval,
 		WatchWait:        s.WatchWait,
+		VerifyInterval:   verifyInterval,
 	}, p.store, p.members, p.client, log)
 	p.tracker = tracker.New(p.sync.Current, time.Now)
 	p.states = gateway.NewStates(p.members, p.client, s.Instance, s.StateInterval)
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -14,9 +15,16 @@
 	"plantainrelay/internal/message"
 	"plantainrelay/internal/metering"
 	"plantainrelay/internal/table"
-	"plantainrelay/internal/tablesync"
 )
 
+// fixedTables are tables that were compared with those of peers.
+type fixedTables table.Snapshot
+
+func (f fixedTables) Admit(context.Context) (*table.Snapshot, error) {
+	snapshot := table.Snapshot(f)
+	return &snapshot, nil
+}
+
 // FuzzCallers gives an entry without agents what callers send. Whatever it is,
 // the answer must say that nothing was run.
 func FuzzCallers(f *testing.F) {
@@ -27,8 +35,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	entry := logrus.NewEntry(log)
-	tables := tablesync.New(tablesync.Config{Self: "entry-1"}, nil, nil, nil, entry)
-	tables.Offer(&table.Snapshot{Revision: 1, Tables: table.Tables{
+	tables := fixedTables(table.Snapshot{Revision: 1, Tables: table.Tables{
 		Pools:  []table.Pool{{Name: "model", Kind: table.KindService, Instances: []string{"a"}}},
 		Routes: []table.Route{{Name: "all", Customer: table.AnyCustomer, Path: "/", Pool: "model", Repeatable: true, Priority: table.PriorityNormal, Deadline: time.Minute}},
 	}})
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -18,7 +19,6 @@
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/servicelevel"
 	"plantainrelay/internal/table"
-	"plantainrelay/internal/tablesync"
 )
 
 // Config holds the settings of the request path.
@@ -48,10 +48,17 @@
 // waitInterval is the pause between two looks for an available instance.
 const waitInterval = 50 * time.Millisecond
 
+// Tables gives the snapshot that a new request is served from.
+type Tables interface {
+	// Admit waits until the tables may be served from. It returns
+	// failure.NotReachable when that takes too long.
+	Admit(ctx context.Context) (*table.Snapshot, error)
+}
+
 // Handler takes callers' requests.
 type Handler struct {
 	config Config
-	tables *tablesync.Sync
+	tables Tables
 	states *States
 	owners *Owners
 	client *peer.Client
@@ -60,15 +67,15 @@
 }
 
 // NewHandler returns the handler of callers' requests.
-func NewHandler(config Config, tables *tablesync.Sync, states *States, owners *Owners, client *peer.Client, log *logrus.Entry) *Handler {
+func NewHandler(config Config, tables Tables, states *States, owners *Owners, client *peer.Client, log *logrus.Entry) *Handler {
 	return &Handler{config: config, tables: tables, states: states, owners: owners, client: client, http: newAttemptClient(config.Security), log: log}
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	snapshot := h.tables.Current()
-	if snapshot == nil {
-		h.refuse(w, http.StatusServiceUnavailable, "no tables are known yet; ask again")
+	snapshot, err := h.tables.Admit(r.Context())
+	if err != nil {
+		h.refuse(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
 	customer, remedy := h.config.Customers.Identify(r)
--- a/internal/message/fuzz_test.go
+++ b/internal/message/fuzz_test.go
@@ -5,6 +5,7 @@
 	"encoding/gob"
 	"testing"
 
+	"plantainrelay/internal/member"
 	"plantainrelay/internal/message"
 	"plantainrelay/internal/table"
 	"plantainrelay/internal/weights"
@@ -12,9 +13,9 @@
 
 // messages are new values of what processes of the fleet send to each other.
 var messages = []func() any{
-	func() any { return &message.ExchangeArgs{} },
-	func() any { return &message.ExchangeReply{} },
-	func() any { return &message.OfferArgs{} },
+	func() any { return &message.Summary{} },
+	func() any { return &message.FetchArgs{} },
+	func() any { return &message.FetchReply{} },
 	func() any { return &message.StateReply{} },
 	func() any { return &message.FateArgs{} },
 	func() any { return &message.FateReply{} },
@@ -31,7 +32,7 @@
 func FuzzMessages(f *testing.F) {
 	snapshot := &table.Snapshot{Revision: 7, Tables: table.Tables{Pools: []table.Pool{{Name: "model", Instances: []string{"a-*"}}}}}
 	for _, seed := range []any{
-		message.OfferArgs{From: "a", Snapshot: snapshot},
+		message.FetchReply{Snapshot: snapshot, Parts: []member.Part{{Index: 1, Stamp: 2, Rows: []member.Instance{{Name: "a"}}}}},
 		message.AnnounceArgs{Instance: "a", Have: weights.Bitmap{0xff}},
 		message.FateReply{Answer: &message.Answer{Status: 200, Header: map[string][]string{"A": {"b"}}, Body: []byte("x")}},
 	} {
@@ -48,10 +49,11 @@
 				continue
 			}
 			switch decoded := value.(type) {
-			case *message.OfferArgs:
-				use(decoded.Snapshot)
-			case *message.ExchangeReply:
+			case *message.FetchReply:
 				use(decoded.Snapshot)
+				var directory member.Directory
+				directory.Merge(decoded.Parts)
+				directory.List()
 			case *message.AnnounceArgs:
 				_, _ = decoded.Have.Count(), decoded.Have.Has(-1)
 			}
--- a/test/checker/checker_test.go
+++ b/test/checker/checker_test.go
@@ -75,7 +75,7 @@
 }
 
 func write(edit string, version int64) platform.Object {
-	return platform.Object{Kind: "config", Name: "tables", Version: version, Value: fmt.Appendf(nil, `{"edit_id":%q}`, edit)}
+	return platform.Object{Kind: "config", Name: "tables", Version: 100 + version, Value: fmt.Appendf(nil, `{"edit_id":%q,"revision":%d}`, edit, version)}
 }
 
 func TestSoundHistoryHolds(t *testing.T) {
--- a/test/cluster/tls.go
+++ b/test/cluster/tls.go
@@ -18,6 +18,8 @@
 
 // Authority issues certificates for tests.
 type Authority struct {
+	// IP is the address that the certificates are valid for.
+	IP          string
 	dir         string
 	certificate *x509.Certificate
 	key         *ecdsa.PrivateKey
@@ -48,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Authority{dir: dir, certificate: certificate, key: key, serial: 1}
+	a := &Authority{IP: OwnIP(), dir: dir, certificate: certificate, key: key, serial: 1}
 	return a, a.write("ca.crt", "CERTIFICATE", raw)
 }
 
@@ -59,7 +61,7 @@
 }
 
 // Issue writes NAME.crt and NAME.pem for a server or client with the given DNS
-// name, at any loopback address.
+// name, at the address IP.
 func (a *Authority) Issue(name, dnsName string) error {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
@@ -74,7 +76,7 @@
 		KeyUsage:     x509.KeyUsageDigitalSignature,
 		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 		DNSNames:     []string{dnsName},
-		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
+		IPAddresses:  []net.IP{net.ParseIP(a.IP)},
 	}
 	raw, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
 	if err != nil {
--- a/test/soak/observer.go
+++ b/test/soak/observer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -58,8 +57,8 @@
 	call, cancel := context.WithTimeout(ctx, observeTimeout)
 	defer cancel()
 	at := time.Now()
-	var reply message.ExchangeReply
-	args := message.ExchangeArgs{From: "observer", Revision: math.MaxInt64}
+	var reply message.Summary
+	args := message.Summary{From: "observer"}
 	if o.client.Call(call, process.control, message.MethodExchange, args, &reply) != nil {
 		return
 	}
