--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Commands for developers; README.md explains the two main ones.
-.PHONY: demo test check build
+.PHONY: demo test check build soak bench-capacity bench-requests
 
 build:
 	mkdir -p bin
@@ -12,5 +12,16 @@
 	./.ci/check
 
 test:
-	go test -race ./internal/... ./test/imports/...
-	go test -count=1 -timeout 30m ./test/e2e/...
+	go test -race $$(go list ./... | grep -v -e /test/e2e -e /test/soak)
+	go test -count=1 -p 1 -timeout 30m ./test/e2e/... ./test/soak/...
+
+SOAK_FLAGS ?= --firm dumitrescu
+
+soak: build
+	go run ./test/soak/cmd --bin bin $(SOAK_FLAGS)
+
+bench-capacity: build
+	go run ./bench/capacity --bin bin
+
+bench-requests:
+	go run ./bench/requests
--- /dev/null
+++ b/bench/requests/parts.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"plantainrelay/test/cluster"
+	"plantainrelay/test/standin"
+)
+
+const (
+	partLength = 5 * time.Second
+	manySlots  = 256
+)
+
+// latency compares calls through entry and agent with direct ones.
+func latency(f *fleets) error {
+	c, err := f.start(2, 4, manySlots)
+	if c != nil {
+		defer c.Stop()
+	}
+	if err != nil {
+		return err
+	}
+	direct, through := c.BackendURL("runner-1"), c.PublicURL("entry-1")
+	for _, callers := range []int{1, 8} {
+		fmt.Printf("unary, %d callers: direct %s; through %s\n", callers,
+			quantiles(durations(closedLoop(direct+"/x", callers, false, partLength), total)),
+			quantiles(durations(closedLoop(through+"/x", callers, false, partLength), total)))
+	}
+	for i := range 4 {
+		if err := faults(c, i, standin.EngineFaults{TokenDelay: 5 * time.Millisecond}); err != nil {
+			return err
+		}
+	}
+	for _, url := range []string{direct, through} {
+		all := closedLoop(url+"/x?stream&tokens=50", 8, true, partLength)
+		var gaps []time.Duration
+		for _, s := range all {
+			gaps = append(gaps, s.gaps...)
+		}
+		fmt.Printf("stream at %s: first token %s; between tokens %s\n", url, quantiles(durations(all, first)), quantiles(gaps))
+	}
+	return nil
+}
+
+func total(s sample) time.Duration { return s.total }
+func first(s sample) time.Duration { return s.first }
+
+func faults(c *cluster.Cluster, runner int, set standin.EngineFaults) error {
+	return cluster.PutJSON(c.BackendURL(fmt.Sprintf("runner-%d", runner+1))+"/faults/engine", set)
+}
+
+// processorTime prints what one request costs entry and agent, at three rates
+// and idle.
+func processorTime(f *fleets) error {
+	c, err := f.start(1, 2, manySlots)
+	if c != nil {
+		defer c.Stop()
+	}
+	if err != nil {
+		return err
+	}
+	names := []string{"entry-1", "runner-1", "runner-2"}
+	for _, rate := range []float64{0.2, 100, 300, 600} {
+		before, err := usedBy(c, names)
+		if err != nil {
+			return err
+		}
+		all := openLoop([]string{c.PublicURL("entry-1") + "/x"}, rate, 2*partLength, func(int) string { return "small-1" })
+		after, err := usedBy(c, names)
+		if err != nil {
+			return err
+		}
+		entry, agents := after[0]-before[0], after[1]+after[2]-before[1]-before[2]
+		seconds := (2 * partLength).Seconds()
+		fmt.Printf("cpu at %.1f requests/s: done %d of %d; entry %.2f%% of a core, agents together %.2f%%; latency %s\n", rate,
+			len(durations(all, total)), len(all), 100*entry.Seconds()/seconds, 100*agents.Seconds()/seconds, quantiles(durations(all, total)))
+	}
+	return nil
+}
+
+func usedBy(c *cluster.Cluster, names []string) ([]time.Duration, error) {
+	var used []time.Duration
+	for _, name := range names {
+		one, err := processorTimeOf(c, name)
+		if err != nil {
+			return nil, err
+		}
+		used = append(used, one)
+	}
+	return used, nil
+}
+
+// The overload part: 4 runners with 4 slots each and runs of 100 ms.
+const (
+	overloadRunners = 4
+	overloadSlots   = 4
+	overloadRun     = 100 * time.Millisecond
+	smallCustomers  = 9
+	smallRate       = 4.0
+)
+
+// overload offers half, the whole and twice the capacity, the rest beyond nine
+// small customers coming from a large one.
+func overload(f *fleets) error {
+	c, err := f.start(2, overloadRunners, overloadSlots)
+	if c != nil {
+		defer c.Stop()
+	}
+	if err != nil {
+		return err
+	}
+	for i := range overloadRunners {
+		if err := faults(c, i, standin.EngineFaults{Delay: overloadRun}); err != nil {
+			return err
+		}
+	}
+	capacity := float64(overloadRunners*overloadSlots) / overloadRun.Seconds()
+	urls := []string{c.PublicURL("entry-1") + "/x", c.PublicURL("entry-2") + "/x"}
+	for _, load := range []float64{0.5, 1, 2} {
+		rate := load * capacity
+		small := int(rate / smallRate)
+		all := openLoop(urls, rate, 2*partLength, func(i int) string {
+			if turn := i % small; turn < smallCustomers {
+				return fmt.Sprintf("small-%d", turn)
+			}
+			return "large"
+		})
+		report(load, all)
+	}
+	return nil
+}
+
+func report(load float64, all []sample) {
+	var small, large []sample
+	for _, s := range all {
+		if strings.HasPrefix(s.customer, "small") {
+			small = append(small, s)
+		} else {
+			large = append(large, s)
+		}
+	}
+	done := len(durations(all, total))
+	fmt.Printf("load %.1fx: offered %d, done %d (%.1f/s); small: done %d of %d, %s; large: done %d of %d, %s\n", load, len(all), done,
+		float64(done)/(2*partLength).Seconds(), len(durations(small, total)), len(small), quantiles(durations(small, total)),
+		len(durations(large, total)), len(large), quantiles(durations(large, total)))
+}
+
+// stateBytes prints the control bytes of one idle agent and the processor time
+// of the daemons at several sizes.
+func stateBytes(f *fleets) error {
+	for _, size := range []struct{ entries, agents int }{{1, 4}, {2, 4}, {4, 4}, {8, 4}, {2, 8}, {2, 16}} {
+		if err := statesAt(f, size.entries, size.agents); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func statesAt(f *fleets, entries, agents int) error {
+	c, err := f.start(entries, agents, manySlots)
+	if c != nil {
+		defer c.Stop()
+	}
+	if err != nil {
+		return err
+	}
+	counted, err := newCounter(c.Row("runner-1").ControlAddress)
+	if err != nil {
+		return err
+	}
+	defer counted.Close()
+	c.SetAddresses("runner-1", "", counted.Addr().String())
+	if err := c.PublishList(); err != nil {
+		return err
+	}
+	time.Sleep(partLength)
+	names := []string{"entry-1", "runner-1"}
+	bytes := counted.bytes.Load()
+	before, err := usedBy(c, names)
+	if err != nil {
+		return err
+	}
+	time.Sleep(partLength)
+	after, err := usedBy(c, names)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("idle, %d entries, %d agents: control of one agent %.0f bytes/s; entry %.2f%%, agent %.2f%% of a core\n", entries, agents,
+		float64(counted.bytes.Load()-bytes)/partLength.Seconds(),
+		100*(after[0]-before[0]).Seconds()/partLength.Seconds(), 100*(after[1]-before[1]).Seconds()/partLength.Seconds())
+	return nil
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -19,6 +18,7 @@
 	"plantainrelay/internal/dispatch"
 	"plantainrelay/internal/message"
 	"plantainrelay/internal/ownership"
+	"plantainrelay/internal/peer"
 	"plantainrelay/internal/table"
 )
 
@@ -31,12 +31,13 @@
 	copyBytes        = 32 << 10
 )
 
-func newAttemptClient() *http.Client {
+func newAttemptClient(security peer.Security) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: maxIdlePerAgent,
 			DisableCompression:  true,
+			TLSClientConfig:     security.ClientTLS,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -57,6 +58,8 @@
 	random   *rand.Rand
 	// key is nil for a request that may be run by any instance.
 	key *requestKey
+	// retryAfter is when a shed request may be sent again.
+	retryAfter time.Duration
 
 	agent     agentState
 	attempt   string
@@ -66,8 +69,7 @@
 
 // run carries out the decisions until the request has its outcome or the
 // caller has left.
-func (e *exchange) run() dispatch.Outcome {
-	action := e.decision.Start(time.Now())
+func (e *exchange) run(action dispatch.Action) dispatch.Outcome {
 	for {
 		if !e.wait(action.Wait) {
 			return dispatch.Unknown
@@ -135,6 +137,7 @@
 		e.key.settled = false
 		owner, found := e.handler.owners.of(e.route.Pool, e.customer, e.key.id.Key)
 		e.key.owner = owner
+		e.handler.states.want(owner.Instance)
 		return owner.Instance, found
 	}
 	candidates := e.handler.states.candidates(e.route.Pool)
@@ -155,6 +158,9 @@
 	if response.Header.Get(message.HeaderAttempt) != e.attempt {
 		return e.decision.Broken(false, time.Now()), false
 	}
+	if running, err := strconv.Atoi(response.Header.Get(message.HeaderRunning)); err == nil {
+		e.handler.states.heard(e.agent.instance.Name, running)
+	}
 	if refusal := message.Refusal(response.Header.Get(message.HeaderRefusal)); refusal != "" {
 		return e.refused(refusal, response.Header.Get(message.HeaderKeyHolder)), false
 	}
@@ -165,7 +171,7 @@
 }
 
 func (e *exchange) forward(ctx context.Context) (*http.Response, error) {
-	target := "http://" + e.agent.instance.HTTPAddress + message.PathAttempt + e.r.URL.EscapedPath()
+	target := e.handler.config.Security.Scheme() + "://" + e.agent.instance.HTTPAddress + message.PathAttempt + e.r.URL.EscapedPath()
 	if e.r.URL.RawQuery != "" {
 		target += "?" + e.r.URL.RawQuery
 	}
@@ -189,14 +195,14 @@
 func (e *exchange) attemptHeader() http.Header {
 	header := http.Header{}
 	for name, values := range e.r.Header {
-		if !strings.HasPrefix(name, message.HeaderPrefix) {
+		if !message.Reserved(name) {
 			header[name] = values
 		}
 	}
 	for _, name := range connectionHeaders {
 		header.Del(name)
 	}
-	header.Set("Authorization", "Bearer "+e.handler.config.Key)
+	e.handler.config.Security.Authorize(header)
 	header.Set(message.HeaderAttempt, e.attempt)
 	header.Set(message.HeaderRequest, e.request)
 	header.Set(message.HeaderIncarnation, e.agent.Incarnation)
@@ -323,7 +329,7 @@
 }
 
 func shown(name string) bool {
-	return !hidden[name] && (name == message.HeaderVersion || !strings.HasPrefix(name, message.HeaderPrefix))
+	return !hidden[name] && (name == message.HeaderVersion || !message.Reserved(name))
 }
 
 func (e *exchange) writeHeader(status int, from http.Header) {
@@ -392,6 +398,7 @@
 	case e.key != nil && e.key.submissionNotRun:
 		body.Submission = dispatch.NotRun
 	}
+	body.retryAfter = e.retryAfter
 	e.handler.finish(e.w, status, body)
 	return outcome
 }
--- a/internal/gateway/states.go
+++ b/internal/gateway/states.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +14,7 @@
 	"plantainrelay/internal/membership"
 	"plantainrelay/internal/message"
 	"plantainrelay/internal/peer"
+	"plantainrelay/internal/table"
 )
 
 const (
@@ -21,13 +24,26 @@
 	// silentAfter is how long an agent may leave its peers without an answer
 	// before attempts that wait for it are broken off.
 	silentAfter = 5 * time.Second
+	// wantedFor is how long an instance outside of the subset stays watched.
+	wantedFor = 30 * time.Second
 )
 
+// subsetSize bounds the instances of one pool whose state is read. A fleet of
+// today's size is watched whole.
+var subsetSize = balance.SubsetSize{Local: 16, Remote: 4}
+
 // agentState is the last state read from one agent.
 type agentState struct {
 	message.StateReply
 	instance member.Instance
 	at       time.Time
+	// own is the number of this entry's attempts among those it reported.
+	own int
+}
+
+// others estimates the requests that other entries have in progress there.
+func (a agentState) others() int {
+	return max(0, a.Running-a.own)
 }
 
 // States polls the state of the agents and counts this entry's own attempts.
@@ -45,6 +61,13 @@
 	distrusted map[string]bool
 	inFlight   map[string]int
 	pulses     map[string]*pulse
+	// changed receives a value after states were read.
+	changed chan struct{}
+	// tables, when set, lets this entry watch a subset of each large pool.
+	tables func() *table.Snapshot
+	zone   string
+	// wanted instances are watched until the time given.
+	wanted map[string]time.Time
 }
 
 // pulse is when an agent last answered; its context ends when it fell silent.
@@ -66,6 +89,8 @@
 		polling:  map[string]bool{},
 
 		distrusted: map[string]bool{},
+		changed:    make(chan struct{}, 1),
+		wanted:     map[string]time.Time{},
 		inFlight:   map[string]int{},
 		pulses:     map[string]*pulse{},
 	}
@@ -76,7 +101,7 @@
 	ticker := time.NewTicker(s.interval)
 	defer ticker.Stop()
 	for {
-		for _, instance := range s.members.Current().Role(member.RoleAgent) {
+		for _, instance := range s.watched(time.Now()) {
 			s.poll(ctx, instance)
 		}
 		s.forget()
@@ -88,6 +113,85 @@
 	}
 }
 
+// Subset makes this entry watch no more than a part of each large pool. Call
+// it before Run.
+func (s *States) Subset(availabilityZone string, tables func() *table.Snapshot) {
+	s.zone, s.tables = availabilityZone, tables
+}
+
+// want keeps an instance watched for a while, also outside of the subset.
+func (s *States) want(name string) {
+	s.mu.Lock()
+	s.wanted[name] = time.Now().Add(wantedFor)
+	s.mu.Unlock()
+}
+
+// watched returns the agents whose state is read: the subset of each pool, and
+// all that belong to no pool or are wanted.
+func (s *States) watched(now time.Time) []member.Instance {
+	agents := s.members.Current().Role(member.RoleAgent)
+	if s.tables == nil || s.tables() == nil {
+		return agents
+	}
+	pools := map[string][]member.Instance{}
+	for _, instance := range agents {
+		pool, _ := s.tables().PoolOf(instance.Name)
+		pools[pool.Name] = append(pools[pool.Name], instance)
+	}
+	chosen := map[string]bool{}
+	for _, instances := range pools {
+		for _, name := range balance.Subset(s.self, s.zone, instances, subsetSize) {
+			chosen[name] = true
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.wanted, func(_ string, until time.Time) bool { return now.After(until) })
+	return slices.DeleteFunc(agents, func(instance member.Instance) bool {
+		_, wanted := s.wanted[instance.Name]
+		return !chosen[instance.Name] && !wanted
+	})
+}
+
+// notify wakes whoever waits for capacity.
+func (s *States) notify() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// heard notes how many requests an agent had in progress when it answered an
+// attempt.
+func (s *States) heard(name string, running int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state, found := s.agents[name]; found {
+		state.Running, state.own = running, s.inFlight[name]
+		s.agents[name] = state
+	}
+}
+
+// capacity returns how many attempts of this entry the instances of pool can
+// have in progress, as far as is known.
+func (s *States) capacity(pool string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total := 0
+	for name, state := range s.agents {
+		if s.usable(name, state, pool) {
+			total += max(0, state.MaxRunning-state.others())
+		}
+	}
+	return total
+}
+
+// usable reports whether an instance may take an attempt; the caller holds the
+// lock.
+func (s *States) usable(name string, state agentState, pool string) bool {
+	return state.Pool == pool && state.Open && !s.distrusted[name] && state.instance.State == member.StateLive
+}
+
 // poll reads one agent's state, unless a read is in progress.
 func (s *States) poll(ctx context.Context, instance member.Instance) {
 	s.mu.Lock()
@@ -112,7 +216,8 @@
 		}
 		s.beat(instance.Name)
 		delete(s.distrusted, instance.Name)
-		s.agents[instance.Name] = agentState{StateReply: reply, instance: instance, at: time.Now()}
+		s.agents[instance.Name] = agentState{StateReply: reply, instance: instance, at: time.Now(), own: s.inFlight[instance.Name]}
+		s.notify()
 	}()
 }
 
@@ -155,14 +260,13 @@
 	defer s.mu.Unlock()
 	var found []balance.Candidate
 	for name, state := range s.agents {
-		if state.Pool != pool || !state.Open || s.distrusted[name] || state.instance.State != member.StateLive {
+		if !s.usable(name, state, pool) || s.inFlight[name]+state.others() >= state.MaxRunning {
 			continue
 		}
 		found = append(found, balance.Candidate{
 			Name:             name,
 			AvailabilityZone: state.instance.AvailabilityZone,
-			Reported:         state.Running,
-			InFlight:         s.inFlight[name],
+			Load:             state.others() + s.inFlight[name],
 		})
 	}
 	return found
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -58,8 +58,8 @@
 	RefusalDeadline    Refusal = "deadline_passed"
 	RefusalFull        Refusal = "full"
 	// RefusalBackend means that the backend server cannot be reached.
-	RefusalBackend     Refusal = "backend_unreachable"
-	RefusalDuplicate   Refusal = "duplicate"
+	RefusalBackend   Refusal = "backend_unreachable"
+	RefusalDuplicate Refusal = "duplicate"
 )
 
 // ExchangeArgs tells a peer which revision the caller holds.
@@ -104,6 +104,8 @@
 	Manifest weights.Digest
 	// Running is the number of requests in progress.
 	Running int
+	// MaxRunning bounds the requests in progress.
+	MaxRunning int
 	// OwnersRevision is the revision of the map of owners that the agent holds.
 	OwnersRevision int64
 	// Released says that the agent runs no further key; HighestIssued is the
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -62,6 +62,26 @@
 	Dir     string
 	Entries []Instance
 	Agents  []Instance
+	// Network, when set, lies between the availability zones; the platform is
+	// in StoreZone.
+	Network   Network
+	StoreZone string
+	// Record makes the backend servers record their executions in files, which
+	// outlive them.
+	Record bool
+	// Client reaches the listeners of entries and agents; nil means
+	// http.DefaultClient over plain HTTP.
+	Client *http.Client
+	// Customers replaces the keys of the section customers, in which the
+	// header that names the customer is trusted.
+	Customers string
+}
+
+func (c Config) customers() string {
+	if c.Customers != "" {
+		return c.Customers
+	}
+	return "trust_header = yes"
 }
 
 // Process is one running program.
@@ -81,6 +101,10 @@
 	// Token is the token of the operator with the role editor.
 	Token string
 
+	listURL   string
+	lists     *http.Server
+	listBytes map[string]int64
+
 	mu        sync.Mutex
 	processes map[string]*Process
 	instances map[string]member.Instance
@@ -106,6 +130,7 @@
 		instances: map[string]member.Instance{},
 		backends:  map[string]string{},
 		admins:    map[string]string{},
+		listBytes: map[string]int64{},
 	}
 	if err := c.writeSecrets(); err != nil {
 		return nil, err
@@ -113,6 +138,9 @@
 	if err := c.startPlatform(); err != nil {
 		return nil, err
 	}
+	if err := c.startLists(); err != nil {
+		return c, err
+	}
 	for _, instance := range config.Entries {
 		if err := c.StartEntry(instance); err != nil {
 			return c, err
@@ -213,7 +241,7 @@
 	return process, nil
 }
 
-func (c *Cluster) commonSettings(instance Instance, control string) string {
+func (c *Cluster) commonSettings(instance Instance, control string, platform platformURLs) string {
 	return fmt.Sprintf(`[instance]
 name = %s
 availability_zone = %s
@@ -234,7 +262,7 @@
 drain_limit = 2m
 [listen]
 control = %s
-`, instance.Name, instance.AvailabilityZone, instance.Region, c.path("fleet.key"), c.PlatformURL, c.PlatformURL, c.PlatformURL, control)
+`, instance.Name, instance.AvailabilityZone, instance.Region, c.path("fleet.key"), platform.store, platform.origin, platform.list, control)
 }
 
 // StartEntry runs an entry; it is not in the list until PublishList.
@@ -244,16 +272,20 @@
 		return err
 	}
 	control, public, adminAddress := addresses[0], addresses[1], addresses[2]
-	text := c.commonSettings(instance, control) + fmt.Sprintf("public = %s\nadmin = %s\n[admin]\noperators_file = %s\n%s\n",
-		public, adminAddress, c.path("operators.ini"), instance.Extra)
+	platform, err := c.platformOf(instance)
+	if err != nil {
+		return err
+	}
+	text := c.commonSettings(instance, control, platform) + fmt.Sprintf("public = %s\nadmin = %s\n[admin]\noperators_file = %s\n[customers]\n%s\n%s\n",
+		public, adminAddress, c.path("operators.ini"), c.config.customers(), instance.Extra)
 	if err := c.startDaemon(instance.Name, "plantain-entry", text); err != nil {
 		return err
 	}
 	c.mu.Lock()
 	c.instances[instance.Name] = c.row(instance, member.RoleEntry, public, control)
-	c.admins[instance.Name] = "http://" + adminAddress
+	c.admins[instance.Name] = c.scheme() + adminAddress
 	c.mu.Unlock()
-	return WaitHTTP("http://" + adminAddress + "/healthz")
+	return c.waitHTTP(c.scheme() + adminAddress + "/healthz")
 }
 
 // StartAgent runs an agent and its backend server.
@@ -267,13 +299,21 @@
 	if instance.Service {
 		kind = "service"
 	}
-	if _, err := c.run(instance.Name+"-backend", "plantain-standin", kind, "--listen", backend); err != nil {
+	platform, err := c.platformOf(instance)
+	if err != nil {
+		return err
+	}
+	args := []string{kind, "--listen", backend}
+	if c.config.Record {
+		args = append(args, "--records", c.RecordsPath(instance.Name))
+	}
+	if _, err := c.run(instance.Name+"-backend", "plantain-standin", args...); err != nil {
 		return err
 	}
 	if err := WaitHTTP("http://" + backend + "/v1/status"); err != nil {
 		return err
 	}
-	text := c.commonSettings(instance, control) + fmt.Sprintf("http = %s\n[backend]\nurl = http://%s\n%s\n", public, backend, instance.Extra)
+	text := c.commonSettings(instance, control, platform) + fmt.Sprintf("http = %s\n[backend]\nurl = http://%s\n%s\n", public, backend, instance.Extra)
 	if err := c.startDaemon(instance.Name, "plantain-agent", text); err != nil {
 		return err
 	}
@@ -281,7 +321,7 @@
 	c.instances[instance.Name] = c.row(instance, member.RoleAgent, public, control)
 	c.backends[instance.Name] = "http://" + backend
 	c.mu.Unlock()
-	return WaitHTTP("http://" + public + "/healthz")
+	return c.waitHTTP(c.scheme() + public + "/healthz")
 }
 
 // RestartDaemon starts an entry or agent again with its former settings.
@@ -362,7 +402,21 @@
 }
 
 // PublicURL returns the base URL of an entry's public listener.
-func (c *Cluster) PublicURL(entry string) string { return "http://" + c.Row(entry).HTTPAddress }
+func (c *Cluster) PublicURL(entry string) string { return c.scheme() + c.Row(entry).HTTPAddress }
+
+func (c *Cluster) scheme() string {
+	if c.config.Client != nil {
+		return "https://"
+	}
+	return "http://"
+}
+
+func (c *Cluster) client() *http.Client {
+	if c.config.Client != nil {
+		return c.config.Client
+	}
+	return http.DefaultClient
+}
 
 // AdminURL returns the base URL of an entry's administration listener.
 func (c *Cluster) AdminURL(entry string) string {
@@ -404,6 +458,9 @@
 		_ = process.Command.Process.Kill()
 		<-process.exited
 	}
+	if c.lists != nil {
+		_ = c.lists.Close()
+	}
 }
 
 // Publish puts weights into the origin and returns their manifest's digest.
@@ -432,7 +489,7 @@
 		return 0, err
 	}
 	request.Header.Set("Authorization", "Bearer "+c.Token)
-	response, err := http.DefaultClient.Do(request)
+	response, err := c.client().Do(request)
 	if err != nil {
 		return 0, err
 	}
@@ -457,7 +514,7 @@
 		return status, err
 	}
 	request.Header.Set("Authorization", "Bearer "+c.Token)
-	response, err := http.DefaultClient.Do(request)
+	response, err := c.client().Do(request)
 	if err != nil {
 		return status, err
 	}
@@ -500,10 +557,18 @@
 
 // WaitHTTP waits until a GET of url answers with any status.
 func WaitHTTP(url string) error {
+	return waitHTTP(http.DefaultClient, url)
+}
+
+func (c *Cluster) waitHTTP(url string) error {
+	return waitHTTP(c.client(), url)
+}
+
+func waitHTTP(client *http.Client, url string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), StartLimit)
 	defer cancel()
 	return WaitFor(ctx, func() (bool, string) {
-		response, err := http.Get(url)
+		response, err := client.Get(url)
 		if err != nil {
 			return false, err.Error()
 		}
--- a/test/standin/engine.go
+++ b/test/standin/engine.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -44,8 +45,13 @@
 	Manifest weights.Digest `json:"manifest"`
 	Whole    weights.Digest `json:"whole"`
 	Started  time.Time      `json:"started"`
+	// Call is the caller's own number of the call, when it sent one.
+	Call string `json:"call,omitempty"`
 }
 
+// HeaderCall carries a caller's own number of a call to the records.
+const HeaderCall = "X-Test-Call"
+
 // Engine is the stand-in of a model engine or of a plain service.
 type Engine struct {
 	model       bool
@@ -56,6 +62,13 @@
 	staged     map[weights.Digest]map[int][]byte
 	faults     EngineFaults
 	executions []Execution
+	file       io.Writer
+}
+
+// RecordTo also writes each execution to file as a line of JSON before it
+// runs, so that the records outlive the process.
+func (e *Engine) RecordTo(file io.Writer) {
+	e.file = file
 }
 
 const (
@@ -193,6 +206,7 @@
 	w.Header().Set(engine.HeaderVersion, execution.Version)
 	w.Header().Set(engine.HeaderManifest, string(execution.Manifest))
 	w.Header().Set(engine.HeaderWhole, string(execution.Whole))
+	w.Header().Set(engine.HeaderTokensIn, strconv.Itoa(len(strings.Fields(string(body)))))
 	tokens, err := strconv.Atoi(r.URL.Query().Get("tokens"))
 	if err != nil || tokens < 1 || tokens > maxTokens {
 		tokens = defaultTokens
@@ -218,6 +232,11 @@
 		Manifest: e.status.Manifest,
 		Whole:    e.status.Whole,
 		Started:  time.Now(),
+		Call:     r.Header.Get(HeaderCall),
+	}
+	if e.file != nil {
+		raw, _ := json.Marshal(execution)
+		_, _ = e.file.Write(append(raw, '\n'))
 	}
 	e.executions = append(e.executions, execution)
 	e.status.Running++
@@ -241,7 +260,7 @@
 func (e *Engine) answer(w http.ResponseWriter, execution Execution, tokens int, faults EngineFaults) {
 	raw, _ := json.Marshal(Answer{Echo: execution.Body, Version: execution.Version, Whole: execution.Whole, Tokens: tokens})
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("X-Tokens-Out", strconv.Itoa(tokens))
+	w.Header().Set(engine.HeaderTokensOut, strconv.Itoa(tokens))
 	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
 	if faults.CutAnswers {
 		raw = raw[:len(raw)/2]
