--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -140,7 +140,7 @@
 		e.handler.states.want(owner.Instance)
 		return owner.Instance, found
 	}
-	candidates := e.handler.states.candidates(e.route.Pool)
+	candidates := e.handler.states.candidates(e.route.Pool, e.random)
 	chosen, found := balance.Choose(candidates, e.handler.config.AvailabilityZone, e.tried, e.random)
 	return chosen.Name, found
 }
@@ -149,8 +149,10 @@
 	ctx, cancel := context.WithDeadline(e.r.Context(), e.deadline)
 	defer cancel()
 	release := context.AfterFunc(alive, cancel)
+	started := time.Now()
 	response, err := e.forward(ctx)
 	release()
+	e.observe(response, err, time.Since(started))
 	if err != nil {
 		return e.failed(err), false
 	}
@@ -170,6 +172,23 @@
 	return e.decision.Broken(e.delivered, time.Now()), false
 }
 
+// observe tells the balance how an attempt went, as far as that says something
+// about the instance: not when the caller left or the agent refused.
+func (e *exchange) observe(response *http.Response, err error, took time.Duration) {
+	if e.r.Context().Err() != nil {
+		return
+	}
+	failed := err != nil
+	if !failed {
+		refusal := message.Refusal(response.Header.Get(message.HeaderRefusal))
+		failed = refusal == message.RefusalBackend
+		if refusal != "" && !failed {
+			return
+		}
+	}
+	e.handler.states.observe(e.route.Pool, e.agent.instance.Name, took, failed)
+}
+
 func (e *exchange) forward(ctx context.Context) (*http.Response, error) {
 	target := e.handler.config.Security.Scheme() + "://" + e.agent.instance.HTTPAddress + message.PathAttempt + e.r.URL.EscapedPath()
 	if e.r.URL.RawQuery != "" {
--- a/internal/gateway/states.go
+++ b/internal/gateway/states.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -32,6 +33,17 @@
 // today's size is watched whole.
 var subsetSize = balance.SubsetSize{Local: 16, Remote: 4}
 
+// outlierConfig says when an instance counts as slow or failing.
+var outlierConfig = balance.OutlierConfig{
+	MinSamples:  20,
+	SlowFactor:  3,
+	MaxFailures: 0.5,
+	EjectFor:    5 * time.Second,
+	MaxEject:    time.Minute,
+	Reentry:     10 * time.Second,
+	MaxShare:    0.5,
+}
+
 // agentState is the last state read from one agent.
 type agentState struct {
 	message.StateReply
@@ -68,6 +80,8 @@
 	zone   string
 	// wanted instances are watched until the time given.
 	wanted map[string]time.Time
+	// outliers holds the judge of each pool's instances.
+	outliers map[string]*balance.Outliers
 }
 
 // pulse is when an agent last answered; its context ends when it fell silent.
@@ -91,6 +105,7 @@
 		distrusted: map[string]bool{},
 		changed:    make(chan struct{}, 1),
 		wanted:     map[string]time.Time{},
+		outliers:   map[string]*balance.Outliers{},
 		inFlight:   map[string]int{},
 		pulses:     map[string]*pulse{},
 	}
@@ -226,6 +241,12 @@
 	list := s.members.Current()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, judge := range s.outliers {
+		judge.Forget(func(name string) bool {
+			_, listed := list.Find(name)
+			return !listed
+		})
+	}
 	for name := range s.pulses {
 		if _, listed := list.Find(name); !listed {
 			s.missed(name)
@@ -254,22 +275,49 @@
 	return all
 }
 
-// candidates returns the instances of pool that may take an attempt now.
-func (s *States) candidates(pool string) []balance.Candidate {
+// candidates returns the instances of pool that may take an attempt now. Slow
+// and failing ones are left out unless nothing else is left.
+func (s *States) candidates(pool string, random *rand.Rand) []balance.Candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var found []balance.Candidate
+	var good, outlying []balance.Candidate
 	for name, state := range s.agents {
-		if !s.usable(name, state, pool) || s.inFlight[name]+state.others() >= state.MaxRunning {
+		load := s.inFlight[name] + state.others()
+		if !s.usable(name, state, pool) || load >= state.MaxRunning {
 			continue
 		}
-		found = append(found, balance.Candidate{
-			Name:             name,
-			AvailabilityZone: state.instance.AvailabilityZone,
-			Load:             state.others() + s.inFlight[name],
-		})
+		candidate := balance.Candidate{Name: name, AvailabilityZone: state.instance.AvailabilityZone, Load: load}
+		if share := s.judge(pool).Share(name, time.Now()); share < 1 && random.Float64() >= share {
+			outlying = append(outlying, candidate)
+			continue
+		}
+		good = append(good, candidate)
 	}
-	return found
+	if len(good) == 0 {
+		return outlying
+	}
+	return good
+}
+
+// judge returns the judge of a pool's instances; the caller holds the lock.
+func (s *States) judge(pool string) *balance.Outliers {
+	if s.outliers[pool] == nil {
+		s.outliers[pool] = balance.NewOutliers(outlierConfig)
+	}
+	return s.outliers[pool]
+}
+
+// observe notes the outcome of an attempt; took is the time to the first byte.
+func (s *States) observe(pool, name string, took time.Duration, failed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for other, state := range s.agents {
+		if state.Pool == pool {
+			names = append(names, other)
+		}
+	}
+	s.judge(pool).Observe(name, took, failed, names, time.Now())
 }
 
 // beat notes an answer; the caller holds the lock.
