--- a/internal/distribute/load.go
+++ b/internal/distribute/load.go
@@ -96,10 +96,15 @@
 	vars := pathvar.Vars(r)
 	manifest := weights.Digest(vars["manifest"])
 	chunk, err := strconv.Atoi(vars["chunk"])
-	if err != nil || !manifest.Valid() {
+	if err != nil || chunk < 0 || !manifest.Valid() {
 		http.Error(w, "name a manifest digest and a chunk number", http.StatusBadRequest)
 		return
 	}
+	// A plain service has no target; the request would be run by it.
+	if d.Status().Target.Manifest == "" {
+		http.Error(w, "the chunk is not held here", http.StatusNotFound)
+		return
+	}
 	data, err := d.model.ReadStaged(r.Context(), manifest, chunk)
 	if err != nil {
 		http.Error(w, "the chunk is not held here", http.StatusNotFound)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/sirupsen/logrus"
 	"github.com/zeromicro/go-zero/rest"
 
@@ -19,8 +17,10 @@
 	"plantainrelay/internal/member"
 	"plantainrelay/internal/membership"
 	"plantainrelay/internal/metering"
+	"plantainrelay/internal/metrics"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/platform"
+	"plantainrelay/internal/servicelevel"
 	"plantainrelay/internal/tablesync"
 	"plantainrelay/internal/tracker"
 	"plantainrelay/internal/usage"
@@ -87,6 +87,9 @@
 	readiness *daemon.Readiness
 	security  peer.Security
 	meter     *metering.Meter
+	levels    *servicelevel.Recorder
+	gatherer  *servicelevel.Gatherer
+	metrics   *metrics.Metrics
 }
 
 func newParts(s Settings, log *logrus.Entry) (*parts, error) {
@@ -98,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &parts{readiness: daemon.NewReadiness(), security: security}
+	p := &parts{readiness: daemon.NewReadiness(), security: security, metrics: metrics.New()}
 	p.store = platform.New(platform.Config{StoreURL: s.StoreURL, OriginURL: s.OriginURL, ListURL: s.ListURL})
 	source := usage.Source{Name: s.Instance + "/" + uuid.NewString()[:8], Role: member.RoleEntry}
 	p.meter = metering.New(source, p.store, s.UsageInterval, log)
@@ -122,7 +125,7 @@
 		AvailabilityZone: s.AvailabilityZone,
 		Security:         p.security,
 		Customers:        customers,
-		Usage:            p.meter,
+		Usage:            p.metrics.Requests("requests", "Requests that ended at this entry by outcome.", p.meter),
 		MaxBodyBytes:     s.MaxBodyBytes,
 		MaxAttempts:      int(s.MaxAttempts),
 		AskInterval:      s.AskInterval,
@@ -130,6 +133,8 @@
 		MaxWait:          s.MaxWait,
 		RetryAfter:       s.RetryAfter,
 	}, p.sync, p.states, p.owners, p.admission, p.client, log)
+	p.levels = servicelevel.NewRecorder(s.Objectives)
+	p.gatherer = servicelevel.NewGatherer(s.Instance, p.levels, p.members, p.client)
 	p.readiness.Set("tables", "no tables are known yet")
 	return p, nil
 }
@@ -152,15 +157,18 @@
 	if err := server.Register("Entry", gateway.NewService(p.addresses)); err != nil {
 		return err
 	}
+	if err := server.Register("ServiceLevel", servicelevel.NewService(p.levels)); err != nil {
+		return err
+	}
 	return server.Listen(s.ControlAddress)
 }
 
 func (p *parts) listen(d *daemon.Daemon, s Settings, operators *admin.Operators, log *logrus.Entry) error {
-	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	p.register()
 	api := admin.New(operators, admin.NewEditor(p.store, p.sync), p.sync, p.states.All, log)
-	routes := append(daemon.OperationRoutes(p.readiness, registry), api.Routes()...)
+	routes := append(daemon.OperationRoutes(p.readiness, p.metrics.Registry), api.Routes()...)
 	routes = append(routes, api.UsageRoute(metering.NewReporter(p.store)))
+	routes = append(routes, api.ReportRoute(servicelevel.Path, func(ctx context.Context) (any, error) { return p.gatherer.Gather(ctx) }))
 	if err := d.Listen(daemon.Listener{
 		Address:      s.AdminAddress,
 		Routes:       routes,
@@ -173,7 +181,7 @@
 	return d.Listen(daemon.Listener{
 		Address:      s.PublicAddress,
 		Routes:       []rest.Route{p.addresses.Route()},
-		Fallback:     p.requests,
+		Fallback:     p.levels.Wrap(p.requests),
 		MaxBodyBytes: s.MaxBodyBytes,
 		Certificate:  s.CallersCertificate,
 		ClientAuth:   tls.RequireAndVerifyClientCert,
@@ -187,6 +195,7 @@
 	go p.meter.Run(ctx)
 	go p.owners.Run(ctx)
 	go p.admission.Run(ctx)
+	go p.levels.Run(ctx, p.sync.Current, p.states.All)
 	go p.watchReadiness(ctx)
 }
 
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -81,7 +81,6 @@
 		return
 	}
 	metered := metering.Wrap(w, h.usage, r.Header.Get(message.HeaderCustomer), r.Header.Get(message.HeaderPool))
-	defer metered.EndAttempt()
 	run := &execution{handler: h, attempt: o.attempt, admitted: admitted, w: metered}
 	defer func() {
 		if run.notStarted {
@@ -89,6 +88,7 @@
 			return
 		}
 		h.gate.end(o.attempt, run.kept)
+		metered.EndAttempt()
 	}()
 	run.serve(r, path, body, o.deadline)
 }
