--- a/bench/requests/load.go
+++ b/bench/requests/load.go
@@ -28,6 +28,7 @@
 type sample struct {
 	customer string
 	done     bool
+	end      time.Time
 	total    time.Duration
 	first    time.Duration
 	gaps     []time.Duration
@@ -50,7 +51,8 @@
 		s.readTokens(response.Body, start)
 	}
 	_, err = io.Copy(io.Discard, response.Body)
-	s.total = time.Since(start)
+	s.end = time.Now()
+	s.total = s.end.Sub(start)
 	s.done = err == nil && response.StatusCode == http.StatusOK
 	return s
 }
@@ -96,11 +98,11 @@
 
 // openLoop sends requests at a rate, whether or not earlier ones have ended.
 // customer names the customer of the request of a number.
-func openLoop(urls []string, perSecond float64, length time.Duration, customer func(i int) string) []sample {
+func openLoop(urls []string, perSecond float64, length time.Duration, customer func(i int) string) (all []sample, start time.Time) {
 	count := int(perSecond * length.Seconds())
-	all := make([]sample, count)
+	all = make([]sample, count)
 	var group sync.WaitGroup
-	start := time.Now()
+	start = time.Now()
 	for i := range count {
 		time.Sleep(time.Until(start.Add(time.Duration(float64(i) / perSecond * float64(time.Second)))))
 		group.Add(1)
@@ -110,7 +112,7 @@
 		}()
 	}
 	group.Wait()
-	return all
+	return all, start
 }
 
 // quantiles prints p50, p95 and p99.
--- a/bench/requests/parts.go
+++ b/bench/requests/parts.go
@@ -68,7 +68,7 @@
 		if err != nil {
 			return err
 		}
-		all := openLoop([]string{c.PublicURL("entry-1") + "/x"}, rate, 2*partLength, func(int) string { return "small-1" })
+		all, _ := openLoop([]string{c.PublicURL("entry-1") + "/x"}, rate, 2*partLength, func(int) string { return "small-1" })
 		after, err := usedBy(c, names)
 		if err != nil {
 			return err
@@ -100,6 +100,8 @@
 	overloadRun     = 100 * time.Millisecond
 	smallCustomers  = 9
 	smallRate       = 4.0
+	overloadLength  = 10 * time.Second
+	overloadWarm    = 4 * time.Second
 )
 
 // overload offers half, the whole and twice the capacity, the rest beyond nine
@@ -122,18 +124,18 @@
 	for _, load := range []float64{0.5, 1, 2} {
 		rate := load * capacity
 		small := int(rate / smallRate)
-		all := openLoop(urls, rate, 2*partLength, func(i int) string {
+		all, start := openLoop(urls, rate, overloadLength, func(i int) string {
 			if turn := i % small; turn < smallCustomers {
 				return fmt.Sprintf("small-%d", turn)
 			}
 			return "large"
 		})
-		report(load, all)
+		report(load, all, start)
 	}
 	return nil
 }
 
-func report(load float64, all []sample) {
+func report(load float64, all []sample, start time.Time) {
 	var small, large []sample
 	for _, s := range all {
 		if strings.HasPrefix(s.customer, "small") {
@@ -143,8 +145,14 @@
 		}
 	}
 	done := len(durations(all, total))
-	fmt.Printf("load %.1fx: offered %d, done %d (%.1f/s); small: done %d of %d, %s; large: done %d of %d, %s\n", load, len(all), done,
-		float64(done)/(2*partLength).Seconds(), len(durations(small, total)), len(small), quantiles(durations(small, total)),
+	steady := 0
+	for _, s := range all {
+		if after := s.end.Sub(start); s.done && after >= overloadWarm && after < overloadLength {
+			steady++
+		}
+	}
+	fmt.Printf("load %.1fx: offered %d, done %d, goodput in the steady part %.1f/s; small: done %d of %d, %s; large: done %d of %d, %s\n", load, len(all), done,
+		float64(steady)/(overloadLength-overloadWarm).Seconds(), len(durations(small, total)), len(small), quantiles(durations(small, total)),
 		len(durations(large, total)), len(large), quantiles(durations(large, total)))
 }
 
