--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -214,6 +214,7 @@
 		Manifest:    state.Admitted.Manifest,
 		Running:     state.Running,
 
+		MaxRunning:     int(s.parts.settings.MaxRunning),
 		OwnersRevision: state.OwnersRevision,
 		Released:       state.Released,
 		HighestIssued:  state.HighestIssued,
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -10,14 +10,9 @@
 type Candidate struct {
 	Name             string
 	AvailabilityZone string
-	// Reported is the number of requests that the instance last reported.
-	Reported int
-	// InFlight is the number of attempts that this process has open there.
-	InFlight int
-}
-
-func (c Candidate) load() int {
-	return max(c.Reported, c.InFlight)
+	// Load is the number of requests in progress there: the last report joined
+	// with this process's own attempts since.
+	Load int
 }
 
 // Choose picks by the power of two choices among the candidates of zone, or
@@ -34,7 +29,7 @@
 	}
 	first := from[random.IntN(len(from))]
 	second := from[random.IntN(len(from))]
-	if second.load() < first.load() {
+	if second.Load < first.Load {
 		return second, true
 	}
 	return first, true
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -72,3 +72,21 @@
 		t.Fatalf("no outcome after 2000 actions, %d attempts", sent)
 	})
 }
+
+// TestBudgetBoundsRetries lets every attempt of many requests fail.
+func TestBudgetBoundsRetries(t *testing.T) {
+	const requests = 1000
+	budget := dispatch.NewBudget(0.1, 20)
+	now := time.UnixMilli(1_700_000_000_000)
+	attempts := 0
+	for range requests {
+		budget.Request()
+		r := dispatch.New(dispatch.Config{Repeatable: true, Deadline: now.Add(time.Minute), MaxAttempts: 3, Retry: budget.Retry})
+		for action := r.Start(now); action.Kind == dispatch.Send; action = r.Broken(false, now) {
+			attempts++
+		}
+	}
+	if attempts > requests+requests/10+20 {
+		t.Fatalf("%d attempts for %d requests", attempts, requests)
+	}
+}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -28,6 +28,9 @@
 	MaxSilence    time.Duration
 	// MaxWait bounds how long a request waits for an available instance.
 	MaxWait time.Duration
+	// MaxRunningPerCustomer bounds one customer's requests in progress in one
+	// pool through this entry; 0 means no bound.
+	MaxRunningPerCustomer int64
 	// AskInterval is the pause between two questions about one attempt.
 	AskInterval time.Duration
 	// RetryAfter is the time after which a refused caller may ask again.
@@ -63,20 +66,21 @@
 // ReadSettings reads and checks the settings of r.
 func ReadSettings(r *settings.Reader) (Settings, error) {
 	loaded := Settings{
-		Common:        settings.ReadCommon(r),
-		PublicAddress: r.Address("listen", "public"),
-		AdminAddress:  r.Address("listen", "admin"),
-		OperatorsFile: r.Required("admin", "operators_file", "the path of the operators file"),
-		StateInterval: r.Duration("control", "state_interval", 500*time.Millisecond, 50*time.Millisecond, time.Minute),
-		MaxBodyBytes:  r.Bytes("requests", "max_body", defaultBodyBytes, 1, maxBodyBytes),
-		MaxAttempts:   r.Int("requests", "max_attempts", 3, 1, 10),
-		MaxWait:       r.Duration("requests", "max_wait", 5*time.Second, 0, time.Minute),
-		MaxSilence:    r.Duration("requests", "max_silence", 10*time.Second, 100*time.Millisecond, 10*time.Minute),
-		AskInterval:   r.Duration("requests", "ask_interval", 300*time.Millisecond, 10*time.Millisecond, 10*time.Second),
-		RetryAfter:    r.Duration("requests", "retry_after", 3*time.Second, time.Second, 10*time.Minute),
-		WatchWait:     r.Duration("control", "watch_wait", 10*time.Second, time.Second, time.Minute),
-		CustomersFile: r.String("customers", "keys_file", ""),
-		TrustHeader:   r.Choice("customers", "trust_header", "no", "yes", "no") == "yes",
+		Common:                settings.ReadCommon(r),
+		PublicAddress:         r.Address("listen", "public"),
+		AdminAddress:          r.Address("listen", "admin"),
+		OperatorsFile:         r.Required("admin", "operators_file", "the path of the operators file"),
+		StateInterval:         r.Duration("control", "state_interval", 500*time.Millisecond, 50*time.Millisecond, time.Minute),
+		MaxBodyBytes:          r.Bytes("requests", "max_body", defaultBodyBytes, 1, maxBodyBytes),
+		MaxAttempts:           r.Int("requests", "max_attempts", 3, 1, 10),
+		MaxWait:               r.Duration("requests", "max_wait", 5*time.Second, 0, time.Minute),
+		MaxRunningPerCustomer: r.Int("requests", "max_running_per_customer", 0, 0, 1000000),
+		MaxSilence:            r.Duration("requests", "max_silence", 10*time.Second, 100*time.Millisecond, 10*time.Minute),
+		AskInterval:           r.Duration("requests", "ask_interval", 300*time.Millisecond, 10*time.Millisecond, 10*time.Second),
+		RetryAfter:            r.Duration("requests", "retry_after", 3*time.Second, time.Second, 10*time.Minute),
+		WatchWait:             r.Duration("control", "watch_wait", 10*time.Second, time.Second, time.Minute),
+		CustomersFile:         r.String("customers", "keys_file", ""),
+		TrustHeader:           r.Choice("customers", "trust_header", "no", "yes", "no") == "yes",
 
 		CallersCertificate: r.CertificateFiles("callers", false),
 		AdminCertificate:   r.CertificateFiles("admin", false),
--- a/internal/gateway/address.go
+++ b/internal/gateway/address.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,11 +14,19 @@
 	"plantainrelay/internal/dispatch"
 	"plantainrelay/internal/member"
 	"plantainrelay/internal/membership"
+	"plantainrelay/internal/message"
+	"plantainrelay/internal/peer"
 )
 
 // addressValidity is how long a caller may keep an address answer.
 const addressValidity = 5 * time.Second
 
+const (
+	toldFor         = time.Minute
+	announceTimeout = 2 * time.Second
+	announcesAtOnce = 32
+)
+
 // AddressAnswer tells a caller which entry to use.
 type AddressAnswer struct {
 	// Address is "IP:port"; Alternate is used when Address does not answer.
@@ -31,11 +41,16 @@
 	members *membership.View
 	self    string
 	leaving atomic.Bool
+
+	mu sync.Mutex
+	// told holds the entries that said they are leaving, until the time at
+	// which the platform's list must show it.
+	told map[string]time.Time
 }
 
 // NewAddresses returns the address answers of the entry self.
 func NewAddresses(members *membership.View, self string) *Addresses {
-	return &Addresses{members: members, self: self}
+	return &Addresses{members: members, self: self, told: map[string]time.Time{}}
 }
 
 // Leave takes this entry out of its own answers.
@@ -43,6 +58,67 @@
 	a.leaving.Store(true)
 }
 
+// Told takes another entry out of the answers before the list shows that it is
+// leaving.
+func (a *Addresses) Told(entry string) {
+	a.mu.Lock()
+	a.told[entry] = time.Now().Add(toldFor)
+	a.mu.Unlock()
+}
+
+// isLeaving reports whether an entry is known to leave.
+func (a *Addresses) isLeaving(entry string) bool {
+	if entry == a.self && a.leaving.Load() {
+		return true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	until, told := a.told[entry]
+	if told && time.Now().After(until) {
+		delete(a.told, entry)
+		return false
+	}
+	return told
+}
+
+// Announce tells all other entries that this one is leaving.
+func (a *Addresses) Announce(client *peer.Client) {
+	var group sync.WaitGroup
+	slots := make(chan struct{}, announcesAtOnce)
+	for _, instance := range a.members.Current().Role(member.RoleEntry) {
+		if instance.Name == a.self {
+			continue
+		}
+		slots <- struct{}{}
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			defer func() { <-slots }()
+			ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+			defer cancel()
+			// An entry that was not reached learns it from the list.
+			_ = client.Call(ctx, instance.ControlAddress, message.MethodLeaving, message.LeavingArgs{Instance: a.self}, &message.LeavingReply{})
+		}()
+	}
+	group.Wait()
+}
+
+// Service is the net/rpc service "Entry".
+type Service struct {
+	addresses *Addresses
+}
+
+// NewService returns the service over addresses.
+func NewService(addresses *Addresses) *Service {
+	return &Service{addresses: addresses}
+}
+
+// Leaving takes the calling entry out of the address answers.
+func (s *Service) Leaving(args message.LeavingArgs, _ *message.LeavingReply) error {
+	s.addresses.Told(args.Instance)
+	return nil
+}
+
 // Route returns the HTTP route of the address query.
 func (a *Addresses) Route() rest.Route {
 	return rest.Route{Method: http.MethodGet, Path: "/plantain/v1/address", Handler: a.serve}
@@ -52,8 +128,7 @@
 	zone := r.URL.Query().Get("availability_zone")
 	var near, all []string
 	for _, instance := range a.members.Current().Role(member.RoleEntry) {
-		leaving := instance.Name == a.self && a.leaving.Load()
-		if leaving || instance.State != member.StateLive {
+		if a.isLeaving(instance.Name) || instance.State != member.StateLive {
 			continue
 		}
 		all = append(all, instance.HTTPAddress)
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -78,6 +78,8 @@
 	Manifest weights.Digest
 	// Running is the number of requests in progress.
 	Running int
+	// MaxRunning bounds the requests in progress.
+	MaxRunning int
 	// OwnersRevision is the revision of the map of owners that the agent holds.
 	OwnersRevision int64
 	// Released says that the agent runs no further key; HighestIssued is the
