--- /dev/null
+++ b/bench/weights/cmd/main.go
@@ -0,0 +1,34 @@
+// Command cmd measures the distribution of weights and prints tables.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+)
+
+func main() {
+	sizes := flag.String("sizes", "4,8,16,32,100,400,1600", "numbers of instances for the decision core")
+	seed := flag.Uint64("seed", 1, "seed of the run")
+	flag.Parse()
+	numbers, err := parseSizes(*sizes)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	runCore(os.Stdout, numbers, *seed)
+}
+
+func parseSizes(text string) ([]int, error) {
+	var sizes []int
+	for _, part := range strings.Split(text, ",") {
+		size, err := strconv.Atoi(part)
+		if err != nil || size < 1 {
+			return nil, fmt.Errorf("%q is not a number of instances", part)
+		}
+		sizes = append(sizes, size)
+	}
+	return sizes, nil
+}
--- /dev/null
+++ b/bench/weights/core/core.go
@@ -0,0 +1,414 @@
+// Package core drives the decisions of package swarm for many instances in one
+// process on a virtual clock. Links are first-in-first-out queues of fixed
+// rates; nothing else of a fleet is modelled.
+package core
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"plantainrelay/internal/swarm"
+)
+
+// Config describes one run.
+type Config struct {
+	Instances int
+	Chunks    int
+	// Zones and Regions are the numbers of availability zones and regions.
+	Zones, Regions int
+	// Unit is the time that one copy takes over an instance's link.
+	Unit time.Duration
+	// OriginCopies and RegionCopies are the copies that the origin's link and
+	// each region's link, each way, carry in one unit; 0 is no limit.
+	OriginCopies, RegionCopies float64
+	// Plan holds the limits of the plans; Self and Seed are set here.
+	Plan swarm.Config
+	// MaxUploads bounds the uploads that wait at one instance.
+	MaxUploads int
+	// StartSpread is the time over which the instances learn of the version.
+	StartSpread time.Duration
+	Seed        uint64
+	// Dead is the share of the listed instances that never answer.
+	Dead float64
+	// DieAt, above 0, is when DieShare of the instances stop.
+	DieAt    time.Duration
+	DieShare float64
+	// CorruptShare is the share of transfers that arrive corrupted.
+	CorruptShare float64
+	// OriginStops, above 0, is the number of copies after which the origin
+	// serves nothing.
+	OriginStops float64
+	// Limit ends a run that does not complete.
+	Limit time.Duration
+}
+
+// Result is what one run cost. Times are in units, volumes in copies.
+type Result struct {
+	Complete               int
+	Live                   int
+	Time, MedianTime       float64
+	OriginCopies           float64
+	MaxCrossings           float64
+	MeanCrossings          float64
+	MaxUploads             float64
+	Messages, MessageBytes float64
+	ProcessorTime          time.Duration
+	Steps                  int
+}
+
+const (
+	latency   = 5 * time.Millisecond
+	tick      = 250 * time.Millisecond
+	callBytes = 160
+	dialLimit = 2 * time.Second
+)
+
+// link is a first-in-first-out queue of one chunk transfer at a time.
+type link struct {
+	perChunk time.Duration
+	free     time.Duration
+}
+
+// pass returns when a chunk that begins to arrive at the link leaves it.
+func (l *link) pass(at time.Duration) time.Duration {
+	l.free = max(l.free, at) + l.perChunk
+	return l.free
+}
+
+type node struct {
+	index    int
+	name     string
+	zone     string
+	region   string
+	plan     *swarm.Plan
+	in, out  link
+	waiting  int
+	uploads  int
+	dead     bool
+	started  bool
+	done     time.Duration
+	messages int
+	bytes    int
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].seq < q[j].seq)
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *queue) Push(x any) { *q = append(*q, x.(event)) }
+
+// Pop implements heap.Interface.
+func (q *queue) Pop() any {
+	last := len(*q) - 1
+	item := (*q)[last]
+	*q = (*q)[:last]
+	return item
+}
+
+type run struct {
+	config     Config
+	now        time.Duration
+	events     queue
+	seq        int
+	nodes      []*node
+	byName     map[string]*node
+	origin     link
+	regionsIn  map[string]*link
+	regionsOut map[string]*link
+	fromOrigin int
+	crossings  map[string][]int
+	random     *rand.Rand
+	processor  time.Duration
+	steps      int
+	open       int
+}
+
+var epoch = time.Unix(0, 0)
+
+// DefaultPlan returns the limits that a pool with the given number of extra
+// copies has.
+func DefaultPlan(extraCopies float64) swarm.Config {
+	return swarm.Config{
+		MaxInFlight: 16,
+		Patience:    10 * time.Second,
+		StealAfter:  2 * time.Second,
+		AskInterval: 2 * time.Second,
+		JoinWait:    time.Second,
+		Penalty:     time.Second,
+		ExtraCopies: extraCopies,
+	}
+}
+
+// Default returns a distribution over the given number of instances in at most
+// 8 zones of 3 regions, with an origin that carries twice as much as the link of
+// one instance.
+func Default(instances int, seed uint64) Config {
+	const zones, regions = 8, 3
+	return Config{
+		Instances:    instances,
+		Chunks:       512,
+		Zones:        min(zones, instances),
+		Regions:      min(regions, instances),
+		Unit:         100 * time.Second,
+		OriginCopies: 2,
+		Plan:         DefaultPlan(0.1),
+		MaxUploads:   64,
+		StartSpread:  time.Second,
+		Seed:         seed,
+		Limit:        4000 * time.Second,
+	}
+}
+
+// Run runs one distribution.
+func Run(config Config) Result {
+	r := &run{
+		config:     config,
+		byName:     map[string]*node{},
+		regionsIn:  map[string]*link{},
+		regionsOut: map[string]*link{},
+		crossings:  map[string][]int{},
+		random:     rand.New(rand.NewPCG(config.Seed, 1)),
+	}
+	r.build()
+	for len(r.events) > 0 && r.open > 0 {
+		next := heap.Pop(&r.events).(event)
+		if next.at > config.Limit {
+			break
+		}
+		r.now = next.at
+		next.run()
+	}
+	return r.result()
+}
+
+func (r *run) perChunk(copies float64) time.Duration {
+	if copies == 0 {
+		return 0
+	}
+	return time.Duration(float64(r.config.Unit) / copies / float64(r.config.Chunks))
+}
+
+func (r *run) build() {
+	r.origin = link{perChunk: r.perChunk(r.config.OriginCopies)}
+	var members []swarm.Member
+	for i := range r.config.Instances {
+		z := i % r.config.Zones
+		n := &node{
+			index:  i,
+			name:   fmt.Sprintf("instance-%04d", i),
+			zone:   fmt.Sprintf("zone-%d", z),
+			region: fmt.Sprintf("region-%d", z%r.config.Regions),
+			in:     link{perChunk: r.perChunk(1)},
+			out:    link{perChunk: r.perChunk(1)},
+			dead:   r.random.Float64() < r.config.Dead,
+		}
+		r.nodes = append(r.nodes, n)
+		r.byName[n.name] = n
+		members = append(members, swarm.Member{Name: n.name, AvailabilityZone: n.zone, Region: n.region})
+		if r.regionsIn[n.region] == nil {
+			r.regionsIn[n.region] = &link{perChunk: r.perChunk(r.config.RegionCopies)}
+			r.regionsOut[n.region] = &link{perChunk: r.perChunk(r.config.RegionCopies)}
+		}
+		if r.crossings[n.zone] == nil {
+			r.crossings[n.zone] = make([]int, r.config.Chunks)
+		}
+	}
+	layout := swarm.NewLayout(members)
+	for _, n := range r.nodes {
+		if !n.dead {
+			r.open++
+			r.schedule(time.Duration(r.random.Float64()*float64(r.config.StartSpread)), func() { r.begin(n, layout) })
+		}
+	}
+	if r.config.DieAt > 0 {
+		r.schedule(r.config.DieAt, r.killSome)
+	}
+}
+
+func (r *run) killSome() {
+	for _, n := range r.nodes {
+		if !n.dead && r.random.Float64() < r.config.DieShare {
+			n.dead = true
+			if n.done == 0 {
+				r.open--
+			}
+		}
+	}
+}
+
+func (r *run) begin(n *node, layout *swarm.Layout) {
+	config := r.config.Plan
+	config.Self = n.name
+	config.Seed = r.config.Seed*1000003 + uint64(n.index)
+	n.plan = swarm.New(config, layout, r.config.Chunks, nil, epoch.Add(r.now))
+	n.started = true
+	r.ticks(n)
+}
+
+func (r *run) ticks(n *node) {
+	if n.dead {
+		return
+	}
+	r.step(n)
+	if n.done == 0 {
+		r.schedule(r.now+tick, func() { r.ticks(n) })
+	}
+}
+
+func (r *run) schedule(at time.Duration, action func()) {
+	r.seq++
+	heap.Push(&r.events, event{at: at, seq: r.seq, run: action})
+}
+
+// step asks one plan what to do and starts it.
+func (r *run) step(n *node) {
+	if n.dead || !n.started {
+		return
+	}
+	began := time.Now()
+	step := n.plan.Next(epoch.Add(r.now))
+	r.processor += time.Since(began)
+	r.steps++
+	for _, fetch := range step.Fetches {
+		r.fetch(n, fetch)
+	}
+	for _, offer := range step.Offers {
+		r.offer(n, offer)
+	}
+	for _, name := range step.Asks {
+		r.ask(n, r.byName[name])
+	}
+	if n.done == 0 && n.plan.Complete() {
+		n.done = r.now
+		r.open--
+	}
+}
+
+func (r *run) message(n *node, size int) {
+	n.messages++
+	n.bytes += size
+}
+
+func (r *run) offer(n *node, offer swarm.Offer) {
+	r.message(n, callBytes+3*(len(offer.Chunks)+len(offer.Turns)))
+	to := r.byName[offer.To]
+	if to.dead || !to.started {
+		r.schedule(r.now+latency, func() {
+			n.plan.OfferFailed(offer, epoch.Add(r.now))
+			r.step(n)
+		})
+		return
+	}
+	r.schedule(r.now+latency, func() {
+		if to.dead {
+			return
+		}
+		began := time.Now()
+		to.plan.Offered(n.name, offer.Chunks, offer.Turns, epoch.Add(r.now))
+		r.processor += time.Since(began)
+		r.step(to)
+	})
+}
+
+func (r *run) ask(n, to *node) {
+	r.message(n, callBytes)
+	if to.dead || !to.started {
+		wait := 2 * latency
+		if to.dead {
+			wait = dialLimit
+		}
+		r.schedule(r.now+wait, func() {
+			n.plan.NotTold(to.name, epoch.Add(r.now))
+			r.step(n)
+		})
+		return
+	}
+	r.message(to, callBytes+r.config.Chunks/8)
+	to.plan.Alive(n.name)
+	r.schedule(r.now+2*latency, func() {
+		began := time.Now()
+		n.plan.Told(to.name, to.plan.Have(), epoch.Add(r.now))
+		r.processor += time.Since(began)
+		r.step(n)
+	})
+}
+
+func (r *run) finish(n *node, fetch swarm.Fetch, outcome swarm.Outcome, at time.Duration) {
+	r.schedule(at, func() {
+		if n.dead {
+			return
+		}
+		if outcome == swarm.Verified && r.random.Float64() < r.config.CorruptShare {
+			outcome = swarm.Corrupt
+		}
+		began := time.Now()
+		n.plan.Finish(fetch, outcome, epoch.Add(r.now))
+		r.processor += time.Since(began)
+		r.step(n)
+	})
+}
+
+func (r *run) fetch(n *node, fetch swarm.Fetch) {
+	r.message(n, callBytes)
+	if fetch.Source == swarm.Origin {
+		r.fetchOrigin(n, fetch)
+		return
+	}
+	from := r.byName[fetch.Source]
+	switch {
+	case from.dead:
+		r.finish(n, fetch, swarm.Failed, r.now+dialLimit)
+	case !from.started || !from.plan.Have().Has(fetch.Chunk):
+		r.finish(n, fetch, swarm.Absent, r.now+2*latency)
+	case from.waiting >= r.config.MaxUploads:
+		r.finish(n, fetch, swarm.Busy, r.now+2*latency)
+	default:
+		r.transfer(n, from, fetch)
+	}
+}
+
+func (r *run) fetchOrigin(n *node, fetch swarm.Fetch) {
+	limit := r.config.OriginStops * float64(r.config.Chunks)
+	if limit > 0 && float64(r.fromOrigin) >= limit {
+		r.finish(n, fetch, swarm.Failed, r.now+2*latency)
+		return
+	}
+	r.fromOrigin++
+	r.crossings[n.zone][fetch.Chunk]++
+	left := r.origin.pass(r.now + latency)
+	r.finish(n, fetch, swarm.Verified, n.in.pass(max(r.now, left-n.in.perChunk)))
+}
+
+// transfer passes a chunk through the links between two instances. A link
+// receives the chunk while the one before it still sends.
+func (r *run) transfer(n, from *node, fetch swarm.Fetch) {
+	from.waiting++
+	left := from.out.pass(r.now + latency)
+	r.schedule(left, func() {
+		from.waiting--
+		from.uploads++
+		arrived := left
+		if from.region != n.region {
+			out, in := r.regionsOut[from.region], r.regionsIn[n.region]
+			arrived = out.pass(max(r.now, arrived-out.perChunk))
+			arrived = in.pass(max(r.now, arrived-in.perChunk))
+		}
+		if from.zone != n.zone {
+			r.crossings[n.zone][fetch.Chunk]++
+		}
+		r.finish(n, fetch, swarm.Verified, n.in.pass(max(r.now, arrived-n.in.perChunk)))
+	})
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -28,6 +28,7 @@
 	confirmInterval  = 250 * time.Millisecond
 	decisionTick     = 50 * time.Millisecond
 	announceInterval = 250 * time.Millisecond
+	engineInterval   = 500 * time.Millisecond
 	loadRetry        = time.Second
 	readyCheck       = 200 * time.Millisecond
 )
@@ -97,12 +98,16 @@
 		Self:             s.Instance,
 		AvailabilityZone: s.AvailabilityZone,
 		Region:           s.Region,
-		HTTPAddress:      s.HTTPAddress,
 		Key:              s.FleetKey,
 		Tick:             decisionTick,
 		AnnounceInterval: announceInterval,
+		EngineInterval:   engineInterval,
 		MaxInFlight:      int(s.MaxInFlight),
+		MaxUploads:       int(s.MaxUploads),
+		ChunkMemory:      s.ChunkMemory,
+		RegionRate:       s.RegionRate,
 		ChunkTimeout:     s.ChunkTimeout,
+		StallTimeout:     s.StallTimeout,
 		Patience:         s.Patience,
 		LoadTimeout:      s.LoadTimeout,
 		LoadRetry:        loadRetry,
@@ -115,6 +120,9 @@
 	if err := server.Register("Tables", tablesync.NewService(p.sync)); err != nil {
 		return err
 	}
+	if err := server.Register("Weights", distribute.NewService(p.driver)); err != nil {
+		return err
+	}
 	if err := server.Register("Agent", &Service{parts: p}); err != nil {
 		return err
 	}
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"plantainrelay/internal/settings"
+	"plantainrelay/internal/weights"
 )
 
 // Settings are the settings of plantain-agent.
@@ -21,8 +22,16 @@
 	// MaxKeptTotal bounds all kept answers in bytes.
 	MaxKeptTotal int64
 	// MaxInFlight bounds the chunks fetched at once.
-	MaxInFlight  int64
+	MaxInFlight int64
+	// MaxUploads bounds the chunks served to other agents at once.
+	MaxUploads int64
+	// ChunkMemory bounds the buffers of chunks in bytes.
+	ChunkMemory int64
+	// RegionRate bounds, in bytes per second, what all instances of a region
+	// together take of weights from other regions; 0 is no bound.
+	RegionRate   int64
 	ChunkTimeout time.Duration
+	StallTimeout time.Duration
 	Patience     time.Duration
 	LoadTimeout  time.Duration
 }
@@ -30,6 +39,10 @@
 const (
 	defaultKept = 64 << 10
 	maxKept     = 16 << 20
+	// defaultRegionRate leaves half of a link of 20 Mbit/s to live requests.
+	defaultRegionRate = 1250 << 10
+	maxRegionRate     = 1 << 40
+	maxChunkMemory    = 8 << 30
 
 	defaultKeptTotal = 32 << 20
 	maxKeptTotal     = 1 << 30
@@ -48,8 +61,12 @@
 		MaxRunning:   r.Int("backend", "max_running", 64, 1, 100000),
 		MaxKept:      r.Bytes("backend", "max_kept_answer", defaultKept, 0, maxKept),
 		MaxKeptTotal: r.Bytes("backend", "max_kept_total", defaultKeptTotal, 0, maxKeptTotal),
-		MaxInFlight:  r.Int("weights", "max_in_flight", 4, 1, 64),
+		MaxInFlight:  r.Int("weights", "max_in_flight", 8, 1, 64),
+		MaxUploads:   r.Int("weights", "max_uploads", 16, 1, 1024),
+		ChunkMemory:  r.Bytes("weights", "chunk_memory", weights.MaxChunkBytes, weights.MaxChunkBytes, maxChunkMemory),
+		RegionRate:   r.Bytes("weights", "region_rate", defaultRegionRate, 0, maxRegionRate),
 		ChunkTimeout: r.Duration("weights", "chunk_timeout", 30*time.Second, time.Second, time.Hour),
+		StallTimeout: r.Duration("weights", "stall_timeout", 3*time.Second, 100*time.Millisecond, time.Minute),
 		Patience:     r.Duration("weights", "patience", 10*time.Second, time.Second, time.Hour),
 		LoadTimeout:  r.Duration("weights", "load_timeout", 10*time.Minute, time.Second, 24*time.Hour),
 	}
--- /dev/null
+++ b/internal/distribute/announce.go
@@ -0,0 +1,96 @@
+package distribute
+
+import (
+	"context"
+	"time"
+
+	"plantainrelay/internal/failure"
+	"plantainrelay/internal/member"
+	"plantainrelay/internal/message"
+)
+
+// waitInterval bounds the time between two requests for a permit.
+const waitInterval = time.Second
+
+// startAnnounce tells the responsible entry how far this instance has come.
+func (d *Driver) startAnnounce(ctx context.Context) {
+	d.announcing = true
+	asked := time.Now()
+	failures, cause := d.rollout.Failures()
+	args := message.AnnounceArgs{
+		Instance:         d.config.Self,
+		Pool:             d.Status().Pool,
+		AvailabilityZone: d.config.AvailabilityZone,
+		Manifest:         d.rollout.Target().Manifest,
+		Stage:            d.rollout.Stage(),
+		Open:             d.gate.State().Open,
+		Wants:            d.rollout.WantsPermit(asked),
+		Failures:         failures,
+		Cause:            cause,
+	}
+	go func() {
+		reply, err := d.announce(ctx, args)
+		d.send(ctx, announced{args: args, asked: asked, reply: reply, err: err})
+	}()
+}
+
+// announce asks the entries in the order of their responsibility for the pool
+// until one answers.
+func (d *Driver) announce(ctx context.Context, args message.AnnounceArgs) (message.AnnounceReply, error) {
+	list := d.members.Current()
+	var names []string
+	for _, instance := range list.Role(member.RoleEntry) {
+		if instance.State == member.StateLive {
+			names = append(names, instance.Name)
+		}
+	}
+	err := failure.New(failure.NotReachable, "start an entry", "the list names no live entry")
+	for _, name := range member.Rank(args.Pool, names) {
+		instance, _ := list.Find(name)
+		var reply message.AnnounceReply
+		if err = d.callTracker(ctx, instance.ControlAddress, args, &reply); err == nil {
+			return reply, nil
+		}
+	}
+	return message.AnnounceReply{}, err
+}
+
+func (d *Driver) callTracker(ctx context.Context, address string, args message.AnnounceArgs, reply *message.AnnounceReply) error {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return d.client.Call(ctx, address, message.MethodAnnounce, args, reply)
+}
+
+// announced is the answer of a tracker.
+type announced struct {
+	args  message.AnnounceArgs
+	asked time.Time
+	reply message.AnnounceReply
+	err   error
+}
+
+func (e announced) apply(ctx context.Context, d *Driver) {
+	d.announcing = false
+	now := time.Now()
+	d.announceNext = now.Add(d.announceInterval(e.reply.Next))
+	if e.err != nil {
+		d.refusal = "no tracker answered; start an entry or check the links"
+		d.log.WithError(e.err).Debug("no tracker answered")
+		return
+	}
+	d.refusal = e.reply.Refusal
+	if e.reply.Permit {
+		// The lifetime counts from the question on.
+		d.act(ctx, d.rollout.Permitted(e.args.Manifest, e.asked.Add(e.reply.Lifetime), now))
+	}
+}
+
+// announceInterval returns the time to the next announcement; an instance that
+// waits for a permit, or holds one, asks more often.
+func (d *Driver) announceInterval(next time.Duration) time.Duration {
+	next = max(next, d.config.AnnounceInterval)
+	if d.rollout.WantsPermit(time.Now()) {
+		return min(next, waitInterval)
+	}
+	return next
+}
--- a/internal/distribute/driver.go
+++ b/internal/distribute/driver.go
@@ -5,11 +5,12 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/semaphore"
+	"golang.org/x/time/rate"
 
 	"plantainrelay/internal/engine"
 	"plantainrelay/internal/gate"
@@ -24,27 +25,33 @@
 	"plantainrelay/internal/weights"
 )
 
-const (
-	eventQueue = 256
-	minBackoff = 200 * time.Millisecond
-)
+const eventQueue = 256
 
 // Config holds the settings of a driver.
 type Config struct {
 	Self             string
 	AvailabilityZone string
 	Region           string
-	HTTPAddress      string
 	// Key is the fleet's key.
 	Key string
 	// Tick is the time between two decisions without events.
 	Tick time.Duration
-	// AnnounceInterval is the time between two announcements.
+	// AnnounceInterval is the time between two announcements until a tracker
+	// names another.
 	AnnounceInterval time.Duration
-	// MaxInFlight bounds the chunks fetched at once.
-	MaxInFlight int
+	// EngineInterval is the time between two questions to the engine.
+	EngineInterval time.Duration
+	// MaxInFlight bounds the chunks fetched at once, MaxUploads those served.
+	MaxInFlight, MaxUploads int
+	// ChunkMemory bounds the bytes of chunks held in buffers.
+	ChunkMemory int64
+	// RegionRate bounds the bytes per second that the instances of a region
+	// together take from other regions.
+	RegionRate int64
 	// ChunkTimeout bounds the fetch of one chunk.
 	ChunkTimeout time.Duration
+	// StallTimeout bounds the silence of a source.
+	StallTimeout time.Duration
 	// Patience, see swarm.Config.
 	Patience time.Duration
 	// LoadTimeout bounds one load order.
@@ -66,17 +73,34 @@
 	chunks  *chunkClient
 	log     *logrus.Entry
 	events  chan event
+	calls   chan peerCall
+	memory  *semaphore.Weighted
+	uploads *semaphore.Weighted
+	region  *rate.Limiter
 
 	rollout      *rollout.Rollout
+	fleet        fleet
 	manifest     *weights.Manifest
 	plan         *swarm.Plan
-	addresses    map[string]string
 	cancel       context.CancelFunc
+	outside      bool
+	drains       int
+	engineEpoch  int
+	incarnation  string
 	announcing   bool
 	announceNext time.Time
+	refusal      string
+
+	mu        sync.Mutex
+	status    Status
+	shared    shared
+	manifests *manifests
+}
 
-	mu     sync.Mutex
-	status Status
+// shared is what other agents may ask for.
+type shared struct {
+	digest weights.Digest
+	have   weights.Bitmap
 }
 
 // Status is a summary of the driver.
@@ -86,25 +110,32 @@
 	Stage    rollout.Stage
 	Held     int
 	Chunks   int
+	Bytes    int64
 	Failures int
-	Cause    string
+	// Cause tells of the last failed load, or why no permit is given.
+	Cause string
 }
 
 // New returns a driver.
 func New(config Config, model engine.Model, origin platform.Origin, g *gate.Gate, tables *tablesync.Sync,
 	members *membership.View, client *peer.Client, log *logrus.Entry) *Driver {
 	return &Driver{
-		config:  config,
-		model:   model,
-		origin:  origin,
-		gate:    g,
-		tables:  tables,
-		members: members,
-		client:  client,
-		chunks:  newChunkClient(config.Key, config.ChunkTimeout),
-		log:     log,
-		events:  make(chan event, eventQueue),
-		rollout: rollout.New(config.LoadRetry),
+		config:    config,
+		model:     model,
+		origin:    origin,
+		gate:      g,
+		tables:    tables,
+		members:   members,
+		client:    client,
+		chunks:    newChunkClient(config.Key, config.ChunkTimeout),
+		log:       log,
+		events:    make(chan event, eventQueue),
+		calls:     make(chan peerCall, callQueue),
+		memory:    semaphore.NewWeighted(max(config.ChunkMemory, weights.MaxChunkBytes)),
+		uploads:   semaphore.NewWeighted(int64(config.MaxUploads)),
+		region:    rate.NewLimiter(rate.Inf, pieceBytes),
+		rollout:   rollout.New(config.LoadRetry),
+		manifests: newManifests(),
 	}
 }
 
@@ -130,6 +161,10 @@
 
 // Run drives the distribution until ctx ends.
 func (d *Driver) Run(ctx context.Context) {
+	for range callWorkers {
+		go d.runCalls(ctx)
+	}
+	go d.watchEngine(ctx)
 	changed := d.tables.Subscribe()
 	ticker := time.NewTicker(d.config.Tick)
 	defer ticker.Stop()
@@ -158,6 +193,7 @@
 	d.mu.Lock()
 	d.status.Pool = pool.Name
 	d.mu.Unlock()
+	d.outside = !found
 	if !found {
 		d.gate.Close()
 		return
@@ -166,6 +202,9 @@
 		d.gate.Open(gate.Admitted{})
 		return
 	}
+	if d.rollout.Open() {
+		d.openGate()
+	}
 	target := rollout.Target{Version: pool.Version, Manifest: weights.Digest(pool.Manifest), Revision: snapshot.Revision}
 	d.act(ctx, d.rollout.SetTarget(target))
 }
@@ -173,12 +212,15 @@
 // step starts what the decisions ask for now.
 func (d *Driver) step(ctx context.Context) {
 	now := time.Now()
+	d.refreshFleet(now)
 	if d.plan != nil {
-		for _, fetch := range d.plan.Next(now) {
+		next := d.plan.Next(now)
+		for _, fetch := range next.Fetches {
 			d.startFetch(ctx, fetch)
 		}
+		d.startCalls(next)
 	}
-	if d.manifest != nil && !d.announcing && now.After(d.announceNext) {
+	if d.rollout.Stage() != rollout.StageIdle && !d.announcing && now.After(d.announceNext) {
 		d.startAnnounce(ctx)
 	}
 	d.publish()
@@ -190,125 +232,45 @@
 	d.status.Target = d.rollout.Target()
 	d.status.Stage = d.rollout.Stage()
 	d.status.Failures, d.status.Cause = d.rollout.Failures()
-	d.status.Held, d.status.Chunks = 0, 0
-	if d.plan != nil {
-		d.status.Held, d.status.Chunks = d.plan.Have().Count(), len(d.manifest.Chunks)
-	}
-}
-
-// act carries out an action of the rollout.
-func (d *Driver) act(ctx context.Context, action rollout.Action) {
-	switch action {
-	case rollout.ActionFetch:
-		d.startManifest(ctx)
-	case rollout.ActionAskPermit:
-		d.announceNext = time.Time{}
-	case rollout.ActionCloseGate:
-		d.startDrain(ctx)
-	case rollout.ActionLoad:
-		d.startLoad(ctx)
-	case rollout.ActionOpenGate:
-		target := d.rollout.Target()
-		d.gate.Open(gate.Admitted{Version: target.Version, Manifest: target.Manifest, Whole: d.manifest.Whole})
-		d.log.WithFields(logrus.Fields{logging.FieldVersion: target.Version, logging.FieldRevision: target.Revision}).Info("serving")
+	if d.status.Cause == "" && d.rollout.Stage() == rollout.StageWaiting {
+		d.status.Cause = d.refusal
 	}
-}
-
-// startManifest begins a fetch for a new target and gives up the former one.
-func (d *Driver) startManifest(ctx context.Context) {
-	if d.cancel != nil {
-		d.cancel()
+	d.status.Held, d.status.Chunks, d.status.Bytes = 0, 0, 0
+	d.shared = shared{}
+	if d.plan != nil {
+		d.status.Held, d.status.Chunks, d.status.Bytes = d.plan.Held(), len(d.manifest.Chunks), d.manifest.Size
+		d.shared = shared{digest: d.rollout.Target().Manifest, have: d.plan.Have()}
 	}
-	d.manifest, d.plan, d.addresses = nil, nil, nil
-	ctx, d.cancel = context.WithCancel(ctx)
-	go d.loadManifest(ctx, d.rollout.Target().Manifest)
 }
 
-// loadManifest fetches the manifest and what the engine holds, until it
-// succeeds or ctx ends.
-func (d *Driver) loadManifest(ctx context.Context, digest weights.Digest) {
-	backoff := minBackoff
-	for ctx.Err() == nil {
-		ready, err := d.readManifest(ctx, digest)
-		if err == nil {
-			d.send(ctx, ready)
-			return
+// act carries out actions of the rollout.
+func (d *Driver) act(ctx context.Context, actions []rollout.Action) {
+	for _, action := range actions {
+		switch action {
+		case rollout.ActionFetch:
+			d.startManifest(ctx)
+		case rollout.ActionAskPermit:
+			d.announceNext = time.Time{}
+		case rollout.ActionDrain:
+			d.startDrain(ctx)
+		case rollout.ActionLoad:
+			d.startLoad(ctx)
+		case rollout.ActionShutGate:
+			d.gate.Close()
+			d.log.Warning("the engine does not hold the admitted weights; the gate is shut")
+		case rollout.ActionOpenGate:
+			d.openGate()
 		}
-		d.log.WithError(err).Warning("the manifest or the engine is not available; trying again")
-		sleep(ctx, backoff)
-		backoff = min(2*backoff, d.config.ChunkTimeout)
 	}
 }
 
-func (d *Driver) readManifest(ctx context.Context, digest weights.Digest) (manifestReady, error) {
-	call, cancel := context.WithTimeout(ctx, d.config.ChunkTimeout)
-	defer cancel()
-	raw, err := d.origin.Manifest(call, digest)
-	if err != nil {
-		return manifestReady{}, err
-	}
-	manifest, err := weights.ParseManifest(raw, digest)
-	if err != nil {
-		return manifestReady{}, err
-	}
-	held, err := d.model.Status(call)
-	if err != nil {
-		return manifestReady{}, err
-	}
-	staged, err := d.model.Staged(call, digest)
-	if err != nil {
-		return manifestReady{}, err
-	}
-	return manifestReady{digest: digest, manifest: manifest, held: held, staged: staged}, nil
-}
-
-// manifestReady says that the target's manifest is here.
-type manifestReady struct {
-	digest   weights.Digest
-	manifest *weights.Manifest
-	held     engine.Status
-	staged   []int
-}
-
-func (e manifestReady) apply(ctx context.Context, d *Driver) {
-	if e.digest != d.rollout.Target().Manifest {
-		return
-	}
-	have := weights.NewBitmap(len(e.manifest.Chunks))
-	for _, chunk := range e.staged {
-		have.Set(chunk)
-	}
-	d.manifest = e.manifest
-	d.plan = swarm.New(swarm.Config{
-		Self:             d.config.Self,
-		AvailabilityZone: d.config.AvailabilityZone,
-		Region:           d.config.Region,
-		MaxInFlight:      d.config.MaxInFlight,
-		Patience:         d.config.Patience,
-		Penalty:          time.Second,
-		Seed:             seed(d.config.Self),
-	}, len(e.manifest.Chunks), have, time.Now())
-	if action := d.rollout.Adopt(heldBy(e.held), e.manifest.Whole); action != rollout.ActionNone {
-		d.act(ctx, action)
+func (d *Driver) openGate() {
+	if d.outside {
 		return
 	}
-	d.checkComplete(ctx)
-}
-
-func heldBy(status engine.Status) rollout.Held {
-	return rollout.Held{Version: status.Version, Manifest: status.Manifest, Whole: status.Whole, Fence: status.Fence}
-}
-
-func (d *Driver) checkComplete(ctx context.Context) {
-	if d.plan.Complete() {
-		d.act(ctx, d.rollout.Fetched(d.rollout.Target().Manifest))
-	}
-}
-
-func seed(name string) uint64 {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(name))
-	return hash.Sum64()
+	admitted := d.rollout.Admitted()
+	d.gate.Open(gate.Admitted{Version: admitted.Version, Manifest: admitted.Manifest, Whole: admitted.Whole})
+	d.log.WithField(logging.FieldVersion, admitted.Version).Info("serving")
 }
 
 func sleep(ctx context.Context, wait time.Duration) {
--- /dev/null
+++ b/internal/distribute/exchange.go
@@ -0,0 +1,139 @@
+package distribute
+
+import (
+	"context"
+	"time"
+
+	"plantainrelay/internal/message"
+	"plantainrelay/internal/swarm"
+	"plantainrelay/internal/weights"
+)
+
+const (
+	callQueue   = 1024
+	callWorkers = 8
+	callTimeout = 3 * time.Second
+)
+
+// peerCall is one offer or question to another agent.
+type peerCall struct {
+	plan    *swarm.Plan
+	address string
+	offer   swarm.Offer
+	args    message.PeerArgs
+}
+
+// startCalls queues the offers and questions of a step.
+func (d *Driver) startCalls(step swarm.Step) {
+	for _, offer := range step.Offers {
+		d.queueCall(offer, message.PeerArgs{Chunks: offer.Chunks, Turns: offer.Turns})
+	}
+	for _, name := range step.Asks {
+		d.queueCall(swarm.Offer{To: name}, message.PeerArgs{Ask: true})
+	}
+}
+
+func (d *Driver) queueCall(offer swarm.Offer, args message.PeerArgs) {
+	args.From, args.Manifest = d.config.Self, d.rollout.Target().Manifest
+	call := peerCall{plan: d.plan, address: d.fleet.addresses[offer.To].ControlAddress, offer: offer, args: args}
+	select {
+	case d.calls <- call:
+	default:
+		callDone{call: call}.record(d)
+	}
+}
+
+// runCalls makes the queued calls.
+func (d *Driver) runCalls(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case call := <-d.calls:
+			d.send(ctx, d.makeCall(ctx, call))
+		}
+	}
+}
+
+func (d *Driver) makeCall(ctx context.Context, call peerCall) callDone {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	done := callDone{call: call}
+	if call.address == "" {
+		return done
+	}
+	err := d.client.Call(ctx, call.address, message.MethodPeer, call.args, &done.reply)
+	done.known = err == nil && done.reply.Known
+	return done
+}
+
+// callDone is the result of a call to another agent.
+type callDone struct {
+	call  peerCall
+	reply message.PeerReply
+	known bool
+}
+
+func (e callDone) apply(_ context.Context, d *Driver) { e.record(d) }
+
+func (e callDone) record(d *Driver) {
+	if d.plan != e.call.plan || d.plan == nil {
+		return
+	}
+	switch {
+	case !e.call.args.Ask && !e.known:
+		d.plan.OfferFailed(e.call.offer, time.Now())
+	case e.call.args.Ask && e.known:
+		d.plan.Told(e.call.offer.To, e.reply.Have, time.Now())
+	case e.call.args.Ask:
+		d.plan.NotTold(e.call.offer.To, time.Now())
+	}
+}
+
+// Service is the net/rpc service "Weights", by which agents tell each other
+// which chunks they hold.
+type Service struct {
+	driver *Driver
+}
+
+// NewService returns the service of d.
+func NewService(d *Driver) *Service { return &Service{driver: d} }
+
+// Exchange takes an offer and answers a question.
+func (s *Service) Exchange(args message.PeerArgs, reply *message.PeerReply) error {
+	s.driver.mu.Lock()
+	held := s.driver.shared
+	s.driver.mu.Unlock()
+	if held.digest == "" || held.digest != args.Manifest {
+		return nil
+	}
+	reply.Known = true
+	if args.Ask {
+		reply.Have = held.have
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	s.driver.send(ctx, offered{args: args})
+	return nil
+}
+
+// Manifest answers with a manifest that this agent has read.
+func (s *Service) Manifest(args message.ManifestArgs, reply *message.ManifestReply) error {
+	if raw, found := s.driver.manifests.raw.Get(args.Digest); found {
+		reply.Raw = raw
+	}
+	return nil
+}
+
+// offered is an offer that another agent made.
+type offered struct {
+	args message.PeerArgs
+}
+
+func (e offered) apply(_ context.Context, d *Driver) {
+	if d.plan == nil || weights.Digest(e.args.Manifest) != d.rollout.Target().Manifest {
+		return
+	}
+	d.plan.Alive(e.args.From)
+	d.plan.Offered(e.args.From, e.args.Chunks, e.args.Turns, time.Now())
+}
--- a/internal/distribute/fetch.go
+++ b/internal/distribute/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -9,8 +10,6 @@
 	"time"
 
 	"plantainrelay/internal/failure"
-	"plantainrelay/internal/member"
-	"plantainrelay/internal/message"
 	"plantainrelay/internal/swarm"
 	"plantainrelay/internal/weights"
 )
@@ -18,8 +17,12 @@
 const (
 	dialTimeout      = 2 * time.Second
 	maxIdlePerSource = 8
+	// pieceBytes is how much is read at once from another region.
+	pieceBytes = 32 << 10
 )
 
+var errBusy = failure.New(failure.Refused, "ask again later", "the source serves too many others")
+
 // chunkClient reads chunks from other agents over HTTP.
 type chunkClient struct {
 	key    string
@@ -46,155 +49,144 @@
 	if err != nil {
 		return nil, err
 	}
-	if response.StatusCode != http.StatusOK {
-		response.Body.Close()
-		return nil, failure.New(failure.NotFound, "take another source", "%s answered status %d for a chunk", address, response.StatusCode)
-	}
-	return response.Body, nil
+	switch response.StatusCode {
+	case http.StatusOK:
+		return response.Body, nil
+	case http.StatusServiceUnavailable:
+		err = errBusy
+	case http.StatusNotFound:
+		err = failure.New(failure.NotFound, "take another source", "%s does not hold the chunk", address)
+	default:
+		err = failure.New(failure.Refused, "take another source", "%s answered status %d for a chunk", address, response.StatusCode)
+	}
+	response.Body.Close()
+	return nil, err
+}
+
+// transfer is one fetch with all that it needs outside the driver's goroutine.
+type transfer struct {
+	fetch    swarm.Fetch
+	digest   weights.Digest
+	manifest *weights.Manifest
+	address  string
+	paced    bool
 }
 
 func (d *Driver) startFetch(ctx context.Context, fetch swarm.Fetch) {
-	manifest, digest := d.manifest, d.rollout.Target().Manifest
-	address := d.addresses[fetch.Source]
+	t := transfer{
+		fetch:    fetch,
+		digest:   d.rollout.Target().Manifest,
+		manifest: d.manifest,
+		address:  d.fleet.addresses[fetch.Source].HTTPAddress,
+		paced:    d.elsewhere(fetch.Source),
+	}
+	plan := d.plan
 	go func() {
-		outcome := d.fetch(ctx, manifest, digest, fetch, address)
-		d.send(ctx, chunkFetched{digest: digest, fetch: fetch, outcome: outcome})
+		outcome := d.fetch(ctx, t)
+		d.send(ctx, chunkFetched{plan: plan, fetch: fetch, outcome: outcome})
 	}()
 }
 
 // fetch gets one chunk, verifies it and stages it with the engine.
-func (d *Driver) fetch(ctx context.Context, manifest *weights.Manifest, digest weights.Digest, fetch swarm.Fetch, address string) swarm.Outcome {
+func (d *Driver) fetch(ctx context.Context, t transfer) swarm.Outcome {
+	size := t.manifest.ChunkBytes(t.fetch.Chunk)
+	if err := d.memory.Acquire(ctx, size); err != nil {
+		return swarm.Dropped
+	}
+	defer d.memory.Release(size)
 	ctx, cancel := context.WithTimeout(ctx, d.config.ChunkTimeout)
 	defer cancel()
-	data, err := d.read(ctx, manifest, digest, fetch, address)
+	data, err := d.read(ctx, cancel, t, size)
 	if err != nil {
-		d.log.WithError(err).WithField("source", fetch.Source).Debug("a chunk did not arrive")
-		return swarm.Failed
+		d.log.WithError(err).WithField("source", t.fetch.Source).Debug("a chunk did not arrive")
+		return outcomeOf(err)
 	}
-	if weights.DigestOf(data) != manifest.Chunks[fetch.Chunk] {
-		d.log.WithField("source", fetch.Source).Warning("a chunk arrived corrupted; it is fetched elsewhere")
+	if weights.DigestOf(data) != t.manifest.Chunks[t.fetch.Chunk] {
+		d.log.WithField("source", t.fetch.Source).Warning("a chunk arrived corrupted; it is fetched elsewhere")
 		return swarm.Corrupt
 	}
-	if err := d.model.Stage(ctx, digest, fetch.Chunk, data); err != nil {
+	if err := d.model.Stage(ctx, t.digest, t.fetch.Chunk, data); err != nil {
 		d.log.WithError(err).Warning("the engine did not take a chunk")
-		return swarm.Failed
+		sleep(ctx, minBackoff)
+		return swarm.Dropped
 	}
 	return swarm.Verified
 }
 
-func (d *Driver) read(ctx context.Context, manifest *weights.Manifest, digest weights.Digest, fetch swarm.Fetch, address string) ([]byte, error) {
-	body, err := d.openChunk(ctx, manifest, digest, fetch, address)
+func outcomeOf(err error) swarm.Outcome {
+	switch {
+	case errors.Is(err, errBusy):
+		return swarm.Busy
+	case failure.Of(err) == failure.NotFound:
+		return swarm.Absent
+	}
+	return swarm.Failed
+}
+
+// read reads one chunk; a source that is silent for too long is given up.
+func (d *Driver) read(ctx context.Context, cancel context.CancelFunc, t transfer, size int64) ([]byte, error) {
+	watch := time.AfterFunc(d.config.StallTimeout, cancel)
+	defer watch.Stop()
+	body, err := d.openChunk(ctx, t)
 	if err != nil {
 		return nil, err
 	}
 	defer body.Close()
-	data := make([]byte, manifest.ChunkBytes(fetch.Chunk))
-	_, err = io.ReadFull(body, data)
-	return data, err
+	return readChunk(&watched{ctx: ctx, from: body, driver: d, watch: watch, paced: t.paced}, size)
 }
 
-func (d *Driver) openChunk(ctx context.Context, manifest *weights.Manifest, digest weights.Digest, fetch swarm.Fetch, address string) (io.ReadCloser, error) {
-	if fetch.Source == swarm.Origin {
-		return d.origin.Chunk(ctx, manifest.Chunks[fetch.Chunk])
+func (d *Driver) openChunk(ctx context.Context, t transfer) (io.ReadCloser, error) {
+	if t.fetch.Source == swarm.Origin {
+		return d.origin.Chunk(ctx, t.manifest.Chunks[t.fetch.Chunk])
 	}
-	return d.chunks.open(ctx, address, digest, fetch.Chunk)
+	return d.chunks.open(ctx, t.address, t.digest, t.fetch.Chunk)
 }
 
-// chunkFetched is the result of one fetch.
-type chunkFetched struct {
-	digest  weights.Digest
-	fetch   swarm.Fetch
-	outcome swarm.Outcome
+// readChunk reads exactly size bytes, and fails when there are more.
+func readChunk(from io.Reader, size int64) ([]byte, error) {
+	data := make([]byte, size)
+	_, err := io.ReadFull(from, data)
+	return data, err
 }
 
-func (e chunkFetched) apply(ctx context.Context, d *Driver) {
-	if d.plan == nil || e.digest != d.rollout.Target().Manifest {
-		return
-	}
-	d.plan.Finish(e.fetch, e.outcome, time.Now())
-	d.checkComplete(ctx)
+// watched restarts the stall timer with each piece read and paces the reads.
+type watched struct {
+	ctx    context.Context
+	from   io.Reader
+	driver *Driver
+	watch  *time.Timer
+	paced  bool
 }
 
-// startAnnounce tells the responsible entry what is held here.
-func (d *Driver) startAnnounce(ctx context.Context) {
-	d.announcing = true
-	args := message.AnnounceArgs{
-		Instance:         d.config.Self,
-		Pool:             d.Status().Pool,
-		AvailabilityZone: d.config.AvailabilityZone,
-		Region:           d.config.Region,
-		HTTPAddress:      d.config.HTTPAddress,
-		Manifest:         d.rollout.Target().Manifest,
-		Have:             d.plan.Have(),
-		Stage:            d.rollout.Stage(),
+// Read implements io.Reader.
+func (w *watched) Read(into []byte) (int, error) {
+	if w.paced {
+		into = into[:min(len(into), pieceBytes)]
 	}
-	go func() {
-		reply, err := d.announce(ctx, args)
-		d.send(ctx, announced{digest: args.Manifest, reply: reply, err: err})
-	}()
-}
-
-// announce asks the entries in the order of their responsibility for the
-// manifest until one answers.
-func (d *Driver) announce(ctx context.Context, args message.AnnounceArgs) (message.AnnounceReply, error) {
-	list := d.members.Current()
-	var names []string
-	for _, instance := range list.Role(member.RoleEntry) {
-		if instance.State == member.StateLive {
-			names = append(names, instance.Name)
+	count, err := w.from.Read(into)
+	if w.paced && count > 0 {
+		w.watch.Stop()
+		if waitErr := w.driver.region.WaitN(w.ctx, count); waitErr != nil {
+			return count, waitErr
 		}
 	}
-	err := failure.New(failure.NotReachable, "start an entry", "the list names no live entry")
-	for _, name := range member.Rank(string(args.Manifest), names) {
-		instance, _ := list.Find(name)
-		var reply message.AnnounceReply
-		if err = d.callTracker(ctx, instance.ControlAddress, args, &reply); err == nil {
-			return reply, nil
-		}
+	if count > 0 {
+		w.watch.Reset(w.driver.config.StallTimeout)
 	}
-	return message.AnnounceReply{}, err
-}
-
-func (d *Driver) callTracker(ctx context.Context, address string, args message.AnnounceArgs, reply *message.AnnounceReply) error {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	return d.client.Call(ctx, address, message.MethodAnnounce, args, reply)
+	return count, err
 }
 
-// announced is the answer of a tracker.
-type announced struct {
-	digest weights.Digest
-	reply  message.AnnounceReply
-	err    error
+// chunkFetched is the result of one fetch.
+type chunkFetched struct {
+	plan    *swarm.Plan
+	fetch   swarm.Fetch
+	outcome swarm.Outcome
 }
 
-func (e announced) apply(ctx context.Context, d *Driver) {
-	d.announcing = false
-	d.announceNext = time.Now().Add(d.config.AnnounceInterval)
-	if e.err != nil {
-		d.log.WithError(e.err).Debug("no tracker answered")
-		return
-	}
-	if d.plan == nil || e.digest != d.rollout.Target().Manifest {
+func (e chunkFetched) apply(ctx context.Context, d *Driver) {
+	if d.plan != e.plan {
 		return
 	}
-	d.addresses = map[string]string{}
-	peers := make([]swarm.Peer, 0, len(e.reply.Holders))
-	for _, holder := range e.reply.Holders {
-		d.addresses[holder.Instance] = d.addressOf(holder)
-		peers = append(peers, swarm.Peer{Name: holder.Instance, AvailabilityZone: holder.AvailabilityZone, Region: holder.Region, Have: holder.Have})
-	}
-	d.plan.SetPeers(peers)
-	if e.reply.Permit {
-		d.act(ctx, d.rollout.Permitted(e.digest, time.Now()))
-	}
-}
-
-// addressOf returns the address at which this process reaches a holder: the
-// one in its own list, or else the one that the holder announced.
-func (d *Driver) addressOf(holder message.Holder) string {
-	if instance, found := d.members.Current().Find(holder.Instance); found {
-		return instance.HTTPAddress
-	}
-	return holder.HTTPAddress
+	d.plan.Finish(e.fetch, e.outcome, time.Now())
+	d.checkComplete(ctx)
 }
--- a/internal/distribute/load.go
+++ b/internal/distribute/load.go
@@ -2,37 +2,35 @@
 
 import (
 	"context"
-	"net/http"
-	"strconv"
 	"time"
 
-	"github.com/zeromicro/go-zero/rest"
-	"github.com/zeromicro/go-zero/rest/pathvar"
-
 	"plantainrelay/internal/engine"
-	"plantainrelay/internal/failure"
-	"plantainrelay/internal/message"
 	"plantainrelay/internal/rollout"
-	"plantainrelay/internal/weights"
 )
 
 // startDrain closes the gate and reports when it is empty.
 func (d *Driver) startDrain(ctx context.Context) {
 	idle := d.gate.Close()
+	d.drains++
+	number := d.drains
 	go func() {
 		select {
 		case <-idle:
-			d.send(ctx, drained{})
+			d.send(ctx, drained{number: number})
 		case <-ctx.Done():
 		}
 	}()
 }
 
 // drained says that no request is in progress behind the closed gate.
-type drained struct{}
+type drained struct {
+	number int
+}
 
-func (drained) apply(ctx context.Context, d *Driver) {
-	d.act(ctx, d.rollout.Drained())
+func (e drained) apply(ctx context.Context, d *Driver) {
+	if e.number == d.drains {
+		d.act(ctx, d.rollout.Drained(time.Now()))
+	}
 }
 
 // startLoad orders the engine to load the target and reads back what it holds.
@@ -45,66 +43,110 @@
 		Chunks:   len(d.manifest.Chunks),
 		Fence:    target.Revision,
 	}
+	until := d.rollout.PermitUntil()
+	d.engineEpoch++
 	go func() {
-		held, err := d.load(ctx, order)
-		d.send(ctx, loaded{order: order, held: held, err: err})
+		d.send(ctx, loaded{result: d.load(ctx, order, until)})
 	}()
 }
 
-func (d *Driver) load(ctx context.Context, order engine.Order) (rollout.Held, error) {
-	ctx, cancel := context.WithTimeout(ctx, d.config.LoadTimeout)
-	defer cancel()
-	if err := d.model.Load(ctx, order); err != nil {
-		return rollout.Held{}, err
+// lapsed compares on both clocks: the wall clock shows a pause of the whole
+// machine, the monotonic one an adjustment of the wall clock.
+func lapsed(until, now time.Time) bool {
+	return !now.Before(until) || !now.Round(0).Before(until.Round(0))
+}
+
+func (d *Driver) load(ctx context.Context, order engine.Order, until time.Time) rollout.Result {
+	result := rollout.Result{Order: rollout.Copy{Version: order.Version, Manifest: order.Manifest, Whole: order.Whole}}
+	if lapsed(until, time.Now()) {
+		result.Lapsed = true
+		return result
 	}
-	status, err := d.model.Status(ctx)
+	call, cancel := context.WithTimeout(ctx, d.config.LoadTimeout)
+	err := d.model.Load(call, order)
+	cancel()
 	if err != nil {
-		return rollout.Held{}, err
+		result.Cause = err.Error()
 	}
-	if status.Whole != order.Whole || status.Manifest != order.Manifest {
-		return rollout.Held{}, failure.New(failure.Refused, "publish the weights again", "the engine holds other weights than ordered")
+	call, cancel = context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	status, statusErr := d.model.Status(call)
+	result.Read, result.Held = statusErr == nil, heldBy(status)
+	if result.Cause == "" && result.Held != (rollout.Held{Manifest: order.Manifest, Whole: order.Whole}) {
+		result.Cause = "the engine holds other weights than ordered; publish the weights again"
 	}
-	return heldBy(status), nil
+	return result
+}
+
+func heldBy(status engine.Status) rollout.Held {
+	return rollout.Held{Manifest: status.Manifest, Whole: status.Whole}
 }
 
 // loaded is the result of a load order.
 type loaded struct {
-	order engine.Order
-	held  rollout.Held
-	err   error
+	result rollout.Result
 }
 
 func (e loaded) apply(ctx context.Context, d *Driver) {
-	if e.err != nil {
-		d.log.WithError(e.err).Error("the load failed")
-		d.act(ctx, d.rollout.LoadFailed(e.order.Manifest, e.err.Error(), time.Now()))
-		return
+	d.engineEpoch++
+	if e.result.Cause != "" {
+		d.log.WithField("cause", e.result.Cause).Error("the load failed")
+	}
+	d.act(ctx, d.rollout.Loaded(e.result, time.Now()))
+}
+
+// watchEngine asks the engine at intervals what it holds.
+func (d *Driver) watchEngine(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, d.config.EngineInterval)
+		reply := make(chan int, 1)
+		d.send(ctx, engineAsked{epoch: reply})
+		var epoch int
+		select {
+		case epoch = <-reply:
+		case <-ctx.Done():
+			return
+		}
+		if epoch < 0 {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, dialTimeout)
+		status, err := d.model.Status(call)
+		cancel()
+		d.send(ctx, engineSeen{epoch: epoch, status: status, err: err})
 	}
-	d.act(ctx, d.rollout.Loaded(e.order.Manifest, e.held, e.order.Whole))
 }
 
-// ChunkRoute serves staged chunks to other agents that hold the fleet's key.
-func (d *Driver) ChunkRoute() rest.Route {
-	return rest.Route{Method: http.MethodGet, Path: message.PathChunk, Handler: d.serveChunk}
+// engineAsked gives the watch of the engine the current epoch, which changes
+// with each load order, or -1 when there is no target.
+type engineAsked struct {
+	epoch chan int
 }
 
-func (d *Driver) serveChunk(w http.ResponseWriter, r *http.Request) {
-	if r.Header.Get("Authorization") != "Bearer "+d.config.Key {
-		http.Error(w, "the fleet's key is missing or wrong", http.StatusUnauthorized)
+func (e engineAsked) apply(_ context.Context, d *Driver) {
+	if d.rollout.Stage() == rollout.StageIdle {
+		e.epoch <- -1
 		return
 	}
-	vars := pathvar.Vars(r)
-	manifest := weights.Digest(vars["manifest"])
-	chunk, err := strconv.Atoi(vars["chunk"])
-	if err != nil || !manifest.Valid() {
-		http.Error(w, "name a manifest digest and a chunk number", http.StatusBadRequest)
+	e.epoch <- d.engineEpoch
+}
+
+// engineSeen is what the engine said of itself.
+type engineSeen struct {
+	epoch  int
+	status engine.Status
+	err    error
+}
+
+func (e engineSeen) apply(ctx context.Context, d *Driver) {
+	if e.epoch != d.engineEpoch {
 		return
 	}
-	data, err := d.model.ReadStaged(r.Context(), manifest, chunk)
-	if err != nil {
-		http.Error(w, "the chunk is not held here", http.StatusNotFound)
+	if e.err != nil {
+		d.act(ctx, d.rollout.EngineSilent())
 		return
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	_, _ = w.Write(data)
+	restarted := d.incarnation != "" && d.incarnation != e.status.Incarnation
+	d.incarnation = e.status.Incarnation
+	d.act(ctx, d.rollout.EngineSeen(heldBy(e.status), restarted))
 }
--- /dev/null
+++ b/internal/distribute/manifest.go
@@ -0,0 +1,320 @@
+package distribute
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"plantainrelay/internal/engine"
+	"plantainrelay/internal/failure"
+	"plantainrelay/internal/member"
+	"plantainrelay/internal/message"
+	"plantainrelay/internal/rollout"
+	"plantainrelay/internal/swarm"
+	"plantainrelay/internal/table"
+	"plantainrelay/internal/weights"
+)
+
+const (
+	minBackoff   = 200 * time.Millisecond
+	maxManifests = 4
+	// timeExtra and bytesExtra are the copies that a pool may draw from the
+	// origin beyond the first, by its preference.
+	timeExtra  = 1.8
+	bytesExtra = 0.1
+	penalty    = 500 * time.Millisecond
+)
+
+// manifests holds the last manifests read, with their bytes.
+type manifests struct {
+	parsed *lru.Cache[weights.Digest, *weights.Manifest]
+	raw    *lru.Cache[weights.Digest, []byte]
+}
+
+func newManifests() *manifests {
+	parsed, _ := lru.New[weights.Digest, *weights.Manifest](maxManifests)
+	raw, _ := lru.New[weights.Digest, []byte](maxManifests)
+	return &manifests{parsed: parsed, raw: raw}
+}
+
+// readManifest returns a manifest from memory, from another agent, or from the
+// origin.
+func (d *Driver) readManifest(ctx context.Context, digest weights.Digest, mayUseOrigin bool) (*weights.Manifest, error) {
+	if manifest, found := d.manifests.parsed.Get(digest); found {
+		return manifest, nil
+	}
+	raw := d.manifestFromPeers(ctx, digest)
+	if raw == nil {
+		if !mayUseOrigin {
+			return nil, failure.New(failure.NotReachable, "wait", "no other agent holds the manifest yet")
+		}
+		var err error
+		if raw, err = d.origin.Manifest(ctx, digest); err != nil {
+			return nil, err
+		}
+	}
+	manifest, err := weights.ParseManifest(raw, digest)
+	if err != nil {
+		return nil, err
+	}
+	d.manifests.parsed.Add(digest, manifest)
+	d.manifests.raw.Add(digest, raw)
+	return manifest, nil
+}
+
+// manifestFromPeers asks the member of the zone that is responsible for the
+// manifest, and one other.
+func (d *Driver) manifestFromPeers(ctx context.Context, digest weights.Digest) []byte {
+	names := d.zoneMembers()
+	if len(names) < 2 {
+		return nil
+	}
+	for _, name := range []string{member.First(string(digest), names), names[rand.IntN(len(names))]} {
+		instance, found := d.members.Current().Find(name)
+		if !found || name == d.config.Self {
+			continue
+		}
+		var reply message.ManifestReply
+		call, cancel := context.WithTimeout(ctx, dialTimeout)
+		err := d.client.Call(call, instance.ControlAddress, message.MethodManifest, message.ManifestArgs{Digest: digest}, &reply)
+		cancel()
+		if err == nil && weights.DigestOf(reply.Raw) == digest {
+			return reply.Raw
+		}
+	}
+	return nil
+}
+
+// zoneMembers returns the live agents of this pool in this availability zone.
+func (d *Driver) zoneMembers() []string {
+	snapshot := d.tables.Current()
+	if snapshot == nil {
+		return nil
+	}
+	members, _ := d.poolMembers(d.members.Current(), snapshot)
+	var names []string
+	for _, other := range members {
+		if other.AvailabilityZone == d.config.AvailabilityZone {
+			names = append(names, other.Name)
+		}
+	}
+	return names
+}
+
+// startManifest begins a fetch for a new target and gives up the former one.
+func (d *Driver) startManifest(ctx context.Context) {
+	if d.cancel != nil {
+		d.cancel()
+	}
+	d.manifest, d.plan = nil, nil
+	ctx, d.cancel = context.WithCancel(ctx)
+	go d.loadManifest(ctx, d.rollout.Target())
+}
+
+// loadManifest reads the manifest and what the engine holds, until it succeeds
+// or ctx ends. The member responsible in its zone goes to the origin first.
+func (d *Driver) loadManifest(ctx context.Context, target rollout.Target) {
+	d.awaitList(ctx)
+	started := time.Now()
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		impatient := time.Since(started) > d.config.Patience/2
+		responsible := member.First(string(target.Manifest), d.zoneMembers()) == d.config.Self
+		ready, err := d.prepare(ctx, target, impatient || responsible)
+		if err == nil {
+			d.send(ctx, ready)
+			return
+		}
+		d.log.WithError(err).Debug("the manifest or the engine is not available; trying again")
+		sleep(ctx, time.Duration(float64(backoff)*(0.5+rand.Float64())))
+		backoff = min(2*backoff, d.config.Patience)
+	}
+}
+
+// awaitList waits, within the patience, until the list names any instance.
+func (d *Driver) awaitList(ctx context.Context) {
+	limit := time.Now().Add(d.config.Patience)
+	for ctx.Err() == nil && time.Now().Before(limit) && len(d.members.Current().Instances) == 0 {
+		sleep(ctx, d.config.Tick)
+	}
+}
+
+func (d *Driver) prepare(ctx context.Context, target rollout.Target, mayUseOrigin bool) (manifestReady, error) {
+	call, cancel := context.WithTimeout(ctx, d.config.ChunkTimeout)
+	defer cancel()
+	held, err := d.model.Status(call)
+	if err != nil {
+		return manifestReady{}, err
+	}
+	former, known := d.heldCopy(call, held)
+	if known {
+		// The engine serves complete weights: admit them before the fetch.
+		d.send(ctx, engineKnown{copy: former, held: heldBy(held)})
+	}
+	manifest, err := d.readManifest(call, target.Manifest, mayUseOrigin)
+	if err != nil {
+		return manifestReady{}, err
+	}
+	if err := d.checkBase(manifest, held); err != nil {
+		return manifestReady{}, err
+	}
+	have, err := d.stagedChunks(call, target.Manifest, manifest)
+	if err != nil {
+		return manifestReady{}, err
+	}
+	return manifestReady{target: target, manifest: manifest, have: have}, nil
+}
+
+// heldCopy returns the weights that the engine serves when they are complete,
+// for example after a restart of this process beside a running engine.
+func (d *Driver) heldCopy(ctx context.Context, held engine.Status) (rollout.Copy, bool) {
+	if !held.Manifest.Valid() {
+		return rollout.Copy{}, false
+	}
+	manifest, err := d.readManifest(ctx, held.Manifest, true)
+	if err != nil || manifest.Whole != held.Whole {
+		return rollout.Copy{}, false
+	}
+	return rollout.Copy{Version: held.Version, Manifest: held.Manifest, Whole: held.Whole}, true
+}
+
+// checkBase refuses an adapter unless the engine serves its base, or an
+// adapter of the same base.
+func (d *Driver) checkBase(manifest *weights.Manifest, held engine.Status) error {
+	if manifest.Base == "" || manifest.Base == held.Manifest {
+		return nil
+	}
+	if current, found := d.manifests.parsed.Get(held.Manifest); found && current.Base == manifest.Base {
+		return nil
+	}
+	return failure.New(failure.Refused, "release the base version first, or publish the adapter for the version served",
+		"%s is an adapter of the base %s, which the engine does not serve", manifest.Version, manifest.Base)
+}
+
+// stagedChunks returns the chunks that the engine holds for the manifest; those
+// that it holds under another manifest are staged again under this one.
+func (d *Driver) stagedChunks(ctx context.Context, digest weights.Digest, manifest *weights.Manifest) (weights.Bitmap, error) {
+	staged, err := d.model.Staged(ctx, digest)
+	if err != nil {
+		return nil, err
+	}
+	have := weights.NewBitmap(len(manifest.Chunks))
+	for _, chunk := range staged {
+		have.Set(chunk)
+	}
+	for _, other := range d.manifests.parsed.Keys() {
+		if other != digest {
+			d.copyShared(ctx, digest, manifest, other, have)
+		}
+	}
+	return have, nil
+}
+
+// copyShared stages the chunks that the engine holds under another manifest.
+func (d *Driver) copyShared(ctx context.Context, digest weights.Digest, manifest *weights.Manifest, from weights.Digest, have weights.Bitmap) {
+	source, found := d.manifests.parsed.Peek(from)
+	staged, err := d.model.Staged(ctx, from)
+	if !found || err != nil {
+		return
+	}
+	held := map[weights.Digest]int{}
+	for _, chunk := range staged {
+		if chunk >= 0 && chunk < len(source.Chunks) {
+			held[source.Chunks[chunk]] = chunk
+		}
+	}
+	for chunk, wanted := range manifest.Chunks {
+		at, found := held[wanted]
+		if !found || have.Has(chunk) {
+			continue
+		}
+		if d.restage(ctx, from, at, digest, chunk, wanted, manifest.ChunkBytes(chunk)) == nil {
+			have.Set(chunk)
+		}
+	}
+}
+
+func (d *Driver) restage(ctx context.Context, from weights.Digest, at int, to weights.Digest, chunk int, wanted weights.Digest, size int64) error {
+	if err := d.memory.Acquire(ctx, size); err != nil {
+		return err
+	}
+	defer d.memory.Release(size)
+	body, err := d.model.ReadStaged(ctx, from, at)
+	if err != nil {
+		return err
+	}
+	defer body.Close()
+	data, err := readChunk(body, size)
+	if err != nil {
+		return err
+	}
+	if weights.DigestOf(data) != wanted {
+		return failure.New(failure.Invalid, "fetch it again", "a staged chunk has changed")
+	}
+	return d.model.Stage(ctx, to, chunk, data)
+}
+
+// engineKnown says that the engine serves complete weights.
+type engineKnown struct {
+	copy rollout.Copy
+	held rollout.Held
+}
+
+func (e engineKnown) apply(ctx context.Context, d *Driver) {
+	d.rollout.Learn(e.copy)
+	d.act(ctx, d.rollout.EngineSeen(e.held, false))
+}
+
+// manifestReady says that the target's manifest is here.
+type manifestReady struct {
+	target   rollout.Target
+	manifest *weights.Manifest
+	have     weights.Bitmap
+}
+
+func (e manifestReady) apply(ctx context.Context, d *Driver) {
+	target := d.rollout.Target()
+	stage := d.rollout.Stage()
+	if e.target.Manifest != target.Manifest || (stage != rollout.StageFetching && stage != rollout.StageServing) {
+		return
+	}
+	d.rollout.Learn(rollout.Copy{Version: target.Version, Manifest: target.Manifest, Whole: e.manifest.Whole})
+	d.refreshFleet(time.Now())
+	d.manifest = e.manifest
+	d.plan = swarm.New(d.planConfig(), d.fleet.layout, len(e.manifest.Chunks), e.have, time.Now())
+	d.checkComplete(ctx)
+}
+
+func (d *Driver) planConfig() swarm.Config {
+	pool, _ := d.fleet.tables.PoolOf(d.config.Self)
+	config := swarm.Config{
+		Self:        d.config.Self,
+		MaxInFlight: d.config.MaxInFlight,
+		Patience:    d.config.Patience,
+		StealAfter:  d.config.Patience / 5,
+		AskInterval: d.config.Patience / 5,
+		JoinWait:    d.config.Patience / 10,
+		Penalty:     penalty,
+		ExtraCopies: bytesExtra,
+		Seed:        seed(d.config.Self),
+	}
+	if pool.Prefer == table.PreferTime {
+		config.ExtraCopies = timeExtra
+	}
+	return config
+}
+
+func (d *Driver) checkComplete(ctx context.Context) {
+	if d.plan != nil && d.plan.Complete() {
+		d.act(ctx, d.rollout.Fetched(d.rollout.Target().Manifest))
+	}
+}
+
+func seed(name string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(name))
+	return hash.Sum64()
+}
--- /dev/null
+++ b/internal/distribute/serve.go
@@ -0,0 +1,51 @@
+package distribute
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"plantainrelay/internal/message"
+	"plantainrelay/internal/weights"
+)
+
+// uploadWait bounds the wait of a request for a chunk behind others.
+const uploadWait = 2 * time.Second
+
+// ChunkRoute serves staged chunks to other agents that hold the fleet's key.
+func (d *Driver) ChunkRoute() rest.Route {
+	return rest.Route{Method: http.MethodGet, Path: message.PathChunk, Handler: d.serveChunk}
+}
+
+func (d *Driver) serveChunk(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Authorization") != "Bearer "+d.config.Key {
+		http.Error(w, "the fleet's key is missing or wrong", http.StatusUnauthorized)
+		return
+	}
+	vars := pathvar.Vars(r)
+	manifest := weights.Digest(vars["manifest"])
+	chunk, err := strconv.Atoi(vars["chunk"])
+	if err != nil || !manifest.Valid() {
+		http.Error(w, "name a manifest digest and a chunk number", http.StatusBadRequest)
+		return
+	}
+	wait, cancel := context.WithTimeout(r.Context(), uploadWait)
+	defer cancel()
+	if err := d.uploads.Acquire(wait, 1); err != nil {
+		http.Error(w, "too many chunks are served at the moment", http.StatusServiceUnavailable)
+		return
+	}
+	defer d.uploads.Release(1)
+	body, err := d.model.ReadStaged(r.Context(), manifest, chunk)
+	if err != nil {
+		http.Error(w, "the chunk is not held here", http.StatusNotFound)
+		return
+	}
+	defer body.Close()
+	_, _ = io.Copy(w, body)
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -61,8 +61,9 @@
 	Staged(ctx context.Context, manifest weights.Digest) ([]int, error)
 	// Stage hands over one verified chunk.
 	Stage(ctx context.Context, manifest weights.Digest, chunk int, data []byte) error
-	// ReadStaged returns a staged chunk; failure.NotFound when absent.
-	ReadStaged(ctx context.Context, manifest weights.Digest, chunk int) ([]byte, error)
+	// ReadStaged opens a staged chunk, which the caller closes;
+	// failure.NotFound when absent.
+	ReadStaged(ctx context.Context, manifest weights.Digest, chunk int) (io.ReadCloser, error)
 	// Load orders the engine to serve staged weights and waits for the result.
 	// It returns failure.Refused when the engine rejects the order.
 	Load(ctx context.Context, order Order) error
@@ -107,8 +108,17 @@
 }
 
 // ReadStaged implements Model.
-func (c *Client) ReadStaged(ctx context.Context, manifest weights.Digest, chunk int) ([]byte, error) {
-	return c.do(ctx, http.MethodGet, chunkPath(manifest, chunk), nil)
+func (c *Client) ReadStaged(ctx context.Context, manifest weights.Digest, chunk int) (io.ReadCloser, error) {
+	path := chunkPath(manifest, chunk)
+	response, err := c.send(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode == http.StatusOK {
+		return response.Body, nil
+	}
+	response.Body.Close()
+	return nil, failure.New(failure.NotFound, remedyEngine, "the engine does not hold %s", path)
 }
 
 // Load implements Model.
@@ -125,17 +135,22 @@
 	return fmt.Sprintf("/v1/staging/%s/%d", manifest, chunk)
 }
 
-func (c *Client) do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+func (c *Client) send(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Invalid, remedyEngine, "the engine's address is not usable")
 	}
 	response, err := httpc.DoRequest(request)
+	return response, failure.Wrap(err, failure.NotReachable, remedyEngine, "the engine did not answer %s", path)
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	response, err := c.send(ctx, method, path, body)
 	if err != nil {
-		return nil, failure.Wrap(err, failure.NotReachable, remedyEngine, "the engine did not answer %s", path)
+		return nil, err
 	}
 	defer response.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(response.Body, weights.MaxChunkBytes+maxAnswerBytes))
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
 		return nil, failure.Wrap(err, failure.NotReachable, remedyEngine, "the engine's answer to %s was cut off", path)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -78,7 +78,7 @@
 		ExchangeInterval: s.ExchangeInterval,
 		WatchWait:        watchWait,
 	}, p.store, p.members, p.client, log)
-	p.tracker = tracker.New(p.sync.Current, time.Now)
+	p.tracker = tracker.New(p.sync.Current, p.members.Current, time.Now)
 	p.states = gateway.NewStates(p.members, p.client, s.Instance, s.StateInterval)
 	p.owners = gateway.NewOwners(s.Instance, p.store, p.sync, p.members, p.states, p.client, log)
 	p.addresses = gateway.NewAddresses(p.members, s.Instance)
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -16,6 +16,8 @@
 	MethodState    = "Agent.State"
 	MethodFate     = "Agent.Fate"
 	MethodAnnounce = "Tracker.Announce"
+	MethodPeer     = "Weights.Exchange"
+	MethodManifest = "Weights.Manifest"
 )
 
 // Headers between entry and agent.
@@ -137,31 +139,3 @@
 	Body    []byte
 	Version string
 }
-
-// AnnounceArgs tells a tracker what an agent holds of a manifest.
-type AnnounceArgs struct {
-	Instance         string
-	Pool             string
-	AvailabilityZone string
-	Region           string
-	HTTPAddress      string
-	Manifest         weights.Digest
-	Have             weights.Bitmap
-	Stage            rollout.Stage
-}
-
-// Holder is another instance that takes the same manifest.
-type Holder struct {
-	Instance         string
-	AvailabilityZone string
-	Region           string
-	HTTPAddress      string
-	Have             weights.Bitmap
-}
-
-// AnnounceReply holds the other instances and, for an instance that waits for
-// it, the permit to switch.
-type AnnounceReply struct {
-	Holders []Holder
-	Permit  bool
-}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -18,6 +18,13 @@
 	Revision int64
 }
 
+// Copy names complete weights.
+type Copy struct {
+	Version  string
+	Manifest weights.Digest
+	Whole    weights.Digest
+}
+
 // Stage is how far an instance has come towards its target.
 type Stage string
 
@@ -29,7 +36,6 @@
 	StageDraining Stage = "draining"
 	StageLoading  Stage = "loading"
 	StageServing  Stage = "serving"
-	StageFailed   Stage = "failed"
 )
 
 // Action is what the driver has to do next.
@@ -37,130 +43,264 @@
 
 // The actions.
 const (
-	ActionNone Action = iota
 	// ActionFetch starts the fetch of the target's weights.
-	ActionFetch
+	ActionFetch Action = iota + 1
 	// ActionAskPermit asks for the permit to switch.
 	ActionAskPermit
-	// ActionCloseGate stops new requests; the driver reports Drained when the
-	// last one in progress has ended.
-	ActionCloseGate
+	// ActionDrain stops new requests; the driver reports Drained when the last
+	// one in progress has ended.
+	ActionDrain
 	// ActionLoad orders the engine to load the target with its revision as
 	// the fencing number, then reads back what the engine holds.
 	ActionLoad
-	// ActionOpenGate admits requests for the target.
+	// ActionOpenGate admits requests for Admitted.
 	ActionOpenGate
+	// ActionShutGate stops new requests at once.
+	ActionShutGate
 )
 
 // Held is what an engine says that it serves.
 type Held struct {
-	Version  string
 	Manifest weights.Digest
 	Whole    weights.Digest
-	Fence    int64
 }
 
+// Result is the result of a load order.
+type Result struct {
+	// Order names the weights ordered.
+	Order Copy
+	// Held is what the engine said afterwards; Read says that it answered.
+	Held Held
+	Read bool
+	// Lapsed says that the order was not given, since the permit had lapsed.
+	Lapsed bool
+	// Cause tells why the order failed; empty when it succeeded.
+	Cause string
+}
+
+const (
+	maxRetryFactor = 32
+	// maxCopies bounds the complete weights that are remembered.
+	maxCopies = 8
+	// maxSilence is the number of unanswered questions after which an engine
+	// counts as lost.
+	maxSilence = 2
+)
+
 // Rollout is the state of one instance. It is not safe for concurrent use.
 type Rollout struct {
 	retryAfter time.Duration
 	target     Target
 	stage      Stage
-	retryAt    time.Time
-	failures   int
-	cause      string
+	open       bool
+	admitted   Copy
+	// copies holds the weights known to be complete, by manifest.
+	copies map[weights.Digest]Copy
+	// ordered says that an order was given whose result is not known.
+	ordered     bool
+	permitUntil time.Time
+	retryAt     time.Time
+	silence     int
+	failures    int
+	cause       string
 }
 
 // New returns a rollout without a target. A failed load is tried again after
-// retryAfter, doubled with each failure up to maxRetryFactor times.
+// retryAfter, doubled with each failure.
 func New(retryAfter time.Duration) *Rollout {
-	return &Rollout{retryAfter: retryAfter, stage: StageIdle}
+	return &Rollout{retryAfter: retryAfter, stage: StageIdle, copies: map[weights.Digest]Copy{}}
 }
 
-const maxRetryFactor = 32
-
 // Stage returns the current stage.
 func (r *Rollout) Stage() Stage { return r.stage }
 
 // Target returns the current target.
 func (r *Rollout) Target() Target { return r.target }
 
+// Open reports whether requests are admitted.
+func (r *Rollout) Open() bool { return r.open }
+
+// Admitted returns the weights that requests are admitted for.
+func (r *Rollout) Admitted() Copy { return r.admitted }
+
+// PermitUntil returns when the permit to switch lapses.
+func (r *Rollout) PermitUntil() time.Time { return r.permitUntil }
+
 // Failures returns the failed loads of this target and the last cause.
 func (r *Rollout) Failures() (int, string) { return r.failures, r.cause }
 
+// WantsPermit reports whether this instance would switch now, or needs its
+// permit prolonged.
+func (r *Rollout) WantsPermit(now time.Time) bool {
+	if r.stage == StageDraining {
+		return true
+	}
+	return r.stage == StageWaiting && !r.ordered && !now.Before(r.retryAt)
+}
+
 // SetTarget changes the intended version. A lower revision changes nothing. A
 // higher revision with the same manifest keeps the progress.
-func (r *Rollout) SetTarget(target Target) Action {
+func (r *Rollout) SetTarget(target Target) []Action {
 	if target.Revision <= r.target.Revision {
-		return ActionNone
+		return nil
 	}
 	same := target.Manifest == r.target.Manifest && target.Version == r.target.Version
+	draining := r.stage == StageDraining
 	r.target = target
 	if same {
-		return ActionNone
+		return nil
+	}
+	r.stage, r.failures, r.cause, r.retryAt = StageFetching, 0, "", time.Time{}
+	if draining {
+		return append(r.reopen(), ActionFetch)
+	}
+	return []Action{ActionFetch}
+}
+
+// reopen admits requests again when no order was given since the engine's
+// weights were confirmed.
+func (r *Rollout) reopen() []Action {
+	if r.ordered || r.admitted.Manifest == "" {
+		return nil
 	}
-	r.stage, r.failures, r.cause = StageFetching, 0, ""
-	return ActionFetch
+	r.open = true
+	return []Action{ActionOpenGate}
 }
 
-// Fetched reports that all chunks of manifest are verified and staged.
-func (r *Rollout) Fetched(manifest weights.Digest) Action {
+// Learn records weights as complete.
+func (r *Rollout) Learn(known Copy) {
+	if len(r.copies) >= maxCopies {
+		for digest := range r.copies {
+			if digest != r.admitted.Manifest && digest != r.target.Manifest {
+				delete(r.copies, digest)
+			}
+		}
+	}
+	r.copies[known.Manifest] = known
+}
+
+// complete returns the complete weights that held names, if it does.
+func (r *Rollout) complete(held Held) (Copy, bool) {
+	known, found := r.copies[held.Manifest]
+	return known, found && held.Manifest != "" && known.Whole == held.Whole
+}
+
+func (r *Rollout) targetCopy() Copy { return r.copies[r.target.Manifest] }
+
+// Fetched reports that all chunks of the target are verified and staged.
+func (r *Rollout) Fetched(manifest weights.Digest) []Action {
 	if r.stage != StageFetching || manifest != r.target.Manifest {
-		return ActionNone
+		return nil
 	}
 	r.stage = StageWaiting
-	return ActionAskPermit
+	return []Action{ActionAskPermit}
 }
 
-// Permitted reports that the permit to switch to manifest was granted.
-func (r *Rollout) Permitted(manifest weights.Digest, now time.Time) Action {
-	if r.stage != StageWaiting || manifest != r.target.Manifest || now.Before(r.retryAt) {
-		return ActionNone
+// Permitted reports that the permit to switch to manifest was granted or
+// prolonged until the given time.
+func (r *Rollout) Permitted(manifest weights.Digest, until, now time.Time) []Action {
+	if manifest != r.target.Manifest || !now.Before(until) || !r.WantsPermit(now) {
+		return nil
 	}
-	r.stage = StageDraining
-	return ActionCloseGate
+	r.permitUntil = until
+	if r.stage == StageDraining {
+		return nil
+	}
+	r.stage, r.open = StageDraining, false
+	return []Action{ActionDrain}
 }
 
-// Drained reports that no request is in progress behind the closed gate.
-func (r *Rollout) Drained() Action {
+// Drained reports that no request is in progress behind the closed gate. A
+// permit that has lapsed meanwhile is asked for again.
+func (r *Rollout) Drained(now time.Time) []Action {
 	if r.stage != StageDraining {
-		return ActionNone
+		return nil
+	}
+	if !now.Before(r.permitUntil) {
+		return r.lapsed()
 	}
-	r.stage = StageLoading
-	return ActionLoad
+	r.stage, r.ordered = StageLoading, true
+	return []Action{ActionLoad}
+}
+
+func (r *Rollout) lapsed() []Action {
+	r.stage = StageWaiting
+	return append(r.reopen(), ActionAskPermit)
 }
 
-// Loaded reports what the engine holds after an order for manifest. The gate
-// opens only when the engine holds exactly the target's complete weights.
-func (r *Rollout) Loaded(manifest weights.Digest, held Held, whole weights.Digest) Action {
-	if r.stage != StageLoading || manifest != r.target.Manifest {
-		return ActionNone
+// Loaded reports the result of a load order. The gate opens only when the
+// engine holds weights that are known to be complete, be it the former ones
+// after a failure, or those of an order that a newer target has overtaken.
+func (r *Rollout) Loaded(result Result, now time.Time) []Action {
+	r.ordered = false
+	current := r.stage == StageLoading && result.Order.Manifest == r.target.Manifest
+	if result.Lapsed {
+		if current {
+			return r.lapsed()
+		}
+		return r.reopen()
 	}
-	if held.Manifest != r.target.Manifest || held.Whole != whole {
-		return ActionNone
+	var actions []Action
+	if known, found := r.complete(result.Held); found && result.Read {
+		r.admitted, r.open = known, true
+		actions = append(actions, ActionOpenGate)
 	}
-	r.stage, r.failures, r.cause = StageServing, 0, ""
-	return ActionOpenGate
+	if !current {
+		return actions
+	}
+	if r.open && r.admitted.Manifest == r.target.Manifest {
+		r.stage, r.failures, r.cause = StageServing, 0, ""
+		return actions
+	}
+	r.failed(result.Cause, now)
+	return append(actions, ActionFetch)
 }
 
-// LoadFailed reports that the order for manifest failed with cause.
-func (r *Rollout) LoadFailed(manifest weights.Digest, cause string, now time.Time) Action {
-	if r.stage != StageLoading || manifest != r.target.Manifest {
-		return ActionNone
-	}
+func (r *Rollout) failed(cause string, now time.Time) {
 	factor := min(1<<min(r.failures, 16), maxRetryFactor)
 	r.failures++
 	r.cause = cause
 	r.retryAt = now.Add(r.retryAfter * time.Duration(factor))
-	r.stage = StageWaiting
-	return ActionAskPermit
+	r.stage = StageFetching
+}
+
+// EngineSeen reports what the engine holds now, and whether it has restarted.
+// Weights that are not the admitted ones shut the gate; it opens again for
+// complete ones.
+func (r *Rollout) EngineSeen(held Held, restarted bool) []Action {
+	r.silence = 0
+	if r.ordered || r.stage == StageDraining || r.stage == StageIdle {
+		return nil
+	}
+	known, found := r.complete(held)
+	var actions []Action
+	switch {
+	case r.open && found && known.Manifest == r.admitted.Manifest:
+	case found:
+		r.admitted, r.open = known, true
+		actions = append(actions, ActionOpenGate)
+	case r.open:
+		r.open = false
+		actions = append(actions, ActionShutGate)
+	}
+	if found && known.Manifest == r.target.Manifest {
+		r.stage = StageServing
+		return actions
+	}
+	if r.stage == StageServing || (restarted && r.stage != StageLoading) {
+		// The engine lost what it served, or what was staged.
+		r.stage = StageFetching
+		actions = append(actions, ActionFetch)
+	}
+	return actions
 }
 
-// Adopt reports that the engine already holds the target's complete weights,
-// for example after a restart of this process beside a running engine.
-func (r *Rollout) Adopt(held Held, whole weights.Digest) Action {
-	if r.stage != StageFetching || held.Manifest != r.target.Manifest || held.Whole != whole {
-		return ActionNone
+// EngineSilent reports that the engine did not answer.
+func (r *Rollout) EngineSilent() []Action {
+	r.silence++
+	if r.silence < maxSilence || !r.open {
+		return nil
 	}
-	r.stage = StageServing
-	return ActionOpenGate
+	r.open = false
+	return []Action{ActionShutGate}
 }
--- /dev/null
+++ b/internal/swarm/layout.go
@@ -0,0 +1,241 @@
+package swarm
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// fanout is the number of instances that one instance passes a chunk to.
+	fanout = 2
+	// The steps spread the chunks over zones, over the zones of a region, and
+	// over the members of a zone in low-discrepancy sequences.
+	zoneStep   = 0.6180339887498949
+	regionStep = 0.5698402909980532
+	memberStep = 0.7548776662466927
+)
+
+// Member is an instance that takes the weights.
+type Member struct {
+	Name             string
+	AvailabilityZone string
+	Region           string
+}
+
+// zone is one availability zone with its members in the order of their hashes.
+type zone struct {
+	name    string
+	region  string
+	members []string
+}
+
+// Layout gives each chunk a tree over the members: one enters from the origin,
+// one brings it into each availability zone, and each passes it on to at most
+// fanout others of its zone. All instances that know the same members compute
+// the same trees, without messages. It is immutable.
+type Layout struct {
+	zones []zone
+	// regions holds, for each region, its zones, which stand side by side.
+	regions [][]int
+	names   []string
+	place   map[string]place
+}
+
+type place struct{ region, zone, index int }
+
+// NewLayout returns the layout over members.
+func NewLayout(members []Member) *Layout {
+	byName := map[string]*zone{}
+	for _, member := range members {
+		if byName[member.AvailabilityZone] == nil {
+			byName[member.AvailabilityZone] = &zone{name: member.AvailabilityZone, region: member.Region}
+		}
+		entry := byName[member.AvailabilityZone]
+		entry.members = append(entry.members, member.Name)
+	}
+	layout := &Layout{place: map[string]place{}}
+	for _, entry := range byName {
+		slices.SortFunc(entry.members, byHash)
+		layout.zones = append(layout.zones, *entry)
+	}
+	slices.SortFunc(layout.zones, func(a, b zone) int {
+		return strings.Compare(a.region+"\x00"+a.name, b.region+"\x00"+b.name)
+	})
+	for z, entry := range layout.zones {
+		if z == 0 || entry.region != layout.zones[z-1].region {
+			layout.regions = append(layout.regions, nil)
+		}
+		region := len(layout.regions) - 1
+		layout.regions[region] = append(layout.regions[region], z)
+		for i, name := range entry.members {
+			layout.place[name] = place{region: region, zone: z, index: i}
+		}
+	}
+	layout.names = sortedKeys(layout.place)
+	return layout
+}
+
+func byHash(a, b string) int {
+	first, second := xxhash.Sum64String(a), xxhash.Sum64String(b)
+	switch {
+	case first < second:
+		return -1
+	case first > second:
+		return 1
+	}
+	return strings.Compare(a, b)
+}
+
+// Size returns the number of members.
+func (l *Layout) Size() int { return len(l.place) }
+
+// Knows reports whether name is a member.
+func (l *Layout) Knows(name string) bool {
+	_, found := l.place[name]
+	return found
+}
+
+// SameZone reports whether both members are in one availability zone.
+func (l *Layout) SameZone(a, b string) bool {
+	first, found := l.place[a]
+	second, known := l.place[b]
+	return found && known && first.zone == second.zone
+}
+
+// SameRegion reports whether both members are in one region.
+func (l *Layout) SameRegion(a, b string) bool {
+	first, found := l.place[a]
+	second, known := l.place[b]
+	return found && known && l.zones[first.zone].region == l.zones[second.zone].region
+}
+
+// Names returns all members, sorted.
+func (l *Layout) Names() []string { return l.names }
+
+// Zone returns the members of the availability zone of name.
+func (l *Layout) Zone(name string) []string {
+	return l.zones[l.place[name].zone].members
+}
+
+// offset returns floor(n * frac(chunk * step)).
+func offset(chunk int, step float64, n int) int {
+	turns := float64(chunk) * step
+	return int((turns-float64(int64(turns)))*float64(n)) % n
+}
+
+// position returns the position of name in the tree of chunk over its zone.
+func (l *Layout) position(name string, chunk int) int {
+	at := l.place[name]
+	size := len(l.zones[at.zone].members)
+	return (at.index + offset(chunk, memberStep, size)) % size
+}
+
+// at returns the member of a zone at a position in the tree of chunk.
+func (l *Layout) at(z, position, chunk int) string {
+	members := l.zones[z].members
+	size := len(members)
+	return members[(position-offset(chunk, memberStep, size)+size)%size]
+}
+
+// zoneOrder returns the zones in the order in which they receive chunk, region
+// by region: the first is served by the origin.
+func (l *Layout) zoneOrder(chunk int) []int {
+	first := offset(chunk, zoneStep, len(l.zones))
+	own := l.place[l.zones[first].members[0]].region
+	order := make([]int, 0, len(l.zones))
+	for i := range l.regions {
+		zones := l.regions[(own+i)%len(l.regions)]
+		start := offset(chunk, regionStep, len(zones))
+		if i == 0 {
+			start = first - zones[0]
+		}
+		for j := range zones {
+			order = append(order, zones[(start+j)%len(zones)])
+		}
+	}
+	return order
+}
+
+// zoneParents returns, for each zone, the zone that it receives chunk from, or
+// -1 for the one served by the origin. A chunk enters each region once.
+func (l *Layout) zoneParents(chunk int) []int {
+	parents := make([]int, len(l.zones))
+	var heads []int
+	inRegion := map[string][]int{}
+	for _, z := range l.zoneOrder(chunk) {
+		region := l.zones[z].region
+		before := inRegion[region]
+		switch {
+		case len(before) > 0:
+			parents[z] = before[(len(before)-1)/fanout]
+		case len(heads) > 0:
+			parents[z] = heads[(len(heads)-1)/fanout]
+		default:
+			parents[z] = -1
+		}
+		if len(before) == 0 {
+			heads = append(heads, z)
+		}
+		inRegion[region] = append(before, z)
+	}
+	return parents
+}
+
+// Root returns the member that takes chunk from the origin.
+func (l *Layout) Root(chunk int) string {
+	if len(l.zones) == 0 {
+		return ""
+	}
+	return l.at(offset(chunk, zoneStep, len(l.zones)), 0, chunk)
+}
+
+// Parent returns the member that passes chunk to name, or Origin.
+func (l *Layout) Parent(name string, chunk int) string {
+	at, found := l.place[name]
+	if !found {
+		return Origin
+	}
+	if position := l.position(name, chunk); position > 0 {
+		return l.at(at.zone, (position-1)/fanout, chunk)
+	}
+	parent := l.zoneParents(chunk)[at.zone]
+	if parent < 0 {
+		return Origin
+	}
+	return l.at(parent, 0, chunk)
+}
+
+// Children returns the members that name passes chunk to.
+func (l *Layout) Children(name string, chunk int) []string {
+	at, found := l.place[name]
+	if !found {
+		return nil
+	}
+	var children []string
+	position := l.position(name, chunk)
+	if position == 0 {
+		for z, parent := range l.zoneParents(chunk) {
+			if parent == at.zone {
+				children = append(children, l.at(z, 0, chunk))
+			}
+		}
+	}
+	for child := position*fanout + 1; child <= position*fanout+fanout; child++ {
+		if child < len(l.zones[at.zone].members) {
+			children = append(children, l.at(at.zone, child, chunk))
+		}
+	}
+	return children
+}
+
+// turn returns how many others come before name when sources fail: zones
+// before its own first, then positions in its zone.
+func (l *Layout) turn(name string, chunk int) (zones, position int) {
+	at, found := l.place[name]
+	if !found {
+		return 0, 0
+	}
+	return slices.Index(l.zoneOrder(chunk), at.zone), l.position(name, chunk)
+}
--- /dev/null
+++ b/internal/tracker/permit.go
@@ -0,0 +1,118 @@
+package tracker
+
+import (
+	"fmt"
+	"time"
+
+	"plantainrelay/internal/member"
+	"plantainrelay/internal/rollout"
+	"plantainrelay/internal/table"
+)
+
+// pauseFailures is the number of instances whose failed loads pause a rollout.
+const pauseFailures = 2
+
+// counts sums up the other instances of a pool.
+type counts struct {
+	switching       int
+	switchingInZone int
+	serving         int
+	// failing counts instances that failed to load the same manifest, proven
+	// those that serve it.
+	failing, proven int
+	cause           string
+}
+
+func (p *pool) count(entry *record, now time.Time) counts {
+	var c counts
+	for name, other := range p.records {
+		if name == entry.Instance {
+			continue
+		}
+		c.add(other, entry, now)
+	}
+	return c
+}
+
+func (c *counts) add(other, entry *record, now time.Time) {
+	if other.switching(now) {
+		c.switching++
+		if other.AvailabilityZone == entry.AvailabilityZone {
+			c.switchingInZone++
+		}
+	}
+	if other.serving(now) {
+		c.serving++
+	}
+	if other.Manifest != entry.Manifest {
+		return
+	}
+	if other.Stage == rollout.StageServing {
+		c.proven++
+	}
+	if other.Failures > 0 {
+		c.failing++
+		c.cause = other.Cause
+	}
+}
+
+// refusal returns why the instance may not switch now, or "". An instance that
+// admits no requests takes none out of service by switching.
+func (t *Tracker) refusal(known *pool, entry *record, now time.Time) string {
+	snapshot := t.tables()
+	if snapshot == nil {
+		return "this entry knows no tables yet"
+	}
+	row, found := snapshot.Pool(entry.Pool)
+	if !found {
+		return "the tables hold no pool " + entry.Pool
+	}
+	if now.Before(entry.permitUntil) || !entry.Open && entry.Stage != rollout.StageDraining {
+		return ""
+	}
+	if now.Sub(known.since) < grace {
+		return "the tracker has just started and does not know earlier permits"
+	}
+	c := known.count(entry, now)
+	if reason := c.limits(row, entry); reason != "" {
+		return reason
+	}
+	if c.serving == 0 && t.others(snapshot, entry) > 0 {
+		return "no other instance of the pool is known to serve"
+	}
+	return c.pause(row, entry)
+}
+
+func (c *counts) limits(row table.Pool, entry *record) string {
+	if c.switchingInZone >= row.MaxUnavailable {
+		return fmt.Sprintf("%d instances of availability zone %s are switching", c.switchingInZone, entry.AvailabilityZone)
+	}
+	if c.proven == 0 && c.switching > 0 {
+		return "the first instance that switches to this version has not served it yet"
+	}
+	return ""
+}
+
+// pause stops a rollout after repeated failures; only an instance that failed
+// tries again, one at a time.
+func (c *counts) pause(row table.Pool, entry *record) string {
+	if c.failing < pauseFailures || (entry.Failures > 0 && c.switching == 0) {
+		return ""
+	}
+	return fmt.Sprintf("the rollout is paused: %d instances failed to load %s (%s); roll the pool back or publish the weights again",
+		c.failing, row.Version, c.cause)
+}
+
+// others returns how many other instances the list and the tables give the pool.
+func (t *Tracker) others(snapshot *table.Snapshot, entry *record) int {
+	total := 0
+	for _, instance := range t.members().Role(member.RoleAgent) {
+		if instance.Name == entry.Instance || instance.State != member.StateLive {
+			continue
+		}
+		if row, found := snapshot.PoolOf(instance.Name); found && row.Name == entry.Pool {
+			total++
+		}
+	}
+	return total
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -1,43 +1,66 @@
-// Package tracker is an entry's soft state about the distribution of weights:
-// which instance holds which chunks, and who may switch versions now. It is
-// rebuilt from the announcements of agents.
+// Package tracker is an entry's soft state about changes of version: how far
+// the instances of a pool have come, and who may switch now. It is rebuilt from
+// the announcements of agents. Which instance holds which chunks the agents
+// tell each other, see package swarm.
 package tracker
 
 import (
 	"sync"
 	"time"
 
+	"plantainrelay/internal/member"
 	"plantainrelay/internal/message"
 	"plantainrelay/internal/rollout"
 	"plantainrelay/internal/table"
-	"plantainrelay/internal/weights"
 )
 
 const (
-	// announcementTTL is how long an announcement counts.
-	announcementTTL = 10 * time.Second
-	maxManifests    = 64
-	maxInstances    = 4096
+	// permitLifetime is how long a permit lasts unless it is prolonged.
+	permitLifetime = 4 * time.Second
+	// grace is how long a tracker that knows no earlier permits gives none
+	// that could take a serving instance out.
+	grace = permitLifetime + time.Second
+	// openTTL is how long an announcement shows that an instance serves.
+	openTTL = 10 * time.Second
+	// switchTTL is how long an instance that fell silent while it switched
+	// counts as switching.
+	switchTTL = 2 * time.Minute
+	// minInterval and intervalPerInstance pace the announcements.
+	minInterval         = 250 * time.Millisecond
+	intervalPerInstance = 2500 * time.Microsecond
+	maxPools            = 256
+	maxInstances        = 4096
 )
 
-type announcement struct {
+// record is the last announcement of an instance.
+type record struct {
 	message.AnnounceArgs
 	at time.Time
+	// permitUntil is when the permit given lapses.
+	permitUntil time.Time
 }
 
-// Tracker holds the announcements by manifest. It is safe for concurrent use.
+// pool holds the records of one pool.
+type pool struct {
+	since   time.Time
+	records map[string]*record
+}
+
+// Tracker holds the announcements by pool. It is safe for concurrent use.
 type Tracker struct {
-	tables func() *table.Snapshot
-	now    func() time.Time
+	tables  func() *table.Snapshot
+	members func() *member.List
+	now     func() time.Time
 
-	mu        sync.Mutex
-	manifests map[weights.Digest]map[string]announcement
-	leaving   bool
+	mu      sync.Mutex
+	pools   map[string]*pool
+	leaving bool
 }
 
-// New returns an empty tracker that reads the limits of pools from tables.
-func New(tables func() *table.Snapshot, now func() time.Time) *Tracker {
-	return &Tracker{tables: tables, now: now, manifests: map[weights.Digest]map[string]announcement{}}
+// New returns an empty tracker that reads the limits of pools from tables and
+// their instances from members.
+func New(tables func() *table.Snapshot, members func() *member.List, now func() time.Time) *Tracker {
+	return &Tracker{tables: tables, members: members, now: now, pools: map[string]*pool{}}
 }
 
 // Leave stops the tracker from answering.
@@ -47,7 +70,7 @@
 	t.mu.Unlock()
 }
 
-// Announce records what an agent holds and answers with the other holders.
+// Announce records how far an agent has come and answers whether it may switch.
 func (t *Tracker) Announce(args message.AnnounceArgs, reply *message.AnnounceReply) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -55,85 +78,61 @@
 		return errLeaving
 	}
 	now := t.now()
-	instances := t.instances(args.Manifest, now)
-	if instances == nil {
-		return errFull
+	known, err := t.pool(args.Pool, now)
+	if err != nil {
+		return err
 	}
-	if args.Stage == rollout.StageWaiting && t.permits(args, instances) {
-		reply.Permit = true
-		// The permit counts from now on, before the agent acts on it.
-		args.Stage = rollout.StageDraining
+	entry, err := known.record(args.Instance)
+	if err != nil {
+		return err
 	}
-	instances[args.Instance] = announcement{AnnounceArgs: args, at: now}
-	for name, other := range instances {
-		if name != args.Instance {
-			reply.Holders = append(reply.Holders, holder(other.AnnounceArgs))
-		}
+	entry.AnnounceArgs, entry.at = args, now
+	reply.Next = max(minInterval, time.Duration(len(known.records))*intervalPerInstance)
+	if !args.Wants {
+		entry.permitUntil = time.Time{}
+		return nil
 	}
-	return nil
-}
-
-func holder(args message.AnnounceArgs) message.Holder {
-	return message.Holder{
-		Instance:         args.Instance,
-		AvailabilityZone: args.AvailabilityZone,
-		Region:           args.Region,
-		HTTPAddress:      args.HTTPAddress,
-		Have:             args.Have,
+	if reply.Refusal = t.refusal(known, entry, now); reply.Refusal != "" {
+		return nil
 	}
+	entry.permitUntil = now.Add(permitLifetime)
+	reply.Permit, reply.Lifetime = true, permitLifetime
+	return nil
 }
 
-// instances returns the current announcements for manifest, or nil when the
-// tracker is full.
-func (t *Tracker) instances(manifest weights.Digest, now time.Time) map[string]announcement {
-	for digest, instances := range t.manifests {
-		for name, known := range instances {
-			if now.Sub(known.at) > announcementTTL {
-				delete(instances, name)
-			}
-		}
-		if len(instances) == 0 {
-			delete(t.manifests, digest)
+// pool returns the records of the named pool without those that are too old.
+func (t *Tracker) pool(name string, now time.Time) (*pool, error) {
+	if t.pools[name] == nil {
+		if len(t.pools) >= maxPools {
+			return nil, errFull
 		}
+		t.pools[name] = &pool{since: now, records: map[string]*record{}}
 	}
-	if t.manifests[manifest] == nil {
-		if len(t.manifests) >= maxManifests {
-			return nil
+	known := t.pools[name]
+	for instance, entry := range known.records {
+		if now.Sub(entry.at) > switchTTL {
+			delete(known.records, instance)
 		}
-		t.manifests[manifest] = map[string]announcement{}
 	}
-	if len(t.manifests[manifest]) >= maxInstances {
-		return nil
-	}
-	return t.manifests[manifest]
+	return known, nil
 }
 
-// permits reports whether one more instance may be out of service: fewer than
-// the pool's limit are out in its availability zone, and another instance of
-// the pool, if there is one, keeps serving.
-func (t *Tracker) permits(args message.AnnounceArgs, instances map[string]announcement) bool {
-	snapshot := t.tables()
-	if snapshot == nil {
-		return false
-	}
-	pool, found := snapshot.Pool(args.Pool)
-	if !found {
-		return false
-	}
-	others, switching, switchingInZone := 0, 0, 0
-	for name, other := range instances {
-		if name == args.Instance || other.Pool != args.Pool {
-			continue
-		}
-		others++
-		if other.Stage != rollout.StageDraining && other.Stage != rollout.StageLoading {
-			continue
-		}
-		switching++
-		if other.AvailabilityZone == args.AvailabilityZone {
-			switchingInZone++
+func (p *pool) record(instance string) (*record, error) {
+	if p.records[instance] == nil {
+		if len(p.records) >= maxInstances {
+			return nil, errFull
 		}
+		p.records[instance] = &record{}
 	}
-	lastOne := others > 0 && switching == others
-	return switchingInZone < pool.MaxUnavailable && !lastOne
+	return p.records[instance], nil
+}
+
+// switching reports whether the instance is, or may be, out for a switch.
+func (r *record) switching(now time.Time) bool {
+	return now.Before(r.permitUntil) || r.Stage == rollout.StageDraining || r.Stage == rollout.StageLoading
+}
+
+// serving reports whether the instance is known to admit requests.
+func (r *record) serving(now time.Time) bool {
+	return r.Open && !r.switching(now) && now.Sub(r.at) <= openTTL
 }
--- a/internal/weights/assembly.go
+++ b/internal/weights/assembly.go
@@ -24,6 +24,13 @@
 	}
 }
 
+// Clear unmarks chunk i. A chunk outside the bitmap is ignored.
+func (b Bitmap) Clear(i int) {
+	if i >= 0 && i/8 < len(b) {
+		b[i/8] &^= 1 << (i % 8)
+	}
+}
+
 // Count returns the number of chunks set.
 func (b Bitmap) Count() int {
 	total := 0
