--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"os"
 	"time"
 
@@ -15,22 +16,22 @@
 	"plantainrelay/internal/engine"
 	"plantainrelay/internal/gate"
 	"plantainrelay/internal/logging"
+	"plantainrelay/internal/member"
 	"plantainrelay/internal/membership"
 	"plantainrelay/internal/message"
+	"plantainrelay/internal/metering"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/platform"
 	"plantainrelay/internal/tablesync"
+	"plantainrelay/internal/usage"
 )
 
 const (
-	maxRecords       = 20000
-	maxKeys          = 100000
-	confirmInterval  = 250 * time.Millisecond
-	decisionTick     = 50 * time.Millisecond
-	announceInterval = 250 * time.Millisecond
-	engineInterval   = 500 * time.Millisecond
-	loadRetry        = time.Second
-	readyCheck       = 200 * time.Millisecond
+	maxKeys         = 100000
+	confirmInterval = 250 * time.Millisecond
+	decisionTick    = 50 * time.Millisecond
+	readyCheck      = 200 * time.Millisecond
+	engineInterval  = 500 * time.Millisecond
 )
 
 // Run runs an agent until it was told to stop and has drained.
@@ -38,6 +39,7 @@
 	log := logging.New(os.Stderr, s.LogLevel, s.Instance, s.AvailabilityZone)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	daemon.BoundDefaultTransport(s.LoadTimeout)
 	p, err := newParts(s, log)
 	if err != nil {
 		return err
@@ -45,13 +47,25 @@
 	if err := p.serveControl(s, log); err != nil {
 		return err
 	}
-	d := daemon.New(daemon.Config{Name: "plantain-agent", LeaveDelay: s.LeaveDelay, DrainLimit: s.DrainLimit}, log)
+	d := daemon.New(daemonConfig(s), log)
 	d.OnDrain(p.gate.Leave)
 	if err := p.listen(d, s, log); err != nil {
 		return err
 	}
 	p.start(ctx)
-	return d.Run()
+	err = d.Run()
+	p.meter.Close(ctx)
+	return err
+}
+
+func daemonConfig(s Settings) daemon.Config {
+	return daemon.Config{
+		Name:           "plantain-agent",
+		LeaveDelay:     s.LeaveDelay,
+		DrainLimit:     s.DrainLimit,
+		MaxConnections: int(s.MaxConnections),
+		StallLimit:     s.StallLimit,
+	}
 }
 
 // parts are the duties of an agent.
@@ -64,16 +78,23 @@
 	gate        *gate.Gate
 	driver      *distribute.Driver
 	readiness   *daemon.Readiness
+	meter       *metering.Meter
 }
 
 func newParts(s Settings, log *logrus.Entry) (*parts, error) {
+	security, err := peer.LoadSecurity(s.FleetKey, s.FleetCertificate, s.FleetServerName)
+	if err != nil {
+		return nil, err
+	}
 	p := &parts{
 		settings:    s,
 		incarnation: uuid.NewString(),
-		security:    peer.Security{Key: []byte(s.FleetKey)},
+		security:    security,
 		readiness:   daemon.NewReadiness(),
 	}
 	outside := platform.New(platform.Config{StoreURL: s.StoreURL, OriginURL: s.OriginURL, ListURL: s.ListURL})
+	source := usage.Source{Name: s.Instance + "/" + p.incarnation[:8], Role: member.RoleAgent}
+	p.meter = metering.New(source, outside, s.UsageInterval, log)
 	client := peer.NewClient(p.security)
 	p.members = membership.New(outside, s.ListInterval, log)
 	p.sync = tablesync.New(tablesync.Config{
@@ -81,12 +102,11 @@
 		AvailabilityZone: s.AvailabilityZone,
 		ExchangeInterval: s.ExchangeInterval,
 	}, outside, p.members, client, log)
-	var err error
 	p.gate, err = gate.New(gate.Config{
 		Instance:     s.Instance,
 		Incarnation:  p.incarnation,
 		MaxRunning:   int(s.MaxRunning),
-		MaxRecords:   maxRecords,
+		MaxRecords:   int(s.MaxRecords),
 		MaxKeys:      maxKeys,
 		MaxKeptBytes: int(s.MaxKept),
 		MaxKeptTotal: int(s.MaxKeptTotal),
@@ -98,9 +118,9 @@
 		Self:             s.Instance,
 		AvailabilityZone: s.AvailabilityZone,
 		Region:           s.Region,
-		Key:              s.FleetKey,
+		Security:         p.security,
 		Tick:             decisionTick,
-		AnnounceInterval: announceInterval,
+		AnnounceInterval: s.AnnounceInterval,
 		EngineInterval:   engineInterval,
 		MaxInFlight:      int(s.MaxInFlight),
 		MaxUploads:       int(s.MaxUploads),
@@ -110,7 +130,7 @@
 		StallTimeout:     s.StallTimeout,
 		Patience:         s.Patience,
 		LoadTimeout:      s.LoadTimeout,
-		LoadRetry:        loadRetry,
+		LoadRetry:        s.LoadRetry,
 	}, engine.New(s.BackendURL), outside, p.gate, p.sync, p.members, client, log)
 	return p, nil
 }
@@ -133,13 +153,21 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	routes := append(daemon.OperationRoutes(p.readiness, registry), p.driver.ChunkRoute())
-	return d.Listen(s.HTTPAddress, routes, gate.NewHandler(p.gate, s.BackendURL, s.FleetKey, log))
+	return d.Listen(daemon.Listener{
+		Address:      s.HTTPAddress,
+		Routes:       routes,
+		Fallback:     gate.NewHandler(p.gate, s.BackendURL, p.security, p.meter, log),
+		MaxBodyBytes: s.MaxBodyBytes,
+		Certificate:  s.FleetCertificate,
+		ClientAuth:   tls.VerifyClientCertIfGiven,
+	})
 }
 
 func (p *parts) start(ctx context.Context) {
 	go p.members.Run(ctx)
 	go p.sync.Run(ctx)
 	go p.driver.Run(ctx)
+	go p.meter.Run(ctx)
 	go p.watchReadiness(ctx)
 	go p.confirmOwnership(ctx)
 }
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -15,7 +15,9 @@
 	"plantainrelay/internal/engine"
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/message"
+	"plantainrelay/internal/metering"
 	"plantainrelay/internal/ownership"
+	"plantainrelay/internal/peer"
 )
 
 const (
@@ -26,22 +28,24 @@
 
 // Handler passes attempts through the gate to the backend server.
 type Handler struct {
-	gate    *Gate
-	backend string
-	key     string
-	client  *http.Client
-	log     *logrus.Entry
+	gate     *Gate
+	backend  string
+	security peer.Security
+	usage    metering.Recorder
+	client   *http.Client
+	log      *logrus.Entry
 }
 
 // NewHandler returns the handler for the backend server at the URL backend.
-// Only requests that carry key as their bearer token are taken.
-func NewHandler(gate *Gate, backend, key string, log *logrus.Entry) *Handler {
+// Only requests that security authorizes are taken; usage is told of each
+// attempt that was started.
+func NewHandler(gate *Gate, backend string, security peer.Security, usage metering.Recorder, log *logrus.Entry) *Handler {
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxBackendConns,
 		DisableCompression:  true,
 	}
-	return &Handler{gate: gate, backend: backend, key: key, client: &http.Client{Transport: transport, CheckRedirect: keepRedirect}, log: log}
+	return &Handler{gate: gate, backend: backend, security: security, usage: usage, client: &http.Client{Transport: transport, CheckRedirect: keepRedirect}, log: log}
 }
 
 func keepRedirect(*http.Request, []*http.Request) error {
@@ -50,8 +54,8 @@
 
 // ServeHTTP implements http.Handler for paths below message.PathAttempt.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.Header.Get("Authorization") != "Bearer "+h.key {
-		http.Error(w, "the fleet's key is missing or wrong", http.StatusUnauthorized)
+	if !h.security.Authorized(r) {
+		http.Error(w, "the fleet's key or certificate is missing or wrong", http.StatusUnauthorized)
 		return
 	}
 	path, found := strings.CutPrefix(r.URL.EscapedPath(), message.PathAttempt)
@@ -74,7 +78,9 @@
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
-	run := &execution{handler: h, attempt: o.attempt, admitted: admitted, w: w}
+	metered := metering.Wrap(w, h.usage, r.Header.Get(message.HeaderCustomer), r.Header.Get(message.HeaderPool))
+	defer metered.EndAttempt()
+	run := &execution{handler: h, attempt: o.attempt, admitted: admitted, w: metered}
 	defer func() { h.gate.end(o.attempt, run.kept) }()
 	run.serve(r, path, body, o.deadline)
 }
@@ -208,7 +214,7 @@
 	kept := http.Header{}
 	for name, values := range from {
 		switch {
-		case strings.HasPrefix(name, message.HeaderPrefix):
+		case message.Reserved(name):
 		case name == "Connection", name == "Content-Length", name == "Transfer-Encoding", name == "Trailer":
 		default:
 			kept[name] = values
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -19,6 +18,7 @@
 	"plantainrelay/internal/dispatch"
 	"plantainrelay/internal/message"
 	"plantainrelay/internal/ownership"
+	"plantainrelay/internal/peer"
 	"plantainrelay/internal/table"
 )
 
@@ -31,12 +31,13 @@
 	copyBytes        = 32 << 10
 )
 
-func newAttemptClient() *http.Client {
+func newAttemptClient(security peer.Security) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: maxIdlePerAgent,
 			DisableCompression:  true,
+			TLSClientConfig:     security.ClientTLS,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -165,7 +166,7 @@
 }
 
 func (e *exchange) forward(ctx context.Context) (*http.Response, error) {
-	target := "http://" + e.agent.instance.HTTPAddress + message.PathAttempt + e.r.URL.EscapedPath()
+	target := e.handler.config.Security.Scheme() + "://" + e.agent.instance.HTTPAddress + message.PathAttempt + e.r.URL.EscapedPath()
 	if e.r.URL.RawQuery != "" {
 		target += "?" + e.r.URL.RawQuery
 	}
@@ -189,14 +190,14 @@
 func (e *exchange) attemptHeader() http.Header {
 	header := http.Header{}
 	for name, values := range e.r.Header {
-		if !strings.HasPrefix(name, message.HeaderPrefix) {
+		if !message.Reserved(name) {
 			header[name] = values
 		}
 	}
 	for _, name := range connectionHeaders {
 		header.Del(name)
 	}
-	header.Set("Authorization", "Bearer "+e.handler.config.Key)
+	e.handler.config.Security.Authorize(header)
 	header.Set(message.HeaderAttempt, e.attempt)
 	header.Set(message.HeaderRequest, e.request)
 	header.Set(message.HeaderIncarnation, e.agent.Incarnation)
@@ -323,7 +324,7 @@
 }
 
 func shown(name string) bool {
-	return !hidden[name] && (name == message.HeaderVersion || !strings.HasPrefix(name, message.HeaderPrefix))
+	return !hidden[name] && (name == message.HeaderVersion || !message.Reserved(name))
 }
 
 func (e *exchange) writeHeader(status int, from http.Header) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -14,6 +14,7 @@
 	"plantainrelay/internal/dispatch"
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/message"
+	"plantainrelay/internal/metering"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/table"
 	"plantainrelay/internal/tablesync"
@@ -23,8 +24,12 @@
 type Config struct {
 	Self             string
 	AvailabilityZone string
-	// Key is the fleet's key.
-	Key string
+	// Security proves membership of the fleet.
+	Security peer.Security
+	// Customers identifies the customer of a request.
+	Customers Customers
+	// Usage is told of each request that a route took.
+	Usage metering.Recorder
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64
 	// MaxAttempts bounds the attempts of one request.
@@ -55,7 +60,7 @@
 
 // NewHandler returns the handler of callers' requests.
 func NewHandler(config Config, tables *tablesync.Sync, states *States, owners *Owners, client *peer.Client, log *logrus.Entry) *Handler {
-	return &Handler{config: config, tables: tables, states: states, owners: owners, client: client, http: newAttemptClient(), log: log}
+	return &Handler{config: config, tables: tables, states: states, owners: owners, client: client, http: newAttemptClient(config.Security), log: log}
 }
 
 // ServeHTTP implements http.Handler.
@@ -65,9 +70,9 @@
 		h.refuse(w, http.StatusServiceUnavailable, "no tables are known yet; ask again")
 		return
 	}
-	customer := r.Header.Get(message.HeaderCustomer)
+	customer, remedy := h.config.Customers.Identify(r)
 	if customer == "" {
-		h.refuse(w, http.StatusUnauthorized, "name the customer in the header "+message.HeaderCustomer)
+		h.refuse(w, http.StatusUnauthorized, remedy)
 		return
 	}
 	route, found := snapshot.Match(table.Request{Customer: customer, Path: r.URL.Path, Header: r.Header.Get})
@@ -90,9 +95,12 @@
 
 func (h *Handler) run(w http.ResponseWriter, r *http.Request, route table.Route, customer string, body []byte, key *requestKey) {
 	deadline := time.Now().Add(route.Deadline)
+	metered := metering.Wrap(w, h.config.Usage, customer, route.Pool)
+	outcome := dispatch.Unknown
+	defer func() { metered.End(outcome) }()
 	e := &exchange{
 		handler:  h,
-		w:        w,
+		w:        metered,
 		r:        r,
 		route:    route,
 		customer: customer,
@@ -112,7 +120,7 @@
 		MaxWait:      h.config.MaxWait,
 		WaitInterval: waitInterval,
 	})
-	outcome := e.run()
+	outcome = e.run()
 	h.log.WithFields(logrus.Fields{
 		logging.FieldRequest:  e.request,
 		logging.FieldCustomer: customer,
--- a/internal/message/key.go
+++ b/internal/message/key.go
@@ -29,9 +29,6 @@
 	HeaderSubmission = "X-Plantain-Submission"
 )
 
-// HeaderPrefix starts the name of every header of this project.
-const HeaderPrefix = "X-Plantain-"
-
 // OwnersArgs asks an agent for the map of owners of its pool, and offers one.
 type OwnersArgs struct {
 	From     string
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -185,8 +185,6 @@
 	return known, found && held.Manifest != "" && known.Whole == held.Whole
 }
 
-func (r *Rollout) targetCopy() Copy { return r.copies[r.target.Manifest] }
-
 // Fetched reports that all chunks of the target are verified and staged.
 func (r *Rollout) Fetched(manifest weights.Digest) []Action {
 	if r.stage != StageFetching || manifest != r.target.Manifest {
