--- a/bench/weights/cmd/core.go
+++ b/bench/weights/cmd/core.go
@@ -25,8 +25,8 @@
 }
 
 // runCore prints one table a scenario.
-func runCore(out io.Writer, sizes []int, seed uint64) {
-	for _, s := range scenarios {
+func runCore(out io.Writer, chosen []scenario, sizes []int, seed uint64) {
+	for _, s := range chosen {
 		fmt.Fprintf(out, "\n%s (seed %d)\n\n", s.name, seed)
 		fmt.Fprintln(out, "| N | complete | time (units) | origin copies | most crossings into a zone per chunk | most uploads (copies) | messages per instance | control bytes per instance | decision CPU per instance |")
 		fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
--- a/bench/weights/cmd/main.go
+++ b/bench/weights/cmd/main.go
@@ -12,13 +12,14 @@
 func main() {
 	sizes := flag.String("sizes", "4,8,16,32,100,400,1600", "numbers of instances for the decision core")
 	seed := flag.Uint64("seed", 1, "seed of the run")
+	first := flag.Int("scenarios", len(scenarios), "number of scenarios to run, from the first")
 	flag.Parse()
 	numbers, err := parseSizes(*sizes)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	runCore(os.Stdout, numbers, *seed)
+	runCore(os.Stdout, scenarios[:min(max(*first, 1), len(scenarios))], numbers, *seed)
 }
 
 func parseSizes(text string) ([]int, error) {
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -76,7 +76,7 @@
 		MaxRunning:   r.Int("backend", "max_running", 64, 1, 100000),
 		MaxKept:      r.Bytes("backend", "max_kept_answer", defaultKept, 0, maxKept),
 		MaxKeptTotal: r.Bytes("backend", "max_kept_total", defaultKeptTotal, 0, maxKeptTotal),
-		MaxInFlight:  r.Int("weights", "max_in_flight", 8, 1, 64),
+		MaxInFlight:  r.Int("weights", "max_in_flight", 16, 1, 64),
 		MaxUploads:   r.Int("weights", "max_uploads", 16, 1, 1024),
 		ChunkMemory:  r.Bytes("weights", "chunk_memory", weights.MaxChunkBytes, weights.MaxChunkBytes, maxChunkMemory),
 		RegionRate:   r.Bytes("weights", "region_rate", defaultRegionRate, 0, maxRegionRate),
--- a/internal/swarm/layout.go
+++ b/internal/swarm/layout.go
@@ -230,6 +230,15 @@
 	return children
 }
 
+// zoneRoots returns the members that bring chunk into each zone.
+func (l *Layout) zoneRoots(chunk int) []string {
+	var names []string
+	for z := range l.zones {
+		names = append(names, l.at(z, 0, chunk))
+	}
+	return names
+}
+
 // turn returns how many others come before name when sources fail: zones
 // before its own first, then positions in its zone.
 func (l *Layout) turn(name string, chunk int) (zones, position int) {
--- a/internal/swarm/scan.go
+++ b/internal/swarm/scan.go
@@ -73,10 +73,11 @@
 	if name, found := p.outside(chunk, parent, known, waited, now); found {
 		return name, true
 	}
-	if p.avoided(Origin, now) || waited < max(originWait, p.config.Patience) {
+	if p.avoided(Origin, now) || waited < originWait {
 		return "", false
 	}
-	return Origin, parent == Origin || p.mayExceed(now)
+	acting := p.positions[chunk] == 0 || originWait == p.config.Patience
+	return Origin, acting || p.mayExceed(now)
 }
 
 // outside returns a holder in another availability zone: the parent, or, once
@@ -93,7 +94,7 @@
 
 // waits returns how long this instance has to be quiet before it brings chunk
 // into its zone, and before it draws it from the origin for all: one patience
-// for each instance before it that has not failed.
+// for each instance before it that has not failed, and one more at the origin.
 func (p *Plan) waits(chunk int, now time.Time) (zone, origin time.Duration) {
 	zones, position := p.layout.turn(p.config.Self, chunk)
 	own := p.layout.place[p.config.Self].zone
@@ -110,7 +111,7 @@
 			before++
 		}
 	}
-	return zone, time.Duration(min(before, maxTurns)) * p.config.Patience
+	return zone, time.Duration(min(before, maxTurns)+1) * p.config.Patience
 }
 
 // mayExceed reports whether this instance may draw a chunk that another one is
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -24,7 +24,7 @@
 	maxOverdue = 4 * originWindow
 	// maxOfferTries bounds how often an offer is made to a member that does
 	// not take it.
-	maxOfferTries = 8
+	maxOfferTries = 4
 	// maxTurns bounds the patience of an instance far from its turn.
 	maxTurns = 6
 	// lastResort is how many times the patience an instance is quiet before
@@ -402,10 +402,7 @@
 	p.have.Set(fetch.Chunk)
 	p.held++
 	p.pass(fetch.Chunk, now)
-	for _, child := range p.layout.Children(p.config.Self, fetch.Chunk) {
-		offer := p.offer(child)
-		offer.Chunks = append(offer.Chunks, fetch.Chunk)
-	}
+	p.offerOn(fetch)
 	if p.turns.Has(fetch.Chunk) {
 		p.turns.Clear(fetch.Chunk)
 		p.passTurn(fetch.Chunk)
@@ -431,6 +428,21 @@
 	return 0
 }
 
+// offerOn offers a chunk that arrived to this instance's children; one that
+// was drawn in place of its root, to the roots of all zones.
+func (p *Plan) offerOn(fetch Fetch) {
+	names := p.layout.Children(p.config.Self, fetch.Chunk)
+	if fetch.Source == Origin && p.parents[fetch.Chunk] != Origin {
+		names = append(names, p.layout.zoneRoots(fetch.Chunk)...)
+	}
+	for _, name := range names {
+		if name != p.config.Self {
+			offer := p.offer(name)
+			offer.Chunks = append(offer.Chunks, fetch.Chunk)
+		}
+	}
+}
+
 // penalize avoids a source for a time that doubles with each failure.
 func (p *Plan) penalize(name string, factor int, now time.Time) {
 	known := p.source(name)
@@ -555,7 +567,8 @@
 	return name, name != p.config.Self && !p.avoided(name, now)
 }
 
-// lateParent returns the parent of the first missing chunk, every other time.
+// lateParent returns, every other time, the parent of the first missing chunk,
+// or, when that failed and the chunk is late, the root of some zone.
 func (p *Plan) lateParent(now time.Time) (string, bool) {
 	if p.random.IntN(2) == 0 {
 		return "", false
@@ -568,6 +581,10 @@
 		if parent != Origin && !p.avoided(parent, now) {
 			return parent, true
 		}
+		if roots := p.layout.zoneRoots(chunk); p.late(chunk, now) > 0 || p.quiet(now) > p.config.Patience {
+			root := roots[p.random.IntN(len(roots))]
+			return root, root != p.config.Self && !p.avoided(root, now)
+		}
 	}
 	return "", false
 }
--- a/test/e2e/path_test.go
+++ b/test/e2e/path_test.go
@@ -99,11 +99,16 @@
 // called, which returns how many there were. Each must be answered whole, to
 // its own request, from complete weights.
 func lookups(t *testing.T, fleet *cluster.Cluster, complete map[string]weights.Digest) func() int {
+	return lookupsThrough(t, fleet, complete, "entry-1", "entry-2")
+}
+
+// lookupsThrough is lookups through the named entries.
+func lookupsThrough(t *testing.T, fleet *cluster.Cluster, complete map[string]weights.Digest, entries ...string) func() int {
 	done := make(chan struct{})
 	var group sync.WaitGroup
 	counts := make([]int, 4)
 	for worker := range counts {
-		url := fleet.PublicURL([]string{"entry-1", "entry-2"}[worker%2]) + "/lookup"
+		url := fleet.PublicURL(entries[worker%len(entries)]) + "/lookup"
 		group.Add(1)
 		go func() {
 			defer group.Done()
