--- /dev/null
+++ b/internal/message/fuzz_test.go
@@ -0,0 +1,100 @@
+package message_test
+
+import (
+	"bytes"
+	"encoding/gob"
+	"testing"
+	"time"
+
+	"plantainrelay/internal/member"
+	"plantainrelay/internal/message"
+	"plantainrelay/internal/swarm"
+	"plantainrelay/internal/table"
+	"plantainrelay/internal/tracker"
+	"plantainrelay/internal/weights"
+)
+
+// messages are new values of what processes of the fleet send to each other.
+var messages = []func() any{
+	func() any { return &message.ExchangeArgs{} },
+	func() any { return &message.ExchangeReply{} },
+	func() any { return &message.OfferArgs{} },
+	func() any { return &message.StateReply{} },
+	func() any { return &message.FateArgs{} },
+	func() any { return &message.FateReply{} },
+	func() any { return &message.AnnounceArgs{} },
+	func() any { return &message.AnnounceReply{} },
+	func() any { return &message.PeerArgs{} },
+	func() any { return &message.PeerReply{} },
+	func() any { return &message.ManifestArgs{} },
+	func() any { return &message.ManifestReply{} },
+	func() any { return &message.OwnersArgs{} },
+	func() any { return &message.OwnersReply{} },
+	func() any { return &message.KeyFateArgs{} },
+	func() any { return &message.KeyFateReply{} },
+}
+
+// FuzzMessages decodes bytes as each message, as net/rpc does with what a peer
+// sends, and uses what comes out.
+func FuzzMessages(f *testing.F) {
+	snapshot := &table.Snapshot{Revision: 7, Tables: table.Tables{Pools: []table.Pool{{Name: "model", Instances: []string{"a-*"}}}}}
+	for _, seed := range []any{
+		message.OfferArgs{From: "a", Snapshot: snapshot},
+		message.AnnounceArgs{Instance: "a", Stage: "waiting_for_permit", Wants: true},
+		message.PeerArgs{From: "a", Chunks: []int{0, 9, -1}, Turns: []int{1 << 40}, Ask: true},
+		message.PeerReply{Known: true, Have: weights.Bitmap{0xff}},
+		message.FateReply{Answer: &message.Answer{Status: 200, Header: map[string][]string{"A": {"b"}}, Body: []byte("x")}},
+	} {
+		var raw bytes.Buffer
+		if err := gob.NewEncoder(&raw).Encode(seed); err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw.Bytes())
+	}
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		for _, empty := range messages {
+			value := empty()
+			if gob.NewDecoder(bytes.NewReader(raw)).Decode(value) != nil {
+				continue
+			}
+			switch decoded := value.(type) {
+			case *message.OfferArgs:
+				use(decoded.Snapshot)
+			case *message.ExchangeReply:
+				use(decoded.Snapshot)
+			case *message.AnnounceArgs:
+				announce(decoded)
+			case *message.PeerArgs:
+				plan().Offered(decoded.From, decoded.Chunks, decoded.Turns, now)
+			case *message.PeerReply:
+				_, _ = decoded.Have.Count(), decoded.Have.Has(-1)
+				plan().Told("b", decoded.Have, now)
+			}
+		}
+	})
+}
+
+var now = time.Unix(1000, 0)
+
+// plan is one of two members that takes 16 chunks.
+func plan() *swarm.Plan {
+	layout := swarm.NewLayout([]swarm.Member{{Name: "a", AvailabilityZone: "z"}, {Name: "b", AvailabilityZone: "z"}})
+	return swarm.New(swarm.Config{Self: "a", MaxInFlight: 2}, layout, 16, nil, now)
+}
+
+func announce(args *message.AnnounceArgs) {
+	var list member.List
+	t := tracker.New(func() *table.Snapshot { return nil }, func() *member.List { return &list }, func() time.Time { return now })
+	_ = t.Announce(*args, &message.AnnounceReply{})
+}
+
+func use(snapshot *table.Snapshot) {
+	var holder table.Holder
+	holder.Offer(snapshot)
+	if snapshot == nil {
+		return
+	}
+	snapshot.Match(table.Request{Customer: "a", Path: "/", Header: func(string) string { return "" }})
+	snapshot.PoolOf("a")
+	table.Validate(&snapshot.Tables)
+}
