--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Commands for developers; README.md explains the two main ones.
-.PHONY: demo test check build soak bench-capacity
+.PHONY: demo test check build soak bench-capacity bench-weights
 
 build:
 	mkdir -p bin
@@ -25,3 +25,6 @@
 
 bench-capacity: build
 	go run ./bench/capacity --bin bin
+
+bench-weights:
+	go run ./bench/weights/cmd
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -224,6 +224,7 @@
 		Stage:    status.Stage,
 		Held:     status.Held,
 		Chunks:   status.Chunks,
+		Size:     status.Bytes,
 		Failures: status.Failures,
 		Cause:    status.Cause,
 	}
--- a/internal/distribute/driver.go
+++ b/internal/distribute/driver.go
@@ -89,7 +89,9 @@
 	incarnation  string
 	announcing   bool
 	announceNext time.Time
-	refusal      string
+	// refusal tells why no permit is given, problem why no fetch starts.
+	refusal string
+	problem string
 
 	mu        sync.Mutex
 	status    Status
@@ -232,8 +234,11 @@
 	d.status.Target = d.rollout.Target()
 	d.status.Stage = d.rollout.Stage()
 	d.status.Failures, d.status.Cause = d.rollout.Failures()
-	if d.status.Cause == "" && d.rollout.Stage() == rollout.StageWaiting {
+	switch {
+	case d.status.Cause == "" && d.rollout.Stage() == rollout.StageWaiting:
 		d.status.Cause = d.refusal
+	case d.status.Cause == "" && d.rollout.Stage() == rollout.StageFetching:
+		d.status.Cause = d.problem
 	}
 	d.status.Held, d.status.Chunks, d.status.Bytes = 0, 0, 0
 	d.shared = shared{}
--- a/internal/distribute/manifest.go
+++ b/internal/distribute/manifest.go
@@ -109,7 +109,7 @@
 	if d.cancel != nil {
 		d.cancel()
 	}
-	d.manifest, d.plan = nil, nil
+	d.manifest, d.plan, d.problem = nil, nil, ""
 	ctx, d.cancel = context.WithCancel(ctx)
 	go d.loadManifest(ctx, d.rollout.Target())
 }
@@ -129,6 +129,7 @@
 			return
 		}
 		d.log.WithError(err).Debug("the manifest or the engine is not available; trying again")
+		d.send(ctx, notPrepared{manifest: target.Manifest, cause: err.Error()})
 		sleep(ctx, time.Duration(float64(backoff)*(0.5+rand.Float64())))
 		backoff = min(2*backoff, d.config.Patience)
 	}
@@ -257,6 +258,18 @@
 	return d.model.Stage(ctx, to, chunk, data)
 }
 
+// notPrepared says why the fetch cannot start yet.
+type notPrepared struct {
+	manifest weights.Digest
+	cause    string
+}
+
+func (e notPrepared) apply(_ context.Context, d *Driver) {
+	if e.manifest == d.rollout.Target().Manifest {
+		d.problem = e.cause
+	}
+}
+
 // engineKnown says that the engine serves complete weights.
 type engineKnown struct {
 	copy rollout.Copy
@@ -283,7 +296,7 @@
 	}
 	d.rollout.Learn(rollout.Copy{Version: target.Version, Manifest: target.Manifest, Whole: e.manifest.Whole})
 	d.refreshFleet(time.Now())
-	d.manifest = e.manifest
+	d.manifest, d.problem = e.manifest, ""
 	d.plan = swarm.New(d.planConfig(), d.fleet.layout, len(e.manifest.Chunks), e.have, time.Now())
 	d.checkComplete(ctx)
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -115,8 +115,10 @@
 	Stage         rollout.Stage
 	// Held and Chunks count the target's chunks.
 	Held, Chunks int
-	Failures     int
-	Cause        string
+	// Size is the size in bytes of the target's weights.
+	Size     int64
+	Failures int
+	Cause    string
 }
 
 // FateArgs asks an agent what became of an attempt. An attempt that it has not
