Draw from the origin before all else

Cause: an instance's 16 fetches were filled with chunks from parents, so the chunks that it alone was to draw from the origin, and the turns behind them, waited: with few instances the origin was idle for half of the distribution. Change: duties at the origin take the next free fetch.

--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -125,9 +125,11 @@
 	parents   []string
 	positions []int
 	// ready holds missing chunks that their parent is known to hold.
-	ready    []int
-	queued   weights.Bitmap
-	turns    weights.Bitmap
+	ready  []int
+	queued weights.Bitmap
+	turns  weights.Bitmap
+	// duties holds the chunks to take from the origin now.
+	duties   []int
 	offers   map[string]*Offer
 	started  time.Time
 	progress time.Time
@@ -340,7 +342,7 @@
 		return
 	}
 	p.turns.Set(chunk)
-	p.nextScan = time.Time{}
+	p.duties = append(p.duties, chunk)
 }
 
 // passTurn lets the root of the next chunk in the window go to the origin.
@@ -354,7 +356,7 @@
 		}
 		if !p.have.Has(next) {
 			p.turns.Set(next)
-			p.nextScan = time.Time{}
+			p.duties = append(p.duties, next)
 			return
 		}
 	}
@@ -467,7 +469,7 @@
 	if p.Complete() || !p.joined(now) {
 		return step
 	}
-	step.Fetches = p.readyFetches(now)
+	step.Fetches = append(p.dutyFetches(now), p.readyFetches(now)...)
 	if len(p.inFlight) < p.config.MaxInFlight && !now.Before(p.nextScan) {
 		p.nextScan = now.Add(p.config.StealAfter)
 		step.Fetches = append(step.Fetches, p.scan(now)...)
@@ -527,6 +529,29 @@
 	return fetches
 }
 
+// dutyFetches starts what this instance is to take from the origin, before all
+// else, since the whole fleet waits for it.
+func (p *Plan) dutyFetches(now time.Time) []Fetch {
+	var fetches []Fetch
+	if len(p.duties) == 0 || p.avoided(Origin, now) {
+		return nil
+	}
+	known := p.holders(now)
+	for len(p.duties) > 0 && len(p.inFlight) < p.config.MaxInFlight {
+		chunk := p.duties[0]
+		p.duties = p.duties[1:]
+		if _, fetching := p.inFlight[chunk]; fetching || p.have.Has(chunk) {
+			continue
+		}
+		name, found := p.holder(chunk, known.zone)
+		if !found {
+			name = Origin
+		}
+		fetches = append(fetches, p.start(chunk, name))
+	}
+	return fetches
+}
+
 func (p *Plan) unqueue(i int) int {
 	chunk := p.ready[i]
 	last := len(p.ready) - 1
