--- a/test/checker/history.go
+++ b/test/checker/history.go
@@ -104,7 +104,7 @@
 	From, To  time.Time
 }
 
-// Usage is what one side counted for a customer.
+// Usage counts answers of the outcome done and their tokens.
 type Usage struct {
 	Requests, Tokens int64
 }
@@ -120,4 +120,7 @@
 	Faults       []Fault
 	// Versions maps each published version to the digest of its whole weights.
 	Versions map[string]weights.Digest
+	// Usage is what the report says that the entries counted as done, by
+	// customer.
+	Usage map[string]Usage
 }
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/http"
+	"net/url"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,6 +18,7 @@
 	"sync"
 	"time"
 
+	"plantainrelay/internal/metering"
 	"plantainrelay/internal/weights"
 	"plantainrelay/test/checker"
 	"plantainrelay/test/cluster"
@@ -47,7 +50,11 @@
 	warmUp         = 2 * time.Minute
 	settleLimit    = 90 * time.Second
 	pairLikelihood = 0.5
-	entryExtra     = "[shutdown]\nleave_delay = 7s"
+	entryExtra     = "[shutdown]\nleave_delay = 7s\n"
+	usageExtra     = "[usage]\nflush_interval = 3s\n"
+	// usageWait is more than the time between two reports of usage.
+	usageWait    = 5 * time.Second
+	usageTimeout = 20 * time.Second
 )
 
 // Result is what a run gives to judge.
@@ -133,12 +140,13 @@
 	r.callers = newCallers(firm, r.fleet, r.network, r.config.Rate)
 	r.operators = &operators{firm: firm, cluster: r.fleet, entry: r.anyEntry}
 	for _, instance := range firm.entries() {
-		instance.Extra = entryExtra
+		instance.Extra = entryExtra + usageExtra
 		if err := r.start(instance, false); err != nil {
 			return err
 		}
 	}
 	for _, instance := range firm.agents() {
+		instance.Extra = usageExtra
 		if err := r.start(instance, true); err != nil {
 			return err
 		}
@@ -253,6 +261,7 @@
 	if err := r.settle(settleLimit); err != nil {
 		result.Settled = err.Error()
 	}
+	time.Sleep(usageWait)
 	return result, errors.Join(r.collect(result), r.saveBurn())
 }
 
@@ -396,6 +405,10 @@
 		return err
 	}
 	h.Writes = store.Writes
+	var err error
+	if h.Usage, err = r.usage(); err != nil {
+		return err
+	}
 	result.History, result.Dropped, result.FaultErrors = h, r.callers.dropped, r.errors
 	result.OriginBytes, result.StoreCalls = origin.Bytes, store.Calls
 	for _, injected := range r.faults {
@@ -404,6 +417,35 @@
 	return nil
 }
 
+// usage reads the report of usage: what the entries counted as done.
+func (r *run) usage() (map[string]checker.Usage, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), usageTimeout)
+	defer cancel()
+	query := url.Values{"from": {r.begun.UTC().Format(time.RFC3339)}, "to": {time.Now().Add(time.Hour).UTC().Format(time.RFC3339)}}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, r.fleet.AdminURL(r.anyEntry())+"/v1/usage?"+query.Encode(), nil)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+r.fleet.Token)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	var report metering.Report
+	if err := json.NewDecoder(response.Body).Decode(&report); err != nil {
+		return nil, err
+	}
+	reported := map[string]checker.Usage{}
+	for _, line := range report.Lines {
+		sum := reported[line.Customer]
+		sum.Requests += line.Entries.Done
+		sum.Tokens += line.Entries.TokensOut
+		reported[line.Customer] = sum
+	}
+	return reported, nil
+}
+
 func readExecutions(path, instance string, model bool) ([]checker.Execution, error) {
 	file, err := os.Open(path)
 	if errors.Is(err, os.ErrNotExist) {
@@ -444,4 +486,5 @@
 		fmt.Fprintln(out, "not as meant:", text)
 	}
 	report.Write(out)
+	r.History.WriteUsage(out)
 }
