--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -85,9 +85,9 @@
 	requests  *gateway.Handler
 	readiness *daemon.Readiness
 	security  peer.Security
+	meter     *metering.Meter
 	levels    *servicelevel.Recorder
 	gatherer  *servicelevel.Gatherer
-	meter     *metering.Meter
 }
 
 func newParts(s Settings, log *logrus.Entry) (*parts, error) {
@@ -161,8 +161,8 @@
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	api := admin.New(operators, admin.NewEditor(p.store, p.sync), p.sync, p.states.All, log)
 	routes := append(daemon.OperationRoutes(p.readiness, registry), api.Routes()...)
-	routes = append(routes, api.ReportRoute(servicelevel.Path, func(ctx context.Context) (any, error) { return p.gatherer.Gather(ctx) }))
 	routes = append(routes, api.UsageRoute(metering.NewReporter(p.store)))
+	routes = append(routes, api.ReportRoute(servicelevel.Path, func(ctx context.Context) (any, error) { return p.gatherer.Gather(ctx) }))
 	if err := d.Listen(daemon.Listener{
 		Address:      s.AdminAddress,
 		Routes:       routes,
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -28,8 +28,6 @@
 	MaxSilence    time.Duration
 	// MaxWait bounds how long a request waits for an available instance.
 	MaxWait time.Duration
-	// Objectives are the promises of the service-level report.
-	Objectives burn.Targets
 	// AskInterval is the pause between two questions about one attempt.
 	AskInterval time.Duration
 	// RetryAfter is the time after which a refused caller may ask again.
@@ -44,6 +42,8 @@
 	// it names authorities; AdminCertificate does it for the administration API.
 	CallersCertificate certs.Files
 	AdminCertificate   certs.Files
+	// Objectives are the promises of the service-level report.
+	Objectives burn.Targets
 }
 
 const (
@@ -72,7 +72,6 @@
 		MaxAttempts:   r.Int("requests", "max_attempts", 3, 1, 10),
 		MaxWait:       r.Duration("requests", "max_wait", 5*time.Second, 0, time.Minute),
 		MaxSilence:    r.Duration("requests", "max_silence", 10*time.Second, 100*time.Millisecond, 10*time.Minute),
-		Objectives:    servicelevel.ReadTargets(r),
 		AskInterval:   r.Duration("requests", "ask_interval", 300*time.Millisecond, 10*time.Millisecond, 10*time.Second),
 		RetryAfter:    r.Duration("requests", "retry_after", 3*time.Second, time.Second, 10*time.Minute),
 		WatchWait:     r.Duration("control", "watch_wait", 10*time.Second, time.Second, time.Minute),
@@ -81,6 +80,7 @@
 
 		CallersCertificate: r.CertificateFiles("callers", false),
 		AdminCertificate:   r.CertificateFiles("admin", false),
+		Objectives:         servicelevel.ReadTargets(r),
 	}
 	check(r, loaded)
 	return loaded, r.Finish()
