--- a/bench/capacity/main.go
+++ b/bench/capacity/main.go
@@ -77,6 +77,7 @@
 		{"cost of an edit by the size of the tables", editByRoutes},
 		{"cost of requests and tokens", loadCost},
 		{"memory of open streams", streamMemory},
+		{"greatest memory while weights spread", weightsMemory},
 	} {
 		if !strings.Contains(step.name, only) {
 			continue
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -1,29 +1,20 @@
 package soak
 
 import (
-	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net/http"
-	"net/url"
-	"os"
-	"os/exec"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
-	"plantainrelay/internal/metering"
 	"plantainrelay/internal/weights"
 	"plantainrelay/test/checker"
 	"plantainrelay/test/cluster"
 	"plantainrelay/test/faultproxy"
-	"plantainrelay/test/standin"
 )
 
 // Config describes one run.
@@ -57,21 +48,6 @@
 	usageTimeout = 20 * time.Second
 )
 
-// Result is what a run gives to judge.
-type Result struct {
-	History *checker.History
-	// Settled says that all instances served the last version in the end.
-	Settled string
-	Dropped int
-	Faults  []string
-	// FaultErrors are faults that could not be injected as meant.
-	FaultErrors []string
-	MaxRSSBytes int64
-	Processes   int
-	OriginBytes int64
-	StoreCalls  int64
-}
-
 // run is one run in progress.
 type run struct {
 	config    Config
@@ -265,23 +241,6 @@
 	return result, errors.Join(r.collect(result), r.saveBurn())
 }
 
-// saveBurn keeps the service-level report of the run beside its logs.
-func (r *run) saveBurn() error {
-	entry := r.anyEntry()
-	for _, form := range []struct{ output, file string }{{"text", "burn.txt"}, {"json", "burn.json"}, {"html", "burn.html"}} {
-		command := exec.Command(filepath.Join(r.config.Bin, "plantainctl"), "report", "burn",
-			"--server", r.fleet.AdminURL(entry), "--token-file", r.fleet.TokenFile(), "--output", form.output)
-		out, err := command.Output()
-		if err != nil {
-			return fmt.Errorf("report burn --output %s: %w", form.output, err)
-		}
-		if err := os.WriteFile(filepath.Join(r.config.Dir, form.file), out, 0o600); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // settle waits until all agents of the model pool serve the current target.
 func (r *run) settle(limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
@@ -379,112 +338,7 @@
 	}
 }
 
-// collect gathers the records of stand-ins, callers and operators.
-func (r *run) collect(result *Result) error {
-	h := &checker.History{Versions: map[string]weights.Digest{}}
-	for _, published := range r.versions {
-		h.Versions[published.version] = published.whole
-	}
-	h.Calls, h.Edits, h.Observations = r.callers.calls, r.operators.edits, r.observer.observations()
-	h.Faults, h.Leaves = r.faults, r.leaves
-	for _, instance := range r.all {
-		if !r.agents[instance.Name] {
-			continue
-		}
-		model := strings.HasPrefix(instance.Name, r.config.Firm.ModelName)
-		executions, err := readExecutions(r.fleet.RecordsPath(instance.Name), instance.Name, model)
-		if err != nil {
-			return err
-		}
-		h.Executions = append(h.Executions, executions...)
-	}
-	slices.SortFunc(h.Executions, func(a, b checker.Execution) int { return a.Started.Compare(b.Started) })
-	var store standin.StoreRecords
-	var origin standin.OriginRecords
-	if err := errors.Join(cluster.GetJSON(r.fleet.PlatformURL+"/records/store", &store), cluster.GetJSON(r.fleet.PlatformURL+"/records/origin", &origin)); err != nil {
-		return err
-	}
-	h.Writes = store.Writes
-	var err error
-	if h.Usage, err = r.usage(); err != nil {
-		return err
-	}
-	result.History, result.Dropped, result.FaultErrors = h, r.callers.dropped, r.errors
-	result.OriginBytes, result.StoreCalls = origin.Bytes, store.Calls
-	for _, injected := range r.faults {
-		result.Faults = append(result.Faults, strings.TrimSpace(injected.Kind+" "+strings.Join(injected.Instances, " ")))
-	}
-	return nil
-}
-
-// usage reads the report of usage: what the entries counted as done.
-func (r *run) usage() (map[string]checker.Usage, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), usageTimeout)
-	defer cancel()
-	query := url.Values{"from": {r.begun.UTC().Format(time.RFC3339)}, "to": {time.Now().Add(time.Hour).UTC().Format(time.RFC3339)}}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, r.fleet.AdminURL(r.anyEntry())+"/v1/usage?"+query.Encode(), nil)
-	if err != nil {
-		return nil, err
-	}
-	request.Header.Set("Authorization", "Bearer "+r.fleet.Token)
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer response.Body.Close()
-	var report metering.Report
-	if err := json.NewDecoder(response.Body).Decode(&report); err != nil {
-		return nil, err
-	}
-	reported := map[string]checker.Usage{}
-	for _, line := range report.Lines {
-		sum := reported[line.Customer]
-		sum.Requests += line.Entries.Done
-		sum.Tokens += line.Entries.TokensOut
-		reported[line.Customer] = sum
-	}
-	return reported, nil
-}
-
-func readExecutions(path, instance string, model bool) ([]checker.Execution, error) {
-	file, err := os.Open(path)
-	if errors.Is(err, os.ErrNotExist) {
-		return nil, nil
-	}
-	if err != nil {
-		return nil, err
-	}
-	defer file.Close()
-	var all []checker.Execution
-	lines := bufio.NewScanner(file)
-	lines.Buffer(nil, maxRecordBytes)
-	for lines.Scan() {
-		execution := checker.Execution{Instance: instance, Model: model}
-		if err := json.Unmarshal(lines.Bytes(), &execution.Execution); err != nil {
-			return nil, err
-		}
-		all = append(all, execution)
-	}
-	return all, lines.Err()
-}
-
-// maxRecordBytes bounds one line of a backend server's records.
-const maxRecordBytes = 1 << 20
-
 func sorted(names []string) []string {
 	slices.Sort(names)
 	return names
 }
-
-// Write prints what was run and the judgement.
-func (r *Result) Write(out io.Writer, report checker.Report) {
-	fmt.Fprintf(out, "processes at most %d, resident memory at most %d MiB, origin bytes %d, store calls %d, arrivals dropped %d\n",
-		r.Processes, r.MaxRSSBytes>>20, r.OriginBytes, r.StoreCalls, r.Dropped)
-	fmt.Fprintf(out, "faults: %s\n", strings.Join(r.Faults, "; "))
-	fmt.Fprintf(out, "all instances served the last version in the end: %s\n", r.Settled)
-	for _, text := range r.FaultErrors {
-		fmt.Fprintln(out, "not as meant:", text)
-	}
-	report.Write(out)
-	r.History.WriteUsage(out)
-}
