--- a/bench/capacity/idle.go
+++ b/bench/capacity/idle.go
@@ -79,6 +79,7 @@
 const (
 	editsBySize  = 4
 	editPause    = 2 * time.Second
+	editRoutes   = 100
 	targetRoutes = table.MaxRoutes
 )
 
@@ -86,7 +87,7 @@
 func editByRoutes(bin string, r *results) error {
 	return withFleet(bin, fleetConfig{entries: 4, agents: 4}, func(p *probe) error {
 		for _, routes := range []int{10, 100, 400} {
-			if err := edits(p, r, routes); err != nil {
+			if err := edits(p, r, routes, "routes (4 entries)", float64(routes), targetRoutes); err != nil {
 				return err
 			}
 		}
@@ -94,7 +95,22 @@
 	})
 }
 
-func edits(p *probe, r *results, routes int) error {
+// editByEntries measures how the bytes of one edit grow with the entries.
+func editByEntries(bin string, r *results) error {
+	for _, entries := range []int{2, 8, 20} {
+		err := withFleet(bin, fleetConfig{entries: entries, agents: 4}, func(p *probe) error {
+			return edits(p, r, editRoutes, "entries (100 routes)", float64(entries), targetEntries)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// edits measures edits of tables with that many routes; by, size and target
+// name what is varied.
+func edits(p *probe, r *results, routes int, by string, size, target float64) error {
 	quiet := func() error {
 		time.Sleep(editsBySize * editPause)
 		return nil
@@ -118,8 +134,8 @@
 	}
 	seconds := (editsBySize * editPause).Seconds()
 	for i, name := range []string{"edit at an entry", "edit at an agent"} {
-		r.add(name+" control traffic", "routes", "B each", targetRoutes, float64(routes), (edited[i].control-idle[i].control)*seconds/editsBySize)
-		r.add(name+" CPU", "routes", "ms each", targetRoutes, float64(routes), 1000*(edited[i].cores-idle[i].cores)*seconds/editsBySize)
+		r.add(name+" control traffic", by, "B each", target, size, (edited[i].control-idle[i].control)*seconds/editsBySize)
+		r.add(name+" CPU", by, "ms each", target, size, 1000*(edited[i].cores-idle[i].cores)*seconds/editsBySize)
 	}
 	return nil
 }
--- a/bench/capacity/main.go
+++ b/bench/capacity/main.go
@@ -75,6 +75,7 @@
 		{"idle cost by agents", idleByAgents},
 		{"idle cost by entries", idleByEntries},
 		{"cost of an edit by the size of the tables", editByRoutes},
+		{"cost of an edit by the number of peers", editByEntries},
 		{"cost of requests and tokens", loadCost},
 		{"memory of open streams", streamMemory},
 		{"greatest memory while weights spread", weightsMemory},
