--- a/test/checker/checker_test.go
+++ b/test/checker/checker_test.go
@@ -92,6 +92,7 @@
 		plant        func(h *History)
 	}{
 		{"an engine ran with partial weights", "G1", func(h *History) { h.Executions[0].Whole = "ab" }},
+		{"an engine ran without weights", "G1", func(h *History) { h.Executions[0].Version, h.Executions[0].Whole = "", "" }},
 		{"a stream mixes two versions", "G1", func(h *History) { h.Calls[1].Version = "v1" }},
 		{"an answer of partial weights", "G1", func(h *History) {
 			h.Calls[0].Answer = []byte(`{"echo":"b1","version":"v1","whole":"ac","tokens":2}`)
--- a/test/checker/requests.go
+++ b/test/checker/requests.go
@@ -20,7 +20,7 @@
 			continue
 		}
 		executions.N++
-		if h.Versions[execution.Version] != execution.Whole {
+		if !h.complete(execution.Version, execution.Whole) {
 			partial.add("%s ran call %s with weights %.12s named %q", execution.Instance, execution.Call, execution.Whole, execution.Version)
 		}
 	}
@@ -30,7 +30,7 @@
 		}
 		answers.N++
 		for _, part := range parts(&call) {
-			if part.Version != call.Version || h.Versions[part.Version] != part.Whole {
+			if part.Version != call.Version || !h.complete(part.Version, part.Whole) {
 				mixed.add("call %s was told version %q and got an answer of %q", call.ID, call.Version, part.Version)
 				break
 			}
@@ -39,6 +39,12 @@
 	return j
 }
 
+// complete reports whether whole is the digest of the published version.
+func (h *History) complete(version string, whole weights.Digest) bool {
+	published, found := h.Versions[version]
+	return found && published == whole
+}
+
 // part is a unary answer or one event of a stream.
 type part struct {
 	Echo    string         `json:"echo"`
