--- a/test/checker/requests.go
+++ b/test/checker/requests.go
@@ -164,12 +164,13 @@
 	unanswered, lost := j.count("keys without a final answer"), j.count("of these never run")
 	duplicates, twice := j.bad("duplicates of a key"), j.bad("calls run twice")
 	byKey := h.executionsByKey()
-	answered, seen := map[string]bool{}, map[string]int{}
+	answered, seen, last := map[string]bool{}, map[string]int{}, map[string]Call{}
 	for _, call := range h.Calls {
 		if call.Key == "" {
 			continue
 		}
 		seen[call.Key]++
+		last[call.Key] = call
 		answered[call.Key] = answered[call.Key] || call.Outcome == Done
 	}
 	for key, calls := range seen {
@@ -179,7 +180,7 @@
 			unanswered.N++
 		}
 		if !answered[key] && len(byKey[key]) == 0 {
-			lost.N++
+			lost.add("key %s, last sent at %s, ended %s: %s", key, last[key].Sent.Format(time.TimeOnly), last[key].Outcome, last[key].Detail)
 		}
 		countRuns(byKey[key], ran, duplicates, twice)
 	}
