--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,149 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"plantainrelay/internal/admission"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func config() admission.Config {
+	return admission.Config{MaxQueued: 100, MaxPerCustomer: 60, MaxWait: 5 * time.Second}
+}
+
+// TestFloodDoesNotHoldUpSmallCustomers keeps ten slots busy with runs of one
+// second; the large customer always has a full queue, each small one a single
+// request.
+func TestFloodDoesNotHoldUpSmallCustomers(t *testing.T) {
+	c := qt.New(t)
+	const slots, smalls = 10, 9
+	q := admission.New(config())
+	customers := map[uint64]string{}
+	id := uint64(0)
+	offer := func(customer string, now time.Time) {
+		id++
+		customers[id] = customer
+		q.Offer(admission.Ticket{ID: id, Customer: customer, Deadline: now.Add(time.Minute)}, now)
+	}
+	ran := map[string]int{}
+	var inProgress []string
+	for round := range 50 {
+		now := epoch.Add(time.Duration(round) * time.Second)
+		for range 60 {
+			offer("large", now)
+		}
+		for small := range smalls {
+			offer(fmt.Sprintf("small-%d", small), now)
+		}
+		for _, customer := range inProgress {
+			q.Finished(customer, "", time.Second)
+		}
+		started, _ := q.Next(slots, now)
+		inProgress = nil
+		for _, ticket := range started {
+			inProgress = append(inProgress, customers[ticket])
+			ran[customers[ticket]]++
+		}
+		for small := range smalls {
+			c.Assert(ran[fmt.Sprintf("small-%d", small)], qt.Equals, round+1, qt.Commentf("a small customer waited behind the large one"))
+		}
+	}
+	c.Assert(ran["large"], qt.Equals, 50, qt.Commentf("the rest of the pool was not used"))
+}
+
+func TestUrgentGoesFirstAndIsShedLast(t *testing.T) {
+	c := qt.New(t)
+	q := admission.New(admission.Config{MaxQueued: 2, MaxPerCustomer: 10, MaxWait: time.Minute})
+	deadline := epoch.Add(time.Minute)
+	c.Assert(q.Offer(admission.Ticket{ID: 1, Customer: "a", Class: 2, Deadline: deadline}, epoch), qt.HasLen, 0)
+	c.Assert(q.Offer(admission.Ticket{ID: 2, Customer: "a", Class: 1, Deadline: deadline}, epoch), qt.HasLen, 0)
+	shed := q.Offer(admission.Ticket{ID: 3, Customer: "a", Class: 0, Deadline: deadline}, epoch)
+	c.Assert(shed, qt.HasLen, 1)
+	c.Assert(shed[0].ID, qt.Equals, uint64(1))
+	started, _ := q.Next(1, epoch)
+	c.Assert(started, qt.DeepEquals, []uint64{3})
+}
+
+func TestHopelessRequestIsShedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	q := admission.New(config())
+	q.Offer(admission.Ticket{ID: 1, Customer: "a", Deadline: epoch.Add(time.Minute)}, epoch)
+	q.Next(1, epoch)
+	q.Finished("a", "", 10*time.Second)
+	q.Offer(admission.Ticket{ID: 2, Customer: "a", Deadline: epoch.Add(9 * time.Second)}, epoch)
+	q.Offer(admission.Ticket{ID: 3, Customer: "a", Deadline: epoch.Add(11 * time.Second)}, epoch)
+	started, shed := q.Next(1, epoch)
+	c.Assert(started, qt.DeepEquals, []uint64{3})
+	c.Assert(shed, qt.HasLen, 1)
+	c.Assert(shed[0].ID, qt.Equals, uint64(2))
+}
+
+// TestEveryRequestHasOneEnd drives a queue arbitrarily: each request is handed
+// over, shed or cancelled once, and no limit is passed.
+func TestEveryRequestHasOneEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := admission.Config{MaxQueued: 8, MaxPerCustomer: 4, MaxRunningPerCustomer: 3, MaxWait: 5 * time.Second}
+		q := admission.New(limits)
+		now, id := epoch, uint64(0)
+		customers, ended := map[uint64]string{}, map[uint64]bool{}
+		running := map[string]int{}
+		end := func(id uint64) {
+			if ended[id] {
+				t.Fatalf("request %d ended twice", id)
+			}
+			ended[id] = true
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": func(t *rapid.T) {
+				id++
+				customers[id] = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer")
+				ticket := admission.Ticket{ID: id, Customer: customers[id], Class: rapid.IntRange(0, 2).Draw(t, "class"), Deadline: now.Add(10 * time.Second)}
+				for _, shed := range q.Offer(ticket, now) {
+					end(shed.ID)
+				}
+			},
+			"next": func(t *rapid.T) {
+				started, shed := q.Next(rapid.IntRange(0, 4).Draw(t, "free"), now)
+				for _, one := range shed {
+					end(one.ID)
+				}
+				for _, one := range started {
+					end(one)
+					running[customers[one]]++
+				}
+			},
+			"finish": func(t *rapid.T) {
+				customer := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer")
+				if running[customer] > 0 {
+					running[customer]--
+					q.Finished(customer, "", time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms"))*time.Millisecond)
+				}
+			},
+			"cancel": func(t *rapid.T) {
+				one := uint64(rapid.IntRange(1, int(id)+1).Draw(t, "id"))
+				if q.Cancel(one) {
+					end(one)
+				}
+			},
+			"time passes": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				if q.Waiting() > limits.MaxQueued || int(id)-len(ended) != q.Waiting() {
+					t.Fatalf("%d of %d requests ended, %d wait", len(ended), id, q.Waiting())
+				}
+				for customer, count := range running {
+					if count > limits.MaxRunningPerCustomer {
+						t.Fatalf("customer %s has %d in progress", customer, count)
+					}
+				}
+			},
+		})
+	})
+}
--- a/internal/agent/keys.go
+++ b/internal/agent/keys.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"plantainrelay/internal/message"
+	"plantainrelay/internal/table"
 )
 
 // confirmOwnership tells the gate when the platform last named this instance.
@@ -13,9 +15,8 @@
 	ticker := time.NewTicker(confirmInterval)
 	defer ticker.Stop()
 	for {
-		list, readAt := p.members.Read()
-		if _, listed := list.Find(p.settings.Instance); listed {
-			p.gate.Confirm(earlier(started, readAt))
+		if p.ownsKeys() {
+			p.confirmOnce(started)
 		}
 		select {
 		case <-ctx.Done():
@@ -25,6 +26,25 @@
 	}
 }
 
+// ownsKeys reports whether this instance is in a pool whose keys are owned.
+func (p *parts) ownsKeys() bool {
+	snapshot := p.sync.Current()
+	if snapshot == nil {
+		return false
+	}
+	pool, found := snapshot.PoolOf(p.settings.Instance)
+	return found && slices.ContainsFunc(snapshot.Routes, func(route table.Route) bool {
+		return route.Pool == pool.Name && !route.Repeatable
+	})
+}
+
+func (p *parts) confirmOnce(started time.Time) {
+	list, readAt := p.members.Read()
+	if _, listed := list.Find(p.settings.Instance); listed {
+		p.gate.Confirm(earlier(started, readAt))
+	}
+}
+
 // awaitSuccessors waits, up to its limit, until other instances own the slots
 // of this one, so that they learn from it which keys it has run.
 func (p *parts) awaitSuccessors(ctx context.Context) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -50,6 +50,10 @@
 	// MaxSilence bounds how long an agent that does not answer questions is
 	// asked before the outcome is Unknown.
 	MaxSilence time.Duration
+	// Retry, when set, reports whether the retry budget allows one more attempt
+	// of a repeatable request, and counts it. Backoff is the pause before it.
+	Retry   func() bool
+	Backoff time.Duration
 }
 
 // ActionKind tells the driver what to do next.
@@ -136,7 +140,10 @@
 	}
 	if r.config.Repeatable {
 		r.mayHaveRun = true
-		return r.again(now, 0)
+		if r.config.Retry != nil && !r.config.Retry() {
+			return r.giveUp()
+		}
+		return r.again(now, r.config.Backoff)
 	}
 	r.silentSince = now
 	return Action{Kind: Ask}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"math/rand/v2"
 	"os"
 	"time"
 
@@ -27,9 +28,10 @@
 )
 
 const (
-	watchMargin   = 10 * time.Second
-	readyCheck    = 200 * time.Millisecond
-	maxAdminBytes = 2 << 20
+	verifyInterval = 10 * time.Second
+	watchMargin    = 10 * time.Second
+	readyCheck     = 200 * time.Millisecond
+	maxAdminBytes  = 2 << 20
 )
 
 // Run runs an entry until it was told to stop and has drained.
@@ -51,6 +53,7 @@
 	}
 	d := daemon.New(daemonConfig(s), log)
 	d.OnDrain(p.addresses.Leave)
+	d.OnDrain(func() { p.addresses.Announce(p.client) })
 	d.OnDrain(p.tracker.Leave)
 	if err := p.listen(d, s, operators, log); err != nil {
 		return err
@@ -79,6 +82,7 @@
 	sync      *tablesync.Sync
 	tracker   *tracker.Tracker
 	states    *gateway.States
+	admission *gateway.Admission
 	owners    *gateway.Owners
 	addresses *gateway.Addresses
 	requests  *gateway.Handler
@@ -103,17 +107,23 @@
 	p.store = platform.New(platform.Config{StoreURL: s.StoreURL, OriginURL: s.OriginURL, ListURL: s.ListURL})
 	source := usage.Source{Name: s.Instance + "/" + uuid.NewString()[:8], Role: member.RoleEntry}
 	p.meter = metering.New(source, p.store, s.UsageInterval, log)
-	p.members = membership.New(p.store, s.ListInterval, log)
+	self := member.Instance{
+		Name: s.Instance, Role: member.RoleEntry, State: member.StateLive, Region: s.Region,
+		AvailabilityZone: s.AvailabilityZone, HTTPAddress: s.PublicAddress, ControlAddress: s.ControlAddress,
+	}
+	p.members = membership.New(membership.Config{Self: self, Interval: s.ListInterval}, p.store, log)
 	p.client = peer.NewClient(p.security)
 	p.sync = tablesync.New(tablesync.Config{
-		Self:             s.Instance,
-		AvailabilityZone: s.AvailabilityZone,
-		Watches:          true,
+		Self:             self,
+		Incarnation:      rand.Uint64(),
 		ExchangeInterval: s.ExchangeInterval,
 		WatchWait:        s.WatchWait,
+		VerifyInterval:   verifyInterval,
 	}, p.store, p.members, p.client, log)
 	p.tracker = tracker.New(p.sync.Current, time.Now)
 	p.states = gateway.NewStates(p.members, p.client, s.Instance, s.StateInterval)
+	p.states.Subset(s.AvailabilityZone, p.sync.Current)
+	p.admission = gateway.NewAdmission(p.states, s.MaxWait, int(s.MaxRunningPerCustomer))
 	p.owners = gateway.NewOwners(s.Instance, p.store, p.sync, p.members, p.states, p.client, log)
 	p.addresses = gateway.NewAddresses(p.members, s.Instance)
 	p.requests = gateway.NewHandler(gateway.Config{
@@ -128,7 +138,7 @@
 		MaxSilence:       s.MaxSilence,
 		MaxWait:          s.MaxWait,
 		RetryAfter:       s.RetryAfter,
-	}, p.sync, p.states, p.owners, p.client, log)
+	}, p.sync, p.states, p.owners, p.admission, p.client, log)
 	p.levels = servicelevel.NewRecorder(s.Objectives)
 	p.gatherer = servicelevel.NewGatherer(s.Instance, p.levels, p.members, p.client)
 	p.readiness.Set("tables", "no tables are known yet")
@@ -150,6 +160,9 @@
 	if err := server.Register("Tracker", tracker.NewService(p.tracker)); err != nil {
 		return err
 	}
+	if err := server.Register("Entry", gateway.NewService(p.addresses)); err != nil {
+		return err
+	}
 	if err := server.Register("ServiceLevel", servicelevel.NewService(p.levels)); err != nil {
 		return err
 	}
@@ -187,6 +200,7 @@
 	go p.states.Run(ctx)
 	go p.meter.Run(ctx)
 	go p.owners.Run(ctx)
+	go p.admission.Run(ctx)
 	go p.levels.Run(ctx, p.sync.Current, p.states.All)
 	go p.watchReadiness(ctx)
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -58,6 +58,8 @@
 	random   *rand.Rand
 	// key is nil for a request that may be run by any instance.
 	key *requestKey
+	// retryAfter is when a shed request may be sent again.
+	retryAfter time.Duration
 
 	agent     agentState
 	attempt   string
@@ -67,8 +69,7 @@
 
 // run carries out the decisions until the request has its outcome or the
 // caller has left.
-func (e *exchange) run() dispatch.Outcome {
-	action := e.decision.Start(time.Now())
+func (e *exchange) run(action dispatch.Action) dispatch.Outcome {
 	for {
 		if !e.wait(action.Wait) {
 			return dispatch.Unknown
@@ -136,9 +137,10 @@
 		e.key.settled = false
 		owner, found := e.handler.owners.of(e.route.Pool, e.customer, e.key.id.Key)
 		e.key.owner = owner
+		e.handler.states.want(owner.Instance)
 		return owner.Instance, found
 	}
-	candidates := e.handler.states.candidates(e.route.Pool)
+	candidates := e.handler.states.candidates(e.route.Pool, e.random)
 	chosen, found := balance.Choose(candidates, e.handler.config.AvailabilityZone, e.tried, e.random)
 	return chosen.Name, found
 }
@@ -147,8 +149,10 @@
 	ctx, cancel := context.WithDeadline(e.r.Context(), e.deadline)
 	defer cancel()
 	release := context.AfterFunc(alive, cancel)
+	started := time.Now()
 	response, err := e.forward(ctx)
 	release()
+	e.observe(response, err, time.Since(started))
 	if err != nil {
 		return e.failed(err), false
 	}
@@ -156,6 +160,9 @@
 	if response.Header.Get(message.HeaderAttempt) != e.attempt {
 		return e.decision.Broken(false, time.Now()), false
 	}
+	if running, err := strconv.Atoi(response.Header.Get(message.HeaderRunning)); err == nil {
+		e.handler.states.heard(e.agent.instance.Name, running)
+	}
 	if refusal := message.Refusal(response.Header.Get(message.HeaderRefusal)); refusal != "" {
 		return e.refused(refusal, response.Header.Get(message.HeaderKeyHolder)), false
 	}
@@ -165,6 +172,23 @@
 	return e.decision.Broken(e.delivered, time.Now()), false
 }
 
+// observe tells the balance how an attempt went, as far as that says something
+// about the instance: not when the caller left or the agent refused.
+func (e *exchange) observe(response *http.Response, err error, took time.Duration) {
+	if e.r.Context().Err() != nil {
+		return
+	}
+	failed := err != nil
+	if !failed {
+		refusal := message.Refusal(response.Header.Get(message.HeaderRefusal))
+		failed = refusal == message.RefusalBackend
+		if refusal != "" && !failed {
+			return
+		}
+	}
+	e.handler.states.observe(e.route.Pool, e.agent.instance.Name, took, failed)
+}
+
 func (e *exchange) forward(ctx context.Context) (*http.Response, error) {
 	target := e.handler.config.Security.Scheme() + "://" + e.agent.instance.HTTPAddress + message.PathAttempt + e.r.URL.EscapedPath()
 	if e.r.URL.RawQuery != "" {
@@ -393,6 +417,7 @@
 	case e.key != nil && e.key.submissionNotRun:
 		body.Submission = dispatch.NotRun
 	}
+	body.retryAfter = e.retryAfter
 	e.handler.finish(e.w, status, body)
 	return outcome
 }
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -14,9 +15,16 @@
 	"plantainrelay/internal/message"
 	"plantainrelay/internal/metering"
 	"plantainrelay/internal/table"
-	"plantainrelay/internal/tablesync"
 )
 
+// fixedTables are tables that were compared with those of peers.
+type fixedTables table.Snapshot
+
+func (f fixedTables) Admit(context.Context) (*table.Snapshot, error) {
+	snapshot := table.Snapshot(f)
+	return &snapshot, nil
+}
+
 // FuzzCallers gives an entry without agents what callers send. Whatever it is,
 // the answer must say that nothing was run.
 func FuzzCallers(f *testing.F) {
@@ -27,18 +35,18 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	entry := logrus.NewEntry(log)
-	tables := tablesync.New(tablesync.Config{Self: "entry-1"}, nil, nil, nil, entry)
-	tables.Offer(&table.Snapshot{Revision: 1, Tables: table.Tables{
+	tables := fixedTables(table.Snapshot{Revision: 1, Tables: table.Tables{
 		Pools:  []table.Pool{{Name: "model", Kind: table.KindService, Instances: []string{"a"}}},
 		Routes: []table.Route{{Name: "all", Customer: table.AnyCustomer, Path: "/", Pool: "model", Repeatable: true, Priority: table.PriorityNormal, Deadline: time.Minute}},
 	}})
+	states := NewStates(nil, nil, "entry-1", time.Second)
 	handler := NewHandler(Config{
 		Customers:    HeaderCustomers{},
 		Usage:        metering.Discard{},
 		MaxBodyBytes: 1 << 10,
 		MaxAttempts:  1,
 		MaxWait:      0,
-	}, tables, NewStates(nil, nil, "entry-1", time.Second), nil, nil, entry)
+	}, tables, states, nil, NewAdmission(states, 0, 0), nil, entry)
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(raw)))
 		if err != nil {
--- a/internal/message/http.go
+++ b/internal/message/http.go
@@ -9,6 +9,10 @@
 // Complete is the value of HeaderComplete on a whole answer.
 const Complete = "yes"
 
+// HeaderRunning is the number of requests in progress on the instance that
+// answers, so that entries learn it between two reads of its state.
+const HeaderRunning = "X-Plantain-Running"
+
 // OnceBody returns a request body that Go's HTTP client cannot rewind, so that
 // it never sends the request a second time by itself; that holds for methods
 // without a body as well.
--- a/test/e2e/requests_keys_test.go
+++ b/test/e2e/requests_keys_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -41,6 +42,8 @@
 	// dead entries are skipped by callers.
 	dead sync.Map
 	next atomic.Int64
+	// killed names the agents whose backend servers were killed for good.
+	killed []string
 }
 
 var bookingAgents = []string{"booking-1", "booking-2", "booking-3"}
@@ -216,9 +219,61 @@
 	}
 }
 
+// TestBackendKilledDuringTheRun kills the backend server that runs a booking.
+func TestBackendKilledDuringTheRun(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := startBookings(t)
+	b.backendFaults(standin.EngineFaults{Delay: time.Minute})
+	for _, key := range []string{"", newKey()} {
+		answer := make(chan reply, 1)
+		body := "during " + key
+		go func() { answer <- call("POST", b.PublicURL("entry-1")+"/book", "small", key, body) }()
+		runner := b.runnerOf(body)
+		c.Assert(b.Signal(runner+"-backend", syscall.SIGKILL), qt.IsNil)
+		got := <-answer
+		c.Assert(got.outcome, qt.Equals, string(dispatch.Unknown), qt.Commentf("%s", got.body))
+		c.Assert(b.Signal(runner, syscall.SIGKILL), qt.IsNil)
+		b.killed = append(b.killed, runner)
+		c.Assert(b.executionsOf(body), qt.Equals, 0, qt.Commentf("another backend server ran it as well"))
+	}
+}
+
+// runnerOf waits until a backend server has started to run a booking.
+func (b *bookings) runnerOf(body string) string {
+	found := ""
+	err := cluster.WaitFor(waitContext(b.t), func() (bool, string) {
+		for _, name := range b.running() {
+			var executions []standin.Execution
+			if err := cluster.GetJSON(b.BackendURL(name)+"/records/engine", &executions); err != nil {
+				return false, err.Error()
+			}
+			for _, execution := range executions {
+				if execution.Body == body {
+					found = name
+				}
+			}
+		}
+		return found != "", "nobody runs " + body
+	})
+	qt.Assert(b.t, err, qt.IsNil)
+	return found
+}
+
+// running returns the agents whose backend servers were not killed.
+func (b *bookings) running() []string {
+	var names []string
+	for _, name := range bookingAgents {
+		if !slices.Contains(b.killed, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 func (b *bookings) executionsOf(body string) int {
 	total := 0
-	for _, name := range bookingAgents {
+	for _, name := range b.running() {
 		var executions []standin.Execution
 		qt.Assert(b.t, cluster.GetJSON(b.BackendURL(name)+"/records/engine", &executions), qt.IsNil)
 		for _, execution := range executions {
