--- a/test/checker/requests.go
+++ b/test/checker/requests.go
@@ -20,7 +20,7 @@
 			continue
 		}
 		executions.N++
-		if h.Versions[execution.Version] != execution.Whole {
+		if !h.complete(execution.Version, execution.Whole) {
 			partial.add("%s ran call %s with weights %.12s named %q", execution.Instance, execution.Call, execution.Whole, execution.Version)
 		}
 	}
@@ -30,7 +30,7 @@
 		}
 		answers.N++
 		for _, part := range parts(&call) {
-			if part.Version != call.Version || h.Versions[part.Version] != part.Whole {
+			if part.Version != call.Version || !h.complete(part.Version, part.Whole) {
 				mixed.add("call %s was told version %q and got an answer of %q", call.ID, call.Version, part.Version)
 				break
 			}
@@ -39,6 +39,12 @@
 	return j
 }
 
+// complete reports whether whole is the digest of the published version.
+func (h *History) complete(version string, whole weights.Digest) bool {
+	published, found := h.Versions[version]
+	return found && published == whole
+}
+
 // part is a unary answer or one event of a stream.
 type part struct {
 	Echo    string         `json:"echo"`
@@ -158,12 +164,13 @@
 	unanswered, lost := j.count("keys without a final answer"), j.count("of these never run")
 	duplicates, twice := j.bad("duplicates of a key"), j.bad("calls run twice")
 	byKey := h.executionsByKey()
-	answered, seen := map[string]bool{}, map[string]int{}
+	answered, seen, last := map[string]bool{}, map[string]int{}, map[string]Call{}
 	for _, call := range h.Calls {
 		if call.Key == "" {
 			continue
 		}
 		seen[call.Key]++
+		last[call.Key] = call
 		answered[call.Key] = answered[call.Key] || call.Outcome == Done
 	}
 	for key, calls := range seen {
@@ -173,7 +180,7 @@
 			unanswered.N++
 		}
 		if !answered[key] && len(byKey[key]) == 0 {
-			lost.N++
+			lost.add("key %s, last sent at %s, ended %s: %s", key, last[key].Sent.Format(time.TimeOnly), last[key].Outcome, last[key].Detail)
 		}
 		countRuns(byKey[key], ran, duplicates, twice)
 	}
