--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -17,10 +17,14 @@
 		bounded := &boundedWriter{ResponseWriter: w, controller: http.NewResponseController(w), stall: stall}
 		bounded.extend()
 		if r.Body != nil && r.Body != http.NoBody {
-			r.Body = &boundedBody{ReadCloser: http.MaxBytesReader(w, r.Body, maxBody), controller: bounded.controller, stall: stall}
+			body := &boundedBody{ReadCloser: http.MaxBytesReader(w, r.Body, maxBody), controller: bounded.controller, stall: stall}
+			// The server itself reads what a handler leaves unread.
+			body.extend()
+			r.Body = body
 		}
 		next.ServeHTTP(bounded, r)
-		bounded.extend()
+		// The server may read on for one stall limit before it sends the rest.
+		_ = bounded.controller.SetWriteDeadline(time.Now().Add(2 * stall))
 	})
 }
 
@@ -57,22 +61,22 @@
 	return w.ResponseWriter
 }
 
-// boundedBody gives each read its own deadline, and none once the body has
-// ended, since the server goes on to read from the connection.
+// boundedBody gives each read its own deadline. The server lifts it at the end
+// of the body.
 type boundedBody struct {
 	io.ReadCloser
 	controller *http.ResponseController
 	stall      time.Duration
 }
 
+func (b *boundedBody) extend() {
+	_ = b.controller.SetReadDeadline(time.Now().Add(b.stall))
+}
+
 // Read implements io.Reader.
 func (b *boundedBody) Read(data []byte) (int, error) {
-	_ = b.controller.SetReadDeadline(time.Now().Add(b.stall))
-	count, err := b.ReadCloser.Read(data)
-	if err == io.EOF {
-		_ = b.controller.SetReadDeadline(time.Time{})
-	}
-	return count, err
+	b.extend()
+	return b.ReadCloser.Read(data)
 }
 
 // connections bounds the connections of one listener. When there are too many,
--- a/internal/daemon/limits_test.go
+++ b/internal/daemon/limits_test.go
@@ -55,6 +55,20 @@
 	}
 }
 
+// TestStalledBodyOfARefusedRequestIsGivenUp checks that a stranger cannot hold
+// a connection by a body that nobody reads.
+func TestStalledBodyOfARefusedRequestIsGivenUp(t *testing.T) {
+	server := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "refused", http.StatusUnauthorized)
+	}, 10)
+	conn := dial(t, server)
+	fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nabc")
+	qt.Assert(t, conn.SetReadDeadline(time.Now().Add(testLimit)), qt.IsNil)
+	raw, err := io.ReadAll(conn)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(raw), qt.Contains, "401 Unauthorized")
+}
+
 func TestCallerThatDoesNotReadIsGivenUp(t *testing.T) {
 	written := make(chan error, 1)
 	server := serve(t, func(w http.ResponseWriter, _ *http.Request) {
--- /dev/null
+++ b/internal/peer/pending_test.go
@@ -0,0 +1,35 @@
+package peer
+
+import (
+	"net"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestOldestPendingIsClosed checks that strangers cannot hold any number of
+// connections, and that a connection which has proven the key is left alone.
+func TestOldestPendingIsClosed(t *testing.T) {
+	c := qt.New(t)
+	p := newPending(2)
+	var near, far []net.Conn
+	var proven []func()
+	for range 4 {
+		one, other := net.Pipe()
+		defer one.Close()
+		defer other.Close()
+		near, far = append(near, one), append(far, other)
+		proven = append(proven, p.add(one))
+		if len(proven) == 1 {
+			proven[0]() // the first one proves the key
+		}
+	}
+	c.Assert(p.order.Len(), qt.Equals, 2)
+	_, err := far[1].Read(make([]byte, 1))
+	c.Assert(err, qt.IsNotNil) // the oldest unproven one was closed
+	go func() { _, _ = near[0].Write([]byte("x")) }()
+	_, err = far[0].Read(make([]byte, 1))
+	c.Assert(err, qt.IsNil) // the proven one is left alone
+	proven[1]()
+	c.Assert(p.order.Len(), qt.Equals, 2)
+}
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -178,6 +178,13 @@
 		total = total.Add(line.Entries)
 	}
 	c.Assert(total, qt.Equals, usage.Counts{Done: wanted, TokensOut: 1000 * wanted})
+	// A range within joined hours shows them whole and says so.
+	first := usage.HourOf(start)
+	narrow := usage.NewSummary(first+2, first+3)
+	narrow.Add(document)
+	c.Assert(narrow.Lines(), qt.Not(qt.HasLen), 0)
+	c.Assert(narrow.From, qt.Equals, first)
+	c.Assert(narrow.To > first+3, qt.IsTrue)
 }
 
 func TestSummaryKeepsToTheRange(t *testing.T) {
--- a/test/e2e/hostile_input_test.go
+++ b/test/e2e/hostile_input_test.go
@@ -132,9 +132,11 @@
 // stalledInput begins requests and does not go on.
 func stalledInput(t *testing.T, fleet *cluster.Cluster) {
 	const head = "POST /book HTTP/1.1\r\nHost: a\r\nX-Plantain-Customer: small\r\nContent-Length: 100\r\n\r\n" + hostile
+	const refused = "POST /attempt/book HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n" + hostile
 	var conns []net.Conn
 	for range 50 {
 		conns = append(conns, dialRaw(t, fleet.Row("entry-1").HTTPAddress, head))
+		conns = append(conns, dialRaw(t, fleet.Row("booking-1").HTTPAddress, refused))
 	}
 	for _, conn := range conns {
 		waitClosed(t, conn)
