--- a/internal/ctl/usage.go
+++ b/internal/ctl/usage.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -19,6 +20,8 @@
 
 const defaultUsageRange = 24 * time.Hour
 
+var usageFormats = []string{"text", "csv", "json"}
+
 func usageCommand(o *options) *cobra.Command {
 	var from, to string
 	cmd := &cobra.Command{
@@ -30,6 +33,9 @@
 		Example: "  plantainctl usage --from 2026-12-01T00:00:00Z --to 2026-12-02T00:00:00Z\n  plantainctl usage --output csv > usage.csv",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if !slices.Contains(usageFormats, o.output) {
+				return failure.New(failure.Invalid, "use text, csv or json", "--output %q is not known", o.output)
+			}
 			query, err := usageQuery(from, to, time.Now())
 			if err != nil {
 				return err
@@ -76,11 +82,9 @@
 		return printJSON(out, report)
 	case "csv":
 		return printUsageCSV(out, report)
-	case "text":
-		printUsageText(out, report)
-		return nil
 	}
-	return failure.New(failure.Invalid, "use text, csv or json", "--output %q is not known", format)
+	printUsageText(out, report)
+	return nil
 }
 
 var usageColumns = []string{"done", "not_run", "unknown", "tokens_in", "tokens_out"}
--- a/test/e2e/product_command_test.go
+++ b/test/e2e/product_command_test.go
@@ -59,6 +59,7 @@
 		{[]string{"table", "validate"}, 2},
 		{[]string{"table", "validate", filepath.Join(dir, "absent")}, 2},
 		{[]string{"usage", "--from", "yesterday", "--token-file", token}, 2},
+		{[]string{"usage", "--output", "yaml", "--token-file", token}, 2},
 		{[]string{"status", "--server", "http://127.0.0.1:1", "--token-file", token}, 5},
 	} {
 		out, code := runProgram(t, "plantainctl", sample.args...)
