--- a/internal/metering/meter.go
+++ b/internal/metering/meter.go
@@ -159,9 +159,14 @@
 	if err != nil {
 		return err
 	}
+	missing := false
 	for _, report := range reports {
+		missing = missing || !document.Holds(report)
 		document.Merge(report)
 	}
+	if !missing {
+		return nil
+	}
 	raw, err := document.Encode(maxDocumentBytes)
 	if err != nil {
 		return err
--- a/internal/usage/document.go
+++ b/internal/usage/document.go
@@ -115,6 +115,20 @@
 	d.Folded = append(d.Folded, foldedHour{Source: report.Source.Name, Hour: report.Hour})
 }
 
+// Holds reports whether the document has the report already, as after a write
+// whose answer was lost.
+func (d *Document) Holds(report Report) bool {
+	if slices.Contains(d.Folded, foldedHour{Source: report.Source.Name, Hour: report.Hour}) {
+		return true
+	}
+	for _, live := range d.Live {
+		if !report.Closed && live.Source == report.Source.Name && live.Hour == report.Hour {
+			return slices.Equal(d.rowsOf(live.Rows), report.Rows)
+		}
+	}
+	return false
+}
+
 // span returns the sum that covers the hour for the role.
 func (d *Document) span(role member.Role, hour Hour) *span {
 	for i := range d.Sums {
