--- a/test/verdict/verdict.go
+++ b/test/verdict/verdict.go
@@ -97,6 +97,8 @@
 func (r *results) take(e event) {
 	id := name{e.Package, e.Test}
 	switch e.Action {
+	case "build-output":
+		fmt.Fprint(os.Stderr, e.Output)
 	case "output":
 		if r.output[id] == nil {
 			r.output[id] = &strings.Builder{}
