--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -147,6 +147,9 @@
 // observe notes which instances the list names and since when others are
 // absent. A list that is old, or that lacks this entry, proves nothing.
 func (o *Owners) observe(now time.Time) {
+	if len(keyedPools(o.tables.Current())) == 0 {
+		return
+	}
 	list, readAt := o.members.Read()
 	if _, listed := list.Find(o.self); !listed || now.Sub(readAt) > listFresh {
 		clear(o.absentSince)
