--- a/internal/message/tables.go
+++ b/internal/message/tables.go
@@ -34,7 +34,8 @@
 type FetchArgs struct {
 	From     string
 	Revision int64
-	// Stamps are the stamps of the parts of the list held by the caller.
+	// Stamps are the stamps of the parts of the list held by the caller; none
+	// means that it wants no parts.
 	Stamps []int64
 }
 
--- a/internal/propagate/core.go
+++ b/internal/propagate/core.go
@@ -235,6 +235,13 @@
 	return c.exchange(nil, peer)
 }
 
+// SharesList reports whether the list of instances is passed on between this
+// process and peer. Each availability zone reads its own, since the platform
+// may name other addresses to it.
+func (c *Core) SharesList(peer member.Instance) bool {
+	return peer.AvailabilityZone == c.config.Self.AvailabilityZone
+}
+
 // Heard records the digest of a peer that sent an exchange, and returns a
 // fetch when the peer holds something newer.
 func (c *Core) Heard(peer member.Instance, digest Digest, now time.Time) []Action {
@@ -242,6 +249,9 @@
 		delete(c.suspects, peer.Name)
 		c.relink = true
 	}
+	if !c.SharesList(peer) {
+		digest.Stamp, digest.Hash = c.digest.Stamp, c.digest.Hash
+	}
 	if !c.digest.Behind(digest) {
 		return nil
 	}
--- a/internal/tablesync/spread.go
+++ b/internal/tablesync/spread.go
@@ -52,7 +52,7 @@
 		return failure.New(failure.NotReachable, "wait for the list of instances", "%s answers at the address of %s", reply.From, action.Peer.Name)
 	}
 	s.members.Answered(reply.From, reply.Incarnation)
-	s.learnRead(reply)
+	s.learnRead(action.Peer, reply)
 	now := time.Now()
 	s.mu.Lock()
 	actions := s.core.Answered(action, digestOf(reply), reply.Current, now)
@@ -63,7 +63,10 @@
 }
 
 func (s *Sync) fetch(ctx context.Context, action propagate.Action) error {
-	args := message.FetchArgs{From: s.config.Self.Name, Revision: s.Revision(), Stamps: s.members.Stamps()}
+	args := message.FetchArgs{From: s.config.Self.Name, Revision: s.Revision()}
+	if s.core.SharesList(action.Peer) {
+		args.Stamps = s.members.Stamps()
+	}
 	var reply message.FetchReply
 	if err := s.client.Call(ctx, action.Peer.ControlAddress, message.MethodFetch, args, &reply); err != nil {
 		return err
@@ -99,8 +102,8 @@
 	return summary
 }
 
-func (s *Sync) learnRead(summary message.Summary) {
-	if summary.ReadAge > 0 {
+func (s *Sync) learnRead(peer member.Instance, summary message.Summary) {
+	if summary.ReadAge > 0 && s.core.SharesList(peer) {
 		s.members.LearnRead(time.Now().Add(-time.Duration(summary.ReadAge-1) * time.Millisecond))
 	}
 }
@@ -119,7 +122,7 @@
 		s.members.Answered(summary.From, summary.Incarnation)
 		return
 	}
-	s.learnRead(summary)
+	s.learnRead(peer, summary)
 	s.mu.Lock()
 	actions := s.core.Heard(peer, digestOf(summary), time.Now())
 	s.mu.Unlock()
@@ -151,7 +154,9 @@
 	if snapshot != nil && snapshot.Revision > args.Revision {
 		reply.Snapshot = snapshot
 	}
-	reply.Parts = v.sync.members.Newer(args.Stamps)
+	if len(args.Stamps) > 0 {
+		reply.Parts = v.sync.members.Newer(args.Stamps)
+	}
 	return nil
 }
 
--- a/test/propagation/fleet.go
+++ b/test/propagation/fleet.go
@@ -262,6 +262,9 @@
 		peer.Served++
 		revision, list := peer.Revision, peer.List
 		return func() {
+			if !node.core.SharesList(peer.Instance) {
+				list = 0
+			}
 			f.apply(node, revision, list, peer.Instance.Name)
 			f.perform(node, node.core.Fetched(action.Peer, f.now))
 		}
