--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"plantainrelay/internal/admin"
+	"plantainrelay/internal/burn"
 	"plantainrelay/internal/certs"
 	"plantainrelay/internal/gateway"
+	"plantainrelay/internal/servicelevel"
 	"plantainrelay/internal/settings"
 )
 
@@ -40,6 +42,8 @@
 	// it names authorities; AdminCertificate does it for the administration API.
 	CallersCertificate certs.Files
 	AdminCertificate   certs.Files
+	// Objectives are the promises of the service-level report.
+	Objectives burn.Targets
 }
 
 const (
@@ -76,6 +80,7 @@
 
 		CallersCertificate: r.CertificateFiles("callers", false),
 		AdminCertificate:   r.CertificateFiles("admin", false),
+		Objectives:         servicelevel.ReadTargets(r),
 	}
 	check(r, loaded)
 	return loaded, r.Finish()
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -54,7 +54,9 @@
 	RefusalDraining    Refusal = "draining"
 	RefusalDeadline    Refusal = "deadline_passed"
 	RefusalFull        Refusal = "full"
-	RefusalDuplicate   Refusal = "duplicate"
+	// RefusalBackend means that the backend server cannot be reached.
+	RefusalBackend   Refusal = "backend_unreachable"
+	RefusalDuplicate Refusal = "duplicate"
 )
 
 // StateArgs asks an agent for its state.
