--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -31,8 +31,7 @@
 		return float64(p.driver.Status().Failures)
 	})
 	m.Gauge("list_age_seconds", "Age of the platform's list of instances in use here.", func() float64 {
-		_, at := p.members.Read()
-		return time.Since(at).Seconds()
+		return time.Since(p.members.LastRead()).Seconds()
 	})
 	m.Counter("usage_write_failures_total", "Writes of usage to the store that failed.", func() float64 {
 		return float64(p.meter.Failures())
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -201,9 +201,7 @@
 	ticker := time.NewTicker(readyCheck)
 	defer ticker.Stop()
 	for {
-		if p.sync.Current() != nil {
-			p.readiness.Set("tables", "")
-		}
+		p.readiness.Set("tables", p.tablesNotReady())
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -10,6 +10,7 @@
 // register adds the metrics of an entry.
 func (p *parts) register() {
 	m := p.metrics
+	p.registerTables()
 	m.Gauge("tables_revision", "Revision of the tables in force here; 0 means none.", func() float64 {
 		return float64(p.sync.Revision())
 	})
@@ -46,8 +47,7 @@
 		return float64(lowest)
 	})
 	m.Gauge("list_age_seconds", "Age of the platform's list of instances in use here.", func() float64 {
-		_, at := p.members.Read()
-		return time.Since(at).Seconds()
+		return time.Since(p.members.LastRead()).Seconds()
 	})
 	m.Counter("usage_write_failures_total", "Writes of usage to the store that failed.", func() float64 {
 		return float64(p.meter.Failures())
--- /dev/null
+++ b/internal/entry/tables.go
@@ -0,0 +1,38 @@
+package entry
+
+import (
+	"plantainrelay/internal/member"
+	"plantainrelay/internal/metrics"
+	"plantainrelay/internal/propagate"
+)
+
+// registerTables adds the metrics of the tables, the store and the members.
+func (p *parts) registerTables() {
+	m := p.metrics
+	m.Gauge("tables_current", "1 when the tables were compared with those of peers.", func() float64 {
+		return metrics.Bool(p.sync.State() == propagate.Current)
+	})
+	m.Gauge("store_unreachable", "1 when this process watches the store and its last call failed.", func() float64 {
+		status := p.sync.Store()
+		return metrics.Bool(status.Watches && !status.Reachable)
+	})
+	m.Gauge("store_behind", "1 when the store holds older tables than this process.", func() float64 {
+		return metrics.Bool(p.sync.Store().Behind)
+	})
+	for _, standing := range []member.Standing{member.StandingUnreachable, member.StandingKept, member.StandingUnlisted} {
+		m.Gauge("members_"+string(standing), "Instances in the standing "+string(standing)+".", func() float64 {
+			return float64(p.sync.Standings()[standing])
+		})
+	}
+}
+
+// tablesNotReady returns why requests are not served from the tables, or "".
+func (p *parts) tablesNotReady() string {
+	switch {
+	case p.sync.Current() == nil:
+		return "no tables are known yet"
+	case p.sync.State() == propagate.Comparing:
+		return "the tables are being compared with peers"
+	}
+	return ""
+}
--- a/internal/message/survey.go
+++ b/internal/message/survey.go
@@ -12,11 +12,11 @@
 // SurveyReply is the result in one availability zone.
 type SurveyReply struct {
 	// Members is the number of instances that the list names there.
-	Members int
+	Members int `json:"members"`
 	// Reached is the number of those that hold the revision or a newer one.
-	Reached int
+	Reached int `json:"reached"`
 	// Missing names the others, at most MaxMissing of them.
-	Missing []string
+	Missing []string `json:"missing"`
 }
 
 // MaxMissing bounds the names in a SurveyReply.
