--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Commands for developers; README.md explains the two main ones.
-.PHONY: demo test check build soak bench-capacity bench-requests bench-weights
+.PHONY: demo test check build soak bench-capacity bench-requests bench-weights bench-tables
 
 build:
 	mkdir -p bin
@@ -31,3 +31,6 @@
 
 bench-weights:
 	go run ./bench/weights/cmd
+
+bench-tables:
+	go run ./bench/tables
--- /dev/null
+++ b/bench/tables/main.go
@@ -0,0 +1,233 @@
+// Command tables measures how the tables spread: the decisions on a virtual
+// clock at several fleet sizes, and the bytes of the real messages.
+package main
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"net"
+	"net/rpc"
+	"os"
+	"slices"
+	"sync/atomic"
+	"text/tabwriter"
+	"time"
+
+	"plantainrelay/internal/member"
+	"plantainrelay/internal/message"
+	"plantainrelay/internal/propagate"
+	"plantainrelay/internal/table"
+	"plantainrelay/test/propagation"
+)
+
+const (
+	editsPerDay   = 2000
+	day           = 24 * time.Hour
+	edits         = 20
+	restTime      = 60 * time.Second
+	interval      = 2 * time.Second
+	loss          = 0.01
+	listInterval  = 1500 * time.Millisecond
+	watchWait     = 10 * time.Second
+	verifyPeriod  = 10 * time.Second
+	packetHeaders = 52
+	// packetsPerCall are the request, the answer and their acknowledgements.
+	packetsPerCall = 4
+	targetPools    = 60
+	targetRoutes   = 120
+)
+
+type size struct {
+	entries, agents, zones int
+}
+
+func main() {
+	call, fetch := exchangeBytes(), fetchBytes()
+	fmt.Printf("one exchange on an open connection: %d bytes both ways, %d with packet headers\n", call, call+packetsPerCall*packetHeaders)
+	fmt.Printf("one fetch of %d routes and %d pools: %d bytes\n\n", targetRoutes, targetPools, fetch)
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "entries\tagents\tregions cut\tp50\tp99\tmax\tcalls/s per daemon\tmost\tB/s per daemon at rest\tmost\tB/s for 2,000 edits a day")
+	for _, s := range []size{{8, 20, 3}, {80, 400, 8}, {160, 800, 8}, {330, 1600, 8}} {
+		for _, cut := range []bool{false, true} {
+			measure(w, s, cut, call+packetsPerCall*packetHeaders, fetch)
+		}
+	}
+	w.Flush()
+	storeCalls()
+}
+
+func measure(w *tabwriter.Writer, s size, cut bool, call, fetch int64) {
+	f := propagation.New(propagation.Config{Entries: s.entries, Agents: s.agents, Zones: s.zones, Regions: 3, Interval: interval, Loss: loss, Seed: 11})
+	f.Run(10 * time.Second)
+	if cut {
+		f.Cut("region-0", "region-1")
+	}
+	f.Run(10 * time.Second)
+	before := counts(f)
+	f.Run(restTime)
+	atRest := difference(counts(f), before)
+	before = counts(f)
+	took, passed := spread(f, s.entries)
+	edited := difference(counts(f), before)
+	mean, most := perSecond(atRest, restTime)
+	edited.fetches, edited.calls = edited.fetches/edits, max(0, edited.calls-int64(float64(atRest.calls)*passed.Seconds()/restTime.Seconds()))/edits
+	perEdit := float64(edited.calls*call+2*edited.fetches*fetch) / float64(len(f.Nodes))
+	fmt.Fprintf(w, "%d\t%d\t%t\t%v\t%v\t%v\t%.2f\t%.2f\t%.0f\t%.0f\t%.0f\n", s.entries, s.agents, cut,
+		at(took, 0.5), at(took, 0.99), took[len(took)-1].Round(time.Millisecond), mean, most, mean*float64(call), most*float64(call),
+		perEdit*editsPerDay/day.Seconds())
+}
+
+// spread accepts edits and returns how long each node took to have each.
+func spread(f *propagation.Fleet, entries int) ([]time.Duration, time.Duration) {
+	var took []time.Duration
+	begin := f.Now()
+	for i := range edits {
+		accepted := f.Now()
+		revision := f.Accept(f.Nodes[(i*37)%entries])
+		f.RunUntil(30*time.Second, func() bool { return f.Everywhere(revision) })
+		for _, node := range f.Nodes {
+			if node.Revision < revision {
+				took = append(took, time.Hour)
+				continue
+			}
+			took = append(took, node.Applied.Sub(accepted))
+		}
+	}
+	slices.Sort(took)
+	return took, f.Now().Sub(begin)
+}
+
+func at(sorted []time.Duration, share float64) time.Duration {
+	return sorted[int(share*float64(len(sorted)-1))].Round(time.Millisecond)
+}
+
+// traffic counts calls made or answered, and fetches, in the whole fleet.
+type traffic struct {
+	calls, fetches int64
+	byNode         []int64
+}
+
+func counts(f *propagation.Fleet) traffic {
+	var t traffic
+	for _, node := range f.Nodes {
+		t.calls += node.Exchanges + node.Answers
+		t.fetches += node.Fetches
+		t.byNode = append(t.byNode, node.Exchanges+node.Answers)
+	}
+	return t
+}
+
+func difference(after, before traffic) traffic {
+	result := traffic{calls: after.calls - before.calls, fetches: after.fetches - before.fetches}
+	for i, count := range after.byNode {
+		result.byNode = append(result.byNode, count-before.byNode[i])
+	}
+	return result
+}
+
+func perSecond(t traffic, passed time.Duration) (mean, most float64) {
+	seconds := passed.Seconds()
+	return float64(t.calls) / seconds / float64(len(t.byNode)), float64(slices.Max(t.byNode)) / seconds
+}
+
+// storeCalls prints the calls to the store and the list for each size.
+func storeCalls() {
+	fmt.Println("\ncalls to the store and the list at rest, per availability zone")
+	perWatcher := 1/watchWait.Seconds() + 1/verifyPeriod.Seconds()
+	for _, s := range []size{{8, 20, 3}, {80, 400, 8}, {330, 1600, 8}} {
+		f := propagation.New(propagation.Config{Entries: s.entries, Agents: s.agents, Zones: s.zones, Regions: 3, Interval: interval, Seed: 1})
+		var list []member.Instance
+		for _, node := range f.Nodes {
+			list = append(list, node.Instance)
+		}
+		watchers, readers := 0, 0
+		for _, instance := range list {
+			if propagate.Watches(instance, list) {
+				watchers++
+			}
+			if propagate.Reads(instance, list, listInterval) {
+				readers++
+			}
+		}
+		zones := float64(s.zones)
+		ours := (float64(watchers)*perWatcher + float64(readers)/listInterval.Seconds()) / zones
+		every := (float64(s.entries)/watchWait.Seconds() + float64(s.entries+s.agents)/listInterval.Seconds()) / zones
+		fmt.Printf("%d entries, %d agents: %.2f/s; baseline (every entry watches, every daemon reads the list): %.1f/s\n", s.entries, s.agents, ours, every)
+	}
+}
+
+// pipeService answers exchanges over the real codec.
+type pipeService struct{}
+
+// Exchange returns the summary that it was sent.
+func (pipeService) Exchange(args message.Summary, reply *message.Summary) error {
+	*reply = args
+	return nil
+}
+
+// countingConn counts the bytes both ways.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// exchangeBytes measures one exchange on a connection that carried others.
+func exchangeBytes() int64 {
+	const calls = 1000
+	near, far := net.Pipe()
+	server := rpc.NewServer()
+	if err := server.RegisterName("Tables", pipeService{}); err != nil {
+		panic(err)
+	}
+	go server.ServeConn(far)
+	var count atomic.Int64
+	client := rpc.NewClient(countingConn{Conn: near, bytes: &count})
+	defer client.Close()
+	args := message.Summary{From: "entry-123", Incarnation: 1 << 63, Revision: 4000, Stamp: time.Now().UnixMilli(), Hash: 1 << 63, ReadAge: 1500, Current: true}
+	var reply message.Summary
+	for i := range calls + 1 {
+		if i == 1 {
+			count.Store(0)
+		}
+		if err := client.Call(message.MethodExchange, args, &reply); err != nil {
+			panic(err)
+		}
+	}
+	return count.Load() / calls
+}
+
+// fetchBytes measures the answer to a fetch of tables of the target's size.
+func fetchBytes() int64 {
+	snapshot := &table.Snapshot{Revision: 4000, EditID: "0e1f7a52-0b0a-4f3c-9a40-2c1c5b3f6a11", Author: "alice"}
+	for i := range targetPools {
+		snapshot.Pools = append(snapshot.Pools, table.Pool{Name: fmt.Sprintf("pool-%d", i), Kind: table.KindModel, Instances: []string{fmt.Sprintf("model-%d-*", i)},
+			Version: fmt.Sprintf("v-%d", i), Manifest: fmt.Sprintf("%064d", i), MaxUnavailable: 2, Prefer: table.PreferTime})
+	}
+	for i := range targetRoutes {
+		snapshot.Routes = append(snapshot.Routes, table.Route{Name: fmt.Sprintf("route-%d", i), Customer: fmt.Sprintf("customer-%d", i), Path: "/v1/lookup",
+			Pool: fmt.Sprintf("pool-%d", i%targetPools), Repeatable: true, Priority: table.PriorityNormal, Deadline: time.Minute})
+	}
+	for i := range table.MaxEditRecords {
+		snapshot.Edits = append(snapshot.Edits, table.EditRecord{Revision: int64(4000 - i), EditID: snapshot.EditID, Author: "alice", At: time.Now(), Content: "0123456789abcdef"})
+	}
+	var raw bytes.Buffer
+	if err := gob.NewEncoder(&raw).Encode(message.FetchReply{Snapshot: snapshot}); err != nil {
+		panic(err)
+	}
+	return int64(raw.Len())
+}
--- a/internal/message/fuzz_test.go
+++ b/internal/message/fuzz_test.go
@@ -19,6 +19,8 @@
 	func() any { return &message.Summary{} },
 	func() any { return &message.FetchArgs{} },
 	func() any { return &message.FetchReply{} },
+	func() any { return &message.SurveyArgs{} },
+	func() any { return &message.SurveyReply{} },
 	func() any { return &message.StateReply{} },
 	func() any { return &message.FateArgs{} },
 	func() any { return &message.FateReply{} },
@@ -62,7 +64,10 @@
 				use(decoded.Snapshot)
 				var directory member.Directory
 				directory.Merge(decoded.Parts)
-				directory.List()
+				_, _ = directory.Digest()
+				_ = directory.List()
+			case *message.FetchArgs:
+				_ = (&member.Directory{}).Newer(decoded.Stamps)
 			case *message.AnnounceArgs:
 				announce(decoded)
 			case *message.PeerArgs:
