Give up a leaving instance's keys when the list says so

Cause: keyed requests went on to an instance that the platform's list called leaving until its agent had a SIGTERM. Change: the agent gives its slots up on the list's word.

--- a/internal/agent/keys.go
+++ b/internal/agent/keys.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"plantainrelay/internal/member"
 	"plantainrelay/internal/message"
 	"plantainrelay/internal/table"
 )
@@ -40,8 +41,13 @@
 
 func (p *parts) confirmOnce(started time.Time) {
 	list, readAt := p.members.Read()
-	if _, listed := list.Find(p.settings.Instance); listed {
-		p.gate.Confirm(earlier(started, readAt))
+	row, listed := list.Find(p.settings.Instance)
+	if !listed {
+		return
+	}
+	p.gate.Confirm(earlier(started, readAt))
+	if row.State == member.StateLeaving {
+		p.gate.ReleaseKeys()
 	}
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -275,6 +275,13 @@
 	return g.keys.Owners()
 }
 
+// ReleaseKeys gives up the ownership of keys for good.
+func (g *Gate) ReleaseKeys() {
+	g.mu.Lock()
+	g.keys.Release()
+	g.mu.Unlock()
+}
+
 // OwnsSlots reports whether this instance owns slots of its pool's keys.
 func (g *Gate) OwnsSlots() bool {
 	g.mu.Lock()
--- a/test/e2e/requests_keys_test.go
+++ b/test/e2e/requests_keys_test.go
@@ -294,6 +294,7 @@
 		"agent restarted":                 agentRestarted,
 		"owner gone and back":             ownerGoneAndBack,
 		"owner leaves":                    ownerLeaves,
+		"list says that an owner leaves":  listSaysLeaving,
 		"entry killed, store down":        entryKilledStoreDown,
 		"link stalled both ways":          linkStalled,
 		"link stalled, answers lost":      linkStalledAnswersLost,
@@ -350,6 +351,15 @@
 	qt.Assert(b.t, b.Signal("booking-1", syscall.SIGCONT), qt.IsNil)
 }
 
+// listSaysLeaving lets the platform announce a departure without any signal.
+func listSaysLeaving(b *bookings) {
+	b.SetState("booking-1", member.StateLeaving)
+	qt.Assert(b.t, b.PublishList(), qt.IsNil)
+	b.waitOwner("booking-1", false)
+	outcomes := b.recorder.Outcomes()
+	qt.Assert(b.t, outcomes[dispatch.Unknown]+outcomes[dispatch.NotRun]+outcomes[""], qt.Equals, 0, qt.Commentf("%v", outcomes))
+}
+
 // ownerLeaves drains an owner; its keys stay answered.
 func ownerLeaves(b *bookings) {
 	b.SetState("booking-1", member.StateLeaving)
@@ -438,7 +448,7 @@
 		defer response.Body.Close()
 		raw, _ := io.ReadAll(response.Body)
 		if !present {
-			return !bytes.Contains(raw, []byte(agent)), "the agent still owns slots"
+			return !bytes.Contains(raw, []byte(`"instance":"`+agent+`"`)), "the agent still owns slots"
 		}
 		status, err := b.Status("entry-2")
 		if err != nil {
