--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -73,8 +73,8 @@
 	o := orderOf(r)
 	admitted, refusal, holder := h.gate.begin(o, time.Now())
 	w.Header().Set(message.HeaderAttempt, o.attempt)
-	w.Header().Set(message.HeaderRunning, strconv.Itoa(h.gate.State().Running))
 	if refusal != "" {
+		w.Header().Set(message.HeaderRunning, strconv.Itoa(h.gate.State().Running))
 		w.Header().Set(message.HeaderRefusal, string(refusal))
 		w.Header().Set(message.HeaderKeyHolder, holder)
 		w.WriteHeader(http.StatusConflict)
@@ -216,6 +216,7 @@
 	}
 	header.Set(message.HeaderAttempt, e.attempt)
 	header.Set(message.HeaderVersion, e.admitted.Version)
+	header.Set(message.HeaderRunning, strconv.Itoa(e.handler.gate.State().Running))
 	if message.Bodiless(response.Request.Method, response.StatusCode) {
 		header.Set(message.HeaderComplete, message.Complete)
 	} else {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -269,7 +269,10 @@
 			return action
 		}
 	}
-	e.handler.states.distrust(e.agent.instance.Name)
+	// A full instance has told its load with the refusal.
+	if refusal != message.RefusalFull {
+		e.handler.states.distrust(e.agent.instance.Name)
+	}
 	return e.notStarted()
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -46,7 +46,7 @@
 }
 
 // waitInterval is the pause between two looks for an available instance.
-const waitInterval = 50 * time.Millisecond
+const waitInterval = 10 * time.Millisecond
 
 // Tables gives the snapshot that a new request is served from.
 type Tables interface {
