--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -33,6 +33,7 @@
 	successorCheck  = 50 * time.Millisecond
 	decisionTick    = 50 * time.Millisecond
 	readyCheck      = 200 * time.Millisecond
+	engineInterval  = 500 * time.Millisecond
 )
 
 // Run runs an agent until it was told to stop and has drained.
@@ -126,12 +127,16 @@
 		Self:             s.Instance,
 		AvailabilityZone: s.AvailabilityZone,
 		Region:           s.Region,
-		HTTPAddress:      s.HTTPAddress,
 		Security:         p.security,
 		Tick:             decisionTick,
 		AnnounceInterval: s.AnnounceInterval,
+		EngineInterval:   engineInterval,
 		MaxInFlight:      int(s.MaxInFlight),
+		MaxUploads:       int(s.MaxUploads),
+		ChunkMemory:      s.ChunkMemory,
+		RegionRate:       s.RegionRate,
 		ChunkTimeout:     s.ChunkTimeout,
+		StallTimeout:     s.StallTimeout,
 		Patience:         s.Patience,
 		LoadTimeout:      s.LoadTimeout,
 		LoadRetry:        s.LoadRetry,
@@ -144,6 +149,9 @@
 	if err := server.Register("Tables", tablesync.NewService(p.sync)); err != nil {
 		return err
 	}
+	if err := server.Register("Weights", distribute.NewService(p.driver)); err != nil {
+		return err
+	}
 	if err := server.Register("Agent", &Service{parts: p}); err != nil {
 		return err
 	}
@@ -222,6 +230,7 @@
 		Stage:    status.Stage,
 		Held:     status.Held,
 		Chunks:   status.Chunks,
+		Size:     status.Bytes,
 		Failures: status.Failures,
 		Cause:    status.Cause,
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -120,7 +120,7 @@
 		WatchWait:        s.WatchWait,
 		VerifyInterval:   verifyInterval,
 	}, p.store, p.members, p.client, log)
-	p.tracker = tracker.New(p.sync.Current, time.Now)
+	p.tracker = tracker.New(p.sync.Current, p.members.Current, time.Now)
 	p.states = gateway.NewStates(p.members, p.client, s.Instance, s.StateInterval)
 	p.states.Subset(s.AvailabilityZone, p.sync.Current)
 	p.admission = gateway.NewAdmission(p.states, s.MaxWait, int(s.MaxRunningPerCustomer))
