--- a/bench/weights/cmd/main.go
+++ b/bench/weights/cmd/main.go
@@ -19,6 +19,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
+	runTracker(os.Stdout, numbers)
 	runCore(os.Stdout, scenarios[:min(max(*first, 1), len(scenarios))], numbers, *seed)
 }
 
--- /dev/null
+++ b/bench/weights/cmd/tracker.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"io"
+	"runtime"
+	"time"
+
+	"plantainrelay/internal/member"
+	"plantainrelay/internal/message"
+	"plantainrelay/internal/rollout"
+	"plantainrelay/internal/table"
+	"plantainrelay/internal/tracker"
+	"plantainrelay/internal/weights"
+)
+
+const trackerRounds = 20
+
+// trackerCost is what one tracker spends on a pool of the given size.
+type trackerCost struct {
+	announce      time.Duration
+	next          time.Duration
+	bytesEach     int
+	stateEach     int64
+	processorEach float64
+	bytesEachRate float64
+}
+
+// runTracker prints the tracker's cost by size, while all instances wait for
+// their permits.
+func runTracker(out io.Writer, sizes []int) {
+	fmt.Fprintln(out, "\ntracker of one pool, all instances waiting for permits")
+	fmt.Fprintln(out, "\n| N | CPU per announcement | time between two of one instance | announcement and reply | state per instance | tracker's CPU | tracker's traffic |")
+	fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- |")
+	for _, n := range sizes {
+		cost := measureTracker(n)
+		fmt.Fprintf(out, "| %d | %s | %s | %d B | %d B | %.2f %% of a core | %.1f KB/s |\n", n, cost.announce, cost.next,
+			cost.bytesEach, cost.stateEach, 100*cost.processorEach*float64(n), cost.bytesEachRate*float64(n)/1000)
+	}
+}
+
+func measureTracker(n int) trackerCost {
+	now := time.Unix(1000, 0)
+	list := member.List{}
+	snapshot := &table.Snapshot{Tables: table.Tables{Pools: []table.Pool{{Name: "model", Instances: []string{"*"}, MaxUnavailable: 2}}}}
+	args := make([]message.AnnounceArgs, n)
+	for i := range args {
+		args[i] = message.AnnounceArgs{Instance: fmt.Sprintf("instance-%04d", i), Pool: "model", AvailabilityZone: fmt.Sprintf("zone-%d", i%8),
+			Manifest: weights.DigestOf([]byte("v2")), Stage: rollout.StageWaiting, Open: true, Wants: true}
+		list.Instances = append(list.Instances, member.Instance{Name: args[i].Instance, Role: member.RoleAgent, State: member.StateLive})
+	}
+	before := heap()
+	t := tracker.New(func() *table.Snapshot { return snapshot }, func() *member.List { return &list }, func() time.Time { return now })
+	var reply message.AnnounceReply
+	began := time.Now()
+	for range trackerRounds {
+		for i := range args {
+			reply = message.AnnounceReply{}
+			_ = t.Announce(args[i], &reply)
+		}
+		now = now.Add(time.Second)
+	}
+	cost := trackerCost{announce: time.Since(began) / time.Duration(trackerRounds*n), next: reply.Next}
+	cost.stateEach = (heap() - before) / int64(n)
+	cost.bytesEach = encoded(args[0], reply)
+	cost.processorEach = cost.announce.Seconds() / cost.next.Seconds()
+	cost.bytesEachRate = float64(cost.bytesEach) / cost.next.Seconds()
+	runtime.KeepAlive(t)
+	return cost
+}
+
+func heap() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// encoded returns the bytes of one call on a connection in use.
+func encoded(args message.AnnounceArgs, reply message.AnnounceReply) int {
+	var raw bytes.Buffer
+	encoder := gob.NewEncoder(&raw)
+	_, _ = encoder.Encode(args), encoder.Encode(reply)
+	raw.Reset()
+	_, _ = encoder.Encode(args), encoder.Encode(reply)
+	return raw.Len()
+}
--- a/bench/weights/core/core.go
+++ b/bench/weights/core/core.go
@@ -306,8 +306,12 @@
 	r.message(n, callBytes+3*(len(offer.Chunks)+len(offer.Turns)))
 	to := r.byName[offer.To]
 	if to.dead || !to.started {
-		r.schedule(r.now+latency, func() {
-			n.plan.OfferFailed(offer, epoch.Add(r.now))
+		wait := latency
+		if to.dead {
+			wait = dialLimit
+		}
+		r.schedule(r.now+wait, func() {
+			n.plan.OfferFailed(offer, !to.dead, epoch.Add(r.now))
 			r.step(n)
 		})
 		return
--- a/internal/distribute/announce.go
+++ b/internal/distribute/announce.go
@@ -9,12 +9,9 @@
 	"plantainrelay/internal/message"
 )
 
-// waitInterval bounds the time between two requests for a permit.
-const waitInterval = time.Second
-
 // startAnnounce tells the responsible entry how far this instance has come.
 func (d *Driver) startAnnounce(ctx context.Context) {
-	d.announcing = true
+	d.announcing, d.announceSoon = true, false
 	asked := time.Now()
 	failures, cause := d.rollout.Failures()
 	args := message.AnnounceArgs{
@@ -72,7 +69,10 @@
 func (e announced) apply(ctx context.Context, d *Driver) {
 	d.announcing = false
 	now := time.Now()
-	d.announceNext = now.Add(d.announceInterval(e.reply.Next))
+	d.announceNext = now.Add(max(e.reply.Next, d.config.AnnounceInterval))
+	if d.announceSoon {
+		d.announceNext = now
+	}
 	if e.err != nil {
 		d.refusal = "no tracker answered; start an entry or check the links"
 		d.log.WithError(e.err).Debug("no tracker answered")
@@ -84,13 +84,3 @@
 		d.act(ctx, d.rollout.Permitted(e.args.Manifest, e.asked.Add(e.reply.Lifetime), now))
 	}
 }
-
-// announceInterval returns the time to the next announcement; an instance that
-// waits for a permit, or holds one, asks more often.
-func (d *Driver) announceInterval(next time.Duration) time.Duration {
-	next = max(next, d.config.AnnounceInterval)
-	if d.rollout.WantsPermit(time.Now()) {
-		return min(next, waitInterval)
-	}
-	return next
-}
--- a/internal/distribute/driver.go
+++ b/internal/distribute/driver.go
@@ -89,6 +89,7 @@
 	incarnation  string
 	announcing   bool
 	announceNext time.Time
+	announceSoon bool
 	// refusal tells why no permit is given, problem why no fetch starts.
 	refusal string
 	problem string
@@ -255,7 +256,7 @@
 		case rollout.ActionFetch:
 			d.startManifest(ctx)
 		case rollout.ActionAskPermit:
-			d.announceNext = time.Time{}
+			d.announceAtOnce()
 		case rollout.ActionDrain:
 			d.startDrain(ctx)
 		case rollout.ActionLoad:
@@ -269,10 +270,17 @@
 	}
 }
 
+// announceAtOnce brings the next announcement forward, also when one is under
+// way that does not tell the news.
+func (d *Driver) announceAtOnce() {
+	d.announceNext, d.announceSoon = time.Time{}, true
+}
+
 func (d *Driver) openGate() {
 	if d.outside {
 		return
 	}
+	d.announceAtOnce()
 	admitted := d.rollout.Admitted()
 	d.gate.Open(gate.Admitted{Version: admitted.Version, Manifest: admitted.Manifest, Whole: admitted.Whole})
 	d.log.WithField(logging.FieldVersion, admitted.Version).Info("serving")
--- a/internal/distribute/exchange.go
+++ b/internal/distribute/exchange.go
@@ -39,7 +39,7 @@
 	select {
 	case d.calls <- call:
 	default:
-		callDone{call: call}.record(d)
+		callDone{call: call, reached: true}.record(d)
 	}
 }
 
@@ -63,7 +63,8 @@
 		return done
 	}
 	err := d.client.Call(ctx, call.address, message.MethodPeer, call.args, &done.reply)
-	done.known = err == nil && done.reply.Known
+	done.reached = err == nil
+	done.known = done.reached && done.reply.Known
 	return done
 }
 
@@ -71,7 +72,8 @@
 type callDone struct {
 	call  peerCall
 	reply message.PeerReply
-	known bool
+	// reached says that the other answered, known that it takes the manifest.
+	reached, known bool
 }
 
 func (e callDone) apply(_ context.Context, d *Driver) { e.record(d) }
@@ -82,7 +84,7 @@
 	}
 	switch {
 	case !e.call.args.Ask && !e.known:
-		d.plan.OfferFailed(e.call.offer, time.Now())
+		d.plan.OfferFailed(e.call.offer, e.reached, time.Now())
 	case e.call.args.Ask && e.known:
 		d.plan.Told(e.call.offer.To, e.reply.Have, time.Now())
 	case e.call.args.Ask:
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -180,7 +180,7 @@
 	p.extra = p.allowance()
 	for chunk := range min(originWindow, chunks) {
 		if layout.Root(chunk) == config.Self {
-			p.takeTurn(chunk)
+			p.takeTurn(chunk, now)
 		}
 	}
 	return p
@@ -263,7 +263,7 @@
 func (p *Plan) Offered(from string, chunks, turns []int, now time.Time) {
 	for _, chunk := range turns {
 		if chunk >= 0 && chunk < p.chunks {
-			p.takeTurn(chunk)
+			p.takeTurn(chunk, now)
 		}
 	}
 	if !p.layout.Knows(from) || from == p.config.Self {
@@ -319,14 +319,20 @@
 	delete(p.asking, from)
 }
 
-// OfferFailed records that an offer was not taken. It is made again; after
-// some tries its turns go to the next.
-func (p *Plan) OfferFailed(offer Offer, now time.Time) {
+// OfferFailed records that an offer was not taken. It is made again; its turns
+// go to the next after some tries, or at once when the member was not reached.
+func (p *Plan) OfferFailed(offer Offer, reached bool, now time.Time) {
 	p.offerTries[offer.To]++
-	if p.offerTries[offer.To] > maxOfferTries || !p.layout.Knows(offer.To) {
+	if !reached {
+		p.penalize(offer.To, 1, now)
+	}
+	if !reached || p.offerTries[offer.To] > maxOfferTries {
 		for _, chunk := range offer.Turns {
-			p.passTurn(chunk)
+			p.passTurn(chunk, now)
 		}
+		offer.Turns = nil
+	}
+	if p.offerTries[offer.To] > maxOfferTries || !p.layout.Knows(offer.To) {
 		return
 	}
 	late := p.offer(offer.To)
@@ -336,9 +342,9 @@
 }
 
 // takeTurn records that this instance may take chunk from the origin.
-func (p *Plan) takeTurn(chunk int) {
+func (p *Plan) takeTurn(chunk int, now time.Time) {
 	if p.have.Has(chunk) {
-		p.passTurn(chunk)
+		p.passTurn(chunk, now)
 		return
 	}
 	p.turns.Set(chunk)
@@ -346,9 +352,12 @@
 }
 
 // passTurn lets the root of the next chunk in the window go to the origin.
-func (p *Plan) passTurn(chunk int) {
+func (p *Plan) passTurn(chunk int, now time.Time) {
 	for next := chunk + originWindow; next < p.chunks; next += originWindow {
 		root := p.layout.Root(next)
+		if p.avoided(root, now) {
+			continue
+		}
 		if root != p.config.Self {
 			offer := p.offer(root)
 			offer.Turns = append(offer.Turns, next)
@@ -407,7 +416,7 @@
 	p.offerOn(fetch)
 	if p.turns.Has(fetch.Chunk) {
 		p.turns.Clear(fetch.Chunk)
-		p.passTurn(fetch.Chunk)
+		p.passTurn(fetch.Chunk, now)
 	}
 }
 
--- a/internal/tracker/permit.go
+++ b/internal/tracker/permit.go
@@ -25,23 +25,24 @@
 
 func (p *pool) count(entry *record, now time.Time) counts {
 	var c counts
+	ttl := max(openTTL, openIntervals*p.interval())
 	for name, other := range p.records {
 		if name == entry.Instance {
 			continue
 		}
-		c.add(other, entry, now)
+		c.add(other, entry, now, ttl)
 	}
 	return c
 }
 
-func (c *counts) add(other, entry *record, now time.Time) {
+func (c *counts) add(other, entry *record, now time.Time, ttl time.Duration) {
 	if other.switching(now) {
 		c.switching++
 		if other.AvailabilityZone == entry.AvailabilityZone {
 			c.switchingInZone++
 		}
 	}
-	if other.serving(now) {
+	if other.serving(now, ttl) {
 		c.serving++
 	}
 	if other.Manifest != entry.Manifest {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -20,16 +20,20 @@
 	// grace is how long a tracker that knows no earlier permits gives none
 	// that could take a serving instance out.
 	grace = permitLifetime + time.Second
-	// openTTL is how long an announcement shows that an instance serves.
-	openTTL = 10 * time.Second
+	// openTTL is how long an announcement shows that an instance serves; longer
+	// in pools that announce less often.
+	openTTL       = 10 * time.Second
+	openIntervals = 3
 	// switchTTL is how long an instance that fell silent while it switched
 	// counts as switching.
 	switchTTL = 2 * time.Minute
 	// minInterval and intervalPerInstance pace the announcements.
 	minInterval         = 250 * time.Millisecond
-	intervalPerInstance = 2500 * time.Microsecond
-	maxPools            = 256
-	maxInstances        = 4096
+	intervalPerInstance = 10 * time.Millisecond
+	// holderInterval is when the holder of a permit prolongs it.
+	holderInterval = time.Second
+	maxPools       = 256
+	maxInstances   = 4096
 )
 
 // record is the last announcement of an instance.
@@ -87,7 +91,7 @@
 		return err
 	}
 	entry.AnnounceArgs, entry.at = args, now
-	reply.Next = max(minInterval, time.Duration(len(known.records))*intervalPerInstance)
+	reply.Next = known.interval()
 	if !args.Wants {
 		entry.permitUntil = time.Time{}
 		return nil
@@ -97,6 +101,7 @@
 	}
 	entry.permitUntil = now.Add(permitLifetime)
 	reply.Permit, reply.Lifetime = true, permitLifetime
+	reply.Next = min(reply.Next, holderInterval)
 	return nil
 }
 
@@ -127,12 +132,17 @@
 	return p.records[instance], nil
 }
 
+// interval is the time between two announcements of one instance.
+func (p *pool) interval() time.Duration {
+	return max(minInterval, time.Duration(len(p.records))*intervalPerInstance)
+}
+
 // switching reports whether the instance is, or may be, out for a switch.
 func (r *record) switching(now time.Time) bool {
 	return now.Before(r.permitUntil) || r.Stage == rollout.StageDraining || r.Stage == rollout.StageLoading
 }
 
-// serving reports whether the instance is known to admit requests.
-func (r *record) serving(now time.Time) bool {
-	return r.Open && !r.switching(now) && now.Sub(r.at) <= openTTL
+// serving reports whether the instance has admitted requests within ttl.
+func (r *record) serving(now time.Time, ttl time.Duration) bool {
+	return r.Open && !r.switching(now) && now.Sub(r.at) <= ttl
 }
--- /dev/null
+++ b/test/e2e/weights_test.go
@@ -0,0 +1,257 @@
+package e2e_test
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/internal/engine"
+	"plantainrelay/internal/member"
+	"plantainrelay/internal/weights"
+	"plantainrelay/test/cluster"
+	"plantainrelay/test/faultproxy"
+	"plantainrelay/test/standin"
+)
+
+const (
+	weightsSize      = 4 << 20
+	weightsChunk     = 64 << 10
+	weightsSettings  = "max_records = 1000000\n[weights]\npatience = 2s\nstall_timeout = 500ms\nload_timeout = 2s\n"
+	copiesAtAnyTimes = 1.3
+)
+
+// release is one published version.
+type release struct {
+	version  string
+	data     []byte
+	manifest weights.Digest
+}
+
+// weightsFleet is a cluster of two entries and four model instances in two
+// availability zones, with three published versions.
+type weightsFleet struct {
+	*cluster.Cluster
+	t        *testing.T
+	ctx      context.Context
+	agents   []string
+	releases []release
+	revision int64
+}
+
+func newWeightsFleet(t *testing.T, network cluster.Network) *weightsFleet {
+	config := cluster.Config{Network: network, StoreZone: "a"}
+	for i, zone := range []string{"a", "b"} {
+		config.Entries = append(config.Entries, cluster.Instance{Name: fmt.Sprintf("entry-%d", i+1), AvailabilityZone: zone, Region: "north"})
+	}
+	f := &weightsFleet{t: t, ctx: waitContext(t)}
+	for i, zone := range []string{"a", "a", "b", "b"} {
+		name := fmt.Sprintf("model-%d", i+1)
+		f.agents = append(f.agents, name)
+		config.Agents = append(config.Agents, cluster.Instance{Name: name, AvailabilityZone: zone, Region: "north", Extra: weightsSettings})
+	}
+	f.Cluster = start(t, config)
+	for i := range 3 {
+		f.publish(fmt.Sprintf("v%d", i+1), randomWeights(byte(i+1), weightsSize))
+	}
+	return f
+}
+
+func (f *weightsFleet) publish(version string, data []byte) {
+	manifest, err := f.Publish(version, "", data, weightsChunk)
+	qt.Assert(f.t, err, qt.IsNil)
+	f.releases = append(f.releases, release{version: version, data: data, manifest: manifest})
+}
+
+// target makes a release the pool's intended version.
+func (f *weightsFleet) target(entry string, number int) {
+	r := f.releases[number]
+	revision, err := f.Apply(entry, f.revision, twoPools(r.version, r.manifest))
+	qt.Assert(f.t, err, qt.IsNil)
+	f.revision = revision
+}
+
+func (f *weightsFleet) await(entry string, number int, agents ...string) {
+	qt.Assert(f.t, f.WaitVersion(f.ctx, entry, f.releases[number].version, agents...), qt.IsNil)
+}
+
+func (f *weightsFleet) complete() map[string]weights.Digest {
+	all := map[string]weights.Digest{}
+	for _, r := range f.releases {
+		all[r.version] = weights.DigestOf(r.data)
+	}
+	return all
+}
+
+func (f *weightsFleet) originFaults(faults standin.OriginFaults) {
+	qt.Assert(f.t, cluster.PutJSON(f.PlatformURL+"/faults/origin", faults), qt.IsNil)
+}
+
+func (f *weightsFleet) engineFaults(agent string, faults standin.EngineFaults) {
+	qt.Assert(f.t, cluster.PutJSON(f.BackendURL(agent)+"/faults/engine", faults), qt.IsNil)
+}
+
+func (f *weightsFleet) originCopies() float64 {
+	var records standin.OriginRecords
+	qt.Assert(f.t, cluster.GetJSON(f.PlatformURL+"/records/origin", &records), qt.IsNil)
+	return float64(records.Bytes) / weightsSize
+}
+
+// awaitOrigin waits until the origin has served as many copies.
+func (f *weightsFleet) awaitOrigin(copies float64) {
+	qt.Assert(f.t, cluster.WaitFor(f.ctx, func() (bool, string) {
+		served := f.originCopies()
+		return served >= copies, fmt.Sprintf("the origin has served %.2f copies", served)
+	}), qt.IsNil)
+}
+
+// TestOriginServesAboutOneCopy: four instances draw one copy between them.
+func TestOriginServesAboutOneCopy(t *testing.T) {
+	f := newWeightsFleet(t, nil)
+	f.target("entry-1", 0)
+	f.await("entry-1", 0, f.agents...)
+	qt.Assert(t, f.originCopies() <= copiesAtAnyTimes, qt.IsTrue, qt.Commentf("%.2f copies", f.originCopies()))
+}
+
+// TestCorruptedChunksAreNeverServed: while every chunk of the origin is
+// corrupted no instance opens; afterwards all do.
+func TestCorruptedChunksAreNeverServed(t *testing.T) {
+	f := newWeightsFleet(t, nil)
+	f.originFaults(standin.OriginFaults{Corrupt: true})
+	f.target("entry-1", 0)
+	f.awaitOrigin(0.1)
+	status, err := f.Status("entry-1")
+	qt.Assert(t, err, qt.IsNil)
+	for name, agent := range status.Agents {
+		qt.Check(t, agent.Open, qt.IsFalse, qt.Commentf("%s", name))
+	}
+	f.originFaults(standin.OriginFaults{})
+	f.await("entry-1", 0, f.agents...)
+}
+
+// TestOriginDownAfterAThird: what was drawn is kept, and the rest follows when
+// the origin is back.
+func TestOriginDownAfterAThird(t *testing.T) {
+	f := newWeightsFleet(t, nil)
+	f.originFaults(standin.OriginFaults{MaxBytes: weightsSize / 3})
+	f.target("entry-1", 0)
+	f.awaitOrigin(0.33)
+	f.originFaults(standin.OriginFaults{})
+	f.await("entry-1", 0, f.agents...)
+	qt.Assert(t, f.originCopies() <= 1.5, qt.IsTrue, qt.Commentf("%.2f copies", f.originCopies()))
+}
+
+// TestSourceKilledMidTransfer: an agent that dies while it serves chunks is
+// replaced as a source; started again beside its engine, it takes up the rest.
+func TestSourceKilledMidTransfer(t *testing.T) {
+	f := newWeightsFleet(t, nil)
+	f.originFaults(standin.OriginFaults{BytesPerSecond: 2 << 20})
+	f.target("entry-1", 0)
+	f.awaitOrigin(0.3)
+	qt.Assert(t, f.Signal("model-1", syscall.SIGKILL), qt.IsNil)
+	<-f.Process("model-1").Exited()
+	f.await("entry-1", 0, "model-2", "model-3", "model-4")
+	qt.Assert(t, f.RestartDaemon("model-1"), qt.IsNil)
+	f.await("entry-1", 0, f.agents...)
+	before := f.originCopies()
+	qt.Assert(t, f.Signal("model-2", syscall.SIGKILL), qt.IsNil)
+	<-f.Process("model-2").Exited()
+	qt.Assert(t, f.RestartDaemon("model-2"), qt.IsNil)
+	f.await("entry-1", 0, f.agents...)
+	qt.Assert(t, f.originCopies(), qt.Equals, before, qt.Commentf("an agent restarted beside a running engine draws nothing"))
+}
+
+// TestStalledLinkBetweenZones: with the link between two zones stalled in the
+// middle of a distribution, both zones complete once it passes again, and the
+// zone of the origin completes meanwhile.
+func TestStalledLinkBetweenZones(t *testing.T) {
+	network := faultproxy.NewNetwork(func(from, to string) faultproxy.Path { return faultproxy.Path{} })
+	t.Cleanup(network.Close)
+	f := newWeightsFleet(t, network)
+	f.originFaults(standin.OriginFaults{BytesPerSecond: 4 << 20})
+	f.target("entry-1", 0)
+	f.awaitOrigin(0.2)
+	resume := network.Stall("a", "b")
+	f.await("entry-1", 0, "model-1", "model-2")
+	resume()
+	f.await("entry-1", 0, f.agents...)
+}
+
+// TestVersionChangedTwiceMidFlight, while lookups run and the entry that
+// tracks the pool is killed.
+func TestVersionChangedTwiceMidFlight(t *testing.T) {
+	f := newWeightsFleet(t, nil)
+	f.target("entry-1", 0)
+	f.await("entry-1", 0, f.agents...)
+	tracker := member.First("model", []string{"entry-1", "entry-2"})
+	other := map[string]string{"entry-1": "entry-2", "entry-2": "entry-1"}[tracker]
+	f.await(other, 0, f.agents...)
+	f.originFaults(standin.OriginFaults{BytesPerSecond: 4 << 20})
+	stop := lookupsThrough(t, f.Cluster, f.complete(), other)
+	f.target(other, 1)
+	f.awaitOrigin(1.3)
+	f.target(other, 2)
+	qt.Assert(t, f.Signal(tracker, syscall.SIGKILL), qt.IsNil)
+	f.awaitOrigin(1.8)
+	f.target(other, 0)
+	f.target(other, 2)
+	f.SetState(tracker, "")
+	qt.Assert(t, f.PublishList(), qt.IsNil)
+	f.await(other, 2, f.agents...)
+	qt.Assert(t, stop() > 0, qt.IsTrue)
+}
+
+// TestDelayedOrderToAnEngineWithoutFences: an order that the agent has given up
+// on takes effect after a newer version was loaded.
+func TestDelayedOrderToAnEngineWithoutFences(t *testing.T) {
+	f := newWeightsFleet(t, nil)
+	f.target("entry-1", 0)
+	f.await("entry-1", 0, f.agents...)
+	f.await("entry-2", 0, f.agents...)
+	f.engineFaults("model-1", standin.EngineFaults{IgnoreFences: true, LoadDelay: 6 * time.Second})
+	stop := lookups(t, f.Cluster, f.complete())
+	f.target("entry-1", 1)
+	qt.Assert(t, cluster.WaitFor(f.ctx, func() (bool, string) {
+		status, err := f.Status("entry-1")
+		return err == nil && status.Agents["model-1"].Failures > 0, fmt.Sprintf("%+v", status.Agents["model-1"])
+	}), qt.IsNil)
+	f.engineFaults("model-1", standin.EngineFaults{IgnoreFences: true})
+	f.target("entry-1", 2)
+	qt.Assert(t, cluster.WaitFor(f.ctx, func() (bool, string) {
+		var held engine.Status
+		err := cluster.GetJSON(f.BackendURL("model-1")+"/v1/status", &held)
+		return err == nil && held.Manifest == f.releases[1].manifest, "the late order has not taken effect"
+	}), qt.IsNil)
+	f.await("entry-1", 2, f.agents...)
+	qt.Assert(t, stop() > 0, qt.IsTrue)
+}
+
+// TestBadVersionPausesTheRollout: engines that cannot load a version keep the
+// former one in service, and the status says why.
+func TestBadVersionPausesTheRollout(t *testing.T) {
+	f := newWeightsFleet(t, nil)
+	f.target("entry-1", 0)
+	f.await("entry-1", 0, f.agents...)
+	f.await("entry-2", 0, f.agents...)
+	for _, agent := range f.agents {
+		f.engineFaults(agent, standin.EngineFaults{FailLoads: true})
+	}
+	stop := lookups(t, f.Cluster, f.complete())
+	f.target("entry-1", 1)
+	qt.Assert(t, cluster.WaitFor(f.ctx, func() (bool, string) {
+		status, err := f.Status("entry-1")
+		paused := 0
+		for _, agent := range status.Agents {
+			if agent.Cause != "" {
+				paused++
+			}
+		}
+		return err == nil && paused == len(f.agents), fmt.Sprintf("%+v", status)
+	}), qt.IsNil)
+	f.target("entry-1", 0)
+	f.await("entry-1", 0, f.agents...)
+	qt.Assert(t, stop() > 0, qt.IsTrue)
+}
