--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -120,10 +120,27 @@
 	}
 	result.Held = m.held
 	m.act(m.r.Loaded(result, m.now))
+	if result.Read && m.gate && m.held.Whole != m.gateFor.Whole {
+		m.t.Fatalf("the gate opens though the engine holds %+v", m.held)
+	}
 }
 
 func (m *machine) seen(restarted bool) { m.act(m.r.EngineSeen(m.held, restarted)) }
 
+// advance lets happen what usually comes next.
+func (m *machine) advance() {
+	switch m.r.Stage() {
+	case rollout.StageFetching:
+		m.fetched()
+	case rollout.StageWaiting:
+		m.permitted()
+	case rollout.StageDraining:
+		m.drained()
+	case rollout.StageLoading:
+		m.finish(rapid.SampledFrom([]string{"done", "partial", "failed", "late"}).Draw(m.t, "result"))
+	}
+}
+
 // check compares the gate with the engine right after the engine was read.
 func (m *machine) check() {
 	if !m.gate {
@@ -144,7 +161,9 @@
 }
 
 func step(m *machine) {
-	switch rapid.SampledFrom([]string{"retarget", "fetched", "permitted", "drained", "finish", "seen", "silent", "restart", "late", "time"}).Draw(m.t, "event") {
+	switch rapid.SampledFrom([]string{"advance", "advance", "advance", "advance", "advance", "advance", "retarget", "fetched", "permitted", "drained", "finish", "seen", "silent", "restart", "late", "time"}).Draw(m.t, "event") {
+	case "advance":
+		m.advance()
 	case "retarget":
 		m.retarget(rapid.IntRange(0, 3).Draw(m.t, "version"))
 	case "fetched":
