--- a/Makefile
+++ b/Makefile
@@ -26,8 +26,8 @@
 bench-capacity: build
 	go run ./bench/capacity --bin bin
 
-bench-weights:
-	go run ./bench/weights/cmd
-
 bench-requests:
 	go run ./bench/requests
+
+bench-weights:
+	go run ./bench/weights/cmd
