--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Commands for developers; README.md explains the two main ones.
-.PHONY: demo test check build soak bench-capacity
+.PHONY: demo test check build soak bench-capacity bench-requests bench-weights
 
 build:
 	mkdir -p bin
@@ -25,3 +25,9 @@
 
 bench-capacity: build
 	go run ./bench/capacity --bin bin
+
+bench-requests:
+	go run ./bench/requests
+
+bench-weights:
+	go run ./bench/weights/cmd
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -39,13 +39,14 @@
 		Pools:  []table.Pool{{Name: "model", Kind: table.KindService, Instances: []string{"a"}}},
 		Routes: []table.Route{{Name: "all", Customer: table.AnyCustomer, Path: "/", Pool: "model", Repeatable: true, Priority: table.PriorityNormal, Deadline: time.Minute}},
 	}})
+	states := NewStates(nil, nil, "entry-1", time.Second)
 	handler := NewHandler(Config{
 		Customers:    HeaderCustomers{},
 		Usage:        metering.Discard{},
 		MaxBodyBytes: 1 << 10,
 		MaxAttempts:  1,
 		MaxWait:      0,
-	}, tables, NewStates(nil, nil, "entry-1", time.Second), nil, nil, entry)
+	}, tables, states, nil, NewAdmission(states, 0, 0), nil, entry)
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(raw)))
 		if err != nil {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -61,14 +61,17 @@
 	tables Tables
 	states *States
 	owners *Owners
-	client *peer.Client
-	http   *http.Client
-	log    *logrus.Entry
+	// admission lets requests in.
+	admission *Admission
+	budgets   budgets
+	client    *peer.Client
+	http      *http.Client
+	log       *logrus.Entry
 }
 
 // NewHandler returns the handler of callers' requests.
-func NewHandler(config Config, tables Tables, states *States, owners *Owners, client *peer.Client, log *logrus.Entry) *Handler {
-	return &Handler{config: config, tables: tables, states: states, owners: owners, client: client, http: newAttemptClient(config.Security), log: log}
+func NewHandler(config Config, tables Tables, states *States, owners *Owners, admission *Admission, client *peer.Client, log *logrus.Entry) *Handler {
+	return &Handler{config: config, tables: tables, states: states, owners: owners, admission: admission, client: client, http: newAttemptClient(config.Security), log: log}
 }
 
 // ServeHTTP implements http.Handler.
@@ -128,8 +131,10 @@
 		MaxSilence:   h.config.MaxSilence,
 		MaxWait:      h.config.MaxWait,
 		WaitInterval: waitInterval,
+		Retry:        h.budgets.request(route.Name),
+		Backoff:      backoff(),
 	})
-	outcome = e.run()
+	outcome = h.admit(e)
 	h.log.WithFields(logrus.Fields{
 		logging.FieldRequest:  e.request,
 		logging.FieldCustomer: customer,
@@ -138,6 +143,18 @@
 	}).Debug("request finished")
 }
 
+// admit runs a request once it was let in. A shed request was not run; of a
+// key that may have been submitted before, the owner is asked.
+func (h *Handler) admit(e *exchange) dispatch.Outcome {
+	leave, retryAfter := h.admission.enter(e.r.Context(), e.route, e.customer, e.deadline)
+	if leave == nil {
+		e.retryAfter = retryAfter
+		return e.run(dispatch.Action{Kind: dispatch.Finish, Outcome: dispatch.NotRun})
+	}
+	defer leave()
+	return e.run(e.decision.Start(time.Now()))
+}
+
 // outcomeBody is the body of an answer that did not come from a backend
 // server.
 type outcomeBody struct {
@@ -146,6 +163,8 @@
 	// outcome of the key is unknown, since an earlier one may have been.
 	Submission dispatch.Outcome `json:"submission,omitempty"`
 	Message    string           `json:"message"`
+	// retryAfter, when longer than the usual time, is when to come back.
+	retryAfter time.Duration
 }
 
 // refuse answers not_run without any attempt.
@@ -160,7 +179,12 @@
 	}
 	again := body.Outcome == dispatch.NotRun || body.Submission == dispatch.NotRun
 	if again && status >= http.StatusInternalServerError {
-		w.Header().Set("Retry-After", strconv.Itoa(max(1, int(h.config.RetryAfter.Seconds()))))
+		w.Header().Set("Retry-After", strconv.Itoa(seconds(max(h.config.RetryAfter, body.retryAfter))))
 	}
 	httpx.WriteJson(w, status, body)
 }
+
+// seconds rounds up to whole seconds, at least one.
+func seconds(wait time.Duration) int {
+	return max(1, int((wait+time.Second-1)/time.Second))
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -13,6 +13,8 @@
 	MethodState    = "Agent.State"
 	MethodFate     = "Agent.Fate"
 	MethodAnnounce = "Tracker.Announce"
+	MethodPeer     = "Weights.Exchange"
+	MethodManifest = "Weights.Manifest"
 )
 
 // Headers between entry and agent.
@@ -78,6 +80,8 @@
 	Manifest weights.Digest
 	// Running is the number of requests in progress.
 	Running int
+	// MaxRunning bounds the requests in progress.
+	MaxRunning int
 	// OwnersRevision is the revision of the map of owners that the agent holds.
 	OwnersRevision int64
 	// Released says that the agent runs no further key; HighestIssued is the
@@ -87,8 +91,10 @@
 	Stage         rollout.Stage
 	// Held and Chunks count the target's chunks.
 	Held, Chunks int
-	Failures     int
-	Cause        string
+	// Size is the size in bytes of the target's weights.
+	Size     int64
+	Failures int
+	Cause    string
 }
 
 // FateArgs asks an agent what became of an attempt. An attempt that it has not
@@ -113,31 +119,3 @@
 	Body    []byte
 	Version string
 }
-
-// AnnounceArgs tells a tracker what an agent holds of a manifest.
-type AnnounceArgs struct {
-	Instance         string
-	Pool             string
-	AvailabilityZone string
-	Region           string
-	HTTPAddress      string
-	Manifest         weights.Digest
-	Have             weights.Bitmap
-	Stage            rollout.Stage
-}
-
-// Holder is another instance that takes the same manifest.
-type Holder struct {
-	Instance         string
-	AvailabilityZone string
-	Region           string
-	HTTPAddress      string
-	Have             weights.Bitmap
-}
-
-// AnnounceReply holds the other instances and, for an instance that waits for
-// it, the permit to switch.
-type AnnounceReply struct {
-	Holders []Holder
-	Permit  bool
-}
