Close unused peer connections; give the tables their own

Cause: one exchange in four goes to a random instance, so that each process would in time hold a connection to each of 1,930; and a slow exchange closed the connection that other calls used. Change: connections unused for a minute are closed; tables have their own.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -109,7 +109,7 @@
 		Self:             self,
 		Incarnation:      rand.Uint64(),
 		ExchangeInterval: s.ExchangeInterval,
-	}, outside, p.members, client, log)
+	}, outside, p.members, peer.NewClient(p.security), log)
 	p.gate, err = gate.New(gate.Config{
 		Instance:     s.Instance,
 		Incarnation:  p.incarnation,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -117,7 +117,7 @@
 		ExchangeInterval: s.ExchangeInterval,
 		WatchWait:        s.WatchWait,
 		VerifyInterval:   verifyInterval,
-	}, p.store, p.members, p.client, log)
+	}, p.store, p.members, peer.NewClient(p.security), log)
 	p.tracker = tracker.New(p.sync.Current, time.Now)
 	p.states = gateway.NewStates(p.members, p.client, s.Instance, s.StateInterval)
 	p.owners = gateway.NewOwners(s.Instance, p.store, p.sync, p.members, p.states, p.client, log)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -12,17 +12,29 @@
 	"plantainrelay/internal/failure"
 )
 
+// idleTime is how long an unused connection stays open.
+const idleTime = time.Minute
+
 // Client calls other processes of the fleet. It keeps one connection for each
-// address. It is safe for concurrent use.
+// address, and closes those that were not used for a while. It is safe for
+// concurrent use.
 type Client struct {
 	security Security
+	idle     time.Duration
 	mu       sync.Mutex
-	conns    map[string]*rpc.Client
+	conns    map[string]*pooled
+}
+
+// pooled is an open connection with its calls in progress.
+type pooled struct {
+	*rpc.Client
+	calls int
+	used  time.Time
 }
 
 // NewClient returns a client without connections.
 func NewClient(security Security) *Client {
-	return &Client{security: security, conns: map[string]*rpc.Client{}}
+	return &Client{security: security, idle: idleTime, conns: map[string]*pooled{}}
 }
 
 // Call runs method at address and decodes its answer into reply. A
@@ -35,6 +47,7 @@
 	if err != nil {
 		return failure.Wrap(err, failure.NotReachable, "check that the instance runs and the link is up", "%s cannot be reached", address)
 	}
+	defer c.release(client)
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
@@ -45,7 +58,7 @@
 	}
 }
 
-func (c *Client) finished(address string, client *rpc.Client, call *rpc.Call) error {
+func (c *Client) finished(address string, client *pooled, call *rpc.Call) error {
 	if call.Error == nil {
 		return nil
 	}
@@ -57,25 +70,67 @@
 	return failure.Wrap(call.Error, failure.Unknown, "ask again", "the connection to %s broke", address)
 }
 
-func (c *Client) connection(ctx context.Context, address string) (*rpc.Client, error) {
-	c.mu.Lock()
-	client := c.conns[address]
-	c.mu.Unlock()
-	if client != nil {
+// connection returns the open connection to address or a new one, with one
+// call counted on it.
+func (c *Client) connection(ctx context.Context, address string) (*pooled, error) {
+	if client := c.open(address); client != nil {
 		return client, nil
 	}
-	client, err := c.dial(ctx, address)
+	dialed, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
+	client, unused := c.install(address, dialed)
+	for _, old := range unused {
+		old.Close()
+	}
+	return client, nil
+}
+
+// install keeps a new connection, unless another call has made one meanwhile,
+// and returns the one to use and those to close.
+func (c *Client) install(address string, dialed *rpc.Client) (*pooled, []*pooled) {
+	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if other := c.conns[address]; other != nil {
-		client.Close()
-		return other, nil
+		other.calls++
+		return other, []*pooled{{Client: dialed}}
 	}
+	client := &pooled{Client: dialed, calls: 1, used: now}
 	c.conns[address] = client
-	return client, nil
+	return client, c.takeUnused(now)
+}
+
+// open returns the open connection to address, if any, with one call counted.
+func (c *Client) open(address string) *pooled {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client := c.conns[address]
+	if client != nil {
+		client.calls++
+	}
+	return client
+}
+
+func (c *Client) release(client *pooled) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client.calls--
+	client.used = time.Now()
+}
+
+// takeUnused removes and returns the connections that were not used for a
+// while. The caller holds mu.
+func (c *Client) takeUnused(now time.Time) []*pooled {
+	var unused []*pooled
+	for address, client := range c.conns {
+		if client.calls == 0 && now.Sub(client.used) >= c.idle {
+			delete(c.conns, address)
+			unused = append(unused, client)
+		}
+	}
+	return unused
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*rpc.Client, error) {
@@ -99,7 +154,7 @@
 	return rpc.NewClient(conn), nil
 }
 
-func (c *Client) drop(address string, client *rpc.Client) {
+func (c *Client) drop(address string, client *pooled) {
 	c.mu.Lock()
 	if c.conns[address] == client {
 		delete(c.conns, address)
