--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -53,6 +53,7 @@
 	}
 	d := daemon.New(daemonConfig(s), log)
 	d.OnDrain(p.addresses.Leave)
+	d.OnDrain(func() { p.addresses.Announce(p.client) })
 	d.OnDrain(p.tracker.Leave)
 	if err := p.listen(d, s, operators, log); err != nil {
 		return err
@@ -81,6 +82,7 @@
 	sync      *tablesync.Sync
 	tracker   *tracker.Tracker
 	states    *gateway.States
+	admission *gateway.Admission
 	owners    *gateway.Owners
 	addresses *gateway.Addresses
 	requests  *gateway.Handler
@@ -118,8 +120,10 @@
 		WatchWait:        s.WatchWait,
 		VerifyInterval:   verifyInterval,
 	}, p.store, p.members, peer.NewClient(p.security), log)
-	p.tracker = tracker.New(p.sync.Current, time.Now)
+	p.tracker = tracker.New(p.sync.Current, p.members.Current, time.Now)
 	p.states = gateway.NewStates(p.members, p.client, s.Instance, s.StateInterval)
+	p.states.Subset(s.AvailabilityZone, p.sync.Current)
+	p.admission = gateway.NewAdmission(p.states, s.MaxWait, int(s.MaxRunningPerCustomer))
 	p.owners = gateway.NewOwners(s.Instance, p.store, p.sync, p.members, p.states, p.client, log)
 	p.addresses = gateway.NewAddresses(p.members, s.Instance)
 	p.requests = gateway.NewHandler(gateway.Config{
@@ -134,7 +138,7 @@
 		MaxSilence:       s.MaxSilence,
 		MaxWait:          s.MaxWait,
 		RetryAfter:       s.RetryAfter,
-	}, p.sync, p.states, p.owners, p.client, log)
+	}, p.sync, p.states, p.owners, p.admission, p.client, log)
 	p.levels = servicelevel.NewRecorder(s.Objectives)
 	p.gatherer = servicelevel.NewGatherer(s.Instance, p.levels, p.members, p.client)
 	p.readiness.Set("tables", "no tables are known yet")
@@ -156,6 +160,9 @@
 	if err := server.Register("Tracker", tracker.NewService(p.tracker)); err != nil {
 		return err
 	}
+	if err := server.Register("Entry", gateway.NewService(p.addresses)); err != nil {
+		return err
+	}
 	if err := server.Register("ServiceLevel", servicelevel.NewService(p.levels)); err != nil {
 		return err
 	}
@@ -193,6 +200,7 @@
 	go p.states.Run(ctx)
 	go p.meter.Run(ctx)
 	go p.owners.Run(ctx)
+	go p.admission.Run(ctx)
 	go p.levels.Run(ctx, p.sync.Current, p.states.All)
 	go p.watchReadiness(ctx)
 }
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -73,6 +73,7 @@
 	o := orderOf(r)
 	admitted, refusal, holder := h.gate.begin(o, time.Now())
 	w.Header().Set(message.HeaderAttempt, o.attempt)
+	w.Header().Set(message.HeaderRunning, strconv.Itoa(h.gate.State().Running))
 	if refusal != "" {
 		w.Header().Set(message.HeaderRefusal, string(refusal))
 		w.Header().Set(message.HeaderKeyHolder, holder)
--- a/internal/gateway/states.go
+++ b/internal/gateway/states.go
@@ -4,6 +4,9 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +15,7 @@
 	"plantainrelay/internal/membership"
 	"plantainrelay/internal/message"
 	"plantainrelay/internal/peer"
+	"plantainrelay/internal/table"
 )
 
 const (
@@ -21,13 +25,37 @@
 	// silentAfter is how long an agent may leave its peers without an answer
 	// before attempts that wait for it are broken off.
 	silentAfter = 5 * time.Second
+	// wantedFor is how long an instance outside of the subset stays watched.
+	wantedFor = 30 * time.Second
 )
 
+// subsetSize bounds the instances of one pool whose state is read. A fleet of
+// today's size is watched whole.
+var subsetSize = balance.SubsetSize{Local: 16, Remote: 4}
+
+// outlierConfig says when an instance counts as slow or failing.
+var outlierConfig = balance.OutlierConfig{
+	MinSamples:  20,
+	SlowFactor:  3,
+	MaxFailures: 0.5,
+	EjectFor:    5 * time.Second,
+	MaxEject:    time.Minute,
+	Reentry:     10 * time.Second,
+	MaxShare:    0.5,
+}
+
 // agentState is the last state read from one agent.
 type agentState struct {
 	message.StateReply
 	instance member.Instance
 	at       time.Time
+	// own is the number of this entry's attempts among those it reported.
+	own int
+}
+
+// others estimates the requests that other entries have in progress there.
+func (a agentState) others() int {
+	return max(0, a.Running-a.own)
 }
 
 // States polls the state of the agents and counts this entry's own attempts.
@@ -45,6 +73,15 @@
 	distrusted map[string]bool
 	inFlight   map[string]int
 	pulses     map[string]*pulse
+	// changed receives a value after states were read.
+	changed chan struct{}
+	// tables, when set, lets this entry watch a subset of each large pool.
+	tables func() *table.Snapshot
+	zone   string
+	// wanted instances are watched until the time given.
+	wanted map[string]time.Time
+	// outliers holds the judge of each pool's instances.
+	outliers map[string]*balance.Outliers
 }
 
 // pulse is when an agent last answered; its context ends when it fell silent.
@@ -66,6 +103,9 @@
 		polling:  map[string]bool{},
 
 		distrusted: map[string]bool{},
+		changed:    make(chan struct{}, 1),
+		wanted:     map[string]time.Time{},
+		outliers:   map[string]*balance.Outliers{},
 		inFlight:   map[string]int{},
 		pulses:     map[string]*pulse{},
 	}
@@ -76,7 +116,7 @@
 	ticker := time.NewTicker(s.interval)
 	defer ticker.Stop()
 	for {
-		for _, instance := range s.members.Current().Role(member.RoleAgent) {
+		for _, instance := range s.watched(time.Now()) {
 			s.poll(ctx, instance)
 		}
 		s.forget()
@@ -88,6 +128,85 @@
 	}
 }
 
+// Subset makes this entry watch no more than a part of each large pool. Call
+// it before Run.
+func (s *States) Subset(availabilityZone string, tables func() *table.Snapshot) {
+	s.zone, s.tables = availabilityZone, tables
+}
+
+// want keeps an instance watched for a while, also outside of the subset.
+func (s *States) want(name string) {
+	s.mu.Lock()
+	s.wanted[name] = time.Now().Add(wantedFor)
+	s.mu.Unlock()
+}
+
+// watched returns the agents whose state is read: the subset of each pool, and
+// all that belong to no pool or are wanted.
+func (s *States) watched(now time.Time) []member.Instance {
+	agents := s.members.Current().Role(member.RoleAgent)
+	if s.tables == nil || s.tables() == nil {
+		return agents
+	}
+	pools := map[string][]member.Instance{}
+	for _, instance := range agents {
+		pool, _ := s.tables().PoolOf(instance.Name)
+		pools[pool.Name] = append(pools[pool.Name], instance)
+	}
+	chosen := map[string]bool{}
+	for _, instances := range pools {
+		for _, name := range balance.Subset(s.self, s.zone, instances, subsetSize) {
+			chosen[name] = true
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.wanted, func(_ string, until time.Time) bool { return now.After(until) })
+	return slices.DeleteFunc(agents, func(instance member.Instance) bool {
+		_, wanted := s.wanted[instance.Name]
+		return !chosen[instance.Name] && !wanted
+	})
+}
+
+// notify wakes whoever waits for capacity.
+func (s *States) notify() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// heard notes how many requests an agent had in progress when it answered an
+// attempt.
+func (s *States) heard(name string, running int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state, found := s.agents[name]; found {
+		state.Running, state.own = running, s.inFlight[name]
+		s.agents[name] = state
+	}
+}
+
+// capacity returns how many attempts of this entry the instances of pool can
+// have in progress, as far as is known.
+func (s *States) capacity(pool string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total := 0
+	for name, state := range s.agents {
+		if s.usable(name, state, pool) {
+			total += max(0, state.MaxRunning-state.others())
+		}
+	}
+	return total
+}
+
+// usable reports whether an instance may take an attempt; the caller holds the
+// lock.
+func (s *States) usable(name string, state agentState, pool string) bool {
+	return state.Pool == pool && state.Open && !s.distrusted[name] && state.instance.State == member.StateLive
+}
+
 // poll reads one agent's state, unless a read is in progress.
 func (s *States) poll(ctx context.Context, instance member.Instance) {
 	s.mu.Lock()
@@ -112,7 +231,8 @@
 		}
 		s.beat(instance.Name)
 		delete(s.distrusted, instance.Name)
-		s.agents[instance.Name] = agentState{StateReply: reply, instance: instance, at: time.Now()}
+		s.agents[instance.Name] = agentState{StateReply: reply, instance: instance, at: time.Now(), own: s.inFlight[instance.Name]}
+		s.notify()
 	}()
 }
 
@@ -121,6 +241,12 @@
 	list := s.members.Current()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, judge := range s.outliers {
+		judge.Forget(func(name string) bool {
+			_, listed := list.Find(name)
+			return !listed
+		})
+	}
 	for name := range s.pulses {
 		if _, listed := list.Find(name); !listed {
 			s.missed(name)
@@ -149,23 +275,49 @@
 	return all
 }
 
-// candidates returns the instances of pool that may take an attempt now.
-func (s *States) candidates(pool string) []balance.Candidate {
+// candidates returns the instances of pool that may take an attempt now. Slow
+// and failing ones are left out unless nothing else is left.
+func (s *States) candidates(pool string, random *rand.Rand) []balance.Candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var found []balance.Candidate
+	var good, outlying []balance.Candidate
 	for name, state := range s.agents {
-		if state.Pool != pool || !state.Open || s.distrusted[name] || state.instance.State != member.StateLive {
+		load := s.inFlight[name] + state.others()
+		if !s.usable(name, state, pool) || load >= state.MaxRunning {
 			continue
 		}
-		found = append(found, balance.Candidate{
-			Name:             name,
-			AvailabilityZone: state.instance.AvailabilityZone,
-			Reported:         state.Running,
-			InFlight:         s.inFlight[name],
-		})
+		candidate := balance.Candidate{Name: name, AvailabilityZone: state.instance.AvailabilityZone, Load: load}
+		if share := s.judge(pool).Share(name, time.Now()); share < 1 && random.Float64() >= share {
+			outlying = append(outlying, candidate)
+			continue
+		}
+		good = append(good, candidate)
 	}
-	return found
+	if len(good) == 0 {
+		return outlying
+	}
+	return good
+}
+
+// judge returns the judge of a pool's instances; the caller holds the lock.
+func (s *States) judge(pool string) *balance.Outliers {
+	if s.outliers[pool] == nil {
+		s.outliers[pool] = balance.NewOutliers(outlierConfig)
+	}
+	return s.outliers[pool]
+}
+
+// observe notes the outcome of an attempt; took is the time to the first byte.
+func (s *States) observe(pool, name string, took time.Duration, failed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for other, state := range s.agents {
+		if state.Pool == pool {
+			names = append(names, other)
+		}
+	}
+	s.judge(pool).Observe(name, took, failed, names, time.Now())
 }
 
 // beat notes an answer; the caller holds the lock.
--- a/internal/message/fuzz_test.go
+++ b/internal/message/fuzz_test.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"encoding/gob"
 	"testing"
+	"time"
 
 	"plantainrelay/internal/member"
 	"plantainrelay/internal/message"
+	"plantainrelay/internal/swarm"
 	"plantainrelay/internal/table"
+	"plantainrelay/internal/tracker"
 	"plantainrelay/internal/weights"
 )
 
@@ -23,6 +26,10 @@
 	func() any { return &message.FateReply{} },
 	func() any { return &message.AnnounceArgs{} },
 	func() any { return &message.AnnounceReply{} },
+	func() any { return &message.PeerArgs{} },
+	func() any { return &message.PeerReply{} },
+	func() any { return &message.ManifestArgs{} },
+	func() any { return &message.ManifestReply{} },
 	func() any { return &message.OwnersArgs{} },
 	func() any { return &message.OwnersReply{} },
 	func() any { return &message.KeyFateArgs{} },
@@ -34,8 +41,10 @@
 func FuzzMessages(f *testing.F) {
 	snapshot := &table.Snapshot{Revision: 7, Tables: table.Tables{Pools: []table.Pool{{Name: "model", Instances: []string{"a-*"}}}}}
 	for _, seed := range []any{
-		message.FetchReply{Snapshot: snapshot, Parts: []member.Part{{Index: 3, Stamp: 9, Rows: []member.Instance{{Name: "a"}}}}},
-		message.AnnounceArgs{Instance: "a", Have: weights.Bitmap{0xff}},
+		message.FetchReply{Snapshot: snapshot, Parts: []member.Part{{Index: 1, Stamp: 2, Rows: []member.Instance{{Name: "a"}}}}},
+		message.AnnounceArgs{Instance: "a", Stage: "waiting_for_permit", Wants: true},
+		message.PeerArgs{From: "a", Chunks: []int{0, 9, -1}, Turns: []int{1 << 40}, Ask: true},
+		message.PeerReply{Known: true, Have: weights.Bitmap{0xff}},
 		message.FateReply{Answer: &message.Answer{Status: 200, Header: map[string][]string{"A": {"b"}}, Body: []byte("x")}},
 	} {
 		var raw bytes.Buffer
@@ -60,12 +69,31 @@
 			case *message.FetchArgs:
 				_ = (&member.Directory{}).Newer(decoded.Stamps)
 			case *message.AnnounceArgs:
+				announce(decoded)
+			case *message.PeerArgs:
+				plan().Offered(decoded.From, decoded.Chunks, decoded.Turns, now)
+			case *message.PeerReply:
 				_, _ = decoded.Have.Count(), decoded.Have.Has(-1)
+				plan().Told("b", decoded.Have, now)
 			}
 		}
 	})
 }
 
+var now = time.Unix(1000, 0)
+
+// plan is one of two members that takes 16 chunks.
+func plan() *swarm.Plan {
+	layout := swarm.NewLayout([]swarm.Member{{Name: "a", AvailabilityZone: "z"}, {Name: "b", AvailabilityZone: "z"}})
+	return swarm.New(swarm.Config{Self: "a", MaxInFlight: 2}, layout, 16, nil, now)
+}
+
+func announce(args *message.AnnounceArgs) {
+	var list member.List
+	t := tracker.New(func() *table.Snapshot { return nil }, func() *member.List { return &list }, func() time.Time { return now })
+	_ = t.Announce(*args, &message.AnnounceReply{})
+}
+
 func use(snapshot *table.Snapshot) {
 	var holder table.Holder
 	holder.Offer(snapshot)
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -18,6 +18,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -56,6 +57,8 @@
 
 // Config describes a cluster.
 type Config struct {
+	// IP is the loopback address of all listeners; empty means one of its own.
+	IP string
 	// Bin is the directory that holds the programs.
 	Bin string
 	// Dir takes settings and logs.
@@ -96,6 +99,8 @@
 // Cluster is a running cluster.
 type Cluster struct {
 	config Config
+	// ip is the address of all listeners.
+	ip string
 	// PlatformURL is the base URL of the platform's stand-in.
 	PlatformURL string
 	// Token is the token of the operator with the role editor.
@@ -125,6 +130,7 @@
 func Start(config Config) (*Cluster, error) {
 	c := &Cluster{
 		config:    config,
+		ip:        config.IP,
 		Token:     editorToken,
 		processes: map[string]*Process{},
 		instances: map[string]member.Instance{},
@@ -132,6 +138,9 @@
 		admins:    map[string]string{},
 		listBytes: map[string]int64{},
 	}
+	if c.ip == "" {
+		c.ip = OwnIP()
+	}
 	if err := c.writeSecrets(); err != nil {
 		return nil, err
 	}
@@ -176,17 +185,20 @@
 // TokenFile returns the path of the editor's token file.
 func (c *Cluster) TokenFile() string { return c.path("editor.token") }
 
-// FreeAddress returns an unused loopback address.
-func FreeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+// clusters counts the clusters that this process has started.
+var clusters atomic.Int64
+
+// OwnIP returns a loopback address that no other cluster uses, also not one of
+// another process, so that clusters that run at once never take each other's
+// ports.
+func OwnIP() string {
+	const perByte = 250
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid%perByte, 1+pid/perByte%perByte, 1+clusters.Add(1)%perByte)
 }
 
-func freeAddresses(count int) ([]string, error) {
+// freeAddresses returns unused addresses of this cluster.
+func (c *Cluster) freeAddresses(count int) ([]string, error) {
 	var listeners []net.Listener
 	var addresses []string
 	defer func() {
@@ -195,7 +207,7 @@
 		}
 	}()
 	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", c.ip+":0")
 		if err != nil {
 			return nil, err
 		}
@@ -206,10 +218,11 @@
 }
 
 func (c *Cluster) startPlatform() error {
-	address, err := FreeAddress()
+	addresses, err := c.freeAddresses(1)
 	if err != nil {
 		return err
 	}
+	address := addresses[0]
 	c.PlatformURL = "http://" + address
 	if _, err := c.run("platform", "plantain-standin", "platform", "--listen", address); err != nil {
 		return err
@@ -267,7 +280,7 @@
 
 // StartEntry runs an entry; it is not in the list until PublishList.
 func (c *Cluster) StartEntry(instance Instance) error {
-	addresses, err := freeAddresses(3)
+	addresses, err := c.freeAddresses(3)
 	if err != nil {
 		return err
 	}
@@ -290,7 +303,7 @@
 
 // StartAgent runs an agent and its backend server.
 func (c *Cluster) StartAgent(instance Instance) error {
-	addresses, err := freeAddresses(3)
+	addresses, err := c.freeAddresses(3)
 	if err != nil {
 		return err
 	}
--- a/test/e2e/product_security_test.go
+++ b/test/e2e/product_security_test.go
@@ -57,6 +57,7 @@
 	fleetTLS := "[tls]\n" + certificateSettings("fleet", authority, "fleet")
 	caller := tlsClient(t, authority, "caller")
 	fleet := start(t, cluster.Config{
+		IP:        authority.IP,
 		Client:    caller,
 		Customers: "keys_file = " + keys,
 		Entries: []cluster.Instance{{Name: "entry-1", AvailabilityZone: "a", Region: "north",
