--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -119,7 +119,7 @@
 		ExchangeInterval: s.ExchangeInterval,
 		WatchWait:        s.WatchWait,
 		VerifyInterval:   verifyInterval,
-	}, p.store, p.members, p.client, log)
+	}, p.store, p.members, peer.NewClient(p.security), log)
 	p.tracker = tracker.New(p.sync.Current, p.members.Current, time.Now)
 	p.states = gateway.NewStates(p.members, p.client, s.Instance, s.StateInterval)
 	p.states.Subset(s.AvailabilityZone, p.sync.Current)
@@ -209,9 +209,7 @@
 	ticker := time.NewTicker(readyCheck)
 	defer ticker.Stop()
 	for {
-		if p.sync.Current() != nil {
-			p.readiness.Set("tables", "")
-		}
+		p.readiness.Set("tables", p.tablesNotReady())
 		select {
 		case <-ctx.Done():
 			return
