Forget finished lookups at the gate; read settled agents every 2 s

Cause: the gate remembered every attempt until a minute past its deadline. Nobody asks about a repeatable attempt, so it is now forgotten when it ends; the new test fails with the attempts marked otherwise. Cause: a runner of the target has 11 readers of its state; at 310 B/s each for a read every 500 ms that is 3.4 KB/s, beyond the 3 KB/s of control. Agents that admit requests are now read every 2 s, all others every 500 ms as before, and answers tell the load in between.

--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -70,7 +70,7 @@
 		PublicAddress:         r.Address("listen", "public"),
 		AdminAddress:          r.Address("listen", "admin"),
 		OperatorsFile:         r.Required("admin", "operators_file", "the path of the operators file"),
-		StateInterval:         r.Duration("control", "state_interval", 500*time.Millisecond, 50*time.Millisecond, time.Minute),
+		StateInterval:         r.Duration("control", "state_interval", 2*time.Second, 50*time.Millisecond, 2*time.Second),
 		MaxBodyBytes:          r.Bytes("requests", "max_body", defaultBodyBytes, 1, maxBodyBytes),
 		MaxAttempts:           r.Int("requests", "max_attempts", 3, 1, 10),
 		MaxWait:               r.Duration("requests", "max_wait", 5*time.Second, 0, time.Minute),
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -124,6 +124,8 @@
 	attempt     string
 	incarnation string
 	deadline    time.Time
+	// repeatable says that the request may run more than once.
+	repeatable bool
 	// submission is set for a request that bears a key and is not repeatable.
 	submission *ownership.Submission
 }
@@ -146,7 +148,7 @@
 		return Admitted{}, refusal, ""
 	}
 	if o.submission == nil {
-		if !g.records.addRunning(o.attempt, o.deadline, now) {
+		if !g.records.addRunning(o, now) {
 			return Admitted{}, message.RefusalFull, ""
 		}
 		g.running++
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -75,3 +75,17 @@
 	}
 	c.Assert(kept, qt.Equals, 2)
 }
+
+// TestFinishedLookupsLeaveRoom covers a burst of repeatable requests: those
+// that have ended must not keep out later ones.
+func TestFinishedLookupsLeaveRoom(t *testing.T) {
+	c := qt.New(t)
+	g := openGate(c, Config{MaxRunning: 10, MaxRecords: 5, MaxKeptTotal: 100})
+	now := time.Now()
+	for i := range 50 {
+		attempt := fmt.Sprintf("lookup-%d", i)
+		_, refusal, _ := g.begin(order{attempt: attempt, incarnation: "one", deadline: now.Add(time.Minute), repeatable: true}, now)
+		c.Assert(refusal, qt.Equals, message.Refusal(""), qt.Commentf("%s", attempt))
+		g.end(attempt, nil)
+	}
+}
--- a/internal/gate/records.go
+++ b/internal/gate/records.go
@@ -18,6 +18,8 @@
 type record struct {
 	fate   dispatch.Fate
 	answer *message.Answer
+	// repeatable attempts are forgotten when they end.
+	repeatable bool
 	// expires is zero for the attempt of a key, which lasts as long as the key.
 	expires time.Time
 }
@@ -31,7 +33,8 @@
 
 // records remembers attempts. A record is never pushed out by others: it
 // expires after its attempt's deadline, past which the gate starts nothing, and
-// when there is no room a new attempt is refused. Kept answers are pushed out,
+// when there is no room a new attempt is refused. The attempt of a repeatable
+// request is forgotten when it ends, since nobody asks what became of it. Kept answers are pushed out,
 // oldest first; their attempts stay known.
 type records struct {
 	capacity  int
@@ -53,8 +56,9 @@
 }
 
 // addRunning records a start; it returns false when there is no room.
-func (r *records) addRunning(attempt string, deadline, now time.Time) bool {
-	return r.add(attempt, &record{fate: dispatch.FateRunning, expires: deadline.Add(recordMargin)}, now)
+func (r *records) addRunning(o order, now time.Time) bool {
+	started := &record{fate: dispatch.FateRunning, repeatable: o.repeatable, expires: o.deadline.Add(recordMargin)}
+	return r.add(o.attempt, started, now)
 }
 
 // bar records that an attempt must not start; it returns false when there is
@@ -106,6 +110,11 @@
 	if known == nil {
 		return
 	}
+	if known.repeatable {
+		delete(r.all, attempt)
+		r.temporary--
+		return
+	}
 	known.fate = dispatch.FateUnknown
 	if answer == nil {
 		return
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -95,6 +95,7 @@
 
 func orderOf(r *http.Request) order {
 	o := order{
+		repeatable:  repeatable(r),
 		attempt:     r.Header.Get(message.HeaderAttempt),
 		incarnation: r.Header.Get(message.HeaderIncarnation),
 		deadline:    time.UnixMilli(millis(r, message.HeaderDeadline)),
--- a/internal/gateway/states.go
+++ b/internal/gateway/states.go
@@ -22,6 +22,9 @@
 	stateTimeout = 2 * time.Second
 	// stateTTL is how long a state counts after it was read.
 	stateTTL = 5 * time.Second
+	// unsettledInterval is the time between two reads of an agent that is not
+	// known to admit requests, so that it is used again soon after it does.
+	unsettledInterval = 500 * time.Millisecond
 	// silentAfter is how long an agent may leave its peers without an answer
 	// before attempts that wait for it are broken off.
 	silentAfter = 5 * time.Second
@@ -49,6 +52,8 @@
 	message.StateReply
 	instance member.Instance
 	at       time.Time
+	// readAt is when the state was last read, not told with an answer.
+	readAt time.Time
 	// own is the number of this entry's attempts among those it reported.
 	own int
 }
@@ -113,11 +118,14 @@
 
 // Run polls until ctx ends.
 func (s *States) Run(ctx context.Context) {
-	ticker := time.NewTicker(s.interval)
+	ticker := time.NewTicker(min(s.interval, unsettledInterval))
 	defer ticker.Stop()
 	for {
-		for _, instance := range s.watched(time.Now()) {
-			s.poll(ctx, instance)
+		now := time.Now()
+		for _, instance := range s.watched(now) {
+			if s.due(instance.Name, now) {
+				s.poll(ctx, instance)
+			}
 		}
 		s.forget()
 		select {
@@ -128,6 +136,17 @@
 	}
 }
 
+// due reports whether an agent's state is to be read now. A state that admits
+// requests is read at the set interval, since answers tell the load in between;
+// any other one at each round.
+func (s *States) due(name string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state, known := s.agents[name]
+	settled := known && state.Open && !s.distrusted[name]
+	return !settled || now.Sub(state.readAt) >= s.interval
+}
+
 // Subset makes this entry watch no more than a part of each large pool. Call
 // it before Run.
 func (s *States) Subset(availabilityZone string, tables func() *table.Snapshot) {
@@ -231,7 +250,7 @@
 		}
 		s.beat(instance.Name)
 		delete(s.distrusted, instance.Name)
-		s.agents[instance.Name] = agentState{StateReply: reply, instance: instance, at: time.Now(), own: s.inFlight[instance.Name]}
+		s.agents[instance.Name] = agentState{StateReply: reply, instance: instance, at: time.Now(), readAt: time.Now(), own: s.inFlight[instance.Name]}
 		s.notify()
 	}()
 }
