--- a/bench/capacity/main.go
+++ b/bench/capacity/main.go
@@ -22,7 +22,7 @@
 	// settleTime passes after the start before anything is measured.
 	settleTime = 3 * time.Second
 	// productControl are the product's own default intervals.
-	productControl = "[log]\nlevel = info\n[control]\nexchange_interval = 500ms\nlist_interval = 1s\n"
+	productControl = "[log]\nlevel = info\n[control]\nexchange_interval = 2s\nlist_interval = 1500ms\n"
 )
 
 func main() {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -32,7 +32,6 @@
 	successorLimit  = 10 * time.Second
 	successorCheck  = 50 * time.Millisecond
 	decisionTick    = 50 * time.Millisecond
-	readyCheck      = 200 * time.Millisecond
 	engineInterval  = 500 * time.Millisecond
 )
 
@@ -177,23 +176,10 @@
 	go p.sync.Run(ctx)
 	go p.driver.Run(ctx)
 	go p.meter.Run(ctx)
-	go p.watchReadiness(ctx)
+	go p.readiness.Watch(ctx, "gate", p.notReady)
 	go p.confirmOwnership(ctx)
 }
 
-func (p *parts) watchReadiness(ctx context.Context) {
-	ticker := time.NewTicker(readyCheck)
-	defer ticker.Stop()
-	for {
-		p.readiness.Set("gate", p.notReady())
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 func (p *parts) notReady() string {
 	if p.sync.Current() == nil {
 		return "no tables are known yet"
--- a/internal/daemon/health.go
+++ b/internal/daemon/health.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"context"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -43,6 +45,23 @@
 	return reasons
 }
 
+// readyInterval is the time between two looks at a reason.
+const readyInterval = 200 * time.Millisecond
+
+// Watch keeps the reason under key as reason returns it, until ctx ends.
+func (r *Readiness) Watch(ctx context.Context, key string, reason func() string) {
+	ticker := time.NewTicker(readyInterval)
+	defer ticker.Stop()
+	for {
+		r.Set(key, reason())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 type healthAnswer struct {
 	Status  string            `json:"status"`
 	Reasons map[string]string `json:"reasons,omitempty"`
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,7 +30,6 @@
 const (
 	verifyInterval = 10 * time.Second
 	watchMargin    = 10 * time.Second
-	readyCheck     = 200 * time.Millisecond
 	maxAdminBytes  = 2 << 20
 )
 
@@ -202,18 +201,5 @@
 	go p.owners.Run(ctx)
 	go p.admission.Run(ctx)
 	go p.levels.Run(ctx, p.sync.Current, p.states.All)
-	go p.watchReadiness(ctx)
-}
-
-func (p *parts) watchReadiness(ctx context.Context) {
-	ticker := time.NewTicker(readyCheck)
-	defer ticker.Stop()
-	for {
-		p.readiness.Set("tables", p.tablesNotReady())
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	go p.readiness.Watch(ctx, "tables", p.tablesNotReady)
 }
--- /dev/null
+++ b/internal/swarm/next.go
@@ -0,0 +1,159 @@
+package swarm
+
+import (
+	"time"
+)
+
+// Next returns what to do now and counts its fetches as in progress.
+func (p *Plan) Next(now time.Time) Step {
+	step := Step{Asks: p.asks(now), Offers: p.takeOffers(now)}
+	if p.Complete() || !p.joined(now) {
+		return step
+	}
+	step.Fetches = append(p.dutyFetches(now), p.readyFetches(now)...)
+	if len(p.inFlight) < p.config.MaxInFlight && !now.Before(p.nextScan) {
+		p.nextScan = now.Add(p.config.StealAfter)
+		step.Fetches = append(step.Fetches, p.scan(now)...)
+	}
+	return step
+}
+
+func (p *Plan) takeOffers(now time.Time) []Offer {
+	var offers []Offer
+	for _, name := range sortedKeys(p.offers) {
+		if now.Before(p.offerAfter[name]) {
+			continue
+		}
+		offers = append(offers, *p.offers[name])
+		delete(p.offers, name)
+	}
+	return offers
+}
+
+// joined reports whether the first answers of others are here or overdue.
+func (p *Plan) joined(now time.Time) bool {
+	if p.toJoin == 0 && len(p.asking) == 0 {
+		p.started = now.Add(-p.config.JoinWait)
+	}
+	return now.Sub(p.started) >= p.config.JoinWait
+}
+
+func (p *Plan) start(chunk int, source string) Fetch {
+	p.inFlight[chunk] = source
+	return Fetch{Chunk: chunk, Source: source}
+}
+
+// readyFetches takes the ready chunks whose parents are not avoided, those
+// that the most others wait for first.
+func (p *Plan) readyFetches(now time.Time) []Fetch {
+	var fetches []Fetch
+	for len(p.inFlight) < p.config.MaxInFlight {
+		best, bestPosition := -1, 0
+		for i, chunk := range p.ready {
+			position := p.positions[chunk]
+			if best >= 0 && position >= bestPosition {
+				continue
+			}
+			if p.avoided(p.parents[chunk], now) {
+				continue
+			}
+			best, bestPosition = i, position
+		}
+		if best < 0 {
+			return fetches
+		}
+		chunk := p.unqueue(best)
+		if _, fetching := p.inFlight[chunk]; !fetching && !p.have.Has(chunk) {
+			fetches = append(fetches, p.start(chunk, p.parents[chunk]))
+		}
+	}
+	return fetches
+}
+
+// dutyFetches starts what this instance is to take from the origin, before all
+// else, since the whole fleet waits for it.
+func (p *Plan) dutyFetches(now time.Time) []Fetch {
+	var fetches []Fetch
+	if len(p.duties) == 0 || p.avoided(Origin, now) {
+		return nil
+	}
+	known := p.holders(now)
+	for len(p.duties) > 0 && len(p.inFlight) < p.config.MaxInFlight {
+		chunk := p.duties[0]
+		p.duties = p.duties[1:]
+		if _, fetching := p.inFlight[chunk]; fetching || p.have.Has(chunk) {
+			continue
+		}
+		name, found := p.holder(chunk, known.zone)
+		if !found {
+			name = Origin
+		}
+		fetches = append(fetches, p.start(chunk, name))
+	}
+	return fetches
+}
+
+func (p *Plan) unqueue(i int) int {
+	chunk := p.ready[i]
+	last := len(p.ready) - 1
+	p.ready[i] = p.ready[last]
+	p.ready = p.ready[:last]
+	p.queued.Clear(chunk)
+	return chunk
+}
+
+// asks returns the members to ask now: some at the start, then one at a time.
+func (p *Plan) asks(now time.Time) []string {
+	if p.Complete() || now.Before(p.nextAsk) {
+		return nil
+	}
+	var names []string
+	for range max(p.toJoin, 1) {
+		if name, found := p.toAsk(now); found && !p.asking[name] {
+			p.asking[name] = true
+			names = append(names, name)
+		}
+	}
+	p.toJoin = 0
+	p.nextAsk = now.Add(p.jitter(p.config.AskInterval))
+	if p.anyLate(now) {
+		p.nextAsk = now.Add(p.jitter(p.config.AskInterval / lateFactor))
+	}
+	return names
+}
+
+// toAsk returns the parent of the first missing chunk that has one, or a random
+// member of the zone, or any member.
+func (p *Plan) toAsk(now time.Time) (string, bool) {
+	if parent, found := p.lateParent(now); found && p.toJoin == 0 {
+		return parent, true
+	}
+	names := p.layout.Zone(p.config.Self)
+	if len(names) < 2 {
+		names = p.layout.Names()
+	}
+	name := names[p.random.IntN(len(names))]
+	return name, name != p.config.Self && !p.avoided(name, now)
+}
+
+// lateParent returns, every other time, the parent of the first missing chunk,
+// or, when that failed and the chunk is late, the root of some zone.
+func (p *Plan) lateParent(now time.Time) (string, bool) {
+	if p.random.IntN(2) == 0 {
+		return "", false
+	}
+	for chunk := range p.chunks {
+		parent := p.parents[chunk]
+		if _, fetching := p.inFlight[chunk]; fetching || p.have.Has(chunk) || p.queued.Has(chunk) {
+			continue
+		}
+		if parent != Origin && !p.avoided(parent, now) {
+			return parent, true
+		}
+		if roots := p.layout.zoneRoots(chunk); p.late(chunk, now) > 0 || p.quiet(now) > p.config.Patience {
+			root := roots[p.random.IntN(len(roots))]
+			return root, root != p.config.Self && !p.avoided(root, now)
+		}
+	}
+	return "", false
+}
