--- a/test/e2e/requests_keys_test.go
+++ b/test/e2e/requests_keys_test.go
@@ -237,9 +237,21 @@
 		c.Assert(b.Signal(runner, syscall.SIGKILL), qt.IsNil)
 		b.killed = append(b.killed, runner)
 		c.Assert(b.executionsOf(body), qt.Equals, 0, qt.Commentf("another backend server ran it as well"))
+		b.waitUnseen("entry-1", runner)
 	}
 }
 
+// waitUnseen waits until entry has noticed that an agent was killed. Before
+// that a request may go to the dead agent, where nothing runs.
+func (b *bookings) waitUnseen(entry, agent string) {
+	err := cluster.WaitFor(waitContext(b.t), func() (bool, string) {
+		status, err := b.Status(entry)
+		_, seen := status.Agents[agent]
+		return err == nil && !seen, entry + " still counts on " + agent
+	})
+	qt.Assert(b.t, err, qt.IsNil)
+}
+
 // runnerOf waits until a backend server has started to run a booking.
 func (b *bookings) runnerOf(body string) string {
 	found := ""
