Read owners of keys every 500 ms again

States of owners of keys are now read at each round, as before; those of other agents that admit requests every 2 s.

--- a/internal/gateway/due_test.go
+++ b/internal/gateway/due_test.go
@@ -20,7 +20,9 @@
 	s.agents["closed"] = agentState{readAt: now}
 	s.agents["refusing"] = agentState{StateReply: message.StateReply{Open: true}, readAt: now}
 	s.distrusted["refusing"] = true
+	s.agents["owner"] = agentState{StateReply: message.StateReply{Open: true, OwnersRevision: 7}, readAt: now}
 	next := now.Add(unsettledInterval)
+	c.Check(s.due("owner", next), qt.IsTrue)
 	c.Check(s.due("open", next), qt.IsFalse)
 	c.Check(s.due("closed", next), qt.IsTrue)
 	c.Check(s.due("refusing", next), qt.IsTrue)
--- a/internal/gateway/states.go
+++ b/internal/gateway/states.go
@@ -138,12 +138,13 @@
 
 // due reports whether an agent's state is to be read now. A state that admits
 // requests is read at the set interval, since answers tell the load in between;
-// any other one at each round.
+// any other one at each round, and so is that of an owner of keys, whose slots
+// move by what it last told.
 func (s *States) due(name string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state, known := s.agents[name]
-	settled := known && state.Open && !s.distrusted[name]
+	settled := known && state.Open && state.OwnersRevision == 0 && !s.distrusted[name]
 	return !settled || now.Sub(state.readAt) >= s.interval
 }
 
