--- a/cmd/plantain-agent/main.go
+++ b/cmd/plantain-agent/main.go
@@ -4,8 +4,11 @@
 import (
 	"plantainrelay/internal/agent"
 	"plantainrelay/internal/command"
+	"plantainrelay/internal/loader"
 )
 
 func main() {
-	command.Execute(command.Daemon("plantain-agent", "Run the agent daemon of plantainrelay", agent.LoadSettings, agent.Run))
+	root := command.Daemon("plantain-agent", "Run the agent daemon of plantainrelay", agent.LoadSettings, agent.Run)
+	root.AddCommand(command.Platform("Run the agent daemon on the users' platform", loader.Run))
+	command.Execute(root)
 }
--- a/cmd/plantain-entry/main.go
+++ b/cmd/plantain-entry/main.go
@@ -4,8 +4,11 @@
 import (
 	"plantainrelay/internal/command"
 	"plantainrelay/internal/entry"
+	"plantainrelay/internal/relay"
 )
 
 func main() {
-	command.Execute(command.Daemon("plantain-entry", "Run the entry daemon of plantainrelay", entry.LoadSettings, entry.Run))
+	root := command.Daemon("plantain-entry", "Run the entry daemon of plantainrelay", entry.LoadSettings, entry.Run)
+	root.AddCommand(command.Platform("Run the entry daemon on the users' platform", relay.Run))
+	command.Execute(root)
 }
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -37,6 +37,9 @@
 	// Class is the priority; lower goes first.
 	Class    int
 	Deadline time.Time
+	// StartBy, when set, is the latest time at which a start is of use. It takes
+	// the place of the estimate from earlier runs.
+	StartBy time.Time
 }
 
 // Shed is a request that is given up before its hand-over.
@@ -142,6 +145,9 @@
 		w := q.waiting[i]
 		late := now.Sub(w.since) >= q.config.MaxWait || !now.Before(w.Deadline)
 		hopeless := len(q.waiting) > free && !now.Add(q.runs[w.Route]).Before(w.Deadline)
+		if !w.StartBy.IsZero() {
+			hopeless = !now.Before(w.StartBy)
+		}
 		if !late && !hopeless {
 			i++
 			continue
--- /dev/null
+++ b/internal/beat/message.go
@@ -0,0 +1,87 @@
+// Package beat exchanges small datagrams between the system's processes: who
+// is there, how current its copies are, what it has in progress.
+package beat
+
+import (
+	"net"
+	"strconv"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"plantainrelay/internal/failure"
+)
+
+// maxDatagram bounds a datagram; larger ones would be sent in fragments.
+const maxDatagram = 8 << 10
+
+// Role is what a process does.
+type Role int
+
+// The roles.
+const (
+	Entry Role = iota
+	Agent
+)
+
+// Standing is the state of one collection at the sender.
+type Standing struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Known    bool
+	Content  int64
+	// AgeMs is the age of the proof of freshness in milliseconds.
+	AgeMs int64
+}
+
+// Report is an agent's word on the engine beside it.
+type Report struct {
+	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Born      int64
+	Loaded    int64
+	Switching bool
+	Pace      float64
+}
+
+// Message is one datagram.
+type Message struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Role     Role
+	// Instance is the sender's name, Host its IP, Start its start in nanoseconds.
+	Instance         string
+	Host             string
+	AvailabilityZone string
+	Start            int64
+	// Sequence orders the messages of one start.
+	Sequence uint64
+	// Front is where an entry takes requests.
+	Front   string
+	Ready   bool
+	Leaving bool
+	// Standings holds the collections in the order of platform.Kinds.
+	Standings []Standing
+	// Loads counts the entry's requests in progress by instance ID.
+	Loads map[string]int
+	// Hosts names some other entries.
+	Hosts  []string
+	Report *Report
+}
+
+func encode(m *Message) ([]byte, error) {
+	raw, err := msgpack.Marshal(m)
+	return raw, failure.Wrap(err, failure.Internal, "report this", "a message to a peer cannot be encoded")
+}
+
+func decode(raw []byte) (*Message, error) {
+	m := &Message{}
+	if err := msgpack.Unmarshal(raw, m); err != nil {
+		return nil, failure.Wrap(err, failure.Invalid, "update the sender", "a peer's message cannot be read")
+	}
+	if net.ParseIP(m.Host) == nil {
+		return nil, failure.New(failure.Invalid, "update the sender", "a peer's message names no address")
+	}
+	return m, nil
+}
+
+// Address returns the address of a process's port for peers.
+func Address(host string, port int) string {
+	return net.JoinHostPort(host, strconv.Itoa(port))
+}
--- /dev/null
+++ b/internal/catalog/table.go
@@ -0,0 +1,217 @@
+// Package catalog holds the two tables that operators edit, routes and pools,
+// in the form in which requests are matched against them. It does no I/O.
+package catalog
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind says what of a route's requests may be repeated.
+type Kind int
+
+// The kinds of route.
+const (
+	// NonIdempotent requests run at most once for each attempt of a caller.
+	NonIdempotent Kind = iota
+	// Idempotent requests may run more than once.
+	Idempotent
+	// Streaming requests are answered by events with increasing IDs.
+	Streaming
+)
+
+// String returns the name of the kind in logs.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case Streaming:
+		return "streaming"
+	}
+	return "non_idempotent"
+}
+
+// Target is one pool of a route with its share of the requests.
+type Target struct {
+	Pool   string
+	Weight int
+}
+
+// Route says which requests go to which pools.
+type Route struct {
+	Name string
+	Host string
+	// PathPrefix begins and ends with a slash.
+	PathPrefix string
+	Kind       Kind
+	// Timeout is the longest time that a request is kept.
+	Timeout time.Duration
+	// Objective is the time within which an answer is on time; for streams, the
+	// time to the first event.
+	Objective time.Duration
+	// MaxPause is the longest pause between two events that is on time.
+	MaxPause time.Duration
+	// Priority is the rank; 0 goes first.
+	Priority int
+	Targets  []Target
+	// MaxAttempts bounds the instances that one request is sent to.
+	MaxAttempts int
+	// Anonymous requests carry no key.
+	Anonymous bool
+	// Resumable streams may go on at another instance.
+	Resumable bool
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || (r.Kind == Streaming && r.Resumable)
+}
+
+// Choose returns the pool for one request, by the weights of the targets.
+func (r *Route) Choose(random *rand.Rand) string {
+	total := 0
+	for _, target := range r.Targets {
+		total += target.Weight
+	}
+	if len(r.Targets) == 1 || total <= 0 {
+		return r.Targets[0].Pool
+	}
+	at := random.IntN(total)
+	for _, target := range r.Targets {
+		if at < target.Weight {
+			return target.Pool
+		}
+		at -= target.Weight
+	}
+	return r.Targets[len(r.Targets)-1].Pool
+}
+
+// Engine describes the model engines of a pool.
+type Engine struct {
+	Model string
+	// Slots is the number of requests that an engine processes at once.
+	Slots int
+	// Layers and Chunks are the numbers of layers and of weight chunks.
+	Layers     int
+	Chunks     int
+	ChunkBytes int
+	// Stride is the number of token steps in one pass.
+	Stride int
+	// Step is the time of one token step, PerSequence the time that each request
+	// adds to it.
+	Step        time.Duration
+	PerSequence time.Duration
+	// ReadPerSecond is the number of prompt tokens read in a second.
+	ReadPerSecond float64
+	// UsualPrompt and UsualAnswer are the mean numbers of tokens.
+	UsualPrompt float64
+	UsualAnswer float64
+	// Load is the time from an accepted order to serving.
+	Load time.Duration
+}
+
+// Pool is a set of backend server instances that serve the same requests.
+type Pool struct {
+	Name string
+	// MaxConnections bounds the connections to one instance from all callers.
+	MaxConnections int
+	// Origin is the address of the origin of weights; empty for other pools.
+	Origin string
+	// Engine is set for pools of model engines.
+	Engine *Engine
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Customer is who is charged for requests with certain keys.
+type Customer struct {
+	Name string
+	Keys []string
+	// Priority goes before the route's when HasPriority is set.
+	Priority    int
+	HasPriority bool
+}
+
+// Table is one version of the routes and pools. It is immutable once New has
+// returned it.
+type Table struct {
+	Version int64
+	Limits  Limits
+	Pools   map[string]Pool
+	hosts   map[string][]Route
+	keys    map[string]Customer
+	// customers says that requests need keys.
+	customers bool
+}
+
+// New returns a table of the given parts.
+func New(version int64, limits Limits, routes []Route, pools []Pool, customers []Customer) *Table {
+	t := &Table{
+		Version: version, Limits: limits, Pools: map[string]Pool{},
+		hosts: map[string][]Route{}, keys: map[string]Customer{}, customers: len(customers) > 0,
+	}
+	for _, pool := range pools {
+		t.Pools[pool.Name] = pool
+	}
+	for _, route := range routes {
+		t.hosts[route.Host] = append(t.hosts[route.Host], route)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
+	}
+	for _, customer := range customers {
+		for _, key := range customer.Keys {
+			t.keys[key] = customer
+		}
+	}
+	return t
+}
+
+// Match returns the route with the longest prefix of path among those of host.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	for i, route := range t.hosts[host] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return &t.hosts[host][i], true
+		}
+	}
+	return nil, false
+}
+
+// NeedsKey reports whether requests of the route have to carry a key.
+func (t *Table) NeedsKey(route *Route) bool {
+	return t.customers && !route.Anonymous
+}
+
+// Customer returns the holder of key.
+func (t *Table) Customer(key string) (Customer, bool) {
+	customer, found := t.keys[key]
+	return customer, found
+}
+
+// EnginePool returns the pool whose engines run model.
+func (t *Table) EnginePool(model string) (Pool, bool) {
+	for _, pool := range t.Pools {
+		if pool.Engine != nil && pool.Engine.Model == model {
+			return pool, true
+		}
+	}
+	return Pool{}, false
+}
+
+// Origin returns the address of the origin of weights, or an empty string.
+func (t *Table) Origin() string {
+	for _, pool := range t.Pools {
+		if pool.Origin != "" {
+			return pool.Origin
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/copies/copies.go
@@ -0,0 +1,260 @@
+// Package copies keeps a process's copies of the platform's collections
+// current: it reads the store itself where it is this process's duty or where
+// nobody else's news arrive, and otherwise takes what peers pass on.
+package copies
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"plantainrelay/internal/clock"
+	"plantainrelay/internal/failure"
+	"plantainrelay/internal/replica"
+	"plantainrelay/platform"
+)
+
+const (
+	// minPause and maxPause bound the wait after a failed read of the store.
+	minPause = 150 * time.Millisecond
+	maxPause = 900 * time.Millisecond
+	// answerSlack is how long an answer of the store may take beyond the time
+	// that the watch waits; the store answers in milliseconds.
+	answerSlack = 700 * time.Millisecond
+	// proofWait is the shortest watch, made only to prove that a copy is current.
+	proofWait = time.Millisecond
+	// gather is the pause after news, in which more of a burst arrives.
+	gather = 60 * time.Millisecond
+	// lookInterval is the time between two looks at the age of a copy.
+	lookInterval = 100 * time.Millisecond
+)
+
+// Plan says how one collection is kept current.
+type Plan struct {
+	// Wait is how long a watch of the store waits for news.
+	Wait time.Duration
+	// MaxAge is the age of the proof beyond which this process reads the store
+	// itself, whoever's duty it is.
+	MaxAge time.Duration
+	// FirstNews is how long a starting process waits for a peer's news before it
+	// reads the store itself.
+	FirstNews time.Duration
+}
+
+// Standing is a collection's state as told to peers.
+type Standing struct {
+	Known   bool
+	Content int64
+	Age     time.Duration
+}
+
+type copyOf struct {
+	replica  *replica.Replica
+	failedAt time.Time
+}
+
+// Copies holds the copies of one process. It is safe for concurrent use.
+type Copies struct {
+	store *platform.Store
+	plans map[platform.Kind]Plan
+	log   *logrus.Entry
+	// Watches reports whether reading a collection is this process's duty.
+	watches func(platform.Kind) bool
+	// changed is called, one call at a time for each collection, after news.
+	changed func(platform.Kind)
+
+	// started is when this process began.
+	started time.Time
+
+	mu     sync.Mutex
+	copies map[platform.Kind]*copyOf
+}
+
+// New returns copies that know nothing.
+func New(store *platform.Store, plans map[platform.Kind]Plan, log *logrus.Entry, watches func(platform.Kind) bool, changed func(platform.Kind)) *Copies {
+	c := &Copies{store: store, plans: plans, log: log, watches: watches, changed: changed, started: clock.Now(), copies: map[platform.Kind]*copyOf{}}
+	for _, kind := range platform.Kinds {
+		c.copies[kind] = &copyOf{replica: replica.New()}
+	}
+	return c
+}
+
+// Run keeps the copies current until ctx ends.
+func (c *Copies) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	for _, kind := range platform.Kinds {
+		group.Go(func() { c.follow(ctx, kind) })
+	}
+	group.Wait()
+}
+
+// Standing returns the state of one collection.
+func (c *Copies) Standing(kind platform.Kind) Standing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := c.copies[kind].replica
+	return Standing{Known: held.Known(), Content: held.Content(), Age: clock.Now().Sub(held.Proof())}
+}
+
+// Documents returns a copy of the documents of one collection.
+func (c *Copies) Documents(kind platform.Kind) map[string]replica.Document {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	documents := map[string]replica.Document{}
+	for name, document := range c.copies[kind].replica.Documents() {
+		documents[name] = document
+	}
+	return documents
+}
+
+// FailedAt returns when a read of the store for one collection failed last.
+func (c *Copies) FailedAt(kind platform.Kind) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.copies[kind].failedAt
+}
+
+// Since returns what a peer lacks and the age of its proof.
+func (c *Copies) Since(kind platform.Kind, revision int64) (replica.Change, time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := c.copies[kind]
+	if held == nil || !held.replica.Known() {
+		return replica.Change{}, 0, false
+	}
+	return held.replica.Since(revision), clock.Now().Sub(held.replica.Proof()), true
+}
+
+// Take takes in news that a peer has passed on; age is that of its proof.
+func (c *Copies) Take(kind platform.Kind, change replica.Change, proof time.Time) {
+	c.apply(kind, change, proof)
+}
+
+// Heard takes in a peer's standing. It reports whether the peer has news.
+func (c *Copies) Heard(kind platform.Kind, standing Standing, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := c.copies[kind].replica
+	if !standing.Known {
+		return false
+	}
+	held.Prove(standing.Content, now.Add(-standing.Age))
+	return !held.Known() || standing.Content > held.Content()
+}
+
+// AsOf returns the store's revision up to which a copy is complete.
+func (c *Copies) AsOf(kind platform.Kind) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.copies[kind].replica.AsOf()
+}
+
+func (c *Copies) apply(kind platform.Kind, change replica.Change, proof time.Time) {
+	c.mu.Lock()
+	held := c.copies[kind]
+	known := held.replica.Known()
+	documents := held.replica.Apply(change, proof)
+	news := len(documents) > 0 || (!known && held.replica.Known())
+	c.mu.Unlock()
+	if news {
+		c.changed(kind)
+	}
+}
+
+func (c *Copies) follow(ctx context.Context, kind platform.Kind) {
+	pause := minPause
+	for ctx.Err() == nil {
+		if !c.due(kind) {
+			sleep(ctx, lookInterval)
+			continue
+		}
+		news, err := c.read(ctx, kind)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			c.succeeded(kind)
+			pause = minPause
+			if news {
+				sleep(ctx, gather)
+			}
+			continue
+		}
+		c.failed(kind, err)
+		sleep(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, maxPause)
+	}
+}
+
+// due reports whether this process reads the store now.
+func (c *Copies) due(kind platform.Kind) bool {
+	standing, plan := c.Standing(kind), c.plans[kind]
+	if !standing.Known && clock.Now().Sub(c.started) < plan.FirstNews {
+		return false
+	}
+	return !standing.Known || standing.Age > plan.MaxAge || c.watches(kind)
+}
+
+// read makes one call of the store and takes in the result.
+func (c *Copies) read(ctx context.Context, kind platform.Kind) (news bool, err error) {
+	c.mu.Lock()
+	held := c.copies[kind].replica
+	known, from := held.Known(), held.AsOf()
+	c.mu.Unlock()
+	wait := proofWait
+	if c.watches(kind) {
+		wait = c.plans[kind].Wait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
+	defer cancel()
+	proof := clock.Now()
+	if known {
+		change, err := c.store.Watch(ctx, kind, from, wait)
+		if err == nil {
+			c.apply(kind, change, proof)
+			return len(change.Documents) > 0, nil
+		}
+		if !failure.Is(err, failure.NotFound) {
+			return false, err
+		}
+		c.log.WithField("collection", string(kind)).Info("the store has dropped this history; listing the collection")
+	}
+	change, err := c.store.List(ctx, kind)
+	if err != nil {
+		return false, err
+	}
+	c.apply(kind, change, proof)
+	return true, nil
+}
+
+func (c *Copies) failed(kind platform.Kind, err error) {
+	c.mu.Lock()
+	first := c.copies[kind].failedAt.IsZero()
+	c.copies[kind].failedAt = clock.Now()
+	c.mu.Unlock()
+	if first {
+		c.log.WithError(err).WithField("collection", string(kind)).Warning("the store was lost")
+	}
+}
+
+func (c *Copies) succeeded(kind platform.Kind) {
+	c.mu.Lock()
+	failedAt := c.copies[kind].failedAt
+	c.copies[kind].failedAt = time.Time{}
+	c.mu.Unlock()
+	if !failedAt.IsZero() {
+		c.log.WithField("collection", string(kind)).Info("the store was regained")
+	}
+}
+
+func sleep(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/loader/agent.go
@@ -0,0 +1,299 @@
+// Package loader is the agent on the users' platform: it brings the model
+// engine beside it to the intended version of the weights, and passes chunks on
+// to other agents.
+package loader
+
+import (
+	"context"
+	"maps"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"os/signal"
+
+	"github.com/sirupsen/logrus"
+
+	"plantainrelay/internal/beat"
+	"plantainrelay/internal/catalog"
+	"plantainrelay/internal/clock"
+	"plantainrelay/internal/copies"
+	"plantainrelay/internal/logging"
+	"plantainrelay/internal/peer"
+	"plantainrelay/internal/relay"
+	"plantainrelay/internal/swarm"
+	"plantainrelay/platform"
+)
+
+const (
+	// tick is the time between two looks at the engine and the distribution.
+	tick = 50 * time.Millisecond
+	// reportInterval is the time between two reports of the engine; they are free
+	// on its own machine and change every few hundred ms.
+	reportInterval = 150 * time.Millisecond
+	// beatInterval is the time between two messages to entries and neighbors
+	// when nothing changes.
+	beatInterval = time.Second
+	// entryAge is how long after its last message an entry is sent messages.
+	entryAge = 6 * time.Second
+	// maxInFlight bounds the chunks fetched at once, maxUploads those served: a
+	// chunk takes about 35 ms of an instance's link.
+	maxInFlight = 6
+	maxUploads  = 6
+	// firstNews is how long a starting agent waits for an entry's news before it
+	// reads the store itself.
+	firstNews = 1500 * time.Millisecond
+)
+
+// The ages at which an agent reads the store itself: entries pass news on every
+// few hundred ms, and an agent that hears from none has to read on its own.
+var plans = map[platform.Kind]copies.Plan{
+	platform.Tables:   {MaxAge: 20 * time.Second, FirstNews: firstNews},
+	platform.Backends: {MaxAge: 12 * time.Second, FirstNews: firstNews},
+	platform.Releases: {MaxAge: 5 * time.Second, FirstNews: firstNews},
+}
+
+// target is the version that the engine is to serve.
+type target struct {
+	model   string
+	version int64
+	// seen is when this agent learned of it.
+	seen time.Time
+}
+
+// agent is one process beside a model engine.
+type agent struct {
+	settings platform.Settings
+	log      *logrus.Entry
+	socket   *beat.Socket
+	copies   *copies.Copies
+	puller   *relay.Puller
+	client   *peer.Client
+	engine   *platform.Engine
+	origin   *platform.Origin
+	holding  *holding
+	uploads  chan struct{}
+	start    int64
+	changed  chan struct{}
+
+	mu        sync.Mutex
+	table     *catalog.Table
+	pool      catalog.Pool
+	members   []swarm.Member
+	serving   int64
+	target    target
+	entries   map[string]time.Time
+	neighbors map[string]neighbor
+	report    platform.Report
+	switching bool
+	sequence  uint64
+	fetching  *distribution
+}
+
+// neighbor is another agent's word.
+type neighbor struct {
+	report beat.Report
+	at     time.Time
+}
+
+// Run runs the agent until it is told to stop.
+func Run(s platform.Settings) error {
+	log := logging.New(os.Stdout, "info", s.Instance, s.AvailabilityZone)
+	log.WithField("engine", s.Backend).Info("agent starts")
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	socket, err := beat.Open(s.IP, s.PeerPort, log)
+	if err != nil {
+		return err
+	}
+	a := newAgent(s, socket, log)
+	server := peer.NewServer(peer.Security{}, log)
+	if err := server.Register(serviceName, &Service{agent: a}); err != nil {
+		return err
+	}
+	if err := server.Register("Copies", relay.NewCopiesService(a.copies)); err != nil {
+		return err
+	}
+	if err := server.Listen(beat.Address(s.IP, s.PeerPort)); err != nil {
+		return err
+	}
+	go a.copies.Run(ctx)
+	go a.socket.Receive(ctx, func(m *beat.Message) { a.handle(ctx, m) })
+	go a.beats(ctx)
+	go a.switches(ctx)
+	go a.distributes(ctx)
+	for {
+		select {
+		case <-reload:
+			log.Info("SIGHUP: the settings of an agent are read at its start only")
+		case <-stop:
+			log.Info("agent stopped")
+			return nil
+		}
+	}
+}
+
+func newAgent(s platform.Settings, socket *beat.Socket, log *logrus.Entry) *agent {
+	local := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true}
+	remote := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: maxInFlight, DisableCompression: true}
+	a := &agent{
+		settings: s, log: log, socket: socket, client: peer.NewClient(peer.Security{}),
+		engine: platform.NewEngine(s.Backend, local), origin: platform.NewOrigin(remote),
+		holding: newHolding(), uploads: make(chan struct{}, maxUploads), start: time.Now().UnixNano(),
+		changed: make(chan struct{}, 1), entries: map[string]time.Time{}, neighbors: map[string]neighbor{},
+	}
+	a.copies = copies.New(platform.NewStore(s.Store, remote), plans, log, func(platform.Kind) bool { return false }, a.decode)
+	a.puller = relay.NewPuller(a.copies, a.client, s.PeerPort, log)
+	return a
+}
+
+// decode takes in news of a collection.
+func (a *agent) decode(platform.Kind) {
+	tables := a.copies.Documents(platform.Tables)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if document, found := tables[platform.TableName]; found {
+		table, err := platform.DecodeTable(document)
+		if err != nil {
+			a.log.WithError(err).Error("the tables are ignored; the last good ones stay in force")
+		} else if a.table == nil || table.Version >= a.table.Version {
+			a.table = table
+		}
+	}
+	if a.table == nil {
+		return
+	}
+	a.pool = a.table.Pools[a.settings.Pool]
+	if a.pool.Engine == nil {
+		return
+	}
+	a.decodeMembers()
+	a.decodeTarget()
+}
+
+// decodeMembers lists the instances that take the same weights. The caller
+// holds mu.
+func (a *agent) decodeMembers() {
+	hosts := map[string]swarm.Member{a.settings.IP: a.member(a.settings.IP, a.settings.AvailabilityZone)}
+	a.serving = 0
+	for _, document := range a.copies.Documents(platform.Backends) {
+		backend, ok := platform.DecodeBackend(document, a.table)
+		if !ok || backend.Pool != a.settings.Pool || backend.Leaving {
+			continue
+		}
+		hosts[backend.Host] = a.member(backend.Host, backend.AvailabilityZone)
+		a.serving = max(a.serving, backend.Loaded[a.pool.Engine.Model])
+	}
+	a.members = a.members[:0:0]
+	for _, host := range slices.Sorted(maps.Keys(hosts)) {
+		a.members = append(a.members, hosts[host])
+	}
+}
+
+func (a *agent) member(host, zone string) swarm.Member {
+	return swarm.Member{Name: host, AvailabilityZone: zone, Region: a.settings.Regions[zone]}
+}
+
+// decodeTarget finds the intended version; without a release it is the newest
+// one that any instance serves. The caller holds mu.
+func (a *agent) decodeTarget() {
+	next := target{model: a.pool.Engine.Model, version: a.serving, seen: clock.Now()}
+	for _, document := range a.copies.Documents(platform.Releases) {
+		release, err := platform.DecodeRelease(document)
+		if err != nil {
+			a.log.WithError(err).Error("a release is ignored")
+			continue
+		}
+		if release.Model == next.model {
+			next.version = max(next.version, release.Version)
+		}
+	}
+	if next.version <= a.target.version {
+		return
+	}
+	a.log.WithFields(logrus.Fields{"model": next.model, "version": next.version, "last": a.target.version}).Info("target changed")
+	a.target = next
+}
+
+// handle takes in a message of an entry or of another agent.
+func (a *agent) handle(ctx context.Context, m *beat.Message) {
+	now := clock.Now()
+	if m.Role == beat.Agent {
+		if m.Report != nil && m.Host != a.settings.IP {
+			a.mu.Lock()
+			a.neighbors[m.Host] = neighbor{report: *m.Report, at: now}
+			a.mu.Unlock()
+		}
+		return
+	}
+	a.mu.Lock()
+	_, known := a.entries[m.Host]
+	a.entries[m.Host] = now
+	a.mu.Unlock()
+	if !known {
+		a.notify()
+	}
+	a.puller.Heard(ctx, m)
+}
+
+// notify sends the next message at once.
+func (a *agent) notify() {
+	select {
+	case a.changed <- struct{}{}:
+	default:
+	}
+}
+
+// beats tells entries and neighbors of the engine.
+func (a *agent) beats(ctx context.Context) {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	for {
+		a.beat()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-a.changed:
+		}
+	}
+}
+
+func (a *agent) beat() {
+	now := clock.Now()
+	a.mu.Lock()
+	a.sequence++
+	message := &beat.Message{
+		Role: beat.Agent, Instance: a.settings.Instance, Host: a.settings.IP, AvailabilityZone: a.settings.AvailabilityZone,
+		Start: a.start, Sequence: a.sequence,
+	}
+	if a.report.Born > 0 {
+		message.Report = &beat.Report{Born: a.report.Born, Loaded: a.report.Loaded, Switching: a.switching, Pace: a.report.Pace}
+	}
+	var hosts []string
+	for host, at := range a.entries {
+		if now.Sub(at) > entryAge {
+			delete(a.entries, host)
+			continue
+		}
+		hosts = append(hosts, host)
+	}
+	if len(hosts) == 0 {
+		hosts = slices.Clone(a.settings.Seeds)
+	}
+	for _, member := range a.members {
+		if member.AvailabilityZone == a.settings.AvailabilityZone && member.Name != a.settings.IP {
+			hosts = append(hosts, member.Name)
+		}
+	}
+	a.mu.Unlock()
+	a.socket.Send(message, hosts)
+}
--- /dev/null
+++ b/internal/loader/holding.go
@@ -0,0 +1,105 @@
+package loader
+
+import (
+	"sync"
+
+	"plantainrelay/internal/weights"
+	"plantainrelay/platform"
+)
+
+// held is what an agent holds of one version: verified chunks only.
+type held struct {
+	manifest platform.Manifest
+	chunks   map[int][]byte
+}
+
+// holding keeps the verified chunks of the newest versions in memory. It is
+// safe for concurrent use.
+type holding struct {
+	mu       sync.Mutex
+	versions map[int64]*held
+}
+
+// maxVersions bounds the versions held: the one that is served and the one that
+// is fetched.
+const maxVersions = 2
+
+func newHolding() *holding {
+	return &holding{versions: map[int64]*held{}}
+}
+
+// add begins to hold a version. Chunks that another version shares are taken
+// over; the oldest version is dropped.
+func (h *holding) add(manifest platform.Manifest) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	next := &held{manifest: manifest, chunks: map[int][]byte{}}
+	for _, other := range h.versions {
+		for chunk, data := range other.chunks {
+			if chunk < len(manifest.Digests) && manifest.Digests[chunk] == other.manifest.Digests[chunk] {
+				next.chunks[chunk] = data
+			}
+		}
+	}
+	h.versions[manifest.Version] = next
+	for len(h.versions) > maxVersions {
+		oldest := manifest.Version
+		for version := range h.versions {
+			oldest = min(oldest, version)
+		}
+		delete(h.versions, oldest)
+	}
+}
+
+// forget drops a version whose manifest proved wrong.
+func (h *holding) forget(version int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.versions, version)
+}
+
+// put keeps a chunk if it has its digest, and reports whether it has.
+func (h *holding) put(version int64, chunk int, data []byte) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	one := h.versions[version]
+	if one == nil || chunk < 0 || chunk >= len(one.manifest.Digests) || weights.DigestOf(data) != one.manifest.Digests[chunk] {
+		return false
+	}
+	one.chunks[chunk] = data
+	return true
+}
+
+func (h *holding) manifest(version int64) (platform.Manifest, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if one := h.versions[version]; one != nil {
+		return one.manifest, true
+	}
+	return platform.Manifest{}, false
+}
+
+func (h *holding) chunk(version int64, chunk int) ([]byte, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	one := h.versions[version]
+	if one == nil {
+		return nil, false
+	}
+	data, found := one.chunks[chunk]
+	return data, found
+}
+
+func (h *holding) have(version int64) (weights.Bitmap, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	one := h.versions[version]
+	if one == nil {
+		return nil, false
+	}
+	have := weights.NewBitmap(len(one.manifest.Digests))
+	for chunk := range one.chunks {
+		have.Set(chunk)
+	}
+	return have, true
+}
--- /dev/null
+++ b/internal/loader/switch.go
@@ -0,0 +1,220 @@
+package loader
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"plantainrelay/internal/catalog"
+	"plantainrelay/internal/clock"
+	"plantainrelay/internal/failure"
+	"plantainrelay/internal/rollout"
+	"plantainrelay/internal/weights"
+	"plantainrelay/platform"
+)
+
+const (
+	// localLimit bounds a call of the engine beside the agent.
+	localLimit = 800 * time.Millisecond
+	// switchShare is the part of an availability zone's engines that switch at
+	// once.
+	switchShare = 0.4
+	// switchReserve is the time that a switch takes: requests in progress end,
+	// then the engine loads.
+	switchReserve = 3 * time.Second
+	// quiesce is how long entries have to learn that an engine takes no more
+	// requests before it gets its order.
+	quiesce = 60 * time.Millisecond
+	// neighborAge is how long a neighbor's word counts.
+	neighborAge = 2500 * time.Millisecond
+	// orderPause is the wait after an order that did not fit.
+	orderPause = 300 * time.Millisecond
+	// orderLimit is how long after an order the engine may take to begin with it;
+	// afterwards the order is given again.
+	orderLimit = 10 * time.Second
+)
+
+// order is the last order given to the engine.
+type order struct {
+	version int64
+	born    int64
+	at      time.Time
+}
+
+// switches brings the engine to the target whenever its chunks are whole.
+func (a *agent) switches(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	var last order
+	var reportedAt time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := clock.Now()
+		if now.Sub(reportedAt) >= reportInterval {
+			reportedAt = now
+			a.readReport(ctx)
+		}
+		if a.ready(last, now) {
+			last = a.switchTo(ctx, last)
+		}
+	}
+}
+
+// readReport asks the engine for its state and tells others what changed.
+func (a *agent) readReport(ctx context.Context) {
+	engine, known := a.enginePool()
+	if !known {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, localLimit)
+	defer cancel()
+	report, err := a.engine.Report(ctx, engine)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err != nil {
+		if a.report.Born > 0 {
+			a.log.WithError(err).Warning("the engine was lost")
+		}
+		a.report = platform.Report{}
+		return
+	}
+	last := a.report
+	a.report = report
+	if a.switching && (report.Loaded == a.target.version || report.Born != last.Born) {
+		a.switching = false
+		a.notify()
+	}
+	if report.Born != last.Born || report.Loaded != last.Loaded {
+		a.log.WithFields(logrus.Fields{"born": report.Born, "version": report.Loaded, "last_version": last.Loaded}).Info("the engine's state changed")
+		a.notify()
+	}
+}
+
+func (a *agent) enginePool() (catalog.Engine, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.pool.Engine == nil {
+		return catalog.Engine{}, false
+	}
+	return *a.pool.Engine, true
+}
+
+// ready reports whether the engine should get an order now.
+func (a *agent) ready(last order, now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.report.Born == 0 || a.target.version == 0 || a.report.Loaded >= a.target.version || a.report.Busy {
+		return false
+	}
+	if last.version == a.target.version && last.born == a.report.Born && now.Sub(last.at) < orderLimit {
+		return false
+	}
+	have, found := a.holding.have(a.target.version)
+	if !found || have.Count() < a.pool.Engine.Chunks {
+		return false
+	}
+	return a.report.Loaded == 0 || a.mayStop(now)
+}
+
+// mayStop decides whether a serving engine may stop to switch. The caller holds
+// mu.
+func (a *agent) mayStop(now time.Time) bool {
+	turn := rollout.Turn{Share: switchShare, Latest: a.target.seen.Add(a.settings.Bounds.Switch - switchReserve)}
+	var neighbors []rollout.Neighbor
+	for _, member := range a.members {
+		if member.AvailabilityZone != a.settings.AvailabilityZone || member.Name == a.settings.IP {
+			continue
+		}
+		known, found := a.neighbors[member.Name]
+		if !found || now.Sub(known.at) > neighborAge {
+			continue
+		}
+		neighbors = append(neighbors, rollout.Neighbor{
+			Name: member.Name, Done: known.report.Loaded >= a.target.version, Idle: known.report.Loaded == 0,
+		})
+	}
+	return turn.May(a.settings.IP, strconv.FormatInt(a.target.version, 10), neighbors, now)
+}
+
+// switchTo orders the engine to load the target, after the staged chunks were
+// read back. It returns the order that stands.
+func (a *agent) switchTo(ctx context.Context, last order) order {
+	a.mu.Lock()
+	wanted, report := a.target, a.report
+	a.mu.Unlock()
+	log := a.log.WithFields(logrus.Fields{"version": wanted.version, "from": report.Loaded, "born": report.Born})
+	if !a.verifyStage(ctx, wanted) {
+		return last
+	}
+	a.setSwitching(true)
+	if report.Loaded > 0 {
+		time.Sleep(quiesce)
+	}
+	ctx, cancel := context.WithTimeout(ctx, localLimit)
+	defer cancel()
+	err := a.engine.Load(ctx, wanted.model, wanted.version)
+	if err == nil {
+		log.WithField("after_ms", clock.Now().Sub(wanted.seen).Milliseconds()).Info("the engine was ordered to load")
+		return order{version: wanted.version, born: report.Born, at: clock.Now()}
+	}
+	log.WithError(err).Warning("the order was not accepted")
+	if failure.Is(err, failure.NotReachable) {
+		// It may have been accepted; the next reports tell.
+		return order{version: wanted.version, born: report.Born, at: clock.Now().Add(orderPause - orderLimit)}
+	}
+	a.setSwitching(false)
+	time.Sleep(orderPause)
+	return last
+}
+
+func (a *agent) setSwitching(switching bool) {
+	a.mu.Lock()
+	a.switching = switching
+	a.mu.Unlock()
+	a.notify()
+}
+
+// verifyStage reads all staged chunks back and puts those right that are not
+// what the manifest says.
+func (a *agent) verifyStage(ctx context.Context, wanted target) bool {
+	manifest, found := a.holding.manifest(wanted.version)
+	if !found {
+		return false
+	}
+	for chunk, digest := range manifest.Digests {
+		if !a.verifyChunk(ctx, wanted, chunk, digest) {
+			return false
+		}
+	}
+	return true
+}
+
+func (a *agent) verifyChunk(ctx context.Context, wanted target, chunk int, digest weights.Digest) bool {
+	ctx, cancel := context.WithTimeout(ctx, localLimit)
+	defer cancel()
+	staged, err := a.engine.Staged(ctx, wanted.model, chunk)
+	if err == nil && weights.DigestOf(staged) == digest {
+		return true
+	}
+	if err != nil && !failure.Is(err, failure.NotFound) {
+		a.log.WithError(err).WithField("chunk", chunk).Warning("a staged chunk could not be read back")
+		return false
+	}
+	data, held := a.holding.chunk(wanted.version, chunk)
+	if !held {
+		return false
+	}
+	a.log.WithFields(logrus.Fields{"chunk": chunk, "version": wanted.version, "missing": err != nil}).Info("a staged chunk is put right")
+	if err := a.engine.Stage(ctx, wanted.model, chunk, data); err != nil {
+		a.log.WithError(err).WithField("chunk", chunk).Warning("a chunk could not be staged")
+		return false
+	}
+	again, err := a.engine.Staged(ctx, wanted.model, chunk)
+	return err == nil && weights.DigestOf(again) == digest
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,165 @@
+// Package peers is the aggregate of the entries that one entry knows: who is
+// there, who takes requests, and whose duty a reading of the store is. It does
+// no I/O.
+package peers
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"plantainrelay/internal/member"
+)
+
+// Entry is one entry instance as it tells of itself.
+type Entry struct {
+	Instance string
+	// Host is the IP; Front is where it takes requests.
+	Host             string
+	AvailabilityZone string
+	Region           string
+	Front            string
+	// Start and Sequence order what it says.
+	Start    int64
+	Sequence uint64
+	Ready    bool
+	Leaving  bool
+}
+
+// Config holds the limits.
+type Config struct {
+	// LiveFor is how long after its last message an entry counts as there.
+	LiveFor time.Duration
+	// ForgetAfter is how long an entry that keeps silent is still sent messages.
+	ForgetAfter time.Duration
+	// ProbeFor is how long a host that never answered is sent messages.
+	ProbeFor time.Duration
+	// ProbeInterval is the time between messages to hosts that keep silent.
+	ProbeInterval time.Duration
+}
+
+type known struct {
+	Entry
+	heardAt time.Time
+}
+
+type probe struct {
+	since, next time.Time
+}
+
+// Directory holds the entries. It is not safe for concurrent use.
+type Directory struct {
+	config  Config
+	self    Entry
+	entries map[string]*known
+	// probes holds hosts that may be entries.
+	probes map[string]*probe
+}
+
+// New returns a directory of the entry self, which asks seeds for others.
+func New(config Config, self Entry, seeds []string, now time.Time) *Directory {
+	d := &Directory{config: config, self: self, entries: map[string]*known{}, probes: map[string]*probe{}}
+	d.Suggest(seeds, now)
+	return d
+}
+
+// Self returns this entry.
+func (d *Directory) Self() Entry { return d.self }
+
+// SetState records what this entry tells of itself.
+func (d *Directory) SetState(ready, leaving bool) {
+	d.self.Ready, d.self.Leaving = ready, leaving
+}
+
+// Suggest names hosts that may be entries.
+func (d *Directory) Suggest(hosts []string, now time.Time) {
+	for _, host := range hosts {
+		if host == d.self.Host || host == "" || d.entries[host] != nil || d.probes[host] != nil {
+			continue
+		}
+		d.probes[host] = &probe{since: now, next: now}
+	}
+}
+
+// Heard records a message. It returns false for one that is older than what is
+// known; isNew says that the entry was not known or has started again.
+func (d *Directory) Heard(entry Entry, now time.Time) (current, isNew bool) {
+	if entry.Host == d.self.Host {
+		return false, false
+	}
+	delete(d.probes, entry.Host)
+	last := d.entries[entry.Host]
+	if last == nil {
+		d.entries[entry.Host] = &known{Entry: entry, heardAt: now}
+		return true, true
+	}
+	if entry.Start < last.Start || (entry.Start == last.Start && entry.Sequence <= last.Sequence) {
+		return false, false
+	}
+	isNew = entry.Start > last.Start
+	last.Entry, last.heardAt = entry, now
+	return true, isNew
+}
+
+// Targets returns the hosts to send a message to now.
+func (d *Directory) Targets(now time.Time) []string {
+	var hosts []string
+	for host, entry := range d.entries {
+		if now.Sub(entry.heardAt) > d.config.ForgetAfter {
+			delete(d.entries, host)
+			continue
+		}
+		hosts = append(hosts, host)
+	}
+	for host, probed := range d.probes {
+		if now.Sub(probed.since) > d.config.ProbeFor {
+			delete(d.probes, host)
+			continue
+		}
+		if !now.Before(probed.next) {
+			probed.next = now.Add(d.config.ProbeInterval)
+			hosts = append(hosts, host)
+		}
+	}
+	slices.Sort(hosts)
+	return hosts
+}
+
+// Live returns the entries that are there, without this one.
+func (d *Directory) Live(now time.Time) []Entry {
+	var live []Entry
+	for _, host := range slices.Sorted(maps.Keys(d.entries)) {
+		if entry := d.entries[host]; now.Sub(entry.heardAt) <= d.config.LiveFor {
+			live = append(live, entry.Entry)
+		}
+	}
+	return live
+}
+
+// Watches reports whether reading the collection is this entry's duty: one
+// entry of each availability zone has it.
+func (d *Directory) Watches(collection string, now time.Time) bool {
+	names := []string{d.self.Host}
+	for _, entry := range d.Live(now) {
+		if entry.AvailabilityZone == d.self.AvailabilityZone && !entry.Leaving {
+			names = append(names, entry.Host)
+		}
+	}
+	return member.Rank(collection, names)[0] == d.self.Host
+}
+
+// Fronts returns the addresses at which requests are taken now: those of the
+// ready entries, this one included.
+func (d *Directory) Fronts(now time.Time) []string {
+	var fronts []string
+	if d.self.Ready && !d.self.Leaving {
+		fronts = append(fronts, d.self.Front)
+	}
+	for _, entry := range d.Live(now) {
+		if entry.Ready && !entry.Leaving && entry.Front != "" {
+			fronts = append(fronts, entry.Front)
+		}
+	}
+	slices.Sort(fronts)
+	return fronts
+}
--- /dev/null
+++ b/internal/placement/fleet.go
@@ -0,0 +1,354 @@
+// Package placement decides, at one entry, which backend server instance takes
+// a request and when. It joins the platform's list with what agents report,
+// what other entries have in progress and how earlier attempts went. It does no
+// I/O: events and the time go in, decisions come out.
+package placement
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"plantainrelay/internal/catalog"
+)
+
+// Config holds the limits of placement.
+type Config struct {
+	// AvailabilityZone is the entry's own.
+	AvailabilityZone string
+	// LapseGrace is how long an instance whose entry lapsed while the list was
+	// away is used after the list's return.
+	LapseGrace time.Duration
+	// PeerAge bounds the age of what another entry said of its requests.
+	PeerAge time.Duration
+	// Avoid is how long an instance that failed an attempt is avoided at first;
+	// it doubles with each failure in a row up to MaxAvoid.
+	Avoid, MaxAvoid time.Duration
+	Seed            uint64
+	// EnginePool tells whether the instances of a pool are model engines.
+	EnginePool func(pool string) bool
+}
+
+const (
+	// farPenalty is what another availability zone adds to the relative load of
+	// an instance: its bytes are priced, and it is further away.
+	farPenalty = 0.2
+	// jitter spreads the choices of entries that know the same loads.
+	jitter = 0.15
+	// plainFactor is the number of requests in progress per slot of an instance
+	// whose requests take milliseconds.
+	plainFactor = 2
+	// maxDoublings bounds the growth of the time for which an instance is avoided.
+	maxDoublings = 5
+)
+
+// AgentReport is what the agent beside an engine says of it.
+type AgentReport struct {
+	// Born is the engine's start in Unix milliseconds.
+	Born int64
+	// Loaded is the version of the whole weights, 0 for none.
+	Loaded int64
+	// Switching says that the engine takes no new requests before it loads.
+	Switching bool
+	// Pace above 1 means that the engine is slow.
+	Pace float64
+}
+
+type peerLoad struct {
+	count int
+	at    time.Time
+}
+
+// instance is what is known of one backend server instance.
+type instance struct {
+	catalog.Backend
+	// reported is the agent's word at reportedAt.
+	reported   AgentReport
+	reportedAt time.Time
+	own        int
+	peers      map[string]peerLoad
+	failures   int
+	avoidUntil time.Time
+	// lapsed is when its entry went while the list was away.
+	lapsed time.Time
+	// gone says that an attempt proved that another instance has the address.
+	gone bool
+}
+
+// Fleet is the view of all instances. It is not safe for concurrent use.
+type Fleet struct {
+	config    Config
+	instances map[string]*instance
+	byHost    map[string]*instance
+	reports   map[string]heard
+	random    *rand.Rand
+}
+
+type heard struct {
+	report AgentReport
+	at     time.Time
+}
+
+// New returns a view without instances.
+func New(config Config) *Fleet {
+	return &Fleet{
+		config: config, instances: map[string]*instance{}, byHost: map[string]*instance{}, reports: map[string]heard{},
+		random: rand.New(rand.NewPCG(config.Seed, config.Seed+1)),
+	}
+}
+
+// SetList takes in the platform's list. mayLapse says that entries may have
+// lapsed because the store was away; those that are missing are then used
+// until the grace has passed.
+func (f *Fleet) SetList(backends []catalog.Backend, mayLapse bool, now time.Time) {
+	listed := map[string]bool{}
+	for _, backend := range backends {
+		listed[backend.ID] = true
+		known := f.instances[backend.ID]
+		if known == nil || known.Born != backend.Born || known.Address != backend.Address {
+			known = &instance{peers: map[string]peerLoad{}}
+			f.instances[backend.ID] = known
+		}
+		known.Backend, known.lapsed = backend, time.Time{}
+		if last, found := f.reports[backend.Host]; found {
+			known.reported, known.reportedAt = last.report, last.at
+		}
+	}
+	for id, known := range f.instances {
+		if listed[id] {
+			continue
+		}
+		if mayLapse && !known.Leaving {
+			if known.lapsed.IsZero() {
+				known.lapsed = now
+			}
+			continue
+		}
+		delete(f.instances, id)
+	}
+	f.index()
+}
+
+func (f *Fleet) index() {
+	clear(f.byHost)
+	for _, known := range f.instances {
+		if other := f.byHost[known.Host]; other == nil || known.Born > other.Born {
+			f.byHost[known.Host] = known
+		}
+	}
+}
+
+// Expire drops the instances whose entries lapsed and did not come back.
+func (f *Fleet) Expire(now time.Time) {
+	dropped := false
+	for id, known := range f.instances {
+		if !known.lapsed.IsZero() && now.Sub(known.lapsed) >= f.config.LapseGrace {
+			delete(f.instances, id)
+			dropped = true
+		}
+	}
+	if dropped {
+		f.index()
+	}
+}
+
+// Reported takes in the word of the agent at host.
+func (f *Fleet) Reported(host string, report AgentReport, now time.Time) {
+	f.reports[host] = heard{report: report, at: now}
+	if known := f.byHost[host]; known != nil {
+		known.reported, known.reportedAt = report, now
+	}
+}
+
+// PeerLoads takes in how many requests another entry has in progress, by ID of
+// the instance.
+func (f *Fleet) PeerLoads(peer string, counts map[string]int, now time.Time) {
+	for id, known := range f.instances {
+		if count := counts[id]; count > 0 {
+			known.peers[peer] = peerLoad{count: count, at: now}
+		} else {
+			delete(known.peers, peer)
+		}
+	}
+}
+
+// OwnLoads returns how many requests of this entry are in progress, by ID.
+func (f *Fleet) OwnLoads() map[string]int {
+	counts := map[string]int{}
+	for id, known := range f.instances {
+		if known.own > 0 {
+			counts[id] = known.own
+		}
+	}
+	return counts
+}
+
+// Need is what a request asks of an instance.
+type Need struct {
+	Pool string
+	// Model is the model whose weights have to be whole; empty for plain pools.
+	Model string
+	// Version is the oldest version that may answer; 0 allows any.
+	Version int64
+	// Tried holds the IDs of the instances that the request was sent to.
+	Tried map[string]bool
+}
+
+// Choice is the instance for one attempt.
+type Choice struct {
+	Backend catalog.Backend
+	// Version is the version of the weights that it holds, 0 for plain pools.
+	Version int64
+	// Load is the number of requests in progress there, Limit how many it takes.
+	Load, Limit int
+}
+
+// Choose picks an instance with a free place and counts the request there. It
+// returns false when none is free.
+func (f *Fleet) Choose(need Need, now time.Time) (Choice, bool) {
+	var best *instance
+	bestScore := 0.0
+	for _, id := range slices.Sorted(maps.Keys(f.instances)) {
+		known := f.instances[id]
+		load, limit := f.load(known, now), f.limit(known)
+		if !f.usable(known, need, now) || load >= limit {
+			continue
+		}
+		score := float64(load)/float64(limit) + jitter*f.random.Float64()
+		if known.AvailabilityZone != f.config.AvailabilityZone {
+			score += farPenalty
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = known, score
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	choice := Choice{Backend: best.Backend, Version: best.version(need.Model), Load: f.load(best, now), Limit: f.limit(best)}
+	best.own++
+	return choice, true
+}
+
+// Free returns the number of free places for requests that need so.
+func (f *Fleet) Free(need Need, now time.Time) int {
+	free := 0
+	for _, known := range f.instances {
+		if f.usable(known, need, now) {
+			free += max(f.limit(known)-f.load(known, now), 0)
+		}
+	}
+	return free
+}
+
+// Usable returns the number of instances that may take requests that need so,
+// free or not, and their places.
+func (f *Fleet) Usable(need Need, now time.Time) (count, places int) {
+	for _, known := range f.instances {
+		if f.usable(known, need, now) {
+			count++
+			places += f.limit(known)
+		}
+	}
+	return count, places
+}
+
+func (f *Fleet) usable(known *instance, need Need, now time.Time) bool {
+	if known.Pool != need.Pool || known.Leaving || known.gone || need.Tried[known.ID] || now.Before(known.avoidUntil) {
+		return false
+	}
+	if known.reported.Born > known.Born {
+		return false
+	}
+	if need.Model == "" {
+		return true
+	}
+	version := known.version(need.Model)
+	return version > 0 && version >= need.Version && !known.switching()
+}
+
+// version returns the version that the instance holds whole: the agent's word,
+// when it is of the same start, goes before the list's.
+func (i *instance) version(model string) int64 {
+	if model == "" {
+		return 0
+	}
+	if i.reported.Born == i.Born && i.reported.Born > 0 {
+		return i.reported.Loaded
+	}
+	return i.Loaded[model]
+}
+
+func (i *instance) switching() bool {
+	return i.reported.Switching && i.reported.Born == i.Born
+}
+
+func (f *Fleet) load(known *instance, now time.Time) int {
+	load := known.own
+	for _, peer := range known.peers {
+		if now.Sub(peer.at) <= f.config.PeerAge {
+			load += peer.count
+		}
+	}
+	return load
+}
+
+// limit returns how many requests an instance takes at once.
+func (f *Fleet) limit(known *instance) int {
+	if f.config.EnginePool != nil && f.config.EnginePool(known.Pool) {
+		return max(known.Slots, 1)
+	}
+	return max(known.Slots, 1) * plainFactor
+}
+
+// EngineHosts returns the IPs of the instances beside which agents run.
+func (f *Fleet) EngineHosts() []string {
+	var hosts []string
+	for host, known := range f.byHost {
+		if f.config.EnginePool != nil && f.config.EnginePool(known.Pool) {
+			hosts = append(hosts, host)
+		}
+	}
+	slices.Sort(hosts)
+	return hosts
+}
+
+// Result says how an attempt went.
+type Result int
+
+// The results of attempts.
+const (
+	// Succeeded means that the instance answered.
+	Succeeded Result = iota
+	// Failed means that the instance broke off, kept silent or failed.
+	Failed
+	// Full means that the instance refused for lack of room.
+	Full
+	// Moved means that another instance has the address.
+	Moved
+	// Abandoned means that the caller left; it tells nothing of the instance.
+	Abandoned
+)
+
+// Finished records the end of an attempt that Choose has counted.
+func (f *Fleet) Finished(id string, result Result, now time.Time) {
+	known := f.instances[id]
+	if known == nil {
+		return
+	}
+	known.own = max(known.own-1, 0)
+	switch result {
+	case Succeeded:
+		known.failures = 0
+	case Failed:
+		wait := f.config.Avoid << min(known.failures, maxDoublings)
+		known.failures++
+		known.avoidUntil = now.Add(min(wait, f.config.MaxAvoid))
+	case Full:
+		known.avoidUntil = now.Add(f.config.Avoid / 4)
+	case Moved:
+		known.gone = true
+	case Abandoned:
+	}
+}
--- /dev/null
+++ b/internal/relay/beats.go
@@ -0,0 +1,173 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"plantainrelay/internal/beat"
+	"plantainrelay/internal/clock"
+	"plantainrelay/internal/copies"
+	"plantainrelay/internal/peers"
+	"plantainrelay/internal/placement"
+	"plantainrelay/platform"
+)
+
+const (
+	// beatInterval is the time between two messages to other entries.
+	beatInterval = 200 * time.Millisecond
+	// agentBeats is how many messages to entries go out for one to the agents.
+	agentBeats = 4
+	// readyAge is the age of the tables' proof beyond which callers are sent to
+	// other entries.
+	readyAge = 3500 * time.Millisecond
+	// maxHosts bounds the entries named in one message.
+	maxHosts = 16
+)
+
+// heart exchanges messages with the other entries and the agents.
+type heart struct {
+	socket *beat.Socket
+	puller *Puller
+	copies *copies.Copies
+	view   *view
+	gate   *gate
+	front  *front
+	log    *logrus.Entry
+	start  int64
+	news   chan struct{}
+
+	mu        sync.Mutex
+	directory *peers.Directory
+	sequence  uint64
+	ready     bool
+}
+
+// Run sends and receives until ctx ends.
+func (h *heart) Run(ctx context.Context) {
+	go h.socket.Receive(ctx, func(m *beat.Message) { h.handle(ctx, m) })
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	for turn := 0; ; turn++ {
+		h.send(turn%agentBeats == 0)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-h.news:
+		}
+	}
+}
+
+// wake sends the next message at once.
+func (h *heart) wake() {
+	select {
+	case h.news <- struct{}{}:
+	default:
+	}
+}
+
+func (h *heart) send(agents bool) {
+	now := clock.Now()
+	h.view.watchList(now)
+	loads := h.gate.ownLoads()
+	h.mu.Lock()
+	h.setState()
+	h.sequence++
+	self := h.directory.Self()
+	message := &beat.Message{
+		Role: beat.Entry, Instance: self.Instance, Host: self.Host, AvailabilityZone: self.AvailabilityZone, Start: h.start, Sequence: h.sequence,
+		Front: self.Front, Ready: self.Ready, Leaving: self.Leaving, Standings: Standings(h.copies), Loads: loads,
+	}
+	targets := h.directory.Targets(now)
+	live := h.directory.Live(now)
+	h.mu.Unlock()
+	for _, entry := range live[:min(len(live), maxHosts)] {
+		message.Hosts = append(message.Hosts, entry.Host)
+	}
+	h.gate.setEntries(len(live) + 1)
+	h.socket.Send(message, targets)
+	if agents {
+		message.Loads, message.Hosts = nil, nil
+		h.socket.Send(message, h.gate.engineHosts())
+	}
+}
+
+// greet answers an agent that knows no entry yet.
+func (h *heart) greet(host string) {
+	h.mu.Lock()
+	h.sequence++
+	self := h.directory.Self()
+	sequence := h.sequence
+	h.mu.Unlock()
+	h.socket.Send(&beat.Message{
+		Role: beat.Entry, Instance: self.Instance, Host: self.Host, AvailabilityZone: self.AvailabilityZone, Start: h.start, Sequence: sequence,
+		Standings: Standings(h.copies),
+	}, []string{host})
+}
+
+// setState decides whether this entry takes requests. The caller holds mu.
+func (h *heart) setState() {
+	age := h.view.proofAge()
+	ready := h.view.table.Load() != nil && age <= readyAge && !h.front.leaving.Load()
+	if ready != h.ready {
+		h.log.WithFields(logrus.Fields{"ready": ready, "proof_age_ms": age.Milliseconds()}).Info("readiness changed")
+	}
+	h.ready = ready
+	h.directory.SetState(ready, h.front.leaving.Load())
+}
+
+func (h *heart) handle(ctx context.Context, m *beat.Message) {
+	now := clock.Now()
+	if m.Role == beat.Agent {
+		if m.Report != nil {
+			h.gate.reported(m.Host, placement.AgentReport{
+				Born: m.Report.Born, Loaded: m.Report.Loaded, Switching: m.Report.Switching, Pace: m.Report.Pace,
+			}, now)
+		} else {
+			h.greet(m.Host)
+		}
+		return
+	}
+	h.mu.Lock()
+	current, isNew := h.directory.Heard(peers.Entry{
+		Instance: m.Instance, Host: m.Host, AvailabilityZone: m.AvailabilityZone, Front: m.Front,
+		Start: m.Start, Sequence: m.Sequence, Ready: m.Ready, Leaving: m.Leaving,
+	}, now)
+	h.directory.Suggest(m.Hosts, now)
+	h.mu.Unlock()
+	if !current {
+		return
+	}
+	if isNew {
+		h.log.WithFields(logrus.Fields{"peer": m.Instance, "host": m.Host}).Info("an entry was found")
+		h.wake()
+	}
+	h.gate.peerLoads(m.Host, m.Loads, now)
+	h.puller.Heard(ctx, m)
+}
+
+// watches reports whether reading a collection is this entry's duty.
+func (h *heart) watches(kind platform.Kind) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.directory.Watches(string(kind), clock.Now())
+}
+
+// fronts returns the addresses for callers.
+func (h *heart) fronts() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.setState()
+	return slices.Clone(h.directory.Fronts(clock.Now()))
+}
+
+func (h *heart) isReady() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.setState()
+	return h.ready
+}
--- /dev/null
+++ b/internal/relay/entry.go
@@ -0,0 +1,198 @@
+// Package relay is the entry on the users' platform: it takes the requests of
+// callers and sends them straight to the backend server instances.
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/zeromicro/go-zero/rest"
+
+	"plantainrelay/internal/beat"
+	"plantainrelay/internal/clock"
+	"plantainrelay/internal/copies"
+	"plantainrelay/internal/daemon"
+	"plantainrelay/internal/failure"
+	"plantainrelay/internal/logging"
+	"plantainrelay/internal/metrics"
+	"plantainrelay/internal/peer"
+	"plantainrelay/internal/peers"
+	"plantainrelay/internal/placement"
+	"plantainrelay/platform"
+)
+
+const (
+	// metricsPort serves /metrics; deploy/system.toml names it, too.
+	metricsPort = "9102"
+	// addressAge is how long callers keep an answer of the directory: short, so
+	// that they leave an entry that stops soon.
+	addressAge = 2 * time.Second
+	// maxBody bounds a body until the tables tell the limit.
+	maxBody = 4 << 20
+	// maxConnections bounds the connections of one listener: callers keep a few
+	// each, and descriptors are limited.
+	maxConnections = 1500
+	// stallLimit bounds how long a connection may make no progress within a body
+	// or an answer.
+	stallLimit = 5 * time.Second
+	// leaveShare is the part of the grace period in which a stopping entry still
+	// takes the requests of callers that keep its address.
+	leaveShare = 0.4
+	// exitMargin is kept between the end of the drain and the end of the grace
+	// period.
+	exitMargin = 300 * time.Millisecond
+	// retryMargin is the part of the retry budget that is used: the entries
+	// learn of each other with a delay.
+	retryMargin = 0.7
+)
+
+// The intervals at which an entry whose duty it is reads the store. Tables are
+// proven current most often, since keys depend on it.
+const (
+	tablesWait   = 1100 * time.Millisecond
+	backendsWait = 1500 * time.Millisecond
+	releasesWait = 3 * time.Second
+)
+
+var plans = map[platform.Kind]copies.Plan{
+	platform.Tables:   {Wait: tablesWait, MaxAge: 2900 * time.Millisecond},
+	platform.Backends: {Wait: backendsWait, MaxAge: 4 * time.Second},
+	platform.Releases: {Wait: releasesWait, MaxAge: 8 * time.Second},
+}
+
+// Run runs the entry until it is told to stop.
+func Run(s platform.Settings) error {
+	log := logging.New(os.Stdout, "info", s.Instance, s.AvailabilityZone)
+	log.WithField("front", s.Front).Info("entry starts")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	d := daemon.New(daemonConfig(s), log)
+	socket, err := beat.Open(s.IP, s.PeerPort, log)
+	if err != nil {
+		return err
+	}
+	e := newEntry(s, socket, log)
+	server := peer.NewServer(peer.Security{}, log)
+	if err := server.Register("Copies", NewCopiesService(e.copies)); err != nil {
+		return err
+	}
+	if err := server.Listen(beat.Address(s.IP, s.PeerPort)); err != nil {
+		return err
+	}
+	if err := e.listen(d, s); err != nil {
+		return err
+	}
+	d.OnDrain(e.leave)
+	go e.copies.Run(ctx)
+	go e.heart.Run(ctx)
+	go e.gate.Run(ctx)
+	err = d.Run()
+	log.Info("entry stopped")
+	return err
+}
+
+func daemonConfig(s platform.Settings) daemon.Config {
+	leave := time.Duration(leaveShare * float64(s.Bounds.Grace))
+	return daemon.Config{
+		Name: "plantain-entry", LeaveDelay: leave, DrainLimit: s.Bounds.Grace - leave - exitMargin,
+		MaxConnections: maxConnections, StallLimit: stallLimit,
+	}
+}
+
+type entry struct {
+	copies  *copies.Copies
+	view    *view
+	gate    *gate
+	front   *front
+	heart   *heart
+	metrics *metrics.Metrics
+}
+
+func newEntry(s platform.Settings, socket *beat.Socket, log *logrus.Entry) *entry {
+	e := &entry{metrics: metrics.New()}
+	counted := newFrontMetrics(e.metrics)
+	start := time.Now().UnixNano()
+	e.gate = newGate(placement.New(placement.Config{
+		AvailabilityZone: s.AvailabilityZone, LapseGrace: 2300 * time.Millisecond, PeerAge: 1200 * time.Millisecond,
+		Avoid: 500 * time.Millisecond, MaxAvoid: 6 * time.Second, Seed: uint64(start),
+		EnginePool: func(pool string) bool { return e.view.isEngine(pool) },
+	}), retryMargin*s.Bounds.RetryRatio, retryMargin*s.Bounds.RetrySlack)
+	e.view = newView(e.gate, log)
+	e.front = &front{view: e.view, gate: e.gate, sender: newSender(), log: log, metrics: counted, revoke: s.Bounds.Revoke, switchBound: s.Bounds.Switch}
+	e.heart = &heart{socket: socket, view: e.view, gate: e.gate, front: e.front, log: log, start: start, news: make(chan struct{}, 1)}
+	store := platform.NewStore(s.Store, newStoreTransport())
+	store.Called = func(method string, kind platform.Kind) { counted.store.WithLabelValues(method, string(kind)).Inc() }
+	e.copies = copies.New(store, plans, log, e.heart.watches, func(kind platform.Kind) {
+		e.view.changed(kind)
+		e.heart.wake()
+	})
+	e.view.copies, e.heart.copies = e.copies, e.copies
+	e.heart.puller = NewPuller(e.copies, peer.NewClient(peer.Security{}), s.PeerPort, log)
+	e.heart.directory = peers.New(peers.Config{
+		LiveFor: 900 * time.Millisecond, ForgetAfter: time.Minute, ProbeFor: time.Minute, ProbeInterval: time.Second,
+	}, peers.Entry{
+		Instance: s.Instance, Host: s.IP, AvailabilityZone: s.AvailabilityZone, Region: s.Region, Front: s.Front, Start: start,
+	}, s.Seeds, clock.Now())
+	return e
+}
+
+func newStoreTransport() http.RoundTripper {
+	dialer := &net.Dialer{Timeout: dialLimit, Control: boundUnacked}
+	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: len(platform.Kinds), DisableCompression: true}
+}
+
+// leave takes this entry out of the answers to callers.
+func (e *entry) leave() {
+	e.front.leaving.Store(true)
+	e.heart.wake()
+}
+
+func (e *entry) listen(d *daemon.Daemon, s platform.Settings) error {
+	host, _, err := net.SplitHostPort(s.Front)
+	if err != nil {
+		return failure.Wrap(err, failure.Invalid, "correct the settings file", "an entry needs the listen address Front")
+	}
+	ready := rest.Route{Method: http.MethodGet, Path: platform.ReadyPath, Handler: e.serveReady}
+	address := rest.Route{Method: http.MethodGet, Path: platform.AddressPath, Handler: e.serveAddresses}
+	listeners := []daemon.Listener{
+		{Address: s.Front, Fallback: e.front, MaxBodyBytes: maxBody},
+		{Address: s.Ready, Routes: []rest.Route{ready}, MaxBodyBytes: 1 << 10},
+		{Address: s.Directory, Routes: []rest.Route{address}, MaxBodyBytes: 1 << 10},
+		{Address: net.JoinHostPort(host, metricsPort), Routes: daemon.OperationRoutes(daemon.NewReadiness(), e.metrics.Registry), MaxBodyBytes: 1 << 10},
+	}
+	for _, listener := range listeners {
+		if listener.Address == "" {
+			continue
+		}
+		if err := d.Listen(listener); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !e.heart.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (e *entry) serveAddresses(w http.ResponseWriter, _ *http.Request) {
+	fronts := e.heart.fronts()
+	if len(fronts) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	raw, err := platform.EncodeAddresses(fronts[:min(len(fronts), platform.MaxAddresses)], addressAge)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A caller that has gone needs no answer.
+	_, _ = w.Write(raw)
+}
--- /dev/null
+++ b/internal/relay/gate.go
@@ -0,0 +1,251 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"plantainrelay/internal/admission"
+	"plantainrelay/internal/catalog"
+	"plantainrelay/internal/clock"
+	"plantainrelay/internal/dispatch"
+	"plantainrelay/internal/placement"
+)
+
+const (
+	// maxQueued bounds the waiting requests of one pool at one entry.
+	maxQueued = 256
+	// pumpInterval is the time between two looks at waiting requests, which may
+	// go on when other entries' requests have ended.
+	pumpInterval = 15 * time.Millisecond
+	// minReturn is the shortest time after which a rejected caller may return.
+	minReturn = 250 * time.Millisecond
+)
+
+// ticket is a request that asks for a place.
+type ticket struct {
+	admission.Ticket
+	need placement.Need
+	// placed receives the choice; it is closed when the request is shed.
+	placed     chan placement.Choice
+	retryAfter time.Duration
+}
+
+// gate joins the view of the instances with the queues of waiting requests. It
+// is safe for concurrent use.
+type gate struct {
+	mu      sync.Mutex
+	fleet   *placement.Fleet
+	queues  map[string]*admission.Queue
+	tickets map[uint64]*ticket
+	nextID  uint64
+	budgets map[string]*dispatch.Budget
+	// retryShare and retryLimit are this entry's part of the retry budget.
+	retryShare, retryLimit float64
+	entries                int
+}
+
+func newGate(fleet *placement.Fleet, retryShare, retryLimit float64) *gate {
+	return &gate{
+		fleet: fleet, queues: map[string]*admission.Queue{}, tickets: map[uint64]*ticket{}, budgets: map[string]*dispatch.Budget{},
+		retryShare: retryShare, retryLimit: retryLimit, entries: 1,
+	}
+}
+
+// rejection says that a request got no place.
+type rejection struct {
+	retryAfter time.Duration
+	reason     string
+}
+
+// enter waits for a place. It returns a rejection when the request is shed or
+// ctx ends first.
+func (g *gate) enter(ctx context.Context, t *ticket) (placement.Choice, *rejection) {
+	g.mu.Lock()
+	now := clock.Now()
+	count, _ := g.fleet.Usable(t.need, now)
+	if count == 0 && !now.Before(t.StartBy) {
+		g.mu.Unlock()
+		return placement.Choice{}, &rejection{retryAfter: minReturn, reason: "no_instance"}
+	}
+	g.nextID++
+	t.ID = g.nextID
+	t.placed = make(chan placement.Choice, 1)
+	g.tickets[t.ID] = t
+	g.shed(g.queue(t.need.Pool).Offer(t.Ticket, now))
+	g.pump(t.need.Pool, now)
+	g.mu.Unlock()
+	return g.await(ctx, t)
+}
+
+func (g *gate) await(ctx context.Context, t *ticket) (placement.Choice, *rejection) {
+	select {
+	case choice, ok := <-t.placed:
+		if ok {
+			return choice, nil
+		}
+		return placement.Choice{}, &rejection{retryAfter: t.retryAfter, reason: "overload"}
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.queue(t.need.Pool).Cancel(t.ID) {
+		delete(g.tickets, t.ID)
+		return placement.Choice{}, &rejection{retryAfter: minReturn, reason: "caller_left"}
+	}
+	// The place was given at the same moment.
+	choice, ok := <-t.placed
+	if !ok {
+		return placement.Choice{}, &rejection{retryAfter: t.retryAfter, reason: "overload"}
+	}
+	return choice, nil
+}
+
+func (g *gate) queue(pool string) *admission.Queue {
+	if g.queues[pool] == nil {
+		g.queues[pool] = admission.New(admission.Config{MaxQueued: maxQueued, MaxPerCustomer: maxQueued, MaxWait: time.Minute})
+	}
+	return g.queues[pool]
+}
+
+// pump gives free places to waiting requests. The caller holds mu.
+func (g *gate) pump(pool string, now time.Time) {
+	queue := g.queue(pool)
+	for queue.Waiting() > 0 {
+		free := 0
+		if g.anyFree(pool, now) {
+			free = 1
+		}
+		start, shed := queue.Next(free, now)
+		g.shed(shed)
+		if len(start) == 0 {
+			return
+		}
+		g.start(start[0], now)
+	}
+}
+
+// anyFree reports whether some waiting request of the pool finds a place.
+func (g *gate) anyFree(pool string, now time.Time) bool {
+	for _, t := range g.tickets {
+		if t.need.Pool == pool && g.fleet.Free(t.need, now) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *gate) start(id uint64, now time.Time) {
+	t := g.tickets[id]
+	delete(g.tickets, id)
+	choice, found := g.fleet.Choose(t.need, now)
+	if !found {
+		t.retryAfter = minReturn
+		g.queue(t.need.Pool).Finished(t.Customer, t.Route, 0)
+		close(t.placed)
+		return
+	}
+	t.placed <- choice
+}
+
+func (g *gate) shed(shed []admission.Shed) {
+	for _, one := range shed {
+		t := g.tickets[one.ID]
+		delete(g.tickets, one.ID)
+		t.retryAfter = max(one.RetryAfter, minReturn)
+		close(t.placed)
+	}
+}
+
+// leave records the end of an attempt that enter has placed.
+func (g *gate) leave(t *ticket, choice placement.Choice, result placement.Result, ran time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := clock.Now()
+	g.fleet.Finished(choice.Backend.ID, result, now)
+	g.queue(t.need.Pool).Finished(t.Customer, t.Route, ran)
+	g.pump(t.need.Pool, now)
+}
+
+// Run looks after the waiting requests until ctx ends.
+func (g *gate) Run(ctx context.Context) {
+	ticker := time.NewTicker(pumpInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		g.mu.Lock()
+		now := clock.Now()
+		g.fleet.Expire(now)
+		for pool := range g.queues {
+			g.pump(pool, now)
+		}
+		g.mu.Unlock()
+	}
+}
+
+// requested counts a request for the retry budget of its pool.
+func (g *gate) requested(pool string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget(pool).Request()
+}
+
+// mayRepeat reports whether one more attempt is within the retry budget, and
+// counts it.
+func (g *gate) mayRepeat(pool string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget(pool).Retry()
+}
+
+func (g *gate) budget(pool string) *dispatch.Budget {
+	if g.budgets[pool] == nil {
+		g.budgets[pool] = dispatch.NewBudget(g.retryShare, g.retryLimit/float64(g.entries))
+	}
+	return g.budgets[pool]
+}
+
+func (g *gate) setList(backends []catalog.Backend, mayLapse bool, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleet.SetList(backends, mayLapse, now)
+}
+
+func (g *gate) reported(host string, report placement.AgentReport, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleet.Reported(host, report, now)
+}
+
+func (g *gate) peerLoads(peer string, counts map[string]int, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleet.PeerLoads(peer, counts, now)
+}
+
+func (g *gate) ownLoads() map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fleet.OwnLoads()
+}
+
+// setEntries records how many entries share the retry budget.
+func (g *gate) setEntries(count int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if count != g.entries {
+		g.entries = count
+		g.budgets = map[string]*dispatch.Budget{}
+	}
+}
+
+// engineHosts returns the IPs of the instances with model engines.
+func (g *gate) engineHosts() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fleet.EngineHosts()
+}
--- /dev/null
+++ b/internal/relay/sender.go
@@ -0,0 +1,120 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialLimit bounds the set-up of a connection to a backend server instance:
+	// some round trips between availability zones.
+	dialLimit = 400 * time.Millisecond
+	// unackedLimit is how long sent bytes may stay unacknowledged before the
+	// connection counts as dead.
+	unackedLimit = 2 * time.Second
+)
+
+// sender sends attempts to backend server instances. Each attempt has its own
+// connection: an answer that comes late or twice then meets no other request,
+// and no request is sent on a connection that the instance has dropped.
+type sender struct {
+	transport *http.Transport
+}
+
+func newSender() *sender {
+	dialer := &net.Dialer{Timeout: dialLimit, KeepAlive: -1, Control: boundUnacked}
+	return &sender{transport: &http.Transport{
+		DialContext:        dialer.DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+		ReadBufferSize:     4 << 10,
+		WriteBufferSize:    4 << 10,
+	}}
+}
+
+func boundUnacked(_, _ string, conn syscall.RawConn) error {
+	var failed error
+	err := conn.Control(func(descriptor uintptr) {
+		failed = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedLimit.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// send makes the attempt. sent says whether a byte of the request may have left
+// this process.
+func (s *sender) send(request *http.Request) (response *http.Response, sent bool, err error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	response, err = s.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	return response, connected.Load(), err
+}
+
+// newRequest returns the request that goes to the instance at address: method,
+// target and body are the caller's own.
+func newRequest(ctx context.Context, from *http.Request, address string, body []byte, header http.Header) *http.Request {
+	request := &http.Request{
+		Method: from.Method, URL: &url.URL{Scheme: "http", Host: address, Opaque: from.RequestURI},
+		Host: from.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if len(body) > 0 {
+		request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+	}
+	return request.WithContext(ctx)
+}
+
+// watchdog cancels an attempt that makes no progress.
+type watchdog struct {
+	mu     sync.Mutex
+	timer  *time.Timer
+	cancel context.CancelFunc
+	done   bool
+}
+
+// newWatchdog returns a watchdog that cancels after limit; zero is no limit.
+func newWatchdog(cancel context.CancelFunc, limit time.Duration) *watchdog {
+	w := &watchdog{cancel: cancel}
+	if limit > 0 {
+		w.timer = time.AfterFunc(limit, w.fire)
+	}
+	return w
+}
+
+func (w *watchdog) fire() {
+	w.mu.Lock()
+	w.done = true
+	w.mu.Unlock()
+	w.cancel()
+}
+
+// extend gives the attempt limit from now on; nothing when it had no limit.
+func (w *watchdog) extend(limit time.Duration) {
+	if w.timer != nil {
+		w.timer.Reset(limit)
+	}
+}
+
+func (w *watchdog) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+func (w *watchdog) fired() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.done
+}
--- /dev/null
+++ b/internal/relay/tables.go
@@ -0,0 +1,120 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"plantainrelay/internal/beat"
+	"plantainrelay/internal/clock"
+	"plantainrelay/internal/copies"
+	"plantainrelay/internal/failure"
+	"plantainrelay/internal/peer"
+	"plantainrelay/internal/replica"
+	"plantainrelay/platform"
+)
+
+const (
+	// pullMethod is the call by which a process takes news from a peer.
+	pullMethod = "Copies.Pull"
+	// pullLimit bounds one such call.
+	pullLimit = time.Second
+)
+
+// PullArgs asks for what changed in a collection since a revision.
+type PullArgs struct {
+	Kind  string
+	Since int64
+}
+
+// PullReply holds the changes and the age of their proof.
+type PullReply struct {
+	Change replica.Change
+	Age    time.Duration
+}
+
+// CopiesService lets peers pull news of the collections.
+type CopiesService struct {
+	copies *copies.Copies
+}
+
+// NewCopiesService returns the service for net/rpc.
+func NewCopiesService(held *copies.Copies) *CopiesService {
+	return &CopiesService{copies: held}
+}
+
+// Pull answers with what the caller lacks.
+func (s *CopiesService) Pull(args PullArgs, reply *PullReply) error {
+	change, age, known := s.copies.Since(platform.Kind(args.Kind), args.Since)
+	if !known {
+		return failure.New(failure.NotFound, "ask another process", "this process has no copy of %s yet", args.Kind)
+	}
+	reply.Change, reply.Age = change, age
+	return nil
+}
+
+// Puller takes news from the peers that have them.
+type Puller struct {
+	copies *copies.Copies
+	client *peer.Client
+	port   int
+	log    *logrus.Entry
+	// busy holds a token for each collection that is being pulled.
+	busy map[platform.Kind]chan struct{}
+}
+
+// NewPuller returns a puller that calls peers at port.
+func NewPuller(held *copies.Copies, client *peer.Client, port int, log *logrus.Entry) *Puller {
+	p := &Puller{copies: held, client: client, port: port, log: log, busy: map[platform.Kind]chan struct{}{}}
+	for _, kind := range platform.Kinds {
+		p.busy[kind] = make(chan struct{}, 1)
+	}
+	return p
+}
+
+// Heard takes in a peer's standings and pulls what it has news of.
+func (p *Puller) Heard(ctx context.Context, m *beat.Message) {
+	now := clock.Now()
+	for i, standing := range m.Standings {
+		if i >= len(platform.Kinds) {
+			return
+		}
+		kind := platform.Kinds[i]
+		heard := copies.Standing{Known: standing.Known, Content: standing.Content, Age: time.Duration(standing.AgeMs) * time.Millisecond}
+		if p.copies.Heard(kind, heard, now) {
+			p.pull(ctx, kind, m.Host)
+		}
+	}
+}
+
+func (p *Puller) pull(ctx context.Context, kind platform.Kind, host string) {
+	select {
+	case p.busy[kind] <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-p.busy[kind] }()
+		ctx, cancel := context.WithTimeout(ctx, pullLimit)
+		defer cancel()
+		var reply PullReply
+		asked := clock.Now()
+		err := p.client.Call(ctx, beat.Address(host, p.port), pullMethod, PullArgs{Kind: string(kind), Since: p.copies.AsOf(kind)}, &reply)
+		if err != nil {
+			p.log.WithError(err).WithFields(logrus.Fields{"peer": host, "collection": string(kind)}).Warning("news could not be taken from a peer")
+			return
+		}
+		p.copies.Take(kind, reply.Change, asked.Add(-reply.Age))
+	}()
+}
+
+// Standings returns this process's standings for its messages.
+func Standings(held *copies.Copies) []beat.Standing {
+	standings := make([]beat.Standing, len(platform.Kinds))
+	for i, kind := range platform.Kinds {
+		standing := held.Standing(kind)
+		standings[i] = beat.Standing{Known: standing.Known, Content: standing.Content, AgeMs: standing.Age.Milliseconds()}
+	}
+	return standings
+}
