--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -143,10 +143,12 @@
 
 func newAgent(s platform.Settings, socket *beat.Socket, log *logrus.Entry) *agent {
 	local := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true}
-	remote := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: maxInFlight, DisableCompression: true}
+	remote := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true}
+	// The origin takes few connections: idle ones would keep others out.
+	origin := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableKeepAlives: true, DisableCompression: true}
 	a := &agent{
 		settings: s, log: log, socket: socket, client: peer.NewClient(peer.Security{}),
-		engine: platform.NewEngine(s.Backend, local), origin: platform.NewOrigin(remote),
+		engine: platform.NewEngine(s.Backend, local), origin: platform.NewOrigin(origin),
 		holding: newHolding(), uploads: make(chan struct{}, maxUploads), start: time.Now().UnixNano(),
 		changed: make(chan struct{}, 1), entries: map[string]time.Time{}, neighbors: map[string]neighbor{},
 	}
--- a/internal/loader/distribution.go
+++ b/internal/loader/distribution.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -76,7 +77,7 @@
 func (a *agent) begin(ctx context.Context, wanted target) {
 	manifest, err := a.findManifest(ctx, wanted)
 	if err != nil {
-		a.log.WithError(err).WithField("version", wanted.version).Warning("the manifest is not to be had yet")
+		a.log.WithError(err).WithField("version", wanted.version).Debug("the manifest is not to be had yet")
 		return
 	}
 	a.holding.add(manifest)
@@ -106,16 +107,22 @@
 	origin := a.table.Origin()
 	a.mu.Unlock()
 	ranked := member.Rank("manifest", zone)
-	if ranked[0] != a.settings.IP && clock.Now().Sub(wanted.seen) < manifestPatience {
-		for _, host := range ranked[:min(2, len(ranked))] {
-			if host == a.settings.IP {
-				continue
-			}
-			var manifest platform.Manifest
-			if err := a.call(ctx, host, methodManifest, callLimit, VersionArgs{Model: wanted.model, Version: wanted.version}, &manifest); err == nil {
-				return manifest, nil
-			}
+	if ranked[0] == a.settings.IP {
+		if manifest, err := a.originManifest(ctx, origin, wanted); err == nil {
+			return manifest, nil
 		}
+	}
+	for _, host := range []string{ranked[0], ranked[rand.IntN(len(ranked))]} {
+		if host == a.settings.IP {
+			continue
+		}
+		var manifest platform.Manifest
+		err := a.call(ctx, host, methodManifest, callLimit, VersionArgs{Model: wanted.model, Version: wanted.version}, &manifest)
+		if err == nil && manifest.Model == wanted.model && manifest.Version == wanted.version && len(manifest.Digests) > 0 {
+			return manifest, nil
+		}
+	}
+	if clock.Now().Sub(wanted.seen) < manifestPatience {
 		return platform.Manifest{}, failure.New(failure.NotFound, "wait", "no neighbor has the manifest yet")
 	}
 	return a.originManifest(ctx, origin, wanted)
