--- a/internal/beat/message.go
+++ b/internal/beat/message.go
@@ -32,6 +32,21 @@
 	AgeMs int64
 }
 
+// Load is what an entry has in progress at one instance.
+type Load struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Count    int
+	Unread   int
+}
+
+// Release is the intended version of a model's weights.
+type Release struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Model    string
+	Version  int64
+	AgeMs    int64
+}
+
 // Report is an agent's word on the engine beside it.
 type Report struct {
 	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
@@ -58,8 +73,12 @@
 	Leaving bool
 	// Standings holds the collections in the order of platform.Kinds.
 	Standings []Standing
-	// Loads counts the entry's requests in progress by instance ID.
-	Loads map[string]int
+	// Loads holds what the entry has in progress by instance ID.
+	Loads map[string]Load
+	// LoadsOnly says that the message tells only the loads that have changed.
+	LoadsOnly bool
+	// Releases tells how long ago the sender learned of the intended versions.
+	Releases []Release
 	// Hosts names some other entries.
 	Hosts  []string
 	Report *Report
--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -112,6 +112,11 @@
 	Load time.Duration
 }
 
+// Pass returns the time of one pass of an engine that writes.
+func (e *Engine) Pass() time.Duration {
+	return time.Duration(max(e.Stride, 1)) * e.Step
+}
+
 // Pool is a set of backend server instances that serve the same requests.
 type Pool struct {
 	Name string
@@ -190,6 +195,22 @@
 	return t.customers && !route.Anonymous
 }
 
+// Resumable reports whether all streams that the pool serves may go on at
+// another instance.
+func (t *Table) Resumable(pool string) bool {
+	for _, routes := range t.hosts {
+		for _, route := range routes {
+			if route.Kind != Streaming || route.Resumable {
+				continue
+			}
+			if slices.ContainsFunc(route.Targets, func(target Target) bool { return target.Pool == pool }) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Customer returns the holder of key.
 func (t *Table) Customer(key string) (Customer, bool) {
 	customer, found := t.keys[key]
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -42,8 +42,8 @@
 	entryAge = 6 * time.Second
 	// maxInFlight bounds the chunks fetched at once, maxUploads those served: a
 	// chunk takes about 35 ms of an instance's link.
-	maxInFlight = 6
-	maxUploads  = 6
+	maxInFlight = 2
+	maxUploads  = 1
 	// firstNews is how long a starting agent waits for an entry's news before it
 	// reads the store itself.
 	firstNews = 1500 * time.Millisecond
--- a/internal/loader/distribution.go
+++ b/internal/loader/distribution.go
@@ -60,9 +60,9 @@
 		case <-ticker.C:
 		}
 		a.mu.Lock()
-		wanted, current := a.target, a.fetching
+		wanted, current, lost := a.target, a.fetching, a.report.Born == 0
 		a.mu.Unlock()
-		if wanted.version == 0 {
+		if wanted.version == 0 || (current == nil && lost) {
 			continue
 		}
 		if current == nil || current.target.version != wanted.version {
@@ -81,7 +81,10 @@
 		return
 	}
 	a.holding.add(manifest)
-	a.readStage(ctx, wanted, manifest)
+	if err := a.readStage(ctx, wanted, manifest); err != nil {
+		a.log.WithError(err).Warning("the staged chunks could not be read")
+		return
+	}
 	have, _ := a.holding.have(wanted.version)
 	now := clock.Now()
 	a.mu.Lock()
@@ -148,7 +151,7 @@
 }
 
 // readStage takes over what is staged beside this agent.
-func (a *agent) readStage(ctx context.Context, wanted target, manifest platform.Manifest) {
+func (a *agent) readStage(ctx context.Context, wanted target, manifest platform.Manifest) error {
 	for chunk := range manifest.Digests {
 		if _, held := a.holding.chunk(wanted.version, chunk); held {
 			continue
@@ -159,10 +162,10 @@
 		if err == nil {
 			a.holding.put(wanted.version, chunk, data)
 		} else if !failure.Is(err, failure.NotFound) {
-			a.log.WithError(err).Debug("a staged chunk could not be read")
-			return
+			return err
 		}
 	}
+	return nil
 }
 
 // step does what the plan says now.
--- a/internal/loader/service.go
+++ b/internal/loader/service.go
@@ -26,6 +26,9 @@
 // instance's link while others use it, too.
 const chunkLimit = 2500 * time.Millisecond
 
+// uploadWait is how long a call waits for its turn among the uploads.
+const uploadWait = 400 * time.Millisecond
+
 // VersionArgs names the weights that a call is about.
 type VersionArgs struct {
 	Model   string
@@ -81,7 +84,7 @@
 	select {
 	case s.agent.uploads <- struct{}{}:
 		defer func() { <-s.agent.uploads }()
-	default:
+	case <-time.After(uploadWait):
 		reply.Busy = true
 		return nil
 	}
--- a/internal/loader/switch.go
+++ b/internal/loader/switch.go
@@ -146,7 +146,7 @@
 // read back. It returns the order that stands.
 func (a *agent) switchTo(ctx context.Context, last order) order {
 	a.mu.Lock()
-	wanted, report := a.target, a.report
+	wanted, report, cut := a.target, a.report, a.table.Resumable(a.settings.Pool)
 	a.mu.Unlock()
 	log := a.log.WithFields(logrus.Fields{"version": wanted.version, "from": report.Loaded, "born": report.Born})
 	if !a.verifyStage(ctx, wanted) {
@@ -158,7 +158,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, localLimit)
 	defer cancel()
-	err := a.engine.Load(ctx, wanted.model, wanted.version)
+	err := a.engine.Load(ctx, wanted.model, wanted.version, cut)
 	if err == nil {
 		log.WithField("after_ms", clock.Now().Sub(wanted.seen).Milliseconds()).Info("the engine was ordered to load")
 		return order{version: wanted.version, born: report.Born, at: clock.Now()}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -136,6 +136,32 @@
 	return live
 }
 
+// Near returns the hosts of up to most live entries, those of the own
+// availability zone first.
+func (d *Directory) Near(most int, now time.Time) []string {
+	var near, far []string
+	for _, entry := range d.Live(now) {
+		if entry.AvailabilityZone == d.self.AvailabilityZone {
+			near = append(near, entry.Host)
+		} else {
+			far = append(far, entry.Host)
+		}
+	}
+	hosts := append(near, far...)
+	return hosts[:min(most, len(hosts))]
+}
+
+// Current reports whether a message is newer than the last one of its sender,
+// and remembers it when it is.
+func (d *Directory) Current(host string, start int64, sequence uint64) bool {
+	last := d.entries[host]
+	if last == nil || start != last.Start || sequence <= last.Sequence {
+		return false
+	}
+	last.Sequence = sequence
+	return true
+}
+
 // Watches reports whether reading the collection is this entry's duty: one
 // entry of each availability zone has it.
 func (d *Directory) Watches(collection string, now time.Time) bool {
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -26,16 +26,25 @@
 	// it doubles with each failure in a row up to MaxAvoid.
 	Avoid, MaxAvoid time.Duration
 	Seed            uint64
-	// EnginePool tells whether the instances of a pool are model engines.
-	EnginePool func(pool string) bool
+	// Engine returns what is known of the engines of a pool, nil for pools of
+	// plain services.
+	Engine func(pool string) *catalog.Engine
 }
 
 const (
-	// farPenalty is what another availability zone adds to the relative load of
-	// an instance: its bytes are priced, and it is further away.
-	farPenalty = 0.2
+	// farPenalty is what another availability zone adds to the expected wait at
+	// an engine: a round trip, and bytes that are priced.
+	farPenalty = 20 * time.Millisecond
+	// farLoad is the same for plain services, as a share of the instance's limit.
+	farLoad = 0.2
 	// jitter spreads the choices of entries that know the same loads.
-	jitter = 0.15
+	jitter = 4 * time.Millisecond
+	// fullPenalty is what the last free place of an engine adds to the expected
+	// wait, so that equal prompts go where fewer requests write.
+	fullPenalty = 40 * time.Millisecond
+	// readFor is how long after its word another entry's unread prompts count: by
+	// then an engine has read them, within a pass or two.
+	readFor = 300 * time.Millisecond
 	// plainFactor is the number of requests in progress per slot of an instance
 	// whose requests take milliseconds.
 	plainFactor = 2
@@ -55,9 +64,18 @@
 	Pace float64
 }
 
+// Load is what one entry has in progress at an instance.
+type Load struct {
+	// Count is the number of requests.
+	Count int
+	// Unread is the number of prompt tokens of those that have not begun to
+	// answer.
+	Unread int
+}
+
 type peerLoad struct {
-	count int
-	at    time.Time
+	Load
+	at time.Time
 }
 
 // instance is what is known of one backend server instance.
@@ -67,6 +85,9 @@
 	reported   AgentReport
 	reportedAt time.Time
 	own        int
+	// unread holds the prompt tokens of this entry's requests that have not begun
+	// to answer, by ticket.
+	unread     map[uint64]int
 	peers      map[string]peerLoad
 	failures   int
 	avoidUntil time.Time
@@ -83,6 +104,7 @@
 	byHost    map[string]*instance
 	reports   map[string]heard
 	random    *rand.Rand
+	tickets   uint64
 }
 
 type heard struct {
@@ -107,7 +129,7 @@
 		listed[backend.ID] = true
 		known := f.instances[backend.ID]
 		if known == nil || known.Born != backend.Born || known.Address != backend.Address {
-			known = &instance{peers: map[string]peerLoad{}}
+			known = &instance{peers: map[string]peerLoad{}, unread: map[uint64]int{}}
 			f.instances[backend.ID] = known
 		}
 		known.Backend, known.lapsed = backend, time.Time{}
@@ -161,27 +183,46 @@
 	}
 }
 
-// PeerLoads takes in how many requests another entry has in progress, by ID of
-// the instance.
-func (f *Fleet) PeerLoads(peer string, counts map[string]int, now time.Time) {
+// PeerLoads takes in what another entry has in progress, by ID of the instance.
+// whole says that it has nothing at instances that are not named.
+func (f *Fleet) PeerLoads(peer string, loads map[string]Load, whole bool, now time.Time) {
+	for id, load := range loads {
+		if known := f.instances[id]; known != nil {
+			known.peers[peer] = peerLoad{Load: load, at: now}
+		}
+	}
+	if !whole {
+		return
+	}
 	for id, known := range f.instances {
-		if count := counts[id]; count > 0 {
-			known.peers[peer] = peerLoad{count: count, at: now}
-		} else {
+		if _, named := loads[id]; !named {
 			delete(known.peers, peer)
 		}
 	}
 }
 
-// OwnLoads returns how many requests of this entry are in progress, by ID.
-func (f *Fleet) OwnLoads() map[string]int {
-	counts := map[string]int{}
+// OwnLoad returns what this entry has in progress at the instance.
+func (f *Fleet) OwnLoad(id string) Load {
+	known := f.instances[id]
+	if known == nil {
+		return Load{}
+	}
+	load := Load{Count: known.own}
+	for _, tokens := range known.unread {
+		load.Unread += tokens
+	}
+	return load
+}
+
+// OwnLoads returns what this entry has in progress, by ID of the instance.
+func (f *Fleet) OwnLoads() map[string]Load {
+	loads := map[string]Load{}
 	for id, known := range f.instances {
 		if known.own > 0 {
-			counts[id] = known.own
+			loads[id] = f.OwnLoad(id)
 		}
 	}
-	return counts
+	return loads
 }
 
 // Need is what a request asks of an instance.
@@ -191,6 +232,8 @@
 	Model string
 	// Version is the oldest version that may answer; 0 allows any.
 	Version int64
+	// Tokens is the number of prompt tokens, 0 when it is not known.
+	Tokens int
 	// Tried holds the IDs of the instances that the request was sent to.
 	Tried map[string]bool
 }
@@ -200,8 +243,10 @@
 	Backend catalog.Backend
 	// Version is the version of the weights that it holds, 0 for plain pools.
 	Version int64
-	// Load is the number of requests in progress there, Limit how many it takes.
-	Load, Limit int
+	// Load is the number of requests in progress there, Limit how many it takes,
+	// Unread the prompt tokens ahead of this request's.
+	Load, Limit, Unread int
+	ticket              uint64
 }
 
 // Choose picks an instance with a free place and counts the request there. It
@@ -215,10 +260,7 @@
 		if !f.usable(known, need, now) || load >= limit {
 			continue
 		}
-		score := float64(load)/float64(limit) + jitter*f.random.Float64()
-		if known.AvailabilityZone != f.config.AvailabilityZone {
-			score += farPenalty
-		}
+		score := f.score(known, need, load, limit, now)
 		if best == nil || score < bestScore {
 			best, bestScore = known, score
 		}
@@ -226,11 +268,74 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	choice := Choice{Backend: best.Backend, Version: best.version(need.Model), Load: f.load(best, now), Limit: f.limit(best)}
+	f.tickets++
+	choice := Choice{
+		Backend: best.Backend, Version: best.version(need.Model), Load: f.load(best, now), Limit: f.limit(best),
+		Unread: f.unread(best, now), ticket: f.tickets,
+	}
 	best.own++
+	best.unread[choice.ticket] = need.Tokens
 	return choice, true
 }
 
+// score is the expected wait in seconds for the first event at an engine, or
+// the relative load of a plain service; the lowest is best.
+func (f *Fleet) score(known *instance, need Need, load, limit int, now time.Time) float64 {
+	far := known.AvailabilityZone != f.config.AvailabilityZone
+	share := float64(load) / float64(limit)
+	engine := f.engine(known.Pool)
+	if engine == nil || engine.ReadPerSecond <= 0 {
+		score := share + jitter.Seconds()*f.random.Float64()
+		if far {
+			score += farLoad
+		}
+		return score
+	}
+	wait := engine.Pass() + time.Duration(float64(f.unread(known, now)+need.Tokens)/engine.ReadPerSecond*float64(time.Second))
+	score := wait.Seconds()*known.pace() + fullPenalty.Seconds()*share + jitter.Seconds()*f.random.Float64()
+	if far {
+		score += farPenalty.Seconds()
+	}
+	return score
+}
+
+func (f *Fleet) engine(pool string) *catalog.Engine {
+	if f.config.Engine == nil {
+		return nil
+	}
+	return f.config.Engine(pool)
+}
+
+// pace returns how many times slower than usual the engine is.
+func (i *instance) pace() float64 {
+	if i.reported.Born == i.Born && i.reported.Pace > 1 {
+		return i.reported.Pace
+	}
+	return 1
+}
+
+// unread returns the prompt tokens at the instance that are not read yet. What
+// other entries have said fades as the engine reads on.
+func (f *Fleet) unread(known *instance, now time.Time) int {
+	total := 0
+	for _, tokens := range known.unread {
+		total += tokens
+	}
+	for _, peer := range known.peers {
+		if left := 1 - float64(now.Sub(peer.at))/float64(readFor); left > 0 {
+			total += int(left * float64(peer.Unread))
+		}
+	}
+	return total
+}
+
+// Began records that a request's answer has begun: its prompt is read.
+func (f *Fleet) Began(choice Choice) {
+	if known := f.instances[choice.Backend.ID]; known != nil {
+		delete(known.unread, choice.ticket)
+	}
+}
+
 // Free returns the number of free places for requests that need so.
 func (f *Fleet) Free(need Need, now time.Time) int {
 	free := 0
@@ -288,7 +393,7 @@
 	load := known.own
 	for _, peer := range known.peers {
 		if now.Sub(peer.at) <= f.config.PeerAge {
-			load += peer.count
+			load += peer.Count
 		}
 	}
 	return load
@@ -296,7 +401,7 @@
 
 // limit returns how many requests an instance takes at once.
 func (f *Fleet) limit(known *instance) int {
-	if f.config.EnginePool != nil && f.config.EnginePool(known.Pool) {
+	if f.engine(known.Pool) != nil {
 		return max(known.Slots, 1)
 	}
 	return max(known.Slots, 1) * plainFactor
@@ -306,7 +411,7 @@
 func (f *Fleet) EngineHosts() []string {
 	var hosts []string
 	for host, known := range f.byHost {
-		if f.config.EnginePool != nil && f.config.EnginePool(known.Pool) {
+		if f.engine(known.Pool) != nil {
 			hosts = append(hosts, host)
 		}
 	}
@@ -331,13 +436,18 @@
 	Abandoned
 )
 
-// Finished records the end of an attempt that Choose has counted.
-func (f *Fleet) Finished(id string, result Result, now time.Time) {
-	known := f.instances[id]
+// Finished records the end of an attempt that Choose has counted. What an
+// engine breaks off in order to switch is not held against it.
+func (f *Fleet) Finished(choice Choice, result Result, now time.Time) {
+	known := f.instances[choice.Backend.ID]
 	if known == nil {
 		return
 	}
 	known.own = max(known.own-1, 0)
+	delete(known.unread, choice.ticket)
+	if known.switching() && result != Moved {
+		return
+	}
 	switch result {
 	case Succeeded:
 		known.failures = 0
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -26,6 +26,12 @@
 	readyAge = 3500 * time.Millisecond
 	// maxHosts bounds the entries named in one message.
 	maxHosts = 16
+	// nearEntries bounds the entries that are told of each change of the load at
+	// once; those of the own availability zone come first. The others learn of
+	// it with the regular messages, so that the cost does not grow with the fleet.
+	nearEntries = 12
+	// maxMoved bounds the changes of the load that wait to be told.
+	maxMoved = 256
 )
 
 // heart exchanges messages with the other entries and the agents.
@@ -39,6 +45,8 @@
 	log    *logrus.Entry
 	start  int64
 	news   chan struct{}
+	// moved holds the instances where the load has changed since the last word.
+	moved chan string
 
 	mu        sync.Mutex
 	directory *peers.Directory
@@ -49,6 +57,7 @@
 // Run sends and receives until ctx ends.
 func (h *heart) Run(ctx context.Context) {
 	go h.socket.Receive(ctx, func(m *beat.Message) { h.handle(ctx, m) })
+	go h.loads(ctx)
 	ticker := time.NewTicker(beatInterval)
 	defer ticker.Stop()
 	for turn := 0; ; turn++ {
@@ -62,6 +71,60 @@
 	}
 }
 
+// loads tells the near entries of each change of this entry's load at once, so
+// that entries don't send their requests to the same instance.
+func (h *heart) loads(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case id := <-h.moved:
+			h.sendLoads(id)
+		}
+	}
+}
+
+func (h *heart) sendLoads(id string) {
+	changed := map[string]placement.Load{id: h.gate.ownLoad(id)}
+	for range len(h.moved) {
+		next := <-h.moved
+		changed[next] = h.gate.ownLoad(next)
+	}
+	h.mu.Lock()
+	h.sequence++
+	message := &beat.Message{
+		Role: beat.Entry, Host: h.directory.Self().Host, Start: h.start, Sequence: h.sequence, Loads: beatLoads(changed), LoadsOnly: true,
+	}
+	hosts := h.directory.Near(nearEntries, clock.Now())
+	h.mu.Unlock()
+	h.socket.Send(message, hosts)
+}
+
+// noteLoad notes that the load at an instance has changed. When too many
+// changes wait, the next regular message tells it.
+func (h *heart) noteLoad(id string) {
+	select {
+	case h.moved <- id:
+	default:
+	}
+}
+
+func beatLoads(loads map[string]placement.Load) map[string]beat.Load {
+	told := make(map[string]beat.Load, len(loads))
+	for id, load := range loads {
+		told[id] = beat.Load{Count: load.Count, Unread: load.Unread}
+	}
+	return told
+}
+
+func placementLoads(told map[string]beat.Load) map[string]placement.Load {
+	loads := make(map[string]placement.Load, len(told))
+	for id, load := range told {
+		loads[id] = placement.Load{Count: load.Count, Unread: load.Unread}
+	}
+	return loads
+}
+
 // wake sends the next message at once.
 func (h *heart) wake() {
 	select {
@@ -73,7 +136,7 @@
 func (h *heart) send(agents bool) {
 	now := clock.Now()
 	h.view.watchList(now)
-	loads := h.gate.ownLoads()
+	loads := beatLoads(h.gate.ownLoads())
 	h.mu.Lock()
 	h.setState()
 	h.sequence++
@@ -81,6 +144,7 @@
 	message := &beat.Message{
 		Role: beat.Entry, Instance: self.Instance, Host: self.Host, AvailabilityZone: self.AvailabilityZone, Start: h.start, Sequence: h.sequence,
 		Front: self.Front, Ready: self.Ready, Leaving: self.Leaving, Standings: Standings(h.copies), Loads: loads,
+		Releases: h.view.releaseAges(now),
 	}
 	targets := h.directory.Targets(now)
 	live := h.directory.Live(now)
@@ -132,6 +196,10 @@
 		}
 		return
 	}
+	if m.LoadsOnly {
+		h.handleLoads(m, now)
+		return
+	}
 	h.mu.Lock()
 	current, isNew := h.directory.Heard(peers.Entry{
 		Instance: m.Instance, Host: m.Host, AvailabilityZone: m.AvailabilityZone, Front: m.Front,
@@ -146,10 +214,20 @@
 		h.log.WithFields(logrus.Fields{"peer": m.Instance, "host": m.Host}).Info("an entry was found")
 		h.wake()
 	}
-	h.gate.peerLoads(m.Host, m.Loads, now)
+	h.gate.peerLoads(m.Host, placementLoads(m.Loads), true, now)
+	h.view.heardReleases(m.Releases, now)
 	h.puller.Heard(ctx, m)
 }
 
+func (h *heart) handleLoads(m *beat.Message, now time.Time) {
+	h.mu.Lock()
+	current := h.directory.Current(m.Host, m.Start, m.Sequence)
+	h.mu.Unlock()
+	if current {
+		h.gate.peerLoads(m.Host, placementLoads(m.Loads), false, now)
+	}
+}
+
 // watches reports whether reading a collection is this entry's duty.
 func (h *heart) watches(kind platform.Kind) bool {
 	h.mu.Lock()
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -13,6 +13,7 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"plantainrelay/internal/beat"
+	"plantainrelay/internal/catalog"
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/copies"
 	"plantainrelay/internal/daemon"
@@ -45,9 +46,14 @@
 	// exitMargin is kept between the end of the drain and the end of the grace
 	// period.
 	exitMargin = 300 * time.Millisecond
-	// retryMargin is the part of the retry budget that is used: the entries
-	// learn of each other with a delay.
-	retryMargin = 0.7
+	// stableMargin is kept between the first strict look at a version and the end
+	// of the time in which a starting process is not yet held to it.
+	stableMargin = 800 * time.Millisecond
+	// ratioMargin and slackMargin are the parts of the retry budget that are used:
+	// windows of the platform begin at other times, and entries learn of each
+	// other with a delay.
+	ratioMargin = 0.85
+	slackMargin = 0.7
 )
 
 // The intervals at which an entry whose duty it is reads the store. Tables are
@@ -119,11 +125,15 @@
 	e.gate = newGate(placement.New(placement.Config{
 		AvailabilityZone: s.AvailabilityZone, LapseGrace: 2300 * time.Millisecond, PeerAge: 1200 * time.Millisecond,
 		Avoid: 500 * time.Millisecond, MaxAvoid: 6 * time.Second, Seed: uint64(start),
-		EnginePool: func(pool string) bool { return e.view.isEngine(pool) },
-	}), retryMargin*s.Bounds.RetryRatio, retryMargin*s.Bounds.RetrySlack)
+		Engine: func(pool string) *catalog.Engine { return e.view.engine(pool) },
+	}), retryLimits{
+		window: s.Bounds.RetryWindow, ratio: ratioMargin * s.Bounds.RetryRatio, slack: slackMargin * s.Bounds.RetrySlack,
+	})
 	e.view = newView(e.gate, log)
-	e.front = &front{view: e.view, gate: e.gate, sender: newSender(), log: log, metrics: counted, revoke: s.Bounds.Revoke, switchBound: s.Bounds.Switch}
-	e.heart = &heart{socket: socket, view: e.view, gate: e.gate, front: e.front, log: log, start: start, news: make(chan struct{}, 1)}
+	e.view.switchBound, e.view.stable = s.Bounds.Switch-switchMargin, s.Bounds.Stable-stableMargin
+	e.front = &front{view: e.view, gate: e.gate, sender: newSender(), log: log, metrics: counted, revoke: s.Bounds.Revoke}
+	e.heart = &heart{socket: socket, view: e.view, gate: e.gate, front: e.front, log: log, start: start, news: make(chan struct{}, 1), moved: make(chan string, maxMoved)}
+	e.gate.moved = e.heart.noteLoad
 	store := platform.NewStore(s.Store, newStoreTransport())
 	store.Called = func(method string, kind platform.Kind) { counted.store.WithLabelValues(method, string(kind)).Inc() }
 	e.copies = copies.New(store, plans, log, e.heart.watches, func(kind platform.Kind) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -41,6 +41,7 @@
 	Version  int64  `json:"version,omitempty"`
 	Load     int    `json:"load"`
 	Limit    int    `json:"limit"`
+	Unread   int    `json:"unread,omitempty"`
 	QueueMs  int64  `json:"queue_ms"`
 	FirstMs  int64  `json:"first_ms,omitempty"`
 	Events   int    `json:"events,omitempty"`
@@ -116,7 +117,7 @@
 }
 
 func (x *exchange) need() placement.Need {
-	return placement.Need{Pool: x.pool, Model: x.model, Version: x.requiredVersion(), Tried: x.tried}
+	return placement.Need{Pool: x.pool, Model: x.model, Version: x.requiredVersion(), Tokens: x.call.PromptTokens, Tried: x.tried}
 }
 
 // requiredVersion returns the oldest version of the weights that may still
@@ -126,7 +127,7 @@
 		return 0
 	}
 	known := (*x.front.view.releases.Load())[x.model]
-	if clock.Now().Sub(known.seen) < x.front.switchBound-switchMargin {
+	if clock.Now().Sub(known.seen) < x.front.view.switchBound {
 		return 0
 	}
 	return known.version
@@ -161,7 +162,7 @@
 	}
 	started := clock.Now()
 	one := leg{
-		Instance: choice.Backend.ID, Version: choice.Version, Load: choice.Load, Limit: choice.Limit,
+		Instance: choice.Backend.ID, Version: choice.Version, Load: choice.Load, Limit: choice.Limit, Unread: choice.Unread,
 		QueueMs: started.Sub(entered).Milliseconds(),
 	}
 	x.tried[choice.Backend.ID] = true
@@ -299,6 +300,7 @@
 	}
 	defer response.Body.Close()
 	one.FirstMs = clock.Now().Sub(started).Milliseconds()
+	x.front.gate.began(choice)
 	switch platform.Judge(response.StatusCode, response.Header, x.call.ID) {
 	case platform.NotRun:
 		return notRun
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -39,8 +39,6 @@
 	// revoke is the bound on revoked keys; zero when there is none.
 	revoke  time.Duration
 	leaving atomic.Bool
-	// switchBound is the time in which a new version of weights serves everywhere.
-	switchBound time.Duration
 }
 
 // refusal is an answer of this entry's own.
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -31,6 +31,12 @@
 	retryAfter time.Duration
 }
 
+// retryLimits bound the repeated attempts of all entries together.
+type retryLimits struct {
+	window       time.Duration
+	ratio, slack float64
+}
+
 // gate joins the view of the instances with the queues of waiting requests. It
 // is safe for concurrent use.
 type gate struct {
@@ -39,16 +45,17 @@
 	queues  map[string]*admission.Queue
 	tickets map[uint64]*ticket
 	nextID  uint64
-	budgets map[string]*dispatch.Budget
-	// retryShare and retryLimit are this entry's part of the retry budget.
-	retryShare, retryLimit float64
-	entries                int
+	budgets map[string]*dispatch.WindowBudget
+	retries retryLimits
+	entries int
+	// moved is told of each instance where this entry's load has changed.
+	moved func(id string)
 }
 
-func newGate(fleet *placement.Fleet, retryShare, retryLimit float64) *gate {
+func newGate(fleet *placement.Fleet, retries retryLimits) *gate {
 	return &gate{
-		fleet: fleet, queues: map[string]*admission.Queue{}, tickets: map[uint64]*ticket{}, budgets: map[string]*dispatch.Budget{},
-		retryShare: retryShare, retryLimit: retryLimit, entries: 1,
+		fleet: fleet, queues: map[string]*admission.Queue{}, tickets: map[uint64]*ticket{}, budgets: map[string]*dispatch.WindowBudget{},
+		retries: retries, entries: 1, moved: func(string) {},
 	}
 }
 
@@ -145,9 +152,18 @@
 		close(t.placed)
 		return
 	}
+	g.moved(choice.Backend.ID)
 	t.placed <- choice
 }
 
+// began records that an answer has begun.
+func (g *gate) began(choice placement.Choice) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleet.Began(choice)
+	g.moved(choice.Backend.ID)
+}
+
 func (g *gate) shed(shed []admission.Shed) {
 	for _, one := range shed {
 		t := g.tickets[one.ID]
@@ -162,7 +178,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := clock.Now()
-	g.fleet.Finished(choice.Backend.ID, result, now)
+	g.fleet.Finished(choice, result, now)
+	g.moved(choice.Backend.ID)
 	g.queue(t.need.Pool).Finished(t.Customer, t.Route, ran)
 	g.pump(t.need.Pool, now)
 }
@@ -191,7 +208,7 @@
 func (g *gate) requested(pool string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.budget(pool).Request()
+	g.budget(pool).Request(clock.Now())
 }
 
 // mayRepeat reports whether one more attempt is within the retry budget, and
@@ -199,12 +216,12 @@
 func (g *gate) mayRepeat(pool string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.budget(pool).Retry()
+	return g.budget(pool).Retry(clock.Now())
 }
 
-func (g *gate) budget(pool string) *dispatch.Budget {
+func (g *gate) budget(pool string) *dispatch.WindowBudget {
 	if g.budgets[pool] == nil {
-		g.budgets[pool] = dispatch.NewBudget(g.retryShare, g.retryLimit/float64(g.entries))
+		g.budgets[pool] = dispatch.NewWindowBudget(g.retries.window, g.retries.ratio, g.retries.slack/float64(g.entries))
 	}
 	return g.budgets[pool]
 }
@@ -221,25 +238,31 @@
 	g.fleet.Reported(host, report, now)
 }
 
-func (g *gate) peerLoads(peer string, counts map[string]int, now time.Time) {
+func (g *gate) peerLoads(peer string, loads map[string]placement.Load, whole bool, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.fleet.PeerLoads(peer, counts, now)
+	g.fleet.PeerLoads(peer, loads, whole, now)
 }
 
-func (g *gate) ownLoads() map[string]int {
+func (g *gate) ownLoads() map[string]placement.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.fleet.OwnLoads()
 }
 
+func (g *gate) ownLoad(id string) placement.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fleet.OwnLoad(id)
+}
+
 // setEntries records how many entries share the retry budget.
 func (g *gate) setEntries(count int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if count != g.entries {
-		g.entries = count
-		g.budgets = map[string]*dispatch.Budget{}
+	g.entries = count
+	for _, budget := range g.budgets {
+		budget.SetSlack(g.retries.slack / float64(count))
 	}
 }
 
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -1,11 +1,13 @@
 package relay
 
 import (
+	"maps"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"plantainrelay/internal/beat"
 	"plantainrelay/internal/catalog"
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/copies"
@@ -16,18 +18,26 @@
 // release is the intended version of one model's weights.
 type release struct {
 	version int64
-	// seen is when this process learned of it.
+	// seen is when it was learned of, here or at the entry that told of it.
 	seen time.Time
+	// guessed says that seen is a guess: this process has begun since.
+	guessed bool
 }
 
 // view is the decoded state of the copies. The table and the releases are
 // replaced as a whole, so that readers take no lock.
 type view struct {
-	copies   *copies.Copies
-	gate     *gate
-	log      *logrus.Entry
-	table    atomic.Pointer[catalog.Table]
-	releases atomic.Pointer[map[string]release]
+	copies *copies.Copies
+	// switchBound is the time in which a new version serves everywhere, stable
+	// the time for which a process has to run before it is held to that.
+	switchBound time.Duration
+	stable      time.Duration
+	gate        *gate
+	log         *logrus.Entry
+	table       atomic.Pointer[catalog.Table]
+	releases    atomic.Pointer[map[string]release]
+	// listed says that the releases were read once: what comes later is new.
+	listed bool
 	// awayUntil is the time until which entries of the list that are missing may
 	// have lapsed, in nanoseconds of the boot clock.
 	awayUntil atomic.Int64
@@ -41,6 +51,10 @@
 // calm times it stays below two waits of a watch.
 const awayAge = 2*backendsWait + 800*time.Millisecond
 
+// ageSlack is the difference between two words on a release's age that does not
+// matter.
+const ageSlack = 20 * time.Millisecond
+
 func newView(gate *gate, log *logrus.Entry) *view {
 	v := &view{gate: gate, log: log}
 	v.releases.Store(&map[string]release{})
@@ -104,6 +118,7 @@
 	for _, document := range v.copies.Documents(platform.Releases) {
 		v.decodeRelease(document, next, now)
 	}
+	v.listed = true
 	v.releases.Store(&next)
 }
 
@@ -114,7 +129,12 @@
 		return
 	}
 	if decoded.Version > into[decoded.Model].version {
-		into[decoded.Model] = release{version: decoded.Version, seen: now}
+		next := release{version: decoded.Version, seen: now}
+		if !v.listed {
+			// It may have been released long before this process began.
+			next.seen, next.guessed = now.Add(v.stable-v.switchBound), true
+		}
+		into[decoded.Model] = next
 		v.log.WithFields(logrus.Fields{"model": decoded.Model, "version": decoded.Version, "revision": document.Revision}).Info("release seen")
 	}
 }
@@ -133,8 +153,41 @@
 	return v.copies.Standing(platform.Tables).Age
 }
 
-// isEngine reports whether the instances of a pool are model engines.
-func (v *view) isEngine(pool string) bool {
-	table := v.table.Load()
-	return table != nil && table.Pools[pool].Engine != nil
+// engine returns what is known of the engines of a pool, nil for pools of plain
+// services.
+func (v *view) engine(pool string) *catalog.Engine {
+	if table := v.table.Load(); table != nil {
+		return table.Pools[pool].Engine
+	}
+	return nil
+}
+
+// releaseAges tells the releases whose age this process knows.
+func (v *view) releaseAges(now time.Time) []beat.Release {
+	var ages []beat.Release
+	for model, known := range *v.releases.Load() {
+		if !known.guessed {
+			ages = append(ages, beat.Release{Model: model, Version: known.version, AgeMs: now.Sub(known.seen).Milliseconds()})
+		}
+	}
+	return ages
+}
+
+// heardReleases takes the ages of releases from an entry that knows them.
+func (v *view) heardReleases(ages []beat.Release, now time.Time) {
+	last := *v.releases.Load()
+	for _, age := range ages {
+		known, found := last[age.Model]
+		if !found || known.version != age.Version {
+			continue
+		}
+		seen := now.Add(-time.Duration(age.AgeMs) * time.Millisecond)
+		if !known.guessed && !seen.Before(known.seen.Add(-ageSlack)) {
+			continue
+		}
+		next := maps.Clone(last)
+		next[age.Model] = release{version: known.version, seen: seen}
+		v.releases.Store(&next)
+		last = next
+	}
 }
