--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -17,6 +17,7 @@
 	"os/signal"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"plantainrelay/internal/beat"
 	"plantainrelay/internal/catalog"
@@ -40,10 +41,9 @@
 	beatInterval = time.Second
 	// entryAge is how long after its last message an entry is sent messages.
 	entryAge = 6 * time.Second
-	// maxInFlight bounds the chunks fetched at once, maxUploads those served: a
-	// chunk takes about 35 ms of an instance's link.
+	// maxInFlight bounds the chunks fetched at once: a chunk takes about 35 ms of
+	// an instance's link, which the engine's requests pass, too.
 	maxInFlight = 2
-	maxUploads  = 1
 	// firstNews is how long a starting agent waits for an entry's news before it
 	// reads the store itself.
 	firstNews = 1500 * time.Millisecond
@@ -76,7 +76,7 @@
 	engine   *platform.Engine
 	origin   *platform.Origin
 	holding  *holding
-	uploads  chan struct{}
+	uploads  *rate.Limiter
 	start    int64
 	changed  chan struct{}
 
@@ -149,7 +149,7 @@
 	a := &agent{
 		settings: s, log: log, socket: socket, client: peer.NewClient(peer.Security{}),
 		engine: platform.NewEngine(s.Backend, local), origin: platform.NewOrigin(origin),
-		holding: newHolding(), uploads: make(chan struct{}, maxUploads), start: time.Now().UnixNano(),
+		holding: newHolding(), uploads: newUploads(s.LinkBitsPerSecond), start: time.Now().UnixNano(),
 		changed: make(chan struct{}, 1), entries: map[string]time.Time{}, neighbors: map[string]neighbor{},
 	}
 	a.copies = copies.New(platform.NewStore(s.Store, remote), plans, log, func(platform.Kind) bool { return false }, a.decode)
--- a/internal/loader/service.go
+++ b/internal/loader/service.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"plantainrelay/internal/beat"
 	"plantainrelay/internal/failure"
 	"plantainrelay/internal/weights"
@@ -26,8 +28,24 @@
 // instance's link while others use it, too.
 const chunkLimit = 2500 * time.Millisecond
 
-// uploadWait is how long a call waits for its turn among the uploads.
-const uploadWait = 400 * time.Millisecond
+const (
+	// uploadShare is the part of an instance's link that uploads may fill; the
+	// streams of the engine beside the agent pass the same link.
+	uploadShare = 0.6
+	// uploadWait is how long a call waits for its turn among the uploads.
+	uploadWait = 400 * time.Millisecond
+	// uploadBurst is the number of bytes that may be sent at once.
+	uploadBurst = 64 << 10
+)
+
+// newUploads returns the limiter of uploads over a link.
+func newUploads(linkBitsPerSecond float64) *rate.Limiter {
+	const bitsPerByte = 8
+	if linkBitsPerSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, uploadBurst)
+	}
+	return rate.NewLimiter(rate.Limit(uploadShare*linkBitsPerSecond/bitsPerByte), uploadBurst)
+}
 
 // VersionArgs names the weights that a call is about.
 type VersionArgs struct {
@@ -81,17 +99,16 @@
 
 // Chunk returns one verified chunk.
 func (s *Service) Chunk(args ChunkArgs, reply *ChunkReply) error {
-	select {
-	case s.agent.uploads <- struct{}{}:
-		defer func() { <-s.agent.uploads }()
-	case <-time.After(uploadWait):
-		reply.Busy = true
-		return nil
-	}
 	data, found := s.agent.holding.chunk(args.Version, args.Chunk)
 	if !found {
 		return failure.New(failure.NotFound, "ask another instance", "chunk %d of %s %d is not held", args.Chunk, args.Model, args.Version)
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), uploadWait)
+	defer cancel()
+	if s.agent.uploads.WaitN(ctx, len(data)) != nil {
+		reply.Busy = true
+		return nil
+	}
 	reply.Data = data
 	return nil
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -38,6 +38,7 @@
 // leg is what one attempt did, for the log.
 type leg struct {
 	Instance string `json:"instance"`
+	Zone     string `json:"availability_zone"`
 	Version  int64  `json:"version,omitempty"`
 	Load     int    `json:"load"`
 	Limit    int    `json:"limit"`
@@ -45,6 +46,7 @@
 	QueueMs  int64  `json:"queue_ms"`
 	FirstMs  int64  `json:"first_ms,omitempty"`
 	Events   int    `json:"events,omitempty"`
+	PauseMs  int64  `json:"max_pause_ms,omitempty"`
 	Ms       int64  `json:"ms"`
 	Outcome  string `json:"outcome"`
 }
@@ -162,7 +164,7 @@
 	}
 	started := clock.Now()
 	one := leg{
-		Instance: choice.Backend.ID, Version: choice.Version, Load: choice.Load, Limit: choice.Limit, Unread: choice.Unread,
+		Instance: choice.Backend.ID, Zone: choice.Backend.AvailabilityZone, Version: choice.Version, Load: choice.Load, Limit: choice.Limit, Unread: choice.Unread,
 		QueueMs: started.Sub(entered).Milliseconds(),
 	}
 	x.tried[choice.Backend.ID] = true
@@ -371,6 +373,7 @@
 	from := newEvents(response.Body)
 	pause := max(time.Duration(pauseFactor*float64(x.route.MaxPause)), minSilence)
 	flusher := http.NewResponseController(x.w)
+	last := clock.Now()
 	for {
 		next, err := from.next()
 		if errors.Is(err, io.EOF) {
@@ -383,6 +386,11 @@
 			return broken
 		}
 		watchdog.extend(pause)
+		now := clock.Now()
+		if one.Events > 0 {
+			one.PauseMs = max(one.PauseMs, now.Sub(last).Milliseconds())
+		}
+		last = now
 		x.beginStream(response)
 		if _, err := x.w.Write(next.raw); err != nil {
 			return callerLeft
