--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -110,13 +110,6 @@
 	return documents
 }
 
-// FailedAt returns when a read of the store for one collection failed last.
-func (c *Copies) FailedAt(kind platform.Kind) time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.copies[kind].failedAt
-}
-
 // Since returns what a peer lacks and the age of its proof.
 func (c *Copies) Since(kind platform.Kind, revision int64) (replica.Change, time.Duration, bool) {
 	c.mu.Lock()
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -22,6 +22,7 @@
 	"plantainrelay/internal/beat"
 	"plantainrelay/internal/catalog"
 	"plantainrelay/internal/clock"
+	"plantainrelay/internal/command"
 	"plantainrelay/internal/copies"
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/peer"
@@ -106,8 +107,6 @@
 	log.WithField("engine", s.Backend).Info("agent starts")
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	socket, err := beat.Open(s.IP, s.PeerPort, log)
@@ -130,15 +129,18 @@
 	go a.beats(ctx)
 	go a.switches(ctx)
 	go a.distributes(ctx)
-	for {
-		select {
-		case <-reload:
-			log.Info("SIGHUP: the settings of an agent are read at its start only")
-		case <-stop:
-			log.Info("agent stopped")
-			return nil
-		}
-	}
+	command.Reload(ctx, s, log, a.reload)
+	<-stop
+	log.Info("agent stopped")
+	return nil
+}
+
+// reload takes over what may change while the agent runs.
+func (a *agent) reload(s platform.Settings) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.settings.Seeds, a.settings.Bounds = s.Seeds, s.Bounds
+	a.uploads.SetLimit(newUploads(s.LinkBitsPerSecond).Limit())
 }
 
 func newAgent(s platform.Settings, socket *beat.Socket, log *logrus.Entry) *agent {
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -17,9 +17,6 @@
 type Config struct {
 	// AvailabilityZone is the entry's own.
 	AvailabilityZone string
-	// LapseGrace is how long an instance whose entry lapsed while the list was
-	// away is used after the list's return.
-	LapseGrace time.Duration
 	// PeerAge bounds the age of what another entry said of its requests.
 	PeerAge time.Duration
 	// Avoid is how long an instance that failed an attempt is avoided at first;
@@ -91,8 +88,9 @@
 	peers      map[string]peerLoad
 	failures   int
 	avoidUntil time.Time
-	// lapsed is when its entry went while the list was away.
-	lapsed time.Time
+	// keepUntil is set when its entry may have lapsed while the list was away: it
+	// is used until then.
+	keepUntil time.Time
 	// gone says that an attempt proved that another instance has the address.
 	gone bool
 }
@@ -120,19 +118,42 @@
 	}
 }
 
-// SetList takes in the platform's list. mayLapse says that entries may have
-// lapsed because the store was away; those that are missing are then used
-// until the grace has passed.
-func (f *Fleet) SetList(backends []catalog.Backend, mayLapse bool, now time.Time) {
+// ChangeKind says what became known of an instance.
+type ChangeKind string
+
+// The kinds of change.
+const (
+	Joined  ChangeKind = "joined"
+	Leaving ChangeKind = "leaving"
+	Lapsed  ChangeKind = "lapsed"
+	Gone    ChangeKind = "gone"
+)
+
+// Change is a belief that has changed.
+type Change struct {
+	ID   string
+	Pool string
+	Kind ChangeKind
+}
+
+// SetList takes in the platform's list and returns what has changed. Entries
+// that are missing before keepUntil may have lapsed because the store was away;
+// their instances are used until then.
+func (f *Fleet) SetList(backends []catalog.Backend, keepUntil, now time.Time) []Change {
 	listed := map[string]bool{}
+	var changes []Change
 	for _, backend := range backends {
 		listed[backend.ID] = true
 		known := f.instances[backend.ID]
 		if known == nil || known.Born != backend.Born || known.Address != backend.Address {
 			known = &instance{peers: map[string]peerLoad{}, unread: map[uint64]int{}}
 			f.instances[backend.ID] = known
+			changes = append(changes, Change{ID: backend.ID, Pool: backend.Pool, Kind: Joined})
+		}
+		if backend.Leaving && !known.Leaving {
+			changes = append(changes, Change{ID: backend.ID, Pool: backend.Pool, Kind: Leaving})
 		}
-		known.Backend, known.lapsed = backend, time.Time{}
+		known.Backend, known.keepUntil = backend, time.Time{}
 		if last, found := f.reports[backend.Host]; found {
 			known.reported, known.reportedAt = last.report, last.at
 		}
@@ -141,15 +162,18 @@
 		if listed[id] {
 			continue
 		}
-		if mayLapse && !known.Leaving {
-			if known.lapsed.IsZero() {
-				known.lapsed = now
+		if now.Before(keepUntil) && !known.Leaving {
+			if known.keepUntil.IsZero() {
+				known.keepUntil = keepUntil
+				changes = append(changes, Change{ID: id, Pool: known.Pool, Kind: Lapsed})
 			}
 			continue
 		}
 		delete(f.instances, id)
+		changes = append(changes, Change{ID: id, Pool: known.Pool, Kind: Gone})
 	}
 	f.index()
+	return changes
 }
 
 func (f *Fleet) index() {
@@ -165,7 +189,7 @@
 func (f *Fleet) Expire(now time.Time) {
 	dropped := false
 	for id, known := range f.instances {
-		if !known.lapsed.IsZero() && now.Sub(known.lapsed) >= f.config.LapseGrace {
+		if !known.keepUntil.IsZero() && !now.Before(known.keepUntil) {
 			delete(f.instances, id)
 			dropped = true
 		}
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -243,6 +243,13 @@
 	return slices.Clone(h.directory.Fronts(clock.Now()))
 }
 
+// suggest names hosts that may be entries.
+func (h *heart) suggest(hosts []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.directory.Suggest(hosts, clock.Now())
+}
+
 func (h *heart) isReady() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -15,6 +15,7 @@
 	"plantainrelay/internal/beat"
 	"plantainrelay/internal/catalog"
 	"plantainrelay/internal/clock"
+	"plantainrelay/internal/command"
 	"plantainrelay/internal/copies"
 	"plantainrelay/internal/daemon"
 	"plantainrelay/internal/failure"
@@ -93,6 +94,7 @@
 		return err
 	}
 	d.OnDrain(e.leave)
+	command.Reload(ctx, s, log, e.reload)
 	go e.copies.Run(ctx)
 	go e.heart.Run(ctx)
 	go e.gate.Run(ctx)
@@ -123,15 +125,13 @@
 	counted := newFrontMetrics(e.metrics)
 	start := time.Now().UnixNano()
 	e.gate = newGate(placement.New(placement.Config{
-		AvailabilityZone: s.AvailabilityZone, LapseGrace: 2300 * time.Millisecond, PeerAge: 1200 * time.Millisecond,
+		AvailabilityZone: s.AvailabilityZone, PeerAge: 1200 * time.Millisecond,
 		Avoid: 500 * time.Millisecond, MaxAvoid: 6 * time.Second, Seed: uint64(start),
 		Engine: func(pool string) *catalog.Engine { return e.view.engine(pool) },
-	}), retryLimits{
-		window: s.Bounds.RetryWindow, ratio: ratioMargin * s.Bounds.RetryRatio, slack: slackMargin * s.Bounds.RetrySlack,
-	})
-	e.view = newView(e.gate, log)
-	e.view.switchBound, e.view.stable = s.Bounds.Switch-switchMargin, s.Bounds.Stable-stableMargin
-	e.front = &front{view: e.view, gate: e.gate, sender: newSender(), log: log, metrics: counted, revoke: s.Bounds.Revoke}
+	}), newRetryLimits(s.Bounds))
+	e.view = newView(e.gate, s.Bounds.Switch-switchMargin, s.Bounds.Stable-stableMargin, log)
+	e.front = &front{view: e.view, gate: e.gate, sender: newSender(), log: log, metrics: counted}
+	e.front.revoke.Store(int64(s.Bounds.Revoke))
 	e.heart = &heart{socket: socket, view: e.view, gate: e.gate, front: e.front, log: log, start: start, news: make(chan struct{}, 1), moved: make(chan string, maxMoved)}
 	e.gate.moved = e.heart.noteLoad
 	store := platform.NewStore(s.Store, newStoreTransport())
@@ -155,6 +155,18 @@
 	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: len(platform.Kinds), DisableCompression: true}
 }
 
+// reload takes over what may change while the entry runs: the bounds on retries
+// and keys and the hosts that know other entries.
+func (e *entry) reload(s platform.Settings) {
+	e.gate.setRetries(newRetryLimits(s.Bounds))
+	e.front.revoke.Store(int64(s.Bounds.Revoke))
+	e.heart.suggest(s.Seeds)
+}
+
+func newRetryLimits(bounds platform.Bounds) retryLimits {
+	return retryLimits{window: bounds.RetryWindow, ratio: ratioMargin * bounds.RetryRatio, slack: slackMargin * bounds.RetrySlack}
+}
+
 // leave takes this entry out of the answers to callers.
 func (e *entry) leave() {
 	e.front.leaving.Store(true)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -128,11 +128,7 @@
 	if x.model == "" {
 		return 0
 	}
-	known := (*x.front.view.releases.Load())[x.model]
-	if clock.Now().Sub(known.seen) < x.front.view.switchBound {
-		return 0
-	}
-	return known.version
+	return x.front.view.releases.Load().Required(x.model, clock.Now())
 }
 
 func (x *exchange) ticket() *ticket {
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -36,8 +36,8 @@
 	sender  *sender
 	log     *logrus.Entry
 	metrics *frontMetrics
-	// revoke is the bound on revoked keys; zero when there is none.
-	revoke  time.Duration
+	// revoke is the bound on revoked keys in nanoseconds; zero when there is none.
+	revoke  atomic.Int64
 	leaving atomic.Bool
 }
 
@@ -122,7 +122,7 @@
 	}
 	x.route = route
 	if table.NeedsKey(route) {
-		if f.revoke > 0 && age > f.revoke-revokeMargin {
+		if revoke := time.Duration(f.revoke.Load()); revoke > 0 && age > revoke-revokeMargin {
 			return &refusal{status: http.StatusServiceUnavailable, reason: "stale_tables", retryAfter: staleReturn}
 		}
 		customer, known := table.Customer(x.call.Key)
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -226,10 +226,10 @@
 	return g.budgets[pool]
 }
 
-func (g *gate) setList(backends []catalog.Backend, mayLapse bool, now time.Time) {
+func (g *gate) setList(backends []catalog.Backend, keepUntil, now time.Time) []placement.Change {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.fleet.SetList(backends, mayLapse, now)
+	return g.fleet.SetList(backends, keepUntil, now)
 }
 
 func (g *gate) reported(host string, report placement.AgentReport, now time.Time) {
@@ -256,6 +256,14 @@
 	return g.fleet.OwnLoad(id)
 }
 
+// setRetries replaces the bounds on repeated attempts.
+func (g *gate) setRetries(retries retryLimits) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.retries = retries
+	clear(g.budgets)
+}
+
 // setEntries records how many entries share the retry budget.
 func (g *gate) setEntries(count int) {
 	g.mu.Lock()
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -1,7 +1,7 @@
 package relay
 
 import (
-	"maps"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -11,53 +11,38 @@
 	"plantainrelay/internal/catalog"
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/copies"
-	"plantainrelay/internal/replica"
+	"plantainrelay/internal/placement"
 	"plantainrelay/platform"
 )
 
-// release is the intended version of one model's weights.
-type release struct {
-	version int64
-	// seen is when it was learned of, here or at the entry that told of it.
-	seen time.Time
-	// guessed says that seen is a guess: this process has begun since.
-	guessed bool
-}
-
 // view is the decoded state of the copies. The table and the releases are
 // replaced as a whole, so that readers take no lock.
 type view struct {
-	copies *copies.Copies
-	// switchBound is the time in which a new version serves everywhere, stable
-	// the time for which a process has to run before it is held to that.
-	switchBound time.Duration
-	stable      time.Duration
-	gate        *gate
-	log         *logrus.Entry
-	table       atomic.Pointer[catalog.Table]
-	releases    atomic.Pointer[map[string]release]
+	copies   *copies.Copies
+	gate     *gate
+	log      *logrus.Entry
+	table    atomic.Pointer[catalog.Table]
+	releases atomic.Pointer[placement.Releases]
 	// listed says that the releases were read once: what comes later is new.
 	listed bool
+	// releasing is held by whoever replaces the releases.
+	releasing sync.Mutex
 	// awayUntil is the time until which entries of the list that are missing may
 	// have lapsed, in nanoseconds of the boot clock.
 	awayUntil atomic.Int64
 }
 
-// lapseWindow is how long after the list was away a missing entry may only have
+// lapseWindow is how long after the list's return a missing entry may only have
 // lapsed: the platform says that entries are back within about two seconds.
-const lapseWindow = 3 * time.Second
+const lapseWindow = 2200 * time.Millisecond
 
 // awayAge is the age of the list's proof that shows that the list was away; in
 // calm times it stays below two waits of a watch.
 const awayAge = 2*backendsWait + 800*time.Millisecond
 
-// ageSlack is the difference between two words on a release's age that does not
-// matter.
-const ageSlack = 20 * time.Millisecond
-
-func newView(gate *gate, log *logrus.Entry) *view {
+func newView(gate *gate, switchBound, stable time.Duration, log *logrus.Entry) *view {
 	v := &view{gate: gate, log: log}
-	v.releases.Store(&map[string]release{})
+	v.releases.Store(placement.NewReleases(switchBound, stable))
 	return v
 }
 
@@ -105,45 +90,42 @@
 			backends = append(backends, backend)
 		}
 	}
-	v.gate.setList(backends, now.UnixNano() < v.awayUntil.Load(), now)
+	standing := v.copies.Standing(platform.Backends)
+	for _, change := range v.gate.setList(backends, time.Unix(0, v.awayUntil.Load()), now) {
+		v.log.WithFields(logrus.Fields{
+			"backend": change.ID, "pool": change.Pool, "state": string(change.Kind),
+			"revision": standing.Content, "proof_age_ms": standing.Age.Milliseconds(),
+		}).Info("the list of backend servers changed")
+	}
 }
 
 func (v *view) decodeReleases() {
 	now := clock.Now()
-	last := *v.releases.Load()
-	next := map[string]release{}
-	for model, known := range last {
-		next[model] = known
-	}
+	v.releasing.Lock()
+	defer v.releasing.Unlock()
+	next := v.releases.Load()
 	for _, document := range v.copies.Documents(platform.Releases) {
-		v.decodeRelease(document, next, now)
-	}
-	v.listed = true
-	v.releases.Store(&next)
-}
-
-func (v *view) decodeRelease(document replica.Document, into map[string]release, now time.Time) {
-	decoded, err := platform.DecodeRelease(document)
-	if err != nil {
-		v.log.WithError(err).Error("a release is ignored")
-		return
-	}
-	if decoded.Version > into[decoded.Model].version {
-		next := release{version: decoded.Version, seen: now}
-		if !v.listed {
-			// It may have been released long before this process began.
-			next.seen, next.guessed = now.Add(v.stable-v.switchBound), true
+		decoded, err := platform.DecodeRelease(document)
+		if err != nil {
+			v.log.WithError(err).Error("a release is ignored")
+			continue
 		}
-		into[decoded.Model] = next
-		v.log.WithFields(logrus.Fields{"model": decoded.Model, "version": decoded.Version, "revision": document.Revision}).Info("release seen")
+		// What this process finds at its start may have been released long before.
+		followed, isNew := next.Seen(decoded, !v.listed, now)
+		if isNew {
+			v.log.WithFields(logrus.Fields{"model": decoded.Model, "version": decoded.Version, "revision": document.Revision}).Info("release seen")
+		}
+		next = followed
 	}
+	v.listed = true
+	v.releases.Store(next)
 }
 
-// watchList notes when the platform's list is away.
+// watchList notes when the platform's list is away: no entry can prove then that
+// its copy is current.
 func (v *view) watchList(now time.Time) {
 	standing := v.copies.Standing(platform.Backends)
-	failed := v.copies.FailedAt(platform.Backends)
-	if standing.Age > awayAge || (!failed.IsZero() && now.Sub(failed) < lapseWindow) {
+	if standing.Known && standing.Age > awayAge {
 		v.awayUntil.Store(now.Add(lapseWindow).UnixNano())
 	}
 }
@@ -165,29 +147,19 @@
 // releaseAges tells the releases whose age this process knows.
 func (v *view) releaseAges(now time.Time) []beat.Release {
 	var ages []beat.Release
-	for model, known := range *v.releases.Load() {
-		if !known.guessed {
-			ages = append(ages, beat.Release{Model: model, Version: known.version, AgeMs: now.Sub(known.seen).Milliseconds()})
-		}
+	for _, known := range v.releases.Load().Ages(now) {
+		ages = append(ages, beat.Release{Model: known.Model, Version: known.Version, AgeMs: known.Age.Milliseconds()})
 	}
 	return ages
 }
 
 // heardReleases takes the ages of releases from an entry that knows them.
 func (v *view) heardReleases(ages []beat.Release, now time.Time) {
-	last := *v.releases.Load()
+	v.releasing.Lock()
+	defer v.releasing.Unlock()
+	next := v.releases.Load()
 	for _, age := range ages {
-		known, found := last[age.Model]
-		if !found || known.version != age.Version {
-			continue
-		}
-		seen := now.Add(-time.Duration(age.AgeMs) * time.Millisecond)
-		if !known.guessed && !seen.Before(known.seen.Add(-ageSlack)) {
-			continue
-		}
-		next := maps.Clone(last)
-		next[age.Model] = release{version: known.version, seen: seen}
-		v.releases.Store(&next)
-		last = next
+		next = next.Told(catalog.Release{Model: age.Model, Version: age.Version}, time.Duration(age.AgeMs)*time.Millisecond, now)
 	}
+	v.releases.Store(next)
 }
