--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -27,6 +27,7 @@
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/relay"
+	"plantainrelay/internal/rollout"
 	"plantainrelay/internal/swarm"
 	"plantainrelay/platform"
 )
@@ -44,7 +45,7 @@
 	entryAge = 6 * time.Second
 	// maxInFlight bounds the chunks fetched at once: a chunk takes about 35 ms of
 	// an instance's link, which the engine's requests pass, too.
-	maxInFlight = 2
+	maxInFlight = 4
 	// firstNews is how long a starting agent waits for an entry's news before it
 	// reads the store itself.
 	firstNews = 1500 * time.Millisecond
@@ -81,12 +82,14 @@
 	start    int64
 	changed  chan struct{}
 
-	mu        sync.Mutex
-	table     *catalog.Table
-	pool      catalog.Pool
-	members   []swarm.Member
-	serving   int64
+	mu      sync.Mutex
+	table   *catalog.Table
+	pool    catalog.Pool
+	members []swarm.Member
+	serving int64
+	// target is the version that is fetched and loaded, newest the intended one.
 	target    target
+	newest    target
 	entries   map[string]time.Time
 	neighbors map[string]neighbor
 	report    platform.Report
@@ -220,11 +223,31 @@
 			next.version = max(next.version, release.Version)
 		}
 	}
-	if next.version <= a.target.version {
+	if next.version <= a.newest.version {
 		return
 	}
-	a.log.WithFields(logrus.Fields{"model": next.model, "version": next.version, "last": a.target.version}).Info("target changed")
-	a.target = next
+	a.log.WithFields(logrus.Fields{"model": next.model, "version": next.version, "last": a.target.version}).Info("release seen")
+	a.newest = next
+	a.chooseTarget(clock.Now())
+}
+
+// chooseTarget goes on to the newest version, unless the engine is nearly at an
+// earlier one. The caller holds mu.
+func (a *agent) chooseTarget(now time.Time) {
+	if a.newest.version <= a.target.version {
+		return
+	}
+	if d := a.fetching; d != nil && d.target.version == a.target.version && a.report.Loaded < a.target.version {
+		progress := rollout.Progress{
+			Held: d.plan.Held(), Chunks: a.pool.Engine.Chunks, LastAt: d.lastAt,
+			Latest: a.target.seen.Add(a.settings.Bounds.Switch),
+		}
+		if progress.Finish(now) {
+			return
+		}
+	}
+	a.log.WithFields(logrus.Fields{"version": a.newest.version, "last": a.target.version}).Info("target changed")
+	a.target = a.newest
 }
 
 // handle takes in a message of an entry or of another agent.
--- a/internal/loader/distribution.go
+++ b/internal/loader/distribution.go
@@ -46,7 +46,9 @@
 	members int
 	misfits int
 	started time.Time
-	done    bool
+	// lastAt is when the last chunk arrived.
+	lastAt time.Time
+	done   bool
 }
 
 // distributes fetches the target's chunks whenever some are missing.
@@ -60,6 +62,7 @@
 		case <-ticker.C:
 		}
 		a.mu.Lock()
+		a.chooseTarget(clock.Now())
 		wanted, current, lost := a.target, a.fetching, a.report.Born == 0
 		a.mu.Unlock()
 		if wanted.version == 0 || (current == nil && lost) {
@@ -90,7 +93,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	plan := swarm.New(a.swarmConfig(), swarm.NewLayout(a.members), len(manifest.Digests), have, now)
-	a.fetching = &distribution{target: wanted, plan: plan, members: len(a.members), started: now}
+	a.fetching = &distribution{target: wanted, plan: plan, members: len(a.members), started: now, lastAt: now}
 	a.log.WithFields(logrus.Fields{"version": wanted.version, "chunks": len(manifest.Digests), "held": have.Count()}).Info("fetching a version")
 }
 
@@ -206,7 +209,7 @@
 	if outcome == swarm.Corrupt {
 		d.misfits++
 	} else if outcome == swarm.Verified {
-		d.misfits = 0
+		d.misfits, d.lastAt = 0, clock.Now()
 	}
 	wrong := d.misfits >= maxMisfits
 	if wrong && a.fetching == d {
--- a/internal/placement/releases.go
+++ b/internal/placement/releases.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -51,20 +52,27 @@
 	return r.with(one.Model, versions[max(len(versions)-maxReleases, 0):]), true
 }
 
-// Told takes in how long ago another entry learned of a release.
+// Told takes in how long ago another entry learned of a release. A version that
+// is older than the newest one known here counts, too: its bound may still run.
 func (r *Releases) Told(one catalog.Release, age time.Duration, now time.Time) *Releases {
 	const slack = 20 * time.Millisecond
 	known := r.models[one.Model]
-	at := slices.IndexFunc(known, func(known release) bool { return known.version == one.Version })
-	if at < 0 {
+	if len(known) == 0 || one.Version > known[len(known)-1].version {
 		return r
 	}
-	seen := now.Add(-age)
-	if !known[at].guessed && !seen.Before(known[at].seen.Add(-slack)) {
+	told := release{version: one.Version, seen: now.Add(-age)}
+	at, found := slices.BinarySearchFunc(known, one.Version, func(known release, version int64) int { return cmp.Compare(known.version, version) })
+	versions := slices.Clone(known)
+	switch {
+	case !found && (at > 0 || len(known) >= maxReleases):
+		return r
+	case !found:
+		versions = slices.Insert(versions, at, told)
+	case !known[at].guessed && !told.seen.Before(known[at].seen.Add(-slack)):
 		return r
+	default:
+		versions[at] = told
 	}
-	versions := slices.Clone(known)
-	versions[at] = release{version: one.Version, seen: seen}
 	return r.with(one.Model, versions)
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -30,7 +30,7 @@
 	minSilence = 600 * time.Millisecond
 	// switchMargin is kept between the last start on an older version of the
 	// weights and the bound on it.
-	switchMargin = 1200 * time.Millisecond
+	switchMargin = 900 * time.Millisecond
 	// maxAnswerBytes bounds an answer that is not a stream.
 	maxAnswerBytes = 16 << 20
 )
@@ -299,7 +299,7 @@
 	defer response.Body.Close()
 	one.FirstMs = clock.Now().Sub(started).Milliseconds()
 	x.front.gate.began(choice)
-	switch platform.Judge(response.StatusCode, response.Header, x.call.ID) {
+	switch platform.Judge(response.StatusCode, response.Header, x.call.ID, choice.Backend.ID) {
 	case platform.NotRun:
 		return notRun
 	case platform.Moved:
@@ -335,7 +335,11 @@
 
 func (x *exchange) request(ctx context.Context, choice placement.Choice) *http.Request {
 	forward := platform.Forward{
-		TimeLeft: x.deadline.Sub(clock.Now()), Customer: x.customer.Name, BackendID: choice.Backend.ID, Version: x.requiredVersion(),
+		TimeLeft: x.deadline.Sub(clock.Now()), Customer: x.customer.Name, BackendID: choice.Backend.ID,
+	}
+	if x.requiredVersion() > 0 {
+		// Only the very version is taken: the engine may be switching.
+		forward.Version = choice.Version
 	}
 	if x.hasEvent {
 		forward.LastEvent = strconv.FormatInt(x.lastEvent, 10)
