--- a/internal/loader/switch.go
+++ b/internal/loader/switch.go
@@ -20,10 +20,12 @@
 	localLimit = 800 * time.Millisecond
 	// switchShare is the part of an availability zone's engines that switch at
 	// once.
-	switchShare = 0.4
-	// switchReserve is the time that a switch takes: requests in progress end,
-	// then the engine loads.
-	switchReserve = 3 * time.Second
+	switchShare = 0.25
+	// switchReserve is kept between the latest begin of a switch and the bound on
+	// the version: the order, the load and the first requests take their time.
+	switchReserve = 1500 * time.Millisecond
+	// verifiedFor is how long staged chunks that were read back count as right.
+	verifiedFor = 1200 * time.Millisecond
 	// quiesce is how long entries have to learn that an engine takes no more
 	// requests before it gets its order.
 	quiesce = 60 * time.Millisecond
@@ -48,6 +50,7 @@
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	var last order
+	var verified verification
 	var reportedAt time.Time
 	for {
 		select {
@@ -56,16 +59,35 @@
 		case <-ticker.C:
 		}
 		now := clock.Now()
-		if now.Sub(reportedAt) >= reportInterval {
+		if now.Sub(reportedAt) >= reportInterval || a.isSwitching() {
 			reportedAt = now
 			a.readReport(ctx)
 		}
-		if a.ready(last, now) {
+		whole, turn := a.ready(last, now)
+		if !whole {
+			continue
+		}
+		if now.Sub(verified.at) >= verifiedFor || verified.version != a.currentTarget().version {
+			verified = a.verifyStage(ctx)
+		}
+		if turn && verified.version == a.currentTarget().version {
 			last = a.switchTo(ctx, last)
 		}
 	}
 }
 
+func (a *agent) isSwitching() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.switching
+}
+
+func (a *agent) currentTarget() target {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.target
+}
+
 // readReport asks the engine for its state and tells others what changed.
 func (a *agent) readReport(ctx context.Context) {
 	engine, known := a.enginePool()
@@ -105,21 +127,22 @@
 	return *a.pool.Engine, true
 }
 
-// ready reports whether the engine should get an order now.
-func (a *agent) ready(last order, now time.Time) bool {
+// ready reports whether the engine lacks the target while its chunks are whole,
+// and whether it may get an order now.
+func (a *agent) ready(last order, now time.Time) (whole, turn bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.report.Born == 0 || a.target.version == 0 || a.report.Loaded >= a.target.version || a.report.Busy {
-		return false
+		return false, false
 	}
 	if last.version == a.target.version && last.born == a.report.Born && now.Sub(last.at) < orderLimit {
-		return false
+		return false, false
 	}
 	have, found := a.holding.have(a.target.version)
 	if !found || have.Count() < a.pool.Engine.Chunks {
-		return false
+		return false, false
 	}
-	return a.report.Loaded == 0 || a.mayStop(now)
+	return true, a.report.Loaded == 0 || a.mayStop(now)
 }
 
 // mayStop decides whether a serving engine may stop to switch. The caller holds
@@ -142,16 +165,13 @@
 	return turn.May(a.settings.IP, strconv.FormatInt(a.target.version, 10), neighbors, now)
 }
 
-// switchTo orders the engine to load the target, after the staged chunks were
-// read back. It returns the order that stands.
+// switchTo orders the engine to load the target. It returns the order that
+// stands.
 func (a *agent) switchTo(ctx context.Context, last order) order {
 	a.mu.Lock()
 	wanted, report, cut := a.target, a.report, a.table.Resumable(a.settings.Pool)
 	a.mu.Unlock()
 	log := a.log.WithFields(logrus.Fields{"version": wanted.version, "from": report.Loaded, "born": report.Born})
-	if !a.verifyStage(ctx, wanted) {
-		return last
-	}
 	a.setSwitching(true)
 	if report.Loaded > 0 {
 		time.Sleep(quiesce)
@@ -180,19 +200,26 @@
 	a.notify()
 }
 
-// verifyStage reads all staged chunks back and puts those right that are not
-// what the manifest says.
-func (a *agent) verifyStage(ctx context.Context, wanted target) bool {
+// verification says that all staged chunks of a version were read back right.
+type verification struct {
+	version int64
+	at      time.Time
+}
+
+// verifyStage reads all staged chunks of the target back and puts those right
+// that are not what the manifest says. The version is 0 when that failed.
+func (a *agent) verifyStage(ctx context.Context) verification {
+	wanted, began := a.currentTarget(), clock.Now()
 	manifest, found := a.holding.manifest(wanted.version)
 	if !found {
-		return false
+		return verification{}
 	}
 	for chunk, digest := range manifest.Digests {
 		if !a.verifyChunk(ctx, wanted, chunk, digest) {
-			return false
+			return verification{}
 		}
 	}
-	return true
+	return verification{version: wanted.version, at: began}
 }
 
 func (a *agent) verifyChunk(ctx context.Context, wanted target, chunk int, digest weights.Digest) bool {
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -39,6 +39,9 @@
 	// fullPenalty is what the last free place of an engine adds to the expected
 	// wait, so that equal prompts go where fewer requests write.
 	fullPenalty = 40 * time.Millisecond
+	// oldPenalty is what an older version of the weights adds to the expected wait:
+	// a stream that is cut by the switch reads its prompt again elsewhere.
+	oldPenalty = 60 * time.Millisecond
 	// readFor is how long after its word another entry's unread prompts count: by
 	// then an engine has read them, within a pass or two.
 	readFor = 300 * time.Millisecond
@@ -256,6 +259,9 @@
 	Model string
 	// Version is the oldest version that may answer; 0 allows any.
 	Version int64
+	// Newest is the intended version: instances with an older one will switch soon
+	// and break off what they have begun.
+	Newest int64
 	// Tokens is the number of prompt tokens, 0 when it is not known.
 	Tokens int
 	// Tried holds the IDs of the instances that the request was sent to.
@@ -320,6 +326,9 @@
 	if far {
 		score += farPenalty.Seconds()
 	}
+	if known.version(need.Model) < need.Newest {
+		score += oldPenalty.Seconds()
+	}
 	return score
 }
 
--- a/internal/placement/releases.go
+++ b/internal/placement/releases.go
@@ -93,6 +93,15 @@
 	return 0
 }
 
+// Newest returns the intended version of a model, 0 when none is known.
+func (r *Releases) Newest(model string) int64 {
+	known := r.models[model]
+	if len(known) == 0 {
+		return 0
+	}
+	return known[len(known)-1].version
+}
+
 // ReleaseAge is how long ago a release was learned of.
 type ReleaseAge struct {
 	catalog.Release
