--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -124,6 +124,8 @@
 	MaxConnections int
 	// Origin is the address of the origin of weights; empty for other pools.
 	Origin string
+	// OriginZone is the availability zone of the origin.
+	OriginZone string
 	// Engine is set for pools of model engines.
 	Engine *Engine
 }
@@ -228,11 +230,16 @@
 }
 
 // Origin returns the address of the origin of weights, or an empty string.
-func (t *Table) Origin() string {
+func (t *Table) Origin() string { return t.originPool().Origin }
+
+// OriginZone returns the availability zone of the origin of weights.
+func (t *Table) OriginZone() string { return t.originPool().OriginZone }
+
+func (t *Table) originPool() Pool {
 	for _, pool := range t.Pools {
 		if pool.Origin != "" {
-			return pool.Origin
+			return pool
 		}
 	}
-	return ""
+	return Pool{}
 }
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -17,13 +17,13 @@
 	"os/signal"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/time/rate"
 
 	"plantainrelay/internal/beat"
 	"plantainrelay/internal/catalog"
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/command"
 	"plantainrelay/internal/copies"
+	"plantainrelay/internal/depot"
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/relay"
@@ -45,7 +45,7 @@
 	entryAge = 6 * time.Second
 	// maxInFlight bounds the chunks fetched at once: a chunk takes about 35 ms of
 	// an instance's link, which the engine's requests pass, too.
-	maxInFlight = 4
+	maxInFlight = 2
 	// firstNews is how long a starting agent waits for an entry's news before it
 	// reads the store itself.
 	firstNews = 1500 * time.Millisecond
@@ -78,7 +78,7 @@
 	engine   *platform.Engine
 	origin   *platform.Origin
 	holding  *holding
-	uploads  *rate.Limiter
+	uploads  *depot.Uploads
 	start    int64
 	changed  chan struct{}
 
@@ -90,7 +90,7 @@
 	// target is the version that is fetched and loaded, newest the intended one.
 	target    target
 	newest    target
-	entries   map[string]time.Time
+	entries   map[string]entrance
 	neighbors map[string]neighbor
 	report    platform.Report
 	switching bool
@@ -98,6 +98,12 @@
 	fetching  *distribution
 }
 
+// entrance is an entry that has told of itself.
+type entrance struct {
+	availabilityZone string
+	at               time.Time
+}
+
 // neighbor is another agent's word.
 type neighbor struct {
 	report beat.Report
@@ -118,7 +124,7 @@
 	}
 	a := newAgent(s, socket, log)
 	server := peer.NewServer(peer.Security{}, log)
-	if err := server.Register(serviceName, &Service{agent: a}); err != nil {
+	if err := server.Register(depot.ServiceName, &Service{agent: a}); err != nil {
 		return err
 	}
 	if err := server.Register("Copies", relay.NewCopiesService(a.copies)); err != nil {
@@ -143,7 +149,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.settings.Seeds, a.settings.Bounds = s.Seeds, s.Bounds
-	a.uploads.SetLimit(newUploads(s.LinkBitsPerSecond).Limit())
+	a.uploads.SetLink(s.LinkBitsPerSecond)
 }
 
 func newAgent(s platform.Settings, socket *beat.Socket, log *logrus.Entry) *agent {
@@ -154,8 +160,8 @@
 	a := &agent{
 		settings: s, log: log, socket: socket, client: peer.NewClient(peer.Security{}),
 		engine: platform.NewEngine(s.Backend, local), origin: platform.NewOrigin(origin),
-		holding: newHolding(), uploads: newUploads(s.LinkBitsPerSecond), start: time.Now().UnixNano(),
-		changed: make(chan struct{}, 1), entries: map[string]time.Time{}, neighbors: map[string]neighbor{},
+		holding: newHolding(), uploads: depot.NewUploads(s.LinkBitsPerSecond), start: time.Now().UnixNano(),
+		changed: make(chan struct{}, 1), entries: map[string]entrance{}, neighbors: map[string]neighbor{},
 	}
 	a.copies = copies.New(platform.NewStore(s.Store, remote), plans, log, func(platform.Kind) bool { return false }, a.decode)
 	a.puller = relay.NewPuller(a.copies, a.client, s.PeerPort, log)
@@ -263,7 +269,7 @@
 	}
 	a.mu.Lock()
 	_, known := a.entries[m.Host]
-	a.entries[m.Host] = now
+	a.entries[m.Host] = entrance{availabilityZone: m.AvailabilityZone, at: now}
 	a.mu.Unlock()
 	if !known {
 		a.notify()
@@ -306,8 +312,8 @@
 		message.Report = &beat.Report{Born: a.report.Born, Loaded: a.report.Loaded, Switching: a.switching, Pace: a.report.Pace}
 	}
 	var hosts []string
-	for host, at := range a.entries {
-		if now.Sub(at) > entryAge {
+	for host, entry := range a.entries {
+		if now.Sub(entry.at) > entryAge {
 			delete(a.entries, host)
 			continue
 		}
--- a/internal/loader/distribution.go
+++ b/internal/loader/distribution.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -10,40 +10,27 @@
 	"github.com/sirupsen/logrus"
 
 	"plantainrelay/internal/clock"
+	"plantainrelay/internal/depot"
 	"plantainrelay/internal/failure"
 	"plantainrelay/internal/member"
 	"plantainrelay/internal/swarm"
-	"plantainrelay/internal/weights"
 	"plantainrelay/platform"
 )
 
 const (
-	// manifestPatience is how long an agent waits for another one's manifest
-	// before it asks the origin itself.
-	manifestPatience = 900 * time.Millisecond
 	// maxMisfits is the number of chunks in a row with a wrong digest after which
 	// the manifest itself is fetched again.
 	maxMisfits = 6
 )
 
-// swarmConfig holds the times of the distribution: a version has to be
-// everywhere in a few seconds, and a chunk takes about 35 ms of a link.
-func (a *agent) swarmConfig() swarm.Config {
-	seed := fnv.New64a()
-	// Writing to a hash does not fail.
-	_, _ = seed.Write([]byte(a.settings.IP))
-	return swarm.Config{
-		Self: a.settings.IP, MaxInFlight: maxInFlight, Patience: 500 * time.Millisecond, StealAfter: 150 * time.Millisecond,
-		AskInterval: 300 * time.Millisecond, JoinWait: 250 * time.Millisecond, Penalty: 250 * time.Millisecond, ExtraCopies: 0.3,
-		Seed: seed.Sum64(),
-	}
-}
+// cascade holds the times of a distribution: a version has to be everywhere in a
+// few seconds, and a chunk takes about 35 ms of a link.
+var cascade = swarm.CascadeConfig{MaxInFlight: maxInFlight, Penalty: 200 * time.Millisecond, AbsentFor: 300 * time.Millisecond}
 
 // distribution is the fetch of one version.
 type distribution struct {
 	target  target
-	plan    *swarm.Plan
-	members int
+	plan    *swarm.Cascade
 	misfits int
 	started time.Time
 	// lastAt is when the last chunk arrived.
@@ -92,65 +79,64 @@
 	now := clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	plan := swarm.New(a.swarmConfig(), swarm.NewLayout(a.members), len(manifest.Digests), have, now)
-	a.fetching = &distribution{target: wanted, plan: plan, members: len(a.members), started: now, lastAt: now}
+	a.fetching = &distribution{target: wanted, plan: swarm.NewCascade(cascade, len(manifest.Digests), have), started: now, lastAt: now}
 	a.log.WithFields(logrus.Fields{"version": wanted.version, "chunks": len(manifest.Digests), "held": have.Count()}).Info("fetching a version")
 }
 
-// findManifest asks other agents, and the origin when it is this agent's turn or
-// nobody has the manifest.
+// findManifest asks the entries, then other agents, and the origin when nobody
+// answers.
 func (a *agent) findManifest(ctx context.Context, wanted target) (platform.Manifest, error) {
 	if manifest, found := a.holding.manifest(wanted.version); found {
 		return manifest, nil
 	}
+	args := depot.VersionArgs{Model: wanted.model, Version: wanted.version}
 	a.mu.Lock()
-	var zone []string
-	for _, one := range a.members {
-		if one.AvailabilityZone == a.settings.AvailabilityZone {
-			zone = append(zone, one.Name)
-		}
-	}
-	origin := a.table.Origin()
+	sources, origin := a.sources(), a.table.Origin()
 	a.mu.Unlock()
-	ranked := member.Rank("manifest", zone)
-	if ranked[0] == a.settings.IP {
-		if manifest, err := a.originManifest(ctx, origin, wanted); err == nil {
-			return manifest, nil
-		}
-	}
-	for _, host := range []string{ranked[0], ranked[rand.IntN(len(ranked))]} {
-		if host == a.settings.IP {
-			continue
-		}
+	asked := slices.Concat(
+		member.Rank("manifest", sources.NearDepots), some(sources.NearPeers), member.Rank("manifest", sources.FarDepots), some(sources.FarPeers))
+	for _, host := range asked {
 		var manifest platform.Manifest
-		err := a.call(ctx, host, methodManifest, callLimit, VersionArgs{Model: wanted.model, Version: wanted.version}, &manifest)
+		err := a.call(ctx, host, depot.MethodManifest, callLimit, args, &manifest)
 		if err == nil && manifest.Model == wanted.model && manifest.Version == wanted.version && len(manifest.Digests) > 0 {
 			return manifest, nil
 		}
 	}
-	if clock.Now().Sub(wanted.seen) < manifestPatience {
-		return platform.Manifest{}, failure.New(failure.NotFound, "wait", "no neighbor has the manifest yet")
-	}
-	return a.originManifest(ctx, origin, wanted)
+	return depot.OriginManifest(a.origin, origin, args)
 }
 
-// originManifest fetches the manifest twice, since the origin may garble it and
-// nothing else tells.
-func (a *agent) originManifest(ctx context.Context, origin string, wanted target) (platform.Manifest, error) {
-	ctx, cancel := context.WithTimeout(ctx, chunkLimit)
-	defer cancel()
-	first, err := a.origin.Manifest(ctx, origin, wanted.model, wanted.version)
-	if err != nil {
-		return first, err
-	}
-	second, err := a.origin.Manifest(ctx, origin, wanted.model, wanted.version)
-	if err != nil {
-		return second, err
+// some returns a few of hosts, chosen at random.
+func some(hosts []string) []string {
+	const few = 2
+	chosen := slices.Clone(hosts)
+	rand.Shuffle(len(chosen), func(i, j int) { chosen[i], chosen[j] = chosen[j], chosen[i] })
+	return chosen[:min(few, len(chosen))]
+}
+
+// sources lists whom to ask for chunks. The caller holds mu.
+func (a *agent) sources() swarm.Sources {
+	var s swarm.Sources
+	now := clock.Now()
+	for _, host := range slices.Sorted(maps.Keys(a.entries)) {
+		entry := a.entries[host]
+		switch {
+		case now.Sub(entry.at) > entryAge:
+		case entry.availabilityZone == a.settings.AvailabilityZone:
+			s.NearDepots = append(s.NearDepots, host)
+		default:
+			s.FarDepots = append(s.FarDepots, host)
+		}
 	}
-	if !slices.Equal(first.Digests, second.Digests) {
-		return first, failure.New(failure.Invalid, "ask again", "the origin told two manifests of %s %d", wanted.model, wanted.version)
+	for _, one := range a.members {
+		switch {
+		case one.Name == a.settings.IP:
+		case one.AvailabilityZone == a.settings.AvailabilityZone:
+			s.NearPeers = append(s.NearPeers, one.Name)
+		default:
+			s.FarPeers = append(s.FarPeers, one.Name)
+		}
 	}
-	return first, nil
+	return s
 }
 
 // readStage takes over what is staged beside this agent.
@@ -176,29 +162,24 @@
 	now := clock.Now()
 	a.mu.Lock()
 	d := a.fetching
-	if d.members != len(a.members) {
-		d.plan.SetLayout(swarm.NewLayout(a.members))
-		d.members = len(a.members)
+	if d == nil {
+		a.mu.Unlock()
+		return
 	}
-	next := d.plan.Next(now)
+	d.plan.SetSources(a.sources())
+	fetches := d.plan.Next(now)
 	if d.plan.Complete() && !d.done {
 		d.done = true
 		a.log.WithFields(logrus.Fields{"version": d.target.version, "ms": now.Sub(d.started).Milliseconds()}).Info("all chunks are held")
 	}
 	a.mu.Unlock()
-	for _, fetch := range next.Fetches {
+	for _, fetch := range fetches {
 		go a.fetch(ctx, d, fetch)
 	}
-	for _, offer := range next.Offers {
-		go a.offer(ctx, d, offer)
-	}
-	for _, host := range next.Asks {
-		go a.ask(ctx, d, host)
-	}
 }
 
-func (d *distribution) args() VersionArgs {
-	return VersionArgs{Model: d.target.model, Version: d.target.version}
+func (d *distribution) args() depot.VersionArgs {
+	return depot.VersionArgs{Model: d.target.model, Version: d.target.version}
 }
 
 // fetch gets one chunk, verifies and stages it.
@@ -255,8 +236,8 @@
 		}
 		return data, swarm.Verified
 	}
-	var reply ChunkReply
-	err := a.call(ctx, fetch.Source, methodChunk, chunkLimit, ChunkArgs{VersionArgs: d.args(), Chunk: fetch.Chunk}, &reply)
+	var reply depot.ChunkReply
+	err := a.call(ctx, fetch.Source, depot.MethodChunk, chunkLimit, depot.ChunkArgs{VersionArgs: d.args(), Chunk: fetch.Chunk}, &reply)
 	switch {
 	case failure.Is(err, failure.Refused):
 		return nil, swarm.Absent
@@ -267,39 +248,3 @@
 	}
 	return reply.Data, swarm.Verified
 }
-
-// offer tells another agent of chunks held here.
-func (a *agent) offer(ctx context.Context, d *distribution, offer swarm.Offer) {
-	err := a.call(ctx, offer.To, methodOffer, callLimit, OfferArgs{VersionArgs: d.args(), From: a.settings.IP, Chunks: offer.Chunks, Turns: offer.Turns}, &Empty{})
-	if err == nil {
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	d.plan.OfferFailed(offer, failure.Is(err, failure.Refused), clock.Now())
-}
-
-// ask asks another agent for what it holds.
-func (a *agent) ask(ctx context.Context, d *distribution, host string) {
-	var reply HaveReply
-	err := a.call(ctx, host, methodHave, callLimit, d.args(), &reply)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if err != nil {
-		d.plan.NotTold(host, clock.Now())
-		return
-	}
-	d.plan.Told(host, weights.Bitmap(reply.Have), clock.Now())
-}
-
-// offered takes in another agent's offer. An offer of a version that this agent
-// has not begun with is refused, and made again.
-func (a *agent) offered(args OfferArgs) error {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.fetching == nil || a.fetching.target.version != args.Version || a.fetching.target.model != args.Model {
-		return failure.New(failure.NotFound, "offer it again later", "%s %d is not fetched here", args.Model, args.Version)
-	}
-	a.fetching.plan.Offered(args.From, args.Chunks, args.Turns, clock.Now())
-	return nil
-}
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -243,6 +243,25 @@
 	return slices.Clone(h.directory.Fronts(clock.Now()))
 }
 
+// hosts returns the entries of an availability zone, or all when it has none.
+func (h *heart) hosts(zone string) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	self := h.directory.Self()
+	all := append(h.directory.Live(clock.Now()), self)
+	var hosts, near []string
+	for _, entry := range all {
+		hosts = append(hosts, entry.Host)
+		if entry.AvailabilityZone == zone {
+			near = append(near, entry.Host)
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+	return hosts
+}
+
 // suggest names hosts that may be entries.
 func (h *heart) suggest(hosts []string) {
 	h.mu.Lock()
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -18,6 +18,7 @@
 	"plantainrelay/internal/command"
 	"plantainrelay/internal/copies"
 	"plantainrelay/internal/daemon"
+	"plantainrelay/internal/depot"
 	"plantainrelay/internal/failure"
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/metrics"
@@ -82,11 +83,17 @@
 	if err != nil {
 		return err
 	}
-	e := newEntry(s, socket, log)
+	e, err := newEntry(s, socket, log)
+	if err != nil {
+		return err
+	}
 	server := peer.NewServer(peer.Security{}, log)
 	if err := server.Register("Copies", NewCopiesService(e.copies)); err != nil {
 		return err
 	}
+	if err := server.Register(depot.ServiceName, e.depot); err != nil {
+		return err
+	}
 	if err := server.Listen(beat.Address(s.IP, s.PeerPort)); err != nil {
 		return err
 	}
@@ -117,10 +124,11 @@
 	gate    *gate
 	front   *front
 	heart   *heart
+	depot   *depot.Depot
 	metrics *metrics.Metrics
 }
 
-func newEntry(s platform.Settings, socket *beat.Socket, log *logrus.Entry) *entry {
+func newEntry(s platform.Settings, socket *beat.Socket, log *logrus.Entry) (*entry, error) {
 	e := &entry{metrics: metrics.New()}
 	counted := newFrontMetrics(e.metrics)
 	start := time.Now().UnixNano()
@@ -141,13 +149,37 @@
 		e.heart.wake()
 	})
 	e.view.copies, e.heart.copies = e.copies, e.copies
-	e.heart.puller = NewPuller(e.copies, peer.NewClient(peer.Security{}), s.PeerPort, log)
+	client := peer.NewClient(peer.Security{})
+	e.heart.puller = NewPuller(e.copies, client, s.PeerPort, log)
+	kept, err := depot.New(depot.Config{
+		Host: s.IP, Port: s.PeerPort, Uploads: depot.NewUploads(s.LinkBitsPerSecond), Upstream: e.upstream,
+	}, platform.NewOrigin(newOriginTransport()), client, log)
+	if err != nil {
+		return nil, err
+	}
+	e.depot = kept
 	e.heart.directory = peers.New(peers.Config{
 		LiveFor: 900 * time.Millisecond, ForgetAfter: time.Minute, ProbeFor: time.Minute, ProbeInterval: time.Second,
 	}, peers.Entry{
 		Instance: s.Instance, Host: s.IP, AvailabilityZone: s.AvailabilityZone, Region: s.Region, Front: s.Front, Start: start,
 	}, s.Seeds, clock.Now())
-	return e
+	return e, nil
+}
+
+// upstream tells where weights come from now.
+func (e *entry) upstream() depot.Upstream {
+	table := e.view.table.Load()
+	if table == nil {
+		return depot.Upstream{}
+	}
+	return depot.Upstream{Origin: table.Origin(), Drawers: e.heart.hosts(table.OriginZone())}
+}
+
+// newOriginTransport returns a transport without idle connections: the origin
+// takes few, and idle ones would keep others out.
+func newOriginTransport() http.RoundTripper {
+	dialer := &net.Dialer{Timeout: time.Second, Control: boundUnacked}
+	return &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
 }
 
 func newStoreTransport() http.RoundTripper {
