--- a/internal/loader/switch.go
+++ b/internal/loader/switch.go
@@ -20,15 +20,20 @@
 	localLimit = 800 * time.Millisecond
 	// switchShare is the part of an availability zone's engines that switch at
 	// once.
-	switchShare = 0.25
+	switchShare = 0.34
 	// switchReserve is kept between the latest begin of a switch and the bound on
 	// the version: the order, the load and the first requests take their time.
 	switchReserve = 1500 * time.Millisecond
 	// verifiedFor is how long staged chunks that were read back count as right.
 	verifiedFor = 1200 * time.Millisecond
-	// quiesce is how long entries have to learn that an engine takes no more
-	// requests before it gets its order.
-	quiesce = 60 * time.Millisecond
+	// minDrain is how long entries have to learn that an engine takes no more
+	// requests before it gets its order; maxDrain bounds the time in which its
+	// streams may end before they are cut and go on elsewhere.
+	minDrain = 60 * time.Millisecond
+	maxDrain = 800 * time.Millisecond
+	// drainRounds divides the time that is left for a version: as many instances
+	// of a zone switch one after the other.
+	drainRounds = 3
 	// neighborAge is how long a neighbor's word counts.
 	neighborAge = 2500 * time.Millisecond
 	// orderPause is the wait after an order that did not fit.
@@ -174,7 +179,7 @@
 	log := a.log.WithFields(logrus.Fields{"version": wanted.version, "from": report.Loaded, "born": report.Born})
 	a.setSwitching(true)
 	if report.Loaded > 0 {
-		time.Sleep(quiesce)
+		a.drain(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, localLimit)
 	defer cancel()
@@ -193,6 +198,27 @@
 	return last
 }
 
+// drain waits until the engine's requests have ended, for as long as the time
+// that is left for the version allows.
+func (a *agent) drain(ctx context.Context) {
+	began := clock.Now()
+	a.mu.Lock()
+	left := a.target.seen.Add(a.settings.Bounds.Switch-switchReserve).Sub(began) / drainRounds
+	a.mu.Unlock()
+	limit := min(max(left, minDrain), maxDrain)
+	for {
+		time.Sleep(tick)
+		a.readReport(ctx)
+		a.mu.Lock()
+		report := a.report
+		a.mu.Unlock()
+		passed := clock.Now().Sub(began)
+		if passed >= limit || (passed >= minDrain && report.Running+report.Queued == 0) {
+			return
+		}
+	}
+}
+
 func (a *agent) setSwitching(switching bool) {
 	a.mu.Lock()
 	a.switching = switching
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -42,6 +42,8 @@
 	// oldPenalty is what an older version of the weights adds to the expected wait:
 	// a stream that is cut by the switch reads its prompt again elsewhere.
 	oldPenalty = 60 * time.Millisecond
+	// spreadChoices is the number of instances among which a cut stream chooses.
+	spreadChoices = 3
 	// readFor is how long after its word another entry's unread prompts count: by
 	// then an engine has read them, within a pass or two.
 	readFor = 300 * time.Millisecond
@@ -264,6 +266,9 @@
 	Newest int64
 	// Tokens is the number of prompt tokens, 0 when it is not known.
 	Tokens int
+	// Spread picks among a few instances at random: many streams that were cut at
+	// once would all go to the same one.
+	Spread bool
 	// Tried holds the IDs of the instances that the request was sent to.
 	Tried map[string]bool
 }
@@ -284,12 +289,8 @@
 func (f *Fleet) Choose(need Need, now time.Time) (Choice, bool) {
 	var best *instance
 	bestScore := 0.0
-	for _, id := range slices.Sorted(maps.Keys(f.instances)) {
-		known := f.instances[id]
+	for _, known := range f.candidates(need, now) {
 		load, limit := f.load(known, now), f.limit(known)
-		if !f.usable(known, need, now) || load >= limit {
-			continue
-		}
 		score := f.score(known, need, load, limit, now)
 		if best == nil || score < bestScore {
 			best, bestScore = known, score
@@ -308,6 +309,22 @@
 	return choice, true
 }
 
+// candidates returns the instances with a free place.
+func (f *Fleet) candidates(need Need, now time.Time) []*instance {
+	var free []*instance
+	for _, id := range slices.Sorted(maps.Keys(f.instances)) {
+		known := f.instances[id]
+		if f.usable(known, need, now) && f.load(known, now) < f.limit(known) {
+			free = append(free, known)
+		}
+	}
+	if need.Spread && len(free) > spreadChoices {
+		f.random.Shuffle(len(free), func(i, j int) { free[i], free[j] = free[j], free[i] })
+		free = free[:spreadChoices]
+	}
+	return free
+}
+
 // score is the expected wait in seconds for the first event at an engine, or
 // the relative load of a plain service; the lowest is best.
 func (f *Fleet) score(known *instance, need Need, load, limit int, now time.Time) float64 {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -119,7 +119,10 @@
 }
 
 func (x *exchange) need() placement.Need {
-	return placement.Need{Pool: x.pool, Model: x.model, Version: x.requiredVersion(), Newest: x.front.view.releases.Load().Newest(x.model), Tokens: x.call.PromptTokens, Tried: x.tried}
+	return placement.Need{
+		Pool: x.pool, Model: x.model, Version: x.requiredVersion(), Newest: x.front.view.releases.Load().Newest(x.model),
+		Tokens: x.call.PromptTokens, Spread: x.begun, Tried: x.tried,
+	}
 }
 
 // requiredVersion returns the oldest version of the weights that may still
