--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,91 @@
+package peers_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/internal/peers"
+)
+
+var epoch = time.Unix(1_000, 0)
+
+var config = peers.Config{LiveFor: time.Second, ForgetAfter: time.Minute, ProbeFor: 10 * time.Second, ProbeInterval: time.Second}
+
+func self() peers.Entry {
+	return peers.Entry{Host: "10.0.0.1", AvailabilityZone: "z1", Front: "10.0.0.1:80", Start: 1}
+}
+
+func other(host, zone string, sequence uint64) peers.Entry {
+	return peers.Entry{Host: host, AvailabilityZone: zone, Front: host + ":80", Start: 1, Sequence: sequence, Ready: true}
+}
+
+func TestSilentAndLeavingEntriesAreNotNamed(t *testing.T) {
+	c := qt.New(t)
+	d := peers.New(config, self(), nil, epoch)
+	d.SetState(true, false)
+	d.Heard(other("10.0.0.2", "z1", 1), epoch)
+	leaving := other("10.0.0.3", "z2", 1)
+	leaving.Leaving = true
+	d.Heard(leaving, epoch)
+	c.Assert(d.Fronts(epoch), qt.DeepEquals, []string{"10.0.0.1:80", "10.0.0.2:80"})
+	c.Assert(d.Fronts(epoch.Add(2*time.Second)), qt.DeepEquals, []string{"10.0.0.1:80"})
+	d.SetState(true, true)
+	c.Assert(d.Fronts(epoch), qt.DeepEquals, []string{"10.0.0.2:80"})
+}
+
+func TestOldMessagesAreIgnored(t *testing.T) {
+	c := qt.New(t)
+	d := peers.New(config, self(), nil, epoch)
+	d.Heard(other("10.0.0.2", "z1", 5), epoch)
+	current, _ := d.Heard(other("10.0.0.2", "z1", 4), epoch)
+	c.Assert(current, qt.IsFalse)
+	c.Assert(d.Current("10.0.0.2", 1, 5), qt.IsFalse)
+	c.Assert(d.Current("10.0.0.2", 1, 6), qt.IsTrue)
+	again := other("10.0.0.2", "z1", 1)
+	again.Start = 2
+	current, isNew := d.Heard(again, epoch)
+	c.Assert(current && isNew, qt.IsTrue)
+}
+
+func TestOneEntryOfAZoneWatches(t *testing.T) {
+	c := qt.New(t)
+	hosts := []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"}
+	for _, collection := range []string{"a", "b", "c"} {
+		watchers := 0
+		for _, host := range hosts {
+			me := self()
+			me.Host = host
+			d := peers.New(config, me, nil, epoch)
+			for _, peer := range hosts {
+				d.Heard(other(peer, "z1", 1), epoch)
+			}
+			d.Heard(other("10.0.9.9", "z2", 1), epoch)
+			if d.Watches(collection, epoch) {
+				watchers++
+			}
+		}
+		c.Assert(watchers, qt.Equals, 1)
+	}
+	alone := peers.New(config, self(), nil, epoch)
+	c.Assert(alone.Watches("a", epoch), qt.IsTrue)
+}
+
+func TestSeedsAreAskedForATime(t *testing.T) {
+	c := qt.New(t)
+	d := peers.New(config, self(), []string{"10.0.0.1", "10.0.0.7"}, epoch)
+	c.Assert(d.Targets(epoch), qt.DeepEquals, []string{"10.0.0.7"})
+	c.Assert(d.Targets(epoch), qt.HasLen, 0)
+	c.Assert(d.Targets(epoch.Add(time.Second)), qt.DeepEquals, []string{"10.0.0.7"})
+	c.Assert(d.Targets(epoch.Add(time.Minute)), qt.HasLen, 0)
+}
+
+func TestNearEntriesComeFirst(t *testing.T) {
+	c := qt.New(t)
+	d := peers.New(config, self(), nil, epoch)
+	d.Heard(other("10.0.0.2", "z2", 1), epoch)
+	d.Heard(other("10.0.0.3", "z1", 1), epoch)
+	c.Assert(d.Near(1, epoch), qt.DeepEquals, []string{"10.0.0.3"})
+	c.Assert(d.Near(9, epoch), qt.HasLen, 2)
+}
--- /dev/null
+++ b/internal/placement/fleet_test.go
@@ -0,0 +1,243 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/internal/catalog"
+	"plantainrelay/internal/placement"
+)
+
+var epoch = time.Unix(1_000, 0)
+
+var engine = &catalog.Engine{Model: "m", Slots: 16, Stride: 5, Step: 10 * time.Millisecond, ReadPerSecond: 20_000}
+
+func newFleet(seed uint64) *placement.Fleet {
+	return placement.New(placement.Config{
+		AvailabilityZone: "z1", PeerAge: time.Second, Avoid: 500 * time.Millisecond, MaxAvoid: 6 * time.Second, Seed: seed,
+		Engine: func(pool string) *catalog.Engine {
+			if pool == "engines" {
+				return engine
+			}
+			return nil
+		},
+	})
+}
+
+func backend(i int) catalog.Backend {
+	return catalog.Backend{
+		ID: fmt.Sprintf("i-%02d", i), Born: 1, Pool: "engines", Address: fmt.Sprintf("10.0.0.%d:80", i), Host: fmt.Sprintf("10.0.0.%d", i),
+		AvailabilityZone: "z1", Slots: 16, Loaded: map[string]int64{"m": 1},
+	}
+}
+
+func backends(count int) []catalog.Backend {
+	var all []catalog.Backend
+	for i := range count {
+		all = append(all, backend(i))
+	}
+	return all
+}
+
+var need = placement.Need{Pool: "engines", Model: "m", Tokens: 1000}
+
+// TestEntriesSpreadPromptsTheyTellEachOther answers the pattern of full traffic
+// of long prompts: eight entries that tell each other of each request leave no
+// engine with many prompts to read while others have none.
+func TestEntriesSpreadPromptsTheyTellEachOther(t *testing.T) {
+	c := qt.New(t)
+	const entries, engines, requests = 8, 27, 54
+	fleets := make([]*placement.Fleet, entries)
+	for i := range fleets {
+		fleets[i] = newFleet(uint64(i))
+		fleets[i].SetList(backends(engines), time.Time{}, epoch)
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	counts := map[string]int{}
+	for range requests {
+		at := random.IntN(entries)
+		choice, found := fleets[at].Choose(need, epoch)
+		c.Assert(found, qt.IsTrue)
+		id := choice.Backend.ID
+		counts[id]++
+		for i, other := range fleets {
+			if i != at {
+				other.PeerLoads(fmt.Sprint(at), map[string]placement.Load{id: fleets[at].OwnLoad(id)}, false, epoch)
+			}
+		}
+	}
+	for id, count := range counts {
+		c.Check(count <= 3, qt.IsTrue, qt.Commentf("%s got %d of %d requests", id, count, requests))
+	}
+}
+
+func TestNoRequestBeyondTheSlots(t *testing.T) {
+	c := qt.New(t)
+	fleet := newFleet(1)
+	fleet.SetList(backends(2), time.Time{}, epoch)
+	fleet.PeerLoads("peer", map[string]placement.Load{"i-00": {Count: 10}}, true, epoch)
+	for range 6 + 16 {
+		_, found := fleet.Choose(need, epoch)
+		c.Assert(found, qt.IsTrue)
+	}
+	_, found := fleet.Choose(need, epoch)
+	c.Assert(found, qt.IsFalse)
+	// What a silent peer said does not count for ever.
+	_, found = fleet.Choose(need, epoch.Add(2*time.Second))
+	c.Assert(found, qt.IsTrue)
+}
+
+func TestPlaceIsFreeAfterTheEnd(t *testing.T) {
+	c := qt.New(t)
+	fleet := newFleet(1)
+	fleet.SetList(backends(1), time.Time{}, epoch)
+	choice, _ := fleet.Choose(need, epoch)
+	c.Assert(fleet.OwnLoad("i-00"), qt.Equals, placement.Load{Count: 1, Unread: 1000})
+	fleet.Began(choice)
+	c.Assert(fleet.OwnLoad("i-00"), qt.Equals, placement.Load{Count: 1})
+	fleet.Finished(choice, placement.Succeeded, epoch)
+	c.Assert(fleet.OwnLoad("i-00"), qt.Equals, placement.Load{})
+}
+
+func TestLeavingInstanceGetsNothing(t *testing.T) {
+	c := qt.New(t)
+	fleet := newFleet(1)
+	leaving := backend(0)
+	leaving.Leaving = true
+	changes := fleet.SetList([]catalog.Backend{leaving}, time.Time{}, epoch)
+	c.Assert(changes, qt.DeepEquals, []placement.Change{
+		{ID: "i-00", Pool: "engines", Kind: placement.Joined}, {ID: "i-00", Pool: "engines", Kind: placement.Leaving},
+	})
+	_, found := fleet.Choose(need, epoch)
+	c.Assert(found, qt.IsFalse)
+}
+
+// TestLapsedEntries answers the pattern of a store that was away: entries lapse
+// and come back within two seconds, or the instance is gone.
+func TestLapsedEntries(t *testing.T) {
+	c := qt.New(t)
+	fleet := newFleet(1)
+	fleet.SetList(backends(2), time.Time{}, epoch)
+	keepUntil := epoch.Add(2 * time.Second)
+	fleet.SetList(backends(1), keepUntil, epoch)
+	count, _ := fleet.Usable(need, epoch)
+	c.Assert(count, qt.Equals, 2)
+	fleet.Expire(keepUntil.Add(-time.Millisecond))
+	count, _ = fleet.Usable(need, epoch)
+	c.Assert(count, qt.Equals, 2)
+	fleet.Expire(keepUntil)
+	count, _ = fleet.Usable(need, epoch)
+	c.Assert(count, qt.Equals, 1)
+	// Later removals are what they say.
+	fleet.SetList(nil, keepUntil, keepUntil)
+	count, _ = fleet.Usable(need, keepUntil)
+	c.Assert(count, qt.Equals, 0)
+}
+
+func TestReturnedEntryIsKept(t *testing.T) {
+	c := qt.New(t)
+	fleet := newFleet(1)
+	fleet.SetList(backends(1), time.Time{}, epoch)
+	keepUntil := epoch.Add(2 * time.Second)
+	fleet.SetList(nil, keepUntil, epoch)
+	fleet.SetList(backends(1), keepUntil, epoch.Add(time.Second))
+	fleet.Expire(keepUntil)
+	count, _ := fleet.Usable(need, keepUntil)
+	c.Assert(count, qt.Equals, 1)
+}
+
+func TestRebornInstanceIsANewOne(t *testing.T) {
+	c := qt.New(t)
+	fleet := newFleet(1)
+	fleet.SetList(backends(1), time.Time{}, epoch)
+	fleet.Reported("10.0.0.0", placement.AgentReport{Born: 5, Loaded: 1}, epoch)
+	_, found := fleet.Choose(need, epoch)
+	c.Assert(found, qt.IsFalse, qt.Commentf("the list tells of the earlier start"))
+	again := backend(0)
+	again.Born, again.Loaded = 5, nil
+	fleet.SetList([]catalog.Backend{again}, time.Time{}, epoch)
+	_, found = fleet.Choose(need, epoch)
+	c.Assert(found, qt.IsTrue, qt.Commentf("the agent says that the weights are whole"))
+}
+
+func TestAgentGoesBeforeTheList(t *testing.T) {
+	c := qt.New(t)
+	fleet := newFleet(1)
+	fleet.SetList(backends(1), time.Time{}, epoch)
+	fleet.Reported("10.0.0.0", placement.AgentReport{Born: 1, Loaded: 1, Switching: true}, epoch)
+	_, found := fleet.Choose(need, epoch)
+	c.Assert(found, qt.IsFalse)
+	fleet.Reported("10.0.0.0", placement.AgentReport{Born: 1, Loaded: 2}, epoch)
+	choice, found := fleet.Choose(placement.Need{Pool: "engines", Model: "m", Version: 2}, epoch)
+	c.Assert(found, qt.IsTrue)
+	c.Assert(choice.Version, qt.Equals, int64(2))
+}
+
+// TestReleaseUnderWay answers the pattern of a release under full traffic:
+// requests go where they will not be cut, unless the wait there is long.
+func TestReleaseUnderWay(t *testing.T) {
+	c := qt.New(t)
+	fleet := newFleet(1)
+	switched := backend(1)
+	switched.Loaded = map[string]int64{"m": 2}
+	fleet.SetList([]catalog.Backend{backend(0), switched}, time.Time{}, epoch)
+	rolling := need
+	rolling.Newest = 2
+	choice, _ := fleet.Choose(rolling, epoch)
+	c.Assert(choice.Backend.ID, qt.Equals, "i-01")
+	fleet.PeerLoads("peer", map[string]placement.Load{"i-01": {Count: 4, Unread: 8000}}, true, epoch)
+	choice, _ = fleet.Choose(rolling, epoch)
+	c.Assert(choice.Backend.ID, qt.Equals, "i-00")
+}
+
+func TestFailedInstanceIsAvoidedAndComesBack(t *testing.T) {
+	c := qt.New(t)
+	fleet := newFleet(1)
+	fleet.SetList(backends(1), time.Time{}, epoch)
+	choice, _ := fleet.Choose(need, epoch)
+	fleet.Finished(choice, placement.Failed, epoch)
+	_, found := fleet.Choose(need, epoch)
+	c.Assert(found, qt.IsFalse)
+	choice, found = fleet.Choose(need, epoch.Add(500*time.Millisecond))
+	c.Assert(found, qt.IsTrue)
+	fleet.Finished(choice, placement.Failed, epoch)
+	_, found = fleet.Choose(need, epoch.Add(500*time.Millisecond))
+	c.Assert(found, qt.IsFalse, qt.Commentf("the second time is longer"))
+}
+
+func TestCutBySwitchIsNotHeldAgainstTheInstance(t *testing.T) {
+	c := qt.New(t)
+	fleet := newFleet(1)
+	fleet.SetList(backends(1), time.Time{}, epoch)
+	choice, _ := fleet.Choose(need, epoch)
+	fleet.Reported("10.0.0.0", placement.AgentReport{Born: 1, Loaded: 1, Switching: true}, epoch)
+	fleet.Finished(choice, placement.Failed, epoch)
+	fleet.Reported("10.0.0.0", placement.AgentReport{Born: 1, Loaded: 2}, epoch)
+	_, found := fleet.Choose(need, epoch)
+	c.Assert(found, qt.IsTrue)
+}
+
+func TestMovedInstanceIsNotUsedAgain(t *testing.T) {
+	c := qt.New(t)
+	fleet := newFleet(1)
+	fleet.SetList(backends(1), time.Time{}, epoch)
+	choice, _ := fleet.Choose(need, epoch)
+	fleet.Finished(choice, placement.Moved, epoch)
+	_, found := fleet.Choose(need, epoch.Add(time.Minute))
+	c.Assert(found, qt.IsFalse)
+}
+
+func TestSlowEngineGetsLess(t *testing.T) {
+	c := qt.New(t)
+	fleet := newFleet(1)
+	fleet.SetList(backends(2), time.Time{}, epoch)
+	fleet.Reported("10.0.0.0", placement.AgentReport{Born: 1, Loaded: 1, Pace: 4}, epoch)
+	for range 3 {
+		choice, _ := fleet.Choose(need, epoch)
+		c.Assert(choice.Backend.ID, qt.Equals, "i-01")
+	}
+}
--- /dev/null
+++ b/internal/placement/releases_test.go
@@ -0,0 +1,60 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/internal/catalog"
+	"plantainrelay/internal/placement"
+)
+
+const (
+	bound = 7 * time.Second
+	grace = 2 * time.Second
+)
+
+func release(version int64) catalog.Release { return catalog.Release{Model: "m", Version: version} }
+
+func TestOldVersionEndsWithTheBound(t *testing.T) {
+	c := qt.New(t)
+	r, isNew := placement.NewReleases(bound, grace).Seen(release(2), false, epoch)
+	c.Assert(isNew, qt.IsTrue)
+	c.Assert(r.Required("m", epoch.Add(bound-1)), qt.Equals, int64(0))
+	c.Assert(r.Required("m", epoch.Add(bound)), qt.Equals, int64(2))
+	c.Assert(r.Newest("m"), qt.Equals, int64(2))
+	_, isNew = r.Seen(release(2), false, epoch)
+	c.Assert(isNew, qt.IsFalse)
+}
+
+// TestSecondReleaseKeepsTheBoundOfTheFirst answers the pattern of versions that
+// are released a few seconds after each other.
+func TestSecondReleaseKeepsTheBoundOfTheFirst(t *testing.T) {
+	c := qt.New(t)
+	r, _ := placement.NewReleases(bound, grace).Seen(release(2), false, epoch)
+	r, _ = r.Seen(release(3), false, epoch.Add(2*time.Second))
+	c.Assert(r.Required("m", epoch.Add(bound)), qt.Equals, int64(2))
+	c.Assert(r.Required("m", epoch.Add(bound+2*time.Second)), qt.Equals, int64(3))
+}
+
+// TestRestartedEntryLearnsTheAges: an entry that starts during a release does
+// not know how old it is; the others tell, also of the release before.
+func TestRestartedEntryLearnsTheAges(t *testing.T) {
+	c := qt.New(t)
+	r, _ := placement.NewReleases(bound, grace).Seen(release(3), true, epoch)
+	c.Assert(r.Required("m", epoch), qt.Equals, int64(0))
+	c.Assert(r.Required("m", epoch.Add(grace)), qt.Equals, int64(3), qt.Commentf("nobody tells"))
+	told := r.Told(release(3), time.Second, epoch).Told(release(2), bound, epoch)
+	c.Assert(told.Required("m", epoch), qt.Equals, int64(2))
+	c.Assert(told.Required("m", epoch.Add(grace)), qt.Equals, int64(2))
+	c.Assert(told.Required("m", epoch.Add(bound)), qt.Equals, int64(3))
+	c.Assert(told.Ages(epoch), qt.HasLen, 2)
+	c.Assert(r.Ages(epoch), qt.HasLen, 0, qt.Commentf("a guess is not passed on"))
+}
+
+func TestUnknownReleaseOfAPeerWaitsForTheList(t *testing.T) {
+	c := qt.New(t)
+	r, _ := placement.NewReleases(bound, grace).Seen(release(2), false, epoch)
+	c.Assert(r.Told(release(9), bound, epoch).Required("m", epoch), qt.Equals, int64(0))
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -64,6 +64,8 @@
 	changed := r.merge(change.Documents)
 	if change.Whole {
 		changed = append(changed, r.sweep(change)...)
+		// A listing does not tell what was removed before it.
+		r.floor = max(r.floor, change.AsOf)
 	}
 	r.asOf, r.known = change.AsOf, true
 	r.Prove(r.content, proof)
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,126 @@
+package replica_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"plantainrelay/internal/replica"
+)
+
+var epoch = time.Unix(1_000, 0)
+
+func document(name string, revision int64) replica.Document {
+	return replica.Document{Name: name, Revision: revision, Body: []byte(name)}
+}
+
+func whole(asOf int64, documents ...replica.Document) replica.Change {
+	return replica.Change{Whole: true, AsOf: asOf, Documents: documents}
+}
+
+func TestCopyNeverGoesBack(t *testing.T) {
+	c := qt.New(t)
+	r := replica.New()
+	c.Assert(r.Apply(whole(10, document("a", 9)), epoch), qt.HasLen, 1)
+	c.Assert(r.Apply(whole(8, document("a", 7), document("b", 8)), epoch.Add(time.Second)), qt.HasLen, 0)
+	c.Assert(r.Documents()["a"].Revision, qt.Equals, int64(9))
+	c.Assert(r.Proof(), qt.Equals, epoch)
+}
+
+func TestChangesWithoutAListingAreNoCopy(t *testing.T) {
+	c := qt.New(t)
+	r := replica.New()
+	c.Assert(r.Apply(replica.Change{AsOf: 5, Documents: []replica.Document{document("a", 5)}}, epoch), qt.HasLen, 0)
+	c.Assert(r.Known(), qt.IsFalse)
+}
+
+func TestListingRemovesWhatItLacks(t *testing.T) {
+	c := qt.New(t)
+	r := replica.New()
+	r.Apply(whole(10, document("a", 9), document("b", 10)), epoch)
+	changed := r.Apply(whole(12, document("b", 10)), epoch)
+	c.Assert(changed, qt.DeepEquals, []replica.Document{{Name: "a", Revision: 12, Removed: true}})
+	// Late news of what was removed does not bring it back.
+	r.Apply(replica.Change{AsOf: 13, Documents: []replica.Document{document("a", 11)}}, epoch)
+	_, found := r.Documents()["a"]
+	c.Assert(found, qt.IsFalse)
+}
+
+func TestProofCountsForEqualContentOnly(t *testing.T) {
+	c := qt.New(t)
+	r := replica.New()
+	r.Apply(whole(10, document("a", 9)), epoch)
+	r.Prove(8, epoch.Add(time.Second))
+	c.Assert(r.Proof(), qt.Equals, epoch)
+	r.Prove(9, epoch.Add(time.Second))
+	c.Assert(r.Proof(), qt.Equals, epoch.Add(time.Second))
+	r.Prove(9, epoch)
+	c.Assert(r.Proof(), qt.Equals, epoch.Add(time.Second))
+}
+
+// TestNewsReachACopyThroughPeers lets copies read the store or each other in
+// any order: each ends with what the store holds, and none goes back.
+func TestNewsReachACopyThroughPeers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := map[string]replica.Document{}
+		revision := int64(1)
+		copies := []*replica.Replica{replica.New(), replica.New(), replica.New()}
+		seen := make([]map[string]int64, len(copies))
+		for i := range seen {
+			seen[i] = map[string]int64{}
+		}
+		list := func() replica.Change {
+			change := replica.Change{Whole: true, AsOf: revision}
+			for _, held := range store {
+				change.Documents = append(change.Documents, held)
+			}
+			return change
+		}
+		check := func(i int) {
+			for name, held := range copies[i].Documents() {
+				if held.Revision < seen[i][name] {
+					t.Fatalf("copy %d went back on %s", i, name)
+				}
+				seen[i][name] = held.Revision
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(t *rapid.T) {
+				revision++
+				name := fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "name"))
+				store[name] = document(name, revision)
+			},
+			"remove": func(t *rapid.T) {
+				revision++
+				delete(store, fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "name")))
+			},
+			"read": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(copies)-1).Draw(t, "copy")
+				copies[i].Apply(list(), epoch)
+				check(i)
+			},
+			"pull": func(t *rapid.T) {
+				from, to := rapid.IntRange(0, 2).Draw(t, "from"), rapid.IntRange(0, 2).Draw(t, "to")
+				if copies[from].Known() {
+					copies[to].Apply(copies[from].Since(copies[to].AsOf()), epoch)
+					check(to)
+				}
+			},
+		})
+		copies[0].Apply(list(), epoch)
+		copies[1].Apply(copies[0].Since(copies[1].AsOf()), epoch)
+		for _, held := range copies[:2] {
+			if len(held.Documents()) != len(store) {
+				t.Fatalf("a copy holds %d documents, the store %d", len(held.Documents()), len(store))
+			}
+			for name, want := range store {
+				if held.Documents()[name].Revision != want.Revision {
+					t.Fatalf("a copy holds revision %d of %s, the store %d", held.Documents()[name].Revision, name, want.Revision)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/rollout/turn_test.go
@@ -0,0 +1,85 @@
+package rollout_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/internal/rollout"
+)
+
+var turnEpoch = time.Unix(1_000, 0)
+
+// TestZoneSwitchesInParts answers the pattern of a release under full load: all
+// instances of a zone hold the new version at the same moment, and capacity has
+// to stay.
+func TestZoneSwitchesInParts(t *testing.T) {
+	c := qt.New(t)
+	turn := rollout.Turn{Share: 0.34, Latest: turnEpoch.Add(time.Minute)}
+	done := map[string]bool{}
+	names := make([]string, 9)
+	for i := range names {
+		names[i] = fmt.Sprintf("10.0.0.%d", i)
+	}
+	rounds := 0
+	for len(done) < len(names) {
+		rounds++
+		var switching []string
+		for _, self := range names {
+			if !done[self] && turn.May(self, "2", neighbors(names, self, done), turnEpoch) {
+				switching = append(switching, self)
+			}
+		}
+		c.Assert(len(switching) >= 1 && len(switching) <= 3, qt.IsTrue, qt.Commentf("round %d: %v", rounds, switching))
+		for _, name := range switching {
+			done[name] = true
+		}
+	}
+	c.Assert(rounds, qt.Equals, 3)
+}
+
+func neighbors(names []string, self string, done map[string]bool) []rollout.Neighbor {
+	var others []rollout.Neighbor
+	for _, name := range names {
+		if name != self {
+			others = append(others, rollout.Neighbor{Name: name, Done: done[name]})
+		}
+	}
+	return others
+}
+
+func TestTimeThatRunsOutGoesFirst(t *testing.T) {
+	c := qt.New(t)
+	turn := rollout.Turn{Share: 0.1, Latest: turnEpoch}
+	names := []string{"a", "b", "c", "d"}
+	for _, self := range names {
+		c.Assert(turn.May(self, "2", neighbors(names, self, nil), turnEpoch), qt.IsTrue)
+	}
+}
+
+func TestIdleNeighborsTakeNoTurn(t *testing.T) {
+	c := qt.New(t)
+	turn := rollout.Turn{Share: 0.1, Latest: turnEpoch.Add(time.Minute)}
+	idle := []rollout.Neighbor{{Name: "a", Idle: true}, {Name: "b", Idle: true}}
+	for _, self := range []string{"c", "0"} {
+		c.Assert(turn.May(self, "2", idle, turnEpoch), qt.IsTrue)
+	}
+}
+
+// TestVersionsInQuickSuccession answers the pattern of a release that follows
+// another before that one serves: what is nearly held is finished.
+func TestVersionsInQuickSuccession(t *testing.T) {
+	c := qt.New(t)
+	progress := rollout.Progress{Held: 30, Chunks: 64, LastAt: turnEpoch, Latest: turnEpoch.Add(4 * time.Second)}
+	c.Assert(progress.Finish(turnEpoch), qt.IsTrue)
+	early := progress
+	early.Held = 5
+	c.Assert(early.Finish(turnEpoch), qt.IsFalse)
+	c.Assert(progress.Finish(turnEpoch.Add(2*time.Second)), qt.IsFalse, qt.Commentf("no chunk for 2 s"))
+	whole := progress
+	whole.Held = 64
+	c.Assert(whole.Finish(turnEpoch.Add(2*time.Second)), qt.IsTrue)
+	c.Assert(whole.Finish(turnEpoch.Add(5*time.Second)), qt.IsFalse, qt.Commentf("its time is over"))
+}
