--- /dev/null
+++ b/internal/relay/front_test.go
@@ -0,0 +1,424 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"plantainrelay/internal/clock"
+	"plantainrelay/internal/copies"
+	"plantainrelay/internal/metrics"
+	"plantainrelay/internal/placement"
+	"plantainrelay/internal/replica"
+	"plantainrelay/platform"
+)
+
+// fixture is a front with its callers' side and fake backend server instances.
+type fixture struct {
+	front  *front
+	server *httptest.Server
+}
+
+const (
+	testHost     = "a.example"
+	testAttempt  = "attempt-1"
+	tableVersion = `{"Version":3,"Routes":[
+ {"Name":"stream","Host":"a.example","PathPrefix":"/stream/","Kind":"streaming","TimeoutMs":3000,"FullCreditMs":200,"Service":"s","MaxAttempts":2,"Resumable":true,"GapTargetMs":200},
+ {"Name":"fixed","Host":"a.example","PathPrefix":"/fixed/","Kind":"streaming","TimeoutMs":3000,"FullCreditMs":200,"Service":"s","MaxAttempts":2},
+ {"Name":"once","Host":"a.example","PathPrefix":"/once/","Kind":"non_idempotent","TimeoutMs":3000,"FullCreditMs":200,"Service":"s","MaxAttempts":2},
+ {"Name":"look","Host":"a.example","PathPrefix":"/look/","Kind":"idempotent","TimeoutMs":3000,"FullCreditMs":200,"Service":"s","MaxAttempts":2}],
+ "Services":[{"Name":"s"}],"Tenants":[{"Name":"firm","ApiKeys":["good"]}]}`
+)
+
+// newFixture starts a front before the given instances.
+func newFixture(t *testing.T, handlers ...http.HandlerFunc) *fixture {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	entry := log.WithField("test", t.Name())
+	held := newGate(placement.New(placement.Config{PeerAge: time.Second, Avoid: 100 * time.Millisecond, MaxAvoid: time.Second, Seed: 1}),
+		retryLimits{window: 10 * time.Second, ratio: 0.2, slack: 10})
+	v := newView(held, time.Minute, time.Second, entry)
+	v.copies = copies.New(nil, nil, entry, func(platform.Kind) bool { return false }, v.changed)
+	table := replica.Document{Name: platform.TableName, Revision: 1, Body: []byte(tableVersion)}
+	v.copies.Take(platform.Tables, replica.Change{Whole: true, AsOf: 1, Documents: []replica.Document{table}}, clock.Now())
+	var listed []replica.Document
+	for i, handler := range handlers {
+		instance := httptest.NewServer(handler)
+		t.Cleanup(instance.Close)
+		body := fmt.Sprintf(`{"Service":"s","Address":%q,"State":"ready","Slots":4,"born":1}`, strings.TrimPrefix(instance.URL, "http://"))
+		listed = append(listed, replica.Document{Name: fmt.Sprintf("i-%d", i), Revision: 1, Body: []byte(body)})
+	}
+	v.copies.Take(platform.Backends, replica.Change{Whole: true, AsOf: 1, Documents: listed}, clock.Now())
+	f := &front{view: v, gate: held, sender: newSender(), log: entry, metrics: newFrontMetrics(metrics.New())}
+	f.revoke.Store(int64(5 * time.Second))
+	server := httptest.NewServer(f)
+	t.Cleanup(server.Close)
+	return &fixture{front: f, server: server}
+}
+
+// ask sends a request with a good key.
+func (f *fixture) ask(method, path string, change ...func(*http.Request)) (*http.Response, string, error) {
+	request, err := http.NewRequest(method, f.server.URL+path, strings.NewReader("body"))
+	if err != nil {
+		return nil, "", err
+	}
+	request.Host = testHost
+	request.Header.Set("Attempt-Id", testAttempt)
+	request.Header.Set("Deadline-Ms", "2500")
+	request.Header.Set("X-Api-Key", "good")
+	for _, one := range change {
+		one(request)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response, string(body), err
+}
+
+func sealed(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+	w.Header().Set("Response-Seal", "seal-"+r.Header.Get("Expect-Instance"))
+}
+
+func answerOK(w http.ResponseWriter, r *http.Request) {
+	sealed(w, r)
+	fmt.Fprint(w, "answer")
+}
+
+func refuseFull(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// writeEvents writes the events from..to and flushes each.
+func writeEvents(w http.ResponseWriter, from, to int) {
+	for id := from; id <= to; id++ {
+		fmt.Fprintf(w, "id: %d\ndata: %d\n\n", id, id)
+		w.(http.Flusher).Flush()
+	}
+}
+
+// hang keeps silent until the connection ends, which a server notices once it
+// has read the body.
+func hang(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+// breakOff resets the connection in the middle of an answer.
+func breakOff(http.ResponseWriter) { panic(http.ErrAbortHandler) }
+
+func TestRequestIsPassedOnUnchanged(t *testing.T) {
+	c := qt.New(t)
+	var got *http.Request
+	var body string
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		raw, _ := io.ReadAll(r.Body)
+		got, body = r.Clone(context.Background()), string(raw)
+		answerOK(w, r)
+	})
+	response, answer, err := f.ask(http.MethodPost, "/once/a%2Fb//c?x=1&y=%20", func(r *http.Request) { r.Header.Set("Model", "m") })
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, 200)
+	c.Assert(answer, qt.Equals, "answer")
+	c.Assert(response.Header.Get("Response-Seal"), qt.Equals, "seal-i-0")
+	c.Assert(got.RequestURI, qt.Equals, "/once/a%2Fb//c?x=1&y=%20")
+	c.Assert(got.Host, qt.Equals, testHost)
+	c.Assert(body, qt.Equals, "body")
+	c.Assert(got.Header.Get("Model"), qt.Equals, "m")
+	c.Assert(got.Header.Get("Tenant"), qt.Equals, "firm")
+	c.Assert(got.Header.Get("X-Api-Key"), qt.Equals, "")
+	c.Assert(got.Header.Get("Attempt-Id"), qt.Equals, testAttempt)
+}
+
+func TestRefusals(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t, answerOK)
+	for _, one := range []struct {
+		path   string
+		change func(*http.Request)
+		want   int
+	}{
+		{"/nowhere/", func(*http.Request) {}, http.StatusNotFound},
+		{"/once/", func(r *http.Request) { r.Host = "other.example" }, http.StatusNotFound},
+		{"/once/", func(r *http.Request) { r.Header.Set("X-Api-Key", "bad") }, http.StatusUnauthorized},
+		{"/once/", func(r *http.Request) { r.Header.Del("X-Api-Key") }, http.StatusUnauthorized},
+	} {
+		response, _, err := f.ask(http.MethodPost, one.path, one.change)
+		c.Assert(err, qt.IsNil)
+		c.Check(response.StatusCode, qt.Equals, one.want, qt.Commentf("%s", one.path))
+		c.Check(response.Header.Get("Response-Seal"), qt.Equals, "")
+	}
+}
+
+// TestOldTablesRefuseForNowOnly: an entry that is cut off from the store cannot
+// know whether a key was taken away or a route was added.
+func TestOldTablesRefuseForNowOnly(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t, answerOK)
+	f.front.revoke.Store(int64(revokeMargin))
+	response, _, err := f.ask(http.MethodPost, "/once/")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(response.Header.Get("Retry-After"), qt.Equals, "1.00")
+}
+
+func TestNoTablesAreNoDenial(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t, answerOK)
+	f.front.view.table.Store(nil)
+	response, _, err := f.ask(http.MethodPost, "/once/")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+}
+
+func TestFullInstanceIsFollowedByAnother(t *testing.T) {
+	c := qt.New(t)
+	var runs atomic.Int32
+	run := func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		answerOK(w, r)
+	}
+	f := newFixture(t, refuseFull, run)
+	for range 4 {
+		response, _, err := f.ask(http.MethodPost, "/once/")
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.StatusCode, qt.Equals, 200)
+	}
+	c.Assert(runs.Load(), qt.Equals, int32(4))
+}
+
+func TestRefusalByAllInstancesIsToldAsNotRun(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t, refuseFull, refuseFull)
+	response, _, err := f.ask(http.MethodPost, "/once/")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(response.Header.Get("Retry-After") != "", qt.IsTrue)
+}
+
+// TestLostAnswerOfABookingIsNotRepeated: the booking may have run.
+func TestLostAnswerOfABookingIsNotRepeated(t *testing.T) {
+	c := qt.New(t)
+	var runs atomic.Int32
+	lose := func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		breakOff(w)
+	}
+	f := newFixture(t, lose, lose)
+	response, _, err := f.ask(http.MethodPost, "/once/")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
+	c.Assert(runs.Load(), qt.Equals, int32(1))
+}
+
+func TestLostAnswerOfALookupIsRepeatedElsewhere(t *testing.T) {
+	c := qt.New(t)
+	var runs atomic.Int32
+	first := func(w http.ResponseWriter, r *http.Request) {
+		if runs.Add(1) == 1 {
+			breakOff(w)
+		}
+		answerOK(w, r)
+	}
+	f := newFixture(t, first, first)
+	response, body, err := f.ask(http.MethodGet, "/look/")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, 200)
+	c.Assert(body, qt.Equals, "answer")
+	c.Assert(runs.Load(), qt.Equals, int32(2))
+}
+
+func TestForeignAnswerNeverReachesTheCaller(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Set("Attempt-Id", "another")
+		answerOK(w, r)
+	})
+	response, body, err := f.ask(http.MethodPost, "/once/")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
+	c.Assert(strings.Contains(body, "answer"), qt.IsFalse)
+}
+
+func TestFailureOfTheInstanceIsPassedOn(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		sealed(w, r)
+		w.WriteHeader(http.StatusInternalServerError)
+		fmt.Fprint(w, "its own words")
+	})
+	response, body, err := f.ask(http.MethodPost, "/once/")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusInternalServerError)
+	c.Assert(response.Header.Get("Response-Seal"), qt.Equals, "seal-i-0")
+	c.Assert(body, qt.Equals, "its own words")
+}
+
+// TestTruncatedAnswerDoesNotLookWhole: fewer bytes than announced.
+func TestTruncatedAnswerDoesNotLookWhole(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		sealed(w, r)
+		w.Header().Set("Content-Length", "100")
+		fmt.Fprint(w, "part")
+	})
+	response, _, err := f.ask(http.MethodPost, "/once/")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
+}
+
+const wholeStream = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\nid: 4\ndata: 4\n\n"
+
+// TestStreamGoesOnElsewhere: the first instance breaks off in the middle of an
+// event; the second goes on after the last whole one, in the same answer.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	c := qt.New(t)
+	var calls atomic.Int32
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		sealed(w, r)
+		if calls.Add(1) == 1 {
+			writeEvents(w, 1, 2)
+			fmt.Fprint(w, "id: 3\nda")
+			w.(http.Flusher).Flush()
+			breakOff(w)
+		}
+		c.Check(r.Header.Get("Last-Event-Id"), qt.Equals, "2")
+		writeEvents(w, 3, 4)
+	}
+	f := newFixture(t, handler, handler)
+	response, body, err := f.ask(http.MethodPost, "/stream/")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, 200)
+	c.Assert(body, qt.Equals, wholeStream)
+	c.Assert(calls.Load(), qt.Equals, int32(2))
+}
+
+func TestStreamThatRepeatsEventsIsBrokenOff(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		sealed(w, r)
+		writeEvents(w, 1, 2)
+		writeEvents(w, 2, 3)
+	})
+	_, body, err := f.ask(http.MethodPost, "/fixed/")
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(strings.Count(body, "id: 2") <= 1, qt.IsTrue)
+}
+
+// TestStreamThatMayNotResumeIsCutVisibly: a part never looks like the whole.
+func TestStreamThatMayNotResumeIsCutVisibly(t *testing.T) {
+	c := qt.New(t)
+	var calls atomic.Int32
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		sealed(w, r)
+		writeEvents(w, 1, 2)
+		breakOff(w)
+	}
+	f := newFixture(t, handler, handler)
+	_, _, err := f.ask(http.MethodPost, "/fixed/")
+	c.Assert(err, qt.ErrorIs, io.ErrUnexpectedEOF)
+	c.Assert(calls.Load(), qt.Equals, int32(1))
+}
+
+// TestSilentStreamGoesOnElsewhere: an instance that hangs is left.
+func TestSilentStreamGoesOnElsewhere(t *testing.T) {
+	c := qt.New(t)
+	var calls atomic.Int32
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) == 1 {
+			hang(r)
+			return
+		}
+		sealed(w, r)
+		writeEvents(w, 1, 4)
+	}
+	f := newFixture(t, handler, handler)
+	_, body, err := f.ask(http.MethodPost, "/stream/")
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, wholeStream)
+}
+
+// TestWorkStopsWhenTheCallerLeaves: the instance sees the end of its connection.
+func TestWorkStopsWhenTheCallerLeaves(t *testing.T) {
+	c := qt.New(t)
+	began, ended := make(chan struct{}), make(chan struct{})
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		sealed(w, r)
+		writeEvents(w, 1, 1)
+		close(began)
+		hang(r)
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-began
+		cancel()
+	}()
+	_, _, err := f.ask(http.MethodPost, "/fixed/", func(r *http.Request) { *r = *r.WithContext(ctx) })
+	c.Assert(err, qt.IsNotNil)
+	<-ended
+}
+
+// TestTimeLeftIsPassedOn: no instance is given more time than the caller has.
+func TestTimeLeftIsPassedOn(t *testing.T) {
+	c := qt.New(t)
+	var told string
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		told = r.Header.Get("Deadline-Ms")
+		answerOK(w, r)
+	})
+	_, _, err := f.ask(http.MethodPost, "/once/", func(r *http.Request) { r.Header.Set("Deadline-Ms", "900") })
+	c.Assert(err, qt.IsNil)
+	var left int
+	_, err = fmt.Sscan(told, &left)
+	c.Assert(err, qt.IsNil)
+	c.Assert(left > 0 && left <= 900, qt.IsTrue, qt.Commentf("%s", told))
+}
+
+func TestLeavingEntryClosesConnections(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t, answerOK)
+	f.front.leaving.Store(true)
+	response, _, err := f.ask(http.MethodPost, "/once/")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, 200)
+	c.Assert(response.Close, qt.IsTrue)
+}
+
+func TestTooLargeBodyIsRefused(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t, answerOK)
+	limited := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, 2)
+		f.front.ServeHTTP(w, r)
+	}))
+	t.Cleanup(limited.Close)
+	f.server = limited
+	response, _, err := f.ask(http.MethodPost, "/once/")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
+}
+
+// TestDeadlineIsAnsweredAtOnce: nothing is held back beyond the time limit.
+func TestDeadlineIsAnsweredAtOnce(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t, func(_ http.ResponseWriter, r *http.Request) { hang(r) })
+	response, _, err := f.ask(http.MethodPost, "/once/", func(r *http.Request) { r.Header.Set("Deadline-Ms", "300") })
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusGatewayTimeout)
+}
--- /dev/null
+++ b/internal/relay/stream_test.go
@@ -0,0 +1,60 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestEventsAreSplit(t *testing.T) {
+	c := qt.New(t)
+	from := newEvents(iotest.OneByteReader(strings.NewReader("id: 7\ndata: a\n\ndata: b\r\n\r\nid: 8\nda")))
+	first, err := from.next()
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(first.raw), qt.Equals, "id: 7\ndata: a\n\n")
+	c.Assert(first.id, qt.Equals, int64(7))
+	second, err := from.next()
+	c.Assert(err, qt.IsNil)
+	c.Assert(second.hasID, qt.IsFalse)
+	c.Assert(string(second.raw), qt.Equals, "data: b\r\n\r\n")
+	_, err = from.next()
+	c.Assert(err, qt.Equals, io.ErrUnexpectedEOF)
+}
+
+func TestEndBetweenEventsIsTheEnd(t *testing.T) {
+	_, err := newEvents(strings.NewReader("")).next()
+	qt.Assert(t, err, qt.Equals, io.EOF)
+}
+
+func TestEventHasALimit(t *testing.T) {
+	_, err := newEvents(strings.NewReader(strings.Repeat("x", maxEventBytes+1))).next()
+	qt.Assert(t, err, qt.Equals, errEventTooLarge)
+}
+
+// FuzzEvents checks that the events of a stream, joined, are its bytes up to the
+// last whole event.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: x\n\nid: 2\n\n"))
+	f.Add([]byte("\n\n\nid:9223372036854775808\n\n"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		from := newEvents(strings.NewReader(string(raw)))
+		var joined strings.Builder
+		for {
+			next, err := from.next()
+			if err != nil {
+				if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, errEventTooLarge) {
+					t.Fatal(err)
+				}
+				break
+			}
+			joined.Write(next.raw)
+		}
+		if !strings.HasPrefix(string(raw), joined.String()) {
+			t.Fatal("the events are not the bytes of the stream")
+		}
+	})
+}
