--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -26,8 +26,6 @@
 	answerSlack = 700 * time.Millisecond
 	// proofWait is the shortest watch, made only to prove that a copy is current.
 	proofWait = time.Millisecond
-	// gather is the pause after news, in which more of a burst arrives.
-	gather = 60 * time.Millisecond
 	// lookInterval is the time between two looks at the age of a copy.
 	lookInterval = 100 * time.Millisecond
 )
@@ -39,6 +37,9 @@
 	// MaxAge is the age of the proof beyond which this process reads the store
 	// itself, whoever's duty it is.
 	MaxAge time.Duration
+	// Gather is the pause after news, in which more of a burst arrives: each watch
+	// that returns is a call.
+	Gather time.Duration
 	// FirstNews is how long a starting process waits for a peer's news before it
 	// reads the store itself.
 	FirstNews time.Duration
@@ -172,7 +173,7 @@
 			c.succeeded(kind)
 			pause = minPause
 			if news {
-				sleep(ctx, gather)
+				sleep(ctx, c.plans[kind].Gather)
 			}
 			continue
 		}
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -56,7 +56,7 @@
 var plans = map[platform.Kind]copies.Plan{
 	platform.Tables:   {MaxAge: 20 * time.Second, FirstNews: firstNews},
 	platform.Backends: {MaxAge: 12 * time.Second, FirstNews: firstNews},
-	platform.Releases: {MaxAge: 5 * time.Second, FirstNews: firstNews},
+	platform.Releases: {MaxAge: 9 * time.Second, FirstNews: firstNews},
 }
 
 // target is the version that the engine is to serve.
--- /dev/null
+++ b/internal/loader/loader_test.go
@@ -0,0 +1,212 @@
+package loader
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"plantainrelay/internal/catalog"
+	"plantainrelay/internal/clock"
+	"plantainrelay/internal/depot"
+	"plantainrelay/internal/swarm"
+	"plantainrelay/internal/weights"
+	"plantainrelay/platform"
+)
+
+const model = "m"
+
+// fakeEngine is an engine with a staging area.
+type fakeEngine struct {
+	mu     sync.Mutex
+	staged map[int][]byte
+	report string
+	orders []string
+}
+
+func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	chunk, _ := strconv.Atoi(r.URL.Query().Get("ItemCount"))
+	body, _ := io.ReadAll(r.Body)
+	switch {
+	case r.URL.Path == "/v1/report":
+		fmt.Fprint(w, e.report)
+	case r.URL.Path == "/v1/order":
+		e.orders = append(e.orders, string(body))
+		w.WriteHeader(http.StatusAccepted)
+	case strings.HasPrefix(r.URL.Path, "/v1/stage-put/"):
+		e.staged[chunk] = body
+	case strings.HasPrefix(r.URL.Path, "/v1/stage-get/"):
+		data, found := e.staged[chunk]
+		if !found {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		_, _ = w.Write(data)
+	}
+}
+
+func chunkOf(version int64, chunk int) []byte {
+	return fmt.Appendf(nil, "version %d, chunk %d", version, chunk)
+}
+
+func manifestOf(version int64, chunks int) platform.Manifest {
+	manifest := platform.Manifest{Model: model, Version: version}
+	for chunk := range chunks {
+		manifest.Digests = append(manifest.Digests, weights.DigestOf(chunkOf(version, chunk)))
+	}
+	return manifest
+}
+
+// newTestAgent returns an agent beside a fake engine whose target is version 2
+// of four chunks.
+func newTestAgent(t *testing.T) (*agent, *fakeEngine) {
+	t.Helper()
+	engine := &fakeEngine{staged: map[int][]byte{}, report: `{"born":5,"Models":[{"Name":"m","Version":1}]}`}
+	server := httptest.NewServer(engine)
+	t.Cleanup(server.Close)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	pool := catalog.Pool{Name: "s", Engine: &catalog.Engine{Model: model, Chunks: 4, Layers: 1}}
+	a := &agent{
+		settings: platform.Settings{IP: "10.0.0.1", AvailabilityZone: "z1"},
+		log:      log.WithField("test", t.Name()), engine: platform.NewEngine(strings.TrimPrefix(server.URL, "http://"), http.DefaultTransport),
+		holding: newHolding(), uploads: depot.NewUploads(0), changed: make(chan struct{}, 1),
+		entries: map[string]entrance{}, neighbors: map[string]neighbor{}, pool: pool,
+		table:  catalog.New(1, catalog.Limits{}, nil, []catalog.Pool{pool}, nil),
+		target: target{model: model, version: 2, seen: clock.Now()},
+	}
+	a.settings.Bounds.Switch = time.Hour
+	a.holding.add(manifestOf(2, 4))
+	return a, engine
+}
+
+func (a *agent) holdAll() {
+	for chunk := range 4 {
+		a.holding.put(2, chunk, chunkOf(2, chunk))
+	}
+}
+
+func TestOnlyVerifiedChunksAreHeld(t *testing.T) {
+	c := qt.New(t)
+	h := newHolding()
+	h.add(manifestOf(2, 4))
+	c.Assert(h.put(2, 0, chunkOf(1, 0)), qt.IsFalse, qt.Commentf("of another version"))
+	c.Assert(h.put(2, 4, chunkOf(2, 4)), qt.IsFalse, qt.Commentf("not in the manifest"))
+	c.Assert(h.put(9, 0, chunkOf(9, 0)), qt.IsFalse, qt.Commentf("of a version that is not held"))
+	c.Assert(h.put(2, 0, chunkOf(2, 0)), qt.IsTrue)
+	have, _ := h.have(2)
+	c.Assert(have.Count(), qt.Equals, 1)
+}
+
+func TestOldestVersionIsDropped(t *testing.T) {
+	c := qt.New(t)
+	h := newHolding()
+	for version := range int64(maxVersions + 1) {
+		h.add(manifestOf(version, 1))
+	}
+	_, found := h.manifest(0)
+	c.Assert(found, qt.IsFalse)
+	_, found = h.manifest(int64(maxVersions))
+	c.Assert(found, qt.IsTrue)
+}
+
+// TestRottenChunkIsPutRightBeforeTheOrder: chunks turn bad where they lie.
+func TestRottenChunkIsPutRightBeforeTheOrder(t *testing.T) {
+	c := qt.New(t)
+	a, engine := newTestAgent(t)
+	a.holdAll()
+	engine.staged = map[int][]byte{0: chunkOf(2, 0), 1: []byte("rotten"), 2: chunkOf(1, 2)}
+	verified := a.verifyStage(context.Background())
+	c.Assert(verified.version, qt.Equals, int64(2))
+	for chunk := range 4 {
+		c.Check(string(engine.staged[chunk]), qt.Equals, string(chunkOf(2, chunk)))
+	}
+}
+
+// TestNothingIsOrderedThatIsNotWhole: a chunk is missing here and there.
+func TestNothingIsOrderedThatIsNotWhole(t *testing.T) {
+	c := qt.New(t)
+	a, engine := newTestAgent(t)
+	a.readReport(context.Background())
+	a.holding.put(2, 0, chunkOf(2, 0))
+	whole, _ := a.ready(order{}, clock.Now())
+	c.Assert(whole, qt.IsFalse)
+	c.Assert(a.verifyStage(context.Background()).version, qt.Equals, int64(0))
+	c.Assert(engine.orders, qt.HasLen, 0)
+}
+
+func TestOrderIsGivenOnceForAStartOfTheEngine(t *testing.T) {
+	c := qt.New(t)
+	a, engine := newTestAgent(t)
+	a.holdAll()
+	a.readReport(context.Background())
+	whole, turn := a.ready(order{}, clock.Now())
+	c.Assert(whole && turn, qt.IsTrue)
+	given := a.switchTo(context.Background(), order{})
+	c.Assert(engine.orders, qt.HasLen, 1)
+	c.Assert(strings.Contains(engine.orders[0], `"Version":2`), qt.IsTrue)
+	whole, _ = a.ready(given, clock.Now())
+	c.Assert(whole, qt.IsFalse, qt.Commentf("the order is in progress"))
+	engine.report = `{"born":6,"Models":[]}`
+	a.readReport(context.Background())
+	whole, turn = a.ready(given, clock.Now())
+	c.Assert(whole && turn, qt.IsTrue, qt.Commentf("the engine has started again and holds nothing"))
+}
+
+func TestEngineThatServesTheTargetGetsNoOrder(t *testing.T) {
+	c := qt.New(t)
+	a, engine := newTestAgent(t)
+	a.holdAll()
+	engine.report = `{"born":5,"Models":[{"Name":"m","Version":2}]}`
+	a.readReport(context.Background())
+	whole, _ := a.ready(order{}, clock.Now())
+	c.Assert(whole, qt.IsFalse)
+}
+
+// TestStreamsMayEndBeforeTheSwitch: requests in progress are waited for, and
+// entries are told that no more are taken.
+func TestStreamsMayEndBeforeTheSwitch(t *testing.T) {
+	c := qt.New(t)
+	a, engine := newTestAgent(t)
+	a.holdAll()
+	engine.report = `{"born":5,"Models":[{"Name":"m","Version":1}],"Running":1}`
+	a.readReport(context.Background())
+	go func() {
+		time.Sleep(3 * tick)
+		engine.mu.Lock()
+		engine.report = `{"born":5,"Models":[{"Name":"m","Version":1}],"Running":0}`
+		engine.mu.Unlock()
+	}()
+	a.switchTo(context.Background(), order{})
+	c.Assert(a.isSwitching(), qt.IsTrue)
+	c.Assert(engine.orders, qt.HasLen, 1)
+	c.Assert(a.report.Running, qt.Equals, 0)
+}
+
+// TestReleaseDuringAFetch: what is nearly held is finished first.
+func TestReleaseDuringAFetch(t *testing.T) {
+	c := qt.New(t)
+	a, _ := newTestAgent(t)
+	a.report = platform.Report{Born: 5, Loaded: 1}
+	half := weights.NewBitmap(4)
+	half.Set(0)
+	half.Set(1)
+	a.fetching = &distribution{target: a.target, plan: swarm.NewCascade(cascade, 4, half), lastAt: clock.Now()}
+	a.newest = target{model: model, version: 3, seen: clock.Now()}
+	a.chooseTarget(clock.Now())
+	c.Assert(a.target.version, qt.Equals, int64(2))
+	a.report.Loaded = 2
+	a.chooseTarget(clock.Now())
+	c.Assert(a.target.version, qt.Equals, int64(3))
+}
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -67,9 +67,9 @@
 )
 
 var plans = map[platform.Kind]copies.Plan{
-	platform.Tables:   {Wait: tablesWait, MaxAge: 2900 * time.Millisecond},
-	platform.Backends: {Wait: backendsWait, MaxAge: 4 * time.Second},
-	platform.Releases: {Wait: releasesWait, MaxAge: 8 * time.Second},
+	platform.Tables:   {Wait: tablesWait, MaxAge: 2900 * time.Millisecond, Gather: 100 * time.Millisecond},
+	platform.Backends: {Wait: backendsWait, MaxAge: 4 * time.Second, Gather: 350 * time.Millisecond},
+	platform.Releases: {Wait: releasesWait, MaxAge: 8 * time.Second, Gather: 100 * time.Millisecond},
 }
 
 // Run runs the entry until it is told to stop.
