--- a/internal/beat/message.go
+++ b/internal/beat/message.go
@@ -3,6 +3,7 @@
 package beat
 
 import (
+	"bytes"
 	"net"
 	"strconv"
 
@@ -25,31 +26,27 @@
 
 // Standing is the state of one collection at the sender.
 type Standing struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-	Known    bool
-	Content  int64
+	Known   bool
+	Content int64
 	// AgeMs is the age of the proof of freshness in milliseconds.
 	AgeMs int64
 }
 
 // Load is what an entry has in progress at one instance.
 type Load struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-	Count    int
-	Unread   int
+	Count  int
+	Unread int
 }
 
 // Release is the intended version of a model's weights.
 type Release struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-	Model    string
-	Version  int64
-	AgeMs    int64
+	Model   string
+	Version int64
+	AgeMs   int64
 }
 
 // Report is an agent's word on the engine beside it.
 type Report struct {
-	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	Born      int64
 	Loaded    int64
 	Switching bool
@@ -58,8 +55,7 @@
 
 // Message is one datagram.
 type Message struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
-	Role     Role
+	Role Role
 	// Instance is the sender's name, Host its IP, Start its start in nanoseconds.
 	Instance         string
 	Host             string
@@ -85,8 +81,12 @@
 }
 
 func encode(m *Message) ([]byte, error) {
-	raw, err := msgpack.Marshal(m)
-	return raw, failure.Wrap(err, failure.Internal, "report this", "a message to a peer cannot be encoded")
+	var raw bytes.Buffer
+	encoder := msgpack.NewEncoder(&raw)
+	// Names of fields would be most of a message.
+	encoder.UseArrayEncodedStructs(true)
+	err := encoder.Encode(m)
+	return raw.Bytes(), failure.Wrap(err, failure.Internal, "report this", "a message to a peer cannot be encoded")
 }
 
 func decode(raw []byte) (*Message, error) {
--- a/test/imports/imports_test.go
+++ b/test/imports/imports_test.go
@@ -15,8 +15,8 @@
 
 // decisionPackages take events and a passed-in time and return actions.
 var decisionPackages = []string{
-	"admission", "balance", "burn", "dispatch", "member", "ownership",
-	"propagate", "rollout", "swarm", "table", "usage", "weights",
+	"admission", "balance", "burn", "catalog", "dispatch", "member", "ownership",
+	"peers", "placement", "propagate", "replica", "rollout", "swarm", "table", "usage", "weights",
 }
 
 // modulePrefix starts the import path of this module's packages.
@@ -109,3 +109,35 @@
 	}
 	return false
 }
+
+// platformNames are names of the users' platform that only platform/ may hold.
+var platformNames = []string{
+	"Response-Seal", "Not-Executed", "Expect-Instance", "Expect-Version", "Attempt-Id", "Deadline-Ms", "X-Api-Key", "Token-Usage",
+	"Instance-Id", "Server-Load", "FullCreditMs", "GapTargetMs", "ColdLeftMs", "ApiKeys", "PLANTAINRELAY_BOOT", "ConfigApplyMs",
+	`"/v1/objects`, `"/v1/report`, `"/v1/order`, `"/v1/stage`, `"/v1/resolve`, `"/v1/readiness`, "ItemCount", "SwitchMode",
+}
+
+// TestOnlyTheAdapterKnowsThePlatform looks for the platform's names in all
+// packages but platform/; tests speak the platform's protocol.
+func TestOnlyTheAdapterKnowsThePlatform(t *testing.T) {
+	c := qt.New(t)
+	checked := 0
+	for _, root := range []string{"cmd", "internal"} {
+		err := filepath.WalkDir(filepath.Join("..", "..", root), func(path string, entry os.DirEntry, err error) error {
+			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			source, err := os.ReadFile(path)
+			if err != nil {
+				return err
+			}
+			for _, name := range platformNames {
+				c.Check(strings.Contains(string(source), name), qt.IsFalse, qt.Commentf("%s holds %s", path, name))
+			}
+			checked++
+			return nil
+		})
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(checked > 0, qt.IsTrue)
+}
