--- /dev/null
+++ b/internal/ctl/explain_test.go
@@ -0,0 +1,35 @@
+package ctl
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestExplainNamesTheCause(t *testing.T) {
+	c := qt.New(t)
+	path := filepath.Join(c.TempDir(), "entry.log")
+	log := strings.Join([]string{
+		`{"request":"a1","msg":"request ended","outcome":"overload","status":503,"ms":210,"instance":"edge-1","time":"2"}`,
+		`12.5 edge-2 {"request":"a2","msg":"request ended","outcome":"broken_off","status":0,"ms":900,"instance":"edge-2","time":"1","attempts":[{"instance":"i-1","outcome":"broken"}]}`,
+		`{"request":"a3","msg":"request ended","outcome":"timeout","status":504,"ms":900,"instance":"edge-2","time":"1","attempts":[{"instance":"i-9","outcome":"silent"}]}`,
+		`not a log line with a1`,
+	}, "\n")
+	c.Assert(os.WriteFile(path, []byte(log), 0o600), qt.IsNil)
+	for id, want := range map[string]string{"a1": "all places", "a2": "broke at i-1", "a3": "while i-9 worked"} {
+		command := explainCommand()
+		var out bytes.Buffer
+		command.SetOut(&out)
+		command.SetArgs([]string{id, path})
+		c.Assert(command.Execute(), qt.IsNil)
+		c.Check(strings.Contains(out.String(), want), qt.IsTrue, qt.Commentf("%s: %s", id, out.String()))
+	}
+	command := explainCommand()
+	command.SilenceErrors, command.SilenceUsage = true, true
+	command.SetArgs([]string{"missing", path})
+	c.Assert(command.Execute(), qt.IsNotNil)
+}
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -112,7 +112,7 @@
 
 // Run runs the agent until it is told to stop.
 func Run(s platform.Settings) error {
-	log := logging.New(os.Stdout, "info", s.Instance, s.AvailabilityZone)
+	log := logging.New(logging.NewBounded(os.Stdout), "info", s.Instance, s.AvailabilityZone)
 	log.WithField("engine", s.Backend).Info("agent starts")
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
--- /dev/null
+++ b/internal/logging/bounded.go
@@ -0,0 +1,80 @@
+package logging
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// maxPending bounds the lines that wait to be written.
+	maxPending = 2048
+	// maxLinesPerSecond bounds the volume under load: several times what an entry
+	// writes at full traffic of a calm day.
+	maxLinesPerSecond = 500
+)
+
+// Bounded passes log lines on to a writer that may block. It never blocks
+// itself: lines beyond its limits are dropped and counted, and the count is
+// written once there is room.
+type Bounded struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	// second and written count the lines of the current second.
+	second  atomic.Int64
+	written atomic.Int64
+	now     func() time.Time
+}
+
+// NewBounded returns a writer that passes lines on to out.
+func NewBounded(out io.Writer) *Bounded {
+	b := &Bounded{lines: make(chan []byte, maxPending), now: time.Now}
+	go b.run(out)
+	return b
+}
+
+// Write implements io.Writer for one line. It always succeeds.
+func (b *Bounded) Write(line []byte) (int, error) {
+	if !b.admit() {
+		b.dropped.Add(1)
+		return len(line), nil
+	}
+	select {
+	case b.lines <- append([]byte(nil), line...):
+	default:
+		b.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines dropped since the last line that told it.
+func (b *Bounded) Dropped() int64 { return b.dropped.Load() }
+
+func (b *Bounded) admit() bool {
+	if second := b.now().Unix(); b.second.Swap(second) != second {
+		b.written.Store(0)
+	}
+	return b.written.Add(1) <= maxLinesPerSecond
+}
+
+func (b *Bounded) run(out io.Writer) {
+	var told int64
+	for line := range b.lines {
+		if second := b.second.Load(); second != told {
+			told = second
+			line = append(b.notice(), line...)
+		}
+		// There is no other place to tell of a failed write.
+		_, _ = out.Write(line)
+	}
+}
+
+// notice returns a line on the lines dropped since the last one, if any.
+func (b *Bounded) notice() []byte {
+	dropped := b.dropped.Swap(0)
+	if dropped == 0 {
+		return nil
+	}
+	return fmt.Appendf(nil, `{"level":"warning","msg":"log lines were dropped","dropped":%d}`+"\n", dropped)
+}
--- /dev/null
+++ b/internal/logging/bounded_test.go
@@ -0,0 +1,67 @@
+package logging
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestFullPipeBlocksNobody writes to a pipe that nobody reads.
+func TestFullPipeBlocksNobody(t *testing.T) {
+	c := qt.New(t)
+	reader, writer, err := os.Pipe()
+	c.Assert(err, qt.IsNil)
+	defer reader.Close()
+	b := NewBounded(writer)
+	second := int64(0)
+	b.now = func() time.Time { second++; return time.Unix(second, 0) }
+	line := []byte(strings.Repeat("x", 1023) + "\n")
+	for range 3 * maxPending {
+		count, err := b.Write(line)
+		c.Assert(err, qt.IsNil)
+		c.Assert(count, qt.Equals, len(line))
+	}
+	c.Assert(b.Dropped() > 0, qt.IsTrue)
+}
+
+// lineCounter counts what it is given.
+type lineCounter struct {
+	mu    sync.Mutex
+	lines []string
+	done  chan struct{}
+}
+
+func (l *lineCounter) Write(raw []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for line := range strings.Lines(string(raw)) {
+		l.lines = append(l.lines, line)
+		if strings.HasPrefix(line, "last") {
+			close(l.done)
+		}
+	}
+	return len(raw), nil
+}
+
+// TestVolumeIsBounded writes ten times the limit within one second: the rest is
+// dropped, and the next line tells how many.
+func TestVolumeIsBounded(t *testing.T) {
+	c := qt.New(t)
+	out := &lineCounter{done: make(chan struct{})}
+	b := NewBounded(out)
+	now := time.Unix(100, 0)
+	b.now = func() time.Time { return now }
+	for i := range 10 * maxLinesPerSecond {
+		fmt.Fprintf(b, "line %d\n", i)
+	}
+	now = now.Add(time.Second)
+	fmt.Fprintln(b, "last")
+	<-out.done
+	c.Assert(len(out.lines) <= maxLinesPerSecond+2, qt.IsTrue, qt.Commentf("%d lines", len(out.lines)))
+	c.Assert(strings.Contains(strings.Join(out.lines, ""), `"dropped":`), qt.IsTrue)
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -28,8 +28,13 @@
 
 // Config holds the limits.
 type Config struct {
-	// LiveFor is how long after its last message an entry counts as there.
-	LiveFor time.Duration
+	// LiveFor is how long after its last message an entry counts as there; LiveFor
+	// is for those that send often, FarLiveFor for those that take turns.
+	LiveFor, FarLiveFor time.Duration
+	// Often bounds the entries that are sent each message. The own availability
+	// zone comes first; the others take turns, so that the messages of an entry
+	// don't grow with the fleet.
+	Often int
 	// ForgetAfter is how long an entry that keeps silent is still sent messages.
 	ForgetAfter time.Duration
 	// ProbeFor is how long a host that never answered is sent messages.
@@ -54,8 +59,13 @@
 	entries map[string]*known
 	// probes holds hosts that may be entries.
 	probes map[string]*probe
+	// turns counts the messages, for the hosts that take turns.
+	turns int
 }
 
+// turns is the number of messages among which far entries take turns.
+const turns = 4
+
 // New returns a directory of the entry self, which asks seeds for others.
 func New(config Config, self Entry, seeds []string, now time.Time) *Directory {
 	d := &Directory{config: config, self: self, entries: map[string]*known{}, probes: map[string]*probe{}}
@@ -103,14 +113,13 @@
 
 // Targets returns the hosts to send a message to now.
 func (d *Directory) Targets(now time.Time) []string {
-	var hosts []string
 	for host, entry := range d.entries {
 		if now.Sub(entry.heardAt) > d.config.ForgetAfter {
 			delete(d.entries, host)
-			continue
 		}
-		hosts = append(hosts, host)
 	}
+	hosts, far := d.split()
+	hosts = append(hosts, d.turn(far)...)
 	for host, probed := range d.probes {
 		if now.Sub(probed.since) > d.config.ProbeFor {
 			delete(d.probes, host)
@@ -125,11 +134,55 @@
 	return hosts
 }
 
+// split returns the hosts that are sent each message and those that take turns.
+func (d *Directory) split() (often, far []string) {
+	for _, host := range slices.Sorted(maps.Keys(d.entries)) {
+		if d.entries[host].AvailabilityZone == d.self.AvailabilityZone {
+			often = append(often, host)
+		} else {
+			far = append(far, host)
+		}
+	}
+	room := min(max(d.config.Often-len(often), 0), len(far))
+	if room == len(far) {
+		return append(often, far...), nil
+	}
+	return often, far
+}
+
+// turn returns the hosts whose turn it is.
+func (d *Directory) turn(far []string) []string {
+	if len(far) == 0 {
+		return nil
+	}
+	var hosts []string
+	for i, host := range far {
+		if i%turns == d.turns%turns {
+			hosts = append(hosts, host)
+		}
+	}
+	d.turns++
+	return hosts
+}
+
+// Small reports whether all entries are sent each message.
+func (d *Directory) Small() bool {
+	_, far := d.split()
+	return len(far) == 0
+}
+
+func (d *Directory) liveFor(entry *known) time.Duration {
+	if entry.AvailabilityZone == d.self.AvailabilityZone || d.Small() {
+		return d.config.LiveFor
+	}
+	return d.config.FarLiveFor
+}
+
 // Live returns the entries that are there, without this one.
 func (d *Directory) Live(now time.Time) []Entry {
 	var live []Entry
 	for _, host := range slices.Sorted(maps.Keys(d.entries)) {
-		if entry := d.entries[host]; now.Sub(entry.heardAt) <= d.config.LiveFor {
+		if entry := d.entries[host]; now.Sub(entry.heardAt) <= d.liveFor(entry) {
 			live = append(live, entry.Entry)
 		}
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -1,6 +1,7 @@
 package peers_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -11,7 +12,7 @@
 
 var epoch = time.Unix(1_000, 0)
 
-var config = peers.Config{LiveFor: time.Second, ForgetAfter: time.Minute, ProbeFor: 10 * time.Second, ProbeInterval: time.Second}
+var config = peers.Config{LiveFor: time.Second, FarLiveFor: 3 * time.Second, Often: 8, ForgetAfter: time.Minute, ProbeFor: 10 * time.Second, ProbeInterval: time.Second}
 
 func self() peers.Entry {
 	return peers.Entry{Host: "10.0.0.1", AvailabilityZone: "z1", Front: "10.0.0.1:80", Start: 1}
@@ -81,6 +82,31 @@
 	c.Assert(d.Targets(epoch.Add(time.Minute)), qt.HasLen, 0)
 }
 
+// TestMessagesDoNotGrowWithTheFleet answers the growth of the fleet: an entry
+// sends each message to its own zone and to a part of the others.
+func TestMessagesDoNotGrowWithTheFleet(t *testing.T) {
+	c := qt.New(t)
+	d := peers.New(config, self(), nil, epoch)
+	for i := range 6 {
+		d.Heard(other(fmt.Sprintf("10.0.1.%d", i), "z1", 1), epoch)
+	}
+	c.Assert(d.Small(), qt.IsTrue)
+	for i := range 28 {
+		d.Heard(other(fmt.Sprintf("10.0.2.%d", i), "z2", 1), epoch)
+	}
+	c.Assert(d.Small(), qt.IsFalse)
+	reached := map[string]int{}
+	for range 4 {
+		targets := d.Targets(epoch)
+		c.Assert(targets, qt.HasLen, 6+7)
+		for _, host := range targets {
+			reached[host]++
+		}
+	}
+	c.Assert(reached, qt.HasLen, 34)
+	c.Assert(d.Live(epoch.Add(2*time.Second)), qt.HasLen, 28, qt.Commentf("far entries send less often"))
+}
+
 func TestNearEntriesComeFirst(t *testing.T) {
 	c := qt.New(t)
 	d := peers.New(config, self(), nil, epoch)
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -457,11 +457,12 @@
 	return max(known.Slots, 1) * plainFactor
 }
 
-// EngineHosts returns the IPs of the instances beside which agents run.
-func (f *Fleet) EngineHosts() []string {
+// EngineHosts returns the IPs of the instances beside which agents run, in the
+// given availability zone or, when it is empty, in all.
+func (f *Fleet) EngineHosts(zone string) []string {
 	var hosts []string
 	for host, known := range f.byHost {
-		if f.engine(known.Pool) != nil {
+		if f.engine(known.Pool) != nil && (zone == "" || known.AvailabilityZone == zone) {
 			hosts = append(hosts, host)
 		}
 	}
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -29,7 +29,7 @@
 	// nearEntries bounds the entries that are told of each change of the load at
 	// once; those of the own availability zone come first. The others learn of
 	// it with the regular messages, so that the cost does not grow with the fleet.
-	nearEntries = 12
+	nearEntries = 16
 	// maxMoved bounds the changes of the load that wait to be told.
 	maxMoved = 256
 )
@@ -147,7 +147,7 @@
 		Releases: h.view.releaseAges(now),
 	}
 	targets := h.directory.Targets(now)
-	live := h.directory.Live(now)
+	live, small := h.directory.Live(now), h.directory.Small()
 	h.mu.Unlock()
 	for _, entry := range live[:min(len(live), maxHosts)] {
 		message.Hosts = append(message.Hosts, entry.Host)
@@ -156,7 +156,11 @@
 	h.socket.Send(message, targets)
 	if agents {
 		message.Loads, message.Hosts = nil, nil
-		h.socket.Send(message, h.gate.engineHosts())
+		zone := self.AvailabilityZone
+		if small {
+			zone = ""
+		}
+		h.socket.Send(message, h.gate.engineHosts(zone))
 	}
 }
 
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -74,7 +74,7 @@
 
 // Run runs the entry until it is told to stop.
 func Run(s platform.Settings) error {
-	log := logging.New(os.Stdout, "info", s.Instance, s.AvailabilityZone)
+	log := logging.New(logging.NewBounded(os.Stdout), "info", s.Instance, s.AvailabilityZone)
 	log.WithField("front", s.Front).Info("entry starts")
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -159,7 +159,7 @@
 	}
 	e.depot = kept
 	e.heart.directory = peers.New(peers.Config{
-		LiveFor: 900 * time.Millisecond, ForgetAfter: time.Minute, ProbeFor: time.Minute, ProbeInterval: time.Second,
+		LiveFor: 900 * time.Millisecond, FarLiveFor: 2500 * time.Millisecond, Often: nearEntries, ForgetAfter: time.Minute, ProbeFor: time.Minute, ProbeInterval: time.Second,
 	}, peers.Entry{
 		Instance: s.Instance, Host: s.IP, AvailabilityZone: s.AvailabilityZone, Region: s.Region, Front: s.Front, Start: start,
 	}, s.Seeds, clock.Now())
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -274,9 +274,10 @@
 	}
 }
 
-// engineHosts returns the IPs of the instances with model engines.
-func (g *gate) engineHosts() []string {
+// engineHosts returns the IPs of the instances with model engines in an
+// availability zone, or in all when zone is empty.
+func (g *gate) engineHosts(zone string) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.fleet.EngineHosts()
+	return g.fleet.EngineHosts(zone)
 }
