--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -54,11 +54,15 @@
 // The ages at which an agent reads the store itself: entries pass news on every
 // few hundred ms, and an agent that hears from none has to read on its own.
 var plans = map[platform.Kind]copies.Plan{
-	platform.Tables:   {MaxAge: 20 * time.Second, FirstNews: firstNews},
+	platform.Tables:   {MaxAge: 40 * time.Second, FirstNews: firstNews},
 	platform.Backends: {MaxAge: 12 * time.Second, FirstNews: firstNews},
 	platform.Releases: {MaxAge: 9 * time.Second, FirstNews: firstNews},
 }
 
+// pauses spares an agent's link when the tables change often: it needs their
+// pools only, which hardly change.
+var pauses = map[platform.Kind]time.Duration{platform.Tables: 10 * time.Second}
+
 // target is the version that the engine is to serve.
 type target struct {
 	model   string
@@ -164,7 +168,7 @@
 		changed: make(chan struct{}, 1), entries: map[string]entrance{}, neighbors: map[string]neighbor{},
 	}
 	a.copies = copies.New(platform.NewStore(s.Store, remote), plans, log, func(platform.Kind) bool { return false }, a.decode)
-	a.puller = relay.NewPuller(a.copies, a.client, s.PeerPort, log)
+	a.puller = relay.NewPuller(a.copies, a.client, s.PeerPort, pauses, log)
 	return a
 }
 
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -150,7 +150,7 @@
 	})
 	e.view.copies, e.heart.copies = e.copies, e.copies
 	client := peer.NewClient(peer.Security{})
-	e.heart.puller = NewPuller(e.copies, client, s.PeerPort, log)
+	e.heart.puller = NewPuller(e.copies, client, s.PeerPort, nil, log)
 	kept, err := depot.New(depot.Config{
 		Host: s.IP, Port: s.PeerPort, Uploads: depot.NewUploads(s.LinkBitsPerSecond), Upstream: e.upstream,
 	}, platform.NewOrigin(newOriginTransport()), client, log)
--- a/internal/relay/tables.go
+++ b/internal/relay/tables.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -62,11 +63,20 @@
 	log    *logrus.Entry
 	// busy holds a token for each collection that is being pulled.
 	busy map[platform.Kind]chan struct{}
+	// pauses holds the shortest time between two pulls of a collection, and
+	// pulled when the last one was.
+	pauses map[platform.Kind]time.Duration
+	mu     sync.Mutex
+	pulled map[platform.Kind]time.Time
 }
 
-// NewPuller returns a puller that calls peers at port.
-func NewPuller(held *copies.Copies, client *peer.Client, port int, log *logrus.Entry) *Puller {
-	p := &Puller{copies: held, client: client, port: port, log: log, busy: map[platform.Kind]chan struct{}{}}
+// NewPuller returns a puller that calls peers at port, with pauses between two
+// pulls of the collections that are named.
+func NewPuller(held *copies.Copies, client *peer.Client, port int, pauses map[platform.Kind]time.Duration, log *logrus.Entry) *Puller {
+	p := &Puller{
+		copies: held, client: client, port: port, log: log, busy: map[platform.Kind]chan struct{}{},
+		pauses: pauses, pulled: map[platform.Kind]time.Time{},
+	}
 	for _, kind := range platform.Kinds {
 		p.busy[kind] = make(chan struct{}, 1)
 	}
@@ -82,12 +92,21 @@
 		}
 		kind := platform.Kinds[i]
 		heard := copies.Standing{Known: standing.Known, Content: standing.Content, Age: time.Duration(standing.AgeMs) * time.Millisecond}
-		if p.copies.Heard(kind, heard, now) {
+		if p.copies.Heard(kind, heard, now) && p.mayPull(kind, now) {
 			p.pull(ctx, kind, m.Host)
 		}
 	}
 }
 
+// mayPull reports whether the pause since the last pull that brought news is
+// over.
+func (p *Puller) mayPull(kind platform.Kind, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	last, before := p.pulled[kind]
+	return !before || now.Sub(last) >= p.pauses[kind]
+}
+
 func (p *Puller) pull(ctx context.Context, kind platform.Kind, host string) {
 	select {
 	case p.busy[kind] <- struct{}{}:
@@ -106,6 +125,9 @@
 			return
 		}
 		p.copies.Take(kind, reply.Change, asked.Add(-reply.Age))
+		p.mu.Lock()
+		p.pulled[kind] = asked
+		p.mu.Unlock()
 	}()
 }
 
