--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -266,6 +266,9 @@
 	Newest int64
 	// Tokens is the number of prompt tokens, 0 when it is not known.
 	Tokens int
+	// MaxWait is the longest expected wait for the first event that is of use; an
+	// engine where it is longer counts as full. 0 is no limit.
+	MaxWait time.Duration
 	// Spread picks among a few instances at random: many streams that were cut at
 	// once would all go to the same one.
 	Spread bool
@@ -314,7 +317,7 @@
 	var free []*instance
 	for _, id := range slices.Sorted(maps.Keys(f.instances)) {
 		known := f.instances[id]
-		if f.usable(known, need, now) && f.load(known, now) < f.limit(known) {
+		if f.usable(known, need, now) && f.hasRoom(known, need, now) {
 			free = append(free, known)
 		}
 	}
@@ -325,6 +328,28 @@
 	return free
 }
 
+// hasRoom reports whether a request that needs so would be of use at the
+// instance now. A prompt that is too long for any wait is taken by an engine
+// that has nothing else to read.
+func (f *Fleet) hasRoom(known *instance, need Need, now time.Time) bool {
+	if f.load(known, now) >= f.limit(known) {
+		return false
+	}
+	engine, unread := f.engine(known.Pool), f.unread(known, now)
+	if engine == nil || engine.ReadPerSecond <= 0 || need.MaxWait <= 0 || unread == 0 {
+		return true
+	}
+	return firstEvent(engine, unread+need.Tokens, known.pace()) <= need.MaxWait
+}
+
+// firstEvent estimates the time to the first event: the pass under way, the pass
+// that reads, and the share of the reading that falls into passes of others.
+func firstEvent(engine *catalog.Engine, tokens int, pace float64) time.Duration {
+	const passes, readFactor = 2, 1.5
+	read := time.Duration(readFactor * float64(tokens) / engine.ReadPerSecond * float64(time.Second))
+	return time.Duration(pace * float64(passes*engine.Pass()+read))
+}
+
 // score is the expected wait in seconds for the first event at an engine, or
 // the relative load of a plain service; the lowest is best.
 func (f *Fleet) score(known *instance, need Need, load, limit int, now time.Time) float64 {
@@ -390,8 +415,8 @@
 func (f *Fleet) Free(need Need, now time.Time) int {
 	free := 0
 	for _, known := range f.instances {
-		if f.usable(known, need, now) {
-			free += max(f.limit(known)-f.load(known, now), 0)
+		if f.usable(known, need, now) && f.hasRoom(known, need, now) {
+			free += f.limit(known) - f.load(known, now)
 		}
 	}
 	return free
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -241,3 +241,35 @@
 		c.Assert(choice.Backend.ID, qt.Equals, "i-01")
 	}
 }
+
+// TestOverloadKeepsAnswersOnTime answers the pattern of a fleet that has lost
+// most engines: the few that are left take what they can begin with in time, not
+// all that they have slots for.
+func TestOverloadKeepsAnswersOnTime(t *testing.T) {
+	c := qt.New(t)
+	fleet := newFleet(1)
+	fleet.SetList(backends(1), time.Time{}, epoch)
+	bounded := need
+	bounded.MaxWait = 400 * time.Millisecond
+	taken := 0
+	for range 16 {
+		if _, found := fleet.Choose(bounded, epoch); found {
+			taken++
+		}
+	}
+	// Two passes of 50 ms and 75 ms for each prompt.
+	c.Assert(taken, qt.Equals, 4)
+	c.Assert(fleet.Free(bounded, epoch), qt.Equals, 0)
+	_, found := fleet.Choose(need, epoch)
+	c.Assert(found, qt.IsTrue, qt.Commentf("what has begun already goes on"))
+}
+
+// TestLongPromptIsNotStarved: an engine with nothing to read takes any prompt.
+func TestLongPromptIsNotStarved(t *testing.T) {
+	c := qt.New(t)
+	fleet := newFleet(1)
+	fleet.SetList(backends(1), time.Time{}, epoch)
+	long := placement.Need{Pool: "engines", Model: "m", Tokens: 50_000, MaxWait: 400 * time.Millisecond}
+	_, found := fleet.Choose(long, epoch)
+	c.Assert(found, qt.IsTrue)
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -119,10 +119,14 @@
 }
 
 func (x *exchange) need() placement.Need {
-	return placement.Need{
+	need := placement.Need{
 		Pool: x.pool, Model: x.model, Version: x.requiredVersion(), Newest: x.front.view.releases.Load().Newest(x.model),
 		Tokens: x.call.PromptTokens, Spread: x.begun, Tried: x.tried,
 	}
+	if x.model != "" && len(x.trail) == 0 {
+		need.MaxWait = x.route.Objective
+	}
+	return need
 }
 
 // requiredVersion returns the oldest version of the weights that may still
