--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -106,8 +106,10 @@
 	instances map[string]*instance
 	byHost    map[string]*instance
 	reports   map[string]heard
-	random    *rand.Rand
-	tickets   uint64
+	// newest holds the latest start that the list names at an address.
+	newest  map[string]int64
+	random  *rand.Rand
+	tickets uint64
 }
 
 type heard struct {
@@ -118,7 +120,7 @@
 // New returns a view without instances.
 func New(config Config) *Fleet {
 	return &Fleet{
-		config: config, instances: map[string]*instance{}, byHost: map[string]*instance{}, reports: map[string]heard{},
+		config: config, instances: map[string]*instance{}, byHost: map[string]*instance{}, reports: map[string]heard{}, newest: map[string]int64{},
 		random: rand.New(rand.NewPCG(config.Seed, config.Seed+1)),
 	}
 }
@@ -183,7 +185,9 @@
 
 func (f *Fleet) index() {
 	clear(f.byHost)
+	clear(f.newest)
 	for _, known := range f.instances {
+		f.newest[known.Address] = max(f.newest[known.Address], known.Born)
 		if other := f.byHost[known.Host]; other == nil || known.Born > other.Born {
 			f.byHost[known.Host] = known
 		}
@@ -438,7 +442,8 @@
 	if known.Pool != need.Pool || known.Leaving || known.gone || need.Tried[known.ID] || now.Before(known.avoidUntil) {
 		return false
 	}
-	if known.reported.Born > known.Born {
+	if f.reports[known.Host].report.Born > known.Born || f.newest[known.Address] > known.Born {
+		// The entry is of an earlier start at the address.
 		return false
 	}
 	if need.Model == "" {
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -273,3 +273,19 @@
 	_, found := fleet.Choose(long, epoch)
 	c.Assert(found, qt.IsTrue)
 }
+
+// TestEarlierStartsAtAnAddressAreNotUsed answers the pattern of a return after
+// all instances lost power: the list still names the starts before.
+func TestEarlierStartsAtAnAddressAreNotUsed(t *testing.T) {
+	c := qt.New(t)
+	fleet := newFleet(1)
+	again := backend(0)
+	again.ID, again.Born = "i-new", 9
+	fleet.SetList([]catalog.Backend{backend(0), again, backend(1)}, time.Time{}, epoch)
+	fleet.Reported("10.0.0.1", placement.AgentReport{Born: 9, Loaded: 1}, epoch)
+	for range 3 {
+		choice, found := fleet.Choose(need, epoch)
+		c.Assert(found, qt.IsTrue)
+		c.Assert(choice.Backend.ID, qt.Equals, "i-new")
+	}
+}
--- /dev/null
+++ b/internal/relay/tables_test.go
@@ -0,0 +1,59 @@
+package relay
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"plantainrelay/internal/clock"
+	"plantainrelay/internal/copies"
+	"plantainrelay/internal/peer"
+	"plantainrelay/internal/replica"
+	"plantainrelay/platform"
+)
+
+func testLog() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
+// TestStormOfTablesSparesTheLink answers the pattern of large tables that change
+// several times a second: a process that needs little of them does not pull each.
+func TestStormOfTablesSparesTheLink(t *testing.T) {
+	c := qt.New(t)
+	p := NewPuller(nil, nil, 0, map[platform.Kind]time.Duration{platform.Tables: 10 * time.Second}, testLog())
+	now := time.Unix(100, 0)
+	c.Assert(p.mayPull(platform.Tables, now), qt.IsTrue)
+	p.pulled[platform.Tables], p.pulled[platform.Releases] = now, now
+	c.Assert(p.mayPull(platform.Tables, now.Add(time.Second)), qt.IsFalse)
+	c.Assert(p.mayPull(platform.Tables, now.Add(10*time.Second)), qt.IsTrue)
+	c.Assert(p.mayPull(platform.Releases, now.Add(time.Millisecond)), qt.IsTrue)
+}
+
+// TestNewsTravelBetweenProcesses: a process that does not read the store takes
+// the tables and their proof from a peer, over net/rpc.
+func TestNewsTravelBetweenProcesses(t *testing.T) {
+	c := qt.New(t)
+	none := func(platform.Kind) bool { return false }
+	from := copies.New(nil, nil, testLog(), none, func(platform.Kind) {})
+	document := replica.Document{Name: "main", Revision: 7, Body: []byte("{}")}
+	from.Take(platform.Tables, replica.Change{Whole: true, AsOf: 9, Documents: []replica.Document{document}}, clock.Now().Add(-time.Second))
+	server := peer.NewServer(peer.Security{}, testLog())
+	c.Assert(server.Register("Copies", NewCopiesService(from)), qt.IsNil)
+	c.Assert(server.Listen("127.0.0.1:47713"), qt.IsNil)
+	changed := make(chan platform.Kind, 1)
+	to := copies.New(nil, nil, testLog(), none, func(kind platform.Kind) { changed <- kind })
+	puller := NewPuller(to, peer.NewClient(peer.Security{}), 47713, nil, testLog())
+	puller.pull(t.Context(), platform.Tables, "127.0.0.1")
+	c.Assert(<-changed, qt.Equals, platform.Tables)
+	c.Assert(to.Documents(platform.Tables)["main"].Revision, qt.Equals, int64(7))
+	age := to.Standing(platform.Tables).Age
+	c.Assert(age >= time.Second && age < time.Minute, qt.IsTrue, qt.Commentf("%s", age))
+	c.Assert(to.Heard(platform.Tables, copies.Standing{Known: true, Content: 7}, clock.Now()), qt.IsFalse)
+	c.Assert(to.Heard(platform.Tables, copies.Standing{Known: true, Content: 8}, clock.Now()), qt.IsTrue)
+	c.Assert(to.Standing(platform.Tables).Age < age, qt.IsTrue, qt.Commentf("a peer with the same content proves it"))
+}
