--- a/internal/relay/tables.go
+++ b/internal/copies/pull.go
@@ -1,4 +1,4 @@
-package relay
+package copies
 
 import (
 	"context"
@@ -9,7 +9,6 @@
 
 	"plantainrelay/internal/beat"
 	"plantainrelay/internal/clock"
-	"plantainrelay/internal/copies"
 	"plantainrelay/internal/failure"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/replica"
@@ -17,8 +16,10 @@
 )
 
 const (
+	// ServiceName is the name of Service among the net/rpc services.
+	ServiceName = "Copies"
 	// pullMethod is the call by which a process takes news from a peer.
-	pullMethod = "Copies.Pull"
+	pullMethod = ServiceName + ".Pull"
 	// pullLimit bounds one such call.
 	pullLimit = time.Second
 )
@@ -35,18 +36,18 @@
 	Age    time.Duration
 }
 
-// CopiesService lets peers pull news of the collections.
-type CopiesService struct {
-	copies *copies.Copies
+// Service lets peers pull news of the collections.
+type Service struct {
+	copies *Copies
 }
 
-// NewCopiesService returns the service for net/rpc.
-func NewCopiesService(held *copies.Copies) *CopiesService {
-	return &CopiesService{copies: held}
+// NewService returns the service for net/rpc.
+func NewService(held *Copies) *Service {
+	return &Service{copies: held}
 }
 
 // Pull answers with what the caller lacks.
-func (s *CopiesService) Pull(args PullArgs, reply *PullReply) error {
+func (s *Service) Pull(args PullArgs, reply *PullReply) error {
 	change, age, known := s.copies.Since(platform.Kind(args.Kind), args.Since)
 	if !known {
 		return failure.New(failure.NotFound, "ask another process", "this process has no copy of %s yet", args.Kind)
@@ -57,7 +58,7 @@
 
 // Puller takes news from the peers that have them.
 type Puller struct {
-	copies *copies.Copies
+	copies *Copies
 	client *peer.Client
 	port   int
 	log    *logrus.Entry
@@ -72,7 +73,7 @@
 
 // NewPuller returns a puller that calls peers at port, with pauses between two
 // pulls of the collections that are named.
-func NewPuller(held *copies.Copies, client *peer.Client, port int, pauses map[platform.Kind]time.Duration, log *logrus.Entry) *Puller {
+func NewPuller(held *Copies, client *peer.Client, port int, pauses map[platform.Kind]time.Duration, log *logrus.Entry) *Puller {
 	p := &Puller{
 		copies: held, client: client, port: port, log: log, busy: map[platform.Kind]chan struct{}{},
 		pauses: pauses, pulled: map[platform.Kind]time.Time{},
@@ -91,7 +92,7 @@
 			return
 		}
 		kind := platform.Kinds[i]
-		heard := copies.Standing{Known: standing.Known, Content: standing.Content, Age: time.Duration(standing.AgeMs) * time.Millisecond}
+		heard := Standing{Known: standing.Known, Content: standing.Content, Age: time.Duration(standing.AgeMs) * time.Millisecond}
 		if p.copies.Heard(kind, heard, now) && p.mayPull(kind, now) {
 			p.pull(ctx, kind, m.Host)
 		}
@@ -132,7 +133,7 @@
 }
 
 // Standings returns this process's standings for its messages.
-func Standings(held *copies.Copies) []beat.Standing {
+func Standings(held *Copies) []beat.Standing {
 	standings := make([]beat.Standing, len(platform.Kinds))
 	for i, kind := range platform.Kinds {
 		standing := held.Standing(kind)
--- a/internal/relay/tables_test.go
+++ b/internal/copies/pull_test.go
@@ -1,20 +1,28 @@
-package relay
+package copies
 
 import (
 	"io"
+	"net"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
 
+	"plantainrelay/internal/beat"
 	"plantainrelay/internal/clock"
-	"plantainrelay/internal/copies"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/replica"
 	"plantainrelay/platform"
 )
 
+func freePort(c *qt.C) int {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	return listener.Addr().(*net.TCPAddr).Port
+}
+
 func testLog() *logrus.Entry {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -39,21 +47,22 @@
 func TestNewsTravelBetweenProcesses(t *testing.T) {
 	c := qt.New(t)
 	none := func(platform.Kind) bool { return false }
-	from := copies.New(nil, nil, testLog(), none, func(platform.Kind) {})
+	from := New(nil, nil, testLog(), none, func(platform.Kind) {})
 	document := replica.Document{Name: "main", Revision: 7, Body: []byte("{}")}
 	from.Take(platform.Tables, replica.Change{Whole: true, AsOf: 9, Documents: []replica.Document{document}}, clock.Now().Add(-time.Second))
 	server := peer.NewServer(peer.Security{}, testLog())
-	c.Assert(server.Register("Copies", NewCopiesService(from)), qt.IsNil)
-	c.Assert(server.Listen("127.0.0.1:47713"), qt.IsNil)
+	c.Assert(server.Register(ServiceName, NewService(from)), qt.IsNil)
+	port := freePort(c)
+	c.Assert(server.Listen(beat.Address("127.0.0.1", port)), qt.IsNil)
 	changed := make(chan platform.Kind, 1)
-	to := copies.New(nil, nil, testLog(), none, func(kind platform.Kind) { changed <- kind })
-	puller := NewPuller(to, peer.NewClient(peer.Security{}), 47713, nil, testLog())
+	to := New(nil, nil, testLog(), none, func(kind platform.Kind) { changed <- kind })
+	puller := NewPuller(to, peer.NewClient(peer.Security{}), port, nil, testLog())
 	puller.pull(t.Context(), platform.Tables, "127.0.0.1")
 	c.Assert(<-changed, qt.Equals, platform.Tables)
 	c.Assert(to.Documents(platform.Tables)["main"].Revision, qt.Equals, int64(7))
 	age := to.Standing(platform.Tables).Age
 	c.Assert(age >= time.Second && age < time.Minute, qt.IsTrue, qt.Commentf("%s", age))
-	c.Assert(to.Heard(platform.Tables, copies.Standing{Known: true, Content: 7}, clock.Now()), qt.IsFalse)
-	c.Assert(to.Heard(platform.Tables, copies.Standing{Known: true, Content: 8}, clock.Now()), qt.IsTrue)
+	c.Assert(to.Heard(platform.Tables, Standing{Known: true, Content: 7}, clock.Now()), qt.IsFalse)
+	c.Assert(to.Heard(platform.Tables, Standing{Known: true, Content: 8}, clock.Now()), qt.IsTrue)
 	c.Assert(to.Standing(platform.Tables).Age < age, qt.IsTrue, qt.Commentf("a peer with the same content proves it"))
 }
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -26,7 +26,6 @@
 	"plantainrelay/internal/depot"
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/peer"
-	"plantainrelay/internal/relay"
 	"plantainrelay/internal/rollout"
 	"plantainrelay/internal/swarm"
 	"plantainrelay/platform"
@@ -77,7 +76,7 @@
 	log      *logrus.Entry
 	socket   *beat.Socket
 	copies   *copies.Copies
-	puller   *relay.Puller
+	puller   *copies.Puller
 	client   *peer.Client
 	engine   *platform.Engine
 	origin   *platform.Origin
@@ -131,7 +130,7 @@
 	if err := server.Register(depot.ServiceName, &Service{agent: a}); err != nil {
 		return err
 	}
-	if err := server.Register("Copies", relay.NewCopiesService(a.copies)); err != nil {
+	if err := server.Register(copies.ServiceName, copies.NewService(a.copies)); err != nil {
 		return err
 	}
 	if err := server.Listen(beat.Address(s.IP, s.PeerPort)); err != nil {
@@ -168,7 +167,7 @@
 		changed: make(chan struct{}, 1), entries: map[string]entrance{}, neighbors: map[string]neighbor{},
 	}
 	a.copies = copies.New(platform.NewStore(s.Store, remote), plans, log, func(platform.Kind) bool { return false }, a.decode)
-	a.puller = relay.NewPuller(a.copies, a.client, s.PeerPort, pauses, log)
+	a.puller = copies.NewPuller(a.copies, a.client, s.PeerPort, pauses, log)
 	return a
 }
 
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -37,7 +37,7 @@
 // heart exchanges messages with the other entries and the agents.
 type heart struct {
 	socket *beat.Socket
-	puller *Puller
+	puller *copies.Puller
 	copies *copies.Copies
 	view   *view
 	gate   *gate
@@ -143,7 +143,7 @@
 	self := h.directory.Self()
 	message := &beat.Message{
 		Role: beat.Entry, Instance: self.Instance, Host: self.Host, AvailabilityZone: self.AvailabilityZone, Start: h.start, Sequence: h.sequence,
-		Front: self.Front, Ready: self.Ready, Leaving: self.Leaving, Standings: Standings(h.copies), Loads: loads,
+		Front: self.Front, Ready: self.Ready, Leaving: self.Leaving, Standings: copies.Standings(h.copies), Loads: loads,
 		Releases: h.view.releaseAges(now),
 	}
 	targets := h.directory.Targets(now)
@@ -173,7 +173,7 @@
 	h.mu.Unlock()
 	h.socket.Send(&beat.Message{
 		Role: beat.Entry, Instance: self.Instance, Host: self.Host, AvailabilityZone: self.AvailabilityZone, Start: h.start, Sequence: sequence,
-		Standings: Standings(h.copies),
+		Standings: copies.Standings(h.copies),
 	}, []string{host})
 }
 
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -88,7 +88,7 @@
 		return err
 	}
 	server := peer.NewServer(peer.Security{}, log)
-	if err := server.Register("Copies", NewCopiesService(e.copies)); err != nil {
+	if err := server.Register(copies.ServiceName, copies.NewService(e.copies)); err != nil {
 		return err
 	}
 	if err := server.Register(depot.ServiceName, e.depot); err != nil {
@@ -150,7 +150,7 @@
 	})
 	e.view.copies, e.heart.copies = e.copies, e.copies
 	client := peer.NewClient(peer.Security{})
-	e.heart.puller = NewPuller(e.copies, client, s.PeerPort, nil, log)
+	e.heart.puller = copies.NewPuller(e.copies, client, s.PeerPort, nil, log)
 	kept, err := depot.New(depot.Config{
 		Host: s.IP, Port: s.PeerPort, Uploads: depot.NewUploads(s.LinkBitsPerSecond), Upstream: e.upstream,
 	}, platform.NewOrigin(newOriginTransport()), client, log)
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -20,6 +20,9 @@
 	pumpInterval = 15 * time.Millisecond
 	// minReturn is the shortest time after which a rejected caller may return.
 	minReturn = 250 * time.Millisecond
+	// emptyReturn is the same while no instance is usable: about the time in which
+	// an engine loads or a restarted instance is listed again.
+	emptyReturn = time.Second
 )
 
 // ticket is a request that asks for a place.
@@ -70,10 +73,9 @@
 func (g *gate) enter(ctx context.Context, t *ticket) (placement.Choice, *rejection) {
 	g.mu.Lock()
 	now := clock.Now()
-	count, _ := g.fleet.Usable(t.need, now)
-	if count == 0 && !now.Before(t.StartBy) {
+	if count, _ := g.fleet.Usable(t.need, now); count == 0 {
 		g.mu.Unlock()
-		return placement.Choice{}, &rejection{retryAfter: minReturn, reason: "no_instance"}
+		return placement.Choice{}, &rejection{retryAfter: emptyReturn, reason: "no_instance"}
 	}
 	g.nextID++
 	t.ID = g.nextID
