--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -73,15 +73,11 @@
 func (g *gate) enter(ctx context.Context, t *ticket) (placement.Choice, *rejection) {
 	g.mu.Lock()
 	now := clock.Now()
-	if count, _ := g.fleet.Usable(t.need, now); count == 0 {
-		g.mu.Unlock()
-		return placement.Choice{}, &rejection{retryAfter: emptyReturn, reason: "no_instance"}
-	}
 	g.nextID++
 	t.ID = g.nextID
 	t.placed = make(chan placement.Choice, 1)
 	g.tickets[t.ID] = t
-	g.shed(g.queue(t.need.Pool).Offer(t.Ticket, now))
+	g.shed(g.queue(t.need.Pool).Offer(t.Ticket, now), now)
 	g.pump(t.need.Pool, now)
 	g.mu.Unlock()
 	return g.await(ctx, t)
@@ -126,7 +122,7 @@
 			free = 1
 		}
 		start, shed := queue.Next(free, now)
-		g.shed(shed)
+		g.shed(shed, now)
 		if len(start) == 0 {
 			return
 		}
@@ -166,11 +162,16 @@
 	g.moved(choice.Backend.ID)
 }
 
-func (g *gate) shed(shed []admission.Shed) {
+// shed rejects requests. While no instance is usable at all, callers are told to
+// return when one may be again.
+func (g *gate) shed(shed []admission.Shed, now time.Time) {
 	for _, one := range shed {
 		t := g.tickets[one.ID]
 		delete(g.tickets, one.ID)
 		t.retryAfter = max(one.RetryAfter, minReturn)
+		if count, _ := g.fleet.Usable(t.need, now); count == 0 {
+			t.retryAfter = emptyReturn
+		}
 		close(t.placed)
 	}
 }
