--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -46,8 +46,11 @@
 	uploadBurst = 64 << 10
 	// uploadWait is how long a call waits for its turn among the uploads.
 	uploadWait = 600 * time.Millisecond
-	// originConnections bounds the chunks that one depot draws at once.
-	originConnections = 6
+	// originConnections bounds the chunks that one depot draws at once, and
+	// maxDrawers the depots that draw: the origin takes a few dozen connections
+	// and resets those beyond.
+	originConnections = 3
+	maxDrawers        = 8
 )
 
 // VersionArgs names the weights that a call is about.
@@ -191,7 +194,8 @@
 	if len(upstream.Drawers) == 0 {
 		return d.config.Host
 	}
-	return member.Rank(key, slices.Clone(upstream.Drawers))[0]
+	drawers := member.Rank("drawers", slices.Clone(upstream.Drawers))
+	return member.Rank(key, drawers[:min(maxDrawers, len(drawers))])[0]
 }
 
 func (d *Depot) fetchManifest(args VersionArgs) (platform.Manifest, error) {
--- /dev/null
+++ b/internal/depot/depot_test.go
@@ -0,0 +1,107 @@
+package depot
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"plantainrelay/internal/peer"
+	"plantainrelay/internal/weights"
+	"plantainrelay/platform"
+)
+
+const chunks = 4
+
+func chunkOf(chunk int) []byte { return fmt.Appendf(nil, "chunk %d", chunk) }
+
+// newDepot returns a depot before an origin; garble changes what it sends.
+func newDepot(t *testing.T, drawn *atomic.Int32, garble func(chunk int, data []byte) []byte) *Depot {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/v1/manifest/") {
+			var digests []string
+			for chunk := range chunks {
+				digests = append(digests, strconv.Quote(string(weights.DigestOf(chunkOf(chunk)))))
+			}
+			fmt.Fprintf(w, `{"Model":"m","Version":2,"Digests":[%s]}`, strings.Join(digests, ","))
+			return
+		}
+		drawn.Add(1)
+		chunk, _ := strconv.Atoi(r.URL.Query().Get("ItemCount"))
+		_, _ = w.Write(garble(chunk, chunkOf(chunk)))
+	}))
+	t.Cleanup(server.Close)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	address := strings.TrimPrefix(server.URL, "http://")
+	d, err := New(Config{Host: "10.0.0.1", Uploads: NewUploads(0), Upstream: func() Upstream { return Upstream{Origin: address} }},
+		platform.NewOrigin(http.DefaultTransport), peer.NewClient(peer.Security{}), logrus.NewEntry(log))
+	qt.Assert(t, err, qt.IsNil)
+	return d
+}
+
+func args(chunk int) ChunkArgs {
+	return ChunkArgs{VersionArgs: VersionArgs{Model: "m", Version: 2}, Chunk: chunk}
+}
+
+// TestManyAskAndTheOriginSendsOnce answers the pattern of a release: all agents
+// of a zone ask for the same chunks at the same time.
+func TestManyAskAndTheOriginSendsOnce(t *testing.T) {
+	c := qt.New(t)
+	var drawn atomic.Int32
+	d := newDepot(t, &drawn, func(_ int, data []byte) []byte { return data })
+	var group sync.WaitGroup
+	for range 20 {
+		for chunk := range chunks {
+			group.Go(func() {
+				var reply ChunkReply
+				c.Check(d.Chunk(args(chunk), &reply), qt.IsNil)
+				c.Check(string(reply.Data), qt.Equals, string(chunkOf(chunk)))
+			})
+		}
+	}
+	group.Wait()
+	c.Assert(drawn.Load(), qt.Equals, int32(chunks))
+}
+
+func TestGarbledChunkIsNotPassedOn(t *testing.T) {
+	c := qt.New(t)
+	var drawn atomic.Int32
+	d := newDepot(t, &drawn, func(chunk int, data []byte) []byte {
+		if drawn.Load() == 1 {
+			return []byte("garbled")
+		}
+		return data
+	})
+	var reply ChunkReply
+	c.Assert(d.Chunk(args(0), &reply), qt.IsNotNil)
+	c.Assert(reply.Data, qt.HasLen, 0)
+	c.Assert(d.Chunk(args(0), &reply), qt.IsNil)
+	c.Assert(d.Chunk(args(chunks), &reply), qt.IsNotNil, qt.Commentf("not in the manifest"))
+}
+
+// TestFewDepotsDraw: a large zone does not take more connections than the origin
+// has.
+func TestFewDepotsDraw(t *testing.T) {
+	c := qt.New(t)
+	var drawn atomic.Int32
+	d := newDepot(t, &drawn, func(_ int, data []byte) []byte { return data })
+	var hosts []string
+	for i := range 40 {
+		hosts = append(hosts, fmt.Sprintf("10.0.1.%d", i))
+	}
+	drawers := map[string]bool{}
+	for chunk := range 500 {
+		drawers[d.drawer(strconv.Itoa(chunk), Upstream{Drawers: hosts})] = true
+	}
+	c.Assert(drawers, qt.HasLen, maxDrawers)
+}
