--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -61,10 +61,11 @@
 func (b *Bounded) run(out io.Writer) {
 	var told int64
 	for line := range b.lines {
-		if second := b.second.Load(); second != told {
-			told = second
+		second := b.second.Load()
+		if told != 0 && second != told {
 			line = append(b.notice(), line...)
 		}
+		told = second
 		// There is no other place to tell of a failed write.
 		_, _ = out.Write(line)
 	}
