--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -19,7 +20,7 @@
 // itself: lines beyond its limits are dropped and counted, and the count is
 // written once there is room.
 type Bounded struct {
-	lines   chan []byte
+	lines   chan timedLine
 	dropped atomic.Int64
 	// second and written count the lines of the current second.
 	second  atomic.Int64
@@ -27,21 +28,28 @@
 	now     func() time.Time
 }
 
+// timedLine is a line with the second in which it was logged.
+type timedLine struct {
+	text   []byte
+	second int64
+}
+
 // NewBounded returns a writer that passes lines on to out.
 func NewBounded(out io.Writer) *Bounded {
-	b := &Bounded{lines: make(chan []byte, maxPending), now: time.Now}
+	b := &Bounded{lines: make(chan timedLine, maxPending), now: time.Now}
 	go b.run(out)
 	return b
 }
 
 // Write implements io.Writer for one line. It always succeeds.
 func (b *Bounded) Write(line []byte) (int, error) {
-	if !b.admit() {
+	second := b.now().Unix()
+	if !b.admit(second) {
 		b.dropped.Add(1)
 		return len(line), nil
 	}
 	select {
-	case b.lines <- append([]byte(nil), line...):
+	case b.lines <- timedLine{text: slices.Clone(line), second: second}:
 	default:
 		b.dropped.Add(1)
 	}
@@ -51,8 +59,8 @@
 // Dropped returns the number of lines dropped since the last line that told it.
 func (b *Bounded) Dropped() int64 { return b.dropped.Load() }
 
-func (b *Bounded) admit() bool {
-	if second := b.now().Unix(); b.second.Swap(second) != second {
+func (b *Bounded) admit(second int64) bool {
+	if b.second.Swap(second) != second {
 		b.written.Store(0)
 	}
 	return b.written.Add(1) <= maxLinesPerSecond
@@ -61,13 +69,13 @@
 func (b *Bounded) run(out io.Writer) {
 	var told int64
 	for line := range b.lines {
-		second := b.second.Load()
-		if told != 0 && second != told {
-			line = append(b.notice(), line...)
+		text := line.text
+		if told != 0 && line.second != told {
+			text = append(b.notice(), text...)
 		}
-		told = second
+		told = line.second
 		// There is no other place to tell of a failed write.
-		_, _ = out.Write(line)
+		_, _ = out.Write(text)
 	}
 }
 
