--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -166,6 +166,7 @@
 		return x.rejected(ctx, rejected), true
 	}
 	started := clock.Now()
+	x.front.metrics.queue.Observe(started.Sub(entered).Seconds())
 	one := leg{
 		Instance: choice.Backend.ID, Zone: choice.Backend.AvailabilityZone, Version: choice.Version, Load: choice.Load, Limit: choice.Limit, Unread: choice.Unread,
 		QueueMs: started.Sub(entered).Milliseconds(),
@@ -185,6 +186,7 @@
 	now := clock.Now()
 	switch outcome {
 	case answered:
+		x.front.metrics.whole.Observe(now.Sub(x.arrived).Seconds())
 		x.logEnd(http.StatusOK, string(outcome))
 		return dispatch.Action{}, true
 	case callerLeft:
