--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -33,6 +33,9 @@
 	successorCheck  = 50 * time.Millisecond
 	decisionTick    = 50 * time.Millisecond
 	engineInterval  = 500 * time.Millisecond
+	// maxHold bounds how long an answer about the state is held, whatever the
+	// caller asks for: no longer than entries wait for it.
+	maxHold = 2 * time.Second
 )
 
 // Run runs an agent until it was told to stop and has drained.
@@ -195,10 +198,29 @@
 	parts *parts
 }
 
-// State returns the state of this agent.
-func (s *Service) State(_ message.StateArgs, reply *message.StateReply) error {
+// State returns the state of this agent, at once or when it differs from what
+// the caller has seen.
+func (s *Service) State(args message.StateArgs, reply *message.StateReply) error {
+	held := time.NewTimer(min(args.Hold, maxHold))
+	defer held.Stop()
+	for {
+		changed := s.parts.gate.Changed()
+		*reply = s.state()
+		if args.Hold <= 0 || reply.Standing() != args.Seen {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-held.C:
+			*reply = s.state()
+			return nil
+		}
+	}
+}
+
+func (s *Service) state() message.StateReply {
 	state, status := s.parts.gate.State(), s.parts.driver.Status()
-	*reply = message.StateReply{
+	return message.StateReply{
 		Instance:    s.parts.settings.Instance,
 		Incarnation: s.parts.incarnation,
 		Revision:    s.parts.sync.Revision(),
@@ -220,7 +242,6 @@
 		Failures: status.Failures,
 		Cause:    status.Cause,
 	}
-	return nil
 }
 
 // Fate tells what became of an attempt and bars it when it has not started.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -49,6 +49,9 @@
 	records  *records
 	keys     *ownership.Table
 	latest   time.Time
+	// changed is closed and replaced when the state changes otherwise than by the
+	// begin or end of an attempt.
+	changed chan struct{}
 }
 
 // New returns a closed gate.
@@ -60,13 +63,29 @@
 		config:  config,
 		records: newRecords(config.MaxRecords, config.MaxKeptTotal),
 		keys:    ownership.NewTable(config.Instance, config.Incarnation, config.MaxKeys),
+		changed: make(chan struct{}),
 	}, nil
 }
 
+// Changed returns a channel that is closed when the gate opens or closes, when
+// it gives up its keys and when it takes in a map of owners.
+func (g *Gate) Changed() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.changed
+}
+
+// tell wakes who waits for a change. The caller holds mu.
+func (g *Gate) tell() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
 // Open admits new attempts, whose answers must come from admitted.
 func (g *Gate) Open(admitted Admitted) {
 	g.mu.Lock()
 	g.open, g.admitted = true, admitted
+	g.tell()
 	g.mu.Unlock()
 }
 
@@ -76,6 +95,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.open = false
+	g.tell()
 	idle := make(chan struct{})
 	if g.running == 0 {
 		close(idle)
@@ -90,6 +110,7 @@
 	g.mu.Lock()
 	g.leaving = true
 	g.keys.Release()
+	g.tell()
 	g.mu.Unlock()
 }
 
@@ -273,15 +294,22 @@
 func (g *Gate) Owners(offer *ownership.Map) *ownership.Map {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	before := g.keys.Revision()
 	g.keys.Offer(offer)
+	if g.keys.Revision() != before {
+		g.tell()
+	}
 	return g.keys.Owners()
 }
 
 // ReleaseKeys gives up the ownership of keys for good.
 func (g *Gate) ReleaseKeys() {
 	g.mu.Lock()
-	g.keys.Release()
-	g.mu.Unlock()
+	defer g.mu.Unlock()
+	if !g.keys.Released() {
+		g.keys.Release()
+		g.tell()
+	}
 }
 
 // OwnsSlots reports whether this instance owns slots of its pool's keys.
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -9,6 +9,7 @@
 
 	"plantainrelay/internal/dispatch"
 	"plantainrelay/internal/message"
+	"plantainrelay/internal/ownership"
 )
 
 func openGate(c *qt.C, config Config) *Gate {
@@ -89,3 +90,38 @@
 		g.end(attempt, nil)
 	}
 }
+
+// TestChangesAreTold covers the hand-over of keys: entries wait for each step of
+// it, and would otherwise learn of it at their next read only.
+func TestChangesAreTold(t *testing.T) {
+	c := qt.New(t)
+	g, err := New(Config{Instance: "agent-1", Incarnation: "one", MaxRunning: 1, MaxRecords: 1, MaxKeys: 1})
+	c.Assert(err, qt.IsNil)
+	owners := &ownership.Map{Pool: "booking", Revision: 3, Slots: make([]ownership.Owner, ownership.SlotCount)}
+	for _, step := range []struct {
+		name string
+		take func()
+	}{
+		{"open", func() { g.Open(Admitted{}) }},
+		{"close", func() { g.Close() }},
+		{"owners", func() { g.Owners(owners) }},
+		{"release", g.ReleaseKeys},
+		{"leave", g.Leave},
+	} {
+		changed := g.Changed()
+		step.take()
+		select {
+		case <-changed:
+		default:
+			t.Errorf("%s was not told", step.name)
+		}
+	}
+	quiet := g.Changed()
+	g.Owners(owners)
+	g.ReleaseKeys()
+	select {
+	case <-quiet:
+		t.Error("what is known already was told as a change")
+	default:
+	}
+}
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -120,6 +120,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-o.states.stirred:
 		}
 	}
 }
@@ -230,7 +231,9 @@
 	if now.Sub(o.neededSince[pool.Name]) < time.Duration(rank)*turnDelay {
 		return
 	}
-	o.write(ctx, held, next)
+	if o.write(ctx, held, next) {
+		o.spread(ctx, pool.Name, agents)
+	}
 }
 
 // watchAll keeps all instances of the pool watched.
@@ -326,15 +329,15 @@
 	}
 }
 
-// write replaces held by next in the store, unless another entry came first;
-// then it learns that entry's map.
-func (o *Owners) write(ctx context.Context, held, next *ownership.Map) {
+// write replaces held by next in the store and reports whether it did. When
+// another entry came first, it learns that entry's map.
+func (o *Owners) write(ctx context.Context, held, next *ownership.Map) bool {
 	ctx, cancel := context.WithTimeout(ctx, ownersTimeout)
 	defer cancel()
 	value, err := json.Marshal(next)
 	if err != nil {
 		o.log.WithError(err).Error("a map of owners cannot be encoded")
-		return
+		return false
 	}
 	expected := int64(0)
 	if held != nil {
@@ -345,12 +348,13 @@
 		next.Revision = object.Version
 		o.offer(next)
 		o.log.WithFields(logrus.Fields{"pool": next.Pool, "revision": next.Revision}).Info("slots of keys were moved")
-		return
+		return true
 	}
 	o.log.WithError(err).Warning("slots of keys could not be moved; the next round tries again")
 	if failure.Is(err, failure.Conflict) || failure.Is(err, failure.Unknown) {
 		o.readBack(ctx, next.Pool)
 	}
+	return false
 }
 
 func (o *Owners) readBack(ctx context.Context, pool string) {
--- a/internal/gateway/states.go
+++ b/internal/gateway/states.go
@@ -23,7 +23,7 @@
 	// stateTTL is how long a state counts after it was read.
 	stateTTL = 5 * time.Second
 	// unsettledInterval is the time between two reads of an agent that is not
-	// known to admit requests, so that it is used again soon after it does.
+	// known to admit requests or that owns keys, when nothing changes there.
 	unsettledInterval = 500 * time.Millisecond
 	// silentAfter is how long an agent may leave its peers without an answer
 	// before attempts that wait for it are broken off.
@@ -52,8 +52,6 @@
 	message.StateReply
 	instance member.Instance
 	at       time.Time
-	// readAt is when the state was last read, not told with an answer.
-	readAt time.Time
 	// own is the number of this entry's attempts among those it reported.
 	own int
 }
@@ -74,12 +72,16 @@
 	mu      sync.Mutex
 	agents  map[string]agentState
 	polling map[string]bool
+	// following holds the instances whose state is read now.
+	following map[string]member.Instance
 	// distrusted instances take no attempt until their state is read again.
 	distrusted map[string]bool
 	inFlight   map[string]int
 	pulses     map[string]*pulse
 	// changed receives a value after states were read.
 	changed chan struct{}
+	// stirred receives a value after a state that differs from the last one.
+	stirred chan struct{}
 	// tables, when set, lets this entry watch a subset of each large pool.
 	tables func() *table.Snapshot
 	zone   string
@@ -107,6 +109,8 @@
 		agents:   map[string]agentState{},
 		polling:  map[string]bool{},
 
+		following:  map[string]member.Instance{},
+		stirred:    make(chan struct{}, 1),
 		distrusted: map[string]bool{},
 		changed:    make(chan struct{}, 1),
 		wanted:     map[string]time.Time{},
@@ -116,17 +120,12 @@
 	}
 }
 
-// Run polls until ctx ends.
+// Run follows the states until ctx ends.
 func (s *States) Run(ctx context.Context) {
 	ticker := time.NewTicker(min(s.interval, unsettledInterval))
 	defer ticker.Stop()
 	for {
-		now := time.Now()
-		for _, instance := range s.watched(now) {
-			if s.due(instance.Name, now) {
-				s.poll(ctx, instance)
-			}
-		}
+		s.follow(ctx, s.watched(time.Now()))
 		s.forget()
 		select {
 		case <-ctx.Done():
@@ -136,16 +135,54 @@
 	}
 }
 
-// due reports whether an agent's state is to be read now. A state that admits
-// requests is read at the set interval, since answers tell the load in between;
-// any other one at each round, and so is that of an owner of keys, whose slots
-// move by what it last told.
-func (s *States) due(name string, now time.Time) bool {
+// follow begins to follow the instances that are not followed yet, and ends
+// with those that are not named.
+func (s *States) follow(ctx context.Context, instances []member.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	clear(s.following)
+	for _, instance := range instances {
+		s.following[instance.Name] = instance
+		if !s.polling[instance.Name] {
+			s.polling[instance.Name] = true
+			go s.readOn(ctx, instance.Name)
+		}
+	}
+}
+
+// readOn reads one agent's state again and again. The agent answers when its
+// state has changed or when the time for which it may hold the answer is over.
+func (s *States) readOn(ctx context.Context, name string) {
+	defer func() {
+		s.mu.Lock()
+		delete(s.polling, name)
+		s.mu.Unlock()
+	}()
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		instance, followed := s.following[name]
+		seen, hold := s.hold(name)
+		s.mu.Unlock()
+		if !followed || !s.read(ctx, instance, seen, hold) {
+			return
+		}
+	}
+}
+
+// hold returns what is known of an agent and how long it may hold its answer
+// while that stays so. A state that admits requests is read at the set interval,
+// since answers tell the load in between; any other one more often, and so is
+// that of an owner of keys, whose slots move by what it last told. The caller
+// holds the lock.
+func (s *States) hold(name string) (message.Standing, time.Duration) {
 	state, known := s.agents[name]
-	settled := known && state.Open && state.OwnersRevision == 0 && !s.distrusted[name]
-	return !settled || now.Sub(state.readAt) >= s.interval
+	if !known || s.distrusted[name] {
+		return message.Standing{}, 0
+	}
+	if state.Open && state.OwnersRevision == 0 {
+		return state.Standing(), s.interval
+	}
+	return state.Standing(), min(s.interval, unsettledInterval)
 }
 
 // Subset makes this entry watch no more than a part of each large pool. Call
@@ -188,14 +225,6 @@
 	})
 }
 
-// notify wakes whoever waits for capacity.
-func (s *States) notify() {
-	select {
-	case s.changed <- struct{}{}:
-	default:
-	}
-}
-
 // heard notes how many requests an agent had in progress when it answered an
 // attempt.
 func (s *States) heard(name string, running int) {
@@ -227,33 +256,35 @@
 	return state.Pool == pool && state.Open && !s.distrusted[name] && state.instance.State == member.StateLive
 }
 
-// poll reads one agent's state, unless a read is in progress.
-func (s *States) poll(ctx context.Context, instance member.Instance) {
+// read reads one agent's state and reports whether it answered.
+func (s *States) read(ctx context.Context, instance member.Instance, seen message.Standing, hold time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, hold+stateTimeout)
+	defer cancel()
+	var reply message.StateReply
+	err := s.client.Call(ctx, instance.ControlAddress, message.MethodState, message.StateArgs{From: s.self, Seen: seen, Hold: hold}, &reply)
 	s.mu.Lock()
-	busy := s.polling[instance.Name]
-	s.polling[instance.Name] = true
-	s.mu.Unlock()
-	if busy {
-		return
+	defer s.mu.Unlock()
+	if err != nil {
+		delete(s.agents, instance.Name)
+		s.missed(instance.Name)
+		return false
+	}
+	s.beat(instance.Name)
+	delete(s.distrusted, instance.Name)
+	if last, known := s.agents[instance.Name]; !known || last.Standing() != reply.Standing() {
+		wake(s.stirred)
+	}
+	s.agents[instance.Name] = agentState{StateReply: reply, instance: instance, at: time.Now(), own: s.inFlight[instance.Name]}
+	wake(s.changed)
+	return true
+}
+
+// wake leaves a value in a channel that has room for one.
+func wake(waiting chan struct{}) {
+	select {
+	case waiting <- struct{}{}:
+	default:
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, stateTimeout)
-		defer cancel()
-		var reply message.StateReply
-		err := s.client.Call(ctx, instance.ControlAddress, message.MethodState, message.StateArgs{From: s.self}, &reply)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.polling, instance.Name)
-		if err != nil {
-			delete(s.agents, instance.Name)
-			s.missed(instance.Name)
-			return
-		}
-		s.beat(instance.Name)
-		delete(s.distrusted, instance.Name)
-		s.agents[instance.Name] = agentState{StateReply: reply, instance: instance, at: time.Now(), readAt: time.Now(), own: s.inFlight[instance.Name]}
-		s.notify()
-	}()
 }
 
 // forget drops agents that the list no longer names.
@@ -397,7 +428,7 @@
 	s.distrusted[name] = true
 	s.mu.Unlock()
 	if found {
-		s.poll(context.Background(), state.instance)
+		go s.read(context.Background(), state.instance, message.Standing{}, 0)
 	}
 }
 
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -3,6 +3,8 @@
 package message
 
 import (
+	"time"
+
 	"plantainrelay/internal/dispatch"
 	"plantainrelay/internal/rollout"
 	"plantainrelay/internal/weights"
@@ -64,6 +66,19 @@
 // StateArgs asks an agent for its state.
 type StateArgs struct {
 	From string
+	// Seen is what the caller knows already: the agent holds its answer until it
+	// differs from that, or for Hold at most. A zero Hold asks for the state now.
+	Seen Standing
+	Hold time.Duration
+}
+
+// Standing is the part of an agent's state that decides where requests go.
+type Standing struct {
+	Incarnation    string
+	Pool           string
+	Open           bool
+	Released       bool
+	OwnersRevision int64
 }
 
 // StateReply is the state of one agent.
@@ -97,6 +112,11 @@
 	Cause    string
 }
 
+// Standing returns the part of the state that decides where requests go.
+func (r *StateReply) Standing() Standing {
+	return Standing{Incarnation: r.Incarnation, Pool: r.Pool, Open: r.Open, Released: r.Released, OwnersRevision: r.OwnersRevision}
+}
+
 // FateArgs asks an agent what became of an attempt. An attempt that it has not
 // started is barred for good by the question.
 type FateArgs struct {
--- a/test/e2e/requests_keys_test.go
+++ b/test/e2e/requests_keys_test.go
@@ -369,8 +369,13 @@
 	b.SetState("booking-1", member.StateLeaving)
 	qt.Assert(b.t, b.PublishList(), qt.IsNil)
 	b.waitOwner("booking-1", false)
+	b.allDone()
+}
+
+// allDone checks that each submission so far was told done.
+func (b *bookings) allDone() {
 	outcomes := b.recorder.Outcomes()
-	qt.Assert(b.t, outcomes[dispatch.Unknown]+outcomes[dispatch.NotRun]+outcomes[""], qt.Equals, 0, qt.Commentf("%v", outcomes))
+	qt.Assert(b.t, outcomes[dispatch.Unknown]+outcomes[dispatch.NotRun]+outcomes[""], qt.Equals, 0, qt.Commentf("%v: %+v", outcomes, b.recorder.NotDone()))
 }
 
 // ownerLeaves drains an owner; its keys stay answered.
@@ -380,8 +385,7 @@
 	qt.Assert(b.t, b.Signal("booking-1", syscall.SIGTERM), qt.IsNil)
 	<-b.Process("booking-1").Exited()
 	qt.Assert(b.t, b.Process("booking-1").Err(), qt.IsNil)
-	outcomes := b.recorder.Outcomes()
-	qt.Assert(b.t, outcomes[dispatch.Unknown]+outcomes[dispatch.NotRun]+outcomes[""], qt.Equals, 0, qt.Commentf("%v", outcomes))
+	b.allDone()
 	b.SetState("booking-1", "")
 	qt.Assert(b.t, b.PublishList(), qt.IsNil)
 }
--- a/test/history/history.go
+++ b/test/history/history.go
@@ -37,6 +37,19 @@
 	r.mu.Unlock()
 }
 
+// NotDone returns the submissions that were told another outcome than done.
+func (r *Recorder) NotDone() []Submission {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []Submission
+	for _, submission := range r.all {
+		if submission.Outcome != dispatch.Done {
+			found = append(found, submission)
+		}
+	}
+	return found
+}
+
 // Outcomes counts the submissions by outcome.
 func (r *Recorder) Outcomes() map[dispatch.Outcome]int {
 	r.mu.Lock()
