--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -32,11 +32,19 @@
 )
 
 const (
-	// tick is the time between two looks at the engine and the distribution.
-	tick = 50 * time.Millisecond
+	// tick is the time between two looks at the engine and the distribution while
+	// a release is under way, quietTick the same when the engine serves the target.
+	tick      = 50 * time.Millisecond
+	quietTick = 150 * time.Millisecond
 	// reportInterval is the time between two reports of the engine; they are free
 	// on its own machine and change every few hundred ms.
-	reportInterval = 150 * time.Millisecond
+	reportInterval      = 150 * time.Millisecond
+	quietReportInterval = 300 * time.Millisecond
+	// releaseTime is how long after a release its switches may go on.
+	releaseTime = 15 * time.Second
+	// quietBeats is how many messages to entries go out for one to the neighbors
+	// when no release is under way.
+	quietBeats = 5
 	// beatInterval is the time between two messages to entries and neighbors
 	// when nothing changes.
 	beatInterval = time.Second
@@ -238,6 +246,7 @@
 	a.log.WithFields(logrus.Fields{"model": next.model, "version": next.version, "last": a.target.version}).Info("release seen")
 	a.newest = next
 	a.chooseTarget(clock.Now())
+	a.notify()
 }
 
 // chooseTarget goes on to the newest version, unless the engine is nearly at an
@@ -292,8 +301,8 @@
 func (a *agent) beats(ctx context.Context) {
 	ticker := time.NewTicker(beatInterval)
 	defer ticker.Stop()
-	for {
-		a.beat()
+	for turn := 0; ; turn++ {
+		a.beat(turn%quietBeats == 0)
 		select {
 		case <-ctx.Done():
 			return
@@ -303,9 +312,26 @@
 	}
 }
 
-func (a *agent) beat() {
+// quiet reports whether the engine serves the target and no neighbor can be
+// switching. The caller holds mu.
+func (a *agent) quiet(now time.Time) bool {
+	return a.target.version > 0 && a.report.Loaded >= a.target.version && !a.switching && now.Sub(a.newest.seen) > releaseTime
+}
+
+// pause returns the time until the next look at the engine or the distribution.
+func (a *agent) pause() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.quiet(clock.Now()) {
+		return quietTick
+	}
+	return tick
+}
+
+func (a *agent) beat(neighbors bool) {
 	now := clock.Now()
 	a.mu.Lock()
+	neighbors = neighbors || !a.quiet(now)
 	a.sequence++
 	message := &beat.Message{
 		Role: beat.Agent, Instance: a.settings.Instance, Host: a.settings.IP, AvailabilityZone: a.settings.AvailabilityZone,
@@ -326,7 +352,7 @@
 		hosts = slices.Clone(a.settings.Seeds)
 	}
 	for _, member := range a.members {
-		if member.AvailabilityZone == a.settings.AvailabilityZone && member.Name != a.settings.IP {
+		if neighbors && member.AvailabilityZone == a.settings.AvailabilityZone && member.Name != a.settings.IP {
 			hosts = append(hosts, member.Name)
 		}
 	}
--- a/internal/loader/distribution.go
+++ b/internal/loader/distribution.go
@@ -40,14 +40,15 @@
 
 // distributes fetches the target's chunks whenever some are missing.
 func (a *agent) distributes(ctx context.Context) {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
+	timer := time.NewTimer(tick)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
+		timer.Reset(a.pause())
 		a.mu.Lock()
 		a.chooseTarget(clock.Now())
 		wanted, current, lost := a.target, a.fetching, a.report.Born == 0
--- a/internal/loader/switch.go
+++ b/internal/loader/switch.go
@@ -52,8 +52,8 @@
 
 // switches brings the engine to the target whenever its chunks are whole.
 func (a *agent) switches(ctx context.Context) {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
+	timer := time.NewTimer(tick)
+	defer timer.Stop()
 	var last order
 	var verified verification
 	var reportedAt time.Time
@@ -61,10 +61,15 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
+		}
+		pause, interval := a.pause(), reportInterval
+		timer.Reset(pause)
+		if pause == quietTick {
+			interval = quietReportInterval
 		}
 		now := clock.Now()
-		if now.Sub(reportedAt) >= reportInterval || a.isSwitching() {
+		if now.Sub(reportedAt) >= interval || a.isSwitching() {
 			reportedAt = now
 			a.readReport(ctx)
 		}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -189,19 +189,20 @@
 	return live
 }
 
-// Near returns the hosts of up to most live entries, those of the own
-// availability zone first.
+// Near returns the hosts of the live entries when there are no more than most,
+// otherwise of up to most of those in the own availability zone.
 func (d *Directory) Near(most int, now time.Time) []string {
-	var near, far []string
+	var all, near []string
 	for _, entry := range d.Live(now) {
+		all = append(all, entry.Host)
 		if entry.AvailabilityZone == d.self.AvailabilityZone {
 			near = append(near, entry.Host)
-		} else {
-			far = append(far, entry.Host)
 		}
 	}
-	hosts := append(near, far...)
-	return hosts[:min(most, len(hosts))]
+	if len(all) <= most {
+		return all
+	}
+	return near[:min(most, len(near))]
 }
 
 // Current reports whether a message is newer than the last one of its sender,
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -26,9 +26,10 @@
 	readyAge = 3500 * time.Millisecond
 	// maxHosts bounds the entries named in one message.
 	maxHosts = 16
-	// nearEntries bounds the entries that are told of each change of the load at
-	// once; those of the own availability zone come first. The others learn of
-	// it with the regular messages, so that the cost does not grow with the fleet.
+	// nearEntries bounds the entries that are told of each placed request at once:
+	// all of a small fleet, otherwise those of the own availability zone, which
+	// choose among the same instances. The others learn of it with the regular
+	// messages, so that the cost does not grow with the fleet.
 	nearEntries = 16
 	// maxMoved bounds the changes of the load that wait to be told.
 	maxMoved = 256
@@ -45,8 +46,10 @@
 	log    *logrus.Entry
 	start  int64
 	news   chan struct{}
-	// moved holds the instances where the load has changed since the last word.
-	moved chan string
+	// moved holds the instances where the load has changed since the last word,
+	// placed receives a value when a request was placed.
+	moved  chan string
+	placed chan struct{}
 
 	mu        sync.Mutex
 	directory *peers.Directory
@@ -71,24 +74,25 @@
 	}
 }
 
-// loads tells the near entries of each change of this entry's load at once, so
-// that entries don't send their requests to the same instance.
+// loads tells the near entries of each placed request at once, so that entries
+// don't send their requests to the same instance. What has ended or begun to
+// answer is told along with it, or with the next regular message.
 func (h *heart) loads(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case id := <-h.moved:
-			h.sendLoads(id)
+		case <-h.placed:
+			h.sendLoads()
 		}
 	}
 }
 
-func (h *heart) sendLoads(id string) {
-	changed := map[string]placement.Load{id: h.gate.ownLoad(id)}
+func (h *heart) sendLoads() {
+	changed := map[string]placement.Load{}
 	for range len(h.moved) {
-		next := <-h.moved
-		changed[next] = h.gate.ownLoad(next)
+		id := <-h.moved
+		changed[id] = h.gate.ownLoad(id)
 	}
 	h.mu.Lock()
 	h.sequence++
@@ -102,11 +106,22 @@
 
 // noteLoad notes that the load at an instance has changed. When too many
 // changes wait, the next regular message tells it.
-func (h *heart) noteLoad(id string) {
+func (h *heart) noteLoad(id string, begun bool) {
 	select {
 	case h.moved <- id:
 	default:
 	}
+	if begun {
+		wake(h.placed)
+	}
+}
+
+// wake leaves a value in a channel that has room for one.
+func wake(waiting chan struct{}) {
+	select {
+	case waiting <- struct{}{}:
+	default:
+	}
 }
 
 func beatLoads(loads map[string]placement.Load) map[string]beat.Load {
@@ -126,12 +141,7 @@
 }
 
 // wake sends the next message at once.
-func (h *heart) wake() {
-	select {
-	case h.news <- struct{}{}:
-	default:
-	}
-}
+func (h *heart) wake() { wake(h.news) }
 
 func (h *heart) send(agents bool) {
 	now := clock.Now()
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -140,7 +140,7 @@
 	e.view = newView(e.gate, s.Bounds.Switch-switchMargin, s.Bounds.Stable-stableMargin, log)
 	e.front = &front{view: e.view, gate: e.gate, sender: newSender(), log: log, metrics: counted}
 	e.front.revoke.Store(int64(s.Bounds.Revoke))
-	e.heart = &heart{socket: socket, view: e.view, gate: e.gate, front: e.front, log: log, start: start, news: make(chan struct{}, 1), moved: make(chan string, maxMoved)}
+	e.heart = &heart{socket: socket, view: e.view, gate: e.gate, front: e.front, log: log, start: start, news: make(chan struct{}, 1), moved: make(chan string, maxMoved), placed: make(chan struct{}, 1)}
 	e.gate.moved = e.heart.noteLoad
 	store := platform.NewStore(s.Store, newStoreTransport())
 	store.Called = func(method string, kind platform.Kind) { counted.store.WithLabelValues(method, string(kind)).Inc() }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -382,7 +382,8 @@
 	from := newEvents(response.Body)
 	pause := max(time.Duration(pauseFactor*float64(x.route.MaxPause)), minSilence)
 	flusher := http.NewResponseController(x.w)
-	last := clock.Now()
+	// Read for each event: the boot clock is a system call.
+	last := time.Now()
 	for {
 		next, err := from.next()
 		if errors.Is(err, io.EOF) {
@@ -395,7 +396,7 @@
 			return broken
 		}
 		watchdog.extend(pause)
-		now := clock.Now()
+		now := time.Now()
 		if one.Events > 0 {
 			one.PauseMs = max(one.PauseMs, now.Sub(last).Milliseconds())
 		}
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -16,8 +16,10 @@
 	// maxQueued bounds the waiting requests of one pool at one entry.
 	maxQueued = 256
 	// pumpInterval is the time between two looks at waiting requests, which may
-	// go on when other entries' requests have ended.
+	// go on when other entries' requests have ended; idleInterval the same while
+	// none waits.
 	pumpInterval = 15 * time.Millisecond
+	idleInterval = 150 * time.Millisecond
 	// minReturn is the shortest time after which a rejected caller may return.
 	minReturn = 250 * time.Millisecond
 	// emptyReturn is the same while no instance is usable: about the time in which
@@ -51,14 +53,17 @@
 	budgets map[string]*dispatch.WindowBudget
 	retries retryLimits
 	entries int
-	// moved is told of each instance where this entry's load has changed.
-	moved func(id string)
+	// queued receives a value when a request begins to wait.
+	queued chan struct{}
+	// moved is told of each instance where this entry's load has changed; begun
+	// says that a request was placed there, which others have to know at once.
+	moved func(id string, begun bool)
 }
 
 func newGate(fleet *placement.Fleet, retries retryLimits) *gate {
 	return &gate{
 		fleet: fleet, queues: map[string]*admission.Queue{}, tickets: map[uint64]*ticket{}, budgets: map[string]*dispatch.WindowBudget{},
-		retries: retries, entries: 1, moved: func(string) {},
+		retries: retries, entries: 1, queued: make(chan struct{}, 1), moved: func(string, bool) {},
 	}
 }
 
@@ -79,7 +84,11 @@
 	g.tickets[t.ID] = t
 	g.shed(g.queue(t.need.Pool).Offer(t.Ticket, now), now)
 	g.pump(t.need.Pool, now)
+	waits := g.tickets[t.ID] != nil
 	g.mu.Unlock()
+	if waits {
+		wake(g.queued)
+	}
 	return g.await(ctx, t)
 }
 
@@ -150,7 +159,7 @@
 		close(t.placed)
 		return
 	}
-	g.moved(choice.Backend.ID)
+	g.moved(choice.Backend.ID, true)
 	t.placed <- choice
 }
 
@@ -159,7 +168,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.fleet.Began(choice)
-	g.moved(choice.Backend.ID)
+	g.moved(choice.Backend.ID, false)
 }
 
 // shed rejects requests. While no instance is usable at all, callers are told to
@@ -182,29 +191,39 @@
 	defer g.mu.Unlock()
 	now := clock.Now()
 	g.fleet.Finished(choice, result, now)
-	g.moved(choice.Backend.ID)
+	g.moved(choice.Backend.ID, false)
 	g.queue(t.need.Pool).Finished(t.Customer, t.Route, ran)
 	g.pump(t.need.Pool, now)
 }
 
 // Run looks after the waiting requests until ctx ends.
 func (g *gate) Run(ctx context.Context) {
-	ticker := time.NewTicker(pumpInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(idleInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-		}
-		g.mu.Lock()
-		now := clock.Now()
-		g.fleet.Expire(now)
-		for pool := range g.queues {
-			g.pump(pool, now)
+		case <-timer.C:
+		case <-g.queued:
 		}
-		g.mu.Unlock()
+		timer.Reset(g.lookAfter())
+	}
+}
+
+// lookAfter looks after all queues and returns the time until the next look.
+func (g *gate) lookAfter() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := clock.Now()
+	g.fleet.Expire(now)
+	for pool := range g.queues {
+		g.pump(pool, now)
+	}
+	if len(g.tickets) > 0 {
+		return pumpInterval
 	}
+	return idleInterval
 }
 
 // requested counts a request for the retry budget of its pool.
