--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -7,6 +7,8 @@
 	"context"
 	"slices"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
@@ -37,11 +39,19 @@
 	maxManifests = 8
 	// fetchLimit bounds one fetch from the origin or another depot.
 	fetchLimit = 2 * time.Second
+	// patience is how long a depot tries to get a chunk that it is asked for, and
+	// lostPatience the same while the origin is lost: who waits for a chunk asks for
+	// no other one. retryPause is the pause between two tries.
+	patience     = 400 * time.Millisecond
+	lostPatience = 150 * time.Millisecond
+	retryPause   = 80 * time.Millisecond
 	// callLimit bounds a call that carries no chunk.
 	callLimit = 1200 * time.Millisecond
-	// uploadShare is the part of a link that uploads may fill; streams pass the
-	// same link.
-	uploadShare = 0.6
+	// AgentShare and EntryShare are the parts of a link that uploads may fill.
+	// Streams pass the same link: most of an agent's narrow one, a small part of
+	// an entry's.
+	AgentShare = 0.6
+	EntryShare = 0.8
 	// uploadBurst is the number of bytes that may be sent at once.
 	uploadBurst = 64 << 10
 	// uploadWait is how long a call waits for its turn among the uploads.
@@ -75,11 +85,12 @@
 // Uploads limits what is sent to a share of the instance's link.
 type Uploads struct {
 	limiter *rate.Limiter
+	share   float64
 }
 
 // NewUploads returns the limit for a link.
-func NewUploads(linkBitsPerSecond float64) *Uploads {
-	u := &Uploads{limiter: rate.NewLimiter(rate.Inf, uploadBurst)}
+func NewUploads(linkBitsPerSecond, share float64) *Uploads {
+	u := &Uploads{limiter: rate.NewLimiter(rate.Inf, uploadBurst), share: share}
 	u.SetLink(linkBitsPerSecond)
 	return u
 }
@@ -88,7 +99,7 @@
 func (u *Uploads) SetLink(bitsPerSecond float64) {
 	const bitsPerByte = 8
 	if bitsPerSecond > 0 {
-		u.limiter.SetLimit(rate.Limit(uploadShare * bitsPerSecond / bitsPerByte))
+		u.limiter.SetLimit(rate.Limit(u.share * bitsPerSecond / bitsPerByte))
 	}
 }
 
@@ -107,6 +118,9 @@
 	// Drawers are the hosts of the entries that may draw from the origin: those
 	// of its availability zone, or all when there are none.
 	Drawers []string
+	// Neighbors are the entries of this entry's own availability zone, itself
+	// included: each chunk enters the zone through one of them.
+	Neighbors []string
 }
 
 // Config holds what a depot is set up with.
@@ -128,6 +142,14 @@
 	manifests *lru.Cache[VersionArgs, platform.Manifest]
 	flights   singleflight.Group
 	drawing   chan struct{}
+	// lost says that the last draw from the origin failed.
+	lost atomic.Bool
+
+	mu sync.Mutex
+	// prefetched holds when the fetch of a version ahead of questions began.
+	prefetched map[VersionArgs]time.Time
+	// newest holds the newest version of each model that was asked for.
+	newest map[string]int64
 }
 
 // New returns an empty depot.
@@ -142,7 +164,7 @@
 	}
 	return &Depot{
 		config: config, origin: origin, client: client, log: log, chunks: chunks, manifests: manifests,
-		drawing: make(chan struct{}, originConnections),
+		drawing: make(chan struct{}, originConnections), prefetched: map[VersionArgs]time.Time{}, newest: map[string]int64{},
 	}, nil
 }
 
@@ -163,8 +185,12 @@
 	return nil
 }
 
-// Chunk returns one verified chunk. It is a net/rpc method.
+// Chunk returns one verified chunk. It is a net/rpc method. Who asks for one will
+// ask for all: the rest of this depot's part of the version is fetched ahead.
 func (d *Depot) Chunk(args ChunkArgs, reply *ChunkReply) error {
+	if !d.chunks.Contains(args) {
+		d.Prefetch(args.VersionArgs)
+	}
 	data, err := d.chunk(args)
 	if err != nil {
 		return err
@@ -231,8 +257,29 @@
 	return first, nil
 }
 
-// fetchChunk gets a chunk from the entry that draws it, or from the origin.
+// fetchChunk gets a chunk and tries again for a moment while the origin fails, so
+// that those who wait for it don't go on to ask every other depot.
 func (d *Depot) fetchChunk(args ChunkArgs) ([]byte, error) {
+	began := clock.Now()
+	for {
+		data, err := d.tryChunk(args)
+		if err == nil || failure.Is(err, failure.Invalid) || failure.Is(err, failure.NotFound) || clock.Now().Sub(began) > d.patience()-retryPause {
+			return data, err
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+func (d *Depot) patience() time.Duration {
+	if d.lost.Load() {
+		return lostPatience
+	}
+	return patience
+}
+
+// tryChunk gets a chunk from the next depot on its way from the origin: the one
+// through which it enters the availability zone, then the one that draws it.
+func (d *Depot) tryChunk(args ChunkArgs) ([]byte, error) {
 	var manifest platform.Manifest
 	if err := d.Manifest(args.VersionArgs, &manifest); err != nil {
 		return nil, err
@@ -241,25 +288,60 @@
 		return nil, failure.New(failure.Invalid, "ask for a chunk of the manifest", "%s %d has no chunk %d", args.Model, args.Version, args.Chunk)
 	}
 	upstream := d.config.Upstream()
-	if host := d.drawer(strconv.Itoa(args.Chunk), upstream); host != d.config.Host {
-		if data, ok := d.fromDepot(host, args, manifest.Digests[args.Chunk]); ok {
-			return data, nil
+	for _, host := range d.way(args.Chunk, upstream) {
+		data, err := d.fromDepot(host, args, manifest.Digests[args.Chunk])
+		// A depot that has answered has asked further upstream itself.
+		if err == nil || failure.Is(err, failure.NotFound) || failure.Is(err, failure.Refused) {
+			return data, err
 		}
 	}
 	return d.fromOrigin(upstream.Origin, args, manifest.Digests[args.Chunk])
 }
 
-func (d *Depot) fromDepot(host string, args ChunkArgs, digest weights.Digest) ([]byte, bool) {
+// way returns the depots to ask for a chunk, the nearest first; none when this
+// one draws it from the origin.
+func (d *Depot) way(chunk int, upstream Upstream) []string {
+	key := strconv.Itoa(chunk)
+	drawer := d.drawer(key, upstream)
+	if drawer == d.config.Host {
+		return nil
+	}
+	if door := d.door(key, upstream); door != d.config.Host && door != drawer {
+		return []string{door, drawer}
+	}
+	return []string{drawer}
+}
+
+// door returns the entry through which what key names enters the availability
+// zone.
+func (d *Depot) door(key string, upstream Upstream) string {
+	if len(upstream.Neighbors) == 0 {
+		return d.config.Host
+	}
+	return member.Rank(key, upstream.Neighbors)[0]
+}
+
+// fromDepot asks another depot. A failure.NotFound error means that it could not
+// get the chunk either, failure.Refused that it has too much to send now.
+func (d *Depot) fromDepot(host string, args ChunkArgs, digest weights.Digest) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchLimit)
 	defer cancel()
 	var reply ChunkReply
 	err := d.client.Call(ctx, beat.Address(host, d.config.Port), MethodChunk, args, &reply)
-	if err != nil || reply.Busy || weights.DigestOf(reply.Data) != digest {
-		d.log.WithError(err).WithFields(logrus.Fields{"peer": host, "chunk": args.Chunk, "version": args.Version}).Info("another depot did not give a chunk")
-		return nil, false
+	switch {
+	case failure.Is(err, failure.Refused):
+		err = failure.Wrap(err, failure.NotFound, "ask again", "the depot at %s has no chunk %d of %s %d", host, args.Chunk, args.Model, args.Version)
+	case err != nil:
+	case reply.Busy:
+		err = failure.New(failure.Refused, "ask again", "the depot at %s has too much to send", host)
+	case weights.DigestOf(reply.Data) != digest:
+		err = failure.New(failure.Unknown, "ask elsewhere", "chunk %d of %s %d from %s has another digest", args.Chunk, args.Model, args.Version, host)
+	default:
+		d.chunks.Add(args, reply.Data)
+		return reply.Data, nil
 	}
-	d.chunks.Add(args, reply.Data)
-	return reply.Data, true
+	d.log.WithError(err).WithFields(logrus.Fields{"peer": host, "chunk": args.Chunk, "version": args.Version}).Debug("another depot did not give a chunk")
+	return nil, err
 }
 
 func (d *Depot) fromOrigin(address string, args ChunkArgs, digest weights.Digest) ([]byte, error) {
@@ -272,12 +354,16 @@
 	if err == nil && weights.DigestOf(data) != digest {
 		err = failure.New(failure.Invalid, "ask again", "chunk %d of %s %d from the origin has another digest", args.Chunk, args.Model, args.Version)
 	}
+	log := d.log.WithFields(logrus.Fields{"chunk": args.Chunk, "version": args.Version, "ms": clock.Now().Sub(began).Milliseconds()})
 	if err != nil {
-		d.log.WithError(err).WithFields(logrus.Fields{
-			"chunk": args.Chunk, "version": args.Version, "ms": clock.Now().Sub(began).Milliseconds(),
-		}).Info("the origin did not give a chunk")
+		if !d.lost.Swap(true) {
+			log.WithError(err).Warning("the origin of weights was lost")
+		}
 		return nil, err
 	}
+	if d.lost.Swap(false) {
+		log.Info("the origin of weights was regained")
+	}
 	d.chunks.Add(args, data)
 	return data, nil
 }
--- /dev/null
+++ b/internal/depot/prefetch.go
@@ -0,0 +1,119 @@
+package depot
+
+import (
+	"maps"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"plantainrelay/internal/clock"
+	"plantainrelay/internal/rollout"
+	"plantainrelay/platform"
+)
+
+const (
+	// prefetchers bounds the chunks of one version that are fetched ahead at once.
+	prefetchers = 4
+	// prefetchLimit bounds the time for which a version is fetched ahead, and is the
+	// least time between two such fetches of one version.
+	prefetchLimit = 30 * time.Second
+)
+
+// Prefetch begins to fetch this depot's part of a version before anybody asks
+// for it: the chunks that it draws from the origin and those that enter its
+// availability zone through it. The origin's link is the narrowest one, and is
+// then busy from the first moment on.
+func (d *Depot) Prefetch(args VersionArgs) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := clock.Now()
+	maps.DeleteFunc(d.prefetched, func(_ VersionArgs, at time.Time) bool { return now.Sub(at) > prefetchLimit })
+	d.newest[args.Model] = max(d.newest[args.Model], args.Version)
+	if _, before := d.prefetched[args]; before || args.Version < d.newest[args.Model] {
+		return
+	}
+	d.prefetched[args] = now
+	go d.prefetch(args)
+}
+
+// ahead is the state of one version's fetch ahead of questions.
+type ahead struct {
+	args  VersionArgs
+	until time.Time
+
+	mu       sync.Mutex
+	progress rollout.Progress
+}
+
+func (d *Depot) prefetch(args VersionArgs) {
+	now := clock.Now()
+	a := &ahead{args: args, until: now.Add(prefetchLimit), progress: rollout.Progress{LastAt: now, Latest: now.Add(prefetchLimit)}}
+	var manifest platform.Manifest
+	for d.Manifest(args, &manifest) != nil {
+		if !d.goOn(a) {
+			return
+		}
+		time.Sleep(retryPause)
+	}
+	upstream := d.config.Upstream()
+	var chunks []int
+	for chunk := range manifest.Digests {
+		key := strconv.Itoa(chunk)
+		if d.drawer(key, upstream) == d.config.Host || d.door(key, upstream) == d.config.Host {
+			chunks = append(chunks, chunk)
+		}
+	}
+	a.progress.Chunks = len(chunks)
+	d.fetchAll(a, chunks)
+	d.log.WithFields(logrus.Fields{
+		"model": args.Model, "version": args.Version, "chunks": len(chunks), "held": a.progress.Held, "ms": clock.Now().Sub(now).Milliseconds(),
+	}).Info("a version was fetched ahead")
+}
+
+// fetchAll gets chunks in their order, some at once.
+func (d *Depot) fetchAll(a *ahead, chunks []int) {
+	next := make(chan int)
+	var group sync.WaitGroup
+	for range prefetchers {
+		group.Go(func() {
+			for chunk := range next {
+				d.fetchOne(a, chunk)
+			}
+		})
+	}
+	for _, chunk := range chunks {
+		next <- chunk
+	}
+	close(next)
+	group.Wait()
+}
+
+func (d *Depot) fetchOne(a *ahead, chunk int) {
+	for d.goOn(a) {
+		if _, err := d.chunk(ChunkArgs{VersionArgs: a.args, Chunk: chunk}); err == nil {
+			a.mu.Lock()
+			a.progress.Held++
+			a.progress.LastAt = clock.Now()
+			a.mu.Unlock()
+			return
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+// goOn reports whether the version is still fetched ahead. A newer one takes its
+// place, unless most of this one is here.
+func (d *Depot) goOn(a *ahead) bool {
+	now := clock.Now()
+	if !now.Before(a.until) {
+		return false
+	}
+	d.mu.Lock()
+	newest := d.newest[a.args.Model]
+	d.mu.Unlock()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return newest <= a.args.Version || a.progress.Finish(now)
+}
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -171,7 +171,7 @@
 	a := &agent{
 		settings: s, log: log, socket: socket, client: peer.NewClient(peer.Security{}),
 		engine: platform.NewEngine(s.Backend, local), origin: platform.NewOrigin(origin),
-		holding: newHolding(), uploads: depot.NewUploads(s.LinkBitsPerSecond), start: time.Now().UnixNano(),
+		holding: newHolding(), uploads: depot.NewUploads(s.LinkBitsPerSecond, depot.AgentShare), start: time.Now().UnixNano(),
 		changed: make(chan struct{}, 1), entries: map[string]entrance{}, neighbors: map[string]neighbor{},
 	}
 	a.copies = copies.New(platform.NewStore(s.Store, remote), plans, log, func(platform.Kind) bool { return false }, a.decode)
--- a/internal/loader/distribution.go
+++ b/internal/loader/distribution.go
@@ -131,6 +131,7 @@
 	for _, one := range a.members {
 		switch {
 		case one.Name == a.settings.IP:
+			s.Place = len(s.NearPeers)
 		case one.AvailabilityZone == a.settings.AvailabilityZone:
 			s.NearPeers = append(s.NearPeers, one.Name)
 		default:
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -44,9 +44,9 @@
 	oldPenalty = 60 * time.Millisecond
 	// spreadChoices is the number of instances among which a cut stream chooses.
 	spreadChoices = 3
-	// readFor is how long after its word another entry's unread prompts count: by
-	// then an engine has read them, within a pass or two.
-	readFor = 300 * time.Millisecond
+	// readLag is how long after another entry's word an engine begins to read its
+	// prompts: the request's way and the pass under way.
+	readLag = 60 * time.Millisecond
 	// plainFactor is the number of requests in progress per slot of an instance
 	// whose requests take milliseconds.
 	plainFactor = 2
@@ -349,9 +349,8 @@
 // firstEvent estimates the time to the first event: the pass under way, the pass
 // that reads, and the share of the reading that falls into passes of others.
 func firstEvent(engine *catalog.Engine, tokens int, pace float64) time.Duration {
-	const passes, readFactor = 2, 1.5
-	read := time.Duration(readFactor * float64(tokens) / engine.ReadPerSecond * float64(time.Second))
-	return time.Duration(pace * float64(passes*engine.Pass()+read))
+	const passes = 2
+	return time.Duration(pace*float64(passes*engine.Pass())) + readTime(engine, tokens, pace)
 }
 
 // score is the expected wait in seconds for the first event at an engine, or
@@ -394,20 +393,33 @@
 }
 
 // unread returns the prompt tokens at the instance that are not read yet. What
-// other entries have said fades as the engine reads on.
+// other entries have said fades as the engine reads on: they tell of prompts that
+// begin to be answered with their next word only.
 func (f *Fleet) unread(known *instance, now time.Time) int {
 	total := 0
 	for _, tokens := range known.unread {
 		total += tokens
 	}
+	engine := f.engine(known.Pool)
 	for _, peer := range known.peers {
-		if left := 1 - float64(now.Sub(peer.at))/float64(readFor); left > 0 {
+		if peer.Unread == 0 || engine == nil || engine.ReadPerSecond <= 0 {
+			continue
+		}
+		span := readLag + readTime(engine, peer.Unread, known.pace())
+		if left := 1 - float64(now.Sub(peer.at))/float64(span); left > 0 {
 			total += int(left * float64(peer.Unread))
 		}
 	}
 	return total
 }
 
+// readTime estimates how long an engine reads a prompt beside the requests that
+// it writes for.
+func readTime(engine *catalog.Engine, tokens int, pace float64) time.Duration {
+	const readFactor = 1.5
+	return time.Duration(pace * readFactor * float64(tokens) / engine.ReadPerSecond * float64(time.Second))
+}
+
 // Began records that a request's answer has begun: its prompt is read.
 func (f *Fleet) Began(choice Choice) {
 	if known := f.instances[choice.Backend.ID]; known != nil {
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -276,6 +276,12 @@
 	return hosts
 }
 
+func (h *heart) availabilityZone() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.directory.Self().AvailabilityZone
+}
+
 // suggest names hosts that may be entries.
 func (h *heart) suggest(hosts []string) {
 	h.mu.Lock()
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -152,12 +152,15 @@
 	client := peer.NewClient(peer.Security{})
 	e.heart.puller = copies.NewPuller(e.copies, client, s.PeerPort, nil, log)
 	kept, err := depot.New(depot.Config{
-		Host: s.IP, Port: s.PeerPort, Uploads: depot.NewUploads(s.LinkBitsPerSecond), Upstream: e.upstream,
+		Host: s.IP, Port: s.PeerPort, Uploads: depot.NewUploads(s.LinkBitsPerSecond, depot.EntryShare), Upstream: e.upstream,
 	}, platform.NewOrigin(newOriginTransport()), client, log)
 	if err != nil {
 		return nil, err
 	}
 	e.depot = kept
+	e.view.released = func(release catalog.Release) {
+		kept.Prefetch(depot.VersionArgs{Model: release.Model, Version: release.Version})
+	}
 	e.heart.directory = peers.New(peers.Config{
 		LiveFor: 900 * time.Millisecond, FarLiveFor: 2500 * time.Millisecond, Often: nearEntries, ForgetAfter: time.Minute, ProbeFor: time.Minute, ProbeInterval: time.Second,
 	}, peers.Entry{
@@ -172,7 +175,8 @@
 	if table == nil {
 		return depot.Upstream{}
 	}
-	return depot.Upstream{Origin: table.Origin(), Drawers: e.heart.hosts(table.OriginZone())}
+	zone := e.heart.availabilityZone()
+	return depot.Upstream{Origin: table.Origin(), Drawers: e.heart.hosts(table.OriginZone()), Neighbors: e.heart.hosts(zone)}
 }
 
 // newOriginTransport returns a transport without idle connections: the origin
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -22,9 +22,12 @@
 	idleInterval = 150 * time.Millisecond
 	// minReturn is the shortest time after which a rejected caller may return.
 	minReturn = 250 * time.Millisecond
-	// emptyReturn is the same while no instance is usable: about the time in which
-	// an engine loads or a restarted instance is listed again.
-	emptyReturn = time.Second
+	// maxReturn and returnShare, a part of the time that a caller has left, bound
+	// the return while no instance is usable: a caller comes back once, and the
+	// later it does, the more likely it is served; callers wait no longer than that
+	// part.
+	maxReturn   = 2 * time.Second
+	returnShare = 1.0 / 3
 )
 
 // ticket is a request that asks for a place.
@@ -179,7 +182,8 @@
 		delete(g.tickets, one.ID)
 		t.retryAfter = max(one.RetryAfter, minReturn)
 		if count, _ := g.fleet.Usable(t.need, now); count == 0 {
-			t.retryAfter = emptyReturn
+			left := time.Duration(returnShare * float64(t.Deadline.Sub(now)))
+			t.retryAfter = max(min(left, maxReturn), minReturn)
 		}
 		close(t.placed)
 	}
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -23,6 +23,8 @@
 	log      *logrus.Entry
 	table    atomic.Pointer[catalog.Table]
 	releases atomic.Pointer[placement.Releases]
+	// released is told of each release that is new since this process's start.
+	released func(catalog.Release)
 	// listed says that the releases were read once: what comes later is new.
 	listed bool
 	// releasing is held by whoever replaces the releases.
@@ -41,7 +43,7 @@
 const awayAge = 2*backendsWait + 800*time.Millisecond
 
 func newView(gate *gate, switchBound, stable time.Duration, log *logrus.Entry) *view {
-	v := &view{gate: gate, log: log}
+	v := &view{gate: gate, log: log, released: func(catalog.Release) {}}
 	v.releases.Store(placement.NewReleases(switchBound, stable))
 	return v
 }
@@ -114,6 +116,9 @@
 		followed, isNew := next.Seen(decoded, !v.listed, now)
 		if isNew {
 			v.log.WithFields(logrus.Fields{"model": decoded.Model, "version": decoded.Version, "revision": document.Revision}).Info("release seen")
+			if v.listed {
+				v.released(decoded)
+			}
 		}
 		next = followed
 	}
--- a/internal/swarm/cascade.go
+++ b/internal/swarm/cascade.go
@@ -26,15 +26,66 @@
 	// Depots keep chunks in passing and fetch what they lack, those of the own
 	// availability zone apart.
 	NearDepots, FarDepots []string
+	// Place is this instance's place among those of its availability zone, which
+	// divide the depots near by among them.
+	Place int
 	// NearPeers and FarPeers are instances that take the same weights.
 	NearPeers, FarPeers []string
 }
 
+// The groups of sources, in the order in which they are asked.
+const (
+	nearDepots = iota
+	nearPeers
+	farDepots
+	farPeers
+	tiers
+)
+
+// peersAtOnce bounds the other instances of a group that may be asked for a chunk
+// before the depots are asked again.
+const peersAtOnce = 2
+
+// tier returns one of the groups, in the order in which its members are asked
+// for a chunk. Of the other instances it names a few, which change with turn.
+func (s *Sources) tier(number, chunk, turn int) []string {
+	key := strconv.Itoa(chunk)
+	switch number {
+	case nearDepots:
+		return s.ownFirst()
+	case farDepots:
+		return member.Rank(key, s.FarDepots)
+	case nearPeers:
+		return s.some(key, turn, s.NearPeers)
+	}
+	return s.some(key, turn, s.FarPeers)
+}
+
+func (s *Sources) some(key string, turn int, peers []string) []string {
+	ranked := member.Rank(key+"/"+strconv.Itoa(s.Place)+"/"+strconv.Itoa(turn/peersAtOnce), peers)
+	return ranked[:min(peersAtOnce, len(ranked))]
+}
+
+func (s *Sources) isDepot(name string) bool {
+	return slices.Contains(s.NearDepots, name) || slices.Contains(s.FarDepots, name)
+}
+
+// ownFirst returns the depots near by, this instance's own one first.
+func (s *Sources) ownFirst() []string {
+	if len(s.NearDepots) == 0 {
+		return nil
+	}
+	sorted := slices.Sorted(slices.Values(s.NearDepots))
+	own := s.Place % len(sorted)
+	return slices.Concat(sorted[own:], sorted[:own])
+}
+
 // Cascade decides, for one instance and one version, which missing chunk to get
 // next from whom: a depot near by, then other instances, then depots elsewhere,
 // and the origin when nobody else can be reached. All instances ask for the
-// chunks in the same order, so that a depot draws each one once. It is not safe
-// for concurrent use.
+// chunks in the same order, in which depots draw them, and each asks its own
+// depot first, so that no depot has to serve a whole zone. It is not safe for
+// concurrent use.
 type Cascade struct {
 	config   CascadeConfig
 	chunks   int
@@ -44,6 +95,15 @@
 	sources  Sources
 	avoid    map[string]avoided
 	absent   map[Fetch]time.Time
+	// missing holds until when the depots are not asked for a chunk that one of
+	// them could not get: they ask each other.
+	missing map[int]time.Time
+	// asked counts the questions for a chunk that found nothing, so that other
+	// instances are asked in turn.
+	asked map[int]int
+	// cursor is the chunk after the last one that was asked for: a chunk that
+	// cannot be had now does not hold up the others.
+	cursor int
 }
 
 type avoided struct {
@@ -57,6 +117,7 @@
 	c := &Cascade{
 		config: config, chunks: chunks, have: weights.NewBitmap(chunks),
 		inFlight: map[int]bool{}, avoid: map[string]avoided{}, absent: map[Fetch]time.Time{},
+		missing: map[int]time.Time{}, asked: map[int]int{},
 	}
 	for chunk := range chunks {
 		if have.Has(chunk) {
@@ -79,12 +140,15 @@
 // Next returns the fetches to start now.
 func (c *Cascade) Next(now time.Time) []Fetch {
 	var fetches []Fetch
-	for chunk := 0; chunk < c.chunks && len(c.inFlight) < c.config.MaxInFlight; chunk++ {
+	from := c.cursor
+	for step := 0; step < c.chunks && len(c.inFlight) < c.config.MaxInFlight; step++ {
+		chunk := (from + step) % c.chunks
 		if c.have.Has(chunk) || c.inFlight[chunk] {
 			continue
 		}
 		if source, found := c.source(chunk, now); found {
 			c.inFlight[chunk] = true
+			c.cursor = chunk + 1
 			fetches = append(fetches, Fetch{Chunk: chunk, Source: source})
 		}
 	}
@@ -93,17 +157,20 @@
 
 // source returns whom to ask for a chunk.
 func (c *Cascade) source(chunk int, now time.Time) (string, bool) {
-	key := strconv.Itoa(chunk)
 	depotReached := false
-	for _, tier := range [][]string{c.sources.NearDepots, c.sources.NearPeers, c.sources.FarDepots, c.sources.FarPeers} {
-		for _, name := range member.Rank(key, slices.Clone(tier)) {
+	for tier := range tiers {
+		depots := tier == nearDepots || tier == farDepots
+		for _, name := range c.sources.tier(tier, chunk, c.asked[chunk]) {
 			if now.Before(c.avoid[name].until) {
 				continue
 			}
+			depotReached = depotReached || depots
+			if depots && now.Before(c.missing[chunk]) {
+				break
+			}
 			if !now.Before(c.absent[Fetch{Chunk: chunk, Source: name}]) {
 				return name, true
 			}
-			depotReached = depotReached || slices.Contains(c.sources.NearDepots, name) || slices.Contains(c.sources.FarDepots, name)
 		}
 	}
 	// A depot that answers asks the origin itself.
@@ -122,6 +189,10 @@
 		}
 	case Absent:
 		c.absent[fetch] = now.Add(c.config.AbsentFor)
+		c.asked[fetch.Chunk]++
+		if c.sources.isDepot(fetch.Source) {
+			c.missing[fetch.Chunk] = now.Add(c.config.AbsentFor)
+		}
 	case Busy:
 		c.absent[fetch] = now.Add(c.config.AbsentFor / 4)
 	case Corrupt:
