--- a/test/faultproxy/network.go
+++ b/test/faultproxy/network.go
@@ -30,6 +30,7 @@
 
 	mu        sync.Mutex
 	proxies   map[string]*toxiproxy.Proxy
+	places    map[*toxiproxy.Proxy][2]string
 	upstreams map[string]string
 	links     map[string]*link
 }
@@ -44,6 +45,7 @@
 		path:      path,
 		server:    toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop()),
 		proxies:   map[string]*toxiproxy.Proxy{},
+		places:    map[*toxiproxy.Proxy][2]string{},
 		upstreams: map[string]string{},
 		links:     map[string]*link{},
 	}
@@ -55,13 +57,18 @@
 	if from == to {
 		return upstream, nil
 	}
+	return n.AddressAt(from, to, "127.0.0.1:0", upstream)
+}
+
+// AddressAt is like Address, at an address of the caller's choice.
+func (n *Network) AddressAt(from, to, listen, upstream string) (string, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	name := from + ">" + to + ">" + upstream
 	if proxy, found := n.proxies[name]; found {
 		return proxy.Listen, nil
 	}
-	proxy := toxiproxy.NewProxy(n.server, name, "127.0.0.1:0", upstream)
+	proxy := toxiproxy.NewProxy(n.server, name, listen, upstream)
 	if err := proxy.Start(); err != nil {
 		return "", err
 	}
@@ -72,6 +79,7 @@
 		}
 	}
 	n.proxies[name] = proxy
+	n.places[proxy] = [2]string{from, to}
 	n.upstreams[proxy.Listen] = upstream
 	return proxy.Listen, nil
 }
@@ -129,17 +137,37 @@
 // Stall holds all data between two places until the function returned is
 // called.
 func (n *Network) Stall(a, b string) func() {
+	first, second := n.StallOneWay(a, b), n.StallOneWay(b, a)
+	return func() {
+		first()
+		second()
+	}
+}
+
+// StallOneWay holds all data from one place to another until the function
+// returned is called.
+func (n *Network) StallOneWay(from, to string) func() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	both := []*link{n.link(a, b), n.link(b, a)}
-	for _, one := range both {
-		one.stall()
-	}
-	return func() {
-		for _, one := range both {
-			one.resume()
+	one := n.link(from, to)
+	one.stall()
+	return one.resume
+}
+
+// Reset closes all connections that one place has opened to another.
+func (n *Network) Reset(from, to string) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for proxy, places := range n.places {
+		if places != [2]string{from, to} {
+			continue
+		}
+		proxy.Stop()
+		if err := proxy.Start(); err != nil {
+			return err
 		}
 	}
+	return nil
 }
 
 // Bytes returns the bytes that passed from one place to another.
--- /dev/null
+++ b/test/soak/fleet/callers.go
@@ -0,0 +1,256 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"plantainrelay/platform/standin"
+)
+
+const (
+	host = "service.example"
+	// answerKept is how long callers keep the addresses of entries.
+	answerKept = 2 * time.Second
+	// thinkTime is the pause of a caller between two requests.
+	thinkTime  = 40 * time.Millisecond
+	callTime   = 3 * time.Second
+	askTime    = time.Second
+	retryLimit = 2 * time.Second
+	maxEvents  = 25
+)
+
+// callers send requests as the platform's clients do.
+type callers struct {
+	soak   *run
+	serial atomic.Int64
+}
+
+func newCallers(r *run) *callers { return &callers{soak: r} }
+
+// run sends requests until ctx ends.
+func (c *callers) run(ctx context.Context) {
+	var group sync.WaitGroup
+	for number := range c.soak.config.Callers {
+		group.Go(func() { c.caller(number + 1).run(ctx) })
+	}
+	group.Wait()
+}
+
+// untilServed waits until requests of all kinds are served.
+func (c *callers) untilServed(ctx context.Context) error {
+	one := c.caller(0)
+	until := time.Now().Add(startLimit)
+	for _, kind := range []standin.Kind{standin.Streaming, standin.NonIdempotent, standin.Idempotent} {
+		for call := one.send(ctx, kind, "key-1"); call.Outcome != Whole; call = one.send(ctx, kind, "key-1") {
+			if time.Now().After(until) {
+				return fmt.Errorf("no request of kind %s was served within %s: %s %s", kind, startLimit, call.Outcome, call.Note)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// caller is one client with its own connections, which it uses for as long as
+// they are open.
+type caller struct {
+	*callers
+	random *rand.Rand
+	client *http.Client
+	fronts []string
+	asked  time.Time
+}
+
+func (c *callers) caller(number int) *caller {
+	return &caller{
+		callers: c, random: rand.New(rand.NewPCG(c.soak.config.Seed, uint64(100+number))),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
+	}
+}
+
+func (c *caller) run(ctx context.Context) {
+	defer c.client.CloseIdleConnections()
+	kinds := []standin.Kind{standin.Streaming, standin.Streaming, standin.NonIdempotent, standin.Idempotent}
+	keys := []string{"key-1", "key-2", "key-3"}
+	for ctx.Err() == nil {
+		call := c.send(ctx, kinds[c.random.IntN(len(kinds))], keys[c.random.IntN(len(keys))])
+		if call.Outcome == Refused {
+			time.Sleep(min(call.RetryAfter, retryLimit))
+		}
+		time.Sleep(thinkTime)
+	}
+}
+
+// front returns the address of an entry, asked for as callers do.
+func (c *caller) front() string {
+	if time.Since(c.asked) < answerKept && len(c.fronts) > 0 {
+		return c.fronts[c.random.IntN(len(c.fronts))]
+	}
+	entries := c.soak.entries()
+	c.random.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
+	for _, entry := range entries[:min(3, len(entries))] {
+		if fronts := c.ask(entry); len(fronts) > 0 {
+			c.fronts, c.asked = fronts, time.Now()
+			break
+		}
+	}
+	if len(c.fronts) == 0 {
+		return ""
+	}
+	return c.fronts[c.random.IntN(len(c.fronts))]
+}
+
+func (c *caller) ask(entry *place) []string {
+	address, err := c.soak.network.Address("callers", entry.name, fmt.Sprintf("%s:%d", entry.ip, standin.PortDirectory))
+	if err != nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askTime)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+standin.AddressPath, nil)
+	if err != nil {
+		return nil
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return nil
+	}
+	defer response.Body.Close()
+	var answer standin.Addresses
+	if json.NewDecoder(response.Body).Decode(&answer) != nil {
+		return nil
+	}
+	return answer.Addresses
+}
+
+// send sends one request and records what came of it.
+func (c *caller) send(ctx context.Context, kind standin.Kind, key string) Call {
+	number := c.serial.Add(1)
+	call := Call{
+		Attempt: fmt.Sprintf("%d-%d", c.soak.config.Seed, number), Kind: kind, Key: key, Sent: time.Now(), Outcome: Failed,
+		Method: http.MethodPost, Body: fmt.Sprintf("request %d", number),
+	}
+	switch kind {
+	case standin.Streaming:
+		call.URI, call.Events = fmt.Sprintf("/write/%d?x=%%20", number), 1+c.random.IntN(maxEvents)
+	case standin.NonIdempotent:
+		call.URI = fmt.Sprintf("/book/%d//a%%2Fb", number)
+	default:
+		call.Method, call.Body, call.URI = http.MethodGet, "", fmt.Sprintf("/look/%d", number)
+	}
+	if front := c.front(); front != "" {
+		c.exchange(ctx, front, &call)
+	} else {
+		call.Note = "no entry gave an address"
+	}
+	call.Ended = time.Now()
+	c.soak.history.noteCall(call)
+	return call
+}
+
+func (c *caller) exchange(ctx context.Context, front string, call *Call) {
+	entry := c.soak.entryAt(front)
+	call.Entry = entry.name
+	address, err := c.soak.network.Address("callers", entry.name, front)
+	if err != nil {
+		call.Note = err.Error()
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTime)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.URI, strings.NewReader(call.Body))
+	if err != nil {
+		call.Note = err.Error()
+		return
+	}
+	request.Host = host
+	// The client would send a request again on a new connection by itself.
+	request.GetBody = nil
+	standin.Ask{Attempt: call.Attempt, Key: call.Key, Events: call.Events, TimeLeft: callTime}.SetHeader(request.Header)
+	response, err := c.client.Do(request)
+	if err != nil {
+		call.Note = err.Error()
+		return
+	}
+	defer response.Body.Close()
+	call.Status = response.StatusCode
+	c.judge(response, call)
+}
+
+// judge reads the answer.
+func (c *caller) judge(response *http.Response, call *Call) {
+	switch {
+	case slices.Contains(refusals, response.StatusCode):
+		call.Outcome = Refused
+		if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
+			call.RetryAfter = time.Duration(seconds * float64(time.Second))
+		}
+		return
+	case response.StatusCode/100 != 2:
+		return
+	}
+	call.Sealed = standin.Sealed(response.Header, call.Attempt)
+	if call.Kind != standin.Streaming {
+		body, err := io.ReadAll(response.Body)
+		if err != nil {
+			call.Note = err.Error()
+			return
+		}
+		call.Outcome, call.Right = Whole, string(body) == standin.Body(call.Attempt)
+		return
+	}
+	call.Right = true
+	reader := bufio.NewReader(response.Body)
+	for {
+		var event strings.Builder
+		for !strings.HasSuffix(event.String(), "\n\n") {
+			line, err := reader.ReadString('\n')
+			event.WriteString(line)
+			if err == io.EOF && event.Len() == 0 {
+				call.Outcome = Whole
+				return
+			}
+			if err != nil {
+				call.Note = err.Error()
+				return
+			}
+		}
+		call.Seen++
+		call.Right = call.Right && event.String() == standin.Event(call.Body, call.Seen)
+	}
+}
+
+// entries returns the instances that are entries.
+func (r *run) entries() []*place {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []*place
+	for _, one := range r.places {
+		if one.pool == "" {
+			found = append(found, one)
+		}
+	}
+	slices.SortFunc(found, func(a, b *place) int { return strings.Compare(a.name, b.name) })
+	return found
+}
+
+// entryAt returns the entry that takes requests at an address.
+func (r *run) entryAt(front string) *place {
+	for _, one := range r.entries() {
+		if strings.HasPrefix(front, one.ip+":") {
+			return one
+		}
+	}
+	return &place{name: "unknown " + front}
+}
--- /dev/null
+++ b/test/soak/fleet/check_test.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/platform/standin"
+)
+
+var checkEpoch = time.Unix(1_000, 0)
+
+// sound returns a history that breaks nothing: one request of each kind.
+func sound() *History {
+	h := &History{Bounds: StatedBounds, CalmFrom: checkEpoch.Add(-time.Second)}
+	routes := []standin.Route{{Kind: standin.Streaming, Pool: modelPool}, {Kind: standin.NonIdempotent, Pool: plainPool}, {Kind: standin.Idempotent, Pool: plainPool}}
+	h.noteTable(standin.Table{Version: 1, Routes: routes, Keys: map[string][]string{"firm-1": {"key-1"}}}, checkEpoch.Add(-time.Minute))
+	for i, kind := range []standin.Kind{standin.Streaming, standin.NonIdempotent, standin.Idempotent} {
+		call := Call{
+			Attempt: string(kind), Kind: kind, Key: "key-1", Entry: "entry-a1", Method: "POST", URI: "/" + string(kind), Sent: checkEpoch, Ended: checkEpoch.Add(time.Second),
+			Outcome: Whole, Status: 200, Right: true, Sealed: true,
+		}
+		execution := standin.Execution{
+			Runner: "i-1", Pool: routes[i].Pool, Attempt: call.Attempt, Customer: "firm-1", Method: "POST", URI: call.URI, Whole: true, At: checkEpoch.Add(time.Millisecond),
+		}
+		if kind == standin.Streaming {
+			call.Events, call.Seen, execution.Version = 4, 4, 2
+		}
+		h.noteCall(call)
+		h.noteExecution(execution)
+	}
+	return h
+}
+
+// planted changes a sound history, one for each rule.
+var planted = []struct {
+	name, breaks string
+	plant        func(h *History)
+}{
+	{"a request that nobody sent runs", "UNASKED", func(h *History) { h.Executions[0].Attempt = "other" }},
+	{"a body is changed", "UNASKED", func(h *History) { h.Executions[1].Body = "more" }},
+	{"another customer is named", "UNASKED", func(h *History) { h.Executions[0].Customer = "firm-2" }},
+	{"weights are not whole", "WHOLE", func(h *History) { h.Executions[0].Whole = false }},
+	{"a pool that no tables allow", "ROUTE", func(h *History) { h.Executions[1].Pool = otherPool }},
+	{"tables that were replaced", "CONFIG", func(h *History) {
+		replaced := h.tables[0]
+		replaced.at = checkEpoch.Add(-3 * time.Second)
+		replaced.table.Routes = slices.Clone(replaced.table.Routes)
+		replaced.table.Routes[1].Pool = otherPool
+		h.tables = append(h.tables, replaced)
+	}},
+	{"a key that was taken away, although the store is down", "CONFIG", func(h *History) {
+		h.tables = append(h.tables, stamped{at: checkEpoch.Add(-6 * time.Second), table: standin.Table{Routes: h.tables[0].table.Routes}})
+		h.Windows = append(h.Windows, Window{From: checkEpoch.Add(-time.Minute), To: checkEpoch.Add(time.Minute)})
+	}},
+	{"an old version after its time", "VERSION", func(h *History) { h.noteRelease(3, checkEpoch.Add(-9*time.Second)) }},
+	{"an instance that leaves", "DRAIN", func(h *History) { h.noteDeparture("i-1", checkEpoch.Add(-3*time.Second)) }},
+	{"a booking runs twice", "TWICE", func(h *History) { h.Executions = append(h.Executions, h.Executions[1]) }},
+	{"a refused booking has run", "REFUSED", func(h *History) { h.Calls[1].Outcome, h.Calls[1].Status = Refused, 503 }},
+	{"another request's answer", "MIXED", func(h *History) { h.Calls[2].Right = false }},
+	{"an answer without a receipt", "MIXED", func(h *History) { h.Calls[2].Sealed = false }},
+	{"a stream that ends early looks whole", "ORDER", func(h *History) { h.Calls[0].Seen = 3 }},
+	{"events out of order", "ORDER", func(h *History) { h.Calls[0].Right, h.Calls[0].Outcome = false, Failed }},
+	{"a route that all tables have", "DENIED", func(h *History) { h.Calls[2].Status, h.Calls[2].Outcome = 404, Failed }},
+	{"a key that all tables have", "DENIED", func(h *History) { h.Calls[2].Status, h.Calls[2].Outcome = 401, Failed }},
+	{"a stop cuts an answer", "LOST", func(h *History) {
+		h.Calls[1].Outcome = Failed
+		h.noteStop(Window{Target: "entry-a1", From: checkEpoch.Add(500 * time.Millisecond), To: checkEpoch.Add(5 * time.Second)})
+	}},
+	{"nothing is served after the faults", "RECOVER", func(h *History) { h.Calls[1].Outcome, h.Calls[2].Outcome = Failed, Failed }},
+	{"a process that ended", "EXIT", func(h *History) { h.noteProblem("EXIT", "entry-a1") }},
+}
+
+func TestPlantedFaultsAreFound(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(sound().Check(), qt.HasLen, 0)
+	for _, one := range planted {
+		h := sound()
+		one.plant(h)
+		var rules []string
+		for _, problem := range h.Check() {
+			rules = append(rules, problem.Rule)
+		}
+		c.Check(slices.Contains(rules, one.breaks), qt.IsTrue, qt.Commentf("%s: broken %v", one.name, rules))
+	}
+}
+
+// TestDisturbedTimesAreNotHeldToTheBounds: a bound in time holds for calm times.
+func TestDisturbedTimesAreNotHeldToTheBounds(t *testing.T) {
+	c := qt.New(t)
+	for _, one := range planted {
+		if one.breaks != "VERSION" && one.breaks != "DRAIN" {
+			continue
+		}
+		h := sound()
+		one.plant(h)
+		h.Windows = append(h.Windows, Window{Kind: "store down", From: checkEpoch.Add(-4 * time.Second), To: checkEpoch.Add(-time.Second)})
+		c.Check(h.Check(), qt.HasLen, 0, qt.Commentf(one.name))
+	}
+}
--- /dev/null
+++ b/test/soak/fleet/cmd/main.go
@@ -0,0 +1,89 @@
+// Command fleet runs the fault soak on the users' platform with one seed after
+// the other and says which promises were broken.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"plantainrelay/test/soak/fleet"
+)
+
+func main() {
+	var config fleet.Config
+	var runs int
+	var keep string
+	cmd := &cobra.Command{
+		Use:          "fleet",
+		Short:        "Run the system on stand-ins of the users' platform under faults and check its promises",
+		Example:      "  go run ./test/soak/fleet/cmd --bin bin --seed 7 --runs 5",
+		SilenceUsage: true,
+		RunE: func(*cobra.Command, []string) error {
+			config.Bounds = fleet.StatedBounds
+			broken := 0
+			for number := range runs {
+				one := config
+				one.Seed += uint64(number)
+				problems, err := run(one, keep)
+				if err != nil {
+					return err
+				}
+				broken += problems
+			}
+			if broken > 0 {
+				return fmt.Errorf("%d promises were broken; repeat with --seed and --keep", broken)
+			}
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&config.Bin, "bin", "bin", "directory that holds the programs")
+	cmd.Flags().Uint64Var(&config.Seed, "seed", uint64(time.Now().UnixNano()%1_000_000), "seed of load and faults")
+	cmd.Flags().IntVar(&runs, "runs", 1, "number of runs; the seed grows by one for each")
+	cmd.Flags().DurationVar(&config.Duration, "duration", 30*time.Second, "time of load and faults of one run")
+	cmd.Flags().IntVar(&config.Entries, "entries", 2, "entries in each of the three availability zones")
+	cmd.Flags().IntVar(&config.Engines, "engines", 3, "model engines with their agents in each availability zone")
+	cmd.Flags().IntVar(&config.Callers, "callers", 16, "callers")
+	cmd.Flags().StringVar(&keep, "keep", "", "directory for the logs of broken runs")
+	if cmd.Execute() != nil {
+		os.Exit(1)
+	}
+}
+
+func run(config fleet.Config, keep string) (broken int, err error) {
+	dir, err := os.MkdirTemp("", "plantain-fleet-")
+	if err != nil {
+		return 0, err
+	}
+	defer os.RemoveAll(dir)
+	config.Dir = dir
+	if config.Bin, err = filepath.Abs(config.Bin); err != nil {
+		return 0, err
+	}
+	log, err := os.Create(filepath.Join(dir, "soak.log"))
+	if err != nil {
+		return 0, err
+	}
+	defer log.Close()
+	config.Log = log
+	history, err := fleet.Run(config)
+	if err != nil {
+		return 0, fmt.Errorf("seed %d: %w", config.Seed, err)
+	}
+	problems := history.Check()
+	fmt.Printf("seed %d: %d broken; %s\n", config.Seed, len(problems), history.Summary())
+	for _, problem := range problems[:min(len(problems), 10)] {
+		fmt.Printf("  %s %s\n", problem.Rule, problem.Text)
+	}
+	if len(problems) > 0 && keep != "" {
+		kept := filepath.Join(keep, fmt.Sprintf("seed-%d", config.Seed))
+		if err := os.CopyFS(kept, os.DirFS(dir)); err != nil {
+			return 0, err
+		}
+		fmt.Printf("  logs: %s\n", kept)
+	}
+	return len(problems), nil
+}
--- /dev/null
+++ b/test/soak/fleet/faults.go
@@ -0,0 +1,322 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"plantainrelay/platform/standin"
+)
+
+// fault is one kind of fault: it begins, waits and heals.
+type fault struct {
+	kind string
+	run  func(r *run) error
+}
+
+// pairShare is the share of draws that cause two faults at once.
+const pairShare = 0.5
+
+var faults = []fault{
+	{"entry killed", func(r *run) error { return r.killed("entry killed", r.isEntry) }},
+	{"agent killed", func(r *run) error { return r.killed("agent killed", r.isAgent) }},
+	{"entry paused", func(r *run) error { return r.paused("entry paused", r.isEntry) }},
+	{"agent paused", func(r *run) error { return r.paused("agent paused", r.isAgent) }},
+	{"entry stopped", (*run).stopped},
+	{"settings reloaded", (*run).reloaded},
+	{"instance crashed", func(r *run) error { return r.crashed("instance crashed", true) }},
+	{"instance lost power", func(r *run) error { return r.crashed("instance lost power", false) }},
+	{"instance replaced", (*run).departs},
+	{"instance slow", func(r *run) error { return r.misbehaves("instance slow", standin.RunnerFaults{Slow: 6}) }},
+	{"answers lost", func(r *run) error { return r.misbehaves("answers lost", standin.RunnerFaults{LoseAnswers: true}) }},
+	{"answers cut", func(r *run) error { return r.misbehaves("answers cut", standin.RunnerFaults{Cut: true}) }},
+	{"instance silent", func(r *run) error { return r.misbehaves("instance silent", standin.RunnerFaults{Hang: true}) }},
+	{"store down", func(r *run) error { return r.storeFails("store down", standin.StoreFaults{Down: true}, 4*time.Second) }},
+	{"store silent", func(r *run) error {
+		return r.storeFails("store silent", standin.StoreFaults{Silent: true}, 6*time.Second)
+	}},
+	{"store slow", func(r *run) error {
+		return r.storeFails("store slow", standin.StoreFaults{Delay: 400 * time.Millisecond}, 4*time.Second)
+	}},
+	{"store answers lost", func(r *run) error {
+		return r.storeFails("store answers lost", standin.StoreFaults{LoseAnswers: true}, 3*time.Second)
+	}},
+	{"store forgets", func(r *run) error { r.store.Compact(); return nil }},
+	{"store cut off one way", func(r *run) error {
+		return r.linkStalls("store cut off one way", r.isProcess, "store", true, 6*time.Second)
+	}},
+	{"store cut off", func(r *run) error { return r.linkStalls("store cut off", r.isProcess, "store", false, 6*time.Second) }},
+	{"callers' link silent", func(r *run) error { return r.inLinkStalls("callers' link silent", "callers", r.isEntry) }},
+	{"instance's link silent", func(r *run) error { return r.inLinkStalls("instance's link silent", "entries", r.isBackend) }},
+	{"callers' connections reset", func(r *run) error { return r.resets("callers' connections reset", "callers", r.isEntry) }},
+	{"instance's connections reset", func(r *run) error { return r.resets("instance's connections reset", "entries", r.isBackend) }},
+	{"origin down at a release", func(r *run) error { return r.releases(true, false) }},
+	{"origin garbles a release", func(r *run) error { return r.releases(false, true) }},
+	{"release", func(r *run) error { return r.releases(false, false) }},
+	{"tables changed", (*run).changesTables},
+	{"key taken away", (*run).takesKey},
+}
+
+// inject draws faults, in series and overlapping, until the time is over. Each
+// kind comes once before any comes again.
+func (r *run) inject() {
+	var injected sync.WaitGroup
+	defer injected.Wait()
+	var order []fault
+	for until := time.Now().Add(r.config.Duration); time.Now().Before(until); time.Sleep(faultInterval) {
+		count := 1
+		if r.random.Float64() < pairShare {
+			count = 2
+		}
+		for range count {
+			if len(order) == 0 {
+				order = slices.Clone(faults)
+				r.random.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+			}
+			next := order[0]
+			order = order[1:]
+			r.logf("fault: %s", next.kind)
+			injected.Go(func() {
+				if err := next.run(r); err != nil {
+					r.history.noteProblem("SOAK", next.kind+": "+err.Error())
+				}
+			})
+		}
+		r.checkAlive()
+	}
+}
+
+func (r *run) isEntry(one *place) bool   { return one.pool == "" }
+func (r *run) isAgent(one *place) bool   { return one.pool == modelPool }
+func (r *run) isProcess(one *place) bool { return one.process != nil }
+func (r *run) isBackend(one *place) bool { return one.pool != "" }
+
+// take picks an instance that no fault holds; nil when there is none.
+func (r *run) take(fits func(*place) bool) (one *place, done func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var free []*place
+	for name, one := range r.places {
+		if !r.busy[name] && fits(one) {
+			free = append(free, one)
+		}
+	}
+	if len(free) == 0 {
+		return nil, nil
+	}
+	slices.SortFunc(free, func(a, b *place) int { return strings.Compare(a.name, b.name) })
+	one = free[r.random.IntN(len(free))]
+	r.busy[one.name] = true
+	return one, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.busy, one.name)
+	}
+}
+
+// with causes a fault at one instance and records its time.
+func (r *run) with(kind string, fits func(*place) bool, cause func(*place) error) error {
+	one, done := r.take(fits)
+	if one == nil {
+		return nil
+	}
+	defer done()
+	defer r.history.noteWindow(kind, one.name)()
+	return cause(one)
+}
+
+func (r *run) killed(kind string, fits func(*place) bool) error {
+	return r.with(kind, fits, func(one *place) error {
+		if err := r.signal(one, syscall.SIGKILL); err != nil {
+			return err
+		}
+		<-one.process.exited
+		time.Sleep(500 * time.Millisecond)
+		return r.start(one)
+	})
+}
+
+func (r *run) paused(kind string, fits func(*place) bool) error {
+	return r.with(kind, fits, func(one *place) error {
+		if err := r.signal(one, syscall.SIGSTOP); err != nil {
+			return err
+		}
+		time.Sleep(3 * time.Second)
+		return r.signal(one, syscall.SIGCONT)
+	})
+}
+
+// stopped stops an entry gracefully. It is planned work: no window.
+func (r *run) stopped() error {
+	one, done := r.take(r.isEntry)
+	if one == nil {
+		return nil
+	}
+	defer done()
+	from := time.Now()
+	if err := r.signal(one, syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-one.process.exited:
+		if !one.process.cmd.ProcessState.Success() {
+			r.history.noteProblem("LOST", one.name+" did not stop cleanly: "+one.process.cmd.ProcessState.String())
+		}
+	case <-time.After(graceTime):
+		r.history.noteProblem("LOST", one.name+" did not stop within its time")
+		_ = r.signal(one, syscall.SIGKILL)
+		<-one.process.exited
+	}
+	r.history.noteStop(Window{Kind: "entry stopped", Target: one.name, From: from, To: time.Now()})
+	return r.start(one)
+}
+
+func (r *run) reloaded() error {
+	one, done := r.take(r.isProcess)
+	if one == nil {
+		return nil
+	}
+	defer done()
+	return r.signal(one, syscall.SIGHUP)
+}
+
+// crashed ends an instance at once and starts it again; staged chunks survive a
+// crash and not a loss of power. The list notices late.
+func (r *run) crashed(kind string, keeps bool) error {
+	return r.with(kind, r.isBackend, func(one *place) error {
+		start, staged := one.starts, one.runner.Stop()
+		if !keeps {
+			staged = nil
+		}
+		time.Sleep(lapse)
+		r.unlist(one, start)
+		return r.addBackend(one.name, one.pool, one.ip, one.zone, 0, staged)
+	})
+}
+
+// departs announces that an instance leaves, and starts another one at its
+// address later.
+func (r *run) departs() error {
+	one, done := r.take(r.isBackend)
+	if one == nil {
+		return nil
+	}
+	defer done()
+	start := one.starts
+	one.runner.Leave()
+	if err := r.list(one); err != nil {
+		return err
+	}
+	r.history.noteDeparture(r.runnerID(one), time.Now())
+	time.Sleep(drainServes)
+	defer r.history.noteWindow("instance replaced", one.name)()
+	r.unlist(one, start)
+	one.runner.Stop()
+	time.Sleep(2 * time.Second)
+	return r.addBackend(one.name, one.pool, one.ip, one.zone, 0, nil)
+}
+
+func (r *run) misbehaves(kind string, faults standin.RunnerFaults) error {
+	return r.with(kind, r.isBackend, func(one *place) error {
+		one.runner.SetFaults(faults)
+		time.Sleep(3 * time.Second)
+		one.runner.SetFaults(standin.RunnerFaults{})
+		return nil
+	})
+}
+
+// storeFails holds the store for the fault, since another one would end it.
+func (r *run) storeFails(kind string, faults standin.StoreFaults, wait time.Duration) error {
+	r.mu.Lock()
+	taken := r.busy["store"]
+	r.busy["store"] = true
+	r.mu.Unlock()
+	if taken {
+		return nil
+	}
+	defer r.history.noteWindow(kind, "")()
+	r.store.SetFaults(faults)
+	time.Sleep(wait)
+	r.store.SetFaults(standin.StoreFaults{})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.busy, "store")
+	return nil
+}
+
+// linkStalls holds what an instance sends to a place, or also what comes back.
+func (r *run) linkStalls(kind string, fits func(*place) bool, to string, oneWay bool, wait time.Duration) error {
+	return r.with(kind, fits, func(one *place) error {
+		resume := r.network.StallOneWay(to, one.name)
+		if !oneWay {
+			resume = r.network.Stall(one.name, to)
+		}
+		time.Sleep(wait)
+		resume()
+		return nil
+	})
+}
+
+func (r *run) inLinkStalls(kind, from string, fits func(*place) bool) error {
+	return r.with(kind, fits, func(one *place) error {
+		resume := r.network.Stall(from, one.name)
+		time.Sleep(3 * time.Second)
+		resume()
+		return nil
+	})
+}
+
+func (r *run) resets(kind, from string, fits func(*place) bool) error {
+	return r.with(kind, fits, func(one *place) error { return r.network.Reset(from, one.name) })
+}
+
+// releases names a new version; the origin may be down or garble for a while.
+func (r *run) releases(down, garble bool) error {
+	if down || garble {
+		defer r.history.noteWindow("origin fails", "")()
+	}
+	r.origin.Down.Store(down)
+	r.origin.Garble.Store(garble)
+	r.mu.Lock()
+	r.version++
+	version := r.version + 1
+	err := r.store.Put(standin.KindReleases, weightsOf.Model, standin.EncodeRelease(weightsOf.Model, version))
+	r.history.noteRelease(version, time.Now())
+	r.mu.Unlock()
+	if down || garble {
+		time.Sleep(2 * time.Second)
+		r.origin.Down.Store(false)
+		r.origin.Garble.Store(false)
+	}
+	return err
+}
+
+// changesTables moves a route to another pool and back.
+func (r *run) changesTables() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Routes = slices.Clone(r.table.Routes)
+	look := &r.table.Routes[len(r.table.Routes)-1]
+	if look.Pool == plainPool {
+		look.Pool = otherPool
+	} else {
+		look.Pool = plainPool
+	}
+	r.table.Version += 3
+	r.publish()
+	return nil
+}
+
+// takesKey takes a key away for good.
+func (r *run) takesKey() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Keys = map[string][]string{"firm-1": {"key-1"}, "firm-2": {"key-2"}}
+	r.table.Version += 2
+	r.publish()
+	return nil
+}
+
+func (r *run) runnerID(one *place) string { return backendID(one.name, one.starts) }
--- /dev/null
+++ b/test/soak/fleet/run_test.go
@@ -0,0 +1,35 @@
+package fleet
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/test/cluster"
+)
+
+// ciBounds are generous where a time is meant, so that the verdict does not
+// depend on the machine; the command judges by the stated ones.
+var ciBounds = Bounds{
+	Apply: 20 * time.Second, Drain: 20 * time.Second, Revoke: StatedBounds.Revoke, Version: 40 * time.Second, Stable: 3 * time.Second, Served: 0.25,
+}
+
+const (
+	ciSeed     = 4
+	ciDuration = 14 * time.Second
+)
+
+// TestShortRun runs the real programs under a few faults of a fixed seed.
+func TestShortRun(t *testing.T) {
+	c := qt.New(t)
+	bin := t.TempDir()
+	c.Assert(cluster.Build(bin), qt.IsNil)
+	history, err := Run(Config{
+		Seed: ciSeed, Duration: ciDuration, Entries: 1, Engines: 2, Callers: 6, Bounds: ciBounds, Bin: bin, Dir: t.TempDir(), Log: os.Stderr,
+	})
+	c.Assert(err, qt.IsNil)
+	c.Log(history.Summary())
+	c.Assert(history.Check(), qt.HasLen, 0)
+}
