--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -26,12 +26,12 @@
 	answerSlack = 700 * time.Millisecond
 	// proofWait is the shortest watch, made only to prove that a copy is current.
 	proofWait = time.Millisecond
-	// lookInterval is the time between two looks at the age of a copy.
-	lookInterval = 100 * time.Millisecond
 )
 
 // Plan says how one collection is kept current.
 type Plan struct {
+	// Look is the time between two looks at the age of the copy.
+	Look time.Duration
 	// Wait is how long a watch of the store waits for news.
 	Wait time.Duration
 	// MaxAge is the age of the proof beyond which this process reads the store
@@ -162,7 +162,7 @@
 	pause := minPause
 	for ctx.Err() == nil {
 		if !c.due(kind) {
-			sleep(ctx, lookInterval)
+			sleep(ctx, c.plans[kind].Look)
 			continue
 		}
 		news, err := c.read(ctx, kind)
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -11,11 +11,8 @@
 	"os"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
-	"os/signal"
-
 	"github.com/sirupsen/logrus"
 
 	"plantainrelay/internal/beat"
@@ -23,6 +20,7 @@
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/command"
 	"plantainrelay/internal/copies"
+	"plantainrelay/internal/daemon"
 	"plantainrelay/internal/depot"
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/peer"
@@ -40,6 +38,9 @@
 	// on its own machine and change every few hundred ms.
 	reportInterval      = 150 * time.Millisecond
 	quietReportInterval = 300 * time.Millisecond
+	// lookInterval is the time between two looks at the age of the copies, which
+	// are read here only when no entry is heard from for many seconds.
+	lookInterval = 400 * time.Millisecond
 	// releaseTime is how long after a release its switches may go on.
 	releaseTime = 15 * time.Second
 	// quietBeats is how many messages to entries go out for one to the neighbors
@@ -53,6 +54,12 @@
 	// maxInFlight bounds the chunks fetched at once: a chunk takes about 35 ms of
 	// an instance's link, which the engine's requests pass, too.
 	maxInFlight = 2
+	// metricsPort serves /metrics; deploy/system.toml names it, too.
+	metricsPort = "9102"
+	// The limits of the metrics listener: nobody else calls it.
+	drainLimit            = time.Second
+	maxMetricsConnections = 8
+	stallLimit            = 5 * time.Second
 	// firstNews is how long a starting agent waits for an entry's news before it
 	// reads the store itself.
 	firstNews = 1500 * time.Millisecond
@@ -61,9 +68,9 @@
 // The ages at which an agent reads the store itself: entries pass news on every
 // few hundred ms, and an agent that hears from none has to read on its own.
 var plans = map[platform.Kind]copies.Plan{
-	platform.Tables:   {MaxAge: 40 * time.Second, FirstNews: firstNews},
-	platform.Backends: {MaxAge: 12 * time.Second, FirstNews: firstNews},
-	platform.Releases: {MaxAge: 9 * time.Second, FirstNews: firstNews},
+	platform.Tables:   {Look: lookInterval, MaxAge: 40 * time.Second, FirstNews: firstNews},
+	platform.Backends: {Look: lookInterval, MaxAge: 12 * time.Second, FirstNews: firstNews},
+	platform.Releases: {Look: lookInterval, MaxAge: 9 * time.Second, FirstNews: firstNews},
 }
 
 // pauses spares an agent's link when the tables change often: it needs their
@@ -90,6 +97,7 @@
 	origin   *platform.Origin
 	holding  *holding
 	uploads  *depot.Uploads
+	metrics  *agentMetrics
 	start    int64
 	changed  chan struct{}
 
@@ -125,8 +133,7 @@
 func Run(s platform.Settings) error {
 	log := logging.New(logging.NewBounded(os.Stdout), "info", s.Instance, s.AvailabilityZone)
 	log.WithField("engine", s.Backend).Info("agent starts")
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	d := daemon.New(daemon.Config{Name: "plantain-agent", DrainLimit: drainLimit, MaxConnections: maxMetricsConnections, StallLimit: stallLimit}, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	socket, err := beat.Open(s.IP, s.PeerPort, log)
@@ -150,9 +157,15 @@
 	go a.switches(ctx)
 	go a.distributes(ctx)
 	command.Reload(ctx, s, log, a.reload)
-	<-stop
+	err = d.Listen(daemon.Listener{
+		Address: net.JoinHostPort(s.IP, metricsPort), Routes: daemon.OperationRoutes(daemon.NewReadiness(), a.metrics.registry), MaxBodyBytes: 1 << 10,
+	})
+	if err != nil {
+		return err
+	}
+	err = d.Run()
 	log.Info("agent stopped")
-	return nil
+	return err
 }
 
 // reload takes over what may change while the agent runs.
@@ -174,7 +187,10 @@
 		holding: newHolding(), uploads: depot.NewUploads(s.LinkBitsPerSecond, depot.AgentShare), start: time.Now().UnixNano(),
 		changed: make(chan struct{}, 1), entries: map[string]entrance{}, neighbors: map[string]neighbor{},
 	}
-	a.copies = copies.New(platform.NewStore(s.Store, remote), plans, log, func(platform.Kind) bool { return false }, a.decode)
+	store := platform.NewStore(s.Store, remote)
+	a.copies = copies.New(store, plans, log, func(platform.Kind) bool { return false }, a.decode)
+	a.metrics = newAgentMetrics(a)
+	store.Called = func(method string, kind platform.Kind) { a.metrics.store.WithLabelValues(method, string(kind)).Inc() }
 	a.puller = copies.NewPuller(a.copies, a.client, s.PeerPort, pauses, log)
 	return a
 }
--- a/internal/loader/distribution.go
+++ b/internal/loader/distribution.go
@@ -172,6 +172,7 @@
 	fetches := d.plan.Next(now)
 	if d.plan.Complete() && !d.done {
 		d.done = true
+		since(a.metrics.spread, d.target.seen, now)
 		a.log.WithFields(logrus.Fields{"version": d.target.version, "ms": now.Sub(d.started).Milliseconds()}).Info("all chunks are held")
 	}
 	a.mu.Unlock()
@@ -208,10 +209,18 @@
 	}
 }
 
-func (a *agent) fetchChunk(ctx context.Context, d *distribution, fetch swarm.Fetch) swarm.Outcome {
+func (a *agent) fetchChunk(ctx context.Context, d *distribution, fetch swarm.Fetch) (outcome swarm.Outcome) {
+	size := 0
+	defer func() {
+		a.mu.Lock()
+		sources := a.sources()
+		a.mu.Unlock()
+		a.metrics.fetched(sources.Kind(fetch.Source), outcome, size)
+	}()
 	ctx, cancel := context.WithTimeout(ctx, chunkLimit)
 	defer cancel()
 	data, outcome := a.receive(ctx, d, fetch)
+	size = len(data)
 	if data == nil {
 		return outcome
 	}
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -86,6 +86,7 @@
 		table:  catalog.New(1, catalog.Limits{}, nil, []catalog.Pool{pool}, nil),
 		target: target{model: model, version: 2, seen: clock.Now()},
 	}
+	a.metrics = newAgentMetrics(a)
 	a.settings.Bounds.Switch = time.Hour
 	a.holding.add(manifestOf(2, 4))
 	return a, engine
--- /dev/null
+++ b/internal/loader/metrics.go
@@ -0,0 +1,64 @@
+package loader
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"plantainrelay/internal/metrics"
+	"plantainrelay/internal/swarm"
+)
+
+// agentMetrics count what an agent does. Their labels are kinds of sources and
+// outcomes, which the code bounds.
+type agentMetrics struct {
+	registry *prometheus.Registry
+	chunks   *prometheus.CounterVec
+	bytes    *prometheus.CounterVec
+	orders   *prometheus.CounterVec
+	store    *prometheus.CounterVec
+	// spread is the time from a release to all its chunks, switched that to the
+	// engine's first report of it.
+	spread   prometheus.Histogram
+	switched prometheus.Histogram
+}
+
+// releaseBuckets are the bounds of the histograms of releases in seconds, around
+// the few seconds in which a version has to serve.
+var releaseBuckets = []float64{.5, 1, 2, 3, 4, 5, 6, 8, 10, 15, 30, 60}
+
+func newAgentMetrics(a *agent) *agentMetrics {
+	m := metrics.New()
+	m.Gauge("target_version", "Version that the engine is to serve.", func() float64 { return float64(a.currentTarget().version) })
+	m.Gauge("loaded_version", "Version that the engine serves; 0 for none.", func() float64 {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return float64(a.report.Loaded)
+	})
+	vector := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: metrics.Namespace, Name: name, Help: help}, labels)
+	}
+	span := func(name, help string) prometheus.Histogram {
+		return prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: metrics.Namespace, Name: name, Help: help, Buckets: releaseBuckets})
+	}
+	one := &agentMetrics{
+		registry: m.Registry,
+		chunks:   vector("chunks_total", "Chunks asked for by kind of source and outcome.", "source", "outcome"),
+		bytes:    vector("chunk_bytes_total", "Bytes of chunks received by kind of source.", "source"),
+		orders:   vector("orders_total", "Orders to the engine by outcome.", "outcome"),
+		store:    vector("store_calls_total", "Calls of the platform's store by collection.", "method", "collection"),
+		spread:   span("release_held_seconds", "Time from a release to its last chunk here."),
+		switched: span("release_served_seconds", "Time from a release until the engine serves it."),
+	}
+	m.Registry.MustRegister(one.chunks, one.bytes, one.orders, one.store, one.spread, one.switched)
+	return one
+}
+
+// fetched counts the end of a fetch.
+func (m *agentMetrics) fetched(source string, outcome swarm.Outcome, size int) {
+	m.chunks.WithLabelValues(source, outcome.String()).Inc()
+	m.bytes.WithLabelValues(source).Add(float64(size))
+}
+
+// since observes a span that began at the given time.
+func since(h prometheus.Histogram, began, now time.Time) { h.Observe(now.Sub(began).Seconds()) }
--- a/internal/loader/switch.go
+++ b/internal/loader/switch.go
@@ -123,6 +123,9 @@
 		a.notify()
 	}
 	if report.Born != last.Born || report.Loaded != last.Loaded {
+		if report.Loaded > last.Loaded && report.Loaded == a.target.version {
+			since(a.metrics.switched, a.target.seen, clock.Now())
+		}
 		a.log.WithFields(logrus.Fields{"born": report.Born, "version": report.Loaded, "last_version": last.Loaded}).Info("the engine's state changed")
 		a.notify()
 	}
@@ -190,9 +193,11 @@
 	defer cancel()
 	err := a.engine.Load(ctx, wanted.model, wanted.version, cut)
 	if err == nil {
+		a.metrics.orders.WithLabelValues("accepted").Inc()
 		log.WithField("after_ms", clock.Now().Sub(wanted.seen).Milliseconds()).Info("the engine was ordered to load")
 		return order{version: wanted.version, born: report.Born, at: clock.Now()}
 	}
+	a.metrics.orders.WithLabelValues(string(failure.Of(err))).Inc()
 	log.WithError(err).Warning("the order was not accepted")
 	if failure.Is(err, failure.NotReachable) {
 		// It may have been accepted; the next reports tell.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -10,8 +10,8 @@
 	"plantainrelay/internal/usage"
 )
 
-// namespace starts the name of every metric of this project.
-const namespace = "plantain"
+// Namespace starts the name of every metric of this project.
+const Namespace = "plantain"
 
 // Metrics is a registry with this project's metrics.
 type Metrics struct {
@@ -28,13 +28,13 @@
 
 // Gauge adds a metric whose value is read when it is asked for.
 func (m *Metrics) Gauge(name, help string, value func() float64) {
-	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value))
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: Namespace, Name: name, Help: help}, value))
 }
 
 // Counter adds a metric that only grows, whose value is read when it is asked
 // for.
 func (m *Metrics) Counter(name, help string, value func() float64) {
-	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, value))
+	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: Namespace, Name: name, Help: help}, value))
 }
 
 // Requests counts the events that pass on to the next recorder.
@@ -50,10 +50,10 @@
 	r := &Requests{
 		next: next,
 		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: namespace, Name: name + "_total", Help: help,
+			Namespace: Namespace, Name: name + "_total", Help: help,
 		}, []string{"pool", "outcome"}),
 		tokens: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: namespace, Name: name + "_tokens_total", Help: "Tokens of them by direction, in or out.",
+			Namespace: Namespace, Name: name + "_tokens_total", Help: "Tokens of them by direction, in or out.",
 		}, []string{"pool", "direction"}),
 	}
 	m.Registry.MustRegister(r.ended, r.tokens)
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -64,12 +64,15 @@
 	tablesWait   = 1100 * time.Millisecond
 	backendsWait = 1500 * time.Millisecond
 	releasesWait = 3 * time.Second
+	// lookInterval is the time between two looks at whose duty a collection is and
+	// how old the copy is.
+	lookInterval = 100 * time.Millisecond
 )
 
 var plans = map[platform.Kind]copies.Plan{
-	platform.Tables:   {Wait: tablesWait, MaxAge: 2900 * time.Millisecond, Gather: 100 * time.Millisecond},
-	platform.Backends: {Wait: backendsWait, MaxAge: 4 * time.Second, Gather: 350 * time.Millisecond},
-	platform.Releases: {Wait: releasesWait, MaxAge: 8 * time.Second, Gather: 100 * time.Millisecond},
+	platform.Tables:   {Look: lookInterval, Wait: tablesWait, MaxAge: 2900 * time.Millisecond, Gather: 100 * time.Millisecond},
+	platform.Backends: {Look: lookInterval, Wait: backendsWait, MaxAge: 4 * time.Second, Gather: 350 * time.Millisecond},
+	platform.Releases: {Look: lookInterval, Wait: releasesWait, MaxAge: 8 * time.Second, Gather: 100 * time.Millisecond},
 }
 
 // Run runs the entry until it is told to stop.
@@ -138,10 +141,11 @@
 		Engine: func(pool string) *catalog.Engine { return e.view.engine(pool) },
 	}), newRetryLimits(s.Bounds))
 	e.view = newView(e.gate, s.Bounds.Switch-switchMargin, s.Bounds.Stable-stableMargin, log)
-	e.front = &front{view: e.view, gate: e.gate, sender: newSender(), log: log, metrics: counted}
+	e.front = &front{view: e.view, gate: e.gate, sender: newSender(), log: log, metrics: counted, zone: s.AvailabilityZone}
 	e.front.revoke.Store(int64(s.Bounds.Revoke))
 	e.heart = &heart{socket: socket, view: e.view, gate: e.gate, front: e.front, log: log, start: start, news: make(chan struct{}, 1), moved: make(chan string, maxMoved), placed: make(chan struct{}, 1)}
 	e.gate.moved = e.heart.noteLoad
+	e.metrics.Gauge("tables_proof_age_seconds", "Age of the proof that the tables are current.", func() float64 { return e.view.proofAge().Seconds() })
 	store := platform.NewStore(s.Store, newStoreTransport())
 	store.Called = func(method string, kind platform.Kind) { counted.store.WithLabelValues(method, string(kind)).Inc() }
 	e.copies = copies.New(store, plans, log, e.heart.watches, func(kind platform.Kind) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -49,6 +49,8 @@
 	PauseMs  int64  `json:"max_pause_ms,omitempty"`
 	Ms       int64  `json:"ms"`
 	Outcome  string `json:"outcome"`
+	// bytes is the size of the answer.
+	bytes int
 }
 
 // exchange is one request of a caller on its way.
@@ -90,11 +92,18 @@
 		Repeatable:  x.route.Repeatable(),
 		Deadline:    x.deadline,
 		MaxAttempts: x.route.MaxAttempts,
-		Retry:       func() bool { return x.front.gate.mayRepeat(x.pool) },
+		Retry:       x.mayRepeat,
 	})
 	x.front.gate.requested(x.pool)
 }
 
+// mayRepeat asks the retry budget for a further attempt.
+func (x *exchange) mayRepeat() bool {
+	granted := x.front.gate.mayRepeat(x.pool)
+	x.front.metrics.repeats.WithLabelValues(strconv.FormatBool(granted)).Inc()
+	return granted
+}
+
 // run carries the request to its end.
 func (x *exchange) run() {
 	ctx, cancel := context.WithTimeout(x.r.Context(), x.deadline.Sub(clock.Now()))
@@ -176,11 +185,24 @@
 	ran := clock.Now().Sub(started)
 	one.Ms, one.Outcome = ran.Milliseconds(), string(outcome)
 	x.trail = append(x.trail, one)
+	x.observe(one)
 	x.front.gate.leave(t, choice, outcome.result(), ran)
 	x.front.metrics.attempts.WithLabelValues(string(outcome)).Inc()
 	return x.after(ctx, outcome)
 }
 
+// observe feeds the metrics with what an attempt did.
+func (x *exchange) observe(one leg) {
+	zone := "own"
+	if one.Zone != x.front.zone {
+		zone = "other"
+	}
+	x.front.metrics.bytes.WithLabelValues(zone).Add(float64(one.bytes))
+	if one.Events > 1 {
+		x.front.metrics.pause.Observe(float64(one.PauseMs) / 1000)
+	}
+}
+
 // after decides what follows an attempt.
 func (x *exchange) after(ctx context.Context, outcome outcome) (dispatch.Action, bool) {
 	now := clock.Now()
@@ -195,7 +217,7 @@
 	case notSent:
 		return x.decision.NotStarted(now), false
 	case notRun, moved:
-		if x.front.gate.mayRepeat(x.pool) {
+		if x.mayRepeat() {
 			return x.decision.NotStarted(now), false
 		}
 		return x.decision.Refused(), false
@@ -319,7 +341,7 @@
 	if x.route.Kind == catalog.Streaming && response.StatusCode == http.StatusOK {
 		return x.stream(response, watchdog, one)
 	}
-	return x.whole(response, watchdog)
+	return x.whole(response, watchdog, one)
 }
 
 // lost says what an attempt without an answer means.
@@ -357,8 +379,9 @@
 }
 
 // whole passes on an answer that is not a stream, once all of it is here.
-func (x *exchange) whole(response *http.Response, watchdog *watchdog) outcome {
+func (x *exchange) whole(response *http.Response, watchdog *watchdog, one *leg) outcome {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	one.bytes = len(body)
 	if err != nil {
 		return x.lost(watchdog, true)
 	}
@@ -409,6 +432,7 @@
 			x.lastEvent, x.hasEvent = next.id, true
 		}
 		one.Events++
+		one.bytes += len(next.raw)
 		if !from.buffered() {
 			if err := flusher.Flush(); err != nil {
 				return callerLeft
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -36,6 +36,8 @@
 	sender  *sender
 	log     *logrus.Entry
 	metrics *frontMetrics
+	// zone is this entry's availability zone.
+	zone string
 	// revoke is the bound on revoked keys in nanoseconds; zero when there is none.
 	revoke  atomic.Int64
 	leaving atomic.Bool
--- a/internal/swarm/cascade.go
+++ b/internal/swarm/cascade.go
@@ -66,6 +66,21 @@
 	return ranked[:min(peersAtOnce, len(ranked))]
 }
 
+// Kind returns what kind of source a name is, one of a few words.
+func (s *Sources) Kind(name string) string {
+	switch {
+	case name == Origin:
+		return "origin"
+	case slices.Contains(s.NearDepots, name):
+		return "near_depot"
+	case slices.Contains(s.FarDepots, name):
+		return "far_depot"
+	case slices.Contains(s.NearPeers, name):
+		return "near_peer"
+	}
+	return "far_peer"
+}
+
 func (s *Sources) isDepot(name string) bool {
 	return slices.Contains(s.NearDepots, name) || slices.Contains(s.FarDepots, name)
 }
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -104,6 +104,15 @@
 	Dropped
 )
 
+// String returns the outcome's name in logs and metrics.
+func (o Outcome) String() string {
+	names := [...]string{"verified", "corrupt", "failed", "absent", "busy", "dropped"}
+	if int(o) < 0 || int(o) >= len(names) {
+		return "unknown"
+	}
+	return names[o]
+}
+
 // source is what is known of one source.
 type source struct {
 	have     weights.Bitmap
