--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -99,17 +99,10 @@
 	ChunkBytes int
 	// Stride is the number of token steps in one pass.
 	Stride int
-	// Step is the time of one token step, PerSequence the time that each request
-	// adds to it.
-	Step        time.Duration
-	PerSequence time.Duration
+	// Step is the time of one token step.
+	Step time.Duration
 	// ReadPerSecond is the number of prompt tokens read in a second.
 	ReadPerSecond float64
-	// UsualPrompt and UsualAnswer are the mean numbers of tokens.
-	UsualPrompt float64
-	UsualAnswer float64
-	// Load is the time from an accepted order to serving.
-	Load time.Duration
 }
 
 // Pass returns the time of one pass of an engine that writes.
@@ -130,12 +123,11 @@
 	Engine *Engine
 }
 
-// Limits bound what a caller may send.
+// Limits bound what a caller may send. The limits on time are the listeners' own,
+// which are longer than those that operators set.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	// BodyBytes bounds a request's body; 0 leaves the entry's own bound.
+	BodyBytes int64
 }
 
 // Customer is who is charged for requests with certain keys.
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -34,8 +34,9 @@
 	// addressAge is how long callers keep an answer of the directory: short, so
 	// that they leave an entry that stops soon.
 	addressAge = 2 * time.Second
-	// maxBody bounds a body until the tables tell the limit.
-	maxBody = 4 << 20
+	// maxBody bounds a body where the tables set no limit, and is the highest limit
+	// that they can set: bodies are held until an answer has begun.
+	maxBody = 16 << 20
 	// maxConnections bounds the connections of one listener: callers keep a few
 	// each, and descriptors are limited.
 	maxConnections = 1500
@@ -129,10 +130,15 @@
 	heart   *heart
 	depot   *depot.Depot
 	metrics *metrics.Metrics
+	// addressAge is how long callers may keep an answer of the directory.
+	addressAge time.Duration
 }
 
 func newEntry(s platform.Settings, socket *beat.Socket, log *logrus.Entry) (*entry, error) {
-	e := &entry{metrics: metrics.New()}
+	e := &entry{metrics: metrics.New(), addressAge: addressAge}
+	if most := s.Bounds.MaxAddressAge; most > 0 {
+		e.addressAge = min(addressAge, most)
+	}
 	counted := newFrontMetrics(e.metrics)
 	start := time.Now().UnixNano()
 	e.gate = newGate(placement.New(placement.Config{
@@ -249,7 +255,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	raw, err := platform.EncodeAddresses(fronts[:min(len(fronts), platform.MaxAddresses)], addressAge)
+	raw, err := platform.EncodeAddresses(fronts[:min(len(fronts), platform.MaxAddresses)], e.addressAge)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -93,7 +93,11 @@
 	if !strings.HasPrefix(r.RequestURI, "/") {
 		return nil, &refusal{status: http.StatusBadRequest, reason: "bad_target"}
 	}
-	body, err := io.ReadAll(r.Body)
+	reader := r.Body
+	if table := f.view.table.Load(); table != nil && table.Limits.BodyBytes > 0 {
+		reader = http.MaxBytesReader(nil, r.Body, table.Limits.BodyBytes)
+	}
+	body, err := io.ReadAll(reader)
 	if err == nil {
 		return body, nil
 	}
--- a/internal/relay/front_test.go
+++ b/internal/relay/front_test.go
@@ -422,3 +422,21 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.StatusCode, qt.Equals, http.StatusGatewayTimeout)
 }
+
+// TestBodyLimitOfTheTables: operators bound what callers may send.
+func TestBodyLimitOfTheTables(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t, answerOK)
+	table := *f.front.view.table.Load()
+	table.Limits.BodyBytes = int64(len("body")) - 1
+	f.front.view.table.Store(&table)
+	response, _, err := f.ask(http.MethodPost, "/once/1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
+	looser := table
+	looser.Limits.BodyBytes++
+	f.front.view.table.Store(&looser)
+	response, _, err = f.ask(http.MethodPost, "/once/1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+}
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -108,7 +108,7 @@
 	defer g.mu.Unlock()
 	if g.queue(t.need.Pool).Cancel(t.ID) {
 		delete(g.tickets, t.ID)
-		return placement.Choice{}, &rejection{retryAfter: minReturn, reason: "caller_left"}
+		return placement.Choice{}, &rejection{retryAfter: minReturn, reason: "overload"}
 	}
 	// The place was given at the same moment.
 	choice, ok := <-t.placed
