--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -2,12 +2,18 @@
 
 import (
 	"fmt"
+	"runtime/debug"
 
 	"github.com/spf13/cobra"
 
 	"plantainrelay/platform"
 )
 
+// collectPercent makes the garbage collector run at a third of the usual growth of
+// the heap: instances have little memory, and most of a process's time is spent
+// waiting.
+const collectPercent = 35
+
 // Platform returns the subcommand that runs a daemon on the users' platform,
 // with the settings that the platform hands to it.
 func Platform(short string, run func(platform.Settings) error) *cobra.Command {
@@ -29,6 +35,7 @@
 				fmt.Fprintln(cmd.OutOrStdout(), "the settings are valid")
 				return nil
 			}
+			debug.SetGCPercent(collectPercent)
 			return run(settings)
 		},
 	}
--- a/internal/depot/prefetch.go
+++ b/internal/depot/prefetch.go
@@ -30,7 +30,10 @@
 	defer d.mu.Unlock()
 	now := clock.Now()
 	maps.DeleteFunc(d.prefetched, func(_ VersionArgs, at time.Time) bool { return now.Sub(at) > prefetchLimit })
-	d.newest[args.Model] = max(d.newest[args.Model], args.Version)
+	if last := d.newest[args.Model]; args.Version > last {
+		d.newest[args.Model] = args.Version
+		d.dropBefore(VersionArgs{Model: args.Model, Version: last})
+	}
 	if _, before := d.prefetched[args]; before || args.Version < d.newest[args.Model] {
 		return
 	}
@@ -38,6 +41,15 @@
 	go d.prefetch(args)
 }
 
+// dropBefore drops the chunks of the versions before one.
+func (d *Depot) dropBefore(kept VersionArgs) {
+	for _, held := range d.chunks.Keys() {
+		if held.Model == kept.Model && held.Version < kept.Version {
+			d.chunks.Remove(held)
+		}
+	}
+}
+
 // ahead is the state of one version's fetch ahead of questions.
 type ahead struct {
 	args  VersionArgs
--- a/internal/loader/distribution.go
+++ b/internal/loader/distribution.go
@@ -52,10 +52,15 @@
 		a.mu.Lock()
 		a.chooseTarget(clock.Now())
 		wanted, current, lost := a.target, a.fetching, a.report.Born == 0
+		served := !lost && a.report.Loaded >= wanted.version
 		a.mu.Unlock()
 		if wanted.version == 0 || (current == nil && lost) {
 			continue
 		}
+		if served {
+			a.rest(ctx, wanted)
+			continue
+		}
 		if current == nil || current.target.version != wanted.version {
 			a.begin(ctx, wanted)
 			continue
@@ -64,6 +69,27 @@
 	}
 }
 
+// rest holds no more than the manifest of the version that the engine serves: its
+// chunks are in the staging area, and a process's memory is small.
+func (a *agent) rest(ctx context.Context, served target) {
+	a.mu.Lock()
+	fetched := a.fetching != nil
+	a.fetching = nil
+	a.mu.Unlock()
+	if fetched {
+		a.holding.release(served.version)
+	}
+	if _, known := a.holding.manifest(served.version); known {
+		return
+	}
+	manifest, err := a.findManifest(ctx, served)
+	if err != nil {
+		a.log.WithError(err).WithField("version", served.version).Debug("the manifest is not to be had yet")
+		return
+	}
+	a.holding.add(manifest)
+}
+
 // begin gets the manifest of a version and what is staged of it already.
 func (a *agent) begin(ctx context.Context, wanted target) {
 	manifest, err := a.findManifest(ctx, wanted)
--- a/internal/loader/holding.go
+++ b/internal/loader/holding.go
@@ -51,6 +51,20 @@
 	}
 }
 
+// release drops all chunks, which the engine's staging area still has, and the
+// manifests of versions before the given one.
+func (h *holding) release(version int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for held, one := range h.versions {
+		if held < version {
+			delete(h.versions, held)
+			continue
+		}
+		clear(one.chunks)
+	}
+}
+
 // forget drops a version whose manifest proved wrong.
 func (h *holding) forget(version int64) {
 	h.mu.Lock()
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -211,3 +211,27 @@
 	a.chooseTarget(clock.Now())
 	c.Assert(a.target.version, qt.Equals, int64(3))
 }
+
+// TestServedVersionIsNotHeldTwice: what the engine serves is staged beside it, and
+// other agents get it from there.
+func TestServedVersionIsNotHeldTwice(t *testing.T) {
+	c := qt.New(t)
+	a, _ := newTestAgent(t)
+	for chunk := range 4 {
+		c.Assert(a.engine.Stage(t.Context(), model, chunk, chunkOf(2, chunk)), qt.IsNil)
+		a.holding.put(2, chunk, chunkOf(2, chunk))
+	}
+	a.fetching = &distribution{target: a.target}
+	a.rest(t.Context(), a.target)
+	c.Assert(a.fetching, qt.IsNil)
+	have, found := a.holding.have(2)
+	c.Assert(found, qt.IsTrue, qt.Commentf("the manifest stays"))
+	c.Assert(have.Count(), qt.Equals, 0)
+	service := &Service{agent: a}
+	var reply depot.ChunkReply
+	args := depot.ChunkArgs{VersionArgs: depot.VersionArgs{Model: model, Version: 2}, Chunk: 3}
+	c.Assert(service.Chunk(args, &reply), qt.IsNil)
+	c.Assert(string(reply.Data), qt.Equals, string(chunkOf(2, 3)))
+	c.Assert(a.engine.Stage(t.Context(), model, 3, []byte("spoilt")), qt.IsNil)
+	c.Assert(service.Chunk(args, &reply), qt.IsNotNil)
+}
--- a/internal/loader/service.go
+++ b/internal/loader/service.go
@@ -7,6 +7,7 @@
 	"plantainrelay/internal/beat"
 	"plantainrelay/internal/depot"
 	"plantainrelay/internal/failure"
+	"plantainrelay/internal/weights"
 	"plantainrelay/platform"
 )
 
@@ -36,6 +37,9 @@
 // Chunk returns one verified chunk. It is a net/rpc method.
 func (s *Service) Chunk(args depot.ChunkArgs, reply *depot.ChunkReply) error {
 	data, found := s.agent.holding.chunk(args.Version, args.Chunk)
+	if !found {
+		data, found = s.agent.staged(args)
+	}
 	if !found {
 		return failure.New(failure.NotFound, "ask another instance", "chunk %d of %s %d is not held", args.Chunk, args.Model, args.Version)
 	}
@@ -47,6 +51,22 @@
 	return nil
 }
 
+// staged reads a chunk back that this process no longer holds itself.
+func (a *agent) staged(args depot.ChunkArgs) ([]byte, bool) {
+	manifest, known := a.holding.manifest(args.Version)
+	if !known || args.Chunk < 0 || args.Chunk >= len(manifest.Digests) {
+		return nil, false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), localLimit)
+	defer cancel()
+	data, err := a.engine.Staged(ctx, args.Model, args.Chunk)
+	if err != nil {
+		a.log.WithError(err).WithField("chunk", args.Chunk).Debug("a staged chunk could not be read back")
+		return nil, false
+	}
+	return data, weights.DigestOf(data) == manifest.Digests[args.Chunk]
+}
+
 // call runs a call at the process for peers at the given IP.
 func (a *agent) call(ctx context.Context, host, method string, limit time.Duration, args, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
