--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -288,7 +288,7 @@
 		return nil, failure.New(failure.Invalid, "ask for a chunk of the manifest", "%s %d has no chunk %d", args.Model, args.Version, args.Chunk)
 	}
 	upstream := d.config.Upstream()
-	for _, host := range d.way(args.Chunk, upstream) {
+	for _, host := range d.upstreamOf(args.Chunk, upstream) {
 		data, err := d.fromDepot(host, args, manifest.Digests[args.Chunk])
 		// A depot that has answered has asked further upstream itself.
 		if err == nil || failure.Is(err, failure.NotFound) || failure.Is(err, failure.Refused) {
@@ -298,23 +298,23 @@
 	return d.fromOrigin(upstream.Origin, args, manifest.Digests[args.Chunk])
 }
 
-// way returns the depots to ask for a chunk, the nearest first; none when this
+// upstreamOf returns the depots to ask for a chunk, the nearest first; none when this
 // one draws it from the origin.
-func (d *Depot) way(chunk int, upstream Upstream) []string {
+func (d *Depot) upstreamOf(chunk int, upstream Upstream) []string {
 	key := strconv.Itoa(chunk)
 	drawer := d.drawer(key, upstream)
 	if drawer == d.config.Host {
 		return nil
 	}
-	if door := d.door(key, upstream); door != d.config.Host && door != drawer {
-		return []string{door, drawer}
+	if zoneDepot := d.zoneDepot(key, upstream); zoneDepot != d.config.Host && zoneDepot != drawer {
+		return []string{zoneDepot, drawer}
 	}
 	return []string{drawer}
 }
 
-// door returns the entry through which what key names enters the availability
+// zoneDepot returns the entry through which what key names enters the availability
 // zone.
-func (d *Depot) door(key string, upstream Upstream) string {
+func (d *Depot) zoneDepot(key string, upstream Upstream) string {
 	if len(upstream.Neighbors) == 0 {
 		return d.config.Host
 	}
--- a/internal/depot/depot_test.go
+++ b/internal/depot/depot_test.go
@@ -155,7 +155,7 @@
 func TestNewerVersionIsFetchedInstead(t *testing.T) {
 	c := qt.New(t)
 	d := newDepot(t, &atomic.Int32{}, func(_ int, data []byte) []byte { return data })
-	a := &ahead{args: VersionArgs{Model: "m", Version: 2}, until: clock.Now().Add(time.Minute)}
+	a := &prefetching{args: VersionArgs{Model: "m", Version: 2}, until: clock.Now().Add(time.Minute)}
 	a.progress = rollout.Progress{Held: 1, Chunks: 10, LastAt: clock.Now(), Latest: clock.Now().Add(time.Minute)}
 	c.Assert(d.goOn(a), qt.IsTrue)
 	d.newest["m"] = 3
@@ -176,9 +176,9 @@
 		straight := 0
 		for _, host := range upstream.Neighbors {
 			d := &Depot{config: Config{Host: host}}
-			way := d.way(chunk, upstream)
-			c.Assert(slices.Contains(upstream.Drawers, way[len(way)-1]), qt.IsTrue)
-			if len(way) == 1 {
+			path := d.upstreamOf(chunk, upstream)
+			c.Assert(slices.Contains(upstream.Drawers, path[len(path)-1]), qt.IsTrue)
+			if len(path) == 1 {
 				straight++
 			}
 		}
--- a/internal/depot/prefetch.go
+++ b/internal/depot/prefetch.go
@@ -50,8 +50,8 @@
 	}
 }
 
-// ahead is the state of one version's fetch ahead of questions.
-type ahead struct {
+// prefetching is the state of one version's fetch ahead of questions.
+type prefetching struct {
 	args  VersionArgs
 	until time.Time
 
@@ -61,7 +61,7 @@
 
 func (d *Depot) prefetch(args VersionArgs) {
 	now := clock.Now()
-	a := &ahead{args: args, until: now.Add(prefetchLimit), progress: rollout.Progress{LastAt: now, Latest: now.Add(prefetchLimit)}}
+	a := &prefetching{args: args, until: now.Add(prefetchLimit), progress: rollout.Progress{LastAt: now, Latest: now.Add(prefetchLimit)}}
 	var manifest platform.Manifest
 	for d.Manifest(args, &manifest) != nil {
 		if !d.goOn(a) {
@@ -73,7 +73,7 @@
 	var chunks []int
 	for chunk := range manifest.Digests {
 		key := strconv.Itoa(chunk)
-		if d.drawer(key, upstream) == d.config.Host || d.door(key, upstream) == d.config.Host {
+		if d.drawer(key, upstream) == d.config.Host || d.zoneDepot(key, upstream) == d.config.Host {
 			chunks = append(chunks, chunk)
 		}
 	}
@@ -85,7 +85,7 @@
 }
 
 // fetchAll gets chunks in their order, some at once.
-func (d *Depot) fetchAll(a *ahead, chunks []int) {
+func (d *Depot) fetchAll(a *prefetching, chunks []int) {
 	next := make(chan int)
 	var group sync.WaitGroup
 	for range prefetchers {
@@ -102,7 +102,7 @@
 	group.Wait()
 }
 
-func (d *Depot) fetchOne(a *ahead, chunk int) {
+func (d *Depot) fetchOne(a *prefetching, chunk int) {
 	for d.goOn(a) {
 		if _, err := d.chunk(ChunkArgs{VersionArgs: a.args, Chunk: chunk}); err == nil {
 			a.mu.Lock()
@@ -117,7 +117,7 @@
 
 // goOn reports whether the version is still fetched ahead. A newer one takes its
 // place, unless most of this one is here.
-func (d *Depot) goOn(a *ahead) bool {
+func (d *Depot) goOn(a *prefetching) bool {
 	now := clock.Now()
 	if !now.Before(a.until) {
 		return false
--- a/internal/loader/distribution.go
+++ b/internal/loader/distribution.go
@@ -58,7 +58,7 @@
 			continue
 		}
 		if served {
-			a.rest(ctx, wanted)
+			a.settle(ctx, wanted)
 			continue
 		}
 		if current == nil || current.target.version != wanted.version {
@@ -69,9 +69,9 @@
 	}
 }
 
-// rest holds no more than the manifest of the version that the engine serves: its
+// settle holds no more than the manifest of the version that the engine serves: its
 // chunks are in the staging area, and a process's memory is small.
-func (a *agent) rest(ctx context.Context, served target) {
+func (a *agent) settle(ctx context.Context, served target) {
 	a.mu.Lock()
 	fetched := a.fetching != nil
 	a.fetching = nil
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -222,7 +222,7 @@
 		a.holding.put(2, chunk, chunkOf(2, chunk))
 	}
 	a.fetching = &distribution{target: a.target}
-	a.rest(t.Context(), a.target)
+	a.settle(t.Context(), a.target)
 	c.Assert(a.fetching, qt.IsNil)
 	have, found := a.holding.have(2)
 	c.Assert(found, qt.IsTrue, qt.Commentf("the manifest stays"))
