--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -29,11 +29,13 @@
 // Config holds the limits.
 type Config struct {
 	// LiveFor is how long after its last message an entry counts as there; LiveFor
-	// is for those that send often, FarLiveFor for those that take turns.
+	// is for those that send often, FarLiveFor for those that take turns. Both grow
+	// with the number of turns.
 	LiveFor, FarLiveFor time.Duration
-	// Often bounds the entries that are sent each message. The own availability
-	// zone comes first; the others take turns, so that the messages of an entry
-	// don't grow with the fleet.
+	// Often is the size of a fleet whose entries are all sent each message. In a
+	// larger one the entries of other availability zones take turns, and so do
+	// those of a large zone, so that the messages of an entry don't grow with the
+	// fleet.
 	Often int
 	// ForgetAfter is how long an entry that keeps silent is still sent messages.
 	ForgetAfter time.Duration
@@ -63,8 +65,17 @@
 	turns int
 }
 
-// turns is the number of messages among which far entries take turns.
-const turns = 4
+const (
+	// turns is the least number of messages among which far entries take turns.
+	turns = 4
+	// nearPerTurn and farPerTurn bound the entries that are sent one message.
+	nearPerTurn = 16
+	farPerTurn  = 8
+)
+
+func nearTurns(near []string) int { return max((len(near)+nearPerTurn-1)/nearPerTurn, 1) }
+
+func farTurns(far []string) int { return max((len(far)+farPerTurn-1)/farPerTurn, turns) }
 
 // New returns a directory of the entry self, which asks seeds for others.
 func New(config Config, self Entry, seeds []string, now time.Time) *Directory {
@@ -118,8 +129,9 @@
 			delete(d.entries, host)
 		}
 	}
-	hosts, far := d.split()
-	hosts = append(hosts, d.turn(far)...)
+	near, far := d.split()
+	hosts := append(d.turn(near, nearTurns(near)), d.turn(far, farTurns(far))...)
+	d.turns++
 	for host, probed := range d.probes {
 		if now.Sub(probed.since) > d.config.ProbeFor {
 			delete(d.probes, host)
@@ -134,35 +146,31 @@
 	return hosts
 }
 
-// split returns the hosts that are sent each message and those that take turns.
-func (d *Directory) split() (often, far []string) {
+// split returns the hosts near by and those far away. All hosts of a small fleet
+// are near.
+func (d *Directory) split() (near, far []string) {
 	for _, host := range slices.Sorted(maps.Keys(d.entries)) {
 		if d.entries[host].AvailabilityZone == d.self.AvailabilityZone {
-			often = append(often, host)
+			near = append(near, host)
 		} else {
 			far = append(far, host)
 		}
 	}
-	room := min(max(d.config.Often-len(often), 0), len(far))
-	if room == len(far) {
-		return append(often, far...), nil
+	if len(near)+len(far) <= d.config.Often {
+		return append(near, far...), nil
 	}
-	return often, far
+	return near, far
 }
 
-// turn returns the hosts whose turn it is.
-func (d *Directory) turn(far []string) []string {
-	if len(far) == 0 {
-		return nil
-	}
-	var hosts []string
-	for i, host := range far {
+// turn returns the hosts whose turn it is, of so many turns.
+func (d *Directory) turn(hosts []string, turns int) []string {
+	var chosen []string
+	for i, host := range hosts {
 		if i%turns == d.turns%turns {
-			hosts = append(hosts, host)
+			chosen = append(chosen, host)
 		}
 	}
-	d.turns++
-	return hosts
+	return chosen
 }
 
 // Small reports whether all entries are sent each message.
@@ -171,18 +179,18 @@
 	return len(far) == 0
 }
 
-func (d *Directory) liveFor(entry *known) time.Duration {
-	if entry.AvailabilityZone == d.self.AvailabilityZone || d.Small() {
-		return d.config.LiveFor
-	}
-	return d.config.FarLiveFor
-}
-
 // Live returns the entries that are there, without this one.
 func (d *Directory) Live(now time.Time) []Entry {
+	near, far := d.split()
+	nearFor := d.config.LiveFor * time.Duration(nearTurns(near))
+	farFor := d.config.FarLiveFor * time.Duration(farTurns(far)) / turns
 	var live []Entry
 	for _, host := range slices.Sorted(maps.Keys(d.entries)) {
-		if entry := d.entries[host]; now.Sub(entry.heardAt) <= d.liveFor(entry) {
+		entry, limit := d.entries[host], nearFor
+		if len(far) > 0 && entry.AvailabilityZone != d.self.AvailabilityZone {
+			limit = farFor
+		}
+		if now.Sub(entry.heardAt) <= limit {
 			live = append(live, entry.Entry)
 		}
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -115,3 +116,32 @@
 	c.Assert(d.Near(1, epoch), qt.DeepEquals, []string{"10.0.0.3"})
 	c.Assert(d.Near(9, epoch), qt.HasLen, 2)
 }
+
+// TestMessagesAtTheTargetSize: 330 entries in eight zones. The entries that one
+// sends a message are bounded, each has its turn, and none counts as gone between
+// two of its turns, also when a message is lost.
+func TestMessagesAtTheTargetSize(t *testing.T) {
+	c := qt.New(t)
+	const interval = 200 * time.Millisecond
+	config := config
+	config.LiveFor, config.FarLiveFor, config.Often = 900*time.Millisecond, 2500*time.Millisecond, 16
+	d := peers.New(config, self(), nil, epoch)
+	for i := range 329 {
+		d.Heard(other(fmt.Sprintf("10.1.%d.%d", i/250, i%250), fmt.Sprintf("z%d", 1+i%8), 1), epoch)
+	}
+	last, longest := map[string]int{}, map[string]int{}
+	const rounds = 200
+	for round := range rounds {
+		targets := d.Targets(epoch)
+		c.Assert(len(targets) <= 24, qt.IsTrue, qt.Commentf("%d messages at once", len(targets)))
+		for _, host := range targets {
+			longest[host] = max(longest[host], round-last[host])
+			last[host] = round
+		}
+	}
+	c.Assert(last, qt.HasLen, 329)
+	for host, gap := range longest {
+		twice := epoch.Add(2 * time.Duration(gap) * interval)
+		c.Assert(slices.ContainsFunc(d.Live(twice), func(entry peers.Entry) bool { return entry.Host == host }), qt.IsTrue, qt.Commentf("%s has its turn every %d messages", host, gap))
+	}
+}
