--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -9,9 +9,8 @@
 	"plantainrelay/platform"
 )
 
-// collectPercent makes the garbage collector run at a third of the usual growth of
-// the heap: instances have little memory, and most of a process's time is spent
-// waiting.
+// collectPercent makes the garbage collector run at a third of the usual growth
+// of the heap: instances have little memory, and a process mostly waits.
 const collectPercent = 35
 
 // Platform returns the subcommand that runs a daemon on the users' platform,
--- /dev/null
+++ b/internal/ctl/settings.go
@@ -0,0 +1,32 @@
+package ctl
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"plantainrelay/platform"
+)
+
+func settingsCommand() *cobra.Command {
+	parent := &cobra.Command{Use: "settings", Short: "Work with the settings that the users' platform hands to a process"}
+	parent.AddCommand(&cobra.Command{
+		Use:     "check FILE",
+		Short:   "Check a settings file and name all its problems at once",
+		Example: "  plantainctl settings check /etc/plantainrelay/boot.toml",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			settings, err := platform.LoadSettings(args[0])
+			if err != nil {
+				return err
+			}
+			role := "entry"
+			if settings.Backend != "" {
+				role = "agent"
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "the settings of %s %s in availability zone %s are valid\n", role, settings.Instance, settings.AvailabilityZone)
+			return nil
+		},
+	})
+	return parent
+}
