--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -1,8 +1,10 @@
 // Package admission decides which waiting request of a pool an entry hands
 // over next, and which it sheds. It does no I/O.
 //
-// Classes of priority go first. Within a class the customer with the fewest
-// requests in progress goes next, relative to its weight, so that a customer
+// Classes of priority go first. Within a class requests that can still be on time
+// go before those of callers that come back after a rejection, which are late in
+// any case: under lasting overload as many are served either way, and more of them
+// on time. Among these the customer with the fewest requests in progress goes next, relative to its weight, so that a customer
 // that floods the pool waits behind its own requests. A request is shed before
 // the hand-over when the queue is full or when it can't start early enough to
 // meet its deadline.
@@ -35,8 +37,10 @@
 	// Route names the route, whose requests take similar times.
 	Route string
 	// Class is the priority; lower goes first.
-	Class    int
-	Deadline time.Time
+	Class int
+	// Returning says that the caller comes back after a rejection.
+	Returning bool
+	Deadline  time.Time
 	// StartBy, when set, is the latest time at which a start is of use. It takes
 	// the place of the estimate from earlier runs.
 	StartBy time.Time
@@ -108,6 +112,9 @@
 	if a.Class != b.Class {
 		return a.Class > b.Class
 	}
+	if a.Returning != b.Returning {
+		return a.Returning
+	}
 	// Cross-multiplied to compare counts relative to weights.
 	left, right := counts[a.Customer]*q.weight(b.Customer), counts[b.Customer]*q.weight(a.Customer)
 	return left > right || (left == right && a.Customer == b.Customer)
@@ -176,6 +183,9 @@
 	if a.Class != b.Class {
 		return a.Class < b.Class
 	}
+	if a.Returning != b.Returning {
+		return b.Returning
+	}
 	return q.running[a.Customer]*q.weight(b.Customer) < q.running[b.Customer]*q.weight(a.Customer)
 }
 
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -147,3 +147,53 @@
 		})
 	})
 }
+
+// TestOverloadServesFreshCallersFirst answers the pattern of a day whose load stays
+// above what the engines can do: each rejected caller comes back once, and what
+// comes back must not take the places of requests that can still be on time.
+func TestOverloadServesFreshCallersFirst(t *testing.T) {
+	c := qt.New(t)
+	const (
+		slots, perRound, rounds = 10, 13, 200
+		round                   = 250 * time.Millisecond
+	)
+	q := admission.New(config())
+	returning := map[uint64]bool{}
+	id, inProgress := uint64(0), 0
+	offer := func(back bool, now time.Time) {
+		id++
+		returning[id] = back
+		q.Offer(admission.Ticket{ID: id, Customer: "a", Returning: back, Deadline: now.Add(time.Minute), StartBy: now.Add(round)}, now)
+	}
+	onTime, late, rejected := 0, 0, 0
+	for number := range rounds {
+		now := epoch.Add(time.Duration(number) * round)
+		for range inProgress {
+			q.Finished("a", "", round)
+		}
+		back := rejected
+		rejected = 0
+		for range back {
+			offer(true, now)
+		}
+		for range perRound {
+			offer(false, now)
+		}
+		started, shed := q.Next(slots, now)
+		inProgress = len(started)
+		for _, ticket := range started {
+			if returning[ticket] {
+				late++
+			} else {
+				onTime++
+			}
+		}
+		for _, one := range shed {
+			if !returning[one.ID] {
+				rejected++
+			}
+		}
+	}
+	c.Assert(onTime+late, qt.Equals, slots*rounds, qt.Commentf("places were left free"))
+	c.Assert(onTime >= slots*rounds*19/20, qt.IsTrue, qt.Commentf("%d on time, %d late", onTime, late))
+}
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -273,6 +273,8 @@
 	// MaxWait is the longest expected wait for the first event that is of use; an
 	// engine where it is longer counts as full. 0 is no limit.
 	MaxWait time.Duration
+	// Reserve is the number of places that stay free for others.
+	Reserve int
 	// Spread picks among a few instances at random: many streams that were cut at
 	// once would all go to the same one.
 	Spread bool
@@ -336,7 +338,7 @@
 // instance now. A prompt that is too long for any wait is taken by an engine
 // that has nothing else to read.
 func (f *Fleet) hasRoom(known *instance, need Need, now time.Time) bool {
-	if f.load(known, now) >= f.limit(known) {
+	if f.load(known, now) >= f.limit(known)-min(need.Reserve, f.limit(known)-1) {
 		return false
 	}
 	engine, unread := f.engine(known.Pool), f.unread(known, now)
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -289,3 +289,21 @@
 		c.Assert(choice.Backend.ID, qt.Equals, "i-new")
 	}
 }
+
+// TestReservedPlacesStayFree: callers that come back leave the last places of each
+// instance to others.
+func TestReservedPlacesStayFree(t *testing.T) {
+	c := qt.New(t)
+	fleet := placement.New(placement.Config{PeerAge: time.Second, Seed: 1})
+	fleet.SetList([]catalog.Backend{{ID: "i-1", Pool: "p", Address: "10.0.0.1:80", Host: "10.0.0.1", Slots: 2}}, time.Time{}, epoch)
+	need := placement.Need{Pool: "p", Reserve: 2}
+	placed := 0
+	for _, found := fleet.Choose(need, epoch); found; _, found = fleet.Choose(need, epoch) {
+		placed++
+	}
+	c.Assert(placed, qt.Equals, 2)
+	need.Reserve = 100
+	c.Assert(fleet.Free(need, epoch), qt.Equals, 0)
+	need.Reserve = 0
+	c.Assert(fleet.Free(need, epoch), qt.Equals, 2)
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -20,6 +20,10 @@
 	// patienceShare is the share of the objective that a request waits for a
 	// place: what starts later is late.
 	patienceShare = 0.5
+	// overloadShare is the same while requests of the pool are rejected again and
+	// again: as many are served when each waits for a moment only, and those that
+	// are not learn of it at once.
+	overloadShare = 0.125
 	// firstFactor times the objective is how long a repeatable request waits for
 	// the first part of an answer before it is sent to another instance.
 	firstFactor = 2.5
@@ -31,6 +35,9 @@
 	// switchMargin is kept between the last start on an older version of the
 	// weights and the bound on it.
 	switchMargin = 900 * time.Millisecond
+	// reservedPlaces is the number of an instance's places that callers who come back
+	// leave to requests that can still be on time, at whatever entry they are.
+	reservedPlaces = 2
 	// maxAnswerBytes bounds an answer that is not a stream.
 	maxAnswerBytes = 16 << 20
 )
@@ -67,9 +74,11 @@
 	pool     string
 	model    string
 	deadline time.Time
-	decision *dispatch.Request
-	tried    map[string]bool
-	trail    []leg
+	// returning says that the caller comes back after a rejection.
+	returning bool
+	decision  *dispatch.Request
+	tried     map[string]bool
+	trail     []leg
 	// begun says that the caller has received a part of the answer; lastEvent is
 	// the last event of it.
 	begun     bool
@@ -84,6 +93,7 @@
 		left = x.call.TimeLeft
 	}
 	x.deadline = x.arrived.Add(left)
+	x.returning = x.front.usual.returning(x.route.Name, x.call.TimeLeft)
 	x.tried = map[string]bool{}
 	if engine := x.table.Pools[x.pool].Engine; engine != nil {
 		x.model = engine.Model
@@ -135,6 +145,9 @@
 	if x.model != "" && len(x.trail) == 0 {
 		need.MaxWait = x.route.Objective
 	}
+	if x.returning && len(x.trail) == 0 {
+		need.Reserve = reservedPlaces
+	}
 	return need
 }
 
@@ -148,7 +161,11 @@
 }
 
 func (x *exchange) ticket() *ticket {
-	patience := time.Duration(patienceShare * float64(x.route.Objective))
+	share := patienceShare
+	if x.front.gate.overloaded(x.pool) {
+		share = overloadShare
+	}
+	patience := time.Duration(share * float64(x.route.Objective))
 	startBy := x.arrived.Add(patience)
 	if now := clock.Now(); len(x.trail) > 0 {
 		startBy = now.Add(patience)
@@ -161,7 +178,7 @@
 		class = x.customer.Priority
 	}
 	return &ticket{
-		Ticket: admission.Ticket{Customer: x.customer.Name, Route: x.route.Name, Class: class, Deadline: x.deadline, StartBy: startBy},
+		Ticket: admission.Ticket{Customer: x.customer.Name, Route: x.route.Name, Class: class, Returning: x.returning, Deadline: x.deadline, StartBy: startBy},
 		need:   x.need(),
 	}
 }
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -38,6 +38,8 @@
 	metrics *frontMetrics
 	// zone is this entry's availability zone.
 	zone string
+	// usual tells callers that come back from others.
+	usual usualTimes
 	// revoke is the bound on revoked keys in nanoseconds; zero when there is none.
 	revoke  atomic.Int64
 	leaving atomic.Bool
@@ -176,7 +178,7 @@
 func (x *exchange) logEnd(status int, outcome string) {
 	fields := logrus.Fields{
 		"request": x.call.ID, "status": status, "outcome": outcome,
-		"ms": clock.Now().Sub(x.arrived).Milliseconds(), "proof_age_ms": x.front.view.proofAge().Milliseconds(),
+		"ms": clock.Now().Sub(x.arrived).Milliseconds(), "time_left_ms": x.call.TimeLeft.Milliseconds(), "returning": x.returning, "proof_age_ms": x.front.view.proofAge().Milliseconds(),
 	}
 	if x.table != nil {
 		fields["tables"] = x.table.Version
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -23,11 +23,15 @@
 	// minReturn is the shortest time after which a rejected caller may return.
 	minReturn = 250 * time.Millisecond
 	// maxReturn and returnShare, a part of the time that a caller has left, bound
-	// the return while no instance is usable: a caller comes back once, and the
-	// later it does, the more likely it is served; callers wait no longer than that
-	// part.
+	// the return: callers wait no longer than that part. While no instance is usable
+	// it is the return itself: a caller comes back once, and the later it does, the
+	// more likely it is served.
 	maxReturn   = 2 * time.Second
 	returnShare = 1.0 / 3
+	// calmTime without a rejection ends an overload of a pool; lasting is the age
+	// from which one is expected to last.
+	calmTime = time.Second
+	lasting  = 500 * time.Millisecond
 )
 
 // ticket is a request that asks for a place.
@@ -56,6 +60,8 @@
 	budgets map[string]*dispatch.WindowBudget
 	retries retryLimits
 	entries int
+	// overloads holds the overloads under way by pool.
+	overloads map[string]*overload
 	// queued receives a value when a request begins to wait.
 	queued chan struct{}
 	// moved is told of each instance where this entry's load has changed; begun
@@ -66,7 +72,7 @@
 func newGate(fleet *placement.Fleet, retries retryLimits) *gate {
 	return &gate{
 		fleet: fleet, queues: map[string]*admission.Queue{}, tickets: map[uint64]*ticket{}, budgets: map[string]*dispatch.WindowBudget{},
-		retries: retries, entries: 1, queued: make(chan struct{}, 1), moved: func(string, bool) {},
+		retries: retries, entries: 1, queued: make(chan struct{}, 1), overloads: map[string]*overload{}, moved: func(string, bool) {},
 	}
 }
 
@@ -180,15 +186,40 @@
 	for _, one := range shed {
 		t := g.tickets[one.ID]
 		delete(g.tickets, one.ID)
-		t.retryAfter = max(one.RetryAfter, minReturn)
-		if count, _ := g.fleet.Usable(t.need, now); count == 0 {
-			left := time.Duration(returnShare * float64(t.Deadline.Sub(now)))
-			t.retryAfter = max(min(left, maxReturn), minReturn)
+		most := max(min(time.Duration(returnShare*float64(t.Deadline.Sub(now))), maxReturn), minReturn)
+		t.retryAfter = most
+		if count, _ := g.fleet.Usable(t.need, now); count > 0 {
+			t.retryAfter = min(max(one.RetryAfter, g.overloadAge(t.need.Pool, now), minReturn), most)
 		}
 		close(t.placed)
 	}
 }
 
+// overload is a time in which requests of a pool are rejected again and again.
+type overload struct {
+	since, last time.Time
+}
+
+// overloadAge returns how long the pool's overload has lasted, which is also how
+// long it is expected to last on.
+func (g *gate) overloadAge(pool string, now time.Time) time.Duration {
+	current := g.overloads[pool]
+	if current == nil || now.Sub(current.last) > calmTime {
+		current = &overload{since: now}
+		g.overloads[pool] = current
+	}
+	current.last = now
+	return now.Sub(current.since)
+}
+
+// overloaded reports whether requests of the pool have been rejected for a while.
+func (g *gate) overloaded(pool string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	current, now := g.overloads[pool], clock.Now()
+	return current != nil && now.Sub(current.last) <= calmTime && now.Sub(current.since) >= lasting
+}
+
 // leave records the end of an attempt that enter has placed.
 func (g *gate) leave(t *ticket, choice placement.Choice, result placement.Result, ran time.Duration) {
 	g.mu.Lock()
