--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -37,6 +37,9 @@
 	goneAnswering = 15 * time.Second
 	// maxPlanners bounds the entries that may move a pool's slots.
 	maxPlanners = 5
+	// startingFor is how long slots without an owner wait for an instance of the
+	// pool that does not admit requests yet.
+	startingFor = 3 * time.Second
 	// listFresh is the age up to which the list proves an absence.
 	listFresh = 3 * time.Second
 )
@@ -60,6 +63,7 @@
 	seen        map[string]member.Instance
 	absentSince map[string]time.Time
 	neededSince map[string]time.Time
+	closedSince map[string]time.Time
 }
 
 // NewOwners returns owners that learn and move slots once Run is called.
@@ -77,6 +81,7 @@
 		seen:        map[string]member.Instance{},
 		absentSince: map[string]time.Time{},
 		neededSince: map[string]time.Time{},
+		closedSince: map[string]time.Time{},
 	}
 }
 
@@ -272,8 +277,29 @@
 	return -1
 }
 
+// starting reports whether an instance of the pool is listed as live and does not
+// admit requests yet, and has not been so for long.
+func (o *Owners) starting(pool table.Pool, agents []agentState, now time.Time) bool {
+	open := map[string]bool{}
+	for _, agent := range agents {
+		open[agent.Instance] = agent.Open
+	}
+	starting := false
+	for _, instance := range o.members.Current().Role(member.RoleAgent) {
+		if instance.State != member.StateLive || !pool.Selects(instance.Name) || open[instance.Name] {
+			delete(o.closedSince, instance.Name)
+			continue
+		}
+		if _, noted := o.closedSince[instance.Name]; !noted {
+			o.closedSince[instance.Name] = now
+		}
+		starting = starting || now.Sub(o.closedSince[instance.Name]) < startingFor
+	}
+	return starting
+}
+
 func (o *Owners) fleet(ctx context.Context, pool table.Pool, agents []agentState) ownership.Fleet {
-	fleet := ownership.Fleet{Gone: map[string]bool{}}
+	fleet := ownership.Fleet{Gone: map[string]bool{}, Starting: o.starting(pool, agents, time.Now())}
 	for _, agent := range agents {
 		fleet.Agents = append(fleet.Agents, ownership.Agent{
 			Instance:      agent.Instance,
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -78,6 +78,8 @@
 	Agents []Agent
 	// Gone names the owners that the platform has declared gone.
 	Gone map[string]bool
+	// Starting says that an instance of the pool is about to become eligible.
+	Starting bool
 }
 
 func (f *Fleet) find(name string) (Agent, bool) {
@@ -139,11 +141,16 @@
 func successorOf(owner Owner, fleet Fleet, now time.Time) (Owner, bool) {
 	covered := now.Add(Grace + Margin).UnixMilli()
 	agent, known := fleet.find(owner.Instance)
+	// Slots do not move back for balance: those without an owner wait for the
+	// instances that will share them.
+	waits := fleet.Starting && !fleet.Gone[owner.Instance]
 	switch {
 	case owner.Instance == "":
-		return Owner{}, true
+		return Owner{}, !waits
 	case fleet.Gone[owner.Instance]:
 		return Owner{Since: max(owner.Since, covered)}, true
+	case known && agent.Incarnation != owner.Incarnation && waits:
+		return Owner{}, false
 	case known && agent.Incarnation != owner.Incarnation:
 		return Owner{Since: max(owner.Since, covered)}, true
 	case known && agent.Consents:
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -342,3 +342,35 @@
 	verdict, _, _ = successor.Begin(later, now)
 	c.Assert(verdict, qt.Equals, ownership.Run, qt.Commentf("a consented move makes no key wait"))
 }
+
+// TestSlotsWaitForStartingInstances: an instance that has just started, or started
+// again, gets its share; slots of a leaving or lost owner move at once.
+func TestSlotsWaitForStartingInstances(t *testing.T) {
+	c := qt.New(t)
+	now := time.UnixMilli(1_700_000_000_000)
+	open := ownership.Agent{Instance: "a", Incarnation: "1", Eligible: true}
+	closed := ownership.Agent{Instance: "b", Incarnation: "1"}
+	_, changed := ownership.Plan(nil, "p", ownership.Fleet{Agents: []ownership.Agent{open, closed}, Starting: true}, now)
+	c.Assert(changed, qt.IsFalse)
+	closed.Eligible = true
+	first, changed := ownership.Plan(nil, "p", ownership.Fleet{Agents: []ownership.Agent{open, closed}}, now)
+	c.Assert(changed, qt.IsTrue)
+	reborn := ownership.Agent{Instance: "b", Incarnation: "2"}
+	_, changed = ownership.Plan(first, "p", ownership.Fleet{Agents: []ownership.Agent{open, reborn}, Starting: true}, now)
+	c.Assert(changed, qt.IsFalse, qt.Commentf("it will admit requests soon"))
+	reborn.Eligible = true
+	next, changed := ownership.Plan(first, "p", ownership.Fleet{Agents: []ownership.Agent{open, reborn}}, now)
+	c.Assert(changed, qt.IsTrue)
+	owned := 0
+	for _, owner := range next.Slots {
+		if owner.Instance == "b" && owner.Incarnation == "2" {
+			owned++
+		}
+	}
+	c.Assert(owned, qt.Equals, ownership.SlotCount/2)
+	leaving := ownership.Agent{Instance: "b", Incarnation: "1", Consents: true}
+	_, changed = ownership.Plan(first, "p", ownership.Fleet{Agents: []ownership.Agent{open, leaving}, Starting: true}, now)
+	c.Assert(changed, qt.IsTrue, qt.Commentf("the owner leaves"))
+	_, changed = ownership.Plan(first, "p", ownership.Fleet{Agents: []ownership.Agent{open}, Gone: map[string]bool{"b": true}, Starting: true}, now)
+	c.Assert(changed, qt.IsTrue, qt.Commentf("the owner is gone"))
+}
