--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -93,7 +93,7 @@
 		left = x.call.TimeLeft
 	}
 	x.deadline = x.arrived.Add(left)
-	x.returning = x.front.usual.returning(x.route.Name, x.call.TimeLeft)
+	x.returning = x.front.usual.returning(x.route.Name, x.call.TimeLeft, x.route.Timeout)
 	x.tried = map[string]bool{}
 	if engine := x.table.Pools[x.pool].Engine; engine != nil {
 		x.model = engine.Model
--- a/internal/relay/usual.go
+++ b/internal/relay/usual.go
@@ -17,26 +17,32 @@
 	maxUsual = 4096
 )
 
-// usualTimes remembers, by route, the longest time that callers give a request.
-// Who gives a little less has been rejected before: callers send what is left of
-// their time. It is safe for concurrent use.
+// usualTimes remembers, by route, the longest time that callers give a request,
+// as far as the route's own limit on it. Who gives less has been rejected before:
+// callers send what is left of their time. It is safe for concurrent use.
 type usualTimes struct {
 	mu      sync.Mutex
 	longest map[string]time.Duration
 }
 
 // returning reports whether a caller with so much time left comes back after a
-// rejection.
-func (u *usualTimes) returning(route string, left time.Duration) bool {
+// rejection. limit is the route's; 0 is none.
+func (u *usualTimes) returning(route string, left, limit time.Duration) bool {
 	if left <= 0 {
 		return false
 	}
+	if limit > 0 {
+		left = min(left, limit)
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.longest == nil || len(u.longest) >= maxUsual {
 		u.longest = map[string]time.Duration{}
 	}
 	longest := max(u.longest[route], left)
+	if limit > 0 {
+		longest = min(longest, limit)
+	}
 	u.longest[route] = longest
 	share := float64(left) / float64(longest)
 	return share < 1-usualSlack && share > usualShare
