--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -146,6 +146,7 @@
 		Avoid: 500 * time.Millisecond, MaxAvoid: 6 * time.Second, Seed: uint64(start),
 		Engine: func(pool string) *catalog.Engine { return e.view.engine(pool) },
 	}), newRetryLimits(s.Bounds))
+	e.gate.slackFrom = clock.Now().Add(s.Bounds.RetryWindow)
 	e.view = newView(e.gate, s.Bounds.Switch-switchMargin, s.Bounds.Stable-stableMargin, log)
 	e.front = &front{view: e.view, gate: e.gate, sender: newSender(), log: log, metrics: counted, zone: s.AvailabilityZone}
 	e.front.revoke.Store(int64(s.Bounds.Revoke))
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -60,6 +60,10 @@
 	budgets map[string]*dispatch.WindowBudget
 	retries retryLimits
 	entries int
+	// slackFrom is when this entry may use its part of the slack: it does not know
+	// what was repeated in the window before its start, nor at first how many
+	// entries share the slack.
+	slackFrom time.Time
 	// overloads holds the overloads under way by pool.
 	overloads map[string]*overload
 	// queued receives a value when a request begins to wait.
@@ -278,7 +282,7 @@
 
 func (g *gate) budget(pool string) *dispatch.WindowBudget {
 	if g.budgets[pool] == nil {
-		g.budgets[pool] = dispatch.NewWindowBudget(g.retries.window, g.retries.ratio, g.retries.slack/float64(g.entries))
+		g.budgets[pool] = dispatch.NewWindowBudget(g.retries.window, g.retries.ratio, g.slack(clock.Now()))
 	}
 	return g.budgets[pool]
 }
@@ -313,12 +317,23 @@
 	return g.fleet.OwnLoad(id)
 }
 
-// setRetries replaces the bounds on repeated attempts.
+// slack returns this entry's part of the fixed repeats. The caller holds mu.
+func (g *gate) slack(now time.Time) float64 {
+	if now.Before(g.slackFrom) {
+		return 0
+	}
+	return g.retries.slack / float64(g.entries)
+}
+
+// setRetries replaces the bounds on repeated attempts. What was repeated stays
+// counted when they are the same.
 func (g *gate) setRetries(retries retryLimits) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.retries = retries
-	clear(g.budgets)
+	if retries != g.retries {
+		g.retries = retries
+		clear(g.budgets)
+	}
 }
 
 // setEntries records how many entries share the retry budget.
@@ -326,8 +341,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.entries = count
+	slack := g.slack(clock.Now())
 	for _, budget := range g.budgets {
-		budget.SetSlack(g.retries.slack / float64(count))
+		budget.SetSlack(slack)
 	}
 }
 
--- /dev/null
+++ b/internal/relay/gate_test.go
@@ -0,0 +1,32 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/internal/clock"
+	"plantainrelay/internal/placement"
+)
+
+// TestStartingEntryHasNoSlack answers the pattern of many entries that start at the
+// same moment: none knows what was repeated before, nor how many share the slack.
+func TestStartingEntryHasNoSlack(t *testing.T) {
+	c := qt.New(t)
+	limits := retryLimits{window: 10 * time.Second, ratio: 0.2, slack: 150}
+	g := newGate(placement.New(placement.Config{}), limits)
+	g.slackFrom = clock.Now().Add(limits.window)
+	c.Assert(g.mayRepeat("p"), qt.IsFalse)
+	for range 10 {
+		g.requested("p")
+	}
+	c.Assert(g.mayRepeat("p") && g.mayRepeat("p"), qt.IsTrue, qt.Commentf("its own requests count"))
+	c.Assert(g.mayRepeat("p"), qt.IsFalse)
+	g.setRetries(limits)
+	c.Assert(g.mayRepeat("p"), qt.IsFalse, qt.Commentf("a reload without a change forgets nothing"))
+	g.slackFrom = clock.Now()
+	g.setEntries(150)
+	c.Assert(g.mayRepeat("p"), qt.IsTrue, qt.Commentf("its part of the slack"))
+	c.Assert(g.mayRepeat("p"), qt.IsFalse)
+}
