--- a/internal/relay/gate_test.go
+++ b/internal/relay/gate_test.go
@@ -21,7 +21,9 @@
 	for range 10 {
 		g.requested("p")
 	}
-	c.Assert(g.mayRepeat("p") && g.mayRepeat("p"), qt.IsTrue, qt.Commentf("its own requests count"))
+	for range 2 {
+		c.Assert(g.mayRepeat("p"), qt.IsTrue, qt.Commentf("its own requests count"))
+	}
 	c.Assert(g.mayRepeat("p"), qt.IsFalse)
 	g.setRetries(limits)
 	c.Assert(g.mayRepeat("p"), qt.IsFalse, qt.Commentf("a reload without a change forgets nothing"))
