--- a/test/soak/fleet/check.go
+++ b/test/soak/fleet/check.go
@@ -30,6 +30,11 @@
 	for _, call := range h.Calls {
 		c.call(call)
 	}
+	for _, stop := range h.Overdue {
+		if !c.stalled(stop.From, stop.To) {
+			c.broken("LOST", "%s did not stop within its time", stop.Target)
+		}
+	}
 	c.recovery()
 	return c.problems
 }
@@ -57,6 +62,13 @@
 	return true
 }
 
+// stalled reports whether the machine was short of processor time.
+func (c *check) stalled(from, to time.Time) bool {
+	return slices.ContainsFunc(c.history.Windows, func(window Window) bool {
+		return window.Kind == stallKind && window.From.Before(to) && from.Before(window.To)
+	})
+}
+
 // started reports whether the entry has started within the stable time before.
 func (c *check) started(entry string, at time.Time) bool {
 	return slices.ContainsFunc(c.history.starts[entry], func(start time.Time) bool {
--- a/test/soak/fleet/check_test.go
+++ b/test/soak/fleet/check_test.go
@@ -70,6 +70,9 @@
 		h.Calls[1].Outcome = Failed
 		h.noteStop(Window{Target: "entry-a1", From: checkEpoch.Add(500 * time.Millisecond), To: checkEpoch.Add(5 * time.Second)})
 	}},
+	{"an entry does not stop", "LOST", func(h *History) {
+		h.Overdue = append(h.Overdue, Window{Target: "entry-a1", From: checkEpoch, To: checkEpoch.Add(graceTime)})
+	}},
 	{"nothing is served after the faults", "RECOVER", func(h *History) { h.Calls[1].Outcome, h.Calls[2].Outcome = Failed, Failed }},
 	{"a process that ended", "EXIT", func(h *History) { h.noteProblem("EXIT", "entry-a1") }},
 }
--- a/test/soak/fleet/fleet.go
+++ b/test/soak/fleet/fleet.go
@@ -42,6 +42,12 @@
 	faultInterval = 2200 * time.Millisecond
 	settleTime    = 8 * time.Second
 	calmTime      = 4 * time.Second
+	// calmTries bounds how often the calm time begins anew after a stall.
+	calmTries = 4
+	// stallTick is the time between two looks at the clock; a look that is later than
+	// stallLimit shows that the whole machine was short of processor time.
+	stallTick  = 50 * time.Millisecond
+	stallLimit = 700 * time.Millisecond
 )
 
 // run is one soak run.
@@ -86,11 +92,17 @@
 	var load sync.WaitGroup
 	load.Go(func() { callers.run(ctx) })
 	load.Go(func() { r.heartbeats(ctx) })
+	load.Go(func() { r.watchStalls(ctx) })
 	r.inject()
 	r.logf("faults are over")
-	time.Sleep(settleTime)
-	r.history.CalmFrom = time.Now()
-	time.Sleep(calmTime)
+	for range calmTries {
+		time.Sleep(settleTime)
+		r.history.CalmFrom = time.Now()
+		time.Sleep(calmTime)
+		if !r.history.stalledSince(r.history.CalmFrom.Add(-settleTime)) {
+			break
+		}
+	}
 	cancel()
 	load.Wait()
 	r.checkAlive()
@@ -146,6 +158,21 @@
 	}
 }
 
+// watchStalls records the times in which this process itself was not run, as when
+// the machine has too much else to do: bounds in time mean nothing then.
+func (r *run) watchStalls(ctx context.Context) {
+	last := time.Now()
+	for ctx.Err() == nil {
+		time.Sleep(stallTick)
+		now := time.Now()
+		if now.Sub(last) > stallLimit {
+			r.logf("the machine stalled for %s", now.Sub(last).Round(time.Millisecond))
+			r.history.noteStall(last, now)
+		}
+		last = now
+	}
+}
+
 // checkAlive notes the processes that have ended by themselves.
 func (r *run) checkAlive() {
 	r.mu.Lock()
