--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -208,7 +208,13 @@
 		return data, nil
 	}
 	key := "chunk " + args.Model + " " + strconv.FormatInt(args.Version, 10) + " " + strconv.Itoa(args.Chunk)
-	data, err, _ := d.flights.Do(key, func() (any, error) { return d.fetchChunk(args) })
+	data, err, _ := d.flights.Do(key, func() (any, error) {
+		// An earlier flight may have ended after the look above.
+		if data, held := d.chunks.Get(args); held {
+			return data, nil
+		}
+		return d.fetchChunk(args)
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/depot/depot_test.go
+++ b/internal/depot/depot_test.go
@@ -86,6 +86,8 @@
 		}
 		return data
 	})
+	// A newer version is known, so that nothing is fetched ahead beside the question.
+	d.newest["m"] = args(0).Version + 1
 	var reply ChunkReply
 	c.Assert(d.Chunk(args(0), &reply), qt.IsNotNil)
 	c.Assert(reply.Data, qt.HasLen, 0)
