--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -226,7 +226,7 @@
 	if len(upstream.Drawers) == 0 {
 		return d.config.Host
 	}
-	drawers := member.Rank("drawers", slices.Clone(upstream.Drawers))
+	drawers := member.Rank("drawers", upstream.Drawers)
 	return member.Rank(key, drawers[:min(maxDrawers, len(drawers))])[0]
 }
 
@@ -269,14 +269,15 @@
 	began := clock.Now()
 	for {
 		data, err := d.tryChunk(args)
-		if err == nil || failure.Is(err, failure.Invalid) || failure.Is(err, failure.NotFound) || clock.Now().Sub(began) > d.patience()-retryPause {
+		if err == nil || failure.Is(err, failure.Invalid) || failure.Is(err, failure.NotFound) || clock.Now().Sub(began) > d.tryFor()-retryPause {
 			return data, err
 		}
 		time.Sleep(retryPause)
 	}
 }
 
-func (d *Depot) patience() time.Duration {
+// tryFor returns how long a chunk is tried for now.
+func (d *Depot) tryFor() time.Duration {
 	if d.lost.Load() {
 		return lostPatience
 	}
--- a/internal/gateway/states.go
+++ b/internal/gateway/states.go
@@ -15,6 +15,7 @@
 	"plantainrelay/internal/membership"
 	"plantainrelay/internal/message"
 	"plantainrelay/internal/peer"
+	"plantainrelay/internal/ring"
 	"plantainrelay/internal/table"
 )
 
@@ -272,21 +273,13 @@
 	s.beat(instance.Name)
 	delete(s.distrusted, instance.Name)
 	if last, known := s.agents[instance.Name]; !known || last.Standing() != reply.Standing() {
-		wake(s.stirred)
+		ring.Wake(s.stirred)
 	}
 	s.agents[instance.Name] = agentState{StateReply: reply, instance: instance, at: time.Now(), own: s.inFlight[instance.Name]}
-	wake(s.changed)
+	ring.Wake(s.changed)
 	return true
 }
 
-// wake leaves a value in a channel that has room for one.
-func wake(waiting chan struct{}) {
-	select {
-	case waiting <- struct{}{}:
-	default:
-	}
-}
-
 // forget drops agents that the list no longer names.
 func (s *States) forget() {
 	list := s.members.Current()
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -24,6 +24,7 @@
 	"plantainrelay/internal/depot"
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/peer"
+	"plantainrelay/internal/ring"
 	"plantainrelay/internal/rollout"
 	"plantainrelay/internal/swarm"
 	"plantainrelay/platform"
@@ -306,12 +307,7 @@
 }
 
 // notify sends the next message at once.
-func (a *agent) notify() {
-	select {
-	case a.changed <- struct{}{}:
-	default:
-	}
-}
+func (a *agent) notify() { ring.Wake(a.changed) }
 
 // beats tells entries and neighbors of the engine.
 func (a *agent) beats(ctx context.Context) {
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -13,6 +13,7 @@
 	"plantainrelay/internal/copies"
 	"plantainrelay/internal/peers"
 	"plantainrelay/internal/placement"
+	"plantainrelay/internal/ring"
 	"plantainrelay/platform"
 )
 
@@ -112,15 +113,7 @@
 	default:
 	}
 	if begun {
-		wake(h.placed)
-	}
-}
-
-// wake leaves a value in a channel that has room for one.
-func wake(waiting chan struct{}) {
-	select {
-	case waiting <- struct{}{}:
-	default:
+		ring.Wake(h.placed)
 	}
 }
 
@@ -141,7 +134,7 @@
 }
 
 // wake sends the next message at once.
-func (h *heart) wake() { wake(h.news) }
+func (h *heart) wake() { ring.Wake(h.news) }
 
 func (h *heart) send(agents bool) {
 	now := clock.Now()
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -10,6 +10,7 @@
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/dispatch"
 	"plantainrelay/internal/placement"
+	"plantainrelay/internal/ring"
 )
 
 const (
@@ -100,7 +101,7 @@
 	waits := g.tickets[t.ID] != nil
 	g.mu.Unlock()
 	if waits {
-		wake(g.queued)
+		ring.Wake(g.queued)
 	}
 	return g.await(ctx, t)
 }
