--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -24,6 +24,11 @@
 	// answerSlack is how long an answer of the store may take beyond the time
 	// that the watch waits; the store answers in milliseconds.
 	answerSlack = 700 * time.Millisecond
+	// oldProof is the age of a proof beyond which its renewal by a peer is logged:
+	// more than any wait between two reads of the store.
+	oldProof = 4 * time.Second
+	// storeSource names the store as the source of news.
+	storeSource = "store"
 	// proofWait is the shortest watch, made only to prove that a copy is current.
 	proofWait = time.Millisecond
 )
@@ -55,6 +60,8 @@
 type copyOf struct {
 	replica  *replica.Replica
 	failedAt time.Time
+	// reading says why this process reads the store, empty while it does not.
+	reading string
 }
 
 // Copies holds the copies of one process. It is safe for concurrent use.
@@ -122,21 +129,29 @@
 	return held.replica.Since(revision), clock.Now().Sub(held.replica.Proof()), true
 }
 
-// Take takes in news that a peer has passed on; age is that of its proof.
-func (c *Copies) Take(kind platform.Kind, change replica.Change, proof time.Time) {
-	c.apply(kind, change, proof)
+// Take takes in news that a peer has passed on, with the time of their proof.
+func (c *Copies) Take(kind platform.Kind, change replica.Change, proof time.Time, peer string) {
+	c.apply(kind, change, proof, peer)
 }
 
 // Heard takes in a peer's standing. It reports whether the peer has news.
-func (c *Copies) Heard(kind platform.Kind, standing Standing, now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	held := c.copies[kind].replica
+func (c *Copies) Heard(kind platform.Kind, standing Standing, now time.Time, peer string) bool {
 	if !standing.Known {
 		return false
 	}
+	c.mu.Lock()
+	held := c.copies[kind].replica
+	last := held.Proof()
 	held.Prove(standing.Content, now.Add(-standing.Age))
-	return !held.Known() || standing.Content > held.Content()
+	next, known, content := held.Proof(), held.Known(), held.Content()
+	c.mu.Unlock()
+	if known && now.Sub(last) > oldProof && next.After(last) {
+		c.log.WithFields(logrus.Fields{
+			"collection": string(kind), "peer": peer, "content": content, "told_age_ms": standing.Age.Milliseconds(),
+			"last_proof_age_ms": now.Sub(last).Milliseconds(), "proof_age_ms": now.Sub(next).Milliseconds(),
+		}).Info("a peer renewed an old proof")
+	}
+	return !known || standing.Content > content
 }
 
 // AsOf returns the store's revision up to which a copy is complete.
@@ -146,14 +161,20 @@
 	return c.copies[kind].replica.AsOf()
 }
 
-func (c *Copies) apply(kind platform.Kind, change replica.Change, proof time.Time) {
+// apply takes in news from source, a peer or the store.
+func (c *Copies) apply(kind platform.Kind, change replica.Change, proof time.Time, source string) {
 	c.mu.Lock()
 	held := c.copies[kind]
 	known := held.replica.Known()
 	documents := held.replica.Apply(change, proof)
 	news := len(documents) > 0 || (!known && held.replica.Known())
+	fields := logrus.Fields{
+		"collection": string(kind), "source": source, "as_of": change.AsOf, "content": held.replica.Content(),
+		"changes": len(documents), "proof_age_ms": clock.Now().Sub(proof).Milliseconds(),
+	}
 	c.mu.Unlock()
 	if news {
+		c.log.WithFields(fields).Info("news of a collection")
 		c.changed(kind)
 	}
 }
@@ -161,7 +182,9 @@
 func (c *Copies) follow(ctx context.Context, kind platform.Kind) {
 	pause := minPause
 	for ctx.Err() == nil {
-		if !c.due(kind) {
+		reason := c.reason(kind)
+		c.noteReading(kind, reason)
+		if reason == "" {
 			sleep(ctx, c.plans[kind].Look)
 			continue
 		}
@@ -183,13 +206,43 @@
 	}
 }
 
-// due reports whether this process reads the store now.
-func (c *Copies) due(kind platform.Kind) bool {
+// The reasons for reading the store.
+const (
+	nothingKnown = "nothing known"
+	duty         = "duty"
+	oldCopy      = "old copy"
+)
+
+// reason returns why this process reads the store now, "" when it does not.
+func (c *Copies) reason(kind platform.Kind) string {
 	standing, plan := c.Standing(kind), c.plans[kind]
-	if !standing.Known && clock.Now().Sub(c.started) < plan.FirstNews {
-		return false
+	switch {
+	case !standing.Known && clock.Now().Sub(c.started) < plan.FirstNews:
+		return ""
+	case !standing.Known:
+		return nothingKnown
+	case c.watches(kind):
+		return duty
+	case standing.Age > plan.MaxAge:
+		return oldCopy
+	}
+	return ""
+}
+
+// noteReading logs when a process begins or ceases to read the store.
+func (c *Copies) noteReading(kind platform.Kind, reason string) {
+	c.mu.Lock()
+	held := c.copies[kind]
+	last := held.reading
+	held.reading = reason
+	fields := logrus.Fields{
+		"collection": string(kind), "reason": reason, "last_reason": last, "content": held.replica.Content(),
+		"proof_age_ms": clock.Now().Sub(held.replica.Proof()).Milliseconds(),
+	}
+	c.mu.Unlock()
+	if reason != last {
+		c.log.WithFields(fields).Info("reading the store has begun, changed or ended")
 	}
-	return !standing.Known || standing.Age > plan.MaxAge || c.watches(kind)
 }
 
 // read makes one call of the store and takes in the result.
@@ -208,7 +261,7 @@
 	if known {
 		change, err := c.store.Watch(ctx, kind, from, wait)
 		if err == nil {
-			c.apply(kind, change, proof)
+			c.apply(kind, change, proof, storeSource)
 			return len(change.Documents) > 0, nil
 		}
 		if !failure.Is(err, failure.NotFound) {
@@ -220,7 +273,7 @@
 	if err != nil {
 		return false, err
 	}
-	c.apply(kind, change, proof)
+	c.apply(kind, change, proof, storeSource)
 	return true, nil
 }
 
--- a/internal/copies/pull.go
+++ b/internal/copies/pull.go
@@ -93,7 +93,7 @@
 		}
 		kind := platform.Kinds[i]
 		heard := Standing{Known: standing.Known, Content: standing.Content, Age: time.Duration(standing.AgeMs) * time.Millisecond}
-		if p.copies.Heard(kind, heard, now) && p.mayPull(kind, now) {
+		if p.copies.Heard(kind, heard, now, m.Host) && p.mayPull(kind, now) {
 			p.pull(ctx, kind, m.Host)
 		}
 	}
@@ -125,7 +125,7 @@
 			p.log.WithError(err).WithFields(logrus.Fields{"peer": host, "collection": string(kind)}).Warning("news could not be taken from a peer")
 			return
 		}
-		p.copies.Take(kind, reply.Change, asked.Add(-reply.Age))
+		p.copies.Take(kind, reply.Change, asked.Add(-reply.Age), host)
 		p.mu.Lock()
 		p.pulled[kind] = asked
 		p.mu.Unlock()
--- a/internal/copies/pull_test.go
+++ b/internal/copies/pull_test.go
@@ -49,7 +49,7 @@
 	none := func(platform.Kind) bool { return false }
 	from := New(nil, nil, testLog(), none, func(platform.Kind) {})
 	document := replica.Document{Name: "main", Revision: 7, Body: []byte("{}")}
-	from.Take(platform.Tables, replica.Change{Whole: true, AsOf: 9, Documents: []replica.Document{document}}, clock.Now().Add(-time.Second))
+	from.Take(platform.Tables, replica.Change{Whole: true, AsOf: 9, Documents: []replica.Document{document}}, clock.Now().Add(-time.Second), "peer")
 	server := peer.NewServer(peer.Security{}, testLog())
 	c.Assert(server.Register(ServiceName, NewService(from)), qt.IsNil)
 	port := freePort(c)
@@ -62,7 +62,7 @@
 	c.Assert(to.Documents(platform.Tables)["main"].Revision, qt.Equals, int64(7))
 	age := to.Standing(platform.Tables).Age
 	c.Assert(age >= time.Second && age < time.Minute, qt.IsTrue, qt.Commentf("%s", age))
-	c.Assert(to.Heard(platform.Tables, Standing{Known: true, Content: 7}, clock.Now()), qt.IsFalse)
-	c.Assert(to.Heard(platform.Tables, Standing{Known: true, Content: 8}, clock.Now()), qt.IsTrue)
+	c.Assert(to.Heard(platform.Tables, Standing{Known: true, Content: 7}, clock.Now(), "peer"), qt.IsFalse)
+	c.Assert(to.Heard(platform.Tables, Standing{Known: true, Content: 8}, clock.Now(), "peer"), qt.IsTrue)
 	c.Assert(to.Standing(platform.Tables).Age < age, qt.IsTrue, qt.Commentf("a peer with the same content proves it"))
 }
--- a/internal/relay/front_test.go
+++ b/internal/relay/front_test.go
@@ -50,7 +50,7 @@
 	v := newView(held, time.Minute, time.Second, entry)
 	v.copies = copies.New(nil, nil, entry, func(platform.Kind) bool { return false }, v.changed)
 	table := replica.Document{Name: platform.TableName, Revision: 1, Body: []byte(tableVersion)}
-	v.copies.Take(platform.Tables, replica.Change{Whole: true, AsOf: 1, Documents: []replica.Document{table}}, clock.Now())
+	v.copies.Take(platform.Tables, replica.Change{Whole: true, AsOf: 1, Documents: []replica.Document{table}}, clock.Now(), "peer")
 	var listed []replica.Document
 	for i, handler := range handlers {
 		instance := httptest.NewServer(handler)
@@ -58,7 +58,7 @@
 		body := fmt.Sprintf(`{"Service":"s","Address":%q,"State":"ready","Slots":4,"born":1}`, strings.TrimPrefix(instance.URL, "http://"))
 		listed = append(listed, replica.Document{Name: fmt.Sprintf("i-%d", i), Revision: 1, Body: []byte(body)})
 	}
-	v.copies.Take(platform.Backends, replica.Change{Whole: true, AsOf: 1, Documents: listed}, clock.Now())
+	v.copies.Take(platform.Backends, replica.Change{Whole: true, AsOf: 1, Documents: listed}, clock.Now(), "peer")
 	f := &front{view: v, gate: held, sender: newSender(), log: entry, metrics: newFrontMetrics(metrics.New())}
 	f.revoke.Store(int64(5 * time.Second))
 	server := httptest.NewServer(f)
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -77,7 +77,9 @@
 		return
 	}
 	v.table.Store(table)
-	v.log.WithFields(logrus.Fields{"version": table.Version, "revision": document.Revision}).Info("tables in force")
+	v.log.WithFields(logrus.Fields{
+		"version": table.Version, "revision": document.Revision, "proof_age_ms": v.proofAge().Milliseconds(),
+	}).Info("tables in force")
 }
 
 func (v *view) decodeBackends() {
