--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -12,42 +12,33 @@
 	"github.com/sirupsen/logrus"
 
 	"plantainrelay/internal/clock"
+	"plantainrelay/internal/duty"
 	"plantainrelay/internal/failure"
 	"plantainrelay/internal/replica"
 	"plantainrelay/platform"
 )
 
 const (
-	// minPause and maxPause bound the wait after a failed read of the store.
-	minPause = 150 * time.Millisecond
-	maxPause = 900 * time.Millisecond
 	// answerSlack is how long an answer of the store may take beyond the time
 	// that the watch waits; the store answers in milliseconds.
 	answerSlack = 700 * time.Millisecond
+	// pauseLook is the time between two looks at whether a pause is over.
+	pauseLook = 50 * time.Millisecond
 	// oldProof is the age of a proof beyond which its renewal by a peer is logged:
 	// more than any wait between two reads of the store.
 	oldProof = 4 * time.Second
 	// storeSource names the store as the source of news.
 	storeSource = "store"
-	// proofWait is the shortest watch, made only to prove that a copy is current.
-	proofWait = time.Millisecond
 )
 
 // Plan says how one collection is kept current.
 type Plan struct {
+	duty.Plan
 	// Look is the time between two looks at the age of the copy.
 	Look time.Duration
-	// Wait is how long a watch of the store waits for news.
-	Wait time.Duration
-	// MaxAge is the age of the proof beyond which this process reads the store
-	// itself, whoever's duty it is.
-	MaxAge time.Duration
 	// Gather is the pause after news, in which more of a burst arrives: each watch
 	// that returns is a call.
 	Gather time.Duration
-	// FirstNews is how long a starting process waits for a peer's news before it
-	// reads the store itself.
-	FirstNews time.Duration
 }
 
 // Standing is a collection's state as told to peers.
@@ -60,8 +51,9 @@
 type copyOf struct {
 	replica  *replica.Replica
 	failedAt time.Time
-	// reading says why this process reads the store, empty while it does not.
-	reading string
+	reader   *duty.Reader
+	// reading says why this process reads the store.
+	reading duty.Reason
 }
 
 // Copies holds the copies of one process. It is safe for concurrent use.
@@ -74,18 +66,15 @@
 	// changed is called, one call at a time for each collection, after news.
 	changed func(platform.Kind)
 
-	// started is when this process began.
-	started time.Time
-
 	mu     sync.Mutex
 	copies map[platform.Kind]*copyOf
 }
 
 // New returns copies that know nothing.
 func New(store *platform.Store, plans map[platform.Kind]Plan, log *logrus.Entry, watches func(platform.Kind) bool, changed func(platform.Kind)) *Copies {
-	c := &Copies{store: store, plans: plans, log: log, watches: watches, changed: changed, started: clock.Now(), copies: map[platform.Kind]*copyOf{}}
+	c := &Copies{store: store, plans: plans, log: log, watches: watches, changed: changed, copies: map[platform.Kind]*copyOf{}}
 	for _, kind := range platform.Kinds {
-		c.copies[kind] = &copyOf{replica: replica.New()}
+		c.copies[kind] = &copyOf{replica: replica.New(), reader: duty.NewReader(plans[kind].Plan, clock.Now())}
 	}
 	return c
 }
@@ -180,57 +169,42 @@
 }
 
 func (c *Copies) follow(ctx context.Context, kind platform.Kind) {
-	pause := minPause
 	for ctx.Err() == nil {
-		reason := c.reason(kind)
+		reason, wait := c.next(kind)
+		if reason == duty.Pausing {
+			sleep(ctx, pauseLook)
+			continue
+		}
 		c.noteReading(kind, reason)
-		if reason == "" {
+		if reason == duty.None {
 			sleep(ctx, c.plans[kind].Look)
 			continue
 		}
-		news, err := c.read(ctx, kind)
-		if ctx.Err() != nil {
+		news, err := c.read(ctx, kind, wait)
+		switch {
+		case ctx.Err() != nil:
 			return
-		}
-		if err == nil {
+		case err != nil:
+			c.failed(kind, err)
+		case news:
+			c.succeeded(kind)
+			sleep(ctx, c.plans[kind].Gather)
+		default:
 			c.succeeded(kind)
-			pause = minPause
-			if news {
-				sleep(ctx, c.plans[kind].Gather)
-			}
-			continue
 		}
-		c.failed(kind, err)
-		sleep(ctx, pause/2+rand.N(pause))
-		pause = min(2*pause, maxPause)
 	}
 }
 
-// The reasons for reading the store.
-const (
-	nothingKnown = "nothing known"
-	duty         = "duty"
-	oldCopy      = "old copy"
-)
-
-// reason returns why this process reads the store now, "" when it does not.
-func (c *Copies) reason(kind platform.Kind) string {
-	standing, plan := c.Standing(kind), c.plans[kind]
-	switch {
-	case !standing.Known && clock.Now().Sub(c.started) < plan.FirstNews:
-		return ""
-	case !standing.Known:
-		return nothingKnown
-	case c.watches(kind):
-		return duty
-	case standing.Age > plan.MaxAge:
-		return oldCopy
-	}
-	return ""
+// next asks whether this process reads the store now.
+func (c *Copies) next(kind platform.Kind) (duty.Reason, time.Duration) {
+	onDuty, standing := c.watches(kind), c.Standing(kind)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.copies[kind].reader.Next(duty.Copy{Known: standing.Known, Age: standing.Age}, onDuty, clock.Now())
 }
 
 // noteReading logs when a process begins or ceases to read the store.
-func (c *Copies) noteReading(kind platform.Kind, reason string) {
+func (c *Copies) noteReading(kind platform.Kind, reason duty.Reason) {
 	c.mu.Lock()
 	held := c.copies[kind]
 	last := held.reading
@@ -246,15 +220,11 @@
 }
 
 // read makes one call of the store and takes in the result.
-func (c *Copies) read(ctx context.Context, kind platform.Kind) (news bool, err error) {
+func (c *Copies) read(ctx context.Context, kind platform.Kind, wait time.Duration) (news bool, err error) {
 	c.mu.Lock()
 	held := c.copies[kind].replica
 	known, from := held.Known(), held.AsOf()
 	c.mu.Unlock()
-	wait := proofWait
-	if c.watches(kind) {
-		wait = c.plans[kind].Wait
-	}
 	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
 	proof := clock.Now()
@@ -279,8 +249,10 @@
 
 func (c *Copies) failed(kind platform.Kind, err error) {
 	c.mu.Lock()
-	first := c.copies[kind].failedAt.IsZero()
-	c.copies[kind].failedAt = clock.Now()
+	held, now := c.copies[kind], clock.Now()
+	held.reader.Failed(now, rand.Float64())
+	first := held.failedAt.IsZero()
+	held.failedAt = now
 	c.mu.Unlock()
 	if first {
 		c.log.WithError(err).WithField("collection", string(kind)).Warning("the store was lost")
@@ -289,8 +261,10 @@
 
 func (c *Copies) succeeded(kind platform.Kind) {
 	c.mu.Lock()
-	failedAt := c.copies[kind].failedAt
-	c.copies[kind].failedAt = time.Time{}
+	held := c.copies[kind]
+	held.reader.Succeeded()
+	failedAt := held.failedAt
+	held.failedAt = time.Time{}
 	c.mu.Unlock()
 	if !failedAt.IsZero() {
 		c.log.WithField("collection", string(kind)).Info("the store was regained")
--- /dev/null
+++ b/internal/duty/fleet_test.go
@@ -0,0 +1,300 @@
+package duty_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/internal/duty"
+	"plantainrelay/internal/peers"
+	"plantainrelay/internal/replica"
+)
+
+// The simulated fleet runs in steps of virtual time. Messages, pulls and the store
+// take a few milliseconds, as between availability zones.
+const (
+	step         = 10 * time.Millisecond
+	beatInterval = 200 * time.Millisecond
+	messageTime  = 10 * time.Millisecond
+	pullTime     = 30 * time.Millisecond
+	storeTime    = 10 * time.Millisecond
+	answerSlack  = 700 * time.Millisecond
+	gather       = 100 * time.Millisecond
+	look         = 100 * time.Millisecond
+	collection   = "tables"
+)
+
+// refusal is how the store turns a machine away.
+type refusal string
+
+const (
+	silent refusal = "silent"
+	busy   refusal = "busy"
+)
+
+type node struct {
+	entry   peers.Entry
+	peers   *peers.Directory
+	copy    *replica.Replica
+	reader  *duty.Reader
+	call    *call
+	resting time.Time
+	pulling bool
+	told    time.Time
+	looked  time.Time
+	wake    bool
+	// inForce is when the node first held a revision.
+	inForce map[int64]time.Time
+}
+
+// call is a call of the store in progress.
+type call struct {
+	began, ends time.Time
+	wait        time.Duration
+	refused     refusal
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+// fleet simulates entries that read one collection of the store and pass it on.
+type fleet struct {
+	now      time.Time
+	random   *rand.Rand
+	nodes    []*node
+	events   []event
+	revision int64
+	refused  map[string]refusal
+	calls    int
+}
+
+func newFleet(seed uint64, plan duty.Plan, zones ...int) *fleet {
+	f := &fleet{now: time.Unix(1_000, 0), random: rand.New(rand.NewPCG(seed, 1)), revision: 1, refused: map[string]refusal{}}
+	config := peers.Config{
+		LiveFor: 900 * time.Millisecond, FarLiveFor: 2500 * time.Millisecond, Often: 16, ForgetAfter: time.Minute, ProbeFor: time.Minute, ProbeInterval: time.Second,
+	}
+	for zone, count := range zones {
+		for i := range count {
+			entry := peers.Entry{Host: fmt.Sprintf("10.%d.0.%d", zone, i), AvailabilityZone: fmt.Sprint(zone), Start: 1, Ready: true}
+			f.nodes = append(f.nodes, &node{
+				entry: entry, peers: peers.New(config, entry, []string{"10.0.0.0", "10.1.0.0"}, f.now), copy: replica.New(),
+				reader: duty.NewReader(plan, f.now), told: f.now.Add(-f.upTo(beatInterval)), inForce: map[int64]time.Time{},
+			})
+		}
+	}
+	for _, to := range f.nodes {
+		for _, from := range f.nodes {
+			to.peers.Heard(from.entry, f.now)
+		}
+	}
+	return f
+}
+
+// upTo returns a random time below most.
+func (f *fleet) upTo(most time.Duration) time.Duration {
+	return time.Duration(f.random.Int64N(int64(most)))
+}
+
+func (f *fleet) after(wait time.Duration, do func()) {
+	f.events = append(f.events, event{at: f.now.Add(wait), do: do})
+}
+
+func (f *fleet) run(until time.Time) {
+	for f.now.Before(until) {
+		f.now = f.now.Add(step)
+		var due []event
+		f.events = slices.DeleteFunc(f.events, func(e event) bool {
+			if e.at.After(f.now) {
+				return false
+			}
+			due = append(due, e)
+			return true
+		})
+		for _, e := range due {
+			e.do()
+		}
+		for _, n := range f.nodes {
+			f.read(n)
+			f.tell(n)
+		}
+	}
+}
+
+// read goes on with the node's call of the store, or begins one.
+func (f *fleet) read(n *node) {
+	if n.call != nil {
+		f.finish(n)
+		return
+	}
+	if f.now.Sub(n.looked) < look || f.now.Before(n.resting) {
+		return
+	}
+	n.looked = f.now
+	held := duty.Copy{Known: n.copy.Known(), Age: f.now.Sub(n.copy.Proof())}
+	reason, wait := n.reader.Next(held, n.peers.Watches(collection, f.now), f.now)
+	if reason == duty.None || reason == duty.Pausing {
+		return
+	}
+	n.looked = time.Time{}
+	f.calls++
+	n.call = &call{began: f.now, wait: wait, refused: f.refused[n.entry.Host]}
+	switch n.call.refused {
+	case silent:
+		n.call.ends = f.now.Add(wait + answerSlack)
+	case busy:
+		n.call.ends = f.now.Add(storeTime)
+	default:
+		n.call.ends = f.now.Add(wait + storeTime)
+	}
+}
+
+func (f *fleet) finish(n *node) {
+	news := f.revision > n.copy.AsOf()
+	answered := n.call.refused == "" && f.refused[n.entry.Host] != silent
+	if f.now.Before(n.call.ends) && (!answered || !news || f.now.Before(n.call.began.Add(storeTime))) {
+		return
+	}
+	ended := n.call
+	n.call = nil
+	if !answered {
+		n.reader.Failed(f.now, f.random.Float64())
+		return
+	}
+	n.reader.Succeeded()
+	f.take(n, f.change(), ended.began)
+	if news {
+		n.resting = f.now.Add(gather)
+	}
+}
+
+func (f *fleet) change() replica.Change {
+	document := replica.Document{Name: "main", Revision: f.revision}
+	return replica.Change{Whole: true, AsOf: f.revision, Documents: []replica.Document{document}}
+}
+
+func (f *fleet) take(n *node, change replica.Change, proof time.Time) {
+	if len(n.copy.Apply(change, proof)) > 0 {
+		n.inForce[n.copy.Content()] = f.now
+		n.wake = true
+	}
+}
+
+// tell sends the node's message, at regular times and when it has news.
+func (f *fleet) tell(n *node) {
+	if f.now.Sub(n.told) < beatInterval && !n.wake {
+		return
+	}
+	n.told, n.wake = f.now, false
+	n.entry.Sequence++
+	said, content, proof, known := n.entry, n.copy.Content(), n.copy.Proof(), n.copy.Known()
+	targets := n.peers.Targets(f.now)
+	for _, to := range f.nodes {
+		if slices.Contains(targets, to.entry.Host) {
+			f.after(messageTime, func() { f.heard(to, n, said, content, proof, known) })
+		}
+	}
+}
+
+func (f *fleet) heard(to, from *node, said peers.Entry, content int64, proof time.Time, known bool) {
+	if current, _ := to.peers.Heard(said, f.now); !current || !known {
+		return
+	}
+	to.copy.Prove(content, proof)
+	if content <= to.copy.Content() && to.copy.Known() || to.pulling {
+		return
+	}
+	to.pulling = true
+	change, proven := replica.Change{Whole: true, AsOf: from.copy.AsOf()}, from.copy.Proof()
+	change.Documents = append(change.Documents, replica.Document{Name: "main", Revision: content})
+	f.after(pullTime, func() {
+		to.pulling = false
+		f.take(to, change, proven)
+	})
+}
+
+// watchers returns the nodes that have the duty now, one in each availability zone.
+func (f *fleet) watchers() []string {
+	var hosts []string
+	for _, n := range f.nodes {
+		if n.peers.Watches(collection, f.now) {
+			hosts = append(hosts, n.entry.Host)
+		}
+	}
+	return hosts
+}
+
+// latest returns how long after at the revision was in force everywhere.
+func (f *fleet) latest(revision int64, at time.Time) time.Duration {
+	longest := time.Duration(0)
+	for _, n := range f.nodes {
+		held, found := n.inForce[revision]
+		if !found {
+			return time.Hour
+		}
+		longest = max(longest, held.Sub(at))
+	}
+	return longest
+}
+
+// late plays changes of the tables while the store turns away the entries that have
+// the duty to read it, and returns those that were in force too late.
+func late(seeds uint64, apply time.Duration, how refusal, zones ...int) []string {
+	var failures []string
+	for seed := range seeds {
+		f := newFleet(seed, duty.TablesPlan(apply), zones...)
+		f.run(f.now.Add(5*time.Second + f.upTo(2*time.Second)))
+		for _, host := range f.watchers() {
+			f.refused[host] = how
+		}
+		for change := range 3 {
+			f.run(f.now.Add(f.upTo(3 * time.Second)))
+			f.revision++
+			confirmed := f.now
+			f.run(f.now.Add(apply + 3*time.Second))
+			if took := f.latest(f.revision, confirmed); took > apply {
+				failures = append(failures, fmt.Sprintf("seed %d, change %d: in force after %s", seed, change, took))
+			}
+		}
+	}
+	return failures
+}
+
+// TestChangeIsInForceWhileTheStoreTurnsItsReadersAway guards against the duty to
+// read the store staying with entries that are alive and can't read it.
+func TestChangeIsInForceWhileTheStoreTurnsItsReadersAway(t *testing.T) {
+	for _, how := range []refusal{silent, busy} {
+		for _, fleet := range []struct {
+			seeds uint64
+			apply time.Duration
+			zones []int
+		}{
+			{30, 2 * time.Second, []int{3, 3, 2}},
+			{2, 3 * time.Second, []int{14, 14, 14}},
+		} {
+			failures := late(fleet.seeds, fleet.apply, how, fleet.zones...)
+			qt.Check(t, len(failures), qt.Equals, 0, qt.Commentf("%s, %v: %s", how, fleet.zones, strings.Join(failures[:min(3, len(failures))], "; ")))
+		}
+	}
+}
+
+// TestOneReaderInEachZone: in calm times the calls of the store don't grow with the
+// number of entries.
+func TestOneReaderInEachZone(t *testing.T) {
+	c := qt.New(t)
+	for _, zones := range [][]int{{3, 3, 2}, {14, 14, 14}} {
+		plan := duty.TablesPlan(2 * time.Second)
+		f := newFleet(1, plan, zones...)
+		f.run(f.now.Add(3 * time.Second))
+		before := f.calls
+		const span = 20 * time.Second
+		f.run(f.now.Add(span))
+		c.Assert(float64(f.calls-before) <= 1.1*float64(len(zones))*span.Seconds()/plan.Wait.Seconds(), qt.IsTrue, qt.Commentf("%d calls", f.calls-before))
+	}
+}
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -22,6 +22,7 @@
 	"plantainrelay/internal/copies"
 	"plantainrelay/internal/daemon"
 	"plantainrelay/internal/depot"
+	"plantainrelay/internal/duty"
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/ring"
@@ -69,9 +70,9 @@
 // The ages at which an agent reads the store itself: entries pass news on every
 // few hundred ms, and an agent that hears from none has to read on its own.
 var plans = map[platform.Kind]copies.Plan{
-	platform.Tables:   {Look: lookInterval, MaxAge: 40 * time.Second, FirstNews: firstNews},
-	platform.Backends: {Look: lookInterval, MaxAge: 12 * time.Second, FirstNews: firstNews},
-	platform.Releases: {Look: lookInterval, MaxAge: 9 * time.Second, FirstNews: firstNews},
+	platform.Tables:   {Look: lookInterval, Plan: duty.Plan{MaxAge: 40 * time.Second, FirstNews: firstNews}},
+	platform.Backends: {Look: lookInterval, Plan: duty.Plan{MaxAge: 12 * time.Second, FirstNews: firstNews}},
+	platform.Releases: {Look: lookInterval, Plan: duty.Plan{MaxAge: 9 * time.Second, FirstNews: firstNews}},
 }
 
 // pauses spares an agent's link when the tables change often: it needs their
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -24,6 +24,8 @@
 	Sequence uint64
 	Ready    bool
 	Leaving  bool
+	// Lost says that its reads of the store fail.
+	Lost bool
 }
 
 // Config holds the limits.
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -19,6 +19,7 @@
 	"plantainrelay/internal/copies"
 	"plantainrelay/internal/daemon"
 	"plantainrelay/internal/depot"
+	"plantainrelay/internal/duty"
 	"plantainrelay/internal/failure"
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/metrics"
@@ -70,10 +71,13 @@
 	lookInterval = 100 * time.Millisecond
 )
 
-var plans = map[platform.Kind]copies.Plan{
-	platform.Tables:   {Look: lookInterval, Wait: tablesWait, MaxAge: 2900 * time.Millisecond, Gather: 100 * time.Millisecond},
-	platform.Backends: {Look: lookInterval, Wait: backendsWait, MaxAge: 4 * time.Second, Gather: 350 * time.Millisecond},
-	platform.Releases: {Look: lookInterval, Wait: releasesWait, MaxAge: 8 * time.Second, Gather: 100 * time.Millisecond},
+// newPlans returns how the collections are kept current.
+func newPlans() map[platform.Kind]copies.Plan {
+	return map[platform.Kind]copies.Plan{
+		platform.Tables:   {Plan: duty.Plan{Wait: tablesWait, MaxAge: 2900 * time.Millisecond}, Look: lookInterval, Gather: 100 * time.Millisecond},
+		platform.Backends: {Plan: duty.Plan{Wait: backendsWait, MaxAge: 4 * time.Second}, Look: lookInterval, Gather: 350 * time.Millisecond},
+		platform.Releases: {Plan: duty.Plan{Wait: releasesWait, MaxAge: 8 * time.Second}, Look: lookInterval, Gather: 100 * time.Millisecond},
+	}
 }
 
 // Run runs the entry until it is told to stop.
@@ -155,7 +159,7 @@
 	e.metrics.Gauge("tables_proof_age_seconds", "Age of the proof that the tables are current.", func() float64 { return e.view.proofAge().Seconds() })
 	store := platform.NewStore(s.Store, newStoreTransport())
 	store.Called = func(method string, kind platform.Kind) { counted.store.WithLabelValues(method, string(kind)).Inc() }
-	e.copies = copies.New(store, plans, log, e.heart.watches, func(kind platform.Kind) {
+	e.copies = copies.New(store, newPlans(), log, e.heart.watches, func(kind platform.Kind) {
 		e.view.changed(kind)
 		e.heart.wake()
 	})
--- a/test/imports/imports_test.go
+++ b/test/imports/imports_test.go
@@ -15,7 +15,7 @@
 
 // decisionPackages take events and a passed-in time and return actions.
 var decisionPackages = []string{
-	"admission", "balance", "burn", "catalog", "dispatch", "member", "ownership",
+	"admission", "balance", "burn", "catalog", "dispatch", "duty", "member", "ownership",
 	"peers", "placement", "propagate", "replica", "rollout", "swarm", "table", "usage", "weights",
 }
 
