The duty to read the store passes on from entries that can't read it

Cause: the duty to watch the store went by rank among the entries that are alive; the store turned the three with the duty away for seconds and they kept it. The others read only when the proof was older than 2.9 s. Lines on reads show it: no read of the three ends well from 1.8 on, the others read every 2.9 to 3.1 s with the reason old copy.

Entries tell whether their own reads fail; a call counts as lost 350 ms after its wait, before it is given up. The first by rank of those that can read has the duty, and its first call is short. Waits and ages follow from the bound on changes instead of constants. An entry that lost the store probes it every 2 s.

Ruled out: late relay (all entries within 18 ms), answers without the change (each read that ended well had it).

--- a/internal/beat/message.go
+++ b/internal/beat/message.go
@@ -78,6 +78,8 @@
 	// Hosts names some other entries.
 	Hosts  []string
 	Report *Report
+	// Lost says that an entry's own reads of the store fail.
+	Lost bool
 }
 
 func encode(m *Message) ([]byte, error) {
--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -65,16 +65,41 @@
 	watches func(platform.Kind) bool
 	// changed is called, one call at a time for each collection, after news.
 	changed func(platform.Kind)
+	// lost is called after Lost may have changed.
+	lost func()
 
 	mu     sync.Mutex
 	copies map[platform.Kind]*copyOf
 }
 
+// Config says what copies are kept current with and who is told of them.
+type Config struct {
+	Store *platform.Store
+	Plans map[platform.Kind]Plan
+	Log   *logrus.Entry
+	// Watches reports whether reading a collection is this process's duty; nil when
+	// it never is.
+	Watches func(platform.Kind) bool
+	// Changed is called, one call at a time for each collection, after news.
+	Changed func(platform.Kind)
+	// Lost, when set, is called after the result of Copies.Lost may have changed.
+	Lost func()
+}
+
 // New returns copies that know nothing.
-func New(store *platform.Store, plans map[platform.Kind]Plan, log *logrus.Entry, watches func(platform.Kind) bool, changed func(platform.Kind)) *Copies {
-	c := &Copies{store: store, plans: plans, log: log, watches: watches, changed: changed, copies: map[platform.Kind]*copyOf{}}
+func New(config Config) *Copies {
+	c := &Copies{
+		store: config.Store, plans: config.Plans, log: config.Log, watches: config.Watches, changed: config.Changed, lost: config.Lost,
+		copies: map[platform.Kind]*copyOf{},
+	}
+	if c.watches == nil {
+		c.watches = func(platform.Kind) bool { return false }
+	}
+	if c.lost == nil {
+		c.lost = func() {}
+	}
 	for _, kind := range platform.Kinds {
-		c.copies[kind] = &copyOf{replica: replica.New(), reader: duty.NewReader(plans[kind].Plan, clock.Now())}
+		c.copies[kind] = &copyOf{replica: replica.New(), reader: duty.NewReader(c.plans[kind].Plan, clock.Now())}
 	}
 	return c
 }
@@ -96,6 +121,20 @@
 	return Standing{Known: held.Known(), Content: held.Content(), Age: clock.Now().Sub(held.Proof())}
 }
 
+// Lost reports whether reads of the store fail: the last call for some collection
+// did, or one in progress is overdue.
+func (c *Copies) Lost() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := clock.Now()
+	for _, held := range c.copies {
+		if held.reader.Lost(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Documents returns a copy of the documents of one collection.
 func (c *Copies) Documents(kind platform.Kind) map[string]replica.Document {
 	c.mu.Lock()
@@ -180,7 +219,7 @@
 			sleep(ctx, c.plans[kind].Look)
 			continue
 		}
-		news, err := c.read(ctx, kind, wait)
+		news, err := c.read(ctx, kind, reason, wait)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -220,14 +259,17 @@
 }
 
 // read makes one call of the store and takes in the result.
-func (c *Copies) read(ctx context.Context, kind platform.Kind, wait time.Duration) (news bool, err error) {
+func (c *Copies) read(ctx context.Context, kind platform.Kind, reason duty.Reason, wait time.Duration) (news bool, err error) {
+	proof := clock.Now()
 	c.mu.Lock()
-	held := c.copies[kind].replica
-	known, from := held.Known(), held.AsOf()
+	held := c.copies[kind]
+	held.reader.Began(reason, wait, proof)
+	known, from := held.replica.Known(), held.replica.AsOf()
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
-	proof := clock.Now()
+	overdue := time.AfterFunc(wait+duty.Overdue+time.Millisecond, c.lost)
+	defer overdue.Stop()
 	if known {
 		change, err := c.store.Watch(ctx, kind, from, wait)
 		if err == nil {
@@ -255,6 +297,7 @@
 	held.failedAt = now
 	c.mu.Unlock()
 	if first {
+		c.lost()
 		c.log.WithError(err).WithField("collection", string(kind)).Warning("the store was lost")
 	}
 }
@@ -267,6 +310,7 @@
 	held.failedAt = time.Time{}
 	c.mu.Unlock()
 	if !failedAt.IsZero() {
+		c.lost()
 		c.log.WithField("collection", string(kind)).Info("the store was regained")
 	}
 }
--- a/internal/copies/pull_test.go
+++ b/internal/copies/pull_test.go
@@ -46,8 +46,7 @@
 // the tables and their proof from a peer, over net/rpc.
 func TestNewsTravelBetweenProcesses(t *testing.T) {
 	c := qt.New(t)
-	none := func(platform.Kind) bool { return false }
-	from := New(nil, nil, testLog(), none, func(platform.Kind) {})
+	from := New(Config{Log: testLog(), Changed: func(platform.Kind) {}})
 	document := replica.Document{Name: "main", Revision: 7, Body: []byte("{}")}
 	from.Take(platform.Tables, replica.Change{Whole: true, AsOf: 9, Documents: []replica.Document{document}}, clock.Now().Add(-time.Second), "peer")
 	server := peer.NewServer(peer.Security{}, testLog())
@@ -55,7 +54,7 @@
 	port := freePort(c)
 	c.Assert(server.Listen(beat.Address("127.0.0.1", port)), qt.IsNil)
 	changed := make(chan platform.Kind, 1)
-	to := New(nil, nil, testLog(), none, func(kind platform.Kind) { changed <- kind })
+	to := New(Config{Log: testLog(), Changed: func(kind platform.Kind) { changed <- kind }})
 	puller := NewPuller(to, peer.NewClient(peer.Security{}), port, nil, testLog())
 	puller.pull(t.Context(), platform.Tables, "127.0.0.1")
 	c.Assert(<-changed, qt.Equals, platform.Tables)
--- a/internal/duty/fleet_test.go
+++ b/internal/duty/fleet_test.go
@@ -137,6 +137,7 @@
 		return
 	}
 	n.looked = f.now
+	n.peers.SetLost(n.reader.Lost(f.now))
 	held := duty.Copy{Known: n.copy.Known(), Age: f.now.Sub(n.copy.Proof())}
 	reason, wait := n.reader.Next(held, n.peers.Watches(collection, f.now), f.now)
 	if reason == duty.None || reason == duty.Pausing {
@@ -144,6 +145,7 @@
 	}
 	n.looked = time.Time{}
 	f.calls++
+	n.reader.Began(reason, wait, f.now)
 	n.call = &call{began: f.now, wait: wait, refused: f.refused[n.entry.Host]}
 	switch n.call.refused {
 	case silent:
@@ -188,10 +190,11 @@
 
 // tell sends the node's message, at regular times and when it has news.
 func (f *fleet) tell(n *node) {
-	if f.now.Sub(n.told) < beatInterval && !n.wake {
+	lost := n.reader.Lost(f.now)
+	if f.now.Sub(n.told) < beatInterval && !n.wake && lost == n.entry.Lost {
 		return
 	}
-	n.told, n.wake = f.now, false
+	n.told, n.wake, n.entry.Lost = f.now, false, lost
 	n.entry.Sequence++
 	said, content, proof, known := n.entry, n.copy.Content(), n.copy.Proof(), n.copy.Known()
 	targets := n.peers.Targets(f.now)
@@ -230,6 +233,20 @@
 	return hosts
 }
 
+// refuse lets the store turn a share of the entries away, first those that have the
+// duty to read it.
+func (f *fleet) refuse(how refusal, share float64) {
+	hosts := f.watchers()
+	for _, i := range f.random.Perm(len(f.nodes)) {
+		if host := f.nodes[i].entry.Host; !slices.Contains(hosts, host) {
+			hosts = append(hosts, host)
+		}
+	}
+	for _, host := range hosts[:int(share*float64(len(hosts)))] {
+		f.refused[host] = how
+	}
+}
+
 // latest returns how long after at the revision was in force everywhere.
 func (f *fleet) latest(revision int64, at time.Time) time.Duration {
 	longest := time.Duration(0)
@@ -245,14 +262,12 @@
 
 // late plays changes of the tables while the store turns away the entries that have
 // the duty to read it, and returns those that were in force too late.
-func late(seeds uint64, apply time.Duration, how refusal, zones ...int) []string {
+func late(seeds uint64, apply time.Duration, how refusal, share float64, zones ...int) []string {
 	var failures []string
 	for seed := range seeds {
 		f := newFleet(seed, duty.TablesPlan(apply), zones...)
 		f.run(f.now.Add(5*time.Second + f.upTo(2*time.Second)))
-		for _, host := range f.watchers() {
-			f.refused[host] = how
-		}
+		f.refuse(how, share)
 		for change := range 3 {
 			f.run(f.now.Add(f.upTo(3 * time.Second)))
 			f.revision++
@@ -273,13 +288,16 @@
 		for _, fleet := range []struct {
 			seeds uint64
 			apply time.Duration
+			share float64
 			zones []int
 		}{
-			{30, 2 * time.Second, []int{3, 3, 2}},
-			{2, 3 * time.Second, []int{14, 14, 14}},
+			{30, 2 * time.Second, 0.38, []int{3, 3, 2}},
+			{30, 2 * time.Second, 0.63, []int{3, 3, 2}},
+			{2, 3 * time.Second, 0.35, []int{14, 14, 14}},
+			{2, 3 * time.Second, 0.6, []int{14, 14, 14}},
 		} {
-			failures := late(fleet.seeds, fleet.apply, how, fleet.zones...)
-			qt.Check(t, len(failures), qt.Equals, 0, qt.Commentf("%s, %v: %s", how, fleet.zones, strings.Join(failures[:min(3, len(failures))], "; ")))
+			failures := late(fleet.seeds, fleet.apply, how, fleet.share, fleet.zones...)
+			qt.Check(t, len(failures), qt.Equals, 0, qt.Commentf("%s, %.2f of %v: %s", how, fleet.share, fleet.zones, strings.Join(failures[:min(3, len(failures))], "; ")))
 		}
 	}
 }
--- a/internal/duty/reader.go
+++ b/internal/duty/reader.go
@@ -9,8 +9,13 @@
 	// minPause and maxPause bound the wait after a failed read of the store.
 	minPause = 150 * time.Millisecond
 	maxPause = 900 * time.Millisecond
+	// probePause is the time between two probes of a store that others can read.
+	probePause = 2 * time.Second
 	// proofWait is the shortest watch, made only to prove that a copy is current.
 	proofWait = time.Millisecond
+	// Overdue is how long after the end of its wait a call without an answer counts as
+	// lost: many times what the store takes, also when it is slow.
+	Overdue = 350 * time.Millisecond
 )
 
 // Plan says how one collection is kept current.
@@ -35,6 +40,9 @@
 	NothingKnown Reason = "nothing known"
 	OnDuty       Reason = "duty"
 	OldCopy      Reason = "old copy"
+	// Probing means that the last call failed: an entry that can't read the store
+	// has to learn when it can again.
+	Probing Reason = "probing"
 	// Pausing means that there is a reason, and the last call has just failed.
 	Pausing Reason = "pausing"
 )
@@ -53,6 +61,13 @@
 	pause   time.Duration
 	// next is the time before which no call is made.
 	next time.Time
+	// failing says that the last call failed, at failedAt.
+	failing  bool
+	failedAt time.Time
+	// overdueAt is when the call in progress counts as lost, zero without one.
+	overdueAt time.Time
+	// watching says that the last call was made on duty and answered.
+	watching bool
 }
 
 // NewReader returns the reader of a process that started at the given time.
@@ -71,19 +86,47 @@
 	case !held.Known:
 		return NothingKnown, proofWait
 	case onDuty:
-		return OnDuty, r.plan.Wait
+		return OnDuty, r.dutyWait()
 	case held.Age > r.plan.MaxAge:
 		return OldCopy, proofWait
+	case !r.failing || r.plan.Wait == 0:
+		return None, 0
+	case now.Sub(r.failedAt) < probePause:
+		return Pausing, 0
+	default:
+		return Probing, proofWait
+	}
+}
+
+// dutyWait returns how long a call on duty waits. The first one is short: when the
+// store turns this process away, too, the next one has to know soon.
+func (r *Reader) dutyWait() time.Duration {
+	if r.watching {
+		return r.plan.Wait
 	}
-	return None, 0
+	return proofWait
+}
+
+// Began records the start of a call that waits for news, and why it is made.
+func (r *Reader) Began(reason Reason, wait time.Duration, now time.Time) {
+	r.overdueAt = now.Add(wait + Overdue)
+	r.watching = reason == OnDuty
 }
 
 // Succeeded records the end of a call that the store has answered.
-func (r *Reader) Succeeded() { r.pause = minPause }
+func (r *Reader) Succeeded() {
+	r.pause, r.failing, r.overdueAt = minPause, false, time.Time{}
+}
 
 // Failed records the end of a call without an answer. The pause that follows is
 // spread by jitter, which lies between 0 and 1.
 func (r *Reader) Failed(now time.Time, jitter float64) {
 	r.next = now.Add(r.pause/2 + time.Duration(jitter*float64(r.pause)))
 	r.pause = min(2*r.pause, maxPause)
+	r.failing, r.failedAt, r.watching, r.overdueAt = true, now, false, time.Time{}
+}
+
+// Lost reports whether the last call failed or the one in progress is overdue.
+func (r *Reader) Lost(now time.Time) bool {
+	return r.failing || !r.overdueAt.IsZero() && now.After(r.overdueAt)
 }
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -190,7 +190,7 @@
 		changed: make(chan struct{}, 1), entries: map[string]entrance{}, neighbors: map[string]neighbor{},
 	}
 	store := platform.NewStore(s.Store, remote)
-	a.copies = copies.New(store, plans, log, func(platform.Kind) bool { return false }, a.decode)
+	a.copies = copies.New(copies.Config{Store: store, Plans: plans, Log: log, Changed: a.decode})
 	a.metrics = newAgentMetrics(a)
 	store.Called = func(method string, kind platform.Kind) { a.metrics.store.WithLabelValues(method, string(kind)).Inc() }
 	a.puller = copies.NewPuller(a.copies, a.client, s.PeerPort, pauses, log)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -226,16 +226,30 @@
 	return true
 }
 
+// SetLost records whether this entry's own reads of the store fail.
+func (d *Directory) SetLost(lost bool) { d.self.Lost = lost }
+
 // Watches reports whether reading the collection is this entry's duty: one
-// entry of each availability zone has it.
+// entry of each availability zone has it, the first by rank of those that can read
+// the store, or of all when none can.
 func (d *Directory) Watches(collection string, now time.Time) bool {
-	names := []string{d.self.Host}
+	zone := []Entry{d.self}
 	for _, entry := range d.Live(now) {
 		if entry.AvailabilityZone == d.self.AvailabilityZone && !entry.Leaving {
-			names = append(names, entry.Host)
+			zone = append(zone, entry)
 		}
 	}
-	return member.Rank(collection, names)[0] == d.self.Host
+	var all, able []string
+	for _, entry := range zone {
+		all = append(all, entry.Host)
+		if !entry.Lost {
+			able = append(able, entry.Host)
+		}
+	}
+	if len(able) == 0 {
+		able = all
+	}
+	return member.Rank(collection, able)[0] == d.self.Host
 }
 
 // Fronts returns the addresses at which requests are taken now: those of the
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -145,3 +145,38 @@
 		c.Assert(slices.ContainsFunc(d.Live(twice), func(entry peers.Entry) bool { return entry.Host == host }), qt.IsTrue, qt.Commentf("%s has its turn every %d messages", host, gap))
 	}
 }
+
+// TestDutyPassesOnFromEntriesThatCannotRead guards against a duty that stays with
+// entries which are alive and can't read the store.
+func TestDutyPassesOnFromEntriesThatCannotRead(t *testing.T) {
+	c := qt.New(t)
+	hosts := []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"}
+	lost := map[string]bool{}
+	watcher := func() string {
+		var watchers []string
+		for _, host := range hosts {
+			me := self()
+			me.Host = host
+			d := peers.New(config, me, nil, epoch)
+			d.SetLost(lost[host])
+			for _, peer := range hosts {
+				entry := other(peer, "z1", 1)
+				entry.Lost = lost[peer]
+				d.Heard(entry, epoch)
+			}
+			if d.Watches("a", epoch) {
+				watchers = append(watchers, host)
+			}
+		}
+		c.Assert(watchers, qt.HasLen, 1)
+		return watchers[0]
+	}
+	first := watcher()
+	seen := map[string]bool{}
+	for range hosts {
+		one := watcher()
+		c.Assert(seen[one], qt.IsFalse)
+		seen[one], lost[one] = true, true
+	}
+	c.Assert(watcher(), qt.Equals, first, qt.Commentf("when none can read, the first goes on trying"))
+}
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -147,7 +147,7 @@
 	message := &beat.Message{
 		Role: beat.Entry, Instance: self.Instance, Host: self.Host, AvailabilityZone: self.AvailabilityZone, Start: h.start, Sequence: h.sequence,
 		Front: self.Front, Ready: self.Ready, Leaving: self.Leaving, Standings: copies.Standings(h.copies), Loads: loads,
-		Releases: h.view.releaseAges(now),
+		Releases: h.view.releaseAges(now), Lost: self.Lost,
 	}
 	targets := h.directory.Targets(now)
 	live, small := h.directory.Live(now), h.directory.Small()
@@ -189,6 +189,7 @@
 	}
 	h.ready = ready
 	h.directory.SetState(ready, h.front.leaving.Load())
+	h.directory.SetLost(h.copies.Lost())
 }
 
 func (h *heart) handle(ctx context.Context, m *beat.Message) {
@@ -210,7 +211,7 @@
 	h.mu.Lock()
 	current, isNew := h.directory.Heard(peers.Entry{
 		Instance: m.Instance, Host: m.Host, AvailabilityZone: m.AvailabilityZone, Front: m.Front,
-		Start: m.Start, Sequence: m.Sequence, Ready: m.Ready, Leaving: m.Leaving,
+		Start: m.Start, Sequence: m.Sequence, Ready: m.Ready, Leaving: m.Leaving, Lost: m.Lost,
 	}, now)
 	h.directory.Suggest(m.Hosts, now)
 	h.mu.Unlock()
@@ -239,6 +240,7 @@
 func (h *heart) watches(kind platform.Kind) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.directory.SetLost(h.copies.Lost())
 	return h.directory.Watches(string(kind), clock.Now())
 }
 
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -63,7 +63,6 @@
 // The intervals at which an entry whose duty it is reads the store. Tables are
 // proven current most often, since keys depend on it.
 const (
-	tablesWait   = 1100 * time.Millisecond
 	backendsWait = 1500 * time.Millisecond
 	releasesWait = 3 * time.Second
 	// lookInterval is the time between two looks at whose duty a collection is and
@@ -71,10 +70,11 @@
 	lookInterval = 100 * time.Millisecond
 )
 
-// newPlans returns how the collections are kept current.
-func newPlans() map[platform.Kind]copies.Plan {
+// newPlans returns how the collections are kept current. That an entry can't read
+// the store shows first with the tables, and moves the duty for all collections.
+func newPlans(bounds platform.Bounds) map[platform.Kind]copies.Plan {
 	return map[platform.Kind]copies.Plan{
-		platform.Tables:   {Plan: duty.Plan{Wait: tablesWait, MaxAge: 2900 * time.Millisecond}, Look: lookInterval, Gather: 100 * time.Millisecond},
+		platform.Tables:   {Plan: duty.TablesPlan(bounds.Apply), Look: lookInterval, Gather: 100 * time.Millisecond},
 		platform.Backends: {Plan: duty.Plan{Wait: backendsWait, MaxAge: 4 * time.Second}, Look: lookInterval, Gather: 350 * time.Millisecond},
 		platform.Releases: {Plan: duty.Plan{Wait: releasesWait, MaxAge: 8 * time.Second}, Look: lookInterval, Gather: 100 * time.Millisecond},
 	}
@@ -159,9 +159,12 @@
 	e.metrics.Gauge("tables_proof_age_seconds", "Age of the proof that the tables are current.", func() float64 { return e.view.proofAge().Seconds() })
 	store := platform.NewStore(s.Store, newStoreTransport())
 	store.Called = func(method string, kind platform.Kind) { counted.store.WithLabelValues(method, string(kind)).Inc() }
-	e.copies = copies.New(store, newPlans(), log, e.heart.watches, func(kind platform.Kind) {
-		e.view.changed(kind)
-		e.heart.wake()
+	e.copies = copies.New(copies.Config{
+		Store: store, Plans: newPlans(s.Bounds), Log: log, Watches: e.heart.watches, Lost: e.heart.wake,
+		Changed: func(kind platform.Kind) {
+			e.view.changed(kind)
+			e.heart.wake()
+		},
 	})
 	e.view.copies, e.heart.copies = e.copies, e.copies
 	client := peer.NewClient(peer.Security{})
--- a/internal/relay/front_test.go
+++ b/internal/relay/front_test.go
@@ -48,7 +48,7 @@
 	held := newGate(placement.New(placement.Config{PeerAge: time.Second, Avoid: 100 * time.Millisecond, MaxAvoid: time.Second, Seed: 1}),
 		retryLimits{window: 10 * time.Second, ratio: 0.2, slack: 10})
 	v := newView(held, time.Minute, time.Second, entry)
-	v.copies = copies.New(nil, nil, entry, func(platform.Kind) bool { return false }, v.changed)
+	v.copies = copies.New(copies.Config{Log: entry, Changed: v.changed})
 	table := replica.Document{Name: platform.TableName, Revision: 1, Body: []byte(tableVersion)}
 	v.copies.Take(platform.Tables, replica.Change{Whole: true, AsOf: 1, Documents: []replica.Document{table}}, clock.Now(), "peer")
 	var listed []replica.Document
