What a message tells the age of is dated by its sending, not by its arrival

A request ran with a key that had been taken away 5.8 s before, at an entry that had stood still for 6 s. The message had waited in the socket; its age was counted from the moment at which it was read. A link on which packets wait does the same.

Each message now carries a trailer: the sender's clock, and which message of the receiver it had received last and for how long it had held it. That bounds on the receiver's own clock when the message was sent; clocks of two instances are never compared. A message without such a bound renews no proof. The dates of releases, of entries that are there and of agents' reports come from the same bound. Words on loads alone carry no trailer: they are ordered, and stand until the next one.

--- a/internal/beat/message.go
+++ b/internal/beat/message.go
@@ -4,8 +4,11 @@
 
 import (
 	"bytes"
+	"errors"
+	"io"
 	"net"
 	"strconv"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -80,26 +83,46 @@
 	Report *Report
 	// Lost says that an entry's own reads of the store fail.
 	Lost bool
+	// SentAfter is a time on the receiver's clock before which the message was not
+	// sent, however long it was on its way; zero when that is not known. What a
+	// message tells the age of is dated by it. The receiver sets it.
+	SentAfter time.Time `msgpack:"-"`
 }
 
-func encode(m *Message) ([]byte, error) {
+// DatedBy returns when the message was sent at the earliest, or now when that is not
+// known.
+func (m *Message) DatedBy(now time.Time) time.Time {
+	if m.SentAfter.IsZero() {
+		return now
+	}
+	return m.SentAfter
+}
+
+func encode(value any) ([]byte, error) {
 	var raw bytes.Buffer
 	encoder := msgpack.NewEncoder(&raw)
 	// Names of fields would be most of a message.
 	encoder.UseArrayEncodedStructs(true)
-	err := encoder.Encode(m)
+	err := encoder.Encode(value)
 	return raw.Bytes(), failure.Wrap(err, failure.Internal, "report this", "a message to a peer cannot be encoded")
 }
 
-func decode(raw []byte) (*Message, error) {
-	m := &Message{}
-	if err := msgpack.Unmarshal(raw, m); err != nil {
-		return nil, failure.Wrap(err, failure.Invalid, "update the sender", "a peer's message cannot be read")
+// decode reads a message and the trailer that follows it, which is empty in messages
+// of processes that send none.
+func decode(raw []byte) (*Message, trailer, error) {
+	m, t := &Message{}, trailer{}
+	decoder := msgpack.NewDecoder(bytes.NewReader(raw))
+	if err := decoder.Decode(m); err != nil {
+		return nil, t, failure.Wrap(err, failure.Invalid, "update the sender", "a peer's message cannot be read")
+	}
+	if err := decoder.Decode(&t); err != nil && !errors.Is(err, io.EOF) {
+		return nil, t, failure.Wrap(err, failure.Invalid, "update the sender", "the trailer of a peer's message cannot be read")
 	}
+	m.SentAfter = time.Time{}
 	if net.ParseIP(m.Host) == nil {
-		return nil, failure.New(failure.Invalid, "update the sender", "a peer's message names no address")
+		return nil, t, failure.New(failure.Invalid, "update the sender", "a peer's message names no address")
 	}
-	return m, nil
+	return m, t, nil
 }
 
 // Address returns the address of a process's port for peers.
--- a/internal/beat/message_test.go
+++ b/internal/beat/message_test.go
@@ -1,6 +1,7 @@
 package beat
 
 import (
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -15,7 +16,7 @@
 	}
 	raw, err := encode(sent)
 	c.Assert(err, qt.IsNil)
-	got, err := decode(raw)
+	got, _, err := decode(raw)
 	c.Assert(err, qt.IsNil)
 	c.Assert(got, qt.DeepEquals, sent)
 }
@@ -23,7 +24,7 @@
 func TestMessageWithoutAnAddressIsRefused(t *testing.T) {
 	raw, err := encode(&Message{Host: "nowhere"})
 	qt.Assert(t, err, qt.IsNil)
-	_, err = decode(raw)
+	_, _, err = decode(raw)
 	qt.Assert(t, err, qt.IsNotNil)
 }
 
@@ -35,8 +36,13 @@
 	}
 	f.Add(raw)
 	f.Add([]byte{0x9f, 0xc1})
+	end, err := encode(trailer{Epoch: 7, Sent: 1_000, EchoEpoch: 9, EchoSent: 500, Held: 20})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(slices.Concat(raw, end))
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		if m, err := decode(raw); err == nil && m.Host == "" {
+		if m, _, err := decode(raw); err == nil && m.Host == "" {
 			t.Fatal("a message without an address was accepted")
 		}
 	})
--- a/internal/beat/socket.go
+++ b/internal/beat/socket.go
@@ -2,18 +2,23 @@
 
 import (
 	"context"
+	"math"
+	"math/rand/v2"
 	"net"
+	"slices"
 
 	"github.com/sirupsen/logrus"
 
+	"plantainrelay/internal/clock"
 	"plantainrelay/internal/failure"
 )
 
 // Socket sends and receives messages.
 type Socket struct {
-	conn *net.UDPConn
-	port int
-	log  *logrus.Entry
+	conn   *net.UDPConn
+	port   int
+	log    *logrus.Entry
+	echoes *echoes
 }
 
 // Open binds the port for peers at ip.
@@ -22,7 +27,7 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Invalid, "free the port or change the settings", "the port %d for peers cannot be used", port)
 	}
-	return &Socket{conn: conn, port: port, log: log}, nil
+	return &Socket{conn: conn, port: port, log: log, echoes: newEchoes(1+rand.Uint32N(math.MaxUint32), clock.Now())}, nil
 }
 
 // Send sends m to the processes at hosts. Datagrams may be lost.
@@ -33,9 +38,24 @@
 		return
 	}
 	for _, host := range hosts {
+		datagram := raw
+		// Loads are sent with each request that is placed, and stand until the next
+		// word on them: they need no date.
+		if !m.LoadsOnly {
+			datagram = s.withTrailer(raw, host)
+		}
 		// A lost datagram is made up for by the next one.
-		_, _ = s.conn.WriteToUDP(raw, &net.UDPAddr{IP: net.ParseIP(host), Port: s.port})
+		_, _ = s.conn.WriteToUDP(datagram, &net.UDPAddr{IP: net.ParseIP(host), Port: s.port})
+	}
+}
+
+func (s *Socket) withTrailer(raw []byte, host string) []byte {
+	t, err := encode(s.echoes.outgoing(host, clock.Now()))
+	if err != nil {
+		s.log.WithError(err).Error("a message was sent without its trailer")
+		return raw
 	}
+	return slices.Concat(raw, t)
 }
 
 // Receive calls handle for each message until ctx ends.
@@ -46,15 +66,18 @@
 	}()
 	buffer := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
-		count, _, err := s.conn.ReadFromUDP(buffer)
+		count, from, err := s.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			continue
 		}
-		m, err := decode(buffer[:count])
+		m, t, err := decode(buffer[:count])
 		if err != nil {
 			s.log.WithError(err).Debug("a peer's message was dropped")
 			continue
 		}
+		if t.Epoch != 0 {
+			m.SentAfter = s.echoes.incoming(from.Addr().Unmap().String(), t, clock.Now())
+		}
 		handle(m)
 	}
 }
--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -162,21 +162,26 @@
 	c.apply(kind, change, proof, peer)
 }
 
-// Heard takes in a peer's standing. It reports whether the peer has news.
-func (c *Copies) Heard(kind platform.Kind, standing Standing, now time.Time, peer string) bool {
+// Heard takes in a peer's standing, told in a message that was not sent before
+// sentAfter. A message whose time is not known proves nothing: it may have waited.
+// Heard reports whether the peer has news.
+func (c *Copies) Heard(kind platform.Kind, standing Standing, sentAfter time.Time, peer string) bool {
 	if !standing.Known {
 		return false
 	}
 	c.mu.Lock()
-	held := c.copies[kind].replica
+	held, now := c.copies[kind].replica, clock.Now()
 	last := held.Proof()
-	held.Prove(standing.Content, now.Add(-standing.Age))
+	if !sentAfter.IsZero() {
+		held.Prove(standing.Content, sentAfter.Add(-standing.Age))
+	}
 	next, known, content := held.Proof(), held.Known(), held.Content()
 	c.mu.Unlock()
 	if known && now.Sub(last) > oldProof && next.After(last) {
 		c.log.WithFields(logrus.Fields{
 			"collection": string(kind), "peer": peer, "content": content, "told_age_ms": standing.Age.Milliseconds(),
-			"last_proof_age_ms": now.Sub(last).Milliseconds(), "proof_age_ms": now.Sub(next).Milliseconds(),
+			"message_age_ms": now.Sub(sentAfter).Milliseconds(), "last_proof_age_ms": now.Sub(last).Milliseconds(),
+			"proof_age_ms": now.Sub(next).Milliseconds(),
 		}).Info("a peer renewed an old proof")
 	}
 	return !known || standing.Content > content
--- a/internal/copies/pull.go
+++ b/internal/copies/pull.go
@@ -93,7 +93,7 @@
 		}
 		kind := platform.Kinds[i]
 		heard := Standing{Known: standing.Known, Content: standing.Content, Age: time.Duration(standing.AgeMs) * time.Millisecond}
-		if p.copies.Heard(kind, heard, now, m.Host) && p.mayPull(kind, now) {
+		if p.copies.Heard(kind, heard, m.SentAfter, m.Host) && p.mayPull(kind, now) {
 			p.pull(ctx, kind, m.Host)
 		}
 	}
--- a/internal/copies/pull_test.go
+++ b/internal/copies/pull_test.go
@@ -65,3 +65,21 @@
 	c.Assert(to.Heard(platform.Tables, Standing{Known: true, Content: 8}, clock.Now(), "peer"), qt.IsTrue)
 	c.Assert(to.Standing(platform.Tables).Age < age, qt.IsTrue, qt.Commentf("a peer with the same content proves it"))
 }
+
+// TestMessageOfUnknownTimeProvesNothing guards against a proof that becomes younger
+// because the message that tells of it has waited, on a link or in the socket of a
+// process that stood still: keys that were taken away meanwhile would run.
+func TestMessageOfUnknownTimeProvesNothing(t *testing.T) {
+	c := qt.New(t)
+	held := New(Config{Log: testLog(), Changed: func(platform.Kind) {}})
+	old := clock.Now().Add(-7 * time.Second)
+	document := replica.Document{Name: "main", Revision: 7, Body: []byte("{}")}
+	held.Take(platform.Tables, replica.Change{Whole: true, AsOf: 7, Documents: []replica.Document{document}}, old, "peer")
+	told := Standing{Known: true, Content: 7, Age: time.Second}
+	held.Heard(platform.Tables, told, time.Time{}, "peer")
+	c.Assert(held.Standing(platform.Tables).Age >= 7*time.Second, qt.IsTrue)
+	sentAfter := clock.Now().Add(-5 * time.Second)
+	held.Heard(platform.Tables, told, sentAfter, "peer")
+	c.Assert(held.Standing(platform.Tables).Age >= 6*time.Second, qt.IsTrue, qt.Commentf("the message may be 5 s old"))
+	c.Assert(held.Standing(platform.Tables).Age < 7*time.Second, qt.IsTrue)
+}
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -288,7 +288,7 @@
 
 // handle takes in a message of an entry or of another agent.
 func (a *agent) handle(ctx context.Context, m *beat.Message) {
-	now := clock.Now()
+	now := m.DatedBy(clock.Now())
 	if m.Role == beat.Agent {
 		if m.Report != nil && m.Host != a.settings.IP {
 			a.mu.Lock()
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -193,7 +193,7 @@
 }
 
 func (h *heart) handle(ctx context.Context, m *beat.Message) {
-	now := clock.Now()
+	now := m.DatedBy(clock.Now())
 	if m.Role == beat.Agent {
 		if m.Report != nil {
 			h.gate.reported(m.Host, placement.AgentReport{
@@ -213,7 +213,7 @@
 		Instance: m.Instance, Host: m.Host, AvailabilityZone: m.AvailabilityZone, Front: m.Front,
 		Start: m.Start, Sequence: m.Sequence, Ready: m.Ready, Leaving: m.Leaving, Lost: m.Lost,
 	}, now)
-	h.directory.Suggest(m.Hosts, now)
+	h.directory.Suggest(m.Hosts, clock.Now())
 	h.mu.Unlock()
 	if !current {
 		return
