The proof of a copy counts for the tables that were decoded from it only

A request could run by tables of unknown age with a key that newer tables had taken away: the copy's proof was looked at beside the tables in force, and it covers newer ones from the moment at which the copy has them, before they are decoded and put in force.

Tables in force now hold the content revision that they were decoded from, and the copy tells the proof of that content. Tables that can't be read let the proof of those in force grow old, so that requests with keys are rejected for the time being.

TestProofBelongsToTheTablesInForce failed before with 200 instead of 503, TestUnreadableTablesProveNothing with the proof of the unreadable tables.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -135,15 +136,34 @@
 	return false
 }
 
+// Snapshot is one state of a copy.
+type Snapshot struct {
+	Documents map[string]replica.Document
+	// Content is the content revision of the documents, Proof when they were proven
+	// to be current.
+	Content int64
+	Proof   time.Time
+}
+
+// Snapshot returns the present state of the copy of one collection.
+func (c *Copies) Snapshot(kind platform.Kind) Snapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := c.copies[kind].replica
+	return Snapshot{Documents: maps.Clone(held.Documents()), Content: held.Content(), Proof: held.Proof()}
+}
+
 // Documents returns a copy of the documents of one collection.
 func (c *Copies) Documents(kind platform.Kind) map[string]replica.Document {
+	return c.Snapshot(kind).Documents
+}
+
+// ProofOf returns when documents with the given content revision were proven to be
+// current; known is false for those before the last change but one.
+func (c *Copies) ProofOf(kind platform.Kind, content int64) (proof time.Time, known bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	documents := map[string]replica.Document{}
-	for name, document := range c.copies[kind].replica.Documents() {
-		documents[name] = document
-	}
-	return documents
+	return c.copies[kind].replica.ProofOf(content)
 }
 
 // Since returns what a peer lacks and the age of its proof.
@@ -177,7 +197,7 @@
 	}
 	next, known, content := held.Proof(), held.Known(), held.Content()
 	c.mu.Unlock()
-	if known && now.Sub(last) > oldProof && next.After(last) {
+	if known && now.Sub(last) > oldProof && now.Sub(next) <= oldProof {
 		c.log.WithFields(logrus.Fields{
 			"collection": string(kind), "peer": peer, "content": content, "told_age_ms": standing.Age.Milliseconds(),
 			"message_age_ms": now.Sub(sentAfter).Milliseconds(), "last_proof_age_ms": now.Sub(last).Milliseconds(),
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -182,8 +182,8 @@
 
 // setState decides whether this entry takes requests. The caller holds mu.
 func (h *heart) setState() {
-	age := h.view.proofAge()
-	ready := h.view.table.Load() != nil && age <= readyAge && !h.front.leaving.Load()
+	table, age := h.view.proven()
+	ready := table != nil && age <= readyAge && !h.front.leaving.Load()
 	if ready != h.ready {
 		h.log.WithFields(logrus.Fields{"ready": ready, "proof_age_ms": age.Milliseconds()}).Info("readiness changed")
 	}
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -189,7 +189,7 @@
 
 // upstream tells where weights come from now.
 func (e *entry) upstream() depot.Upstream {
-	table := e.view.table.Load()
+	table := e.view.table()
 	if table == nil {
 		return depot.Upstream{}
 	}
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -96,7 +96,7 @@
 		return nil, &refusal{status: http.StatusBadRequest, reason: "bad_target"}
 	}
 	reader := r.Body
-	if table := f.view.table.Load(); table != nil && table.Limits.BodyBytes > 0 {
+	if table := f.view.table(); table != nil && table.Limits.BodyBytes > 0 {
 		reader = http.MaxBytesReader(nil, r.Body, table.Limits.BodyBytes)
 	}
 	body, err := io.ReadAll(reader)
@@ -118,7 +118,7 @@
 // admit matches the request against the tables.
 func (x *exchange) admit() *refusal {
 	f := x.front
-	table, age := f.view.table.Load(), f.view.proofAge()
+	table, age := f.view.proven()
 	if table == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no_tables", retryAfter: staleReturn}
 	}
--- a/internal/relay/front_test.go
+++ b/internal/relay/front_test.go
@@ -179,7 +179,7 @@
 func TestNoTablesAreNoDenial(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture(t, answerOK)
-	f.front.view.table.Store(nil)
+	f.front.view.inForce.Store(nil)
 	response, _, err := f.ask(http.MethodPost, "/once/")
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
@@ -427,16 +427,72 @@
 func TestBodyLimitOfTheTables(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture(t, answerOK)
-	table := *f.front.view.table.Load()
+	inForce := *f.front.view.inForce.Load()
+	table := *inForce.Table
 	table.Limits.BodyBytes = int64(len("body")) - 1
-	f.front.view.table.Store(&table)
+	f.front.view.inForce.Store(&tables{Table: &table, content: inForce.content, proof: inForce.proof})
 	response, _, err := f.ask(http.MethodPost, "/once/1")
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
 	looser := table
 	looser.Limits.BodyBytes++
-	f.front.view.table.Store(&looser)
+	f.front.view.inForce.Store(&tables{Table: &looser, content: inForce.content, proof: inForce.proof})
 	response, _, err = f.ask(http.MethodPost, "/once/1")
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
 }
+
+// TestProofBelongsToTheTablesInForce guards against a request that runs by tables of
+// unknown age because the copy has newer ones, which are proven and not yet in force.
+func TestProofBelongsToTheTablesInForce(t *testing.T) {
+	c := qt.New(t)
+	var runs atomic.Int32
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		answerOK(w, r)
+	})
+	v := f.front.view
+	f.front.revoke.Store(int64(5 * time.Second))
+	held := make(chan struct{})
+	var listed []replica.Document
+	for _, document := range v.copies.Documents(platform.Backends) {
+		listed = append(listed, document)
+	}
+	v.copies = copies.New(copies.Config{Log: v.log, Changed: func(kind platform.Kind) {
+		if v.copies.AsOf(kind) > 1 {
+			<-held
+		}
+		v.changed(kind)
+	}})
+	table := replica.Document{Name: platform.TableName, Revision: 1, Body: []byte(tableVersion)}
+	v.copies.Take(platform.Tables, replica.Change{Whole: true, AsOf: 1, Documents: []replica.Document{table}}, clock.Now().Add(-7*time.Second), "peer")
+	v.copies.Take(platform.Backends, replica.Change{Whole: true, AsOf: 1, Documents: listed}, clock.Now(), "peer")
+	newer := replica.Document{Name: platform.TableName, Revision: 2, Body: []byte(strings.Replace(tableVersion, `"good"`, `"other"`, 1))}
+	taken := make(chan struct{})
+	go func() {
+		defer close(taken)
+		v.copies.Take(platform.Tables, replica.Change{Whole: true, AsOf: 2, Documents: []replica.Document{newer}}, clock.Now(), "peer")
+	}()
+	for v.copies.AsOf(platform.Tables) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	response, _, err := f.ask("POST", "/once/1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(runs.Load(), qt.Equals, int32(0))
+	close(held)
+	<-taken
+	c.Assert(v.proofAge() < 5*time.Second, qt.IsTrue)
+}
+
+// TestUnreadableTablesProveNothing: tables that can't be decoded may have taken keys
+// away, so the proof of those in force grows old.
+func TestUnreadableTablesProveNothing(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t, answerOK)
+	v := f.front.view
+	garbled := replica.Document{Name: platform.TableName, Revision: 2, Body: []byte("{")}
+	v.copies.Take(platform.Tables, replica.Change{Whole: true, AsOf: 2, Documents: []replica.Document{garbled}}, clock.Now().Add(time.Minute), "peer")
+	c.Assert(v.table(), qt.IsNotNil, qt.Commentf("the last good tables stay in force"))
+	c.Assert(v.proofAge() >= 0, qt.IsTrue, qt.Commentf("%s", v.proofAge()))
+}
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -21,7 +21,7 @@
 	copies   *copies.Copies
 	gate     *gate
 	log      *logrus.Entry
-	table    atomic.Pointer[catalog.Table]
+	inForce  atomic.Pointer[tables]
 	releases atomic.Pointer[placement.Releases]
 	// released is told of each release that is new since this process's start.
 	released func(catalog.Release)
@@ -34,6 +34,14 @@
 	awayUntil atomic.Int64
 }
 
+// tables are the tables in force with the content revision and the proof of the copy
+// that they were decoded from.
+type tables struct {
+	*catalog.Table
+	content int64
+	proof   time.Time
+}
+
 // lapseWindow is how long after the list's return a missing entry may only have
 // lapsed: the platform says that entries are back within about two seconds.
 const lapseWindow = 2200 * time.Millisecond
@@ -62,7 +70,8 @@
 }
 
 func (v *view) decodeTable() {
-	document, found := v.copies.Documents(platform.Tables)[platform.TableName]
+	snapshot := v.copies.Snapshot(platform.Tables)
+	document, found := snapshot.Documents[platform.TableName]
 	if !found {
 		return
 	}
@@ -71,19 +80,19 @@
 		v.log.WithError(err).Error("the tables are ignored; the last good ones stay in force")
 		return
 	}
-	last := v.table.Load()
+	last := v.table()
 	if last != nil && table.Version < last.Version {
 		v.log.WithField("version", table.Version).Warning("an older version of the tables is ignored")
 		return
 	}
-	v.table.Store(table)
+	v.inForce.Store(&tables{Table: table, content: snapshot.Content, proof: snapshot.Proof})
 	v.log.WithFields(logrus.Fields{
 		"version": table.Version, "revision": document.Revision, "proof_age_ms": v.proofAge().Milliseconds(),
 	}).Info("tables in force")
 }
 
 func (v *view) decodeBackends() {
-	table := v.table.Load()
+	table := v.table()
 	if table == nil {
 		return
 	}
@@ -137,15 +146,40 @@
 	}
 }
 
-// proofAge returns the age of the proof that the tables are current.
+// table returns the tables in force, nil when there are none yet.
+func (v *view) table() *catalog.Table {
+	if held := v.inForce.Load(); held != nil {
+		return held.Table
+	}
+	return nil
+}
+
+// proven returns the tables in force and the age of the proof that they are current;
+// without tables the age is the longest that there is.
+// The proof of a copy counts only for the tables that were decoded from it: newer
+// ones may not be in force yet, or can't be read.
+func (v *view) proven() (*catalog.Table, time.Duration) {
+	held := v.inForce.Load()
+	if held == nil {
+		return nil, clock.Now().Sub(time.Time{})
+	}
+	proof, known := v.copies.ProofOf(platform.Tables, held.content)
+	if !known {
+		proof = held.proof
+	}
+	return held.Table, clock.Now().Sub(proof)
+}
+
+// proofAge returns the age of the proof that the tables in force are current.
 func (v *view) proofAge() time.Duration {
-	return v.copies.Standing(platform.Tables).Age
+	_, age := v.proven()
+	return age
 }
 
 // engine returns what is known of the engines of a pool, nil for pools of plain
 // services.
 func (v *view) engine(pool string) *catalog.Engine {
-	if table := v.table.Load(); table != nil {
+	if table := v.table(); table != nil {
 		return table.Pools[pool].Engine
 	}
 	return nil
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -48,6 +48,9 @@
 	content int64
 	proof   time.Time
 	known   bool
+	// lastContent and lastProof are those of the copy before its latest change.
+	lastContent int64
+	lastProof   time.Time
 }
 
 // New returns a copy that knows nothing.
@@ -61,12 +64,16 @@
 	if change.AsOf < r.asOf || (!r.known && !change.Whole) {
 		return nil
 	}
+	lastContent, lastProof := r.content, r.proof
 	changed := r.merge(change.Documents)
 	if change.Whole {
 		changed = append(changed, r.sweep(change)...)
 		// A listing does not tell what was removed before it.
 		r.floor = max(r.floor, change.AsOf)
 	}
+	if r.content != lastContent {
+		r.lastContent, r.lastProof = lastContent, lastProof
+	}
 	r.asOf, r.known = change.AsOf, true
 	r.Prove(r.content, proof)
 	return changed
@@ -138,6 +145,18 @@
 // Proof returns the time up to which the copy is proven to be current.
 func (r *Replica) Proof() time.Time { return r.proof }
 
+// ProofOf returns the time up to which a copy with the given content revision is
+// proven to have been current. It knows the present copy and the one before.
+func (r *Replica) ProofOf(content int64) (proof time.Time, known bool) {
+	switch {
+	case r.known && content == r.content:
+		return r.proof, true
+	case r.known && content == r.lastContent:
+		return r.lastProof, true
+	}
+	return time.Time{}, false
+}
+
 // Content returns the highest revision that the copy holds; copies with equal
 // content are equal.
 func (r *Replica) Content() int64 { return r.content }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -124,3 +124,21 @@
 		}
 	})
 }
+
+// TestProofOfAnEarlierCopy: the copy before the latest change was current up to its
+// own proof, and is not proven by what proves the change.
+func TestProofOfAnEarlierCopy(t *testing.T) {
+	c := qt.New(t)
+	r := replica.New()
+	r.Apply(whole(10, document("a", 9)), epoch)
+	r.Prove(9, epoch.Add(time.Second))
+	r.Apply(whole(12, document("a", 12)), epoch.Add(5*time.Second))
+	proof, known := r.ProofOf(9)
+	c.Assert(known, qt.IsTrue)
+	c.Assert(proof, qt.Equals, epoch.Add(time.Second))
+	proof, known = r.ProofOf(12)
+	c.Assert(known, qt.IsTrue)
+	c.Assert(proof, qt.Equals, epoch.Add(5*time.Second))
+	_, known = r.ProofOf(8)
+	c.Assert(known, qt.IsFalse)
+}
