News are decoded one at a time; the list of backend servers never goes back

Two reads or pulls could decode a collection at once, and a change of the tables decoded the list of backend servers beside a change of the list: the one that began with the older state and took longer was put in force last. Of the tables a check of the version stood right before the swap; of the list nothing did, so that an instance that had left could be listed again until the next news. copies promised calls one at a time, which nothing enforced.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -50,7 +50,9 @@
 }
 
 type copyOf struct {
-	replica  *replica.Replica
+	replica *replica.Replica
+	// changing is held while others are told of news.
+	changing sync.Mutex
 	failedAt time.Time
 	reader   *duty.Reader
 	// reading says why this process reads the store.
@@ -228,6 +230,8 @@
 	c.mu.Unlock()
 	if news {
 		c.log.WithFields(fields).Info("news of a collection")
+		held.changing.Lock()
+		defer held.changing.Unlock()
 		c.changed(kind)
 	}
 }
--- a/internal/copies/pull_test.go
+++ b/internal/copies/pull_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -83,3 +85,24 @@
 	c.Assert(held.Standing(platform.Tables).Age >= 6*time.Second, qt.IsTrue, qt.Commentf("the message may be 5 s old"))
 	c.Assert(held.Standing(platform.Tables).Age < 7*time.Second, qt.IsTrue)
 }
+
+// TestNewsAreTakenInOneAtATime guards against an older state that is decoded late and
+// put in force after a newer one: reads of the store and pulls bring news at once.
+func TestNewsAreTakenInOneAtATime(t *testing.T) {
+	c := qt.New(t)
+	var inside, most atomic.Int32
+	held := New(Config{Log: testLog(), Changed: func(platform.Kind) {
+		most.Store(max(most.Load(), inside.Add(1)))
+		time.Sleep(time.Millisecond)
+		inside.Add(-1)
+	}})
+	var sources sync.WaitGroup
+	for revision := range int64(20) {
+		document := replica.Document{Name: "main", Revision: revision + 1}
+		sources.Go(func() {
+			held.Take(platform.Tables, replica.Change{Whole: true, AsOf: revision + 1, Documents: []replica.Document{document}}, clock.Now(), "peer")
+		})
+	}
+	sources.Wait()
+	c.Assert(most.Load(), qt.Equals, int32(1))
+}
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -199,10 +199,9 @@
 
 // decode takes in news of a collection.
 func (a *agent) decode(platform.Kind) {
-	tables := a.copies.Documents(platform.Tables)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if document, found := tables[platform.TableName]; found {
+	if document, found := a.copies.Documents(platform.Tables)[platform.TableName]; found {
 		table, err := platform.DecodeTable(document)
 		if err != nil {
 			a.log.WithError(err).Error("the tables are ignored; the last good ones stay in force")
--- a/internal/relay/front_test.go
+++ b/internal/relay/front_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -496,3 +497,35 @@
 	c.Assert(v.table(), qt.IsNotNil, qt.Commentf("the last good tables stay in force"))
 	c.Assert(v.proofAge() >= 0, qt.IsTrue, qt.Commentf("%s", v.proofAge()))
 }
+
+// TestListNeverGoesBack guards against an older list of backend servers that is put in
+// force after a newer one: news of the tables and of the list both decode it, and a
+// long list takes longer.
+func TestListNeverGoesBack(t *testing.T) {
+	c := qt.New(t)
+	entry := func(name string, revision int64) replica.Document {
+		body := fmt.Sprintf(`{"Service":"s","Address":"10.0.0.1:%d","State":"ready","Slots":4,"born":1}`, revision)
+		return replica.Document{Name: name, Revision: revision, Body: []byte(body)}
+	}
+	var long []replica.Document
+	for i := range 1_000 {
+		long = append(long, entry(fmt.Sprintf("i-%d", i), 2))
+	}
+	for range 20 {
+		v := newFixture(t).front.view
+		v.copies.Take(platform.Backends, replica.Change{Whole: true, AsOf: 2, Documents: long}, clock.Now(), "peer")
+		var news sync.WaitGroup
+		news.Go(func() {
+			table := []replica.Document{{Name: platform.TableName, Revision: 2, Body: []byte(tableVersion)}}
+			v.copies.Take(platform.Tables, replica.Change{Whole: true, AsOf: 2, Documents: table}, clock.Now(), "peer")
+		})
+		for v.copies.AsOf(platform.Tables) < 2 {
+			time.Sleep(100 * time.Microsecond)
+		}
+		v.copies.Take(platform.Backends, replica.Change{Whole: true, AsOf: 3, Documents: []replica.Document{entry("i-1", 3)}}, clock.Now(), "peer")
+		news.Wait()
+		choice, found := v.gate.fleet.Choose(placement.Need{Pool: "s", Tried: map[string]bool{}}, clock.Now())
+		c.Assert(found, qt.IsTrue)
+		c.Assert(choice.Backend.Address, qt.Equals, "10.0.0.1:3")
+	}
+}
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -27,7 +27,9 @@
 	released func(catalog.Release)
 	// listed says that the releases were read once: what comes later is new.
 	listed bool
-	// releasing is held by whoever replaces the releases.
+	// listing is held by whoever replaces the list of backend servers, releasing by
+	// whoever replaces the releases.
+	listing   sync.Mutex
 	releasing sync.Mutex
 	// awayUntil is the time until which entries of the list that are missing may
 	// have lapsed, in nanoseconds of the boot clock.
@@ -92,22 +94,24 @@
 }
 
 func (v *view) decodeBackends() {
+	v.listing.Lock()
+	defer v.listing.Unlock()
 	table := v.table()
 	if table == nil {
 		return
 	}
 	now := clock.Now()
+	snapshot := v.copies.Snapshot(platform.Backends)
 	var backends []catalog.Backend
-	for _, document := range v.copies.Documents(platform.Backends) {
+	for _, document := range snapshot.Documents {
 		if backend, ok := platform.DecodeBackend(document, table); ok {
 			backends = append(backends, backend)
 		}
 	}
-	standing := v.copies.Standing(platform.Backends)
 	for _, change := range v.gate.setList(backends, time.Unix(0, v.awayUntil.Load()), now) {
 		v.log.WithFields(logrus.Fields{
 			"backend": change.ID, "pool": change.Pool, "state": string(change.Kind),
-			"revision": standing.Content, "proof_age_ms": standing.Age.Milliseconds(),
+			"revision": snapshot.Content, "proof_age_ms": now.Sub(snapshot.Proof).Milliseconds(),
 		}).Info("the list of backend servers changed")
 	}
 }
