Refusals for good and waits of reads follow the bound on changes of the tables

A request was refused for good with 401 or 404 by tables whose proof was up to 3 s old, while changes have to be in force within 2 s on two of the sites: a route or key that a confirmed change had added could be refused. The age now follows from the bound, less the time of a request's way. Settings that are read again replace the bound and the plans of reads, too.

TestDenialNeedsTablesWithinTheBound failed before with 404 instead of 503.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -107,6 +107,22 @@
 	return c
 }
 
+// SetPlans replaces the plans of all collections.
+func (c *Copies) SetPlans(plans map[platform.Kind]Plan) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.plans = plans
+	for kind, held := range c.copies {
+		held.reader.SetPlan(plans[kind].Plan)
+	}
+}
+
+func (c *Copies) plan(kind platform.Kind) Plan {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.plans[kind]
+}
+
 // Run keeps the copies current until ctx ends.
 func (c *Copies) Run(ctx context.Context) {
 	var group sync.WaitGroup
@@ -245,7 +261,7 @@
 		}
 		c.noteReading(kind, reason)
 		if reason == duty.None {
-			sleep(ctx, c.plans[kind].Look)
+			sleep(ctx, c.plan(kind).Look)
 			continue
 		}
 		news, err := c.read(ctx, kind, reason, wait)
@@ -256,7 +272,7 @@
 			c.failed(kind, err)
 		case news:
 			c.succeeded(kind)
-			sleep(ctx, c.plans[kind].Gather)
+			sleep(ctx, c.plan(kind).Gather)
 		default:
 			c.succeeded(kind)
 		}
--- a/internal/duty/reader.go
+++ b/internal/duty/reader.go
@@ -75,6 +75,9 @@
 	return &Reader{plan: plan, started: started, pause: minPause}
 }
 
+// SetPlan replaces the plan. A call in progress ends by the last one.
+func (r *Reader) SetPlan(plan Plan) { r.plan = plan }
+
 // Next returns why to read the store now, None or Pausing for not now, and how long
 // the call may wait for news.
 func (r *Reader) Next(held Copy, onDuty bool, now time.Time) (Reason, time.Duration) {
--- a/internal/duty/reader_test.go
+++ b/internal/duty/reader_test.go
@@ -73,3 +73,13 @@
 	c.Assert(probes, qt.Equals, 9)
 	c.Assert(r.Lost(epoch), qt.IsTrue)
 }
+
+// TestPlanFollowsTheSettings: bounds may change while a process runs.
+func TestPlanFollowsTheSettings(t *testing.T) {
+	c := qt.New(t)
+	old := duty.Copy{Known: true, Age: 2 * time.Second}
+	r := duty.NewReader(duty.TablesPlan(3*time.Second), epoch)
+	c.Assert(reasonOf(r, old, false, epoch), qt.Equals, duty.None)
+	r.SetPlan(duty.TablesPlan(2 * time.Second))
+	c.Assert(reasonOf(r, old, false, epoch), qt.Equals, duty.OldCopy)
+}
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -153,7 +153,7 @@
 	e.gate.slackFrom = clock.Now().Add(s.Bounds.RetryWindow)
 	e.view = newView(e.gate, s.Bounds.Switch-switchMargin, s.Bounds.Stable-stableMargin, log)
 	e.front = &front{view: e.view, gate: e.gate, sender: newSender(), log: log, metrics: counted, zone: s.AvailabilityZone}
-	e.front.revoke.Store(int64(s.Bounds.Revoke))
+	e.front.setBounds(s.Bounds)
 	e.heart = &heart{socket: socket, view: e.view, gate: e.gate, front: e.front, log: log, start: start, news: make(chan struct{}, 1), moved: make(chan string, maxMoved), placed: make(chan struct{}, 1)}
 	e.gate.moved = e.heart.noteLoad
 	e.metrics.Gauge("tables_proof_age_seconds", "Age of the proof that the tables are current.", func() float64 { return e.view.proofAge().Seconds() })
@@ -209,11 +209,12 @@
 	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: len(platform.Kinds), DisableCompression: true}
 }
 
-// reload takes over what may change while the entry runs: the bounds on retries
-// and keys and the hosts that know other entries.
+// reload takes over what may change while the entry runs: the bounds on retries,
+// keys and changes, and the hosts that know other entries.
 func (e *entry) reload(s platform.Settings) {
 	e.gate.setRetries(newRetryLimits(s.Bounds))
-	e.front.revoke.Store(int64(s.Bounds.Revoke))
+	e.front.setBounds(s.Bounds)
+	e.copies.SetPlans(newPlans(s.Bounds))
 	e.heart.suggest(s.Seeds)
 }
 
--- a/internal/relay/front.go
+++ b/internal/relay/front.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// tableMaxAge is the age of the tables' proof up to which a request that they
-	// do not allow is refused for good; with older tables it may return later.
-	tableMaxAge = 3 * time.Second
+	// denyMargin is kept between the age of the tables' proof and the bound on changes,
+	// for a request's way here, where a request is refused for good.
+	denyMargin = 100 * time.Millisecond
 	// revokeMargin is kept between the age of the tables' proof and the bound on
 	// revoked keys, for a request's way to the backend server.
 	revokeMargin = 400 * time.Millisecond
@@ -41,10 +41,19 @@
 	// usual tells callers that come back from others.
 	usual usualTimes
 	// revoke is the bound on revoked keys in nanoseconds; zero when there is none.
-	revoke  atomic.Int64
+	revoke atomic.Int64
+	// deny is the age of the tables' proof in nanoseconds up to which a request that
+	// they do not allow is refused for good; with older ones it may return later.
+	deny    atomic.Int64
 	leaving atomic.Bool
 }
 
+// setBounds takes over the bounds on revoked keys and on changes of the tables.
+func (f *front) setBounds(bounds platform.Bounds) {
+	f.revoke.Store(int64(bounds.Revoke))
+	f.deny.Store(int64(max(bounds.Apply-denyMargin, bounds.Apply/2)))
+}
+
 // refusal is an answer of this entry's own.
 type refusal struct {
 	status     int
@@ -149,7 +158,7 @@
 // forbidden refuses what the tables do not allow. Tables that may be out of
 // date refuse it for now only.
 func (x *exchange) forbidden(status int, reason string, age time.Duration) *refusal {
-	if age > tableMaxAge {
+	if age > time.Duration(x.front.deny.Load()) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "stale_tables", retryAfter: staleReturn}
 	}
 	return &refusal{status: status, reason: reason}
--- a/internal/relay/front_test.go
+++ b/internal/relay/front_test.go
@@ -61,7 +61,7 @@
 	}
 	v.copies.Take(platform.Backends, replica.Change{Whole: true, AsOf: 1, Documents: listed}, clock.Now(), "peer")
 	f := &front{view: v, gate: held, sender: newSender(), log: entry, metrics: newFrontMetrics(metrics.New())}
-	f.revoke.Store(int64(5 * time.Second))
+	f.setBounds(platform.Bounds{Apply: 2 * time.Second, Revoke: 5 * time.Second})
 	server := httptest.NewServer(f)
 	t.Cleanup(server.Close)
 	return &fixture{front: f, server: server}
@@ -177,6 +177,28 @@
 	c.Assert(response.Header.Get("Retry-After"), qt.Equals, "1.00")
 }
 
+// TestDenialNeedsTablesWithinTheBound guards against a refusal for good of what a
+// change allows that is already to be in force: tables with a proof older than the
+// bound on changes can't tell.
+func TestDenialNeedsTablesWithinTheBound(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t, answerOK)
+	const apply = 2 * time.Second
+	f.front.setBounds(platform.Bounds{Apply: apply, Revoke: 5 * time.Second})
+	status := func(age time.Duration, path, key string) int {
+		held := *f.front.view.inForce.Load()
+		f.front.view.inForce.Store(&tables{Table: held.Table, content: -1, proof: clock.Now().Add(-age)})
+		response, _, err := f.ask(http.MethodPost, path, func(r *http.Request) { r.Header.Set("X-Api-Key", key) })
+		c.Assert(err, qt.IsNil)
+		return response.StatusCode
+	}
+	c.Assert(status(time.Second, "/unknown/", "good"), qt.Equals, http.StatusNotFound)
+	c.Assert(status(time.Second, "/once/", "bad"), qt.Equals, http.StatusUnauthorized)
+	c.Assert(status(apply, "/unknown/", "good"), qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(status(apply, "/once/", "bad"), qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(status(apply, "/once/", "good"), qt.Equals, http.StatusOK)
+}
+
 func TestNoTablesAreNoDenial(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture(t, answerOK)
