An entry whose last start was told by a clock that ran ahead is heard again

The time of day may step back between two starts: the entry then had no part in the duty and was named to no caller. A start that seems earlier counts once the other has been silent for longer than entries stay silent.

TestStartAfterTheTimeOfDayWentBack failed before.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -116,10 +116,13 @@
 		d.entries[entry.Host] = &known{Entry: entry, heardAt: now}
 		return true, true
 	}
-	if entry.Start < last.Start || (entry.Start == last.Start && entry.Sequence <= last.Sequence) {
+	// Starts are told by the time of day, which may go back: one that seems earlier
+	// counts once the other has been silent for a while.
+	silent := now.Sub(last.heardAt) > d.config.FarLiveFor
+	if entry.Start < last.Start && !silent || entry.Start == last.Start && entry.Sequence <= last.Sequence {
 		return false, false
 	}
-	isNew = entry.Start > last.Start
+	isNew = entry.Start != last.Start
 	last.Entry, last.heardAt = entry, now
 	return true, isNew
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -51,6 +51,21 @@
 	c.Assert(current && isNew, qt.IsTrue)
 }
 
+// TestStartAfterTheTimeOfDayWentBack guards against an entry that its peers ignore after
+// a restart because its last start was told by a clock that ran ahead.
+func TestStartAfterTheTimeOfDayWentBack(t *testing.T) {
+	c := qt.New(t)
+	d := peers.New(config, self(), nil, epoch)
+	ahead := other("10.0.0.2", "z1", 5)
+	ahead.Start = 9
+	d.Heard(ahead, epoch)
+	current, _ := d.Heard(other("10.0.0.2", "z1", 1), epoch.Add(time.Second))
+	c.Assert(current, qt.IsFalse, qt.Commentf("it may be a late message of an earlier start"))
+	current, isNew := d.Heard(other("10.0.0.2", "z1", 2), epoch.Add(4*time.Second))
+	c.Assert(current && isNew, qt.IsTrue)
+	c.Assert(d.Live(epoch.Add(4*time.Second)), qt.HasLen, 1)
+}
+
 func TestOneEntryOfAZoneWatches(t *testing.T) {
 	c := qt.New(t)
 	hosts := []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"}
