An agent's report that a later one has overtaken is ignored

Entries and agents took each report of an agent as the newest: one that was held up on a link brought an older version of the weights, or a switch that was over, back until the next report. Reports are ordered by the agent's start and sequence now, as messages of entries are.

TestOvertakenReportIsIgnored failed before.

--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -125,10 +125,12 @@
 	at               time.Time
 }
 
-// neighbor is another agent's word.
+// neighbor is another agent's last word; start and sequence order what it says.
 type neighbor struct {
-	report beat.Report
-	at     time.Time
+	report   beat.Report
+	at       time.Time
+	start    int64
+	sequence uint64
 }
 
 // Run runs the agent until it is told to stop.
@@ -290,9 +292,7 @@
 	now := m.DatedBy(clock.Now())
 	if m.Role == beat.Agent {
 		if m.Report != nil && m.Host != a.settings.IP {
-			a.mu.Lock()
-			a.neighbors[m.Host] = neighbor{report: *m.Report, at: now}
-			a.mu.Unlock()
+			a.hearNeighbor(m, now)
 		}
 		return
 	}
@@ -306,6 +306,17 @@
 	a.puller.Heard(ctx, m)
 }
 
+// hearNeighbor takes in another agent's word, unless a later one has overtaken it.
+func (a *agent) hearNeighbor(m *beat.Message, sent time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	last, found := a.neighbors[m.Host]
+	if found && m.Start == last.start && m.Sequence <= last.sequence {
+		return
+	}
+	a.neighbors[m.Host] = neighbor{report: *m.Report, at: sent, start: m.Start, sequence: m.Sequence}
+}
+
 // notify sends the next message at once.
 func (a *agent) notify() { ring.Wake(a.changed) }
 
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -50,6 +50,9 @@
 	// plainFactor is the number of requests in progress per slot of an instance
 	// whose requests take milliseconds.
 	plainFactor = 2
+	// restartSilence is the silence of an agent after which a start that seems earlier
+	// is taken for a later one: a few of its regular reports.
+	restartSilence = 3 * time.Second
 	// maxDoublings bounds the growth of the time for which an instance is avoided.
 	maxDoublings = 5
 )
@@ -64,6 +67,25 @@
 	Switching bool
 	// Pace above 1 means that the engine is slow.
 	Pace float64
+	// Start and Sequence order what the agent says.
+	Start    int64
+	Sequence uint64
+}
+
+// heard is an agent's last word and when it was said.
+type heard struct {
+	AgentReport
+	at time.Time
+}
+
+// overtakes reports whether the agent said h before a report of the given time.
+// Starts are told by the time of day, which may go back: one that seems earlier
+// counts once the other has been silent for a while.
+func (h heard) overtakes(report AgentReport, at time.Time) bool {
+	if report.Start == h.Start {
+		return report.Sequence < h.Sequence
+	}
+	return report.Start < h.Start && at.Sub(h.at) < restartSilence
 }
 
 // Load is what one entry has in progress at an instance.
@@ -83,10 +105,9 @@
 // instance is what is known of one backend server instance.
 type instance struct {
 	catalog.Backend
-	// reported is the agent's word at reportedAt.
-	reported   AgentReport
-	reportedAt time.Time
-	own        int
+	// reported is the agent's last word.
+	reported AgentReport
+	own      int
 	// unread holds the prompt tokens of this entry's requests that have not begun
 	// to answer, by ticket.
 	unread     map[uint64]int
@@ -112,11 +133,6 @@
 	tickets uint64
 }
 
-type heard struct {
-	report AgentReport
-	at     time.Time
-}
-
 // New returns a view without instances.
 func New(config Config) *Fleet {
 	return &Fleet{
@@ -162,7 +178,7 @@
 		}
 		known.Backend, known.keepUntil = backend, time.Time{}
 		if last, found := f.reports[backend.Host]; found {
-			known.reported, known.reportedAt = last.report, last.at
+			known.reported = last.AgentReport
 		}
 	}
 	for id, known := range f.instances {
@@ -208,11 +224,15 @@
 	}
 }
 
-// Reported takes in the word of the agent at host.
+// Reported takes in the word of the agent at host. One that later words have
+// overtaken is ignored.
 func (f *Fleet) Reported(host string, report AgentReport, now time.Time) {
-	f.reports[host] = heard{report: report, at: now}
+	if f.reports[host].overtakes(report, now) {
+		return
+	}
+	f.reports[host] = heard{AgentReport: report, at: now}
 	if known := f.byHost[host]; known != nil {
-		known.reported, known.reportedAt = report, now
+		known.reported = report
 	}
 }
 
@@ -456,7 +476,7 @@
 	if known.Pool != need.Pool || known.Leaving || known.gone || need.Tried[known.ID] || now.Before(known.avoidUntil) {
 		return false
 	}
-	if f.reports[known.Host].report.Born > known.Born || f.newest[known.Address] > known.Born {
+	if f.reports[known.Host].Born > known.Born || f.newest[known.Address] > known.Born {
 		// The entry is of an earlier start at the address.
 		return false
 	}
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -177,6 +177,30 @@
 	c.Assert(choice.Version, qt.Equals, int64(2))
 }
 
+// TestOvertakenReportIsIgnored guards against an older state that comes back: reports
+// wait on links, and overtake each other.
+func TestOvertakenReportIsIgnored(t *testing.T) {
+	c := qt.New(t)
+	fleet := newFleet(1)
+	fleet.SetList(backends(1), time.Time{}, epoch)
+	fleet.Reported("10.0.0.0", placement.AgentReport{Born: 1, Loaded: 2, Start: 7, Sequence: 3}, epoch)
+	fleet.Reported("10.0.0.0", placement.AgentReport{Born: 1, Loaded: 1, Switching: true, Start: 7, Sequence: 2}, epoch)
+	fleet.Reported("10.0.0.0", placement.AgentReport{Born: 1, Loaded: 1, Start: 6, Sequence: 9}, epoch)
+	choice, found := fleet.Choose(placement.Need{Pool: "engines", Model: "m", Version: 2}, epoch)
+	c.Assert(found, qt.IsTrue)
+	c.Assert(choice.Version, qt.Equals, int64(2))
+	fleet.Reported("10.0.0.0", placement.AgentReport{Born: 9, Start: 8, Sequence: 1}, epoch)
+	_, found = fleet.Choose(placement.Need{Pool: "engines", Model: "m", Version: 2}, epoch)
+	c.Assert(found, qt.IsFalse, qt.Commentf("a new start of the agent counts anew"))
+	stepped := placement.AgentReport{Born: 1, Loaded: 2, Start: 5, Sequence: 1}
+	fleet.Reported("10.0.0.0", stepped, epoch.Add(time.Second))
+	_, found = fleet.Choose(placement.Need{Pool: "engines", Model: "m", Version: 2}, epoch)
+	c.Assert(found, qt.IsFalse)
+	fleet.Reported("10.0.0.0", stepped, epoch.Add(4*time.Second))
+	_, found = fleet.Choose(placement.Need{Pool: "engines", Model: "m", Version: 2}, epoch)
+	c.Assert(found, qt.IsTrue, qt.Commentf("the time of day went back before the last start"))
+}
+
 // TestReleaseUnderWay answers the pattern of a release under full traffic:
 // requests go where they will not be cut, unless the wait there is long.
 func TestReleaseUnderWay(t *testing.T) {
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -197,7 +197,7 @@
 	if m.Role == beat.Agent {
 		if m.Report != nil {
 			h.gate.reported(m.Host, placement.AgentReport{
-				Born: m.Report.Born, Loaded: m.Report.Loaded, Switching: m.Report.Switching, Pace: m.Report.Pace,
+				Born: m.Report.Born, Loaded: m.Report.Loaded, Switching: m.Report.Switching, Pace: m.Report.Pace, Start: m.Start, Sequence: m.Sequence,
 			}, now)
 		} else {
 			h.greet(m.Host)
