News are pulled from a second peer when the first one hangs

A pull of news was the only one of its collection for up to a second. When the peer that told of them first stands still or can't be reached any more, an entry's tables came a second late, half of the bound on changes, though other peers had them. After 300 ms an entry asks another one as well; agents, whose links are narrow, still ask one at a time.

TestHangingPeerHoldsNoNewsBack answers the pattern.

--- a/internal/copies/pull.go
+++ b/internal/copies/pull.go
@@ -22,6 +22,9 @@
 	pullMethod = ServiceName + ".Pull"
 	// pullLimit bounds one such call.
 	pullLimit = time.Second
+	// pullPatience is how long a call may take before another peer is asked, too: many
+	// times what it takes unless the peer or the link is disturbed.
+	pullPatience = 300 * time.Millisecond
 )
 
 // PullArgs asks for what changed in a collection since a revision.
@@ -62,24 +65,26 @@
 	client *peer.Client
 	port   int
 	log    *logrus.Entry
-	// busy holds a token for each collection that is being pulled.
-	busy map[platform.Kind]chan struct{}
 	// pauses holds the shortest time between two pulls of a collection, and
 	// pulled when the last one was.
 	pauses map[platform.Kind]time.Duration
+	// most bounds the pulls of one collection in progress.
+	most   int
 	mu     sync.Mutex
 	pulled map[platform.Kind]time.Time
+	// begun holds when the pulls in progress have begun, by peer.
+	begun map[platform.Kind]map[string]time.Time
 }
 
 // NewPuller returns a puller that calls peers at port, with pauses between two
-// pulls of the collections that are named.
-func NewPuller(held *Copies, client *peer.Client, port int, pauses map[platform.Kind]time.Duration, log *logrus.Entry) *Puller {
+// pulls of the collections that are named and at most as many pulls of one at once.
+func NewPuller(held *Copies, client *peer.Client, port, most int, pauses map[platform.Kind]time.Duration, log *logrus.Entry) *Puller {
 	p := &Puller{
-		copies: held, client: client, port: port, log: log, busy: map[platform.Kind]chan struct{}{},
-		pauses: pauses, pulled: map[platform.Kind]time.Time{},
+		copies: held, client: client, port: port, most: most, log: log,
+		pauses: pauses, pulled: map[platform.Kind]time.Time{}, begun: map[platform.Kind]map[string]time.Time{},
 	}
 	for _, kind := range platform.Kinds {
-		p.busy[kind] = make(chan struct{}, 1)
+		p.begun[kind] = map[string]time.Time{}
 	}
 	return p
 }
@@ -93,43 +98,55 @@
 		}
 		kind := platform.Kinds[i]
 		heard := Standing{Known: standing.Known, Content: standing.Content, Age: time.Duration(standing.AgeMs) * time.Millisecond}
-		if p.copies.Heard(kind, heard, m.SentAfter, m.Host) && p.mayPull(kind, now) {
-			p.pull(ctx, kind, m.Host)
+		if p.copies.Heard(kind, heard, m.SentAfter, m.Host) && p.begin(kind, m.Host, now) {
+			go p.pull(ctx, kind, m.Host)
 		}
 	}
 }
 
-// mayPull reports whether the pause since the last pull that brought news is
-// over.
-func (p *Puller) mayPull(kind platform.Kind, now time.Time) bool {
+// begin reports whether a pull from a peer may begin, and counts it: the pause since
+// the last one that brought news is over, and no other peer is being asked or that one
+// takes long.
+func (p *Puller) begin(kind platform.Kind, host string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	last, before := p.pulled[kind]
-	return !before || now.Sub(last) >= p.pauses[kind]
+	if last, before := p.pulled[kind]; before && now.Sub(last) < p.pauses[kind] {
+		return false
+	}
+	begun := p.begun[kind]
+	if _, asked := begun[host]; asked || len(begun) >= p.most {
+		return false
+	}
+	for _, at := range begun {
+		if now.Sub(at) < pullPatience {
+			return false
+		}
+	}
+	begun[host] = now
+	return true
 }
 
-func (p *Puller) pull(ctx context.Context, kind platform.Kind, host string) {
-	select {
-	case p.busy[kind] <- struct{}{}:
-	default:
-		return
+func (p *Puller) end(kind platform.Kind, host string, asked time.Time, news bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.begun[kind], host)
+	if news {
+		p.pulled[kind] = asked
 	}
-	go func() {
-		defer func() { <-p.busy[kind] }()
-		ctx, cancel := context.WithTimeout(ctx, pullLimit)
-		defer cancel()
-		var reply PullReply
-		asked := clock.Now()
-		err := p.client.Call(ctx, beat.Address(host, p.port), pullMethod, PullArgs{Kind: string(kind), Since: p.copies.AsOf(kind)}, &reply)
-		if err != nil {
-			p.log.WithError(err).WithFields(logrus.Fields{"peer": host, "collection": string(kind)}).Warning("news could not be taken from a peer")
-			return
-		}
+}
+
+func (p *Puller) pull(ctx context.Context, kind platform.Kind, host string) {
+	ctx, cancel := context.WithTimeout(ctx, pullLimit)
+	defer cancel()
+	var reply PullReply
+	asked := clock.Now()
+	err := p.client.Call(ctx, beat.Address(host, p.port), pullMethod, PullArgs{Kind: string(kind), Since: p.copies.AsOf(kind)}, &reply)
+	if err != nil {
+		p.log.WithError(err).WithFields(logrus.Fields{"peer": host, "collection": string(kind)}).Warning("news could not be taken from a peer")
+	} else {
 		p.copies.Take(kind, reply.Change, asked.Add(-reply.Age), host)
-		p.mu.Lock()
-		p.pulled[kind] = asked
-		p.mu.Unlock()
-	}()
+	}
+	p.end(kind, host, asked, err == nil)
 }
 
 // Standings returns this process's standings for its messages.
--- a/internal/copies/pull_test.go
+++ b/internal/copies/pull_test.go
@@ -35,13 +35,33 @@
 // several times a second: a process that needs little of them does not pull each.
 func TestStormOfTablesSparesTheLink(t *testing.T) {
 	c := qt.New(t)
-	p := NewPuller(nil, nil, 0, map[platform.Kind]time.Duration{platform.Tables: 10 * time.Second}, testLog())
+	p := NewPuller(nil, nil, 0, 1, map[platform.Kind]time.Duration{platform.Tables: 10 * time.Second}, testLog())
 	now := time.Unix(100, 0)
-	c.Assert(p.mayPull(platform.Tables, now), qt.IsTrue)
+	begins := func(kind platform.Kind, now time.Time) bool {
+		begun := p.begin(kind, "peer", now)
+		p.end(kind, "peer", now, false)
+		return begun
+	}
+	c.Assert(begins(platform.Tables, now), qt.IsTrue)
 	p.pulled[platform.Tables], p.pulled[platform.Releases] = now, now
-	c.Assert(p.mayPull(platform.Tables, now.Add(time.Second)), qt.IsFalse)
-	c.Assert(p.mayPull(platform.Tables, now.Add(10*time.Second)), qt.IsTrue)
-	c.Assert(p.mayPull(platform.Releases, now.Add(time.Millisecond)), qt.IsTrue)
+	c.Assert(begins(platform.Tables, now.Add(time.Second)), qt.IsFalse)
+	c.Assert(begins(platform.Tables, now.Add(10*time.Second)), qt.IsTrue)
+	c.Assert(begins(platform.Releases, now.Add(time.Millisecond)), qt.IsTrue)
+}
+
+// TestHangingPeerHoldsNoNewsBack guards against news that come late because the first
+// peer that told of them stands still or can't be reached any more.
+func TestHangingPeerHoldsNoNewsBack(t *testing.T) {
+	c := qt.New(t)
+	p := NewPuller(nil, nil, 0, 2, nil, testLog())
+	now := time.Unix(100, 0)
+	c.Assert(p.begin(platform.Tables, "hanging", now), qt.IsTrue)
+	c.Assert(p.begin(platform.Tables, "b", now.Add(pullPatience/2)), qt.IsFalse, qt.Commentf("one pull is enough"))
+	c.Assert(p.begin(platform.Tables, "hanging", now.Add(2*pullPatience)), qt.IsFalse)
+	c.Assert(p.begin(platform.Tables, "b", now.Add(pullPatience)), qt.IsTrue)
+	c.Assert(p.begin(platform.Tables, "c", now.Add(3*pullPatience)), qt.IsFalse, qt.Commentf("no more than two at once"))
+	p.end(platform.Tables, "b", now, true)
+	c.Assert(p.begin(platform.Tables, "c", now.Add(3*pullPatience)), qt.IsTrue)
 }
 
 // TestNewsTravelBetweenProcesses: a process that does not read the store takes
@@ -57,7 +77,7 @@
 	c.Assert(server.Listen(beat.Address("127.0.0.1", port)), qt.IsNil)
 	changed := make(chan platform.Kind, 1)
 	to := New(Config{Log: testLog(), Changed: func(kind platform.Kind) { changed <- kind }})
-	puller := NewPuller(to, peer.NewClient(peer.Security{}), port, nil, testLog())
+	puller := NewPuller(to, peer.NewClient(peer.Security{}), port, 1, nil, testLog())
 	puller.pull(t.Context(), platform.Tables, "127.0.0.1")
 	c.Assert(<-changed, qt.Equals, platform.Tables)
 	c.Assert(to.Documents(platform.Tables)["main"].Revision, qt.Equals, int64(7))
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -62,6 +62,8 @@
 	drainLimit            = time.Second
 	maxMetricsConnections = 8
 	stallLimit            = 5 * time.Second
+	// pullsAtOnce is one, since an agent's link is narrow and large news take long.
+	pullsAtOnce = 1
 	// firstNews is how long a starting agent waits for an entry's news before it
 	// reads the store itself.
 	firstNews = 1500 * time.Millisecond
@@ -195,7 +197,7 @@
 	a.copies = copies.New(copies.Config{Store: store, Plans: plans, Log: log, Changed: a.decode})
 	a.metrics = newAgentMetrics(a)
 	store.Called = func(method string, kind platform.Kind) { a.metrics.store.WithLabelValues(method, string(kind)).Inc() }
-	a.puller = copies.NewPuller(a.copies, a.client, s.PeerPort, pauses, log)
+	a.puller = copies.NewPuller(a.copies, a.client, s.PeerPort, pullsAtOnce, pauses, log)
 	return a
 }
 
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -65,6 +65,8 @@
 const (
 	backendsWait = 1500 * time.Millisecond
 	releasesWait = 3 * time.Second
+	// pullsAtOnce lets an entry ask a second peer while the first one takes long.
+	pullsAtOnce = 2
 	// lookInterval is the time between two looks at whose duty a collection is and
 	// how old the copy is.
 	lookInterval = 100 * time.Millisecond
@@ -168,7 +170,7 @@
 	})
 	e.view.copies, e.heart.copies = e.copies, e.copies
 	client := peer.NewClient(peer.Security{})
-	e.heart.puller = copies.NewPuller(e.copies, client, s.PeerPort, nil, log)
+	e.heart.puller = copies.NewPuller(e.copies, client, s.PeerPort, pullsAtOnce, nil, log)
 	kept, err := depot.New(depot.Config{
 		Host: s.IP, Port: s.PeerPort, Uploads: depot.NewUploads(s.LinkBitsPerSecond, depot.EntryShare), Upstream: e.upstream,
 	}, platform.NewOrigin(newOriginTransport()), client, log)
