Soak: keys taken from entries that stand still, and a store that refuses its readers

Neither of the incident's two patterns was among the faults: an entry was paused for 3 s, less than the bound on keys, and the store failed for all or one process alone. Nor would the check of late tables have seen the second one, since any fault anywhere excused it; now only what disturbs the entry itself or all entries does.

--- a/test/soak/fleet/callers.go
+++ b/test/soak/fleet/callers.go
@@ -19,6 +19,9 @@
 	"plantainrelay/test/testfleet"
 )
 
+// keys are those that callers use; the first two are never taken away.
+var keys = []string{"key-1", "key-2", "key-3", "key-4", "key-5", "key-6"}
+
 const (
 	host = "service.example"
 	// answerKept is how long callers keep the addresses of entries.
@@ -83,7 +86,6 @@
 func (c *caller) run(ctx context.Context) {
 	defer c.client.CloseIdleConnections()
 	kinds := []standin.Kind{standin.Streaming, standin.Streaming, standin.NonIdempotent, standin.Idempotent}
-	keys := []string{"key-1", "key-2", "key-3"}
 	for ctx.Err() == nil {
 		call := c.send(ctx, kinds[c.random.IntN(len(kinds))], keys[c.random.IntN(len(keys))])
 		if call.Outcome == Refused {
--- a/test/soak/fleet/check.go
+++ b/test/soak/fleet/check.go
@@ -62,6 +62,15 @@
 	return true
 }
 
+// inTouch reports whether neither the entry nor what all entries depend on was
+// disturbed: what happens to other instances does not excuse it.
+func (c *check) inTouch(entry string, from, to time.Time) bool {
+	from = from.Add(-c.history.Bounds.Stable)
+	return !slices.ContainsFunc(c.history.Windows, func(window Window) bool {
+		return (window.Target == "" || window.Target == entry) && window.From.Before(to) && from.Before(window.To)
+	})
+}
+
 // stalled reports whether the machine was short of processor time.
 func (c *check) stalled(from, to time.Time) bool {
 	return slices.ContainsFunc(c.history.Windows, func(window Window) bool {
@@ -103,7 +112,7 @@
 	switch {
 	case !allowedEver:
 		c.broken("ROUTE", "%s ran in pool %s, which no tables allow", e.Attempt, e.Pool)
-	case !allowedNow && c.calm(call.Sent.Add(-2*c.history.Bounds.Apply), e.At) && !c.started(call.Entry, call.Sent):
+	case !allowedNow && c.inTouch(call.Entry, call.Sent.Add(-2*c.history.Bounds.Apply), e.At) && !c.started(call.Entry, call.Sent):
 		c.broken("CONFIG", "%s ran in pool %s, which only replaced tables allow", e.Attempt, e.Pool)
 	}
 }
--- a/test/soak/fleet/check_test.go
+++ b/test/soak/fleet/check_test.go
@@ -52,6 +52,14 @@
 		replaced.table.Routes[1].Pool = testfleet.OtherPool
 		h.tables = append(h.tables, replaced)
 	}},
+	{"tables that were replaced, while the store refuses another entry", "CONFIG", func(h *History) {
+		replaced := h.tables[0]
+		replaced.at = checkEpoch.Add(-3 * time.Second)
+		replaced.table.Routes = slices.Clone(replaced.table.Routes)
+		replaced.table.Routes[1].Pool = testfleet.OtherPool
+		h.tables = append(h.tables, replaced)
+		h.Windows = append(h.Windows, Window{Target: "entry-b1", From: checkEpoch.Add(-time.Minute), To: checkEpoch.Add(time.Minute)})
+	}},
 	{"a key that was taken away, although the store is down", "CONFIG", func(h *History) {
 		h.tables = append(h.tables, stamped{at: checkEpoch.Add(-6 * time.Second), table: standin.Table{Routes: h.tables[0].table.Routes}})
 		h.Windows = append(h.Windows, Window{From: checkEpoch.Add(-time.Minute), To: checkEpoch.Add(time.Minute)})
--- a/test/soak/fleet/cmd/main.go
+++ b/test/soak/fleet/cmd/main.go
@@ -47,6 +47,7 @@
 	cmd.Flags().IntVar(&config.Entries, "entries", 2, "entries in each of the three availability zones")
 	cmd.Flags().IntVar(&config.Engines, "engines", 3, "model engines with their agents in each availability zone")
 	cmd.Flags().IntVar(&config.Callers, "callers", 16, "callers")
+	cmd.Flags().StringSliceVar(&config.Only, "only", nil, "kinds of faults to draw from; all when empty")
 	cmd.Flags().StringVar(&keep, "keep", "", "directory for the logs of broken runs")
 	if cmd.Execute() != nil {
 		os.Exit(1)
--- a/test/soak/fleet/faults.go
+++ b/test/soak/fleet/faults.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"plantainrelay/internal/member"
 	"plantainrelay/platform/standin"
 	"plantainrelay/test/testfleet"
 )
@@ -19,6 +20,9 @@
 // pairShare is the share of draws that cause two faults at once.
 const pairShare = 0.5
 
+// pausedLonger is how much longer than the bound on keys entries stand still.
+const pausedLonger = 3 * time.Second
+
 var faults = []fault{
 	{"entry killed", func(r *run) error { return r.killed("entry killed", r.isEntry) }},
 	{"agent killed", func(r *run) error { return r.killed("agent killed", r.isAgent) }},
@@ -59,6 +63,16 @@
 	{"release", func(r *run) error { return r.releases(false, false) }},
 	{"tables changed", (*run).changesTables},
 	{"key taken away", (*run).takesKey},
+	{"key taken from paused entries", (*run).takesKeyFromPaused},
+	{"store refuses its readers", (*run).refusesReaders},
+}
+
+// chosen returns the kinds of faults that the run draws from.
+func (r *run) chosen() []fault {
+	if len(r.config.Only) == 0 {
+		return slices.Clone(faults)
+	}
+	return slices.DeleteFunc(slices.Clone(faults), func(one fault) bool { return !slices.Contains(r.config.Only, one.kind) })
 }
 
 // inject draws faults, in series and overlapping, until the time is over. Each
@@ -74,7 +88,7 @@
 		}
 		for range count {
 			if len(order) == 0 {
-				order = slices.Clone(faults)
+				order = r.chosen()
 				r.random.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
 			}
 			next := order[0]
@@ -135,11 +149,15 @@
 }
 
 func (r *run) paused(kind string, fits func(*testfleet.Place) bool) error {
+	return r.pausedFor(kind, fits, 3*time.Second)
+}
+
+func (r *run) pausedFor(kind string, fits func(*testfleet.Place) bool, wait time.Duration) error {
 	return r.with(kind, fits, func(one *testfleet.Place) error {
 		if err := r.Signal(one, syscall.SIGSTOP); err != nil {
 			return err
 		}
-		time.Sleep(3 * time.Second)
+		time.Sleep(wait)
 		return r.Signal(one, syscall.SIGCONT)
 	})
 }
@@ -225,22 +243,33 @@
 	})
 }
 
+// hold keeps other faults from what name stands for until free is called; free is nil
+// when another one holds it.
+func (r *run) hold(name string) (free func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.busy[name] {
+		return nil
+	}
+	r.busy[name] = true
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.busy, name)
+	}
+}
+
 // storeFails holds the store for the fault, since another one would end it.
 func (r *run) storeFails(kind string, faults standin.StoreFaults, wait time.Duration) error {
-	r.mu.Lock()
-	taken := r.busy["store"]
-	r.busy["store"] = true
-	r.mu.Unlock()
-	if taken {
+	free := r.hold("store")
+	if free == nil {
 		return nil
 	}
+	defer free()
 	defer r.history.noteWindow(kind, "")()
 	r.Store.SetFaults(faults)
 	time.Sleep(wait)
 	r.Store.SetFaults(standin.StoreFaults{})
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.busy, "store")
 	return nil
 }
 
@@ -307,12 +336,80 @@
 	return nil
 }
 
-// takesKey takes a key away for good.
+// takesKey takes a key away for good, while there are some that may go.
 func (r *run) takesKey() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.table.Keys = map[string][]string{"firm-1": {"key-1"}, "firm-2": {"key-2"}}
+	kept := r.table.Keys["firm-2"]
+	if len(kept) == 1 {
+		return nil
+	}
+	r.table.Keys = map[string][]string{"firm-1": {"key-1"}, "firm-2": kept[:len(kept)-1]}
 	r.table.Version += 2
 	r.publish()
 	return nil
 }
+
+// takesKeyFromPaused lets entries stand still for longer than the bound on keys, and
+// takes one away meanwhile: callers go on to send requests with it.
+func (r *run) takesKeyFromPaused() error {
+	var group sync.WaitGroup
+	for range (r.config.Entries*len(testfleet.Zones) + 1) / 2 {
+		group.Go(func() {
+			err := r.pausedFor("key taken from paused entries", r.isEntry, r.config.Bounds.Revoke+pausedLonger)
+			if err != nil {
+				r.history.noteProblem("SOAK", err.Error())
+			}
+		})
+	}
+	time.Sleep(faultInterval / 8)
+	err := r.takesKey()
+	group.Wait()
+	return err
+}
+
+// refusesReaders stalls the store's links to the entries that have the duty to read
+// the tables, and changes the tables: the others are still to have them in time.
+func (r *run) refusesReaders() error {
+	free := r.hold("readers")
+	if free == nil {
+		return nil
+	}
+	defer free()
+	readers := r.readers()
+	var group sync.WaitGroup
+	for _, name := range readers {
+		group.Go(func() {
+			err := r.linkStalls("store refuses its readers", func(one *testfleet.Place) bool { return one.Name == name }, testfleet.Store, false, 12*time.Second)
+			if err != nil {
+				r.history.noteProblem("SOAK", err.Error())
+			}
+		})
+	}
+	for range 3 {
+		r.mu.Lock()
+		wait := time.Duration(r.random.Int64N(int64(2 * time.Second)))
+		r.mu.Unlock()
+		time.Sleep(wait)
+		if err := r.changesTables(); err != nil {
+			return err
+		}
+		time.Sleep(2*r.config.Bounds.Apply - time.Second)
+	}
+	group.Wait()
+	return nil
+}
+
+// readers returns the first entry by rank of each availability zone.
+func (r *run) readers() []string {
+	names, hosts := map[string]string{}, map[string][]string{}
+	for _, one := range r.entries() {
+		names[one.IP] = one.Name
+		hosts[one.Zone] = append(hosts[one.Zone], one.IP)
+	}
+	var first []string
+	for _, zone := range hosts {
+		first = append(first, names[member.Rank(standin.KindTables, zone)[0]])
+	}
+	return first
+}
--- a/test/soak/fleet/fleet.go
+++ b/test/soak/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 	Entries, Engines int
 	Callers          int
 	Bounds           Bounds
+	// Only names the kinds of faults to draw from; all when it is empty.
+	Only []string
 	// Bin and Dir hold the programs and the processes' settings and logs.
 	Bin, Dir string
 	Log      io.Writer
@@ -128,7 +131,7 @@
 		Pools: []standin.Pool{
 			{Name: testfleet.ModelPool, Slots: 8, Weights: &weights}, {Name: testfleet.PlainPool}, {Name: testfleet.OtherPool}, {Name: testfleet.OriginPool, Origin: r.OriginAddress, Zone: "a"},
 		},
-		Keys: map[string][]string{"firm-1": {"key-1"}, "firm-2": {"key-2", "key-3"}},
+		Keys: map[string][]string{"firm-1": {"key-1"}, "firm-2": slices.Clone(keys[1:])},
 	}
 	r.publish()
 }
@@ -139,6 +142,7 @@
 		r.logf("tables: %v", err)
 	}
 	r.history.noteTable(r.table, time.Now())
+	r.logf("tables: version %d is confirmed", r.table.Version)
 }
 
 // heartbeats keeps the entries of the instances current until ctx ends.
