Own interface: the watch of the store passes on when nobody is known to read it

Entries pass on the age of the newest read of the store now, as they do for the list of instances, and one more watches for each 2 s beyond the wait of a watch, six at most.

TestWatchPassesOnWhenNobodyReads failed before with 2 watchers however old the last read.

--- a/bench/tables/main.go
+++ b/bench/tables/main.go
@@ -143,7 +143,7 @@
 		}
 		watchers, readers := 0, 0
 		for _, instance := range list {
-			if propagate.Watches(instance, list) {
+			if propagate.Watches(instance, list, 0, 0) {
 				watchers++
 			}
 			if propagate.Reads(instance, list, listInterval) {
--- a/internal/message/tables.go
+++ b/internal/message/tables.go
@@ -26,6 +26,8 @@
 	// ReadAge is the age, in milliseconds, of the newest read of the
 	// platform's list that the sender knows of, plus one; 0 when it knows none.
 	ReadAge int64
+	// StoreReadAge is the same for the newest read of the stored tables.
+	StoreReadAge int64
 	// Current says that the sender may serve from the tables it holds.
 	Current bool
 }
--- a/internal/propagate/duty.go
+++ b/internal/propagate/duty.go
@@ -18,16 +18,25 @@
 	// readerSilence is the age of the last known read of the list at which one
 	// more member reads it.
 	readerSilence = 10 * time.Second
+	// maxWatchersPerZone bounds the entries that watch when the first ones can't read
+	// the store.
+	maxWatchersPerZone = 6
+	// watcherSilence is the age of the last known read of the store, beyond the wait
+	// of one watch, at which one more entry watches it.
+	watcherSilence = 2 * time.Second
 )
 
-// Watches reports whether self is to watch the store. An entry that the list
-// does not name watches, to be able to start.
-func Watches(self member.Instance, list []member.Instance) bool {
+// Watches reports whether self is to watch the store. sinceRead is the age of the
+// newest read of the store that self knows of, its own or another's of its zone, and
+// wait how long a watch waits. An entry that the list does not name watches, to be able
+// to start.
+func Watches(self member.Instance, list []member.Instance, sinceRead, wait time.Duration) bool {
 	if self.Role != member.RoleEntry {
 		return false
 	}
 	rank, listed := rankOf("watch", self, list)
-	return !listed || rank < watchersPerZone
+	extra := max(int((sinceRead-wait)/watcherSilence), 0)
+	return !listed || rank < min(watchersPerZone+extra, maxWatchersPerZone)
 }
 
 // Reads reports whether self is to read the platform's list. sinceRead is the
--- /dev/null
+++ b/internal/propagate/duty_test.go
@@ -0,0 +1,37 @@
+package propagate_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/internal/member"
+	"plantainrelay/internal/propagate"
+)
+
+// TestWatchPassesOnWhenNobodyReads guards against a duty to watch the store that stays
+// with entries which are listed and can't read it.
+func TestWatchPassesOnWhenNobodyReads(t *testing.T) {
+	c := qt.New(t)
+	const wait = 10 * time.Second
+	var list []member.Instance
+	for i := range 20 {
+		list = append(list, member.Instance{Name: fmt.Sprintf("entry-%d", i), Role: member.RoleEntry, AvailabilityZone: "z"})
+	}
+	watchers := func(sinceRead time.Duration) int {
+		count := 0
+		for _, instance := range list {
+			if propagate.Watches(instance, list, sinceRead, wait) {
+				count++
+			}
+		}
+		return count
+	}
+	c.Assert(watchers(0), qt.Equals, 2)
+	c.Assert(watchers(wait+time.Second), qt.Equals, 2, qt.Commentf("a watch without news"))
+	c.Assert(watchers(wait+2*time.Second), qt.Equals, 3)
+	c.Assert(watchers(wait+4*time.Second), qt.Equals, 4)
+	c.Assert(watchers(time.Hour), qt.Equals, 6, qt.Commentf("calls stay bounded while the store is away"))
+}
--- a/internal/propagate/links_test.go
+++ b/internal/propagate/links_test.go
@@ -81,7 +81,7 @@
 		list := fleet(size[0], size[1], 8)
 		watchers, readers, silent := map[string]int{}, map[string]int{}, map[string]int{}
 		for _, instance := range list {
-			if Watches(instance, list) {
+			if Watches(instance, list, 0, 0) {
 				watchers[instance.AvailabilityZone]++
 			}
 			if Reads(instance, list, 0) {
--- a/internal/tablesync/spread.go
+++ b/internal/tablesync/spread.go
@@ -43,7 +43,7 @@
 }
 
 func (s *Sync) exchange(ctx context.Context, action propagate.Action) error {
-	args := s.summary()
+	args, asked := s.summary(), time.Now()
 	var reply message.Summary
 	if err := s.client.Call(ctx, action.Peer.ControlAddress, message.MethodExchange, args, &reply); err != nil {
 		return err
@@ -52,7 +52,7 @@
 		return failure.New(failure.NotReachable, "wait for the list of instances", "%s answers at the address of %s", reply.From, action.Peer.Name)
 	}
 	s.members.Answered(reply.From, reply.Incarnation)
-	s.learnRead(action.Peer, reply)
+	s.learnRead(action.Peer, reply, asked)
 	now := time.Now()
 	s.mu.Lock()
 	actions := s.core.Answered(action, digestOf(reply), reply.Current, now)
@@ -96,15 +96,29 @@
 		Hash:        digest.Hash,
 		Current:     current,
 	}
-	if last := s.members.LastRead(); !last.IsZero() {
-		summary.ReadAge = 1 + time.Since(last).Milliseconds()
-	}
+	summary.ReadAge, summary.StoreReadAge = ageOf(s.members.LastRead()), ageOf(s.lastStoreRead())
 	return summary
 }
 
-func (s *Sync) learnRead(peer member.Instance, summary message.Summary) {
-	if summary.ReadAge > 0 && s.core.SharesList(peer) {
-		s.members.LearnRead(time.Now().Add(-time.Duration(summary.ReadAge-1) * time.Millisecond))
+// ageOf returns the age of a read as summaries tell it, 0 for none.
+func ageOf(read time.Time) int64 {
+	if read.IsZero() {
+		return 0
+	}
+	return 1 + time.Since(read).Milliseconds()
+}
+
+// learnRead takes in the reads that a peer knows of; its summary was not sent before
+// sentAfter.
+func (s *Sync) learnRead(peer member.Instance, summary message.Summary, sentAfter time.Time) {
+	if !s.core.SharesList(peer) {
+		return
+	}
+	if summary.ReadAge > 0 {
+		s.members.LearnRead(sentAfter.Add(-time.Duration(summary.ReadAge-1) * time.Millisecond))
+	}
+	if summary.StoreReadAge > 0 {
+		s.learnStoreRead(sentAfter.Add(-time.Duration(summary.StoreReadAge-1) * time.Millisecond))
 	}
 }
 
@@ -122,7 +136,7 @@
 		s.members.Answered(summary.From, summary.Incarnation)
 		return
 	}
-	s.learnRead(peer, summary)
+	s.learnRead(peer, summary, time.Now())
 	s.mu.Lock()
 	actions := s.core.Heard(peer, digestOf(summary), time.Now())
 	s.mu.Unlock()
--- a/internal/tablesync/watch.go
+++ b/internal/tablesync/watch.go
@@ -37,6 +37,9 @@
 	stored    int64
 	reachable bool
 	behind    bool
+	// read is the newest read of the store that this process knows of, its own or
+	// another's of its availability zone.
+	read time.Time
 }
 
 // Decode returns the snapshot that the store's object holds.
@@ -50,7 +53,26 @@
 
 // watches reports whether this process is one of the watchers of its zone.
 func (s *Sync) watches() bool {
-	return propagate.Watches(s.config.Self, s.members.Current().Instances)
+	last := s.lastStoreRead()
+	if last.IsZero() {
+		last = s.started
+	}
+	return propagate.Watches(s.config.Self, s.members.Current().Instances, time.Since(last), s.config.WatchWait)
+}
+
+func (s *Sync) lastStoreRead() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watch.read
+}
+
+// learnStoreRead records that some process has read the store at the given time.
+func (s *Sync) learnStoreRead(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at.After(s.watch.read) {
+		s.watch.read = at
+	}
 }
 
 func (s *Sync) watchStore(ctx context.Context) {
@@ -125,6 +147,7 @@
 	defer s.mu.Unlock()
 	s.watch.reachable = err == nil
 	if err == nil {
+		s.watch.read = now
 		s.core.Currency().StoreRead(now)
 		s.noteState(now)
 	}
--- a/test/propagation/fleet.go
+++ b/test/propagation/fleet.go
@@ -108,7 +108,7 @@
 		node := &Node{Instance: instance, Revision: firstRevision, List: firstListStamp, Applied: f.now}
 		f.Nodes = append(f.Nodes, node)
 		f.byName[instance.Name] = node
-		if propagate.Watches(instance, f.list) {
+		if propagate.Watches(instance, f.list, 0, 0) {
 			f.watchers = append(f.watchers, node)
 		}
 	}
