Messages are dated by the moment from which on their ages were taken

A sender that stands still between taking the ages that a message tells and sending it made them younger by that time: the trailer was stamped at the sending. Entries and agents note the time before they take any age, and the trailer is as of then.

TestMessageThatWaitedInTheSocketIsOld failed with the trailer stamped at the sending (dated 1 s late); found by reading the change as a newcomer would.

--- a/internal/beat/echo_test.go
+++ b/internal/beat/echo_test.go
@@ -96,6 +96,22 @@
 	c.Assert(a.stamps, qt.HasLen, 1)
 }
 
+// TestMessageIsDatedByItsComposition guards against ages that get younger while their
+// sender stands still between taking them and sending them.
+func TestMessageIsDatedByItsComposition(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(1_000, 0)
+	a, b := newEchoes(1, start), newEchoes(2, start)
+	received := start.Add(10 * time.Second)
+	b.incoming("a", a.outgoing("b", received), received)
+	before, after := received.Add(-5*time.Second), received.Add(time.Second)
+	for _, composed := range []time.Time{before, after} {
+		bound := a.incoming("b", b.outgoing("a", composed), received.Add(8*time.Second))
+		c.Assert(bound.IsZero(), qt.IsFalse)
+		c.Assert(bound.After(composed), qt.IsFalse)
+	}
+}
+
 // TestMessageThatWaitedInTheSocketIsOld plays a process that stands still: its
 // messages wait in its socket, and are read when it goes on.
 func TestMessageThatWaitedInTheSocketIsOld(t *testing.T) {
@@ -114,12 +130,12 @@
 	frozen.Send(&Message{Host: "127.0.0.2"}, []string{"127.0.0.1"})
 	go awake.Receive(t.Context(), func(m *Message) { echoed <- m })
 	<-echoed
-	awake.Send(&Message{Host: "127.0.0.1"}, []string{"127.0.0.2"})
-	sent := clock.Now()
+	composed := clock.Now().Add(-time.Second)
+	awake.Send(&Message{Host: "127.0.0.1", Composed: composed}, []string{"127.0.0.2"})
 	const stands = 300 * time.Millisecond
 	time.Sleep(stands)
 	go frozen.Receive(t.Context(), func(m *Message) { late <- m })
 	m := <-late
 	c.Assert(m.SentAfter.IsZero(), qt.IsFalse)
-	c.Assert(m.SentAfter.After(sent), qt.IsFalse, qt.Commentf("sent %s before it is dated", m.SentAfter.Sub(sent)))
+	c.Assert(m.SentAfter.After(composed), qt.IsFalse, qt.Commentf("composed %s before it is dated", m.SentAfter.Sub(composed)))
 }
--- a/internal/beat/message.go
+++ b/internal/beat/message.go
@@ -83,13 +83,17 @@
 	Report *Report
 	// Lost says that an entry's own reads of the store fail.
 	Lost bool
+	// Composed is when the sender began to compose the message, on its own clock: the
+	// ages that it tells are as of then, also when the sender stands still before it
+	// sends it. Zero means the moment of sending.
+	Composed time.Time `msgpack:"-"`
 	// SentAfter is a time on the receiver's clock before which the message was not
-	// sent, however long it was on its way; zero when that is not known. What a
+	// composed, however long it was on its way; zero when that is not known. What a
 	// message tells the age of is dated by it. The receiver sets it.
 	SentAfter time.Time `msgpack:"-"`
 }
 
-// DatedBy returns when the message was sent at the earliest, or now when that is not
+// DatedBy returns when the message was composed at the earliest, or now when that is not
 // known.
 func (m *Message) DatedBy(now time.Time) time.Time {
 	if m.SentAfter.IsZero() {
--- a/internal/beat/socket.go
+++ b/internal/beat/socket.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -37,20 +38,24 @@
 		s.log.WithError(err).Error("no message was sent to peers")
 		return
 	}
+	composed := m.Composed
+	if composed.IsZero() {
+		composed = clock.Now()
+	}
 	for _, host := range hosts {
 		datagram := raw
 		// Loads are sent with each request that is placed, and stand until the next
 		// word on them: they need no date.
 		if !m.LoadsOnly {
-			datagram = s.withTrailer(raw, host)
+			datagram = s.withTrailer(raw, host, composed)
 		}
 		// A lost datagram is made up for by the next one.
 		_, _ = s.conn.WriteToUDP(datagram, &net.UDPAddr{IP: net.ParseIP(host), Port: s.port})
 	}
 }
 
-func (s *Socket) withTrailer(raw []byte, host string) []byte {
-	t, err := encode(s.echoes.outgoing(host, clock.Now()))
+func (s *Socket) withTrailer(raw []byte, host string, composed time.Time) []byte {
+	t, err := encode(s.echoes.outgoing(host, composed))
 	if err != nil {
 		s.log.WithError(err).Error("a message was sent without its trailer")
 		return raw
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -360,7 +360,7 @@
 	a.sequence++
 	message := &beat.Message{
 		Role: beat.Agent, Instance: a.settings.Instance, Host: a.settings.IP, AvailabilityZone: a.settings.AvailabilityZone,
-		Start: a.start, Sequence: a.sequence,
+		Start: a.start, Sequence: a.sequence, Composed: now,
 	}
 	if a.report.Born > 0 {
 		message.Report = &beat.Report{Born: a.report.Born, Loaded: a.report.Loaded, Switching: a.switching, Pace: a.report.Pace}
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -137,6 +137,7 @@
 func (h *heart) wake() { ring.Wake(h.news) }
 
 func (h *heart) send(agents bool) {
+	// Taken before all ages that the message tells.
 	now := clock.Now()
 	h.view.watchList(now)
 	loads := beatLoads(h.gate.ownLoads())
@@ -147,7 +148,7 @@
 	message := &beat.Message{
 		Role: beat.Entry, Instance: self.Instance, Host: self.Host, AvailabilityZone: self.AvailabilityZone, Start: h.start, Sequence: h.sequence,
 		Front: self.Front, Ready: self.Ready, Leaving: self.Leaving, Standings: copies.Standings(h.copies), Loads: loads,
-		Releases: h.view.releaseAges(now), Lost: self.Lost,
+		Releases: h.view.releaseAges(now), Lost: self.Lost, Composed: now,
 	}
 	targets := h.directory.Targets(now)
 	live, small := h.directory.Live(now), h.directory.Small()
@@ -169,6 +170,7 @@
 
 // greet answers an agent that knows no entry yet.
 func (h *heart) greet(host string) {
+	composed := clock.Now()
 	h.mu.Lock()
 	h.sequence++
 	self := h.directory.Self()
@@ -176,7 +178,7 @@
 	h.mu.Unlock()
 	h.socket.Send(&beat.Message{
 		Role: beat.Entry, Instance: self.Instance, Host: self.Host, AvailabilityZone: self.AvailabilityZone, Start: h.start, Sequence: sequence,
-		Standings: copies.Standings(h.copies),
+		Standings: copies.Standings(h.copies), Composed: composed,
 	}, []string{host})
 }
 
