--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -59,22 +59,6 @@
 	reading duty.Reason
 }
 
-// Copies holds the copies of one process. It is safe for concurrent use.
-type Copies struct {
-	store *platform.Store
-	plans map[platform.Kind]Plan
-	log   *logrus.Entry
-	// Watches reports whether reading a collection is this process's duty.
-	watches func(platform.Kind) bool
-	// changed is called, one call at a time for each collection, after news.
-	changed func(platform.Kind)
-	// lost is called after Lost may have changed.
-	lost func()
-
-	mu     sync.Mutex
-	copies map[platform.Kind]*copyOf
-}
-
 // Config says what copies are kept current with and who is told of them.
 type Config struct {
 	Store *platform.Store
@@ -89,18 +73,24 @@
 	Lost func()
 }
 
+// Copies holds the copies of one process. It is safe for concurrent use.
+type Copies struct {
+	config Config
+
+	mu     sync.Mutex
+	plans  map[platform.Kind]Plan
+	copies map[platform.Kind]*copyOf
+}
+
 // New returns copies that know nothing.
 func New(config Config) *Copies {
-	c := &Copies{
-		store: config.Store, plans: config.Plans, log: config.Log, watches: config.Watches, changed: config.Changed, lost: config.Lost,
-		copies: map[platform.Kind]*copyOf{},
-	}
-	if c.watches == nil {
-		c.watches = func(platform.Kind) bool { return false }
+	if config.Watches == nil {
+		config.Watches = func(platform.Kind) bool { return false }
 	}
-	if c.lost == nil {
-		c.lost = func() {}
+	if config.Lost == nil {
+		config.Lost = func() {}
 	}
+	c := &Copies{config: config, plans: config.Plans, copies: map[platform.Kind]*copyOf{}}
 	for _, kind := range platform.Kinds {
 		c.copies[kind] = &copyOf{replica: replica.New(), reader: duty.NewReader(c.plans[kind].Plan, clock.Now())}
 	}
@@ -216,7 +206,7 @@
 	next, known, content := held.Proof(), held.Known(), held.Content()
 	c.mu.Unlock()
 	if known && now.Sub(last) > oldProof && now.Sub(next) <= oldProof {
-		c.log.WithFields(logrus.Fields{
+		c.config.Log.WithFields(logrus.Fields{
 			"collection": string(kind), "peer": peer, "content": content, "told_age_ms": standing.Age.Milliseconds(),
 			"message_age_ms": now.Sub(sentAfter).Milliseconds(), "last_proof_age_ms": now.Sub(last).Milliseconds(),
 			"proof_age_ms": now.Sub(next).Milliseconds(),
@@ -245,10 +235,10 @@
 	}
 	c.mu.Unlock()
 	if news {
-		c.log.WithFields(fields).Info("news of a collection")
+		c.config.Log.WithFields(fields).Info("news of a collection")
 		held.changing.Lock()
 		defer held.changing.Unlock()
-		c.changed(kind)
+		c.config.Changed(kind)
 	}
 }
 
@@ -281,7 +271,7 @@
 
 // next asks whether this process reads the store now.
 func (c *Copies) next(kind platform.Kind) (duty.Reason, time.Duration) {
-	onDuty, standing := c.watches(kind), c.Standing(kind)
+	onDuty, standing := c.config.Watches(kind), c.Standing(kind)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.copies[kind].reader.Next(duty.Copy{Known: standing.Known, Age: standing.Age}, onDuty, clock.Now())
@@ -299,7 +289,7 @@
 	}
 	c.mu.Unlock()
 	if reason != last {
-		c.log.WithFields(fields).Info("reading the store has begun, changed or ended")
+		c.config.Log.WithFields(fields).Info("reading the store has begun, changed or ended")
 	}
 }
 
@@ -313,10 +303,10 @@
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
-	overdue := time.AfterFunc(wait+duty.Overdue+time.Millisecond, c.lost)
+	overdue := time.AfterFunc(wait+duty.Overdue+time.Millisecond, c.config.Lost)
 	defer overdue.Stop()
 	if known {
-		change, err := c.store.Watch(ctx, kind, from, wait)
+		change, err := c.config.Store.Watch(ctx, kind, from, wait)
 		if err == nil {
 			c.apply(kind, change, proof, storeSource)
 			return len(change.Documents) > 0, nil
@@ -324,9 +314,9 @@
 		if !failure.Is(err, failure.NotFound) {
 			return false, err
 		}
-		c.log.WithField("collection", string(kind)).Info("the store has dropped this history; listing the collection")
+		c.config.Log.WithField("collection", string(kind)).Info("the store has dropped this history; listing the collection")
 	}
-	change, err := c.store.List(ctx, kind)
+	change, err := c.config.Store.List(ctx, kind)
 	if err != nil {
 		return false, err
 	}
@@ -342,8 +332,8 @@
 	held.failedAt = now
 	c.mu.Unlock()
 	if first {
-		c.lost()
-		c.log.WithError(err).WithField("collection", string(kind)).Warning("the store was lost")
+		c.config.Lost()
+		c.config.Log.WithError(err).WithField("collection", string(kind)).Warning("the store was lost")
 	}
 }
 
@@ -355,8 +345,8 @@
 	held.failedAt = time.Time{}
 	c.mu.Unlock()
 	if !failedAt.IsZero() {
-		c.lost()
-		c.log.WithField("collection", string(kind)).Info("the store was regained")
+		c.config.Lost()
+		c.config.Log.WithField("collection", string(kind)).Info("the store was regained")
 	}
 }
 
--- a/internal/duty/reader.go
+++ b/internal/duty/reader.go
@@ -81,6 +81,7 @@
 // Next returns why to read the store now, None or Pausing for not now, and how long
 // the call may wait for news.
 func (r *Reader) Next(held Copy, onDuty bool, now time.Time) (Reason, time.Duration) {
+	r.watching = r.watching && onDuty
 	switch {
 	case now.Before(r.next):
 		return Pausing, 0
--- a/internal/duty/reader_test.go
+++ b/internal/duty/reader_test.go
@@ -41,6 +41,9 @@
 	r.Succeeded()
 	_, wait = r.Next(fresh, true, epoch)
 	c.Assert(wait, qt.Equals, plan.Wait)
+	c.Assert(reasonOf(r, fresh, false, epoch), qt.Equals, duty.None)
+	_, wait = r.Next(fresh, true, epoch)
+	c.Assert(wait < 100*time.Millisecond, qt.IsTrue, qt.Commentf("the duty was another's meanwhile"))
 }
 
 func TestSilentStoreIsLostBeforeTheCallEnds(t *testing.T) {
