--- /dev/null
+++ b/internal/copies/follow.go
@@ -0,0 +1,151 @@
+package copies
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"plantainrelay/internal/clock"
+	"plantainrelay/internal/duty"
+	"plantainrelay/internal/failure"
+	"plantainrelay/platform"
+)
+
+const (
+	// answerSlack is how long an answer of the store may take beyond the time
+	// that the watch waits; the store answers in milliseconds.
+	answerSlack = 700 * time.Millisecond
+	// pauseLook is the time between two looks at whether a pause is over.
+	pauseLook = 50 * time.Millisecond
+	// storeSource names the store as the source of news.
+	storeSource = "store"
+)
+
+// Run keeps the copies current until ctx ends.
+func (c *Copies) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	for _, kind := range platform.Kinds {
+		group.Go(func() { c.follow(ctx, kind) })
+	}
+	group.Wait()
+}
+
+func (c *Copies) follow(ctx context.Context, kind platform.Kind) {
+	for ctx.Err() == nil {
+		reason, wait := c.next(kind)
+		if reason == duty.Pausing {
+			sleep(ctx, pauseLook)
+			continue
+		}
+		c.noteReading(kind, reason)
+		if reason == duty.None {
+			sleep(ctx, c.plan(kind).Look)
+			continue
+		}
+		news, err := c.read(ctx, kind, reason, wait)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
+			c.failed(kind, err)
+		case news:
+			c.succeeded(kind)
+			sleep(ctx, c.plan(kind).Gather)
+		default:
+			c.succeeded(kind)
+		}
+	}
+}
+
+// next asks whether this process reads the store now.
+func (c *Copies) next(kind platform.Kind) (duty.Reason, time.Duration) {
+	onDuty, standing := c.config.Watches(kind), c.Standing(kind)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.copies[kind].reader.Next(duty.Copy{Known: standing.Known, Age: standing.Age}, onDuty, clock.Now())
+}
+
+// noteReading logs when a process begins or ceases to read the store.
+func (c *Copies) noteReading(kind platform.Kind, reason duty.Reason) {
+	c.mu.Lock()
+	held := c.copies[kind]
+	last := held.reading
+	held.reading = reason
+	fields := logrus.Fields{
+		"collection": string(kind), "reason": reason, "last_reason": last, "content": held.replica.Content(),
+		"proof_age_ms": clock.Now().Sub(held.replica.Proof()).Milliseconds(),
+	}
+	c.mu.Unlock()
+	if reason != last {
+		c.config.Log.WithFields(fields).Info("reading the store has begun, changed or ended")
+	}
+}
+
+// read makes one call of the store and takes in the result.
+func (c *Copies) read(ctx context.Context, kind platform.Kind, reason duty.Reason, wait time.Duration) (news bool, err error) {
+	proof := clock.Now()
+	c.mu.Lock()
+	held := c.copies[kind]
+	held.reader.Began(reason, wait, proof)
+	known, from := held.replica.Known(), held.replica.AsOf()
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
+	defer cancel()
+	overdue := time.AfterFunc(wait+duty.Overdue+time.Millisecond, c.config.Lost)
+	defer overdue.Stop()
+	if known {
+		change, err := c.config.Store.Watch(ctx, kind, from, wait)
+		if err == nil {
+			c.apply(kind, change, proof, storeSource)
+			return len(change.Documents) > 0, nil
+		}
+		if !failure.Is(err, failure.NotFound) {
+			return false, err
+		}
+		c.config.Log.WithField("collection", string(kind)).Info("the store has dropped this history; listing the collection")
+	}
+	change, err := c.config.Store.List(ctx, kind)
+	if err != nil {
+		return false, err
+	}
+	c.apply(kind, change, proof, storeSource)
+	return true, nil
+}
+
+func (c *Copies) failed(kind platform.Kind, err error) {
+	c.mu.Lock()
+	held, now := c.copies[kind], clock.Now()
+	held.reader.Failed(now, rand.Float64())
+	first := held.failedAt.IsZero()
+	held.failedAt = now
+	c.mu.Unlock()
+	if first {
+		c.config.Lost()
+		c.config.Log.WithError(err).WithField("collection", string(kind)).Warning("the store was lost")
+	}
+}
+
+func (c *Copies) succeeded(kind platform.Kind) {
+	c.mu.Lock()
+	held := c.copies[kind]
+	held.reader.Succeeded()
+	failedAt := held.failedAt
+	held.failedAt = time.Time{}
+	c.mu.Unlock()
+	if !failedAt.IsZero() {
+		c.config.Lost()
+		c.config.Log.WithField("collection", string(kind)).Info("the store was regained")
+	}
+}
+
+func sleep(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
