No order to load on a verification that is old or that a chunk of another version may have spoiled

The staging area holds one copy of each chunk whatever its version. A call that stages a chunk of an earlier version and ends late could overwrite one of the target after it had been verified, and an agent that stood still between the verification and the order gave the order all the same. Both orders loaded weights that were not whole.

The order is given only while the verification is younger than 2.6 s and no call for another version was open or ended since; chunks are no longer staged for what is not the target.

--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -100,6 +100,7 @@
 	engine   *platform.Engine
 	origin   *platform.Origin
 	holding  *holding
+	stages   *stages
 	uploads  *depot.Uploads
 	metrics  *agentMetrics
 	start    int64
@@ -190,7 +191,7 @@
 	a := &agent{
 		settings: s, log: log, socket: socket, client: peer.NewClient(peer.Security{}),
 		engine: platform.NewEngine(s.Backend, local), origin: platform.NewOrigin(origin),
-		holding: newHolding(), uploads: depot.NewUploads(s.LinkBitsPerSecond, depot.AgentShare), start: time.Now().UnixNano(),
+		holding: newHolding(), stages: newStages(), uploads: depot.NewUploads(s.LinkBitsPerSecond, depot.AgentShare), start: time.Now().UnixNano(),
 		changed: make(chan struct{}, 1), entries: map[string]entrance{}, neighbors: map[string]neighbor{},
 	}
 	store := platform.NewStore(s.Store, remote)
--- a/internal/loader/distribution.go
+++ b/internal/loader/distribution.go
@@ -254,13 +254,23 @@
 		a.log.WithFields(logrus.Fields{"version": d.target.version, "chunk": fetch.Chunk, "source": fetch.Source}).Warning("a chunk has another digest")
 		return swarm.Corrupt
 	}
-	if err := a.engine.Stage(ctx, d.target.model, fetch.Chunk, data); err != nil {
-		// What is not staged now is put right before the engine loads.
-		a.log.WithError(err).WithField("chunk", fetch.Chunk).Debug("a chunk could not be staged")
-	}
+	a.stage(ctx, d.target, fetch.Chunk, data)
 	return swarm.Verified
 }
 
+// stage puts a chunk in the engine's staging area, unless another version has become
+// the target. What is not staged now is put right before the engine loads.
+func (a *agent) stage(ctx context.Context, wanted target, chunk int, data []byte) {
+	a.stages.begin(wanted.version)
+	defer func() { a.stages.end(wanted.version, clock.Now()) }()
+	if a.currentTarget().version != wanted.version {
+		return
+	}
+	if err := a.engine.Stage(ctx, wanted.model, chunk, data); err != nil {
+		a.log.WithError(err).WithField("chunk", chunk).Debug("a chunk could not be staged")
+	}
+}
+
 func (a *agent) receive(ctx context.Context, d *distribution, fetch swarm.Fetch) ([]byte, swarm.Outcome) {
 	if fetch.Source == swarm.Origin {
 		a.mu.Lock()
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -81,7 +81,7 @@
 	a := &agent{
 		settings: platform.Settings{IP: "10.0.0.1", AvailabilityZone: "z1"},
 		log:      log.WithField("test", t.Name()), engine: platform.NewEngine(strings.TrimPrefix(server.URL, "http://"), http.DefaultTransport),
-		holding: newHolding(), uploads: depot.NewUploads(0, depot.AgentShare), changed: make(chan struct{}, 1),
+		holding: newHolding(), stages: newStages(), uploads: depot.NewUploads(0, depot.AgentShare), changed: make(chan struct{}, 1),
 		entries: map[string]entrance{}, neighbors: map[string]neighbor{}, pool: pool,
 		table:  catalog.New(1, catalog.Limits{}, nil, []catalog.Pool{pool}, nil),
 		target: target{model: model, version: 2, seen: clock.Now()},
@@ -135,6 +135,41 @@
 	}
 }
 
+// TestLateChunkOfAnEarlierVersionStopsTheOrder guards against weights that are loaded
+// with a chunk of another version: a call that stages one is still under way when a
+// newer version is verified.
+func TestLateChunkOfAnEarlierVersionStopsTheOrder(t *testing.T) {
+	c := qt.New(t)
+	a, engine := newTestAgent(t)
+	a.holdAll()
+	a.stages.begin(1)
+	verified := a.verifyStage(t.Context())
+	c.Assert(verified.version, qt.Equals, int64(2))
+	engine.mu.Lock()
+	engine.staged[3] = chunkOf(1, 3)
+	engine.mu.Unlock()
+	a.switchTo(t.Context(), verified, order{})
+	a.stages.end(1, clock.Now())
+	a.switchTo(t.Context(), verified, order{})
+	c.Assert(engine.orders, qt.HasLen, 0)
+	time.Sleep(stageSlack)
+	a.switchTo(t.Context(), a.verifyStage(t.Context()), order{})
+	c.Assert(engine.orders, qt.HasLen, 1)
+	c.Assert(string(engine.staged[3]), qt.Equals, string(chunkOf(2, 3)))
+}
+
+// TestOldVerificationStopsTheOrder guards against weights that have turned bad while
+// the agent stood still between their verification and the order.
+func TestOldVerificationStopsTheOrder(t *testing.T) {
+	c := qt.New(t)
+	a, engine := newTestAgent(t)
+	a.holdAll()
+	verified := a.verifyStage(t.Context())
+	verified.at = verified.at.Add(-7 * time.Second)
+	a.switchTo(t.Context(), verified, order{})
+	c.Assert(engine.orders, qt.HasLen, 0)
+}
+
 // TestNothingIsOrderedThatIsNotWhole: a chunk is missing here and there.
 func TestNothingIsOrderedThatIsNotWhole(t *testing.T) {
 	c := qt.New(t)
@@ -154,7 +189,7 @@
 	a.readReport(context.Background())
 	whole, turn := a.ready(order{}, clock.Now())
 	c.Assert(whole && turn, qt.IsTrue)
-	given := a.switchTo(context.Background(), order{})
+	given := a.switchTo(context.Background(), verification{version: 2, at: clock.Now()}, order{})
 	c.Assert(engine.orders, qt.HasLen, 1)
 	c.Assert(strings.Contains(engine.orders[0], `"Version":2`), qt.IsTrue)
 	whole, _ = a.ready(given, clock.Now())
@@ -189,7 +224,7 @@
 		engine.report = `{"born":5,"Models":[{"Name":"m","Version":1}],"Running":0}`
 		engine.mu.Unlock()
 	}()
-	a.switchTo(context.Background(), order{})
+	a.switchTo(context.Background(), verification{version: 2, at: clock.Now()}, order{})
 	c.Assert(a.isSwitching(), qt.IsTrue)
 	c.Assert(engine.orders, qt.HasLen, 1)
 	c.Assert(a.report.Running, qt.Equals, 0)
--- a/internal/loader/switch.go
+++ b/internal/loader/switch.go
@@ -26,6 +26,9 @@
 	switchReserve = 1500 * time.Millisecond
 	// verifiedFor is how long staged chunks that were read back count as right.
 	verifiedFor = 1200 * time.Millisecond
+	// verifiedLimit is the age of the verification beyond which no order is given: the
+	// platform allows for chunks that turned bad in the last 3 s.
+	verifiedLimit = 2600 * time.Millisecond
 	// minDrain is how long entries have to learn that an engine takes no more
 	// requests before it gets its order; maxDrain bounds the time in which its
 	// streams may end before they are cut and go on elsewhere.
@@ -77,11 +80,11 @@
 		if !whole {
 			continue
 		}
-		if now.Sub(verified.at) >= verifiedFor || verified.version != a.currentTarget().version {
+		if now.Sub(verified.at) >= verifiedFor || a.stages.othersSince(verified.version, verified.at) || verified.version != a.currentTarget().version {
 			verified = a.verifyStage(ctx)
 		}
 		if turn && verified.version == a.currentTarget().version {
-			last = a.switchTo(ctx, last)
+			last = a.switchTo(ctx, verified, last)
 		}
 	}
 }
@@ -178,9 +181,9 @@
 	return turn.May(a.settings.IP, strconv.FormatInt(a.target.version, 10), neighbors, now)
 }
 
-// switchTo orders the engine to load the target. It returns the order that
-// stands.
-func (a *agent) switchTo(ctx context.Context, last order) order {
+// switchTo orders the engine to load the target, whose staged chunks were verified. It
+// returns the order that stands.
+func (a *agent) switchTo(ctx context.Context, verified verification, last order) order {
 	a.mu.Lock()
 	wanted, report, cut := a.target, a.report, a.table.Resumable(a.settings.Pool)
 	a.mu.Unlock()
@@ -189,6 +192,11 @@
 	if report.Loaded > 0 {
 		a.drain(ctx)
 	}
+	if !a.holds(verified) {
+		log.WithField("verified_ms", clock.Now().Sub(verified.at).Milliseconds()).Info("the staged chunks are verified again before the order")
+		a.setSwitching(false)
+		return last
+	}
 	ctx, cancel := context.WithTimeout(ctx, localLimit)
 	defer cancel()
 	err := a.engine.Load(ctx, wanted.model, wanted.version, cut)
@@ -242,6 +250,13 @@
 	at      time.Time
 }
 
+// holds reports whether a verification still counts: the time since is short, and no
+// chunk of another version may have been staged.
+func (a *agent) holds(verified verification) bool {
+	now := clock.Now()
+	return now.Sub(verified.at) < verifiedLimit && !a.stages.othersSince(verified.version, verified.at)
+}
+
 // verifyStage reads all staged chunks of the target back and puts those right
 // that are not what the manifest says. The version is 0 when that failed.
 func (a *agent) verifyStage(ctx context.Context) verification {
