--- a/internal/copies/follow.go
+++ b/internal/copies/follow.go
@@ -68,7 +68,7 @@
 	return c.copies[kind].reader.Next(duty.Copy{Known: standing.Known, Age: standing.Age}, onDuty, clock.Now())
 }
 
-// noteReading logs when a process begins or ceases to read the store.
+// noteReading logs when the reason for reading the store changes.
 func (c *Copies) noteReading(kind platform.Kind, reason duty.Reason) {
 	c.mu.Lock()
 	held := c.copies[kind]
@@ -80,7 +80,7 @@
 	}
 	c.mu.Unlock()
 	if reason != last {
-		c.config.Log.WithFields(fields).Info("reading the store has begun, changed or ended")
+		c.config.Log.WithFields(fields).Info("reason for reading the store changed")
 	}
 }
 
