loader: order only the version whose staged chunks were verified

If the target moved on in between and no chunk of the new version was staged yet, the order named the new version over the staged chunks of the old one. The drain before a switch slept without its context, and a chunk of a version that was removed meanwhile counted as corrupt, which after six of them discarded a correct manifest.

Change: no order when the verified version is not the target; the drain ends with its context; put tells a version that is not held from a wrong digest. One clock.Sleep replaces three copies of the same function.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -3,6 +3,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -22,3 +23,16 @@
 }
 
 var processStart = time.Now()
+
+// Sleep waits for the duration, or until ctx is done. It reports whether the whole
+// duration has passed.
+func Sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return ctx.Err() == nil
+	}
+}
--- a/internal/copies/follow.go
+++ b/internal/copies/follow.go
@@ -37,12 +37,12 @@
 	for ctx.Err() == nil {
 		reason, wait := c.nextRead(kind)
 		if reason == duty.BackingOff {
-			sleep(ctx, backoffCheckInterval)
+			clock.Sleep(ctx, backoffCheckInterval)
 			continue
 		}
 		c.logReadReason(kind, reason)
 		if reason == duty.None {
-			sleep(ctx, c.plan(kind).CheckInterval)
+			clock.Sleep(ctx, c.plan(kind).CheckInterval)
 			continue
 		}
 		changed, err := c.read(ctx, kind, reason, wait)
@@ -53,7 +53,7 @@
 			c.readFailed(kind, err)
 		case changed:
 			c.readSucceeded(kind)
-			sleep(ctx, c.plan(kind).BatchDelay)
+			clock.Sleep(ctx, c.plan(kind).BatchDelay)
 		default:
 			c.readSucceeded(kind)
 		}
@@ -141,12 +141,3 @@
 		c.config.Log.WithField("collection", string(kind)).Info("the store can be read again")
 	}
 }
-
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/distribute/driver.go
+++ b/internal/distribute/driver.go
@@ -291,10 +291,3 @@
 	d.gate.Open(gate.AdmittedWeights{Version: admitted.Version, Manifest: admitted.Manifest, Whole: admitted.Whole})
 	d.log.WithField(logging.FieldVersion, admitted.Version).Info("requests are admitted")
 }
-
-func sleep(ctx context.Context, wait time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-}
--- a/internal/distribute/fetch.go
+++ b/internal/distribute/fetch.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"plantainrelay/internal/clock"
 	"plantainrelay/internal/failure"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/swarm"
@@ -110,7 +111,7 @@
 	}
 	if err := d.controller.Stage(ctx, t.digest, t.fetch.Chunk, data); err != nil {
 		d.log.WithError(err).Warning("cannot stage a chunk")
-		sleep(ctx, minBackoff)
+		clock.Sleep(ctx, minBackoff)
 		return swarm.Dropped
 	}
 	return swarm.Verified
--- a/internal/distribute/load.go
+++ b/internal/distribute/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"plantainrelay/internal/clock"
 	"plantainrelay/internal/engine"
 	"plantainrelay/internal/rollout"
 )
@@ -101,7 +102,7 @@
 // watchEngine periodically queries the status of the engine.
 func (d *Driver) watchEngine(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, d.config.EngineInterval)
+		clock.Sleep(ctx, d.config.EngineInterval)
 		reply := make(chan int, 1)
 		d.send(ctx, epochRequest{reply: reply})
 		var epoch int
--- a/internal/distribute/manifest.go
+++ b/internal/distribute/manifest.go
@@ -8,6 +8,7 @@
 
 	lru "github.com/hashicorp/golang-lru/v2"
 
+	"plantainrelay/internal/clock"
 	"plantainrelay/internal/engine"
 	"plantainrelay/internal/failure"
 	"plantainrelay/internal/member"
@@ -134,7 +135,7 @@
 		}
 		d.log.WithError(err).Debug("the manifest or the engine is not available; retrying")
 		d.send(ctx, prepareFailed{manifest: target.Manifest, cause: err.Error()})
-		sleep(ctx, time.Duration(float64(backoff)*(0.5+rand.Float64())))
+		clock.Sleep(ctx, time.Duration(float64(backoff)*(0.5+rand.Float64())))
 		backoff = min(2*backoff, d.config.TakeoverDelay)
 	}
 }
@@ -144,7 +145,7 @@
 func (d *Driver) awaitInstances(ctx context.Context) {
 	deadline := time.Now().Add(d.config.TakeoverDelay)
 	for ctx.Err() == nil && time.Now().Before(deadline) && len(d.members.Current().Instances) == 0 {
-		sleep(ctx, d.config.Tick)
+		clock.Sleep(ctx, d.config.Tick)
 	}
 }
 
--- a/internal/loader/distribution.go
+++ b/internal/loader/distribution.go
@@ -252,9 +252,13 @@
 	if data == nil {
 		return outcome
 	}
-	if !a.chunks.put(f.target.version, fetch.Chunk, data) {
+	switch a.chunks.put(f.target.version, fetch.Chunk, data) {
+	case versionNotHeld:
+		return swarm.Failed
+	case corrupt:
 		a.log.WithFields(logrus.Fields{"version": f.target.version, "chunk": fetch.Chunk, "source": fetch.Source}).Warning("received a corrupt chunk; fetching it again")
 		return swarm.Corrupt
+	case stored:
 	}
 	a.stageChunk(ctx, f.target, fetch.Chunk, data)
 	return swarm.Verified
--- a/internal/loader/holding.go
+++ b/internal/loader/holding.go
@@ -72,16 +72,31 @@
 	delete(s.versions, version)
 }
 
-// put stores a chunk if it matches its digest, and reports whether it does.
-func (s *chunkStore) put(version int64, chunk int, data []byte) bool {
+// putResult is the result of storing a chunk.
+type putResult int
+
+const (
+	// stored means that the chunk matches its digest and is held.
+	stored putResult = iota
+	// corrupt means that the chunk does not match its digest or is not in the manifest.
+	corrupt
+	// versionNotHeld means that the version is not, or no longer, held.
+	versionNotHeld
+)
+
+// put stores a chunk if it matches its digest.
+func (s *chunkStore) put(version int64, chunk int, data []byte) putResult {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	held := s.versions[version]
-	if held == nil || chunk < 0 || chunk >= len(held.manifest.Digests) || weights.DigestOf(data) != held.manifest.Digests[chunk] {
-		return false
+	if held == nil {
+		return versionNotHeld
+	}
+	if chunk < 0 || chunk >= len(held.manifest.Digests) || weights.DigestOf(data) != held.manifest.Digests[chunk] {
+		return corrupt
 	}
 	held.chunks[chunk] = data
-	return true
+	return stored
 }
 
 func (s *chunkStore) manifest(version int64) (platform.Manifest, bool) {
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -102,10 +102,10 @@
 	c := qt.New(t)
 	store := newChunkStore()
 	store.addVersion(manifestOf(2, 4))
-	c.Assert(store.put(2, 0, chunkOf(1, 0)), qt.IsFalse, qt.Commentf("of another version"))
-	c.Assert(store.put(2, 4, chunkOf(2, 4)), qt.IsFalse, qt.Commentf("not in the manifest"))
-	c.Assert(store.put(9, 0, chunkOf(9, 0)), qt.IsFalse, qt.Commentf("of a version that is not held"))
-	c.Assert(store.put(2, 0, chunkOf(2, 0)), qt.IsTrue)
+	c.Assert(store.put(2, 0, chunkOf(1, 0)), qt.Equals, corrupt, qt.Commentf("of another version"))
+	c.Assert(store.put(2, 4, chunkOf(2, 4)), qt.Equals, corrupt, qt.Commentf("not in the manifest"))
+	c.Assert(store.put(9, 0, chunkOf(9, 0)), qt.Equals, versionNotHeld, qt.Commentf("of a version that is not held"))
+	c.Assert(store.put(2, 0, chunkOf(2, 0)), qt.Equals, stored)
 	have, _ := store.bitmap(2)
 	c.Assert(have.Count(), qt.Equals, 1)
 }
@@ -171,6 +171,52 @@
 	c.Assert(engine.orders, qt.HasLen, 0)
 }
 
+// TestTargetChangeAfterTheVerificationStopsTheOrder guards against an order to load a
+// version whose staged chunks have not been verified: the target moves on between the
+// verification of its chunks and the order.
+func TestTargetChangeAfterTheVerificationStopsTheOrder(t *testing.T) {
+	c := qt.New(t)
+	a, engine := newTestAgent(t)
+	a.putAllChunks()
+	verified := a.verifyStagedChunks(t.Context())
+	a.target = target{model: model, version: 3, learnedAt: clock.Now()}
+	a.loadTarget(t.Context(), verified, loadOrder{})
+	c.Assert(engine.orders, qt.HasLen, 0)
+}
+
+// TestStoppedAgentDoesNotWaitForTheDrain checks that an agent that stops during a
+// switch neither waits for the engine's requests nor sends the order.
+func TestStoppedAgentDoesNotWaitForTheDrain(t *testing.T) {
+	c := qt.New(t)
+	a, engine := newTestAgent(t)
+	a.putAllChunks()
+	engine.report = `{"born":5,"Models":[{"Name":"m","Version":1}],"Running":1}`
+	a.readReport(t.Context())
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	a.loadTarget(ctx, verification{version: 2, at: clock.Now()}, loadOrder{})
+	c.Assert(engine.orders, qt.HasLen, 0)
+	c.Assert(a.isSwitching(), qt.IsFalse)
+}
+
+// TestChunkOfARemovedVersionIsNotCorrupt guards against fetching a correct manifest
+// again: chunks that arrive after their version was removed say nothing about their
+// source.
+func TestChunkOfARemovedVersionIsNotCorrupt(t *testing.T) {
+	c := qt.New(t)
+	a, _ := newTestAgent(t)
+	origin := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		chunk, _ := strconv.Atoi(r.URL.Query().Get("ItemCount"))
+		_, _ = w.Write(chunkOf(2, chunk))
+	}))
+	t.Cleanup(origin.Close)
+	a.origin = platform.NewOriginClient(http.DefaultTransport)
+	a.table = catalog.New(1, catalog.Limits{}, nil, []catalog.Pool{{Name: "s", Origin: strings.TrimPrefix(origin.URL, "http://"), Engine: &catalog.Engine{Model: model}}}, nil)
+	f := &versionFetch{target: a.target}
+	a.chunks.removeVersion(2)
+	c.Assert(a.fetchChunk(t.Context(), f, swarm.Fetch{Chunk: 1, Source: swarm.Origin}), qt.Equals, swarm.Failed)
+}
+
 // TestNoOrderForAnIncompleteVersion guards against an order while a chunk is
 // missing both in memory and in the staging area.
 func TestNoOrderForAnIncompleteVersion(t *testing.T) {
--- a/internal/loader/switch.go
+++ b/internal/loader/switch.go
@@ -184,17 +184,26 @@
 	return limit.Allows(a.settings.IP, strconv.FormatInt(a.target.version, 10), neighbors, now)
 }
 
-// loadTarget orders the engine to load the target, whose staged chunks were
-// verified. It returns the last order in effect.
+// loadTarget orders the engine to load the target. It sends no order if the staged
+// chunks were verified for another version, or if their verification is no longer
+// valid when the order is due. It returns the last order in effect.
 func (a *agent) loadTarget(ctx context.Context, verified verification, last loadOrder) loadOrder {
 	a.mu.Lock()
 	wanted, report, resumable := a.target, a.report, a.table.Resumable(a.settings.Pool)
 	a.mu.Unlock()
 	log := a.log.WithFields(logrus.Fields{"version": wanted.version, "from": report.LoadedVersion, "born": report.Start})
+	if wanted.version != verified.version {
+		log.WithField("verified_version", verified.version).Info("the target has changed since the verification; no order is sent")
+		return last
+	}
 	a.setSwitching(true)
 	if report.LoadedVersion > 0 {
 		a.drain(ctx)
 	}
+	if ctx.Err() != nil {
+		a.setSwitching(false)
+		return last
+	}
 	if !a.stillValid(verified) {
 		log.WithField("verified_ms", clock.Now().Sub(verified.at).Milliseconds()).Info("the verification of the staged chunks is no longer valid; verifying again")
 		a.setSwitching(false)
@@ -215,20 +224,19 @@
 		return loadOrder{version: wanted.version, engineStart: report.Start, sentAt: clock.Now().Add(orderRetryDelay - orderTimeout)}
 	}
 	a.setSwitching(false)
-	time.Sleep(orderRetryDelay)
+	clock.Sleep(ctx, orderRetryDelay)
 	return last
 }
 
-// drain waits until the engine's requests have ended, for a share of the time that
-// is left for the version, within minDrain and maxDrain.
+// drain waits until the engine's requests have ended or ctx is done, for a share of
+// the time that is left for the version, within minDrain and maxDrain.
 func (a *agent) drain(ctx context.Context) {
 	began := clock.Now()
 	a.mu.Lock()
 	remaining := a.target.learnedAt.Add(a.settings.Bounds.VersionSwitchTime-switchMargin).Sub(began) / switchRounds
 	a.mu.Unlock()
 	limit := min(max(remaining, minDrain), maxDrain)
-	for {
-		time.Sleep(pollInterval)
+	for clock.Sleep(ctx, pollInterval) {
 		a.readReport(ctx)
 		a.mu.Lock()
 		report := a.report
--- a/internal/tablesync/sync.go
+++ b/internal/tablesync/sync.go
@@ -255,10 +255,3 @@
 	s.mu.Unlock()
 	s.startCalls(actions)
 }
-
-func sleep(ctx context.Context, wait time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait):
-	}
-}
--- a/internal/tablesync/watch.go
+++ b/internal/tablesync/watch.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"plantainrelay/internal/clock"
 	"plantainrelay/internal/failure"
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/platform"
@@ -80,12 +81,12 @@
 	backoff := initialWatchBackoff
 	for ctx.Err() == nil {
 		if !s.isWatcher() {
-			sleep(ctx, watcherCheckInterval)
+			clock.Sleep(ctx, watcherCheckInterval)
 			continue
 		}
 		if err := s.watchOnce(ctx); err != nil {
 			s.log.WithError(err).Warning("store watch failed; changes still arrive from peers")
-			sleep(ctx, backoff/2+rand.N(backoff))
+			clock.Sleep(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, maxWatchBackoff)
 			continue
 		}
@@ -122,7 +123,7 @@
 		if s.isWatcher() {
 			s.verifyOnce(ctx)
 		}
-		sleep(ctx, s.config.VerifyInterval-s.config.VerifyInterval/4+rand.N(s.config.VerifyInterval/2))
+		clock.Sleep(ctx, s.config.VerifyInterval-s.config.VerifyInterval/4+rand.N(s.config.VerifyInterval/2))
 	}
 }
 
