relay: responses without an end are bounded and never look complete

Change: headers are bounded by 64 KiB. Up to 256 KiB of a response that is no stream are read before it is forwarded; the rest is forwarded while it is read, and the caller's connection breaks off above 16 MiB. Parts of a stream are bounded alike; blocks without a field of an event, or events above 256 KiB, end the attempt; blank lines do not count as progress. A line that ended where the read buffer ended was taken for the end of an event. The log names the status that the caller got, not 200 for each answer.

An end of a large response that may be a second response is cut off.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"plantainrelay/internal/admission"
 	"plantainrelay/internal/catalog"
 	"plantainrelay/internal/clock"
@@ -38,8 +40,14 @@
 	// reservedSlots is the number of slots of an instance that returning callers leave
 	// free for requests, from any entry, that can still meet their objective.
 	reservedSlots = 2
-	// maxResponseBytes bounds a response that is not a stream.
+	// maxBufferedBytes is the size up to which a response that is not a stream is read
+	// completely before it is forwarded.
+	maxBufferedBytes = 256 << 10
+	// maxResponseBytes bounds a response, and each part of a stream that comes from one
+	// instance. It also bounds what an instance can send that never ends its response.
 	maxResponseBytes = 16 << 20
+	// forwardBufferBytes is the size of the buffer for the rest of a large response.
+	forwardBufferBytes = 32 << 10
 )
 
 // attemptRecord describes one attempt for the request log. Load, Limit and Unread are
@@ -80,9 +88,12 @@
 	decision  *dispatch.Request
 	tried     map[string]bool
 	attempts  []attemptRecord
-	// responseStarted means that the caller has received a part of the response;
-	// lastEvent is the ID of the last event in that part, if hasEvent.
+	// responseStarted means that the caller has received a part of the response with
+	// this status. isStream means that the response is a stream; lastEvent is the ID of
+	// the last event in that part, if hasEvent.
 	responseStarted bool
+	status          int
+	isStream        bool
 	lastEvent       int64
 	hasEvent        bool
 }
@@ -229,7 +240,7 @@
 	switch outcome {
 	case answered:
 		x.frontend.metrics.duration.Observe(now.Sub(x.arrived).Seconds())
-		x.logOutcome(http.StatusOK, string(outcome))
+		x.logOutcome(x.status, string(outcome))
 		return dispatch.Action{}, true
 	case callerDisconnected:
 		x.logOutcome(0, string(outcome))
@@ -246,7 +257,7 @@
 		x.finish(ctx, dispatch.Unknown)
 		return dispatch.Action{}, true
 	}
-	return x.decision.AttemptInterrupted(x.responseStarted && !x.route.Resumable, now), false
+	return x.decision.AttemptInterrupted(x.responseStarted && !(x.isStream && x.route.Resumable), now), false
 }
 
 // handleRejection ends a request that got no slot.
@@ -399,10 +410,15 @@
 	return newRequest(ctx, x.r, choice.Backend.Address, x.body, platform.ForwardHeader(x.r.Header, forward))
 }
 
-// forwardResponse forwards a response that is not a stream after reading all of it.
+// forwardResponse forwards a response that is not a stream. Up to maxBufferedBytes are
+// read before any byte is forwarded, so that a shorter response that breaks off can
+// still be replaced by that of another instance.
 func (x *exchange) forwardResponse(response *http.Response, watchdog *watchdog, record *attemptRecord) outcome {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
-	record.bytes = len(body)
+	if response.ContentLength > maxResponseBytes {
+		return x.rejectOversized(record)
+	}
+	start, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	record.bytes = len(start)
 	if err != nil {
 		return x.classifyFailure(watchdog, true)
 	}
@@ -412,13 +428,54 @@
 	if x.responseStarted {
 		return broken
 	}
+	complete, length := len(start) <= maxBufferedBytes, response.ContentLength
+	if complete {
+		length = int64(len(start))
+	}
 	platform.CopyResponseHeader(response.Header, x.w.Header())
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if length >= 0 {
+		x.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	x.responseStarted, x.status = true, response.StatusCode
 	x.w.WriteHeader(response.StatusCode)
-	if _, err := x.w.Write(body); err != nil {
+	if _, err := x.w.Write(start); err != nil {
 		return callerDisconnected
 	}
-	return answered
+	if complete {
+		return answered
+	}
+	// The response has started in time. From here on only the deadline limits it.
+	watchdog.stop()
+	return x.forwardRemainder(response.Body, watchdog, record)
+}
+
+// forwardRemainder forwards the rest of a large response while it is read.
+func (x *exchange) forwardRemainder(body io.Reader, watchdog *watchdog, record *attemptRecord) outcome {
+	buffer := make([]byte, forwardBufferBytes)
+	for {
+		count, err := body.Read(buffer)
+		record.bytes += count
+		if record.bytes > maxResponseBytes {
+			return x.rejectOversized(record)
+		}
+		if _, writeErr := x.w.Write(buffer[:count]); writeErr != nil {
+			return callerDisconnected
+		}
+		if errors.Is(err, io.EOF) {
+			return answered
+		}
+		if err != nil {
+			return x.classifyFailure(watchdog, true)
+		}
+	}
+}
+
+// rejectOversized logs that a response exceeds the size limit.
+func (x *exchange) rejectOversized(record *attemptRecord) outcome {
+	x.frontend.log.WithFields(logrus.Fields{
+		"request": x.call.AttemptID, "instance": record.Instance, "bytes": record.bytes, "limit": maxResponseBytes,
+	}).Warning("a backend server's response exceeds the size limit; closing its connection")
+	return broken
 }
 
 // forwardStream forwards the events of a response as they arrive.
@@ -440,7 +497,12 @@
 		if next.hasID && x.hasEvent && next.id <= x.lastEvent {
 			return broken
 		}
-		watchdog.extend(pauseTimeout)
+		if record.bytes += len(next.raw); record.bytes > maxResponseBytes {
+			return x.rejectOversized(record)
+		}
+		if !next.isBlank {
+			watchdog.extend(pauseTimeout)
+		}
 		now := time.Now()
 		if record.Events > 0 {
 			record.PauseMs = max(record.PauseMs, now.Sub(last).Milliseconds())
@@ -454,7 +516,6 @@
 			x.lastEvent, x.hasEvent = next.id, true
 		}
 		record.Events++
-		record.bytes += len(next.raw)
 		if !reader.buffered() {
 			if err := flusher.Flush(); err != nil {
 				return callerDisconnected
@@ -467,7 +528,7 @@
 	if x.responseStarted {
 		return
 	}
-	x.responseStarted = true
+	x.responseStarted, x.isStream, x.status = true, true, response.StatusCode
 	platform.CopyResponseHeader(response.Header, x.w.Header())
 	x.w.WriteHeader(response.StatusCode)
 	x.frontend.metrics.firstEvent.Observe(clock.Now().Sub(x.arrived).Seconds())
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -23,6 +23,8 @@
 	// unackedTimeout is how long sent bytes may stay unacknowledged before the
 	// connection is considered dead.
 	unackedTimeout = 2 * time.Second
+	// maxResponseHeaderBytes bounds the header of a response.
+	maxResponseHeaderBytes = 64 << 10
 )
 
 // sender sends attempts to backend server instances. Each attempt uses its own
@@ -40,6 +42,8 @@
 		DisableCompression: true,
 		ReadBufferSize:     4 << 10,
 		WriteBufferSize:    4 << 10,
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -5,21 +5,34 @@
 	"bytes"
 	"errors"
 	"io"
+	"slices"
 	"strconv"
 )
 
 // maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 256 << 10
+
+// readBufferBytes is the size of the read buffer of a stream.
+const readBufferBytes = 4 << 10
 
 // errEventTooLarge means that an event of a stream exceeds maxEventBytes.
 var errEventTooLarge = errors.New("a stream event exceeds the size limit; check the backend server")
 
+// errNoEvent means that a block of lines in a stream is not an event.
+var errNoEvent = errors.New("a part of the stream is not an event; check the backend server")
+
+// eventFields are the fields of an event. An event may have other fields as well, which
+// are ignored.
+var eventFields = [][]byte{[]byte("data"), []byte("id"), []byte("event"), []byte("retry")}
+
 // event is one complete event of a stream, with its bytes unchanged.
 type event struct {
 	raw []byte
 	// id is the event's ID; hasID is false for an event without a numeric ID.
 	id    int64
 	hasID bool
+	// isBlank is set for an empty line between events.
+	isBlank bool
 }
 
 // eventReader splits a stream into complete events.
@@ -29,15 +42,15 @@
 }
 
 func newEventReader(source io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(source, 4<<10)}
+	return &eventReader{reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
 // next returns the next complete event. Its bytes are valid until the next call. io.EOF
 // means that the stream ended between events; io.ErrUnexpectedEOF means that it ended
-// inside an event.
+// inside an event, errNoEvent that a block of lines is none.
 func (e *eventReader) next() (event, error) {
 	e.buffer = e.buffer[:0]
-	current := event{}
+	current, hasField, lineStart := event{}, false, 0
 	for {
 		line, err := e.reader.ReadSlice('\n')
 		e.buffer = append(e.buffer, line...)
@@ -53,18 +66,29 @@
 			}
 			return event{}, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(e.buffer[lineStart:], "\r\n")
+		hasField = hasField || isEventField(text)
 		if value, isID := bytes.CutPrefix(text, []byte("id:")); isID {
 			if id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
 				current.id, current.hasID = id, true
 			}
 		}
 		if len(text) == 0 {
-			current.raw = e.buffer
+			current.raw, current.isBlank = e.buffer, lineStart == 0
+			if !hasField && !current.isBlank {
+				return event{}, errNoEvent
+			}
 			return current, nil
 		}
+		lineStart = len(e.buffer)
 	}
 }
 
+// isEventField reports whether a line is a field of an event or a comment.
+func isEventField(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	return len(name) == 0 && len(line) > 0 || slices.ContainsFunc(eventFields, func(field []byte) bool { return bytes.Equal(name, field) })
+}
+
 // buffered reports whether further bytes have already been received.
 func (e *eventReader) buffered() bool { return e.reader.Buffered() > 0 }
