peer: bound the size and the time of each received message

Cause, by reading: package gob accepts a message of 1 GiB, and a peer in trouble may send bytes that are no message until its connection is closed.

Result: an endless reply and an endless call were read in full before (two tests fail); now they end after the announced length.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -151,7 +151,7 @@
 		conn.Close()
 		return nil, err
 	}
-	return rpc.NewClient(conn), nil
+	return rpc.NewClient(&limitedConn{Conn: conn}), nil
 }
 
 func (c *Client) discard(address string, client *pooledConn) {
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -142,7 +142,7 @@
 	select {
 	case s.connSlots <- struct{}{}:
 		defer func() { <-s.connSlots }()
-		s.rpc.ServeConn(conn)
+		s.rpc.ServeConn(&limitedConn{Conn: conn})
 	default:
 		s.log.Warning("too many control connections; closed a new one")
 	}
--- /dev/null
+++ b/internal/peer/limit_test.go
@@ -0,0 +1,145 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/gob"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// readerConn is a connection that only reads.
+type readerConn struct {
+	net.Conn
+	io.Reader
+}
+
+func (r readerConn) Read(buffer []byte) (int, error) { return r.Reader.Read(buffer) }
+func (readerConn) SetReadDeadline(time.Time) error   { return nil }
+
+// TestMessagesPassUnchanged checks that the framing is followed wherever the bytes are
+// split: all messages below the limit pass.
+func TestMessagesPassUnchanged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var sent bytes.Buffer
+		encoder := gob.NewEncoder(&sent)
+		for _, size := range rapid.SliceOfN(rapid.IntRange(0, 70_000), 1, 6).Draw(t, "sizes") {
+			if err := encoder.Encode(make([]byte, size)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var source io.Reader = bytes.NewReader(sent.Bytes())
+		if rapid.Bool().Draw(t, "byte by byte") {
+			source = iotest.OneByteReader(source)
+		}
+		limited := &limitedConn{Conn: readerConn{Reader: source}}
+		got, err := io.ReadAll(limited)
+		if err != nil || !bytes.Equal(got, sent.Bytes()) {
+			t.Fatalf("%d of %d bytes, %v", len(got), sent.Len(), err)
+		}
+		if limited.inMessage {
+			t.Fatal("a deadline remains after the last message")
+		}
+	})
+}
+
+func TestMessageLimits(t *testing.T) {
+	c := qt.New(t)
+	for name, raw := range map[string][]byte{
+		"above the limit":  {0xfc, 0x01, 0x00, 0x00, 0x00},
+		"length too long":  {0xf0},
+		"length of a byte": {0x80},
+		"empty":            {0},
+	} {
+		_, err := io.ReadAll(&limitedConn{Conn: readerConn{Reader: bytes.NewReader(raw)}})
+		c.Check(err, qt.IsNotNil, qt.Commentf("%s", name))
+	}
+}
+
+// serveEndless accepts connections, runs the handshake and answers each first call with
+// bytes that never end. It delivers the number of bytes that it could send.
+func serveEndless(t *testing.T, key, start []byte, interval time.Duration) (address string, closed chan int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { listener.Close() })
+	closed = make(chan int64, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if serverHandshake(conn, key) != nil {
+			return
+		}
+		sent := int64(0)
+		for part := start; err == nil; part = bytes.Repeat([]byte{0}, 64<<10) {
+			if interval > 0 {
+				time.Sleep(interval)
+				part = part[:1]
+			}
+			var count int
+			count, err = conn.Write(part)
+			sent += int64(count)
+		}
+		closed <- sent
+	}()
+	return listener.Addr().String(), closed
+}
+
+// TestEndlessReplyIsCutOff covers a peer that announces a huge reply and sends bytes until
+// the connection is closed. The call fails with a bounded number of bytes read.
+func TestEndlessReplyIsCutOff(t *testing.T) {
+	c := qt.New(t)
+	key := []byte("key")
+	address, closed := serveEndless(t, key, []byte{0xfc, 0x3f, 0xff, 0xff, 0xff}, 0)
+	var reply string
+	err := NewClient(Security{Key: key}).Call(t.Context(), address, "Echo.Echo", "a", &reply)
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(<-closed <= 2*maxMessageBytes, qt.IsTrue)
+}
+
+// TestEndlessSlowReplyEndsWithTheCall covers the same byte by byte: the call ends with its
+// context, and the connection is closed.
+func TestEndlessSlowReplyEndsWithTheCall(t *testing.T) {
+	c := qt.New(t)
+	key := []byte("key")
+	address, closed := serveEndless(t, key, []byte{100}, 20*time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	var reply string
+	c.Assert(NewClient(Security{Key: key}).Call(ctx, address, "Echo.Echo", "a", &reply), qt.IsNotNil)
+	<-closed
+}
+
+// TestEndlessCallIsCutOff covers a caller that sends bytes without an end to a server. The
+// server closes the connection and still serves others.
+func TestEndlessCallIsCutOff(t *testing.T) {
+	c := qt.New(t)
+	address := freeAddress(t)
+	serveEcho(t, address)
+	conn, err := net.Dial("tcp", address)
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	nonce := make([]byte, nonceBytes)
+	_, err = io.ReadFull(conn, nonce)
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(handshakeMAC([]byte("key"), nonce)), qt.Equals, sha256.Size)
+	_, err = conn.Write(append(handshakeMAC([]byte("key"), nonce), 0xfc, 0x3f, 0xff, 0xff, 0xff))
+	sent := 0
+	for ; err == nil && sent <= 8*maxMessageBytes; sent += 64 << 10 {
+		_, err = conn.Write(make([]byte, 64<<10))
+	}
+	c.Assert(errors.Is(err, net.ErrClosed), qt.IsFalse)
+	c.Assert(sent <= 2*maxMessageBytes, qt.IsTrue, qt.Commentf("%d bytes", sent))
+	var reply string
+	c.Assert(NewClient(Security{Key: []byte("key")}).Call(t.Context(), address, "Echo.Echo", "a", &reply), qt.IsNil)
+}
