--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -194,10 +194,10 @@
 }
 
 func newAgent(s platform.Settings, socket *beat.Socket, log *logrus.Entry) *agent {
-	local := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true}
-	remote := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true}
+	local := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true, MaxResponseHeaderBytes: platform.MaxHeaderBytes}
+	remote := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: platform.MaxHeaderBytes}
 	// The origin accepts few connections; idle ones would keep other clients out.
-	origin := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableKeepAlives: true, DisableCompression: true}
+	origin := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: platform.MaxHeaderBytes}
 	a := &agent{
 		settings: s, log: log, socket: socket, client: peer.NewClient(peer.Security{}),
 		engine: platform.NewEngineClient(s.BackendAddress, local), origin: platform.NewOriginClient(origin),
