--- a/test/soak/fleet/faults.go
+++ b/test/soak/fleet/faults.go
@@ -37,6 +37,15 @@
 	{"answers lost", func(r *run) error { return r.setFaults("answers lost", standin.BackendFaults{DropResponses: true}) }},
 	{"answers cut", func(r *run) error { return r.setFaults("answers cut", standin.BackendFaults{TruncateResponses: true}) }},
 	{"instance silent", func(r *run) error { return r.setFaults("instance silent", standin.BackendFaults{Hang: true}) }},
+	{"endless headers", func(r *run) error {
+		return r.setFaults("endless headers", standin.BackendFaults{Endless: standin.EndlessHeader})
+	}},
+	{"endless bodies", func(r *run) error {
+		return r.setFaults("endless bodies", standin.BackendFaults{Endless: standin.EndlessBody})
+	}},
+	{"endless slow bodies", func(r *run) error {
+		return r.setFaults("endless slow bodies", standin.BackendFaults{Endless: standin.EndlessChunkedBody, EndlessInterval: time.Second})
+	}},
 	{"store down", func(r *run) error { return r.failStore("store down", standin.StoreFaults{Down: true}, 4*time.Second) }},
 	{"store silent", func(r *run) error {
 		return r.failStore("store silent", standin.StoreFaults{Silent: true}, 6*time.Second)
