relay: a request waits while free slots suit only others; retry counts survive a reload

A rejected start counted with duration 0 in the average from which Retry-After is estimated. A reload with other bounds on retries cleared the counts, so that the slack could be spent twice in a window. The table of longest times forgot all routes at 4,096. An instance whose retention ended left without a line in the log.

Change: the queue starts the first request that a free slot suits; failed starts have no duration; budgets keep their retries; the routes called last are kept; Expire returns its changes.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -131,19 +131,43 @@
 func (q *Queue) Next(free int, now time.Time) (start []uint64, shed []Shed) {
 	shed = q.expire(free, now)
 	for ; free > 0; free-- {
-		i, found := q.best()
+		i, found := q.best(nil)
 		if !found {
 			break
 		}
-		next := q.queued[i]
-		q.queued = slices.Delete(q.queued, i, i+1)
-		q.runningByCustomer[next.Customer]++
-		q.runningTotal++
-		start = append(start, next.ID)
+		start = append(start, q.start(i))
 	}
 	return start, shed
 }
 
+// NextStartable returns the request to start now: the first one, in the order of the
+// queue, for which startable returns true. A request that no free slot suits does not
+// hold up those behind it and stays queued. NextStartable also returns the requests
+// that are shed.
+func (q *Queue) NextStartable(startable func(id uint64) bool, now time.Time) (id uint64, found bool, shed []Shed) {
+	shed = q.expire(0, now)
+	rejected := make([]bool, len(q.queued))
+	for {
+		i, found := q.best(rejected)
+		if !found {
+			return 0, false, shed
+		}
+		if startable(q.queued[i].ID) {
+			return q.start(i), true, shed
+		}
+		rejected[i] = true
+	}
+}
+
+// start removes the request from the queue and counts it as in progress.
+func (q *Queue) start(i int) uint64 {
+	next := q.queued[i]
+	q.queued = slices.Delete(q.queued, i, i+1)
+	q.runningByCustomer[next.Customer]++
+	q.runningTotal++
+	return next.ID
+}
+
 // expire sheds requests that have waited too long. While there are fewer free
 // slots than requests, it also sheds those that would end after their deadline if
 // they started now. Requests with StartBy are shed at that time instead.
@@ -165,9 +189,14 @@
 	return shed
 }
 
-func (q *Queue) best() (int, bool) {
+// best returns the index of the request to start first, without the rejected ones, which
+// are given by index.
+func (q *Queue) best(rejected []bool) (int, bool) {
 	best := -1
 	for i, w := range q.queued {
+		if rejected != nil && rejected[i] {
+			continue
+		}
 		limit := q.config.MaxRunningPerCustomer
 		if limit > 0 && q.runningByCustomer[w.Customer] >= limit {
 			continue
@@ -190,13 +219,19 @@
 	return q.runningByCustomer[a.Customer]*q.weight(b.Customer) < q.runningByCustomer[b.Customer]*q.weight(a.Customer)
 }
 
-// RequestFinished records the end of a request that Next returned.
-func (q *Queue) RequestFinished(customer, route string, duration time.Duration) {
+// StartFailed records that a request that Next or NextStartable returned did not start.
+// It has no duration.
+func (q *Queue) StartFailed(customer string) {
 	q.runningTotal--
 	q.runningByCustomer[customer]--
 	if q.runningByCustomer[customer] <= 0 {
 		delete(q.runningByCustomer, customer)
 	}
+}
+
+// RequestFinished records the end of a request that Next or NextStartable returned.
+func (q *Queue) RequestFinished(customer, route string, duration time.Duration) {
+	q.StartFailed(customer)
 	q.averageDuration = average(q.averageDuration, duration)
 	q.averageDurationByRoute[route] = average(q.averageDurationByRoute[route], duration)
 }
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -197,3 +197,52 @@
 	c.Assert(onTime+late, qt.Equals, slots*rounds, qt.Commentf("slots were left free"))
 	c.Assert(onTime >= slots*rounds*19/20, qt.IsTrue, qt.Commentf("%d on time, %d late", onTime, late))
 }
+
+// TestBlockedRequestDoesNotHoldUpOthers covers overload with requests of different needs:
+// free slots suit only some of them. The others wait instead of being started, and
+// nothing that may start waits behind them.
+func TestBlockedRequestDoesNotHoldUpOthers(t *testing.T) {
+	c := qt.New(t)
+	q := admission.New(config())
+	deadline := epoch.Add(time.Minute)
+	for id, class := range []int{0, 0, 1, 2} {
+		q.Offer(admission.Ticket{ID: uint64(id), Customer: "c", Class: class, Deadline: deadline}, epoch)
+	}
+	large := map[uint64]bool{0: true, 2: true}
+	startable := func(id uint64) bool { return !large[id] }
+	for _, want := range []uint64{1, 3} {
+		id, found, shed := q.NextStartable(startable, epoch)
+		c.Assert(found, qt.IsTrue)
+		c.Assert(id, qt.Equals, want)
+		c.Assert(shed, qt.HasLen, 0)
+	}
+	_, found, _ := q.NextStartable(startable, epoch)
+	c.Assert(found, qt.IsFalse)
+	c.Assert(q.Queued(), qt.Equals, 2)
+	c.Assert(q.Running(), qt.Equals, 2)
+	_, _, shed := q.NextStartable(startable, deadline)
+	c.Assert(shed, qt.HasLen, 2)
+}
+
+// TestFailedStartHasNoDuration guards against a request that did not start and counts
+// with a duration of zero, which would make callers return too early.
+func TestFailedStartHasNoDuration(t *testing.T) {
+	c := qt.New(t)
+	q := admission.New(admission.Config{MaxQueued: 1, MaxPerCustomer: 9, MaxWait: time.Second})
+	deadline := epoch.Add(time.Minute)
+	start := func(id uint64) {
+		q.Offer(admission.Ticket{ID: id, Customer: "c", Deadline: deadline}, epoch)
+		_, found, _ := q.NextStartable(func(uint64) bool { return true }, epoch)
+		c.Assert(found, qt.IsTrue)
+	}
+	start(1)
+	q.RequestFinished("c", "", time.Second)
+	for id := range uint64(50) {
+		start(10 + id)
+		q.StartFailed("c")
+	}
+	q.Offer(admission.Ticket{ID: 100, Customer: "c", Deadline: deadline}, epoch)
+	shed := q.Offer(admission.Ticket{ID: 101, Customer: "c", Deadline: deadline}, epoch)
+	c.Assert(shed, qt.HasLen, 1)
+	c.Assert(shed[0].RetryAfter >= time.Second, qt.IsTrue, qt.Commentf("%s", shed[0].RetryAfter))
+}
--- a/internal/dispatch/window.go
+++ b/internal/dispatch/window.go
@@ -29,6 +29,23 @@
 	return &WindowBudget{window: window, ratio: ratio, slack: slack}
 }
 
+// SetLimits changes the window and the ratio. The retries of the last window still
+// count, so that a change does not allow them once more. The requests only count if the
+// window stays the same.
+func (b *WindowBudget) SetLimits(window time.Duration, ratio float64, now time.Time) {
+	b.ratio = ratio
+	if window == b.window {
+		return
+	}
+	b.bucketAt(now)
+	retries := 0
+	for _, bucket := range b.buckets {
+		retries += bucket.retries
+	}
+	b.window, b.buckets, b.lastBucket = window, [windowBuckets]bucket{}, 0
+	b.bucketAt(now).retries = retries
+}
+
 // SetSlack changes the fixed number of retries.
 func (b *WindowBudget) SetSlack(slack float64) { b.slack = slack }
 
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -223,18 +223,19 @@
 }
 
 // Expire removes the instances that are missing from the list and whose
-// retention time has passed.
-func (f *Fleet) Expire(now time.Time) {
-	dropped := false
+// retention time has passed, and returns the changes.
+func (f *Fleet) Expire(now time.Time) []Change {
+	var changes []Change
 	for id, inst := range f.instances {
 		if !inst.retainUntil.IsZero() && !now.Before(inst.retainUntil) {
 			delete(f.instances, id)
-			dropped = true
+			changes = append(changes, Change{ID: id, Pool: inst.Pool, Kind: Gone})
 		}
 	}
-	if dropped {
+	if len(changes) > 0 {
 		f.rebuildIndexes()
 	}
+	return changes
 }
 
 // UpdateReport records a report of the agent at host. A report that arrives after
@@ -468,15 +469,15 @@
 	}
 }
 
-// FreeSlots returns the number of free slots for requests with these requirements.
-func (f *Fleet) FreeSlots(need Requirements, now time.Time) int {
-	free := 0
+// HasFreeSlot reports whether Choose would find an instance for a request with these
+// requirements.
+func (f *Fleet) HasFreeSlot(need Requirements, now time.Time) bool {
 	for _, inst := range f.instances {
 		if f.usable(inst, need, now) && f.hasCapacity(inst, need, now) {
-			free += f.limit(inst) - f.load(inst, now)
+			return true
 		}
 	}
-	return free
+	return false
 }
 
 // Usable returns the number of instances that may take requests with these
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -284,7 +284,7 @@
 	}
 	// Two passes of 50 ms each, and 75 ms for each prompt.
 	c.Assert(accepted, qt.Equals, 4)
-	c.Assert(fleet.FreeSlots(withMaxWait, epoch), qt.Equals, 0)
+	c.Assert(fleet.HasFreeSlot(withMaxWait, epoch), qt.IsFalse)
 	_, found := fleet.Choose(need, epoch)
 	c.Assert(found, qt.IsTrue, qt.Commentf("requests without a limit on the wait are accepted"))
 }
@@ -329,7 +329,25 @@
 	}
 	c.Assert(placed, qt.Equals, 2)
 	need.ReservedSlots = 100
-	c.Assert(fleet.FreeSlots(need, epoch), qt.Equals, 0)
+	c.Assert(fleet.HasFreeSlot(need, epoch), qt.IsFalse)
 	need.ReservedSlots = 0
-	c.Assert(fleet.FreeSlots(need, epoch), qt.Equals, 2)
+	for range 2 {
+		c.Assert(fleet.HasFreeSlot(need, epoch), qt.IsTrue)
+		_, found := fleet.Choose(need, epoch)
+		c.Assert(found, qt.IsTrue)
+	}
+	c.Assert(fleet.HasFreeSlot(need, epoch), qt.IsFalse)
+}
+
+// TestExpiredInstanceIsReported covers an instance that is missing from the list at the
+// end of an outage of the store: its removal is a change like any other.
+func TestExpiredInstanceIsReported(t *testing.T) {
+	c := qt.New(t)
+	fleet := newFleet(1)
+	fleet.SetList(backends(2), time.Time{}, epoch)
+	keepUntil := epoch.Add(2 * time.Second)
+	fleet.SetList(backends(1), keepUntil, epoch)
+	c.Assert(fleet.Expire(keepUntil.Add(-time.Millisecond)), qt.HasLen, 0)
+	c.Assert(fleet.Expire(keepUntil), qt.DeepEquals, []placement.Change{{ID: "i-01", Pool: "engines", Kind: placement.Gone}})
+	c.Assert(fleet.Expire(keepUntil), qt.HasLen, 0)
 }
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -157,10 +157,11 @@
 	}), newRetryLimits(s.Bounds))
 	e.scheduler.retrySlackFrom = clock.Now().Add(s.Bounds.RetryWindow)
 	e.view = newView(e.scheduler, s.Bounds.VersionSwitchTime-switchMargin, s.Bounds.StableTime-stablePeriodMargin, log)
-	e.frontend = &frontend{view: e.view, scheduler: e.scheduler, sender: newSender(), log: log, metrics: counts, zone: s.AvailabilityZone}
+	e.frontend = &frontend{view: e.view, scheduler: e.scheduler, sender: newSender(), log: log, metrics: counts, zone: s.AvailabilityZone, returningCallers: newReturningCallerDetector()}
 	e.frontend.setBounds(s.Bounds)
 	e.heartbeats = &heartbeater{socket: socket, view: e.view, scheduler: e.scheduler, frontend: e.frontend, log: log, start: start, sendNow: make(chan struct{}, 1), loadChanges: make(chan string, maxPendingLoadChanges), placed: make(chan struct{}, 1)}
 	e.scheduler.loadChanged = e.heartbeats.recordLoadChange
+	e.scheduler.backendExpired = e.view.backendExpired
 	e.metrics.Gauge("tables_proof_age_seconds", "Age of the proof that the tables are current.", func() float64 { return e.view.proofAge().Seconds() })
 	store := platform.NewStoreClient(s.StoreAddress, newStoreTransport())
 	store.OnCall = func(method string, kind platform.Kind) { counts.storeCalls.WithLabelValues(method, string(kind)).Inc() }
--- a/internal/relay/frontend.go
+++ b/internal/relay/frontend.go
@@ -42,7 +42,7 @@
 	// zone is this entry's availability zone.
 	zone string
 	// returningCallers detects callers that retry after a rejection.
-	returningCallers returningCallerDetector
+	returningCallers *returningCallerDetector
 	// revokeBound is the bound on revoked keys in nanoseconds; zero when there is none.
 	revokeBound atomic.Int64
 	// maxDenialProofAge is the age of the tables' proof, in nanoseconds, up to which a
--- a/internal/relay/frontend_test.go
+++ b/internal/relay/frontend_test.go
@@ -59,7 +59,7 @@
 		backends = append(backends, replica.Document{Name: fmt.Sprintf("i-%d", i), Revision: 1, Body: []byte(body)})
 	}
 	view.copies.ApplyFromPeer(platform.Backends, replica.Change{Whole: true, AsOf: 1, Documents: backends}, clock.Now(), "peer")
-	f := &frontend{view: view, scheduler: scheduler, sender: newSender(), log: logger, metrics: newFrontendMetrics(metrics.New())}
+	f := &frontend{view: view, scheduler: scheduler, sender: newSender(), log: logger, metrics: newFrontendMetrics(metrics.New()), returningCallers: newReturningCallerDetector()}
 	f.setBounds(platform.Bounds{ConfigApplyTime: 2 * time.Second, KeyRevokeTime: 5 * time.Second})
 	server := httptest.NewServer(f)
 	t.Cleanup(server.Close)
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -74,12 +74,16 @@
 	// begun means that a request was placed there, which other entries must learn
 	// immediately.
 	loadChanged func(id string, begun bool)
+	// backendExpired is called for each instance that was missing from the list and is
+	// no longer kept.
+	backendExpired func(placement.Change)
 }
 
 func newScheduler(fleet *placement.Fleet, retries retryLimits) *scheduler {
 	return &scheduler{
 		fleet: fleet, queues: map[string]*admission.Queue{}, tickets: map[uint64]*ticket{}, retryBudgets: map[string]*dispatch.WindowBudget{},
 		retryLimits: retries, entryCount: 1, requestQueued: make(chan struct{}, 1), overloads: map[string]*overload{}, loadChanged: func(string, bool) {},
+		backendExpired: func(placement.Change) {},
 	}
 }
 
@@ -142,27 +146,13 @@
 func (s *scheduler) dispatchWaiting(pool string, now time.Time) {
 	queue := s.queue(pool)
 	for queue.Queued() > 0 {
-		free := 0
-		if s.hasFreeSlot(pool, now) {
-			free = 1
-		}
-		start, shed := queue.Next(free, now)
+		id, found, shed := queue.NextStartable(func(id uint64) bool { return s.fleet.HasFreeSlot(s.tickets[id].need, now) }, now)
 		s.shed(shed, now)
-		if len(start) == 0 {
+		if !found {
 			return
 		}
-		s.place(start[0], now)
-	}
-}
-
-// hasFreeSlot reports whether a slot is free for any queued request of the pool.
-func (s *scheduler) hasFreeSlot(pool string, now time.Time) bool {
-	for _, t := range s.tickets {
-		if t.need.Pool == pool && s.fleet.FreeSlots(t.need, now) > 0 {
-			return true
-		}
+		s.place(id, now)
 	}
-	return false
 }
 
 func (s *scheduler) place(id uint64, now time.Time) {
@@ -171,7 +161,7 @@
 	choice, found := s.fleet.Choose(t.need, now)
 	if !found {
 		t.retryAfter = minRetryAfter
-		s.queue(t.need.Pool).RequestFinished(t.Customer, t.Route, 0)
+		s.queue(t.need.Pool).StartFailed(t.Customer)
 		close(t.placed)
 		return
 	}
@@ -260,7 +250,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
-	s.fleet.Expire(now)
+	for _, change := range s.fleet.Expire(now) {
+		s.backendExpired(change)
+	}
 	for pool := range s.queues {
 		s.dispatchWaiting(pool, now)
 	}
@@ -330,14 +322,16 @@
 	return s.retryLimits.slack / float64(s.entryCount)
 }
 
-// setRetryLimits replaces the bounds on retries. The counts are kept when the bounds
-// are unchanged.
+// setRetryLimits replaces the bounds on retries. Earlier retries still count.
 func (s *scheduler) setRetryLimits(retries retryLimits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if retries != s.retryLimits {
-		s.retryLimits = retries
-		clear(s.retryBudgets)
+	s.retryLimits = retries
+	now := clock.Now()
+	slack := s.retrySlackShare(now)
+	for _, budget := range s.retryBudgets {
+		budget.SetLimits(retries.window, retries.ratio, now)
+		budget.SetSlack(slack)
 	}
 }
 
--- a/internal/relay/gate_test.go
+++ b/internal/relay/gate_test.go
@@ -1,11 +1,14 @@
 package relay
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"plantainrelay/internal/admission"
+	"plantainrelay/internal/catalog"
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/placement"
 )
@@ -33,3 +36,73 @@
 	c.Assert(g.takeRetry("p"), qt.IsTrue, qt.Commentf("the entry's share of the slack"))
 	c.Assert(g.takeRetry("p"), qt.IsFalse)
 }
+
+// TestReloadDoesNotRenewTheRetrySlack guards against a reload of the settings that allows
+// the retries of the last window once more.
+func TestReloadDoesNotRenewTheRetrySlack(t *testing.T) {
+	for name, limits := range map[string]retryLimits{
+		"another ratio":  {window: 10 * time.Second, ratio: 0.1, slack: 5},
+		"another window": {window: 20 * time.Second, ratio: 0.2, slack: 5},
+		"less slack":     {window: 10 * time.Second, ratio: 0.2, slack: 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			g := newScheduler(placement.New(placement.Config{}), retryLimits{window: 10 * time.Second, ratio: 0.2, slack: 5})
+			for range 5 {
+				c.Assert(g.takeRetry("p"), qt.IsTrue)
+			}
+			c.Assert(g.takeRetry("p"), qt.IsFalse)
+			g.setRetryLimits(limits)
+			c.Assert(g.takeRetry("p"), qt.IsFalse)
+		})
+	}
+}
+
+// TestRequestWaitsWhileOnlyOthersFit covers overload with requests of different needs: a
+// free slot that only other requests may take is no reason to reject the first in the
+// queue.
+func TestRequestWaitsWhileOnlyOthersFit(t *testing.T) {
+	c := qt.New(t)
+	fleet := placement.New(placement.Config{MaxPeerLoadAge: time.Second, Seed: 1})
+	fleet.SetList([]catalog.Backend{{ID: "i-1", Pool: "p", Address: "10.0.0.1:80", Host: "10.0.0.1", Slots: 1}}, time.Time{}, clock.Now())
+	g := newScheduler(fleet, retryLimits{})
+	later := clock.Now().Add(time.Hour)
+	newTicket := func(tried bool) *ticket {
+		t := &ticket{Ticket: admission.Ticket{Customer: "c", Deadline: later, StartBy: later}, need: placement.Requirements{Pool: "p"}}
+		if tried {
+			t.need.Tried = map[string]bool{"i-1": true}
+		}
+		return t
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	blocked := make(chan *rejection)
+	go func() {
+		_, rejected := g.acquire(ctx, newTicket(true))
+		blocked <- rejected
+	}()
+	waitUntil(c, func() bool { return g.queuedRequests("p") == 1 })
+	for range 2 {
+		choice, rejected := g.acquire(ctx, newTicket(false))
+		c.Assert(rejected, qt.IsNil)
+		c.Assert(choice.Backend.ID, qt.Equals, "i-1")
+	}
+	c.Assert(g.queuedRequests("p"), qt.Equals, 1)
+	cancel()
+	c.Assert(<-blocked, qt.IsNotNil)
+}
+
+func (s *scheduler) queuedRequests(pool string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue(pool).Queued()
+}
+
+// waitUntil waits for a condition that another goroutine brings about.
+func waitUntil(c *qt.C, condition func() bool) {
+	for !condition() {
+		if c.Context().Err() != nil {
+			c.Fatal("the test ended")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/relay/usual.go
+++ b/internal/relay/usual.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
 )
 
 const (
@@ -14,7 +16,8 @@
 	// minReturningShare is the share of the longest time below which a caller is taken
 	// for one with a shorter time limit: no caller retries that late.
 	minReturningShare = 0.3
-	// maxTrackedRoutes bounds the routes whose longest time is kept.
+	// maxTrackedRoutes bounds the routes whose longest time is kept: those that were
+	// called last.
 	maxTrackedRoutes = 4096
 )
 
@@ -24,7 +27,16 @@
 // callers send what remains of their time. It is safe for concurrent use.
 type returningCallerDetector struct {
 	mu              sync.Mutex
-	longestTimeLeft map[string]time.Duration
+	longestTimeLeft *lru.Cache[string, time.Duration]
+}
+
+func newReturningCallerDetector() *returningCallerDetector {
+	cache, err := lru.New[string, time.Duration](maxTrackedRoutes)
+	if err != nil {
+		// The size is a positive constant.
+		panic(err)
+	}
+	return &returningCallerDetector{longestTimeLeft: cache}
 }
 
 // isReturning reports whether a caller with the given time left retries after a
@@ -38,14 +50,12 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.longestTimeLeft == nil || len(d.longestTimeLeft) >= maxTrackedRoutes {
-		d.longestTimeLeft = map[string]time.Duration{}
-	}
-	longest := max(d.longestTimeLeft[route], timeLeft)
+	known, _ := d.longestTimeLeft.Get(route)
+	longest := max(known, timeLeft)
 	if limit > 0 {
 		longest = min(longest, limit)
 	}
-	d.longestTimeLeft[route] = longest
+	d.longestTimeLeft.Add(route, longest)
 	share := float64(timeLeft) / float64(longest)
 	return share < 1-returningMargin && share > minReturningShare
 }
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -113,13 +113,23 @@
 		}
 	}
 	for _, change := range v.scheduler.setList(backends, time.Unix(0, v.keepMissingUntil.Load()), now) {
-		v.log.WithFields(logrus.Fields{
-			"backend": change.ID, "pool": change.Pool, "state": string(change.Kind),
-			"revision": snapshot.Content, "proof_age_ms": now.Sub(snapshot.Proof).Milliseconds(),
-		}).Info("backend server list changed")
+		v.logBackendChange(change, snapshot.Content, now.Sub(snapshot.Proof))
 	}
 }
 
+// backendExpired logs that an instance missing from the list is no longer kept. It takes
+// no lock of the scheduler.
+func (v *view) backendExpired(change placement.Change) {
+	state := v.copies.CollectionState(platform.Backends)
+	v.logBackendChange(change, state.Content, state.Age)
+}
+
+func (v *view) logBackendChange(change placement.Change, revision int64, proofAge time.Duration) {
+	v.log.WithFields(logrus.Fields{
+		"backend": change.ID, "pool": change.Pool, "state": string(change.Kind), "revision": revision, "proof_age_ms": proofAge.Milliseconds(),
+	}).Info("backend server list changed")
+}
+
 func (v *view) decodeReleases() {
 	now := clock.Now()
 	v.releasesMu.Lock()
