dispatch: broken and held requests end at their deadline

Result: four cases of one test fail with the checks taken out by hand (they return an action instead of the outcome) and pass now.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -126,7 +126,7 @@
 func (r *Request) KeyInUse(now time.Time) Action {
 	r.attempts--
 	r.silentSince = now
-	return Action{Kind: QueryStatus}
+	return r.queryStatus(now, 0)
 }
 
 // Rejected reports that the last attempt is proven not to have started, and that
@@ -150,7 +150,7 @@
 		return r.nextAttempt(now, r.config.RetryDelay)
 	}
 	r.silentSince = now
-	return Action{Kind: QueryStatus}
+	return r.queryStatus(now, 0)
 }
 
 // StatusReceived processes the status of the last attempt that the agent reported.
@@ -162,7 +162,7 @@
 	case AttemptDone:
 		return Action{Kind: Deliver}
 	case AttemptRunning:
-		return r.queryAgain(now)
+		return r.queryStatus(now, r.config.QueryInterval)
 	}
 	r.mayHaveStarted = true
 	return r.finish()
@@ -174,19 +174,20 @@
 		r.mayHaveStarted = true
 		return r.finish()
 	}
-	return r.queryAgain(now)
+	return r.queryStatus(now, r.config.QueryInterval)
 }
 
-func (r *Request) queryAgain(now time.Time) Action {
-	if !now.Add(r.config.QueryInterval).Before(r.config.Deadline) {
+// queryStatus queries the status after wait, if that is before the deadline.
+func (r *Request) queryStatus(now time.Time, wait time.Duration) Action {
+	if !now.Add(wait).Before(r.config.Deadline) {
 		r.mayHaveStarted = true
 		return r.finish()
 	}
-	return Action{Kind: QueryStatus, Wait: r.config.QueryInterval}
+	return Action{Kind: QueryStatus, Wait: wait}
 }
 
 func (r *Request) nextAttempt(now time.Time, wait time.Duration) Action {
-	if r.attempts >= r.config.MaxAttempts || !now.Before(r.config.Deadline) {
+	if r.attempts >= r.config.MaxAttempts || !now.Add(wait).Before(r.config.Deadline) {
 		return r.finish()
 	}
 	r.attempts++
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -91,3 +91,31 @@
 		t.Fatalf("%d attempts for %d requests", attempts, requests)
 	}
 }
+
+// TestDeadlineEndsBrokenAndHeldRequests checks that a request gets its outcome at its
+// deadline: no status is queried and no instance is waited for beyond it.
+func TestDeadlineEndsBrokenAndHeldRequests(t *testing.T) {
+	deadline := time.UnixMilli(1_700_000_000_000)
+	newRequest := func(repeatable bool) *dispatch.Request {
+		r := dispatch.New(dispatch.Config{
+			Repeatable: repeatable, Deadline: deadline, MaxAttempts: 3, QueryInterval: time.Second,
+			MaxWait: time.Minute, WaitInterval: time.Second, MaxSilence: time.Minute, RetryDelay: time.Second,
+		})
+		r.Start(deadline.Add(-time.Minute))
+		return r
+	}
+	late := deadline.Add(-time.Millisecond)
+	for name, test := range map[string]struct {
+		got  dispatch.Action
+		want dispatch.Outcome
+	}{
+		"broken after the deadline":       {newRequest(false).AttemptInterrupted(false, deadline), dispatch.Unknown},
+		"key in use after the deadline":   {newRequest(false).KeyInUse(deadline), dispatch.Unknown},
+		"held beyond the deadline":        {newRequest(true).NoInstance(late), dispatch.NotRun},
+		"retry delay beyond the deadline": {newRequest(true).AttemptInterrupted(false, late), dispatch.Unknown},
+	} {
+		if want := (dispatch.Action{Kind: dispatch.Finish, Outcome: test.want}); test.got != want {
+			t.Errorf("%s: %+v, want %+v", name, test.got, want)
+		}
+	}
+}
