--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -97,13 +97,15 @@
 	return u
 }
 
-// SetBandwidth sets the bandwidth of the link; 0 leaves the limit as it is, and
-// initially there is none.
+// SetBandwidth sets the bandwidth of the link; 0 means that it is unknown, and that
+// there is no limit.
 func (u *UploadLimiter) SetBandwidth(bitsPerSecond float64) {
 	const bitsPerByte = 8
+	limit := rate.Inf
 	if bitsPerSecond > 0 {
-		u.limiter.SetLimit(rate.Limit(u.share * bitsPerSecond / bitsPerByte))
+		limit = rate.Limit(u.share * bitsPerSecond / bitsPerByte)
 	}
+	u.limiter.SetLimit(limit)
 }
 
 // Acquire waits until size bytes may be sent. It returns false if that takes too
--- a/internal/depot/depot_test.go
+++ b/internal/depot/depot_test.go
@@ -191,3 +191,14 @@
 		c.Assert(direct, qt.Equals, 1)
 	}
 }
+
+// TestUnknownBandwidthIsNoLimit covers a reload of settings that no longer name the
+// bandwidth of the link.
+func TestUnknownBandwidthIsNoLimit(t *testing.T) {
+	c := qt.New(t)
+	uploads := NewUploadLimiter(8, AgentShare)
+	c.Assert(uploads.Acquire(uploadBurst), qt.IsTrue)
+	c.Assert(uploads.Acquire(uploadBurst), qt.IsFalse)
+	uploads.SetBandwidth(0)
+	c.Assert(uploads.Acquire(uploadBurst), qt.IsTrue)
+}
