peers, beat: load updates no longer hide the messages that they overtake

A regular message that arrived after a later load update was dropped as old, so that its sender looked silent, and its news of the collections was lost. The size of a datagram was not checked before it was sent; the receiver cut it and dropped it without a line. The receive loop spun on a lasting error.

Change: loads are ordered on their own, and a late regular message keeps its other content; loads that do not fit are omitted and said to be so; a failed read is logged once and followed by a pause.

Result: new tests for the three; the old logic does not compile with them.

--- a/internal/beat/message.go
+++ b/internal/beat/message.go
@@ -15,9 +15,12 @@
 	"plantainrelay/internal/failure"
 )
 
-// maxDatagram bounds the size of a received datagram; larger ones would be sent in
-// fragments.
-const maxDatagram = 8 << 10
+const (
+	// maxDatagram bounds the size of a datagram.
+	maxDatagram = 8 << 10
+	// maxTrailer bounds the size of the trailer in a datagram.
+	maxTrailer = 64
+)
 
 // Role is the role of a process.
 type Role int
@@ -95,6 +98,8 @@
 	Report *EngineReport
 	// StoreUnavailable says that the entry cannot read the store.
 	StoreUnavailable bool
+	// LoadsOmitted says that the loads did not fit into the datagram.
+	LoadsOmitted bool
 	// ComposedAt is the time on the sender's clock at which it started to compose the
 	// message. The ages in the message refer to that time, even if the sender is
 	// paused before it sends the message. Zero means the time of sending.
--- a/internal/beat/message_test.go
+++ b/internal/beat/message_test.go
@@ -1,10 +1,19 @@
 package beat
 
 import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 )
 
 func TestMessageRoundTrip(t *testing.T) {
@@ -28,6 +37,56 @@
 	qt.Assert(t, err, qt.IsNotNil)
 }
 
+// TestOversizedLoadsAreOmitted covers an entry with requests at very many instances: its
+// message still tells that it is there, and does not look like one without any loads.
+func TestOversizedLoadsAreOmitted(t *testing.T) {
+	c := qt.New(t)
+	m := &Message{Host: "10.0.0.1", Sequence: 4, Loads: map[string]Load{}}
+	for i := range 1000 {
+		m.Loads[fmt.Sprintf("instance-%04d", i)] = Load{Count: 1, Unread: 1000}
+	}
+	raw, err := encodeWithinLimit(m)
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(raw) <= maxDatagram-maxTrailer, qt.IsTrue)
+	got, _, err := decode(raw)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.LoadsOmitted, qt.IsTrue)
+	c.Assert(got.Sequence, qt.Equals, uint64(4))
+	c.Assert(m.Loads, qt.HasLen, 1000)
+	_, err = encodeWithinLimit(&Message{Host: "10.0.0.1", Hosts: []string{strings.Repeat("x", maxDatagram)}})
+	c.Assert(err, qt.IsNotNil)
+}
+
+// TestTrailerIsBounded checks the size that encodeWithinLimit leaves for the trailer.
+func TestTrailerIsBounded(t *testing.T) {
+	raw, err := encode(trailer{Epoch: math.MaxUint32, Sent: math.MaxInt64, EchoEpoch: math.MaxUint32, EchoSent: math.MaxInt64, Elapsed: math.MinInt64})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(raw) <= maxTrailer, qt.IsTrue)
+}
+
+// failingConn is a socket that cannot be read.
+type failingConn struct{ reads chan struct{} }
+
+func (f failingConn) ReadFromUDPAddrPort([]byte) (int, netip.AddrPort, error) {
+	f.reads <- struct{}{}
+	return 0, netip.AddrPort{}, errors.New("cannot be read")
+}
+func (failingConn) WriteToUDP([]byte, *net.UDPAddr) (int, error) { return 0, nil }
+func (failingConn) Close() error                                 { return nil }
+
+// TestReceiveDoesNotSpin checks that reading a socket that fails for good leaves the
+// processor to others: of many possible reads only a few happen.
+func TestReceiveDoesNotSpin(t *testing.T) {
+	c := qt.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	conn := failingConn{reads: make(chan struct{}, 1_000)}
+	ctx, cancel := context.WithTimeout(t.Context(), 4*receiveRetryDelay)
+	defer cancel()
+	(&Socket{conn: conn, log: logrus.NewEntry(log)}).Receive(ctx, func(*Message) {})
+	c.Assert(len(conn.reads) > 0 && len(conn.reads) <= 5, qt.IsTrue, qt.Commentf("%d reads", len(conn.reads)))
+}
+
 // FuzzMessage checks that decode accepts or rejects any datagram without a panic,
 // and accepts none without an address.
 func FuzzMessage(f *testing.F) {
--- a/internal/beat/socket.go
+++ b/internal/beat/socket.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -14,9 +15,19 @@
 	"plantainrelay/internal/failure"
 )
 
+// receiveRetryDelay is the delay after a failed read.
+const receiveRetryDelay = 50 * time.Millisecond
+
+// packetConn is the part of net.UDPConn that a Socket uses.
+type packetConn interface {
+	ReadFromUDPAddrPort(buffer []byte) (int, netip.AddrPort, error)
+	WriteToUDP(datagram []byte, to *net.UDPAddr) (int, error)
+	Close() error
+}
+
 // Socket sends and receives messages over UDP.
 type Socket struct {
-	conn     *net.UDPConn
+	conn     packetConn
 	port     int
 	log      *logrus.Entry
 	trailers *trailerStore
@@ -33,7 +44,7 @@
 
 // Send sends m to the processes at hosts. Datagrams may be lost.
 func (s *Socket) Send(m *Message, hosts []string) {
-	raw, err := encode(m)
+	raw, err := encodeWithinLimit(m)
 	if err != nil {
 		s.log.WithError(err).Error("the message to peers was not sent")
 		return
@@ -54,6 +65,21 @@
 	}
 }
 
+// encodeWithinLimit encodes a message. A message that would not fit into a datagram is
+// encoded without its loads.
+func encodeWithinLimit(m *Message) ([]byte, error) {
+	raw, err := encode(m)
+	if err != nil || len(raw) <= maxDatagram-maxTrailer {
+		return raw, err
+	}
+	small := *m
+	small.Loads, small.LoadsOmitted = nil, true
+	if raw, err = encode(&small); err == nil && len(raw) > maxDatagram-maxTrailer {
+		err = failure.New(failure.Invalid, "report this", "a message to peers has %d bytes without its loads", len(raw))
+	}
+	return raw, err
+}
+
 func (s *Socket) appendTrailer(raw []byte, host string, composed time.Time) []byte {
 	t, err := encode(s.trailers.newTrailer(host, composed))
 	if err != nil {
@@ -70,11 +96,18 @@
 		s.conn.Close()
 	}()
 	buffer := make([]byte, maxDatagram)
+	failing := false
 	for ctx.Err() == nil {
 		count, from, err := s.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
+			if !failing && ctx.Err() == nil {
+				s.log.WithError(err).Warning("cannot read from the peer socket; retrying")
+			}
+			failing = true
+			clock.Sleep(ctx, receiveRetryDelay)
 			continue
 		}
+		failing = false
 		m, t, err := decode(buffer[:count])
 		if err != nil {
 			s.log.WithError(err).Debug("invalid message from a peer was dropped")
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -52,6 +52,8 @@
 type knownEntry struct {
 	Entry
 	receivedAt time.Time
+	// loadSequence is the sequence number of the last message whose loads were accepted.
+	loadSequence uint64
 }
 
 type probe struct {
@@ -127,7 +129,9 @@
 	if entry.Start < last.Start && !timedOut || entry.Start == last.Start && entry.Sequence <= last.Sequence {
 		return false, false
 	}
-	isNew = entry.Start != last.Start
+	if isNew = entry.Start != last.Start; isNew {
+		last.loadSequence = 0
+	}
 	last.Entry, last.receivedAt = entry, now
 	return true, isNew
 }
@@ -224,14 +228,15 @@
 	return near[:min(limit, len(near))]
 }
 
-// AcceptSequence reports whether a message is newer than the last one of its
-// sender, and if so records its sequence number.
-func (d *Directory) AcceptSequence(host string, start int64, sequence uint64) bool {
+// AcceptLoads reports whether the loads in a message of a known entry are newer than the
+// last ones accepted, and if so records the sequence number. Load updates may overtake
+// the regular messages, whose other content stays valid.
+func (d *Directory) AcceptLoads(host string, start int64, sequence uint64) bool {
 	last := d.entries[host]
-	if last == nil || start != last.Start || sequence <= last.Sequence {
+	if last == nil || start != last.Start || sequence <= last.loadSequence {
 		return false
 	}
-	last.Sequence = sequence
+	last.loadSequence = sequence
 	return true
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -43,8 +43,12 @@
 	d.RecordMessage(other("10.0.0.2", "z1", 5), epoch)
 	current, _ := d.RecordMessage(other("10.0.0.2", "z1", 4), epoch)
 	c.Assert(current, qt.IsFalse)
-	c.Assert(d.AcceptSequence("10.0.0.2", 1, 5), qt.IsFalse)
-	c.Assert(d.AcceptSequence("10.0.0.2", 1, 6), qt.IsTrue)
+	c.Assert(d.AcceptLoads("10.0.0.2", 1, 5), qt.IsTrue)
+	c.Assert(d.AcceptLoads("10.0.0.2", 1, 5), qt.IsFalse)
+	c.Assert(d.AcceptLoads("10.0.0.2", 1, 4), qt.IsFalse)
+	c.Assert(d.AcceptLoads("10.0.0.2", 1, 6), qt.IsTrue)
+	c.Assert(d.AcceptLoads("10.0.0.2", 2, 7), qt.IsFalse, qt.Commentf("another start"))
+	c.Assert(d.AcceptLoads("10.0.0.9", 1, 7), qt.IsFalse, qt.Commentf("an unknown entry"))
 	restarted := other("10.0.0.2", "z1", 1)
 	restarted.Start = 2
 	current, isNew := d.RecordMessage(restarted, epoch)
@@ -195,3 +199,23 @@
 	}
 	c.Assert(reader(), qt.Equals, first, qt.Commentf("if none can read the store, the first one keeps trying"))
 }
+
+// TestLoadUpdateThatOvertakesAMessage guards against entries that seem silent because
+// their load updates arrive before the regular messages that were sent earlier.
+func TestLoadUpdateThatOvertakesAMessage(t *testing.T) {
+	c := qt.New(t)
+	d := peers.New(config, self(), nil, epoch)
+	message := other("10.0.0.2", "z1", 1)
+	d.RecordMessage(message, epoch)
+	c.Assert(d.AcceptLoads(message.Host, 1, 1), qt.IsTrue)
+	later := epoch.Add(config.LiveTimeout)
+	c.Assert(d.AcceptLoads(message.Host, 1, 3), qt.IsTrue)
+	message.Sequence = 2
+	current, _ := d.RecordMessage(message, later)
+	c.Assert(current, qt.IsTrue)
+	c.Assert(d.AcceptLoads(message.Host, 1, 2), qt.IsFalse, qt.Commentf("the loads in the message are older"))
+	c.Assert(d.LiveEntries(later.Add(config.LiveTimeout)), qt.HasLen, 1)
+	message.Start, message.Sequence = 2, 1
+	d.RecordMessage(message, later)
+	c.Assert(d.AcceptLoads(message.Host, 2, 1), qt.IsTrue, qt.Commentf("a restart counts from the beginning"))
+}
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -217,6 +217,7 @@
 		Instance: m.Instance, Host: m.Host, AvailabilityZone: m.AvailabilityZone, FrontAddress: m.FrontAddress,
 		Start: m.Start, Sequence: m.Sequence, Ready: m.Ready, Leaving: m.Leaving, StoreUnavailable: m.StoreUnavailable,
 	}, now)
+	loadsCurrent := current && h.directory.AcceptLoads(m.Host, m.Start, m.Sequence)
 	h.directory.AddCandidates(m.Hosts, clock.Now())
 	h.mu.Unlock()
 	if !current {
@@ -226,14 +227,16 @@
 		h.log.WithFields(logrus.Fields{"peer": m.Instance, "host": m.Host}).Info("discovered a peer entry")
 		h.triggerSend()
 	}
-	h.scheduler.recordPeerLoads(m.Host, decodeLoads(m.Loads), true, now)
+	if loadsCurrent && !m.LoadsOmitted {
+		h.scheduler.recordPeerLoads(m.Host, decodeLoads(m.Loads), true, now)
+	}
 	h.view.mergeReleaseAges(m.Releases, now)
 	h.puller.MessageReceived(ctx, m)
 }
 
 func (h *heartbeater) handleLoadUpdate(m *beat.Message, now time.Time) {
 	h.mu.Lock()
-	current := h.directory.AcceptSequence(m.Host, m.Start, m.Sequence)
+	current := h.directory.AcceptLoads(m.Host, m.Start, m.Sequence)
 	h.mu.Unlock()
 	if current {
 		h.scheduler.recordPeerLoads(m.Host, decodeLoads(m.Loads), false, now)
