peers: messages name successive hosts, so that large fleets know all entries

Cause, found by reading and shown in a model: each message named the first 16 live entries in the order of their addresses, the same in all messages. In a fleet of 150 entries that starts with three seeds, an entry knew 45 of 149 others after 10 s, and no more later: all others knew only those 16, the seeds, and whoever had found them. Entries hand out addresses, elect the watchers of the store, share the retry slack and divide requests among those that they know; in a zone without any of the 16, every entry believed itself the watcher.

Change: Directory.HostsToName goes round all live entries, from a different one on each entry.

Result: all know all within 10 s, before traffic starts (TestEveryEntryLearnsOfEveryOther).

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -5,9 +5,12 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"plantainrelay/internal/member"
 )
 
@@ -69,6 +72,8 @@
 	probes map[string]*probe
 	// sent counts the messages sent, to determine whose turn it is.
 	sent int
+	// firstNamed is the index of the first host that the first message names.
+	firstNamed int
 }
 
 const (
@@ -88,6 +93,7 @@
 // seeds.
 func New(config Config, self Entry, seeds []string, now time.Time) *Directory {
 	d := &Directory{config: config, self: self, entries: map[string]*knownEntry{}, probes: map[string]*probe{}}
+	d.firstNamed = int(xxhash.Sum64String(self.Host) % math.MaxInt32)
 	d.AddCandidates(seeds, now)
 	return d
 }
@@ -212,6 +218,22 @@
 	return live
 }
 
+// HostsToName returns up to limit hosts of live entries to name in the next message.
+// Successive messages name successive hosts, and different entries begin at different
+// ones, so that each host is soon named to many entries.
+func (d *Directory) HostsToName(limit int, now time.Time) []string {
+	live := d.LiveEntries(now)
+	if len(live) == 0 {
+		return nil
+	}
+	limit = min(limit, len(live))
+	hosts := make([]string, 0, limit)
+	for i := range limit {
+		hosts = append(hosts, live[(d.firstNamed+d.sent*limit+i)%len(live)].Host)
+	}
+	return hosts
+}
+
 // NearHosts returns the hosts of all live entries if there are at most limit of
 // them. Otherwise it returns up to limit hosts in the own availability zone.
 func (d *Directory) NearHosts(limit int, now time.Time) []string {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -219,3 +219,53 @@
 	d.RecordMessage(message, later)
 	c.Assert(d.AcceptLoads(message.Host, 2, 1), qt.IsTrue, qt.Commentf("a restart counts from the beginning"))
 }
+
+// TestEveryEntryLearnsOfEveryOther covers a large fleet that starts at once: each entry
+// knows three seeds only, and each message names a few entries. All have to know all
+// others before traffic starts, 10 s later, since entries divide duties and requests
+// among those they know.
+func TestEveryEntryLearnsOfEveryOther(t *testing.T) {
+	c := qt.New(t)
+	const entries, zones, interval, limit = 150, 5, 200 * time.Millisecond, 10 * time.Second
+	directories, sequences := map[string]*peers.Directory{}, map[string]uint64{}
+	var hosts []string
+	for i := range entries {
+		hosts = append(hosts, fmt.Sprintf("10.%d.0.%d", i%zones, i))
+	}
+	for i, host := range hosts {
+		entry := other(host, fmt.Sprintf("z%d", i%zones), 0)
+		directories[host] = peers.New(config, entry, []string{hosts[0], hosts[1], hosts[2]}, epoch)
+	}
+	for now := epoch; ; now = now.Add(interval) {
+		known := 0
+		for _, host := range hosts {
+			known += len(directories[host].LiveEntries(now))
+		}
+		if known == entries*(entries-1) {
+			return
+		}
+		c.Assert(now.Sub(epoch) < limit, qt.IsTrue, qt.Commentf("on average %d of %d are known", known/entries, entries-1))
+		discovered := map[string]bool{}
+		send := func(host string) {
+			sender := directories[host]
+			sequences[host]++
+			message := sender.Self()
+			message.Sequence = sequences[host]
+			named := sender.HostsToName(16, now)
+			for _, target := range sender.NextRecipients(now) {
+				_, isNew := directories[target].RecordMessage(message, now)
+				discovered[target] = discovered[target] || isNew
+				directories[target].AddCandidates(named, now)
+			}
+		}
+		for _, host := range hosts {
+			send(host)
+		}
+		// An entry that has discovered others sends its next message immediately.
+		for _, host := range hosts {
+			if discovered[host] {
+				send(host)
+			}
+		}
+	}
+}
