peers: unanswered seeds are probed at growing intervals

Change: the interval starts at 150 ms and grows with the time without a response, up to a second. The entry names hosts through HostsToName.

Result: TestSeedThatStartsLaterIsFoundSoon failed before.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -48,8 +48,9 @@
 	RemoveAfter time.Duration
 	// ProbeTimeout is how long a host that has never responded is sent messages.
 	ProbeTimeout time.Duration
-	// ProbeInterval is the interval between messages to such a host.
-	ProbeInterval time.Duration
+	// ProbeInterval is the interval between messages to such a host, MinProbeInterval
+	// the first one: it grows with the time for which the host has not responded.
+	ProbeInterval, MinProbeInterval time.Duration
 }
 
 type knownEntry struct {
@@ -159,7 +160,7 @@
 			continue
 		}
 		if !now.Before(candidate.nextAt) {
-			candidate.nextAt = now.Add(d.config.ProbeInterval)
+			candidate.nextAt = now.Add(min(max(now.Sub(candidate.addedAt)/2, d.config.MinProbeInterval), d.config.ProbeInterval))
 			hosts = append(hosts, host)
 		}
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -13,7 +13,7 @@
 
 var epoch = time.Unix(1_000, 0)
 
-var config = peers.Config{LiveTimeout: time.Second, FarLiveTimeout: 3 * time.Second, MaxBroadcast: 8, RemoveAfter: time.Minute, ProbeTimeout: 10 * time.Second, ProbeInterval: time.Second}
+var config = peers.Config{LiveTimeout: time.Second, FarLiveTimeout: 3 * time.Second, MaxBroadcast: 8, RemoveAfter: time.Minute, ProbeTimeout: 10 * time.Second, ProbeInterval: time.Second, MinProbeInterval: 150 * time.Millisecond}
 
 func self() peers.Entry {
 	return peers.Entry{Host: "10.0.0.1", AvailabilityZone: "z1", FrontAddress: "10.0.0.1:80", Start: 1}
@@ -102,6 +102,25 @@
 	c.Assert(d.NextRecipients(epoch.Add(time.Minute)), qt.HasLen, 0)
 }
 
+// TestSeedThatStartsLaterIsFoundSoon covers the return of all instances after a loss of
+// power: an entry starts a little before its seeds.
+func TestSeedThatStartsLaterIsFoundSoon(t *testing.T) {
+	c := qt.New(t)
+	d := peers.New(config, self(), []string{"10.0.0.7"}, epoch)
+	last, probes := epoch, 0
+	for now := epoch; now.Sub(epoch) < 10*time.Second; now = now.Add(200 * time.Millisecond) {
+		if len(d.NextRecipients(now)) == 0 {
+			continue
+		}
+		probes++
+		gap := now.Sub(last)
+		c.Check(gap <= max(300*time.Millisecond, now.Sub(epoch)/2), qt.IsTrue, qt.Commentf("%s after the start: %s since the last message", now.Sub(epoch), gap))
+		c.Check(gap <= 1200*time.Millisecond, qt.IsTrue)
+		last = now
+	}
+	c.Check(probes <= 15, qt.IsTrue, qt.Commentf("%d messages", probes))
+}
+
 // TestRecipientsDoNotGrowWithTheFleet checks that in a larger fleet an entry sends
 // each message to its own zone and to a part of the other zones.
 func TestRecipientsDoNotGrowWithTheFleet(t *testing.T) {
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -154,11 +154,13 @@
 	}
 	targets := h.directory.NextRecipients(now)
 	livePeers, smallFleet := h.directory.LiveEntries(now), h.directory.BroadcastsToAll()
+	message.Hosts = h.directory.HostsToName(maxHostsPerMessage, now)
 	h.mu.Unlock()
-	for _, entry := range livePeers[:min(len(livePeers), maxHostsPerMessage)] {
-		message.Hosts = append(message.Hosts, entry.Host)
+	live := make([]string, 0, len(livePeers)+1)
+	for _, entry := range livePeers {
+		live = append(live, entry.Host)
 	}
-	h.scheduler.setEntryCount(len(livePeers) + 1)
+	h.scheduler.setEntries(self.Host, append(live, self.Host))
 	h.socket.Send(message, targets)
 	if toAgents {
 		message.Loads, message.Hosts = nil, nil
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -186,7 +186,7 @@
 		weightsDepot.Prefetch(depot.VersionArgs{Model: release.Model, Version: release.Version})
 	}
 	e.heartbeats.directory = peers.New(peers.Config{
-		LiveTimeout: 900 * time.Millisecond, FarLiveTimeout: 2500 * time.Millisecond, MaxBroadcast: maxNearbyPeers, RemoveAfter: time.Minute, ProbeTimeout: time.Minute, ProbeInterval: time.Second,
+		LiveTimeout: 900 * time.Millisecond, FarLiveTimeout: 2500 * time.Millisecond, MaxBroadcast: maxNearbyPeers, RemoveAfter: time.Minute, ProbeTimeout: time.Minute, ProbeInterval: time.Second, MinProbeInterval: 150 * time.Millisecond,
 	}, peers.Entry{
 		Instance: s.Instance, Host: s.IP, AvailabilityZone: s.AvailabilityZone, Region: s.Region, FrontAddress: s.FrontAddress, Start: start,
 	}, s.Seeds, clock.Now())
