placement: entries divide the slots of instances that become available

Each engine got up to 41 requests within 10 ms for 16 slots: first events took 0.5 to 1 s, 74 attempts timed out, and 75 callers got 502 since the retry slack of starting entries is closed. Ruled out: weights, they were still staged.

Change: for 300 ms after an instance begins to accept requests, or to serve another version, each entry uses its share of what the instance can start in time, by rendezvous rank over the live entries. Loads are known after that.

--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -131,6 +131,17 @@
 	// addressReused is set when an attempt has shown that another instance uses the
 	// address.
 	addressReused bool
+	// available says that the instance accepts requests, with the weights of version
+	// servedVersion, availableSince since when; share is this entry's share of its slots
+	// then.
+	available      bool
+	servedVersion  int64
+	availableSince time.Time
+	share          entryShare
+}
+
+func newInstance(backend catalog.Backend) *instance {
+	return &instance{Backend: backend, peerLoads: map[string]peerLoad{}, pendingPromptTokens: map[uint64]int{}}
 }
 
 // Fleet holds the state of all instances. It is not safe for concurrent use.
@@ -141,8 +152,14 @@
 	reports   map[string]receivedReport
 	// latestStart holds the latest start time in the list, by address.
 	latestStart map[string]int64
-	random      *rand.Rand
-	lastTicket  uint64
+	// listed is set after the first list.
+	listed bool
+	// entries holds the live entries, self this one's host.
+	entries         []string
+	self            string
+	entriesRevision int
+	random          *rand.Rand
+	lastTicket      uint64
 }
 
 // New returns a Fleet without instances.
@@ -177,21 +194,30 @@
 func (f *Fleet) SetList(backends []catalog.Backend, keepUntil, now time.Time) []Change {
 	listed := map[string]bool{}
 	var changes []Change
+	// Other entries may use the instances of the first list already.
+	availableSince := now
+	if !f.listed {
+		availableSince = time.Time{}
+	}
+	f.listed = true
 	for _, backend := range backends {
 		listed[backend.ID] = true
 		inst := f.instances[backend.ID]
+		wasLeaving := inst != nil && inst.Leaving
 		if inst == nil || inst.Start != backend.Start || inst.Address != backend.Address {
-			inst = &instance{peerLoads: map[string]peerLoad{}, pendingPromptTokens: map[uint64]int{}}
+			inst = newInstance(backend)
 			f.instances[backend.ID] = inst
+			wasLeaving = false
 			changes = append(changes, Change{ID: backend.ID, Pool: backend.Pool, Kind: Joined})
 		}
-		if backend.Leaving && !inst.Leaving {
+		if backend.Leaving && !wasLeaving {
 			changes = append(changes, Change{ID: backend.ID, Pool: backend.Pool, Kind: Leaving})
 		}
 		inst.Backend, inst.retainUntil = backend, time.Time{}
 		if report, found := f.reports[backend.Host]; found {
 			inst.lastReport = report.AgentReport
 		}
+		f.updateAvailability(inst, availableSince)
 	}
 	for id, inst := range f.instances {
 		if listed[id] {
@@ -247,6 +273,7 @@
 	f.reports[host] = receivedReport{AgentReport: report, receivedAt: now}
 	if inst := f.byHost[host]; inst != nil {
 		inst.lastReport = report
+		f.updateAvailability(inst, now)
 	}
 }
 
@@ -378,6 +405,9 @@
 	if f.load(inst, now) >= f.limit(inst)-min(need.ReservedSlots, f.limit(inst)-1) {
 		return false
 	}
+	if limit, settling := f.settlingLimit(inst, need, now); settling && inst.ownRequests >= limit {
+		return false
+	}
 	engine, pendingTokens := f.engine(inst.Pool), f.pendingPromptTokens(inst, now)
 	if engine == nil || engine.PromptTokensPerSecond <= 0 || need.MaxWait <= 0 || pendingTokens == 0 {
 		return true
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -335,11 +335,12 @@
 	}
 }
 
-// setEntryCount records how many entries share the retry budget.
-func (s *scheduler) setEntryCount(count int) {
+// setEntries records the live entries, self among them, which share the retry budget.
+func (s *scheduler) setEntries(self string, hosts []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.entryCount = count
+	s.fleet.SetEntries(self, hosts)
+	s.entryCount = len(hosts)
 	slack := s.retrySlackShare(clock.Now())
 	for _, budget := range s.retryBudgets {
 		budget.SetSlack(slack)
--- a/internal/relay/gate_test.go
+++ b/internal/relay/gate_test.go
@@ -32,7 +32,7 @@
 	g.setRetryLimits(limits)
 	c.Assert(g.takeRetry("p"), qt.IsFalse, qt.Commentf("a reload without a change keeps the counts"))
 	g.retrySlackFrom = clock.Now()
-	g.setEntryCount(150)
+	g.setEntries("0", make([]string, 150))
 	c.Assert(g.takeRetry("p"), qt.IsTrue, qt.Commentf("the entry's share of the slack"))
 	c.Assert(g.takeRetry("p"), qt.IsFalse)
 }
