placement: entries of large fleets use the mean loads of other zones

Cause, by reading and in a model: in a fleet that is too large for messages to all, an entry hears from a far entry every few seconds (3 s at 149 entries), but a load counts for 1.2 s. Engines in other availability zones therefore looked idle to every entry, and got a third of all requests blindly.

Change: messages carry the mean utilization and unread prompt tokens of the sender's zone by pool. An engine in another zone counts as loaded at least like the mean of its zone. Each entry hears from some entry of each zone many times a second, so the means are fresh.

--- a/internal/beat/message.go
+++ b/internal/beat/message.go
@@ -50,6 +50,14 @@
 	Unread int
 }
 
+// ZoneLoad is the mean load of the instances of a pool in an availability zone.
+type ZoneLoad struct {
+	// Utilization is the share of the request limit that is in use, Unread the mean
+	// number of prompt tokens of requests whose response has not started.
+	Utilization float32
+	Unread      int
+}
+
 // Release is the target version of a model's weights.
 type Release struct {
 	Model   string
@@ -100,6 +108,9 @@
 	StoreUnavailable bool
 	// LoadsOmitted says that the loads did not fit into the datagram.
 	LoadsOmitted bool
+	// ZoneLoads holds the mean loads of the entry's availability zone by pool; only
+	// entries of a large fleet send them.
+	ZoneLoads map[string]ZoneLoad
 	// ComposedAt is the time on the sender's clock at which it started to compose the
 	// message. The ages in the message refer to that time, even if the sender is
 	// paused before it sends the message. Zero means the time of sending.
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -7,6 +7,7 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -152,6 +153,8 @@
 	reports   map[string]receivedReport
 	// latestStart holds the latest start time in the list, by address.
 	latestStart map[string]int64
+	// zoneLoads holds the mean loads of other availability zones.
+	zoneLoads map[string]receivedZoneLoads
 	// listed is set after the first list.
 	listed bool
 	// entries holds the live entries, self this one's host.
@@ -165,7 +168,7 @@
 // New returns a Fleet without instances.
 func New(config Config) *Fleet {
 	return &Fleet{
-		config: config, instances: map[string]*instance{}, byHost: map[string]*instance{}, reports: map[string]receivedReport{}, latestStart: map[string]int64{},
+		config: config, instances: map[string]*instance{}, byHost: map[string]*instance{}, reports: map[string]receivedReport{}, latestStart: map[string]int64{}, zoneLoads: map[string]receivedZoneLoads{},
 		random: rand.New(rand.NewPCG(config.Seed, config.Seed+1)),
 	}
 }
@@ -481,6 +484,9 @@
 			total += int(remaining * float64(peer.PendingPromptTokens))
 		}
 	}
+	if mean, known := f.zoneLoad(inst, now); known {
+		total = max(total, mean.PendingPromptTokens)
+	}
 	return total
 }
 
@@ -561,6 +567,9 @@
 			load += peer.Count
 		}
 	}
+	if mean, known := f.zoneLoad(inst, now); known {
+		load = max(load, int(math.Round(mean.Utilization*float64(f.limit(inst)))))
+	}
 	return load
 }
 
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -134,6 +134,22 @@
 	return loads
 }
 
+func encodeZoneLoads(loads map[string]placement.ZoneLoad) map[string]beat.ZoneLoad {
+	encoded := make(map[string]beat.ZoneLoad, len(loads))
+	for pool, load := range loads {
+		encoded[pool] = beat.ZoneLoad{Utilization: float32(load.Utilization), Unread: load.PendingPromptTokens}
+	}
+	return encoded
+}
+
+func decodeZoneLoads(encoded map[string]beat.ZoneLoad) map[string]placement.ZoneLoad {
+	loads := make(map[string]placement.ZoneLoad, len(encoded))
+	for pool, load := range encoded {
+		loads[pool] = placement.ZoneLoad{Utilization: float64(load.Utilization), PendingPromptTokens: load.Unread}
+	}
+	return loads
+}
+
 // triggerSend makes Run send the next heartbeat immediately.
 func (h *heartbeater) triggerSend() { ring.Notify(h.sendNow) }
 
@@ -161,9 +177,12 @@
 		live = append(live, entry.Host)
 	}
 	h.scheduler.setEntries(self.Host, append(live, self.Host))
+	if !smallFleet {
+		message.ZoneLoads = encodeZoneLoads(h.scheduler.zoneLoads())
+	}
 	h.socket.Send(message, targets)
 	if toAgents {
-		message.Loads, message.Hosts = nil, nil
+		message.Loads, message.Hosts, message.ZoneLoads = nil, nil, nil
 		zone := self.AvailabilityZone
 		if smallFleet {
 			zone = ""
@@ -232,6 +251,9 @@
 	if loadsCurrent && !m.LoadsOmitted {
 		h.scheduler.recordPeerLoads(m.Host, decodeLoads(m.Loads), true, now)
 	}
+	if len(m.ZoneLoads) > 0 {
+		h.scheduler.recordZoneLoads(m.AvailabilityZone, decodeZoneLoads(m.ZoneLoads), now)
+	}
 	h.view.mergeReleaseAges(m.Releases, now)
 	h.puller.MessageReceived(ctx, m)
 }
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -301,6 +301,18 @@
 	s.fleet.UpdatePeerLoads(peer, loads, complete, now)
 }
 
+func (s *scheduler) recordZoneLoads(zone string, loads map[string]placement.ZoneLoad, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.UpdateZoneLoads(zone, loads, now)
+}
+
+func (s *scheduler) zoneLoads() map[string]placement.ZoneLoad {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.ZoneLoads(clock.Now())
+}
+
 func (s *scheduler) ownLoads() map[string]placement.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
