--- a/internal/command/reload.go
+++ b/internal/command/reload.go
@@ -22,6 +22,7 @@
 // the settings cannot be read, the error is logged and the last valid settings
 // stay in use.
 func WatchSettings(ctx context.Context, last platform.Settings, log *logrus.Entry, onChange func(platform.Settings)) {
+	logWarnings(last, log)
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	go func() {
@@ -42,9 +43,16 @@
 			}
 			if !reflect.DeepEqual(next, last) {
 				log.Info("the settings have changed")
+				logWarnings(next, log)
 				last = next
 				onChange(next)
 			}
 		}
 	}()
 }
+
+func logWarnings(s platform.Settings, log *logrus.Entry) {
+	for _, warning := range s.Warnings {
+		log.WithField("settings", s.Path).Warning(warning)
+	}
+}
--- a/internal/ctl/settings.go
+++ b/internal/ctl/settings.go
@@ -20,6 +20,9 @@
 			if err != nil {
 				return err
 			}
+			for _, warning := range settings.Warnings {
+				fmt.Fprintf(cmd.OutOrStdout(), "warning: %s\n", warning)
+			}
 			role := "entry"
 			if settings.BackendAddress != "" {
 				role = "agent"
