Return after an outage: staged weights are read once, returning callers wait

While no instance was usable, a caller that had come back was rejected after 150 to 200 ms for good: callers return once.

Change: reading all staged chunks counts as their verification; an engine that is not reached yet is asked each 50 ms; a returning caller waits in the queue as long as it would have been asked to stay away (a third of its time, 2 s).

Two tests that failed or did not compile before.

--- a/internal/loader/distribution.go
+++ b/internal/loader/distribution.go
@@ -36,6 +36,8 @@
 	// lastChunkAt is when the last chunk arrived.
 	lastChunkAt time.Time
 	complete    bool
+	// staged is the verification of the staged chunks, if all were staged already.
+	staged verification
 }
 
 // fetchLoop fetches missing chunks of the target until ctx is done.
@@ -100,15 +102,21 @@
 		return
 	}
 	a.chunks.addVersion(manifest)
-	if err := a.readStagedChunks(ctx, wanted, manifest); err != nil {
+	began := clock.Now()
+	count, err := a.readStagedChunks(ctx, wanted, manifest)
+	if err != nil {
 		a.log.WithError(err).Warning("cannot read the staged chunks")
 		return
 	}
+	staged := verification{}
+	if count == len(manifest.Digests) {
+		staged = verification{version: wanted.version, at: began}
+	}
 	have, _ := a.chunks.bitmap(wanted.version)
 	now := clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.fetchInProgress = &versionFetch{target: wanted, plan: swarm.NewTieredPlan(fetchConfig, len(manifest.Digests), have), started: now, lastChunkAt: now}
+	a.fetchInProgress = &versionFetch{target: wanted, plan: swarm.NewTieredPlan(fetchConfig, len(manifest.Digests), have), started: now, lastChunkAt: now, staged: staged}
 	a.log.WithFields(logrus.Fields{"version": wanted.version, "chunks": len(manifest.Digests), "held": have.Count()}).Info("fetching a version")
 }
 
@@ -169,8 +177,9 @@
 	return s
 }
 
-// readStagedChunks adds the chunks that are in the engine's staging area.
-func (a *agent) readStagedChunks(ctx context.Context, wanted target, manifest platform.Manifest) error {
+// readStagedChunks adds the chunks that are in the engine's staging area, and returns
+// how many of them match their digests.
+func (a *agent) readStagedChunks(ctx context.Context, wanted target, manifest platform.Manifest) (count int, err error) {
 	for chunk := range manifest.Digests {
 		if _, held := a.chunks.chunk(wanted.version, chunk); held {
 			continue
@@ -178,13 +187,13 @@
 		ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
 		data, err := a.engine.ReadStaged(ctx, wanted.model, chunk)
 		cancel()
-		if err == nil {
-			a.chunks.put(wanted.version, chunk, data)
-		} else if !failure.Is(err, failure.NotFound) {
-			return err
+		if err == nil && a.chunks.put(wanted.version, chunk, data) == stored {
+			count++
+		} else if err != nil && !failure.Is(err, failure.NotFound) {
+			return count, err
 		}
 	}
-	return nil
+	return count, nil
 }
 
 // startPlannedFetches starts the fetches that the plan allows now.
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -199,6 +199,33 @@
 	c.Assert(a.isSwitching(), qt.IsFalse)
 }
 
+// TestStagedWeightsAreReadOnceBeforeTheOrder covers the restart of an engine whose weights
+// are still staged: reading them verifies them, unless one does not match.
+func TestStagedWeightsAreReadOnceBeforeTheOrder(t *testing.T) {
+	for name, corrupted := range map[string]bool{"complete": false, "one corrupt": true} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			a, engine := newTestAgent(t)
+			for chunk := range 4 {
+				engine.staged[chunk] = chunkOf(2, chunk)
+			}
+			if corrupted {
+				engine.staged[3] = chunkOf(1, 3)
+			}
+			began := clock.Now()
+			a.startFetch(t.Context(), a.target)
+			staged := a.stagedVerification()
+			if corrupted {
+				c.Assert(staged, qt.Equals, verification{})
+				return
+			}
+			c.Assert(staged.version, qt.Equals, int64(2))
+			c.Assert(staged.at.Before(began), qt.IsFalse)
+			c.Assert(a.stillValid(staged), qt.IsTrue)
+		})
+	}
+}
+
 // TestChunkOfARemovedVersionIsNotCorrupt guards against fetching a correct manifest
 // again: chunks that arrive after their version was removed say nothing about their
 // source.
--- a/internal/loader/switch.go
+++ b/internal/loader/switch.go
@@ -75,7 +75,7 @@
 			interval = idleReportInterval
 		}
 		now := clock.Now()
-		if now.Sub(reportedAt) >= interval || a.isSwitching() {
+		if now.Sub(reportedAt) >= interval || a.isSwitching() || a.isEngineUnknown() {
 			reportedAt = now
 			a.readReport(ctx)
 		}
@@ -83,6 +83,9 @@
 		if !complete {
 			continue
 		}
+		if staged := a.stagedVerification(); staged.at.After(verified.at) {
+			verified = staged
+		}
 		if now.Sub(verified.at) >= verificationReuseTime || a.stagingCalls.otherVersionSince(verified.version, verified.at) || verified.version != a.currentTarget().version {
 			verified = a.verifyStagedChunks(ctx)
 		}
@@ -98,6 +101,24 @@
 	return a.switching
 }
 
+// isEngineUnknown reports whether the engine has not been reached.
+func (a *agent) isEngineUnknown() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.report.Start == 0
+}
+
+// stagedVerification returns the verification of a version that was staged already when
+// its fetch began. The version is 0 if there is none.
+func (a *agent) stagedVerification() verification {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.fetchInProgress == nil {
+		return verification{}
+	}
+	return a.fetchInProgress.staged
+}
+
 func (a *agent) currentTarget() target {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -102,6 +102,7 @@
 	t.ID = s.nextID
 	t.placed = make(chan placement.Choice, 1)
 	s.tickets[t.ID] = t
+	s.extendQueueTime(t, now)
 	s.shed(s.queue(t.need.Pool).Offer(t.Ticket, now), now)
 	s.dispatchWaiting(t.need.Pool, now)
 	isWaiting := s.tickets[t.ID] != nil
@@ -112,6 +113,25 @@
 	return s.awaitSlot(ctx, t)
 }
 
+// extendQueueTime lets a returning caller wait while no instance is usable: it would be
+// asked to return after the same time, but callers do not return twice.
+func (s *scheduler) extendQueueTime(t *ticket, now time.Time) {
+	if !t.Retry {
+		return
+	}
+	if count, _ := s.fleet.Usable(t.need, now); count > 0 {
+		return
+	}
+	if startBy := now.Add(maxReturnDelay(t, now)); startBy.After(t.StartBy) {
+		t.StartBy = startBy
+	}
+}
+
+// maxReturnDelay returns the longest time after which a caller is asked to return.
+func maxReturnDelay(t *ticket, now time.Time) time.Duration {
+	return max(min(time.Duration(retryAfterShare*float64(t.Deadline.Sub(now))), maxRetryAfter), minRetryAfter)
+}
+
 func (s *scheduler) awaitSlot(ctx context.Context, t *ticket) (placement.Choice, *rejection) {
 	select {
 	case choice, ok := <-t.placed:
@@ -183,7 +203,7 @@
 	for _, one := range rejected {
 		t := s.tickets[one.ID]
 		delete(s.tickets, one.ID)
-		maxDelay := max(min(time.Duration(retryAfterShare*float64(t.Deadline.Sub(now))), maxRetryAfter), minRetryAfter)
+		maxDelay := maxReturnDelay(t, now)
 		t.retryAfter = maxDelay
 		if count, _ := s.fleet.Usable(t.need, now); count > 0 {
 			t.retryAfter = min(max(one.RetryAfter, s.extendOverload(t.need.Pool, now), minRetryAfter), maxDelay)
--- a/internal/relay/gate_test.go
+++ b/internal/relay/gate_test.go
@@ -91,6 +91,30 @@
 	c.Assert(<-blocked, qt.IsNotNil)
 }
 
+// TestReturningCallerWaitsForAnInstance covers an outage of all instances: a caller that
+// returns after a rejection waits as long as it would be asked to stay away, since it does
+// not return twice; one that calls for the first time is rejected in time to return.
+func TestReturningCallerWaitsForAnInstance(t *testing.T) {
+	c := qt.New(t)
+	now := clock.Now()
+	fleet := placement.New(placement.Config{MaxPeerLoadAge: time.Second, Seed: 1})
+	g := newScheduler(fleet, retryLimits{})
+	newTicket := func(returning bool, timeLeft time.Duration) *ticket {
+		t := &ticket{
+			Ticket: admission.Ticket{Retry: returning, Deadline: now.Add(timeLeft), StartBy: now.Add(200 * time.Millisecond)},
+			need:   placement.Requirements{Pool: "p"},
+		}
+		g.extendQueueTime(t, now)
+		return t
+	}
+	c.Check(newTicket(true, 3*time.Second).StartBy, qt.Equals, now.Add(time.Second))
+	c.Check(newTicket(true, time.Minute).StartBy, qt.Equals, now.Add(maxRetryAfter))
+	c.Check(newTicket(true, 300*time.Millisecond).StartBy, qt.Equals, now.Add(minRetryAfter))
+	c.Check(newTicket(false, 3*time.Second).StartBy, qt.Equals, now.Add(200*time.Millisecond))
+	fleet.SetList([]catalog.Backend{{ID: "i-1", Pool: "p", Address: "10.0.0.1:80", Host: "10.0.0.1", Slots: 1}}, time.Time{}, now)
+	c.Check(newTicket(true, 3*time.Second).StartBy, qt.Equals, now.Add(200*time.Millisecond), qt.Commentf("an instance is usable"))
+}
+
 func (s *scheduler) queuedRequests(pool string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
