tablesync: the exchanges that a detected pause starts are made

They counted as in progress for good, so that those peers were never exchanged with again. Result: a test that fails before (the peer was not called) passes.

--- a/internal/tablesync/sync.go
+++ b/internal/tablesync/sync.go
@@ -130,15 +130,18 @@
 }
 
 // State reports whether this process may serve from its current tables. It
-// first checks whether the process was paused.
+// first checks whether the process was paused, and starts the comparison if so.
 func (s *Sync) State() propagate.FreshnessState {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	now := time.Now()
+	var actions []propagate.Action
 	if s.protocol.Freshness().Paused(now) {
-		s.tick(now)
+		actions = s.tick(now)
 	}
-	return s.protocol.Freshness().State()
+	state := s.protocol.Freshness().State()
+	s.mu.Unlock()
+	s.startCalls(actions)
+	return state
 }
 
 // tick advances the protocol to now and returns the calls that are due. The
