--- a/internal/gate/reserved_test.go
+++ b/internal/gate/reserved_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,6 +18,28 @@
 	"plantainrelay/internal/peer"
 )
 
+// TestAttemptWithAnIncompleteBodyGetsNoResponse guards against an empty response with
+// status 200 for an attempt whose body could not be read.
+func TestAttemptWithAnIncompleteBodyGetsNoResponse(t *testing.T) {
+	c := qt.New(t)
+	g, err := gate.New(gate.Config{Incarnation: "one", MaxRunning: 1, MaxRecords: 10, MaxKeys: 10, MaxStoredResponse: 100, MaxStoredTotal: 1000})
+	c.Assert(err, qt.IsNil)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	security := peer.Security{Key: []byte("key")}
+	handler := gate.NewHandler(g, "http://127.0.0.1:1", security, metering.Discard{}, logrus.NewEntry(log))
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, 2)
+		handler.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	request, err := http.NewRequest(http.MethodPost, server.URL+message.PathAttempt+"/book", strings.NewReader("too long"))
+	c.Assert(err, qt.IsNil)
+	security.Authorize(request.Header)
+	_, err = http.DefaultClient.Do(request)
+	c.Assert(err, qt.IsNotNil)
+}
+
 // TestBackendCannotForgeRefusals guards against a backend server that runs a
 // request and forges the headers of a refusal: the entry would believe that the
 // request was not started, and would run a booking twice.
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -68,7 +68,8 @@
 	// incomplete body is not run.
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		return
+		h.log.WithError(err).Info("the body of an attempt is incomplete; closing its connection")
+		panic(http.ErrAbortHandler)
 	}
 	info := parseAttemptInfo(r)
 	admitted, refusal, holder := h.gate.begin(info, time.Now())
