--- a/internal/admin/operators.go
+++ b/internal/admin/operators.go
@@ -47,7 +47,7 @@
 	operators := &Operators{}
 	var problems []string
 	for _, section := range file.Sections() {
-		if section.Name() == ini.DefaultSection {
+		if section.Name() == ini.DefaultSection && len(section.Keys()) == 0 {
 			continue
 		}
 		operator, problem := parseOperator(section)
--- a/internal/gateway/customers.go
+++ b/internal/gateway/customers.go
@@ -87,12 +87,19 @@
 	if !found || !validCustomer(name) {
 		return "unknown section; use [customer NAME]"
 	}
-	for _, text := range section.Key("token_sha256").Strings(",") {
+	digests := section.Key("token_sha256").Strings(",")
+	if len(digests) == 0 {
+		return "token_sha256: set it to the SHA-256 digests of the customer's tokens in hexadecimal"
+	}
+	for _, text := range digests {
 		raw, err := hex.DecodeString(text)
 		if err != nil || len(raw) != sha256.Size {
 			return "token_sha256: set it to the SHA-256 digests of the customer's tokens in hexadecimal"
 		}
 		hash := [sha256.Size]byte(raw)
+		if hash == sha256.Sum256(nil) {
+			return "token_sha256: it is the digest of an empty token; choose a secret one"
+		}
 		if other, taken := c.customerByHash[hash]; taken && other != name {
 			return "token_sha256: " + other + " has the same token; give each customer its own"
 		}
--- a/internal/gateway/customers_test.go
+++ b/internal/gateway/customers_test.go
@@ -47,6 +47,8 @@
 		"[operator a]\ntoken_sha256 = " + tokenDigest("x"),
 		"[customer a]\ntoken_sha256 = " + tokenDigest("x") + "\n[customer b]\ntoken_sha256 = " + tokenDigest("x"),
 		"[customer a]\ntoken_sha256 = " + tokenDigest("x") + "\nrole = y\n",
+		"[customer a]\ntoken_sha256 = " + tokenDigest("x") + "\n[customer b]\ntoken_sha256 =\n",
+		"[customer a]\ntoken_sha256 = " + tokenDigest("x") + ", " + tokenDigest("") + "\n",
 	} {
 		_, err := LoadTokenIdentifier(writeCustomersFile(t, text))
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%s", text))
