--- a/internal/propagate/core.go
+++ b/internal/propagate/core.go
@@ -87,11 +87,14 @@
 	linksStale     bool
 	exchanging     map[string]bool
 	repeatExchange map[string]bool
-	newerPeers     []newerPeer
-	fetchPeer      string
-	fetchHedgeAt   time.Time
-	nextExchange   time.Time
-	exchangeCount  int
+	// waitingPeers holds the peers to exchange with when fewer exchanges are in
+	// progress.
+	waitingPeers  map[string]member.Instance
+	newerPeers    []newerPeer
+	fetchPeer     string
+	fetchHedgeAt  time.Time
+	nextExchange  time.Time
+	exchangeCount int
 }
 
 type newerPeer struct {
@@ -110,6 +113,7 @@
 		suspects:       map[string]time.Time{},
 		exchanging:     map[string]bool{},
 		repeatExchange: map[string]bool{},
+		waitingPeers:   map[string]member.Instance{},
 		nextExchange:   now,
 	}
 }
@@ -165,15 +169,18 @@
 }
 
 // startExchange adds an exchange with peer. While one is in progress, the next one
-// is deferred until it ends, so that a change made meanwhile is also sent.
+// is deferred until it ends, so that a change made meanwhile is also sent. While
+// maxExchanges are in progress, it is deferred until one of them ends.
 func (p *Protocol) startExchange(actions []Action, peer member.Instance) []Action {
 	if p.exchanging[peer.Name] {
 		p.repeatExchange[peer.Name] = true
 		return actions
 	}
 	if len(p.exchanging) >= maxExchanges {
+		p.waitingPeers[peer.Name] = peer
 		return actions
 	}
+	delete(p.waitingPeers, peer.Name)
 	p.exchanging[peer.Name] = true
 	return append(actions, Action{Kind: Exchange, Peer: peer, Epoch: p.freshness.Epoch()})
 }
@@ -285,14 +292,21 @@
 	return p.exchangeEnded(action.Peer)
 }
 
-// exchangeEnded marks an exchange as ended and starts the deferred one, if any.
+// exchangeEnded marks an exchange as ended and starts deferred ones, if any.
 func (p *Protocol) exchangeEnded(peer member.Instance) []Action {
 	delete(p.exchanging, peer.Name)
-	if !p.repeatExchange[peer.Name] {
-		return nil
+	if p.repeatExchange[peer.Name] {
+		delete(p.repeatExchange, peer.Name)
+		p.waitingPeers[peer.Name] = peer
 	}
-	delete(p.repeatExchange, peer.Name)
-	return p.startExchange(nil, peer)
+	var actions []Action
+	for _, waiting := range p.waitingPeers {
+		if len(p.exchanging) >= maxExchanges {
+			break
+		}
+		actions = p.startExchange(actions, waiting)
+	}
+	return actions
 }
 
 // Fetched records the end of a fetch. The driver must record the new digest first.
