--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -30,6 +30,9 @@
 	*rpc.Client
 	activeCalls int
 	lastUsed    time.Time
+	// retired is set when a call on the connection has timed out: it takes no new
+	// calls, and is closed when those in progress have ended.
+	retired bool
 }
 
 // NewClient returns a Client without connections.
@@ -52,7 +55,7 @@
 	case <-call.Done:
 		return c.callResult(address, client, call)
 	case <-ctx.Done():
-		c.discard(address, client)
+		c.retire(address, client)
 		return failure.Wrap(ctx.Err(), failure.Unknown, "ask again", "%s did not answer %s in time", address, method)
 	}
 }
@@ -115,9 +118,24 @@
 
 func (c *Client) release(client *pooledConn) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	client.activeCalls--
 	client.lastUsed = time.Now()
+	unused := client.retired && client.activeCalls == 0
+	c.mu.Unlock()
+	if unused {
+		client.Close()
+	}
+}
+
+// retire removes a connection from the pool after a call on it has timed out. Other
+// calls on it may still be answered.
+func (c *Client) retire(address string, client *pooledConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client.retired = true
+	if c.conns[address] == client {
+		delete(c.conns, address)
+	}
 }
 
 // removeIdle removes the idle connections from the pool and returns them. The
--- a/internal/peer/client_test.go
+++ b/internal/peer/client_test.go
@@ -19,6 +19,44 @@
 	return nil
 }
 
+// Wait returns its argument when the test sends a value to release.
+func (w waiter) Wait(args string, reply *string) error {
+	<-w.release
+	*reply = args
+	return nil
+}
+
+type waiter struct{ release chan struct{} }
+
+// TestTimeoutDoesNotBreakOtherCalls checks that a call that times out leaves the other
+// calls on the same connection alone, and that the connection takes no new calls.
+func TestTimeoutDoesNotBreakOtherCalls(t *testing.T) {
+	c := qt.New(t)
+	address, release := freeAddress(t), make(chan struct{})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	server := NewServer(Security{Key: []byte("key")}, logrus.NewEntry(log))
+	c.Assert(server.Register("Wait", waiter{release: release}), qt.IsNil)
+	c.Assert(server.Register("Echo", echo{}), qt.IsNil)
+	c.Assert(server.Listen(address), qt.IsNil)
+	client := NewClient(Security{Key: []byte("key")})
+	var reply string
+	c.Assert(client.Call(t.Context(), address, "Echo.Echo", "a", &reply), qt.IsNil)
+	shared := client.conns[address]
+	patient := make(chan error)
+	go func() {
+		var reply string
+		patient <- client.Call(t.Context(), address, "Wait.Wait", "b", &reply)
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	c.Assert(client.Call(ctx, address, "Wait.Wait", "c", &reply), qt.IsNotNil)
+	close(release)
+	c.Assert(<-patient, qt.IsNil)
+	c.Assert(client.Call(t.Context(), address, "Echo.Echo", "d", &reply), qt.IsNil)
+	c.Assert(client.conns[address] != shared, qt.IsTrue)
+}
+
 func freeAddress(t *testing.T) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
