relay: the wait of returning callers is bounded by their objective

Change: a returning caller waits for up to twice the objective while no instance is usable or an overload is younger than 3 s.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -26,6 +26,10 @@
 	// repeatedly rejected. A short wait serves as many requests, and the rejected ones
 	// learn of it sooner.
 	overloadQueueTimeShare = 0.125
+	// returnWaitFactor times the objective bounds the wait of a caller that has returned
+	// after a rejection: callers give up a request that has no response after four
+	// times the objective.
+	returnWaitFactor = 2
 	// firstResponseFactor times the objective is how long a repeatable request waits
 	// for the start of a response before it is sent to another instance.
 	firstResponseFactor = 2.5
@@ -192,7 +196,7 @@
 	}
 	return &ticket{
 		Ticket: admission.Ticket{Customer: x.customer.Name, Route: x.route.Name, Class: priority, Retry: x.returning, Deadline: x.deadline, StartBy: startBy},
-		need:   x.placementNeed(),
+		need:   x.placementNeed(), maxReturnWait: time.Duration(returnWaitFactor * float64(x.route.Objective)),
 	}
 }
 
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -34,12 +34,17 @@
 	// to last.
 	overloadEndAfter   = time.Second
 	minLastingOverload = 500 * time.Millisecond
+	// shortOverload is the age up to which an overload may be the return after an
+	// outage, whose queues soon empty.
+	shortOverload = 3 * time.Second
 )
 
 // ticket is a request that asks for a slot.
 type ticket struct {
 	admission.Ticket
 	need placement.Requirements
+	// maxReturnWait bounds the wait of a returning caller.
+	maxReturnWait time.Duration
 	// placed receives the chosen instance; it is closed when the request is shed.
 	placed     chan placement.Choice
 	retryAfter time.Duration
@@ -113,20 +118,29 @@
 	return s.awaitSlot(ctx, t)
 }
 
-// extendQueueTime lets a returning caller wait while no instance is usable: it would be
-// asked to return after the same time, but callers do not return twice.
+// extendQueueTime lets a returning caller wait longer while no instance is usable, or
+// while the pool's overload is short, as after an outage: callers do not return twice.
 func (s *scheduler) extendQueueTime(t *ticket, now time.Time) {
 	if !t.Retry {
 		return
 	}
-	if count, _ := s.fleet.Usable(t.need, now); count > 0 {
+	if count, _ := s.fleet.Usable(t.need, now); count > 0 && s.overloadAge(t.need.Pool, now) > shortOverload {
 		return
 	}
-	if startBy := now.Add(maxReturnDelay(t, now)); startBy.After(t.StartBy) {
+	if startBy := now.Add(min(t.maxReturnWait, maxReturnDelay(t, now))); startBy.After(t.StartBy) {
 		t.StartBy = startBy
 	}
 }
 
+// overloadAge returns how long the current overload of a pool has lasted.
+func (s *scheduler) overloadAge(pool string, now time.Time) time.Duration {
+	current := s.overloads[pool]
+	if current == nil || now.Sub(current.lastRejection) > overloadEndAfter {
+		return 0
+	}
+	return now.Sub(current.since)
+}
+
 // maxReturnDelay returns the longest time after which a caller is asked to return.
 func maxReturnDelay(t *ticket, now time.Time) time.Duration {
 	return max(min(time.Duration(retryAfterShare*float64(t.Deadline.Sub(now))), maxRetryAfter), minRetryAfter)
@@ -234,8 +248,7 @@
 func (s *scheduler) isOverloaded(pool string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	current, now := s.overloads[pool], clock.Now()
-	return current != nil && now.Sub(current.lastRejection) <= overloadEndAfter && now.Sub(current.since) >= minLastingOverload
+	return s.overloadAge(pool, clock.Now()) >= minLastingOverload
 }
 
 // release records the end of an attempt that acquire has placed.
