--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -244,9 +244,12 @@
 }
 
 // handleAttemptError distinguishes an attempt that was certainly not sent from
-// one that the agent may have received.
+// one that the agent may have received. The agent is not suspect if the caller has
+// disconnected.
 func (e *exchange) handleAttemptError(err error) dispatch.Action {
-	e.handler.agentStates.markSuspect(e.agent.instance.Name)
+	if e.r.Context().Err() == nil {
+		e.handler.agentStates.markSuspect(e.agent.instance.Name)
+	}
 	var operation *net.OpError
 	if errors.As(err, &operation) && operation.Op == "dial" {
 		return e.attemptNotStarted()
--- a/internal/gateway/exchange_test.go
+++ b/internal/gateway/exchange_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -170,3 +171,19 @@
 	c.Check(seen.Get(message.HeaderRepeatable), qt.Equals, "")
 	c.Check(got.Header().Get(message.HeaderAttempt), qt.Equals, "")
 }
+
+// TestAgentIsNotSuspectedWhenTheCallerLeaves checks that an attempt that ends because its
+// caller has disconnected does not keep its agent from others.
+func TestAgentIsNotSuspectedWhenTheCallerLeaves(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	h := newFakeAgentHandler(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		cancel()
+		<-r.Context().Done()
+	})
+	runTestRequest(h, httptest.NewRequest(http.MethodPost, "/a", strings.NewReader("body")).WithContext(ctx), true)
+	h.agentStates.mu.Lock()
+	defer h.agentStates.mu.Unlock()
+	c.Assert(h.agentStates.suspect["agent-1"], qt.IsFalse)
+}
