metering, daemon: one unreadable document blocks no others; rejected connections are not idle

A connection that was closed for lack of room counted as idle, and closing it again made room for the next one beyond the limit.

--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -107,7 +107,9 @@
 	case http.StateNew:
 		c.open++
 		if c.open > c.limit && !c.closeLongestIdle() {
+			// It is not idle: closing it once more would make room for no other.
 			_ = conn.Close()
+			return
 		}
 		c.idleElements[conn] = c.idle.PushBack(conn)
 	case http.StateIdle:
--- a/internal/daemon/limits_test.go
+++ b/internal/daemon/limits_test.go
@@ -151,3 +151,37 @@
 	t.Cleanup(func() { conn.Close() })
 	return conn
 }
+
+// closeCounter is a connection that counts how often it is closed.
+type closeCounter struct {
+	net.Conn
+	closed int
+}
+
+func (c *closeCounter) Close() error {
+	c.closed++
+	return nil
+}
+
+// TestRejectedConnectionMakesNoRoom covers new connections while all others have
+// requests: each of them is closed, and none in place of one that was closed before.
+func TestRejectedConnectionMakesNoRoom(t *testing.T) {
+	c := qt.New(t)
+	limiter := newConnectionLimiter(1)
+	busy, first, second := &closeCounter{}, &closeCounter{}, &closeCounter{}
+	limiter.stateChanged(busy, http.StateNew)
+	limiter.stateChanged(busy, http.StateActive)
+	limiter.stateChanged(first, http.StateNew)
+	limiter.stateChanged(second, http.StateNew)
+	c.Check(busy.closed, qt.Equals, 0)
+	c.Check(first.closed, qt.Equals, 1)
+	c.Check(second.closed, qt.Equals, 1)
+	for _, conn := range []*closeCounter{first, second} {
+		limiter.stateChanged(conn, http.StateClosed)
+	}
+	limiter.stateChanged(busy, http.StateIdle)
+	third := &closeCounter{}
+	limiter.stateChanged(third, http.StateNew)
+	c.Check(third.closed, qt.Equals, 0)
+	c.Check(busy.closed, qt.Equals, 1)
+}
--- a/internal/metering/meter.go
+++ b/internal/metering/meter.go
@@ -84,7 +84,8 @@
 }
 
 // Flush writes the pending reports to the store. A report that cannot be
-// written stays pending for the next flush.
+// written stays pending for the next flush; the others are written unless the store
+// cannot be reached.
 func (m *Meter) Flush(ctx context.Context) {
 	m.flushMu.Lock()
 	defer m.flushMu.Unlock()
@@ -103,8 +104,11 @@
 	for _, name := range names {
 		if err := m.writeDocument(ctx, name, byDocument[name]); err != nil {
 			m.failures.Add(1)
-			m.log.WithError(err).Warning("usage could not be written; it stays in memory until the next flush")
-			return
+			m.log.WithError(err).WithField("document", name).Warning("usage could not be written; it stays in memory until the next flush")
+			if failure.Is(err, failure.NotReachable) {
+				return
+			}
+			continue
 		}
 		m.markWritten(byDocument[name])
 	}
--- a/internal/metering/meter_test.go
+++ b/internal/metering/meter_test.go
@@ -189,3 +189,25 @@
 	w.EndAttempt()
 	c.Assert(events.last, qt.Equals, usage.Event{Key: usage.Key{Customer: "small", Pool: "model", Version: "v1"}, Outcome: dispatch.Done})
 }
+
+// TestUnreadableDocumentDoesNotBlockOthers covers a document in the store that cannot be
+// read: the usage of other days is written all the same.
+func TestUnreadableDocumentDoesNotBlockOthers(t *testing.T) {
+	c := qt.New(t)
+	store := newFakeStore()
+	source := usage.Source{Name: "entry-1", Role: member.RoleEntry}
+	meter := New(source, store, time.Hour, discardLogger())
+	now := time.Now()
+	for _, at := range []time.Time{now.Add(-40 * time.Hour), now.Add(-20 * time.Hour), now} {
+		meter.counter.Count(usage.Event{Key: usage.Key{Customer: "small"}, Outcome: dispatch.Done}, at)
+	}
+	meter.mu.Lock()
+	pending := meter.counter.Pending(now)
+	meter.mu.Unlock()
+	c.Assert(len(pending) >= 2, qt.IsTrue)
+	broken := usage.DocumentName(pending[0].Source, pending[0].Hour)
+	store.objects[broken] = platform.Object{Name: broken, Version: 1, Value: json.RawMessage(`"not a document"`)}
+	meter.Flush(t.Context())
+	c.Assert(store.objects, qt.HasLen, len(pending))
+	c.Assert(meter.FailedFlushes(), qt.Equals, int64(1))
+}
