--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -51,7 +51,7 @@
 	endlessCases(t, func(c *qt.C, kind standin.EndlessResponse, interval time.Duration) {
 		instance, closed := endlessInstance("i-0", kind, interval)
 		f := newFixture(c.TB.(*testing.T), instance.ServeHTTP)
-		response, _, err := f.do(http.MethodPost, "/once/", func(r *http.Request) { r.Header.Set("Deadline-Ms", "700") })
+		response, _, err := f.do(http.MethodPost, "/once/", func(r *http.Request) { r.Header.Set(standin.HeaderTimeLeft, "700") })
 		if err == nil {
 			c.Check(response.StatusCode == http.StatusBadGateway || response.StatusCode == http.StatusGatewayTimeout, qt.IsTrue, qt.Commentf("%d", response.StatusCode))
 		}
@@ -91,7 +91,7 @@
 	endlessCases(t, func(c *qt.C, kind standin.EndlessResponse, interval time.Duration) {
 		instance, closed := endlessInstance("i-0", kind, interval)
 		f := newFixture(c.TB.(*testing.T), instance.ServeHTTP)
-		response, _, err := f.do(http.MethodPost, "/fixed/", func(r *http.Request) { r.Header.Set("Deadline-Ms", "700") })
+		response, _, err := f.do(http.MethodPost, "/fixed/", func(r *http.Request) { r.Header.Set(standin.HeaderTimeLeft, "700") })
 		if err == nil {
 			c.Check(response.StatusCode >= http.StatusInternalServerError, qt.IsTrue, qt.Commentf("%d", response.StatusCode))
 		}
--- a/internal/relay/frontend_test.go
+++ b/internal/relay/frontend_test.go
@@ -20,6 +20,7 @@
 	"plantainrelay/internal/placement"
 	"plantainrelay/internal/replica"
 	"plantainrelay/platform"
+	"plantainrelay/platform/standin"
 )
 
 // fixture is a frontend behind a test server, with fake backend server instances.
@@ -73,9 +74,9 @@
 		return nil, "", err
 	}
 	request.Host = testHost
-	request.Header.Set("Attempt-Id", testAttempt)
-	request.Header.Set("Deadline-Ms", "2500")
-	request.Header.Set("X-Api-Key", "good")
+	request.Header.Set(standin.HeaderAttempt, testAttempt)
+	request.Header.Set(standin.HeaderTimeLeft, "2500")
+	request.Header.Set(standin.HeaderKey, "good")
 	for _, modify := range modifiers {
 		modify(request)
 	}
@@ -89,8 +90,8 @@
 }
 
 func writeSeal(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
-	w.Header().Set("Response-Seal", "seal-"+r.Header.Get("Expect-Instance"))
+	w.Header().Set(standin.HeaderAttempt, r.Header.Get(standin.HeaderAttempt))
+	w.Header().Set(standin.HeaderSeal, "seal-"+r.Header.Get(standin.HeaderExpectID))
 }
 
 func answerOK(w http.ResponseWriter, r *http.Request) {
@@ -99,7 +100,7 @@
 }
 
 func rejectAsFull(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Not-Executed", "1")
+	w.Header().Set(standin.HeaderNotRun, "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
@@ -130,18 +131,18 @@
 		got, body = r.Clone(context.Background()), string(raw)
 		answerOK(w, r)
 	})
-	response, answer, err := f.do(http.MethodPost, "/once/a%2Fb//c?x=1&y=%20", func(r *http.Request) { r.Header.Set("Model", "m") })
+	response, answer, err := f.do(http.MethodPost, "/once/a%2Fb//c?x=1&y=%20", func(r *http.Request) { r.Header.Set(standin.HeaderModel, "m") })
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.StatusCode, qt.Equals, 200)
 	c.Assert(answer, qt.Equals, "answer")
-	c.Assert(response.Header.Get("Response-Seal"), qt.Equals, "seal-i-0")
+	c.Assert(response.Header.Get(standin.HeaderSeal), qt.Equals, "seal-i-0")
 	c.Assert(got.RequestURI, qt.Equals, "/once/a%2Fb//c?x=1&y=%20")
 	c.Assert(got.Host, qt.Equals, testHost)
 	c.Assert(body, qt.Equals, "body")
-	c.Assert(got.Header.Get("Model"), qt.Equals, "m")
-	c.Assert(got.Header.Get("Tenant"), qt.Equals, "firm")
-	c.Assert(got.Header.Get("X-Api-Key"), qt.Equals, "")
-	c.Assert(got.Header.Get("Attempt-Id"), qt.Equals, testAttempt)
+	c.Assert(got.Header.Get(standin.HeaderModel), qt.Equals, "m")
+	c.Assert(got.Header.Get(standin.HeaderCustomer), qt.Equals, "firm")
+	c.Assert(got.Header.Get(standin.HeaderKey), qt.Equals, "")
+	c.Assert(got.Header.Get(standin.HeaderAttempt), qt.Equals, testAttempt)
 }
 
 func TestRefusals(t *testing.T) {
@@ -154,13 +155,13 @@
 	}{
 		{"/nowhere/", func(*http.Request) {}, http.StatusNotFound},
 		{"/once/", func(r *http.Request) { r.Host = "other.example" }, http.StatusNotFound},
-		{"/once/", func(r *http.Request) { r.Header.Set("X-Api-Key", "bad") }, http.StatusUnauthorized},
-		{"/once/", func(r *http.Request) { r.Header.Del("X-Api-Key") }, http.StatusUnauthorized},
+		{"/once/", func(r *http.Request) { r.Header.Set(standin.HeaderKey, "bad") }, http.StatusUnauthorized},
+		{"/once/", func(r *http.Request) { r.Header.Del(standin.HeaderKey) }, http.StatusUnauthorized},
 	} {
 		response, _, err := f.do(http.MethodPost, test.path, test.change)
 		c.Assert(err, qt.IsNil)
 		c.Check(response.StatusCode, qt.Equals, test.want, qt.Commentf("%s", test.path))
-		c.Check(response.Header.Get("Response-Seal"), qt.Equals, "")
+		c.Check(response.Header.Get(standin.HeaderSeal), qt.Equals, "")
 	}
 }
 
@@ -225,7 +226,7 @@
 func TestResponseToAnotherAttemptIsNotForwarded(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
-		r.Header.Set("Attempt-Id", "another")
+		r.Header.Set(standin.HeaderAttempt, "another")
 		answerOK(w, r)
 	})
 	response, body, err := f.do(http.MethodPost, "/once/")
@@ -244,7 +245,7 @@
 	response, body, err := f.do(http.MethodPost, "/once/")
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.StatusCode, qt.Equals, http.StatusInternalServerError)
-	c.Assert(response.Header.Get("Response-Seal"), qt.Equals, "seal-i-0")
+	c.Assert(response.Header.Get(standin.HeaderSeal), qt.Equals, "seal-i-0")
 	c.Assert(body, qt.Equals, "its own words")
 }
 
@@ -277,7 +278,7 @@
 			w.(http.Flusher).Flush()
 			resetConnection(w)
 		}
-		c.Check(r.Header.Get("Last-Event-Id"), qt.Equals, "2")
+		c.Check(r.Header.Get(standin.HeaderLastEvent), qt.Equals, "2")
 		writeEvents(w, 3, 4)
 	}
 	f := newFixture(t, handler, handler)
@@ -364,10 +365,10 @@
 	c := qt.New(t)
 	var deadline string
 	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
-		deadline = r.Header.Get("Deadline-Ms")
+		deadline = r.Header.Get(standin.HeaderTimeLeft)
 		answerOK(w, r)
 	})
-	_, _, err := f.do(http.MethodPost, "/once/", func(r *http.Request) { r.Header.Set("Deadline-Ms", "900") })
+	_, _, err := f.do(http.MethodPost, "/once/", func(r *http.Request) { r.Header.Set(standin.HeaderTimeLeft, "900") })
 	c.Assert(err, qt.IsNil)
 	var timeLeft int
 	_, err = fmt.Sscan(deadline, &timeLeft)
@@ -404,7 +405,7 @@
 func TestDeadlineIsAnsweredWithTimeout(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture(t, func(_ http.ResponseWriter, r *http.Request) { hangUntilClosed(r) })
-	response, _, err := f.do(http.MethodPost, "/once/", func(r *http.Request) { r.Header.Set("Deadline-Ms", "300") })
+	response, _, err := f.do(http.MethodPost, "/once/", func(r *http.Request) { r.Header.Set(standin.HeaderTimeLeft, "300") })
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.StatusCode, qt.Equals, http.StatusGatewayTimeout)
 }
--- a/internal/relay/view_test.go
+++ b/internal/relay/view_test.go
@@ -16,6 +16,7 @@
 	"plantainrelay/internal/placement"
 	"plantainrelay/internal/replica"
 	"plantainrelay/platform"
+	"plantainrelay/platform/standin"
 )
 
 // TestStaleTablesRejectWithRetryAfter covers an entry without a connection to the
@@ -41,7 +42,7 @@
 	status := func(age time.Duration, path, key string) int {
 		active := *f.frontend.view.active.Load()
 		f.frontend.view.active.Store(&activeTables{Table: active.Table, content: -1, proof: clock.Now().Add(-age)})
-		response, _, err := f.do(http.MethodPost, path, func(r *http.Request) { r.Header.Set("X-Api-Key", key) })
+		response, _, err := f.do(http.MethodPost, path, func(r *http.Request) { r.Header.Set(standin.HeaderKey, key) })
 		c.Assert(err, qt.IsNil)
 		return response.StatusCode
 	}
