--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -150,3 +150,39 @@
 	c.Assert(lines[1].Key, qt.Equals, Key{Objective: VersionRollout, Customer: "*", Route: "model"})
 	c.Assert(lines[1].Windows[0], qt.Equals, Count{Total: 1})
 }
+
+// TestReplacedRolloutCountsFromItsStart covers a version that is replaced before all
+// instances serve it: the pool did not serve the desired version all the while.
+func TestReplacedRolloutCountsFromItsStart(t *testing.T) {
+	c := qt.New(t)
+	aggregator, convergence := NewAggregator(targets, 10), NewConvergence()
+	instances := map[string]InstanceState{"model-1": {Revision: 1, Pool: "model", Version: "v1"}}
+	desired := func(revision int64, version string) DesiredState {
+		return DesiredState{Revision: revision, Versions: map[string]string{"model": version}}
+	}
+	convergence.Observe(start, desired(1, "v1"), instances, aggregator)
+	convergence.Observe(start, desired(2, "v2"), instances, aggregator)
+	late := start.Add(time.Hour)
+	convergence.Observe(late, desired(3, "v3"), instances, aggregator)
+	instances["model-1"] = InstanceState{Revision: 3, Pool: "model", Version: "v3"}
+	convergence.Observe(late.Add(time.Second), desired(3, "v3"), instances, aggregator)
+	var rollout Count
+	for _, line := range report(c, aggregator, late.Add(time.Second)).Lines {
+		if line.Objective == VersionRollout {
+			rollout = line.Windows[len(line.Windows)-1]
+		}
+	}
+	c.Assert(rollout, qt.Equals, Count{Total: 1, Bad: 1})
+}
+
+// TestChangeWithoutInstancesIsPending covers a fleet, or a pool, without instances: no
+// instance has applied the change.
+func TestChangeWithoutInstancesIsPending(t *testing.T) {
+	c := qt.New(t)
+	aggregator, convergence := NewAggregator(targets, 10), NewConvergence()
+	convergence.Observe(start, DesiredState{Revision: 1, Versions: map[string]string{"model": "v1"}}, nil, aggregator)
+	convergence.Observe(start, DesiredState{Revision: 2, Versions: map[string]string{"model": "v2"}}, nil, aggregator)
+	other := map[string]InstanceState{"other-1": {Revision: 1, Pool: "other", Version: "v1"}}
+	convergence.Observe(start.Add(time.Second), DesiredState{Revision: 2, Versions: map[string]string{"model": "v2"}}, other, aggregator)
+	c.Assert(report(c, aggregator, start.Add(2*time.Second)).Lines, qt.HasLen, 0)
+}
--- a/internal/burn/convergence.go
+++ b/internal/burn/convergence.go
@@ -75,9 +75,15 @@
 			continue
 		}
 		c.versions[pool] = version
-		if !first {
-			c.pendingVersions[pool] = pendingChange{since: now, version: version}
+		if first {
+			continue
+		}
+		pending := pendingChange{since: now, version: version}
+		if replaced, found := c.pendingVersions[pool]; found {
+			// The pool has not served the desired version since then.
+			pending.since = replaced.since
 		}
+		c.pendingVersions[pool] = pending
 	}
 	for pool := range c.versions {
 		if _, found := desired.Versions[pool]; !found {
@@ -93,14 +99,19 @@
 			return false
 		}
 	}
-	return true
+	return len(instances) > 0
 }
 
 func allServing(instances map[string]InstanceState, pool, version string) bool {
+	found := false
 	for _, instance := range instances {
-		if instance.Pool == pool && instance.Version != version {
+		if instance.Pool != pool {
+			continue
+		}
+		if instance.Version != version {
 			return false
 		}
+		found = true
 	}
-	return true
+	return found
 }
