--- a/internal/distribute/fetch.go
+++ b/internal/distribute/fetch.go
@@ -11,6 +11,7 @@
 
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/failure"
+	"plantainrelay/internal/message"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/swarm"
 	"plantainrelay/internal/weights"
@@ -37,7 +38,9 @@
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdlePerSource,
 		DisableCompression:  true,
-		TLSClientConfig:     security.ClientTLS,
+
+		MaxResponseHeaderBytes: message.MaxResponseHeaderBytes,
+		TLSClientConfig:        security.ClientTLS,
 	}
 	return &chunkClient{security: security, client: &http.Client{Transport: transport, Timeout: timeout}}
 }
--- a/internal/gate/reserved_test.go
+++ b/internal/gate/reserved_test.go
@@ -40,6 +40,46 @@
 	c.Assert(err, qt.IsNotNil)
 }
 
+// TestEndlessHeaderIsCutOff covers a backend server in trouble that sends header lines
+// until its connection is closed. The attempt fails, and the connection is closed after a
+// bounded number of bytes.
+func TestEndlessHeaderIsCutOff(t *testing.T) {
+	c := qt.New(t)
+	sent := make(chan int, 1)
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		total, _ := io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+		for count := 0; err == nil; total += count {
+			count, err = io.WriteString(conn, strings.Repeat("X-Padding: x\r\n", 64))
+		}
+		sent <- total
+	}))
+	defer backend.Close()
+	g, err := gate.New(gate.Config{Incarnation: "one", MaxRunning: 1, MaxRecords: 10, MaxKeys: 10, MaxStoredResponse: 100, MaxStoredTotal: 1000})
+	c.Assert(err, qt.IsNil)
+	g.Open(gate.AdmittedWeights{})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	security := peer.Security{Key: []byte("key")}
+	request := httptest.NewRequest(http.MethodPost, message.PathAttempt+"/book", http.NoBody)
+	security.Authorize(request.Header)
+	request.Header.Set(message.HeaderAttempt, "attempt")
+	request.Header.Set(message.HeaderIncarnation, "one")
+	request.Header.Set(message.HeaderDeadline, strconv.FormatInt(time.Now().Add(time.Hour).UnixMilli(), 10))
+	func() {
+		defer func() { _ = recover() }()
+		answer := httptest.NewRecorder()
+		gate.NewHandler(g, backend.URL, security, metering.Discard{}, logrus.NewEntry(log)).ServeHTTP(answer, request)
+		c.Check(answer.Code != http.StatusOK, qt.IsTrue)
+	}()
+	total := <-sent
+	c.Check(total < 8<<20, qt.IsTrue, qt.Commentf("%d bytes", total))
+}
+
 // TestBackendCannotForgeRefusals guards against a backend server that runs a
 // request and forges the headers of a refusal: the entry would believe that the
 // request was not started, and would run a booking twice.
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -45,6 +45,8 @@
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxBackendConns,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: message.MaxResponseHeaderBytes,
 	}
 	return &Handler{gate: gate, backend: backend, security: security, usage: usage, client: &http.Client{Transport: transport, CheckRedirect: returnRedirect}, log: log}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -37,7 +37,9 @@
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: maxIdleConnsPerAgent,
 			DisableCompression:  true,
-			TLSClientConfig:     security.ClientTLS,
+
+			MaxResponseHeaderBytes: message.MaxResponseHeaderBytes,
+			TLSClientConfig:        security.ClientTLS,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
