--- a/internal/gate/reserved_test.go
+++ b/internal/gate/reserved_test.go
@@ -18,16 +18,34 @@
 	"plantainrelay/internal/peer"
 )
 
-// TestAttemptWithAnIncompleteBodyGetsNoResponse guards against an empty response with
-// status 200 for an attempt whose body could not be read.
-func TestAttemptWithAnIncompleteBodyGetsNoResponse(t *testing.T) {
-	c := qt.New(t)
+// security holds the fleet key of the tests.
+var security = peer.Security{Key: []byte("key")}
+
+// newHandler returns the handler of a gate that admits one request at a time.
+func newHandler(c *qt.C, backend string) http.Handler {
 	g, err := gate.New(gate.Config{Incarnation: "one", MaxRunning: 1, MaxRecords: 10, MaxKeys: 10, MaxStoredResponse: 100, MaxStoredTotal: 1000})
 	c.Assert(err, qt.IsNil)
+	g.Open(gate.AdmittedWeights{})
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	security := peer.Security{Key: []byte("key")}
-	handler := gate.NewHandler(g, "http://127.0.0.1:1", security, metering.Discard{}, logrus.NewEntry(log))
+	return gate.NewHandler(g, backend, security, metering.Discard{}, logrus.NewEntry(log))
+}
+
+// newAttempt returns a request for an attempt that the handler admits.
+func newAttempt() *http.Request {
+	request := httptest.NewRequest(http.MethodPost, message.PathAttempt+"/book", http.NoBody)
+	security.Authorize(request.Header)
+	request.Header.Set(message.HeaderAttempt, "attempt")
+	request.Header.Set(message.HeaderIncarnation, "one")
+	request.Header.Set(message.HeaderDeadline, strconv.FormatInt(time.Now().Add(time.Hour).UnixMilli(), 10))
+	return request
+}
+
+// TestAttemptWithAnIncompleteBodyGetsNoResponse guards against an empty response with
+// status 200 for an attempt whose body could not be read.
+func TestAttemptWithAnIncompleteBodyGetsNoResponse(t *testing.T) {
+	c := qt.New(t)
+	handler := newHandler(c, "http://127.0.0.1:1")
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		r.Body = http.MaxBytesReader(w, r.Body, 2)
 		handler.ServeHTTP(w, r)
@@ -59,21 +77,10 @@
 		sent <- total
 	}))
 	defer backend.Close()
-	g, err := gate.New(gate.Config{Incarnation: "one", MaxRunning: 1, MaxRecords: 10, MaxKeys: 10, MaxStoredResponse: 100, MaxStoredTotal: 1000})
-	c.Assert(err, qt.IsNil)
-	g.Open(gate.AdmittedWeights{})
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	security := peer.Security{Key: []byte("key")}
-	request := httptest.NewRequest(http.MethodPost, message.PathAttempt+"/book", http.NoBody)
-	security.Authorize(request.Header)
-	request.Header.Set(message.HeaderAttempt, "attempt")
-	request.Header.Set(message.HeaderIncarnation, "one")
-	request.Header.Set(message.HeaderDeadline, strconv.FormatInt(time.Now().Add(time.Hour).UnixMilli(), 10))
 	func() {
 		defer func() { _ = recover() }()
 		answer := httptest.NewRecorder()
-		gate.NewHandler(g, backend.URL, security, metering.Discard{}, logrus.NewEntry(log)).ServeHTTP(answer, request)
+		newHandler(c, backend.URL).ServeHTTP(answer, newAttempt())
 		c.Check(answer.Code != http.StatusOK, qt.IsTrue)
 	}()
 	total := <-sent
@@ -91,19 +98,8 @@
 		w.WriteHeader(http.StatusConflict)
 	}))
 	defer backend.Close()
-	g, err := gate.New(gate.Config{Incarnation: "one", MaxRunning: 1, MaxRecords: 10, MaxKeys: 10, MaxStoredResponse: 100, MaxStoredTotal: 1000})
-	c.Assert(err, qt.IsNil)
-	g.Open(gate.AdmittedWeights{})
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	security := peer.Security{Key: []byte("key")}
-	request := httptest.NewRequest(http.MethodPost, message.PathAttempt+"/book", http.NoBody)
-	security.Authorize(request.Header)
-	request.Header.Set(message.HeaderAttempt, "attempt")
-	request.Header.Set(message.HeaderIncarnation, "one")
-	request.Header.Set(message.HeaderDeadline, strconv.FormatInt(time.Now().Add(time.Hour).UnixMilli(), 10))
 	answer := httptest.NewRecorder()
-	gate.NewHandler(g, backend.URL, security, metering.Discard{}, logrus.NewEntry(log)).ServeHTTP(answer, request)
+	newHandler(c, backend.URL).ServeHTTP(answer, newAttempt())
 	c.Assert(answer.Code, qt.Equals, http.StatusConflict)
 	c.Assert(answer.Header().Get(message.HeaderRefusal), qt.Equals, "")
 	c.Assert(answer.Header().Get(message.HeaderAttempt), qt.Equals, "attempt")
