Address queries: callers of a large fleet are sent to the entries of their zone

Of 149 entries 85 got no callers, and callers of three zones went through other zones; 590 connections were reset at runners over their cap.

Change: above the limit an answer names the entries of the caller's zone, or, if these are fewer than 8, successive parts of all.

Result: TestCallersSpreadOverALargeFleet, which does not compile before.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -75,6 +76,8 @@
 	sent int
 	// discoveredAt is when an entry was last discovered, at first the start.
 	discoveredAt time.Time
+	// answered counts the address queries that were answered with a part of the entries.
+	answered int
 	// firstNamed is the index of the first host that the first message names.
 	firstNamed int
 }
@@ -320,18 +323,41 @@
 	return member.Rank(collection, readers)[0] == d.self.Host
 }
 
-// FrontAddresses returns the addresses at which requests are accepted now: those
-// of the ready entries, including this one.
-func (d *Directory) FrontAddresses(now time.Time) []string {
-	var fronts []string
-	if d.self.Ready && !d.self.Leaving {
-		fronts = append(fronts, d.self.FrontAddress)
-	}
-	for _, entry := range d.LiveEntries(now) {
-		if entry.Ready && !entry.Leaving && entry.FrontAddress != "" {
-			fronts = append(fronts, entry.FrontAddress)
+// minZoneAddresses is the number of entries of an availability zone from which on they
+// are enough for the callers there.
+const minZoneAddresses = 8
+
+// FrontAddresses returns up to limit addresses at which requests are accepted now, for a
+// caller in the given availability zone: all of them if they are within the limit.
+// Otherwise they are those in the caller's zone, if these are enough, and successive
+// calls return successive ones, so that callers spread over all entries.
+func (d *Directory) FrontAddresses(zone string, limit int, now time.Time) []string {
+	ready := d.readyEntries(now)
+	if len(ready) > limit {
+		inZone := slices.DeleteFunc(slices.Clone(ready), func(entry Entry) bool { return entry.AvailabilityZone != zone })
+		if len(inZone) >= minZoneAddresses {
+			ready = inZone
 		}
 	}
-	slices.Sort(fronts)
+	count := min(limit, len(ready))
+	first := 0
+	if len(ready) > limit {
+		first = d.answered * limit
+		d.answered++
+	}
+	fronts := make([]string, 0, count)
+	for i := range count {
+		fronts = append(fronts, ready[(first+i)%len(ready)].FrontAddress)
+	}
 	return fronts
 }
+
+// readyEntries returns the entries that accept requests, including this one, sorted by
+// address.
+func (d *Directory) readyEntries(now time.Time) []Entry {
+	ready := slices.DeleteFunc(append(d.LiveEntries(now), d.self), func(entry Entry) bool {
+		return !entry.Ready || entry.Leaving || entry.FrontAddress == ""
+	})
+	slices.SortFunc(ready, func(a, b Entry) int { return strings.Compare(a.FrontAddress, b.FrontAddress) })
+	return ready
+}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -31,10 +31,10 @@
 	leaving := other("10.0.0.3", "z2", 1)
 	leaving.Leaving = true
 	d.RecordMessage(leaving, epoch)
-	c.Assert(d.FrontAddresses(epoch), qt.DeepEquals, []string{"10.0.0.1:80", "10.0.0.2:80"})
-	c.Assert(d.FrontAddresses(epoch.Add(2*time.Second)), qt.DeepEquals, []string{"10.0.0.1:80"})
+	c.Assert(d.FrontAddresses("z1", 64, epoch), qt.DeepEquals, []string{"10.0.0.1:80", "10.0.0.2:80"})
+	c.Assert(d.FrontAddresses("z1", 64, epoch.Add(2*time.Second)), qt.DeepEquals, []string{"10.0.0.1:80"})
 	d.SetState(true, true)
-	c.Assert(d.FrontAddresses(epoch), qt.DeepEquals, []string{"10.0.0.2:80"})
+	c.Assert(d.FrontAddresses("z1", 64, epoch), qt.DeepEquals, []string{"10.0.0.2:80"})
 }
 
 func TestOldMessagesAreIgnored(t *testing.T) {
@@ -305,3 +305,30 @@
 		}
 	}
 }
+
+// TestCallersSpreadOverALargeFleet covers a fleet with more entries than an answer may
+// name. Callers of a zone are sent to its entries, or to all if it has few; each entry is
+// named to somebody.
+func TestCallersSpreadOverALargeFleet(t *testing.T) {
+	c := qt.New(t)
+	const limit = 64
+	d := peers.New(config, self(), nil, epoch)
+	for i := range 150 {
+		zone := fmt.Sprintf("z%d", 2+i%5)
+		if i >= 145 {
+			zone = "few"
+		}
+		d.RecordMessage(other(fmt.Sprintf("10.0.%d.%d", i/250, 2+i), zone, 1), epoch)
+	}
+	inZone := d.FrontAddresses("z3", limit, epoch)
+	c.Assert(inZone, qt.HasLen, 29)
+	named := map[string]bool{}
+	for range 3 {
+		addresses := d.FrontAddresses("few", limit, epoch)
+		c.Assert(addresses, qt.HasLen, limit)
+		for _, address := range addresses {
+			named[address] = true
+		}
+	}
+	c.Assert(named, qt.HasLen, 150)
+}
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -299,12 +298,13 @@
 	return h.directory.ShouldWatch(string(kind), clock.Now())
 }
 
-// frontAddresses returns the entry addresses to hand out to callers.
-func (h *heartbeater) frontAddresses() []string {
+// frontAddresses returns the entry addresses to hand out to a caller in an availability
+// zone.
+func (h *heartbeater) frontAddresses(zone string) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.updateReadiness()
-	return slices.Clone(h.directory.FrontAddresses(clock.Now()))
+	return h.directory.FrontAddresses(zone, platform.MaxAddresses, clock.Now())
 }
 
 // zoneHosts returns the hosts of the entries in an availability zone, or of all entries
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -264,13 +264,13 @@
 	}
 }
 
-func (e *entry) serveAddresses(w http.ResponseWriter, _ *http.Request) {
-	addresses := e.heartbeats.frontAddresses()
+func (e *entry) serveAddresses(w http.ResponseWriter, r *http.Request) {
+	addresses := e.heartbeats.frontAddresses(platform.CallerZone(r.URL.Query()))
 	if len(addresses) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	raw, err := platform.EncodeAddresses(addresses[:min(len(addresses), platform.MaxAddresses)], e.addressTTL)
+	raw, err := platform.EncodeAddresses(addresses, e.addressTTL)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
