--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -114,11 +114,12 @@
 	start        int64
 	sendNow      chan struct{}
 
-	mu           sync.Mutex
-	table        *catalog.Table
-	pool         catalog.Pool
-	members      []swarm.Member
-	newestServed int64
+	mu             sync.Mutex
+	backendDecoder platform.BackendDecoder
+	table          *catalog.Table
+	pool           catalog.Pool
+	members        []swarm.Member
+	newestServed   int64
 	// target is the version that is fetched and loaded, newestTarget the newest
 	// version known.
 	target          target
@@ -240,9 +241,8 @@
 func (a *agent) decodeMembers() {
 	hosts := map[string]swarm.Member{a.settings.IP: a.member(a.settings.IP, a.settings.AvailabilityZone)}
 	a.newestServed = 0
-	for _, document := range a.copies.Documents(platform.Backends) {
-		backend, ok := platform.DecodeBackend(document, a.table)
-		if !ok || backend.Pool != a.settings.Pool || backend.Leaving {
+	for _, backend := range a.backendDecoder.Decode(a.copies.Documents(platform.Backends), a.table) {
+		if backend.Pool != a.settings.Pool || backend.Leaving {
 			continue
 		}
 		hosts[backend.Host] = a.member(backend.Host, backend.AvailabilityZone)
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -29,10 +29,11 @@
 	// releasesLoaded means that the releases were read once: any that appear later are
 	// new.
 	releasesLoaded bool
-	// backendsMu is held while the list of backend servers is replaced, releasesMu
-	// while the releases are replaced.
-	backendsMu sync.Mutex
-	releasesMu sync.Mutex
+	// backendsMu is held while the list of backend servers is decoded and replaced,
+	// releasesMu while the releases are replaced.
+	backendsMu     sync.Mutex
+	backendDecoder platform.BackendDecoder
+	releasesMu     sync.Mutex
 	// keepMissingUntil is the time, in nanoseconds of the boot clock, until which
 	// backend servers missing from the list are kept, since their list entries may only
 	// have expired during a store outage.
@@ -106,12 +107,7 @@
 	}
 	now := clock.Now()
 	snapshot := v.copies.Snapshot(platform.Backends)
-	var backends []catalog.Backend
-	for _, document := range snapshot.Documents {
-		if backend, ok := platform.DecodeBackend(document, table); ok {
-			backends = append(backends, backend)
-		}
-	}
+	backends := v.backendDecoder.Decode(snapshot.Documents, table)
 	for _, change := range v.scheduler.setList(backends, time.Unix(0, v.keepMissingUntil.Load()), now) {
 		v.logBackendChange(change, snapshot.Content, now.Sub(snapshot.Proof))
 	}
