One transport for the platform, one sleep, leftovers of a trial removed; no behaviour changes

Read once more: six transports repeated the bound on headers and their options, platform.NewTransport holds them now; two functions waited like clock.Sleep; the retry budget summed its window twice; discard and retire removed a connection each in its own lines; SetList kept a constructor and a variable of a trial that was removed; a share kept the number of entries that the fleet knows.

--- a/internal/admin/editor.go
+++ b/internal/admin/editor.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/uuid"
 
+	"plantainrelay/internal/clock"
 	"plantainrelay/internal/failure"
 	"plantainrelay/internal/platform"
 	"plantainrelay/internal/table"
@@ -252,10 +253,8 @@
 }
 
 func sleep(ctx context.Context, wait time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return failure.Wrap(ctx.Err(), failure.NotReachable, "send the request again", "the request was canceled")
-	case <-time.After(wait):
+	if clock.Sleep(ctx, wait) {
 		return nil
 	}
+	return failure.Wrap(ctx.Err(), failure.NotReachable, "send the request again", "the request was canceled")
 }
--- a/internal/dispatch/window.go
+++ b/internal/dispatch/window.go
@@ -38,10 +38,7 @@
 		return
 	}
 	b.bucketAt(now)
-	retries := 0
-	for _, bucket := range b.buckets {
-		retries += bucket.retries
-	}
+	_, retries := b.totals()
 	b.window, b.buckets, b.lastBucket = window, [windowBuckets]bucket{}, 0
 	b.bucketAt(now).retries = retries
 }
@@ -57,11 +54,7 @@
 // TryRetry reports whether one more attempt is allowed, and if so counts it.
 func (b *WindowBudget) TryRetry(now time.Time) bool {
 	current := b.bucketAt(now)
-	requests, retries := 0, 0
-	for _, bucket := range b.buckets {
-		requests += bucket.requests
-		retries += bucket.retries
-	}
+	requests, retries := b.totals()
 	if float64(retries+1) > b.ratio*float64(requests)+b.slack {
 		return false
 	}
@@ -69,6 +62,15 @@
 	return true
 }
 
+// totals returns the requests and the retries in the window.
+func (b *WindowBudget) totals() (requests, retries int) {
+	for _, bucket := range b.buckets {
+		requests += bucket.requests
+		retries += bucket.retries
+	}
+	return requests, retries
+}
+
 // bucketAt clears the buckets that have left the window, and returns the bucket for
 // now.
 func (b *WindowBudget) bucketAt(now time.Time) *bucket {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 
 	"plantainrelay/internal/balance"
+	"plantainrelay/internal/clock"
 	"plantainrelay/internal/dispatch"
 	"plantainrelay/internal/message"
 	"plantainrelay/internal/ownership"
@@ -102,14 +103,7 @@
 	if pause <= 0 {
 		return e.r.Context().Err() == nil
 	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-e.r.Context().Done():
-		return false
-	}
+	return clock.Sleep(e.r.Context(), pause)
 }
 
 // sendAttempt makes one attempt. It returns true when the complete response was
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -7,7 +7,6 @@
 	"context"
 	"maps"
 	"net"
-	"net/http"
 	"os"
 	"slices"
 	"sync"
@@ -70,6 +69,8 @@
 	// maxConcurrentPulls is one, since an agent's link is narrow and large updates
 	// take long.
 	maxConcurrentPulls = 1
+	// dialTimeout bounds the set-up of a connection.
+	dialTimeout = time.Second
 	// startupPeerWait is how long a starting agent waits for an update from an
 	// entry before it reads the store itself.
 	startupPeerWait = 1500 * time.Millisecond
@@ -195,10 +196,11 @@
 }
 
 func newAgent(s platform.Settings, socket *beat.Socket, log *logrus.Entry) *agent {
-	local := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true, MaxResponseHeaderBytes: platform.MaxHeaderBytes}
-	remote := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: platform.MaxHeaderBytes}
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	local, remote, origin := platform.NewTransport(dialer), platform.NewTransport(dialer), platform.NewTransport(dialer)
+	local.MaxIdleConnsPerHost, remote.MaxIdleConnsPerHost = 4, 1
 	// The origin accepts few connections; idle ones would keep other clients out.
-	origin := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: platform.MaxHeaderBytes}
+	origin.DisableKeepAlives = true
 	a := &agent{
 		settings: s, log: log, socket: socket, client: peer.NewClient(peer.Security{}),
 		engine: platform.NewEngineClient(s.BackendAddress, local), origin: platform.NewOriginClient(origin),
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -30,8 +30,8 @@
 	*rpc.Client
 	activeCalls int
 	lastUsed    time.Time
-	// retired is set when a call on the connection has timed out: it takes no new
-	// calls, and is closed when those in progress have ended.
+	// retired is set when a call on the connection has timed out or the connection has
+	// broken: it takes no new calls, and is closed when those in progress have ended.
 	retired bool
 }
 
@@ -127,8 +127,7 @@
 	}
 }
 
-// retire removes a connection from the pool after a call on it has timed out. Other
-// calls on it may still be answered.
+// retire removes a connection from the pool. Other calls on it may still be answered.
 func (c *Client) retire(address string, client *pooledConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -172,11 +171,8 @@
 	return rpc.NewClient(&limitedConn{Conn: conn}), nil
 }
 
+// discard removes a broken connection from the pool and closes it.
 func (c *Client) discard(address string, client *pooledConn) {
-	c.mu.Lock()
-	if c.conns[address] == client {
-		delete(c.conns, address)
-	}
-	c.mu.Unlock()
+	c.retire(address, client)
 	client.Close()
 }
--- a/internal/peer/limit.go
+++ b/internal/peer/limit.go
@@ -46,7 +46,7 @@
 // follow reads the lengths of the messages in received.
 func (l *limitedConn) follow(received []byte) error {
 	for len(received) > 0 {
-		if l.remaining > 0 && l.lengthBytes == 0 {
+		if l.remaining > 0 {
 			skipped := min(l.remaining, uint64(len(received)))
 			l.remaining -= skipped
 			received = received[skipped:]
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -141,10 +141,6 @@
 	share          entryShare
 }
 
-func newInstance(backend catalog.Backend) *instance {
-	return &instance{Backend: backend, peerLoads: map[string]peerLoad{}, pendingPromptTokens: map[uint64]int{}}
-}
-
 // Fleet holds the state of all instances. It is not safe for concurrent use.
 type Fleet struct {
 	config    Config
@@ -206,14 +202,12 @@
 	for _, backend := range backends {
 		listed[backend.ID] = true
 		inst := f.instances[backend.ID]
-		wasLeaving := inst != nil && inst.Leaving
 		if inst == nil || inst.Start != backend.Start || inst.Address != backend.Address {
-			inst = newInstance(backend)
+			inst = &instance{peerLoads: map[string]peerLoad{}, pendingPromptTokens: map[uint64]int{}}
 			f.instances[backend.ID] = inst
-			wasLeaving = false
 			changes = append(changes, Change{ID: backend.ID, Pool: backend.Pool, Kind: Joined})
 		}
-		if backend.Leaving && !wasLeaving {
+		if backend.Leaving && !inst.Leaving {
 			changes = append(changes, Change{ID: backend.ID, Pool: backend.Pool, Kind: Leaving})
 		}
 		inst.Backend, inst.retainUntil = backend, time.Time{}
--- a/internal/placement/share.go
+++ b/internal/placement/share.go
@@ -15,8 +15,8 @@
 // entryShare is the share of this entry in an instance that has become available.
 type entryShare struct {
 	// rank is the place of this entry among the entries in the order for the instance.
-	rank, entries int
-	// revision is the revision of the entries for which the share was computed.
+	rank int
+	// revision is the revision of the entries for which the rank was computed.
 	revision int
 }
 
@@ -55,14 +55,14 @@
 	}
 	if inst.share.revision != f.entriesRevision {
 		rank := slices.Index(member.Rank(inst.ID, f.entries), f.self)
-		inst.share = entryShare{rank: rank, entries: len(f.entries), revision: f.entriesRevision}
+		inst.share = entryShare{rank: rank, revision: f.entriesRevision}
 	}
 	slots := f.limit(inst)
 	if engine := f.engine(inst.Pool); engine != nil {
 		slots = min(slots, onTimeCapacity(engine, need, inst.slowdown()))
 	}
-	limit := slots / inst.share.entries
-	if inst.share.rank >= 0 && inst.share.rank < slots%inst.share.entries {
+	limit := slots / len(f.entries)
+	if inst.share.rank >= 0 && inst.share.rank < slots%len(f.entries) {
 		limit++
 	}
 	return limit, true
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -207,12 +207,16 @@
 // accepts only a few connections, and idle ones would block other clients.
 func newOriginTransport() http.RoundTripper {
 	dialer := &net.Dialer{Timeout: time.Second, Control: setUserTimeout}
-	return &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: platform.MaxHeaderBytes}
+	transport := platform.NewTransport(dialer)
+	transport.DisableKeepAlives = true
+	return transport
 }
 
 func newStoreTransport() http.RoundTripper {
 	dialer := &net.Dialer{Timeout: dialTimeout, Control: setUserTimeout}
-	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: len(platform.Kinds), DisableCompression: true, MaxResponseHeaderBytes: platform.MaxHeaderBytes}
+	transport := platform.NewTransport(dialer)
+	transport.MaxIdleConnsPerHost = len(platform.Kinds)
+	return transport
 }
 
 // reload applies the settings that may change at run time: the bounds on retries, on
--- a/internal/relay/frontend_test.go
+++ b/internal/relay/frontend_test.go
@@ -30,14 +30,8 @@
 }
 
 const (
-	testHost     = "a.example"
-	testAttempt  = "attempt-1"
-	tableVersion = `{"Version":3,"Routes":[
- {"Name":"stream","Host":"a.example","PathPrefix":"/stream/","Kind":"streaming","TimeoutMs":3000,"FullCreditMs":200,"Service":"s","MaxAttempts":2,"Resumable":true,"GapTargetMs":200},
- {"Name":"fixed","Host":"a.example","PathPrefix":"/fixed/","Kind":"streaming","TimeoutMs":3000,"FullCreditMs":200,"Service":"s","MaxAttempts":2},
- {"Name":"once","Host":"a.example","PathPrefix":"/once/","Kind":"non_idempotent","TimeoutMs":3000,"FullCreditMs":200,"Service":"s","MaxAttempts":2},
- {"Name":"look","Host":"a.example","PathPrefix":"/look/","Kind":"idempotent","TimeoutMs":3000,"FullCreditMs":200,"Service":"s","MaxAttempts":2}],
- "Services":[{"Name":"s"}],"Tenants":[{"Name":"firm","ApiKeys":["good"]}]}`
+	testHost    = "a.example"
+	testAttempt = "attempt-1"
 )
 
 // newFixture starts a frontend that forwards to the given instances.
@@ -50,13 +44,13 @@
 		retryLimits{window: 10 * time.Second, ratio: 0.2, slack: 10})
 	view := newView(scheduler, time.Minute, time.Second, logger)
 	view.copies = copies.New(copies.Config{Log: logger, Changed: view.handleChange})
-	table := replica.Document{Name: platform.TableName, Revision: 1, Body: []byte(tableVersion)}
+	table := replica.Document{Name: platform.TableName, Revision: 1, Body: []byte(standin.EntryTestTable)}
 	view.copies.ApplyFromPeer(platform.Tables, replica.Change{Whole: true, AsOf: 1, Documents: []replica.Document{table}}, clock.Now(), "peer")
 	var backends []replica.Document
 	for i, handler := range handlers {
 		instance := httptest.NewServer(handler)
 		t.Cleanup(instance.Close)
-		body := fmt.Sprintf(`{"Service":"s","Address":%q,"State":"ready","Slots":4,"born":1}`, strings.TrimPrefix(instance.URL, "http://"))
+		body := standin.EntryTestBackend(strings.TrimPrefix(instance.URL, "http://"))
 		backends = append(backends, replica.Document{Name: fmt.Sprintf("i-%d", i), Revision: 1, Body: []byte(body)})
 	}
 	view.copies.ApplyFromPeer(platform.Backends, replica.Change{Whole: true, AsOf: 1, Documents: backends}, clock.Now(), "peer")
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"time"
 
+	"plantainrelay/platform"
+
 	"golang.org/x/sys/unix"
 )
 
@@ -23,8 +25,8 @@
 	// unackedTimeout is how long sent bytes may stay unacknowledged before the
 	// connection is considered dead.
 	unackedTimeout = 2 * time.Second
-	// maxResponseHeaderBytes bounds the header of a response.
-	maxResponseHeaderBytes = 64 << 10
+	// connBufferBytes is the size of each of a connection's two buffers.
+	connBufferBytes = 4 << 10
 )
 
 // sender sends attempts to backend server instances. Each attempt uses its own
@@ -36,15 +38,10 @@
 
 func newSender() *sender {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
-	return &sender{transport: &http.Transport{
-		DialContext:        dialer.DialContext,
-		DisableKeepAlives:  true,
-		DisableCompression: true,
-		ReadBufferSize:     4 << 10,
-		WriteBufferSize:    4 << 10,
-
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}}
+	transport := platform.NewTransport(dialer)
+	transport.DisableKeepAlives = true
+	transport.ReadBufferSize, transport.WriteBufferSize = connBufferBytes, connBufferBytes
+	return &sender{transport: transport}
 }
 
 func setUserTimeout(_, _ string, conn syscall.RawConn) error {
--- a/internal/relay/view_test.go
+++ b/internal/relay/view_test.go
@@ -84,10 +84,10 @@
 		}
 		v.handleChange(kind)
 	}})
-	table := replica.Document{Name: platform.TableName, Revision: 1, Body: []byte(tableVersion)}
+	table := replica.Document{Name: platform.TableName, Revision: 1, Body: []byte(standin.EntryTestTable)}
 	v.copies.ApplyFromPeer(platform.Tables, replica.Change{Whole: true, AsOf: 1, Documents: []replica.Document{table}}, clock.Now().Add(-7*time.Second), "peer")
 	v.copies.ApplyFromPeer(platform.Backends, replica.Change{Whole: true, AsOf: 1, Documents: listed}, clock.Now(), "peer")
-	newer := replica.Document{Name: platform.TableName, Revision: 2, Body: []byte(strings.Replace(tableVersion, `"good"`, `"other"`, 1))}
+	newer := replica.Document{Name: platform.TableName, Revision: 2, Body: []byte(strings.Replace(standin.EntryTestTable, `"good"`, `"other"`, 1))}
 	applied := make(chan struct{})
 	go func() {
 		defer close(applied)
@@ -123,7 +123,7 @@
 func TestBackendListIsNeverReplacedByAnOlderOne(t *testing.T) {
 	c := qt.New(t)
 	listEntry := func(name string, revision int64) replica.Document {
-		body := fmt.Sprintf(`{"Service":"s","Address":"10.0.0.1:%d","State":"ready","Slots":4,"born":1}`, revision)
+		body := standin.EntryTestBackend(fmt.Sprintf("10.0.0.1:%d", revision))
 		return replica.Document{Name: name, Revision: revision, Body: []byte(body)}
 	}
 	var long []replica.Document
@@ -135,7 +135,7 @@
 		v.copies.ApplyFromPeer(platform.Backends, replica.Change{Whole: true, AsOf: 2, Documents: long}, clock.Now(), "peer")
 		var handlers sync.WaitGroup
 		handlers.Go(func() {
-			table := []replica.Document{{Name: platform.TableName, Revision: 2, Body: []byte(tableVersion)}}
+			table := []replica.Document{{Name: platform.TableName, Revision: 2, Body: []byte(standin.EntryTestTable)}}
 			v.copies.ApplyFromPeer(platform.Tables, replica.Change{Whole: true, AsOf: 2, Documents: table}, clock.Now(), "peer")
 		})
 		for v.copies.AsOf(platform.Tables) < 2 {
