Entries log the releases learned from peers and the oldest allowed version

A line is written when another entry's report changes what is known of a release, and when the oldest version that may start a request changes; attempts name that version, and two gauges show both limits by model. No decision changes.

--- a/internal/placement/releases.go
+++ b/internal/placement/releases.go
@@ -98,6 +98,9 @@
 	return 0
 }
 
+// Models returns the models with a known release, in order.
+func (r *Releases) Models() []string { return slices.Sorted(maps.Keys(r.models)) }
+
 // TargetVersion returns the target version of a model, 0 if none is known.
 func (r *Releases) TargetVersion(model string) int64 {
 	known := r.models[model]
@@ -118,7 +121,7 @@
 func (r *Releases) Ages(now time.Time) []ReleaseAge {
 	const maxPerModel = 3
 	var ages []ReleaseAge
-	for _, model := range slices.Sorted(maps.Keys(r.models)) {
+	for _, model := range r.Models() {
 		versions := r.models[model]
 		for _, known := range versions[max(len(versions)-maxPerModel, 0):] {
 			if !known.estimated {
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -163,6 +163,7 @@
 	// underestimates them.
 	now := clock.Now()
 	h.view.detectListOutage(now)
+	h.view.recordVersionLimits(now)
 	loads := encodeLoads(h.scheduler.ownLoads())
 	h.mu.Lock()
 	h.updateReadiness()
@@ -276,7 +277,7 @@
 	if len(m.ZoneLoads) > 0 {
 		h.scheduler.recordZoneLoads(m.AvailabilityZone, decodeZoneLoads(m.ZoneLoads), now)
 	}
-	h.view.mergeReleaseAges(m.Releases, now)
+	h.view.mergeReleaseAges(m.Host, m.Releases, now)
 	h.puller.MessageReceived(ctx, m)
 }
 
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -157,6 +157,7 @@
 	}), newRetryLimits(s.Bounds))
 	e.scheduler.retrySlackFrom = clock.Now().Add(s.Bounds.RetryWindow)
 	e.view = newView(e.scheduler, s.Bounds.VersionSwitchTime-switchMargin, s.Bounds.StableTime-stablePeriodMargin, log)
+	e.metrics.Registry.MustRegister(e.view.versionMetrics.minVersion, e.view.versionMetrics.target)
 	e.frontend = &frontend{view: e.view, scheduler: e.scheduler, sender: newSender(), log: log, metrics: counts, zone: s.AvailabilityZone, returningCallers: newReturningCallerDetector()}
 	e.frontend.setBounds(s.Bounds)
 	e.heartbeats = &heartbeater{socket: socket, view: e.view, scheduler: e.scheduler, frontend: e.frontend, log: log, start: start, sendNow: make(chan struct{}, 1), loadChanges: make(chan string, maxPendingLoadChanges), placed: make(chan struct{}, 1)}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -60,15 +60,17 @@
 	Instance string `json:"instance"`
 	Zone     string `json:"availability_zone"`
 	Version  int64  `json:"version,omitempty"`
-	Load     int    `json:"load"`
-	Limit    int    `json:"limit"`
-	Unread   int    `json:"unread,omitempty"`
-	QueueMs  int64  `json:"queue_ms"`
-	FirstMs  int64  `json:"first_ms,omitempty"`
-	Events   int    `json:"events,omitempty"`
-	PauseMs  int64  `json:"max_pause_ms,omitempty"`
-	Ms       int64  `json:"ms"`
-	Outcome  string `json:"outcome"`
+	// MinVersion is the oldest version that could start the request.
+	MinVersion int64  `json:"min_version,omitempty"`
+	Load       int    `json:"load"`
+	Limit      int    `json:"limit"`
+	Unread     int    `json:"unread,omitempty"`
+	QueueMs    int64  `json:"queue_ms"`
+	FirstMs    int64  `json:"first_ms,omitempty"`
+	Events     int    `json:"events,omitempty"`
+	PauseMs    int64  `json:"max_pause_ms,omitempty"`
+	Ms         int64  `json:"ms"`
+	Outcome    string `json:"outcome"`
 	// bytes is the size of the response body.
 	bytes int
 }
@@ -212,7 +214,7 @@
 	started := clock.Now()
 	x.frontend.metrics.queueTime.Observe(started.Sub(queuedAt).Seconds())
 	record := attemptRecord{
-		Instance: choice.Backend.ID, Zone: choice.Backend.AvailabilityZone, Version: choice.Version, Load: choice.Load, Limit: choice.Limit, Unread: choice.PendingPromptTokens,
+		Instance: choice.Backend.ID, Zone: choice.Backend.AvailabilityZone, Version: choice.Version, MinVersion: t.need.MinVersion, Load: choice.Load, Limit: choice.Limit, Unread: choice.PendingPromptTokens,
 		QueueMs: started.Sub(queuedAt).Milliseconds(),
 	}
 	x.tried[choice.Backend.ID] = true
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -53,3 +53,19 @@
 func histogram(name, help string) prometheus.Histogram {
 	return prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: metrics.Namespace, Name: name, Help: help, Buckets: latencyBuckets})
 }
+
+// versionMetrics holds the limits on versions of weights by model.
+type versionMetrics struct {
+	minVersion *prometheus.GaugeVec
+	target     *prometheus.GaugeVec
+}
+
+func newVersionMetrics() *versionMetrics {
+	gauge := func(name, help string) *prometheus.GaugeVec {
+		return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: metrics.Namespace, Name: name, Help: help}, []string{"model"})
+	}
+	return &versionMetrics{
+		minVersion: gauge("min_version", "Oldest version of the weights that may start a request, 0 for any."),
+		target:     gauge("target_version", "Newest released version of the weights."),
+	}
+}
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -29,8 +29,12 @@
 	// releasesLoaded means that the releases were read once: any that appear later are
 	// new.
 	releasesLoaded bool
+	// minVersions holds the oldest version of each model that may start requests, as it
+	// was last logged.
+	minVersions    map[string]int64
+	versionMetrics *versionMetrics
 	// backendsMu is held while the list of backend servers is decoded and replaced,
-	// releasesMu while the releases are replaced.
+	// releasesMu while the releases are replaced or their limits are logged.
 	backendsMu     sync.Mutex
 	backendDecoder platform.BackendDecoder
 	releasesMu     sync.Mutex
@@ -58,7 +62,9 @@
 const listOutageAge = 2*backendsWatchTimeout + 800*time.Millisecond
 
 func newView(scheduler *scheduler, switchBound, stable time.Duration, log *logrus.Entry) *view {
-	v := &view{scheduler: scheduler, log: log, onRelease: func(catalog.Release) {}}
+	v := &view{
+		scheduler: scheduler, log: log, onRelease: func(catalog.Release) {}, minVersions: map[string]int64{}, versionMetrics: newVersionMetrics(),
+	}
 	v.releases.Store(placement.NewReleases(switchBound, stable))
 	return v
 }
@@ -209,12 +215,33 @@
 }
 
 // mergeReleaseAges merges the release ages received from another entry.
-func (v *view) mergeReleaseAges(ages []beat.Release, now time.Time) {
+func (v *view) mergeReleaseAges(peer string, ages []beat.Release, now time.Time) {
 	v.releasesMu.Lock()
 	defer v.releasesMu.Unlock()
 	next := v.releases.Load()
 	for _, age := range ages {
-		next = next.MergePeerAge(catalog.Release{Model: age.Model, Version: age.Version}, time.Duration(age.AgeMs)*time.Millisecond, now)
+		merged := next.MergePeerAge(catalog.Release{Model: age.Model, Version: age.Version}, time.Duration(age.AgeMs)*time.Millisecond, now)
+		if merged != next {
+			v.log.WithFields(logrus.Fields{"model": age.Model, "version": age.Version, "told_age_ms": age.AgeMs, "peer": peer}).Info("a peer reported the age of a release")
+		}
+		next = merged
 	}
 	v.releases.Store(next)
 }
+
+// recordVersionLimits logs the oldest versions that may start requests when they have
+// changed, and updates their metrics.
+func (v *view) recordVersionLimits(now time.Time) {
+	v.releasesMu.Lock()
+	defer v.releasesMu.Unlock()
+	releases := v.releases.Load()
+	for _, model := range releases.Models() {
+		minVersion, target := releases.MinVersion(model, now), releases.TargetVersion(model)
+		v.versionMetrics.minVersion.WithLabelValues(model).Set(float64(minVersion))
+		v.versionMetrics.target.WithLabelValues(model).Set(float64(target))
+		if last := v.minVersions[model]; last != minVersion {
+			v.log.WithFields(logrus.Fields{"model": model, "min_version": minVersion, "last": last, "target": target}).Info("oldest allowed version changed")
+			v.minVersions[model] = minVersion
+		}
+	}
+}
--- a/internal/relay/view_test.go
+++ b/internal/relay/view_test.go
@@ -10,7 +10,11 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
+	"plantainrelay/internal/beat"
+	"plantainrelay/internal/catalog"
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/copies"
 	"plantainrelay/internal/placement"
@@ -148,3 +152,23 @@
 		c.Assert(choice.Backend.Address, qt.Equals, "10.0.0.1:3")
 	}
 }
+
+// TestVersionLimitsAreLogged checks that the log shows which releases an entry learned
+// from others, and since when it refuses older versions.
+func TestVersionLimitsAreLogged(t *testing.T) {
+	c := qt.New(t)
+	logger, hook := logtest.NewNullLogger()
+	v := newView(nil, time.Minute, time.Second, logrus.NewEntry(logger))
+	releases, _ := v.releases.Load().Add(catalog.Release{Model: "m", Version: 2}, false, clock.Now())
+	v.releases.Store(releases)
+	v.recordVersionLimits(clock.Now())
+	c.Assert(hook.AllEntries(), qt.HasLen, 0)
+	v.mergeReleaseAges("10.0.0.9", []beat.Release{{Model: "m", Version: 2, AgeMs: time.Minute.Milliseconds()}}, clock.Now())
+	c.Assert(hook.LastEntry().Message, qt.Equals, "a peer reported the age of a release")
+	c.Assert(hook.LastEntry().Data["peer"], qt.Equals, "10.0.0.9")
+	v.recordVersionLimits(clock.Now())
+	c.Assert(hook.LastEntry().Message, qt.Equals, "oldest allowed version changed")
+	c.Assert(hook.LastEntry().Data["min_version"], qt.Equals, int64(2))
+	v.recordVersionLimits(clock.Now())
+	c.Assert(hook.AllEntries(), qt.HasLen, 2)
+}
