Failing test: a restarted entry forgets the bound of a superseded release

Versions 2, 3 and 4 are released 3 s apart, and an entry starts after the last one. 10 s after version 2 it still allows version 2, while the other entries allow 3 and newer ones. No logic changes.

--- a/internal/placement/releases_test.go
+++ b/internal/placement/releases_test.go
@@ -58,3 +58,23 @@
 	r, _ := placement.NewReleases(bound, grace).Add(release(2), false, epoch)
 	c.Assert(r.MergePeerAge(release(9), bound, epoch).MinVersion("m", epoch), qt.Equals, int64(0))
 }
+
+// TestRestartedEntryKeepsTheBoundOfSupersededReleases guards against requests on weights
+// whose bound has passed: versions 2, 3 and 4 are released a few seconds after each other,
+// and an entry that starts after the last one learns of the others from its peers.
+func TestRestartedEntryKeepsTheBoundOfSupersededReleases(t *testing.T) {
+	c := qt.New(t)
+	const gap = 3 * time.Second
+	peer := placement.NewReleases(bound, grace)
+	for version := range int64(3) {
+		peer, _ = peer.Add(release(version+2), false, epoch.Add(time.Duration(version)*gap))
+	}
+	started := epoch.Add(2*gap + time.Second)
+	restarted, _ := placement.NewReleases(bound, grace).Add(release(4), true, started)
+	for _, reported := range peer.Ages(started) {
+		restarted = restarted.MergePeerAge(reported.Release, reported.Age, started)
+	}
+	for at := started; at.Before(epoch.Add(2*gap + bound + time.Second)); at = at.Add(100 * time.Millisecond) {
+		c.Assert(restarted.MinVersion("m", at), qt.Equals, peer.MinVersion("m", at), qt.Commentf("%v after the first release", at.Sub(epoch)))
+	}
+}
