Entries learn every recent release from their peers, not only the oldest and newest

Cause: an entry that starts knows only the newest release, since the store keeps no other, and learns of the earlier ones from the other entries. MergePeerAge inserted a release only before all known ones. A message names the releases in ascending order, so that with three releases the first was inserted and the one between was dropped: its bound was never enforced.

A release is now inserted where it belongs.

--- a/internal/placement/releases.go
+++ b/internal/placement/releases.go
@@ -58,8 +58,8 @@
 
 // MergePeerAge returns the releases with the age of one of them as another entry
 // reported it: how long ago that entry first saw the release. A version that is
-// older than the newest known version is added too, because enforceAfter may not
-// have passed for it yet. A newer version is ignored.
+// older than the newest known version is added too, wherever it belongs, because
+// enforceAfter may not have passed for it yet. A newer version is ignored.
 func (r *Releases) MergePeerAge(released catalog.Release, age time.Duration, now time.Time) *Releases {
 	const slack = 20 * time.Millisecond
 	known := r.models[released.Model]
@@ -70,7 +70,7 @@
 	at, found := slices.BinarySearchFunc(known, released.Version, func(known release, version int64) int { return cmp.Compare(known.version, version) })
 	versions := slices.Clone(known)
 	switch {
-	case !found && (at > 0 || len(known) >= maxReleasesPerModel):
+	case !found && len(known) >= maxReleasesPerModel:
 		return r
 	case !found:
 		versions = slices.Insert(versions, at, reported)
