Entries report every release whose bound may still be running

An entry reported the three newest releases whose time it knew, and kept eight. One that starts after the others had started, too, learned nothing of a release that came before: its bound was forgotten once a newer release was known. The same with more releases within the bound than were reported or kept.

Entries now report the release that they enforce and all newer ones, estimates marked as such; an estimate is used only for a release that is not known. 32 releases are kept for a model. The four tests failed before.

--- a/internal/beat/message.go
+++ b/internal/beat/message.go
@@ -62,8 +62,11 @@
 type Release struct {
 	Model   string
 	Version int64
-	// AgeMs is the time in milliseconds since the release was first seen.
-	AgeMs int64
+	// AgeMs is the time in milliseconds since the release was first seen. If Estimated,
+	// the sender found the release at its start, and AgeMs only yields the time from which
+	// it enforces the release.
+	AgeMs     int64
+	Estimated bool
 }
 
 // EngineReport is the state of an engine as its agent reports it.
--- a/internal/placement/releases.go
+++ b/internal/placement/releases.go
@@ -9,8 +9,9 @@
 	"plantainrelay/internal/catalog"
 )
 
-// maxReleasesPerModel bounds the number of recent versions kept for one model.
-const maxReleasesPerModel = 8
+// maxReleasesPerModel bounds the number of recent versions kept and reported for one
+// model: more than are released while the bound of the first is running.
+const maxReleasesPerModel = 32
 
 // release is one target version of a model's weights.
 type release struct {
@@ -18,8 +19,8 @@
 	// firstSeen is when this entry, or the entry that reported it, first saw the
 	// version.
 	firstSeen time.Time
-	// estimated says that firstSeen is an estimate, which a report of another entry
-	// replaces.
+	// estimated says that firstSeen is an estimate, which a report of an entry that saw
+	// the version appear replaces.
 	estimated bool
 }
 
@@ -52,39 +53,39 @@
 	if maybeOld {
 		added.firstSeen = now.Add(r.startGrace - r.enforceAfter)
 	}
-	versions := append(slices.Clone(known), added)
-	return r.withVersions(released.Model, versions[max(len(versions)-maxReleasesPerModel, 0):]), true
+	return r.withVersions(released.Model, append(slices.Clone(known), added)), true
 }
 
 // MergePeerAge returns the releases with the age of one of them as another entry
 // reported it: how long ago that entry first saw the release. A version that is
 // older than the newest known version is added too, wherever it belongs, because
-// enforceAfter may not have passed for it yet. A newer version is ignored.
-func (r *Releases) MergePeerAge(released catalog.Release, age time.Duration, now time.Time) *Releases {
+// enforceAfter may not have passed for it yet. A newer version is ignored. An estimate
+// is only used for a version that is not known.
+func (r *Releases) MergePeerAge(told ReleaseAge, now time.Time) *Releases {
 	const slack = 20 * time.Millisecond
-	known := r.models[released.Model]
-	if len(known) == 0 || released.Version > known[len(known)-1].version {
+	known := r.models[told.Model]
+	if len(known) == 0 || told.Version > known[len(known)-1].version {
 		return r
 	}
-	reported := release{version: released.Version, firstSeen: now.Add(-age)}
-	at, found := slices.BinarySearchFunc(known, released.Version, func(known release, version int64) int { return cmp.Compare(known.version, version) })
+	reported := release{version: told.Version, firstSeen: now.Add(-told.Age), estimated: told.Estimated}
+	at, found := slices.BinarySearchFunc(known, told.Version, func(known release, version int64) int { return cmp.Compare(known.version, version) })
 	versions := slices.Clone(known)
 	switch {
-	case !found && len(known) >= maxReleasesPerModel:
+	case !found && at == 0 && len(known) >= maxReleasesPerModel:
 		return r
 	case !found:
 		versions = slices.Insert(versions, at, reported)
-	case !known[at].estimated && !reported.firstSeen.Before(known[at].firstSeen.Add(-slack)):
+	case told.Estimated, !known[at].estimated && !reported.firstSeen.Before(known[at].firstSeen.Add(-slack)):
 		return r
 	default:
 		versions[at] = reported
 	}
-	return r.withVersions(released.Model, versions)
+	return r.withVersions(told.Model, versions)
 }
 
 func (r *Releases) withVersions(model string, versions []release) *Releases {
 	models := maps.Clone(r.models)
-	models[model] = versions
+	models[model] = versions[max(len(versions)-maxReleasesPerModel, 0):]
 	return &Releases{enforceAfter: r.enforceAfter, startGrace: r.startGrace, models: models}
 }
 
@@ -114,18 +115,20 @@
 type ReleaseAge struct {
 	catalog.Release
 	Age time.Duration
+	// Estimated says that the release was there when the reporting entry started, so that
+	// Age only yields the time from which that entry enforces it.
+	Estimated bool
 }
 
-// Ages returns the ages of the newest releases whose time is known. Estimates
-// are left out, so that other entries do not take them over.
+// Ages returns the ages of the releases that decide which versions may start requests
+// from now on: the one that is enforced, and all newer ones.
 func (r *Releases) Ages(now time.Time) []ReleaseAge {
-	const maxPerModel = 3
 	var ages []ReleaseAge
 	for _, model := range r.Models() {
-		versions := r.models[model]
-		for _, known := range versions[max(len(versions)-maxPerModel, 0):] {
-			if !known.estimated {
-				ages = append(ages, ReleaseAge{Release: catalog.Release{Model: model, Version: known.version}, Age: now.Sub(known.firstSeen)})
+		enforced := r.MinVersion(model, now)
+		for _, known := range r.models[model] {
+			if known.version >= enforced {
+				ages = append(ages, ReleaseAge{Release: catalog.Release{Model: model, Version: known.version}, Age: now.Sub(known.firstSeen), Estimated: known.estimated})
 			}
 		}
 	}
--- a/internal/placement/releases_test.go
+++ b/internal/placement/releases_test.go
@@ -17,6 +17,10 @@
 
 func release(version int64) catalog.Release { return catalog.Release{Model: "m", Version: version} }
 
+func aged(version int64, age time.Duration) placement.ReleaseAge {
+	return placement.ReleaseAge{Release: release(version), Age: age}
+}
+
 func TestOldVersionIsRejectedAfterTheBound(t *testing.T) {
 	c := qt.New(t)
 	r, isNew := placement.NewReleases(bound, grace).Add(release(2), false, epoch)
@@ -45,18 +49,18 @@
 	r, _ := placement.NewReleases(bound, grace).Add(release(3), true, epoch)
 	c.Assert(r.MinVersion("m", epoch), qt.Equals, int64(0))
 	c.Assert(r.MinVersion("m", epoch.Add(grace)), qt.Equals, int64(3), qt.Commentf("no other entry reported an age"))
-	merged := r.MergePeerAge(release(3), time.Second, epoch).MergePeerAge(release(2), bound, epoch)
+	merged := r.MergePeerAge(aged(3, time.Second), epoch).MergePeerAge(aged(2, bound), epoch)
 	c.Assert(merged.MinVersion("m", epoch), qt.Equals, int64(2))
 	c.Assert(merged.MinVersion("m", epoch.Add(grace)), qt.Equals, int64(2))
 	c.Assert(merged.MinVersion("m", epoch.Add(bound)), qt.Equals, int64(3))
 	c.Assert(merged.Ages(epoch), qt.HasLen, 2)
-	c.Assert(r.Ages(epoch), qt.HasLen, 0, qt.Commentf("an estimate is not reported to other entries"))
+	c.Assert(r.Ages(epoch)[0].Estimated, qt.IsTrue, qt.Commentf("an estimate is reported as such"))
 }
 
 func TestUnknownReleaseOfAPeerIsIgnored(t *testing.T) {
 	c := qt.New(t)
 	r, _ := placement.NewReleases(bound, grace).Add(release(2), false, epoch)
-	c.Assert(r.MergePeerAge(release(9), bound, epoch).MinVersion("m", epoch), qt.Equals, int64(0))
+	c.Assert(r.MergePeerAge(aged(9, bound), epoch).MinVersion("m", epoch), qt.Equals, int64(0))
 }
 
 // TestRestartedEntryKeepsTheBoundOfSupersededReleases guards against requests on weights
@@ -72,9 +76,76 @@
 	started := epoch.Add(2*gap + time.Second)
 	restarted, _ := placement.NewReleases(bound, grace).Add(release(4), true, started)
 	for _, reported := range peer.Ages(started) {
-		restarted = restarted.MergePeerAge(reported.Release, reported.Age, started)
+		restarted = restarted.MergePeerAge(reported, started)
 	}
 	for at := started; at.Before(epoch.Add(2*gap + bound + time.Second)); at = at.Add(100 * time.Millisecond) {
 		c.Assert(restarted.MinVersion("m", at), qt.Equals, peer.MinVersion("m", at), qt.Commentf("%v after the first release", at.Sub(epoch)))
 	}
 }
+
+// TestEstimatedBoundsArePassedOn guards against a forgotten bound where no entry knows when
+// a release came: all have started after it. One that starts after the next release learns
+// of the earlier one, too.
+func TestEstimatedBoundsArePassedOn(t *testing.T) {
+	c := qt.New(t)
+	peer, _ := placement.NewReleases(bound, grace).Add(release(3), true, epoch)
+	released := epoch.Add(time.Second)
+	peer, _ = peer.Add(release(4), false, released)
+	started := released.Add(time.Second)
+	restarted, _ := placement.NewReleases(bound, grace).Add(release(4), true, started)
+	for _, reported := range peer.Ages(started) {
+		restarted = restarted.MergePeerAge(reported, started)
+	}
+	c.Assert(restarted.MinVersion("m", epoch.Add(grace)), qt.Equals, int64(3))
+	c.Assert(restarted.MinVersion("m", released.Add(bound-1)), qt.Equals, int64(3))
+	c.Assert(restarted.MinVersion("m", released.Add(bound)), qt.Equals, int64(4))
+}
+
+// TestEstimateDoesNotReplaceAKnownTime guards against an entry that has just started and
+// takes a new release for an old one: the others keep the time at which they saw it.
+func TestEstimateDoesNotReplaceAKnownTime(t *testing.T) {
+	c := qt.New(t)
+	known, _ := placement.NewReleases(bound, grace).Add(release(2), false, epoch)
+	started, _ := placement.NewReleases(bound, grace).Add(release(2), true, epoch)
+	reported := started.Ages(epoch)
+	c.Assert(reported, qt.HasLen, 1)
+	c.Assert(reported[0].Estimated, qt.IsTrue)
+	merged := known.MergePeerAge(reported[0], epoch)
+	c.Assert(merged.MinVersion("m", epoch.Add(bound-1)), qt.Equals, int64(0))
+}
+
+// TestManyReleasesWithinTheBound guards against a forgotten bound where more releases
+// follow each other within it than an entry keeps or reports.
+func TestManyReleasesWithinTheBound(t *testing.T) {
+	c := qt.New(t)
+	const count, gap = 20, 300 * time.Millisecond
+	running := placement.NewReleases(bound, grace)
+	for version := range int64(count) {
+		running, _ = running.Add(release(version+2), false, epoch.Add(time.Duration(version)*gap))
+	}
+	started := epoch.Add(count * gap)
+	restarted, _ := placement.NewReleases(bound, grace).Add(release(count+1), true, started)
+	for _, reported := range running.Ages(started) {
+		restarted = restarted.MergePeerAge(reported, started)
+	}
+	for version := range int64(count) {
+		at := epoch.Add(time.Duration(version)*gap + bound)
+		c.Assert(running.MinVersion("m", at), qt.Equals, version+2)
+		c.Assert(restarted.MinVersion("m", at), qt.Equals, version+2)
+	}
+}
+
+// TestMissedReleaseIsLearnedAfterManyOthers guards against a forgotten bound at an entry
+// that has kept as many releases as it may when it misses one.
+func TestMissedReleaseIsLearnedAfterManyOthers(t *testing.T) {
+	c := qt.New(t)
+	const old = 100
+	r := placement.NewReleases(bound, grace)
+	for version := range int64(old) {
+		r, _ = r.Add(release(version+1), false, epoch)
+	}
+	missed, newest := epoch.Add(time.Minute), epoch.Add(time.Minute+2*time.Second)
+	r, _ = r.Add(release(old+2), false, newest)
+	r = r.MergePeerAge(aged(old+1, newest.Sub(missed)), newest)
+	c.Assert(r.MinVersion("m", missed.Add(bound)), qt.Equals, int64(old+1))
+}
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -209,7 +209,7 @@
 func (v *view) releaseAges(now time.Time) []beat.Release {
 	var ages []beat.Release
 	for _, release := range v.releases.Load().Ages(now) {
-		ages = append(ages, beat.Release{Model: release.Model, Version: release.Version, AgeMs: release.Age.Milliseconds()})
+		ages = append(ages, beat.Release{Model: release.Model, Version: release.Version, AgeMs: release.Age.Milliseconds(), Estimated: release.Estimated})
 	}
 	return ages
 }
@@ -220,9 +220,11 @@
 	defer v.releasesMu.Unlock()
 	next := v.releases.Load()
 	for _, age := range ages {
-		merged := next.MergePeerAge(catalog.Release{Model: age.Model, Version: age.Version}, time.Duration(age.AgeMs)*time.Millisecond, now)
+		merged := next.MergePeerAge(placement.ReleaseAge{
+			Release: catalog.Release{Model: age.Model, Version: age.Version}, Age: time.Duration(age.AgeMs) * time.Millisecond, Estimated: age.Estimated,
+		}, now)
 		if merged != next {
-			v.log.WithFields(logrus.Fields{"model": age.Model, "version": age.Version, "told_age_ms": age.AgeMs, "peer": peer}).Info("a peer reported the age of a release")
+			v.log.WithFields(logrus.Fields{"model": age.Model, "version": age.Version, "told_age_ms": age.AgeMs, "estimated": age.Estimated, "peer": peer}).Info("a peer reported the age of a release")
 		}
 		next = merged
 	}
