A queued request meets the bound on versions that ends while it waits

The oldest allowed version was taken when a request was queued. The version is now taken at each attempt to place the request. The test failed before: the request was placed on version 1 with version 2 required.

--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -162,7 +162,7 @@
 	e.frontend.setBounds(s.Bounds)
 	e.heartbeats = &heartbeater{socket: socket, view: e.view, scheduler: e.scheduler, frontend: e.frontend, log: log, start: start, sendNow: make(chan struct{}, 1), loadChanges: make(chan string, maxPendingLoadChanges), placed: make(chan struct{}, 1)}
 	e.scheduler.loadChanged = e.heartbeats.recordLoadChange
-	e.scheduler.backendExpired = e.view.backendExpired
+	e.scheduler.backendExpired, e.scheduler.minVersion = e.view.backendExpired, e.view.minVersion
 	e.metrics.Gauge("tables_proof_age_seconds", "Age of the proof that the tables are current.", func() float64 { return e.view.proofAge().Seconds() })
 	store := platform.NewStoreClient(s.StoreAddress, newStoreTransport())
 	store.OnCall = func(method string, kind platform.Kind) { counts.storeCalls.WithLabelValues(method, string(kind)).Inc() }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -158,7 +158,7 @@
 
 func (x *exchange) placementNeed() placement.Requirements {
 	need := placement.Requirements{
-		Pool: x.pool, Model: x.model, MinVersion: x.requiredVersion(), TargetVersion: x.frontend.view.releases.Load().TargetVersion(x.model),
+		Pool: x.pool, Model: x.model, TargetVersion: x.frontend.view.releases.Load().TargetVersion(x.model),
 		PromptTokens: x.call.PromptTokens, RandomizeChoice: x.responseStarted, Tried: x.tried,
 	}
 	if x.model != "" && len(x.attempts) == 0 {
@@ -176,7 +176,7 @@
 	if x.model == "" {
 		return 0
 	}
-	return x.frontend.view.releases.Load().MinVersion(x.model, clock.Now())
+	return x.frontend.view.minVersion(x.model, clock.Now())
 }
 
 func (x *exchange) newTicket() *ticket {
--- a/internal/relay/frontend_test.go
+++ b/internal/relay/frontend_test.go
@@ -43,6 +43,7 @@
 	scheduler := newScheduler(placement.New(placement.Config{MaxPeerLoadAge: time.Second, FailureBackoff: 100 * time.Millisecond, MaxFailureBackoff: time.Second, Seed: 1}),
 		retryLimits{window: 10 * time.Second, ratio: 0.2, slack: 10})
 	view := newView(scheduler, time.Minute, time.Second, logger)
+	scheduler.minVersion = view.minVersion
 	view.copies = copies.New(copies.Config{Log: logger, Changed: view.handleChange})
 	table := replica.Document{Name: platform.TableName, Revision: 1, Body: []byte(standin.EntryTestTable)}
 	view.copies.ApplyFromPeer(platform.Tables, replica.Change{Whole: true, AsOf: 1, Documents: []replica.Document{table}}, clock.Now(), "peer")
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -79,6 +79,8 @@
 	// begun means that a request was placed there, which other entries must learn
 	// immediately.
 	loadChanged func(id string, begun bool)
+	// minVersion returns the oldest version of a model's weights that may start a request.
+	minVersion func(model string, now time.Time) int64
 	// backendExpired is called for each instance that was missing from the list and is
 	// no longer kept.
 	backendExpired func(placement.Change)
@@ -88,7 +90,7 @@
 	return &scheduler{
 		fleet: fleet, queues: map[string]*admission.Queue{}, tickets: map[uint64]*ticket{}, retryBudgets: map[string]*dispatch.WindowBudget{},
 		retryLimits: retries, entryCount: 1, requestQueued: make(chan struct{}, 1), overloads: map[string]*overload{}, loadChanged: func(string, bool) {},
-		backendExpired: func(placement.Change) {},
+		backendExpired: func(placement.Change) {}, minVersion: func(string, time.Time) int64 { return 0 },
 	}
 }
 
@@ -107,6 +109,7 @@
 	t.ID = s.nextID
 	t.placed = make(chan placement.Choice, 1)
 	s.tickets[t.ID] = t
+	s.updateMinVersion(t, now)
 	s.extendQueueTime(t, now)
 	s.shed(s.queue(t.need.Pool).Offer(t.Ticket, now), now)
 	s.dispatchWaiting(t.need.Pool, now)
@@ -180,7 +183,10 @@
 func (s *scheduler) dispatchWaiting(pool string, now time.Time) {
 	queue := s.queue(pool)
 	for queue.Queued() > 0 {
-		id, found, shed := queue.NextStartable(func(id uint64) bool { return s.fleet.HasFreeSlot(s.tickets[id].need, now) }, now)
+		id, found, shed := queue.NextStartable(func(id uint64) bool {
+			s.updateMinVersion(s.tickets[id], now)
+			return s.fleet.HasFreeSlot(s.tickets[id].need, now)
+		}, now)
 		s.shed(shed, now)
 		if !found {
 			return
@@ -189,6 +195,14 @@
 	}
 }
 
+// updateMinVersion applies the bounds that have ended while a request was queued. The
+// caller holds mu.
+func (s *scheduler) updateMinVersion(t *ticket, now time.Time) {
+	if t.need.Model != "" {
+		t.need.MinVersion = s.minVersion(t.need.Model, now)
+	}
+}
+
 func (s *scheduler) place(id uint64, now time.Time) {
 	t := s.tickets[id]
 	delete(s.tickets, id)
--- a/internal/relay/gate_test.go
+++ b/internal/relay/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -133,3 +134,42 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestQueuedRequestMeetsTheBoundThatEndsMeanwhile guards against a request that starts on
+// old weights because it was queued before the bound of the next version ended.
+func TestQueuedRequestMeetsTheBoundThatEndsMeanwhile(t *testing.T) {
+	c := qt.New(t)
+	fleet := placement.New(placement.Config{MaxPeerLoadAge: time.Second, Seed: 1})
+	fleet.SetList([]catalog.Backend{{
+		ID: "i-1", Pool: "p", Address: "10.0.0.1:80", Host: "10.0.0.1", Slots: 1, LoadedVersions: map[string]int64{"m": 1},
+	}}, time.Time{}, clock.Now())
+	g := newScheduler(fleet, retryLimits{})
+	var minVersion atomic.Int64
+	g.minVersion = func(string, time.Time) int64 { return minVersion.Load() }
+	newTicket := func(startBy time.Time) *ticket {
+		return &ticket{Ticket: admission.Ticket{Customer: "c", Deadline: startBy, StartBy: startBy}, need: placement.Requirements{Pool: "p", Model: "m"}}
+	}
+	later := clock.Now().Add(time.Hour)
+	first := newTicket(later)
+	var running []placement.Choice
+	_, slots := fleet.Usable(first.need, clock.Now())
+	for range slots {
+		choice, rejected := g.acquire(t.Context(), newTicket(later))
+		c.Assert(rejected, qt.IsNil)
+		running = append(running, choice)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan *rejection)
+	go func() {
+		_, rejected := g.acquire(ctx, first)
+		ended <- rejected
+	}()
+	<-g.requestQueued
+	minVersion.Store(2)
+	for _, choice := range running {
+		g.release(first, choice, placement.Succeeded, time.Millisecond)
+	}
+	g.dispatchAll()
+	cancel()
+	c.Assert(<-ended, qt.IsNotNil)
+}
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -69,6 +69,12 @@
 	return v
 }
 
+// minVersion returns the oldest version of a model's weights that may start a request
+// now, 0 for any.
+func (v *view) minVersion(model string, now time.Time) int64 {
+	return v.releases.Load().MinVersion(model, now)
+}
+
 // handleChange decodes a collection that has changed.
 func (v *view) handleChange(kind platform.Kind) {
 	switch kind {
