Ages of releases are counted from the arrival of a message

The new log lines showed entries correcting the age of a release with each message.

An age counted from the arrival is never too high, and too low only by the delay of the quickest message.

--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -277,10 +277,18 @@
 	if len(m.ZoneLoads) > 0 {
 		h.scheduler.recordZoneLoads(m.AvailabilityZone, decodeZoneLoads(m.ZoneLoads), now)
 	}
-	h.view.mergeReleaseAges(m.Host, m.Releases, now)
+	h.recordReleaseAges(m)
 	h.puller.MessageReceived(ctx, m)
 }
 
+// recordReleaseAges merges the release ages of a message, counted from its arrival: the
+// release is at least that old. A delay on the way makes it seem younger until the next
+// message. Counted from the earliest time at which the message can have been composed, it
+// would become older with each message that entries exchange.
+func (h *heartbeater) recordReleaseAges(m *beat.Message) {
+	h.view.mergeReleaseAges(m.Host, m.Releases, clock.Now())
+}
+
 func (h *heartbeater) handleLoadUpdate(m *beat.Message, now time.Time) {
 	h.mu.Lock()
 	current := h.directory.AcceptLoads(m.Host, m.Start, m.Sequence)
