An attempt on old weights ends if it has not started when their bound ends

An engine with old weights gets requests until 0.9 s before the bound of the next version. A slow or paused engine may take longer to start one, which then begins after the bound. The attempt is now cancelled 0.2 s before the bound.

--- a/internal/placement/releases.go
+++ b/internal/placement/releases.go
@@ -99,6 +99,17 @@
 	return 0
 }
 
+// AllowedUntil returns the time from which a version must not start a request, because a
+// newer one is enforced. limited is false if no newer version is known.
+func (r *Releases) AllowedUntil(model string, version int64) (until time.Time, limited bool) {
+	for _, known := range r.models[model] {
+		if end := known.firstSeen.Add(r.enforceAfter); known.version > version && (!limited || end.Before(until)) {
+			until, limited = end, true
+		}
+	}
+	return until, limited
+}
+
 // Models returns the models with a known release, in order.
 func (r *Releases) Models() []string { return slices.Sorted(maps.Keys(r.models)) }
 
--- a/internal/placement/releases_test.go
+++ b/internal/placement/releases_test.go
@@ -149,3 +149,16 @@
 	r = r.MergePeerAge(aged(old+1, newest.Sub(missed)), newest)
 	c.Assert(r.MinVersion("m", missed.Add(bound)), qt.Equals, int64(old+1))
 }
+
+func TestOldVersionMayStartUntilTheFirstBoundEnds(t *testing.T) {
+	c := qt.New(t)
+	r, _ := placement.NewReleases(bound, grace).Add(release(2), false, epoch)
+	r, _ = r.Add(release(3), false, epoch.Add(time.Second))
+	until, limited := r.AllowedUntil("m", 1)
+	c.Assert(limited, qt.IsTrue)
+	c.Assert(until, qt.Equals, epoch.Add(bound))
+	until, _ = r.AllowedUntil("m", 2)
+	c.Assert(until, qt.Equals, epoch.Add(time.Second+bound))
+	_, limited = r.AllowedUntil("m", 3)
+	c.Assert(limited, qt.IsFalse)
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -41,6 +41,9 @@
 	// switchMargin is the time between the last attempt that may start on an older
 	// version of the weights and the end of the switch bound.
 	switchMargin = 900 * time.Millisecond
+	// cancelMargin is the time for which an instance may not know yet that an attempt has
+	// been cancelled.
+	cancelMargin = 200 * time.Millisecond
 	// reservedSlots is the number of slots of an instance that returning callers leave
 	// free for requests, from any entry, that can still meet their objective.
 	reservedSlots = 2
@@ -358,6 +361,8 @@
 	defer cancel()
 	watchdog := newWatchdog(cancel, x.firstResponseTimeout())
 	defer watchdog.stop()
+	startLimit := newWatchdog(cancel, x.startLimit(choice))
+	defer startLimit.stop()
 	request := x.newAttemptRequest(ctx, choice)
 	started := clock.Now()
 	response, sent, err := x.frontend.sender.send(request)
@@ -365,6 +370,7 @@
 		return x.classifyFailure(watchdog, sent)
 	}
 	defer response.Body.Close()
+	startLimit.stop()
 	record.FirstMs = clock.Now().Sub(started).Milliseconds()
 	x.frontend.scheduler.responseStarted(choice)
 	switch platform.ClassifyResponse(response.StatusCode, response.Header, x.call.AttemptID, choice.Backend.ID) {
@@ -401,6 +407,20 @@
 	return max(time.Duration(firstResponseFactor*float64(x.route.Objective)), minSilenceTimeout)
 }
 
+// startLimit returns how long the instance may take to start the request: one with old
+// weights must not start it after the bound of a newer version has ended. Zero means no
+// limit.
+func (x *exchange) startLimit(choice placement.Choice) time.Duration {
+	if x.model == "" {
+		return 0
+	}
+	until, limited := x.frontend.view.releases.Load().AllowedUntil(x.model, choice.Version)
+	if !limited {
+		return 0
+	}
+	return max(until.Add(switchMargin-cancelMargin).Sub(clock.Now()), time.Millisecond)
+}
+
 func (x *exchange) newAttemptRequest(ctx context.Context, choice placement.Choice) *http.Request {
 	forward := platform.ForwardOptions{
 		TimeLeft: x.deadline.Sub(clock.Now()), Customer: x.customer.Name, BackendID: choice.Backend.ID,
