A late sighting of a release is not taken for its age

A paused entry that finds a release when it goes on dated it from then and reported that as known. Entries that had started after the release, and enforced it by an estimate, took the report and went back to older versions; so did the whole fleet when none was left that had seen the release come. Found by the review, shown by its tests.

An entry now marks a release as estimated also for a while after a pause. It reports when it first saw the release, estimated or not, and enforces an estimate some time after that. A reported time counts only if this entry did not see the release clearly before; among estimates the earliest counts.

--- a/internal/beat/message.go
+++ b/internal/beat/message.go
@@ -63,8 +63,7 @@
 	Model   string
 	Version int64
 	// AgeMs is the time in milliseconds since the release was first seen. If Estimated,
-	// the sender found the release at its start, and AgeMs only yields the time from which
-	// it enforces the release.
+	// it may have come long before.
 	AgeMs     int64
 	Estimated bool
 }
--- a/internal/placement/releases.go
+++ b/internal/placement/releases.go
@@ -13,14 +13,22 @@
 // model: more than are released while the bound of the first is running.
 const maxReleasesPerModel = 32
 
+const (
+	// reportSlack is the difference of two reported times below which they count as equal.
+	reportSlack = 20 * time.Millisecond
+	// sightingDelay is how much later than others an entry may see a release and still
+	// know when it came. It is part of the margin before the end of the bound.
+	sightingDelay = 500 * time.Millisecond
+)
+
 // release is one target version of a model's weights.
 type release struct {
 	version int64
 	// firstSeen is when this entry, or the entry that reported it, first saw the
 	// version.
 	firstSeen time.Time
-	// estimated says that firstSeen is an estimate, which a report of an entry that saw
-	// the version appear replaces.
+	// estimated says that the version may have been released long before firstSeen. A
+	// report of an entry that saw it appear replaces the estimate.
 	estimated bool
 }
 
@@ -30,8 +38,8 @@
 	// enforceAfter is the time from a release until only this version, or a newer
 	// one, may start requests.
 	enforceAfter time.Duration
-	// startGrace is the time for which a starting process does not enforce a version
-	// whose release time it does not know.
+	// startGrace is the time for which a process that starts, or goes on after a pause,
+	// does not enforce a version whose release time it does not know.
 	startGrace time.Duration
 	models     map[string][]release
 }
@@ -41,7 +49,7 @@
 	return &Releases{enforceAfter: enforceAfter, startGrace: startGrace, models: map[string][]release{}}
 }
 
-// Add returns the releases with one more, which is first seen now. maybeOld says
+// Add returns the releases with one more, which this entry first sees now. maybeOld says
 // that it may have been released long ago. isNew is false if the version is known
 // or older than the newest known version; the releases are then unchanged.
 func (r *Releases) Add(released catalog.Release, maybeOld bool, now time.Time) (next *Releases, isNew bool) {
@@ -50,37 +58,49 @@
 		return r, false
 	}
 	added := release{version: released.Version, firstSeen: now, estimated: maybeOld}
-	if maybeOld {
-		added.firstSeen = now.Add(r.startGrace - r.enforceAfter)
-	}
 	return r.withVersions(released.Model, append(slices.Clone(known), added)), true
 }
 
 // MergePeerAge returns the releases with the age of one of them as another entry
 // reported it: how long ago that entry first saw the release. A version that is
 // older than the newest known version is added too, wherever it belongs, because
-// enforceAfter may not have passed for it yet. A newer version is ignored. An estimate
-// is only used for a version that is not known.
+// enforceAfter may not have passed for it yet. A newer version is ignored.
 func (r *Releases) MergePeerAge(told ReleaseAge, now time.Time) *Releases {
-	const slack = 20 * time.Millisecond
 	known := r.models[told.Model]
 	if len(known) == 0 || told.Version > known[len(known)-1].version {
 		return r
 	}
 	reported := release{version: told.Version, firstSeen: now.Add(-told.Age), estimated: told.Estimated}
 	at, found := slices.BinarySearchFunc(known, told.Version, func(known release, version int64) int { return cmp.Compare(known.version, version) })
-	versions := slices.Clone(known)
 	switch {
-	case !found && at == 0 && len(known) >= maxReleasesPerModel:
+	case found && !reported.replaces(known[at]):
 		return r
-	case !found:
-		versions = slices.Insert(versions, at, reported)
-	case told.Estimated, !known[at].estimated && !reported.firstSeen.Before(known[at].firstSeen.Add(-slack)):
-		return r
-	default:
+	case found:
+		versions := slices.Clone(known)
 		versions[at] = reported
+		return r.withVersions(told.Model, versions)
+	case at == 0 && len(known) >= maxReleasesPerModel:
+		return r
+	}
+	return r.withVersions(told.Model, slices.Insert(slices.Clone(known), at, reported))
+}
+
+// replaces reports whether a reported time is better than the known one of the same
+// version. A time that another entry has not estimated is no use if this entry saw the
+// version earlier: the other one has missed when it came.
+func (r release) replaces(known release) bool {
+	if known.estimated && !r.estimated {
+		return r.firstSeen.Before(known.firstSeen.Add(sightingDelay))
+	}
+	return known.estimated == r.estimated && r.firstSeen.Before(known.firstSeen.Add(-reportSlack))
+}
+
+// enforcedFrom returns the time from which older versions must not start a request.
+func (r *Releases) enforcedFrom(known release) time.Time {
+	if known.estimated {
+		return known.firstSeen.Add(r.startGrace)
 	}
-	return r.withVersions(told.Model, versions)
+	return known.firstSeen.Add(r.enforceAfter)
 }
 
 func (r *Releases) withVersions(model string, versions []release) *Releases {
@@ -92,7 +112,7 @@
 // MinVersion returns the oldest version that may start a request now, 0 for any.
 func (r *Releases) MinVersion(model string, now time.Time) int64 {
 	for _, known := range slices.Backward(r.models[model]) {
-		if !now.Before(known.firstSeen.Add(r.enforceAfter)) {
+		if !now.Before(r.enforcedFrom(known)) {
 			return known.version
 		}
 	}
@@ -103,7 +123,7 @@
 // newer one is enforced. limited is false if no newer version is known.
 func (r *Releases) AllowedUntil(model string, version int64) (until time.Time, limited bool) {
 	for _, known := range r.models[model] {
-		if end := known.firstSeen.Add(r.enforceAfter); known.version > version && (!limited || end.Before(until)) {
+		if end := r.enforcedFrom(known); known.version > version && (!limited || end.Before(until)) {
 			until, limited = end, true
 		}
 	}
@@ -126,8 +146,8 @@
 type ReleaseAge struct {
 	catalog.Release
 	Age time.Duration
-	// Estimated says that the release was there when the reporting entry started, so that
-	// Age only yields the time from which that entry enforces it.
+	// Estimated says that the release may be older than Age: it was there when the
+	// reporting entry started, or went on after a pause.
 	Estimated bool
 }
 
--- a/internal/placement/releases_test.go
+++ b/internal/placement/releases_test.go
@@ -162,3 +162,44 @@
 	_, limited = r.AllowedUntil("m", 3)
 	c.Assert(limited, qt.IsFalse)
 }
+
+// TestLateSightingDoesNotUndoAnEnforcedBound guards against old weights after their bound:
+// an entry that was paused sees a release late and reports it as new to entries that have
+// started after the release and saw it earlier than that.
+func TestLateSightingDoesNotUndoAnEnforcedBound(t *testing.T) {
+	c := qt.New(t)
+	started, _ := placement.NewReleases(bound, grace).Add(release(3), true, epoch.Add(500*time.Millisecond))
+	resumed := epoch.Add(3 * time.Second)
+	paused, _ := placement.NewReleases(bound, grace).Add(release(2), false, epoch.Add(-time.Minute))
+	paused, _ = paused.Add(release(3), false, resumed)
+	for _, told := range paused.Ages(resumed) {
+		started = started.MergePeerAge(told, resumed)
+	}
+	c.Assert(started.MinVersion("m", epoch.Add(bound)), qt.Equals, int64(3))
+	enforced := started.MergePeerAge(aged(3, 0), epoch.Add(time.Minute))
+	c.Assert(enforced.MinVersion("m", epoch.Add(time.Minute)), qt.Equals, int64(3))
+}
+
+// TestReleaseThatOthersSeeALittleLaterIsNew guards against weights that are refused too
+// early: an entry starts just as a version is released and sees it before the others do.
+func TestReleaseThatOthersSeeALittleLaterIsNew(t *testing.T) {
+	c := qt.New(t)
+	started, _ := placement.NewReleases(bound, grace).Add(release(3), true, epoch)
+	later := epoch.Add(300 * time.Millisecond)
+	merged := started.MergePeerAge(aged(3, 0), later)
+	c.Assert(merged.MinVersion("m", epoch.Add(bound-1)), qt.Equals, int64(0))
+	c.Assert(merged.MinVersion("m", later.Add(bound)), qt.Equals, int64(3))
+}
+
+// TestEarlierEstimateOfAPeerCounts guards against a bound that each restart of an entry
+// postpones where no entry knows when the release came.
+func TestEarlierEstimateOfAPeerCounts(t *testing.T) {
+	c := qt.New(t)
+	peer, _ := placement.NewReleases(bound, grace).Add(release(3), true, epoch)
+	restart := epoch.Add(time.Minute)
+	restarted, _ := placement.NewReleases(bound, grace).Add(release(3), true, restart)
+	for _, told := range peer.Ages(restart) {
+		restarted = restarted.MergePeerAge(told, restart)
+	}
+	c.Assert(restarted.MinVersion("m", restart), qt.Equals, int64(3))
+}
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -29,6 +29,10 @@
 	// releasesLoaded means that the releases were read once: any that appear later are
 	// new.
 	releasesLoaded bool
+	// lastTick is when recordVersionLimits ran last; after a gap of more than
+	// maxTickGap the process was paused until pauseEnd.
+	lastTick, pauseEnd time.Time
+	startGrace         time.Duration
 	// minVersions holds the oldest version of each model that may start requests, as it
 	// was last logged.
 	minVersions    map[string]int64
@@ -57,13 +61,17 @@
 // reappear within about two seconds.
 const missingGracePeriod = 2200 * time.Millisecond
 
+// maxTickGap is the time between two calls of recordVersionLimits above which the process
+// was paused.
+const maxTickGap = 500 * time.Millisecond
+
 // listOutageAge is the age of the list's proof that indicates an outage of the list. In
 // normal operation the age stays below two watch timeouts.
 const listOutageAge = 2*backendsWatchTimeout + 800*time.Millisecond
 
 func newView(scheduler *scheduler, switchBound, stable time.Duration, log *logrus.Entry) *view {
 	v := &view{
-		scheduler: scheduler, log: log, onRelease: func(catalog.Release) {}, minVersions: map[string]int64{}, versionMetrics: newVersionMetrics(),
+		scheduler: scheduler, log: log, onRelease: func(catalog.Release) {}, minVersions: map[string]int64{}, versionMetrics: newVersionMetrics(), startGrace: stable,
 	}
 	v.releases.Store(placement.NewReleases(switchBound, stable))
 	return v
@@ -149,8 +157,9 @@
 			v.log.WithError(err).Error("cannot decode a release; it is ignored")
 			continue
 		}
-		// A release that is present at the start of the process may be old.
-		updated, isNew := next.Add(decoded, !v.releasesLoaded, now)
+		// A release that is present at the start of the process, or found after a pause, may
+		// be old.
+		updated, isNew := next.Add(decoded, !v.releasesLoaded || v.wasPaused(now), now)
 		if isNew {
 			v.log.WithFields(logrus.Fields{"model": decoded.Model, "version": decoded.Version, "revision": document.Revision}).Info("release seen")
 			if v.releasesLoaded {
@@ -237,11 +246,22 @@
 	v.releases.Store(next)
 }
 
+// wasPaused reports whether the process has just been paused. The caller holds releasesMu.
+func (v *view) wasPaused(now time.Time) bool {
+	if !v.lastTick.IsZero() && now.Sub(v.lastTick) > maxTickGap {
+		v.log.WithField("ms", now.Sub(v.lastTick).Milliseconds()).Info("the process was paused")
+		v.lastTick, v.pauseEnd = now, now
+	}
+	return !v.pauseEnd.IsZero() && now.Sub(v.pauseEnd) < v.startGrace
+}
+
 // recordVersionLimits logs the oldest versions that may start requests when they have
-// changed, and updates their metrics.
+// changed, and updates their metrics. It has to be called at least every heartbeatInterval.
 func (v *view) recordVersionLimits(now time.Time) {
 	v.releasesMu.Lock()
 	defer v.releasesMu.Unlock()
+	v.wasPaused(now)
+	v.lastTick = now
 	releases := v.releases.Load()
 	for _, model := range releases.Models() {
 		minVersion, target := releases.MinVersion(model, now), releases.TargetVersion(model)
--- a/internal/relay/view_test.go
+++ b/internal/relay/view_test.go
@@ -199,3 +199,32 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway, qt.Commentf("not 504 at the end of the route's timeout"))
 }
+
+// TestReleaseFoundAfterAPauseIsNotNew guards against old weights after their bound: a paused
+// entry finds a release that came while it stood still and counts its age from then.
+func TestReleaseFoundAfterAPauseIsNotNew(t *testing.T) {
+	c := qt.New(t)
+	logger, _ := logtest.NewNullLogger()
+	v := newView(nil, time.Minute, time.Second, logrus.NewEntry(logger))
+	v.copies = copies.New(copies.Config{Log: v.log, Changed: v.handleChange})
+	apply := func(version int64) {
+		document := replica.Document{Name: "m", Revision: version, Body: []byte(standin.EntryTestRelease("m", version))}
+		v.copies.ApplyFromPeer(platform.Releases, replica.Change{Whole: true, AsOf: version, Documents: []replica.Document{document}}, clock.Now(), "store")
+	}
+	estimated := func() bool {
+		ages := v.releaseAges(clock.Now())
+		return ages[len(ages)-1].Estimated
+	}
+	apply(1)
+	c.Assert(estimated(), qt.IsTrue)
+	now := clock.Now()
+	v.recordVersionLimits(now)
+	apply(2)
+	c.Assert(estimated(), qt.IsFalse)
+	v.recordVersionLimits(now.Add(-time.Minute))
+	apply(3)
+	c.Assert(estimated(), qt.IsTrue, qt.Commentf("nothing ran for a minute"))
+	v.recordVersionLimits(clock.Now())
+	apply(4)
+	c.Assert(estimated(), qt.IsTrue, qt.Commentf("the pause has just ended"))
+}
