Revert "An engine's switch is due with the first release that it lacks"

Tried because engines without a due release are no use to callers until they switch. All engines of an availability zone then switch at once and cut their streams. No rule depends on it: entries enforce the bound.

--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -123,10 +123,8 @@
 	newestServed   int64
 	// target is the version that is fetched and loaded, newestTarget the newest
 	// version known.
-	target       target
-	newestTarget target
-	// pending holds the releases that the engine does not serve yet.
-	pending         rollout.Pending
+	target          target
+	newestTarget    target
 	entries         map[string]entryState
 	neighbors       map[string]neighbor
 	report          platform.EngineReport
@@ -280,27 +278,11 @@
 		return
 	}
 	a.log.WithFields(logrus.Fields{"model": next.model, "version": next.version, "last": a.target.version}).Info("release seen")
-	a.setNewestTarget(next)
+	a.newestTarget = next
 	a.chooseTarget(clock.Now())
 	a.triggerMessage()
 }
 
-// setNewestTarget records a newer release. The caller holds mu.
-func (a *agent) setNewestTarget(next target) {
-	a.newestTarget = next
-	a.pending.Add(next.version, next.learnedAt)
-}
-
-// mergeReleaseAges records how long ago an entry saw the releases of the engine's model.
-// Estimates are ignored. The caller holds mu.
-func (a *agent) mergeReleaseAges(releases []beat.Release, now time.Time) {
-	for _, release := range releases {
-		if release.Model == a.newestTarget.model && release.Version <= a.newestTarget.version && release.Version > a.report.LoadedVersion && !release.Estimated {
-			a.pending.Add(release.Version, now.Add(-time.Duration(release.AgeMs)*time.Millisecond))
-		}
-	}
-}
-
 // chooseTarget moves the target to the newest version, unless the fetch of an
 // earlier one is nearly complete. The caller holds mu.
 func (a *agent) chooseTarget(now time.Time) {
@@ -332,7 +314,6 @@
 	a.mu.Lock()
 	_, known := a.entries[m.Host]
 	a.entries[m.Host] = entryState{availabilityZone: m.AvailabilityZone, lastMessageAt: sentAt}
-	a.mergeReleaseAges(m.Releases, clock.Now())
 	a.mu.Unlock()
 	if !known {
 		a.triggerMessage()
--- a/internal/loader/switch.go
+++ b/internal/loader/switch.go
@@ -145,7 +145,6 @@
 	}
 	last := a.report
 	a.report = report
-	a.pending.RemoveUpTo(report.LoadedVersion)
 	if a.switching && (report.LoadedVersion == a.target.version || report.Start != last.Start) {
 		a.switching = false
 		a.triggerMessage()
@@ -189,7 +188,7 @@
 // maySwitch decides whether an engine that is serving may stop in order to switch.
 // The caller holds mu.
 func (a *agent) maySwitch(now time.Time) bool {
-	limit := rollout.SwitchLimit{MaxFraction: maxSwitchFraction, SwitchBy: a.switchBy()}
+	limit := rollout.SwitchLimit{MaxFraction: maxSwitchFraction, SwitchBy: a.target.learnedAt.Add(a.settings.Bounds.VersionSwitchTime - switchMargin)}
 	var neighbors []rollout.Neighbor
 	for _, member := range a.members {
 		if member.AvailabilityZone != a.settings.AvailabilityZone || member.Name == a.settings.IP {
@@ -206,17 +205,6 @@
 	return limit.Allows(a.settings.IP, strconv.FormatInt(a.target.version, 10), neighbors, now)
 }
 
-// switchBy returns the time from which the engine has to switch. The first release that
-// it does not serve counts, also if a newer one has replaced it: entries soon send no
-// requests to an engine without it. The caller holds mu.
-func (a *agent) switchBy() time.Time {
-	since, found := a.pending.Since()
-	if !found {
-		since = a.target.learnedAt
-	}
-	return since.Add(a.settings.Bounds.VersionSwitchTime - switchMargin)
-}
-
 // loadTarget orders the engine to load the target. It sends no order if the staged
 // chunks were verified for another version, or if their verification is no longer
 // valid when the order is due. It returns the last order in effect.
@@ -266,7 +254,7 @@
 func (a *agent) drain(ctx context.Context) {
 	began := clock.Now()
 	a.mu.Lock()
-	remaining := a.switchBy().Sub(began) / switchRounds
+	remaining := a.target.learnedAt.Add(a.settings.Bounds.VersionSwitchTime-switchMargin).Sub(began) / switchRounds
 	a.mu.Unlock()
 	limit := min(max(remaining, minDrain), maxDrain)
 	for clock.Sleep(ctx, pollInterval) {
