Two more ways to old weights after a pause: buffered reports, and a late send

Reports that waited in the socket while an entry stood still made a release too young; they count as estimates now. A request that was placed before the bound ended and sent after it, because the process was held up, asked the engine for the old version; it is placed again now.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -357,6 +357,10 @@
 
 // attempt sends the request to one instance and forwards the response.
 func (x *exchange) attempt(ctx context.Context, choice placement.Choice, record *attemptRecord) outcome {
+	if choice.Version < x.requiredVersion() {
+		// The bound has ended since the request was placed.
+		return notSent
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watchdog := newWatchdog(cancel, x.firstResponseTimeout())
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -234,9 +234,11 @@
 	v.releasesMu.Lock()
 	defer v.releasesMu.Unlock()
 	next := v.releases.Load()
+	// A message that waited while this process stood still makes a release too young.
+	waited := v.wasPaused(now)
 	for _, age := range ages {
 		merged := next.MergePeerAge(placement.ReleaseAge{
-			Release: catalog.Release{Model: age.Model, Version: age.Version}, Age: time.Duration(age.AgeMs) * time.Millisecond, Estimated: age.Estimated,
+			Release: catalog.Release{Model: age.Model, Version: age.Version}, Age: time.Duration(age.AgeMs) * time.Millisecond, Estimated: age.Estimated || waited,
 		}, now)
 		if merged != next {
 			v.log.WithFields(logrus.Fields{"model": age.Model, "version": age.Version, "told_age_ms": age.AgeMs, "estimated": age.Estimated, "peer": peer}).Info("a peer reported the age of a release")
--- a/internal/relay/view_test.go
+++ b/internal/relay/view_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -228,3 +229,34 @@
 	apply(4)
 	c.Assert(estimated(), qt.IsTrue, qt.Commentf("the pause has just ended"))
 }
+
+// TestAttemptIsNotSentOnceItsVersionIsTooOld guards against a request that is sent to old
+// weights because the process was held up after the request had been placed.
+func TestAttemptIsNotSentOnceItsVersionIsTooOld(t *testing.T) {
+	c := qt.New(t)
+	var requests atomic.Int32
+	f := newFixture(t, func(http.ResponseWriter, *http.Request) { requests.Add(1) })
+	releases, _ := placement.NewReleases(time.Second, time.Second).Add(catalog.Release{Model: "m", Version: 2}, false, clock.Now().Add(-time.Minute))
+	f.frontend.view.releases.Store(releases)
+	x := &exchange{
+		frontend: f.frontend, r: httptest.NewRequest(http.MethodPost, "/fixed/", nil), model: "m", deadline: clock.Now().Add(time.Minute),
+		table: f.frontend.view.table(), route: &catalog.Route{Kind: catalog.Streaming},
+	}
+	placed := f.frontend.view.backendDecoder.Decode(f.frontend.view.copies.Documents(platform.Backends), x.table)[0]
+	c.Assert(x.attempt(t.Context(), placement.Choice{Backend: placed, Version: 1}, &attemptRecord{}), qt.Equals, notSent)
+	c.Assert(requests.Load(), qt.Equals, int32(0))
+}
+
+// TestReportsReadAfterAPauseAreEstimates guards against old weights after their bound: a
+// report that waited while this process stood still makes a release younger than it is.
+func TestReportsReadAfterAPauseAreEstimates(t *testing.T) {
+	c := qt.New(t)
+	logger, _ := logtest.NewNullLogger()
+	v := newView(nil, time.Minute, time.Second, logrus.NewEntry(logger))
+	now := clock.Now()
+	releases, _ := v.releases.Load().Add(catalog.Release{Model: "m", Version: 3}, false, now.Add(-2*time.Minute))
+	v.releases.Store(releases)
+	v.recordVersionLimits(now.Add(-time.Minute))
+	v.mergeReleaseAges("10.0.0.2", []beat.Release{{Model: "m", Version: 2}}, now)
+	c.Assert(v.releaseAges(now.Add(-2 * time.Minute))[0].Estimated, qt.IsTrue)
+}
