A fetch that ends after a pause admits no requests

Cause: publishState dated the published state by the time of the call, and the end of a fetch does not look for a pause. A process that was paused during a fetch published its old state as fresh, so that requests passed without the lock, and with it the comparison, until the next tick. Change: the state is published with the time of the last tick, which is what detects a pause. Measured: TestFetchEndedAfterAPauseAdmitsNothing failed before.

--- a/internal/propagate/currency.go
+++ b/internal/propagate/currency.go
@@ -92,6 +92,9 @@
 // been paused.
 func (f *Freshness) Paused(now time.Time) bool { return now.Sub(f.lastTick) > pauseLimit }
 
+// LastTick returns the time of the last tick.
+func (f *Freshness) LastTick() time.Time { return f.lastTick }
+
 // State returns the current state.
 func (f *Freshness) State() FreshnessState { return f.state }
 
--- a/internal/tablesync/spread.go
+++ b/internal/tablesync/spread.go
@@ -56,7 +56,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	actions := s.protocol.Answered(action, digestOf(reply), reply.Current, now)
-	s.publishState(now)
+	s.publishState()
 	s.mu.Unlock()
 	s.startCalls(actions)
 	return nil
@@ -73,13 +73,16 @@
 	}
 	s.members.Merge(reply.Parts)
 	s.applyFrom(reply.Snapshot, action.Peer.Name)
-	now := time.Now()
+	s.fetchEnded(action.Peer, time.Now())
+	return nil
+}
+
+func (s *Sync) fetchEnded(peer member.Instance, now time.Time) {
 	s.mu.Lock()
-	actions := s.protocol.Fetched(action.Peer, now)
-	s.publishState(now)
+	actions := s.protocol.Fetched(peer, now)
+	s.publishState()
 	s.mu.Unlock()
 	s.startCalls(actions)
-	return nil
 }
 
 // summary returns the description of this process that it sends to peers.
--- a/internal/tablesync/sync.go
+++ b/internal/tablesync/sync.go
@@ -152,15 +152,17 @@
 	if s.protocol.Freshness().Epoch() != before {
 		s.log.Warning("this process was paused; new requests wait until its tables have been compared with those of peers")
 	}
-	s.publishState(now)
+	s.publishState()
 	return actions
 }
 
-// publishState updates the fields that requests read without a lock. The caller
-// holds mu.
-func (s *Sync) publishState(now time.Time) {
-	s.serving.Store(s.protocol.Freshness().State() != propagate.Comparing)
-	s.lastTick.Store(int64(now.Sub(s.started)))
+// publishState updates the fields that requests read without a lock. Only a tick
+// detects a pause, so that the state is published with the time of the last one. The
+// caller holds mu.
+func (s *Sync) publishState() {
+	freshness := s.protocol.Freshness()
+	s.serving.Store(freshness.State() != propagate.Comparing)
+	s.lastTick.Store(int64(freshness.LastTick().Sub(s.started)))
 }
 
 // Subscribe returns a channel that receives a value after each change of the
--- a/internal/tablesync/sync_test.go
+++ b/internal/tablesync/sync_test.go
@@ -1,6 +1,7 @@
 package tablesync
 
 import (
+	"context"
 	"io"
 	"net"
 	"testing"
@@ -15,6 +16,46 @@
 	"plantainrelay/internal/propagate"
 )
 
+var (
+	self  = member.Instance{Name: "entry-1", AvailabilityZone: "a", Role: member.RoleEntry}
+	other = member.Instance{Name: "entry-2", AvailabilityZone: "a", Role: member.RoleEntry}
+)
+
+// newTestSync returns the Sync of self, which knows other at the given address.
+func newTestSync(address string) *Sync {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	members := membership.New(membership.Config{Self: self}, nil, logrus.NewEntry(log))
+	s := New(Config{Self: self, ExchangeInterval: time.Hour}, nil, members, peer.NewClient(peer.Security{}), logrus.NewEntry(log))
+	listed := other
+	listed.ControlAddress = address
+	s.protocol.SetTopology(propagate.NewTopology([]member.Instance{self, listed}))
+	return s
+}
+
+// makeCurrent completes the comparison of s at the given time.
+func makeCurrent(s *Sync, at time.Time) {
+	freshness := s.protocol.Freshness()
+	freshness.Tick(at)
+	for _, name := range []string{"entry-2", "entry-3"} {
+		freshness.Answered(propagate.Answer{Peer: name, Current: true, Epoch: freshness.Epoch()}, at)
+	}
+	s.publishState()
+}
+
+// TestFetchEndedAfterAPauseAdmitsNothing covers a fetch that is in progress while the
+// process is paused: its end must not admit requests before the pause is detected.
+func TestFetchEndedAfterAPauseAdmitsNothing(t *testing.T) {
+	c := qt.New(t)
+	s := newTestSync("")
+	now := time.Now()
+	makeCurrent(s, now.Add(-time.Minute))
+	s.fetchEnded(other, now)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	c.Assert(s.WaitCompared(ctx), qt.IsNotNil)
+}
+
 // TestComparisonStartsWhenARequestDetectsThePause covers a process that was paused: the
 // first request after it detects the pause before the next tick. The exchanges that this
 // starts have to be made, or the peers are never exchanged with again.
@@ -30,13 +71,7 @@
 			close(called)
 		}
 	}()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	self := member.Instance{Name: "entry-1", AvailabilityZone: "a", Role: member.RoleEntry}
-	other := member.Instance{Name: "entry-2", AvailabilityZone: "a", Role: member.RoleEntry, ControlAddress: listener.Addr().String()}
-	members := membership.New(membership.Config{Self: self}, nil, logrus.NewEntry(log))
-	s := New(Config{Self: self, ExchangeInterval: time.Hour}, nil, members, peer.NewClient(peer.Security{}), logrus.NewEntry(log))
-	s.protocol.SetTopology(propagate.NewTopology([]member.Instance{self, other}))
+	s := newTestSync(listener.Addr().String())
 	s.protocol.Freshness().Tick(time.Now().Add(-time.Minute))
 	c.Assert(s.State(), qt.Equals, propagate.Comparing)
 	select {
--- a/internal/tablesync/watch.go
+++ b/internal/tablesync/watch.go
@@ -151,7 +151,7 @@
 	if err == nil {
 		s.watch.lastRead = now
 		s.protocol.Freshness().StoreRead(now)
-		s.publishState(now)
+		s.publishState()
 	}
 }
 
