A read of the store that spans a pause is not a fresh one

Cause: the end of a call to the store dated the read by its arrival and counted it as an answer of the current comparison. The answer of a watch that had waited while the process was paused proved the store to be read now, delayed the takeover of the watch and completed the comparison that the pause had started. Change: such a read is dated by the start of the call, and it is an answer of the epoch in which the call was started. Measured: TestStoreReadThatSpansAPauseIsNotFresh failed with the date and with the epoch as before, each by itself.

--- a/internal/propagate/currency.go
+++ b/internal/propagate/currency.go
@@ -137,9 +137,9 @@
 	f.decide(now)
 }
 
-// StoreRead records a successful read of the store.
-func (f *Freshness) StoreRead(now time.Time) {
-	f.Answered(Answer{Peer: storeName, Epoch: f.epoch}, now)
+// StoreRead records a successful read of the store that was started in the given epoch.
+func (f *Freshness) StoreRead(epoch int, now time.Time) {
+	f.Answered(Answer{Peer: storeName, Epoch: epoch}, now)
 }
 
 // decide enters Current once enough peers have answered and the local copy has the
--- a/internal/tablesync/spread.go
+++ b/internal/tablesync/spread.go
@@ -37,13 +37,13 @@
 	s.log.WithError(err).WithField("peer", action.Peer.Name).Debug("call to peer failed")
 	s.members.Failed(action.Peer.Name)
 	s.mu.Lock()
-	actions := s.protocol.Failed(action, time.Now())
+	actions := s.protocol.Failed(action, s.now())
 	s.mu.Unlock()
 	s.startCalls(actions)
 }
 
 func (s *Sync) exchange(ctx context.Context, action propagate.Action) error {
-	args, sentAt := s.summary(), time.Now()
+	args, sentAt := s.summary(), s.now()
 	var reply message.PeerSummary
 	if err := s.client.Call(ctx, action.Peer.ControlAddress, message.MethodTablesExchange, args, &reply); err != nil {
 		return err
@@ -53,7 +53,7 @@
 	}
 	s.members.Answered(reply.From, reply.Incarnation)
 	s.recordReads(action.Peer, reply, sentAt)
-	now := time.Now()
+	now := s.now()
 	s.mu.Lock()
 	actions := s.protocol.Answered(action, digestOf(reply), reply.Current, now)
 	s.publishState()
@@ -73,7 +73,7 @@
 	}
 	s.members.Merge(reply.Parts)
 	s.applyFrom(reply.Snapshot, action.Peer.Name)
-	s.fetchEnded(action.Peer, time.Now())
+	s.fetchEnded(action.Peer, s.now())
 	return nil
 }
 
@@ -141,9 +141,9 @@
 		s.members.Answered(summary.From, summary.Incarnation)
 		return
 	}
-	s.recordReads(peer, summary, time.Now())
+	s.recordReads(peer, summary, s.now())
 	s.mu.Lock()
-	actions := s.protocol.DigestReceived(peer, digestOf(summary), time.Now())
+	actions := s.protocol.DigestReceived(peer, digestOf(summary), s.now())
 	s.mu.Unlock()
 	s.startCalls(actions)
 }
--- a/internal/tablesync/sync.go
+++ b/internal/tablesync/sync.go
@@ -59,6 +59,7 @@
 	members *membership.View
 	client  *peer.Client
 	log     *logrus.Entry
+	now     func() time.Time
 	started time.Time
 
 	current atomic.Pointer[table.Snapshot]
@@ -77,7 +78,7 @@
 func New(config Config, store platform.ObjectStore, members *membership.View, client *peer.Client, log *logrus.Entry) *Sync {
 	now := time.Now()
 	protocol := propagate.New(propagate.Config{Self: config.Self, Interval: config.ExchangeInterval, Seed: rand.Uint64()}, now)
-	return &Sync{config: config, store: store, members: members, client: client, log: log, started: now, protocol: protocol}
+	return &Sync{config: config, store: store, members: members, client: client, log: log, now: time.Now, started: now, protocol: protocol}
 }
 
 // Current returns the newest known snapshot, or nil. Its revision never
@@ -111,7 +112,7 @@
 
 // WaitCompared waits until the tables have been compared with those of peers.
 func (s *Sync) WaitCompared(ctx context.Context) error {
-	if s.serving.Load() && time.Since(s.started)-time.Duration(s.lastTick.Load()) < maxTickAge {
+	if s.serving.Load() && s.now().Sub(s.started)-time.Duration(s.lastTick.Load()) < maxTickAge {
 		return nil
 	}
 	limit := time.After(maxAdmitWait)
@@ -133,7 +134,7 @@
 // first checks whether the process was paused, and starts the comparison if so.
 func (s *Sync) State() propagate.FreshnessState {
 	s.mu.Lock()
-	now := time.Now()
+	now := s.now()
 	var actions []propagate.Action
 	if s.protocol.Freshness().Paused(now) {
 		actions = s.tick(now)
@@ -182,7 +183,7 @@
 }
 
 func (s *Sync) applyFrom(snapshot *table.Snapshot, from string) bool {
-	now := time.Now()
+	now := s.now()
 	s.mu.Lock()
 	result := s.holder.Offer(snapshot)
 	if result == table.Applied {
@@ -237,7 +238,7 @@
 		case <-s.members.Changed():
 			s.membersChanged()
 		case <-ticker.C:
-			s.step(time.Now())
+			s.step(s.now())
 		}
 	}
 }
@@ -256,7 +257,7 @@
 	topology := propagate.NewTopology(s.members.Current().Instances)
 	s.mu.Lock()
 	s.protocol.SetTopology(topology)
-	actions := s.protocol.DigestChanged(s.digest(), "", time.Now())
+	actions := s.protocol.DigestChanged(s.digest(), "", s.now())
 	s.mu.Unlock()
 	s.startCalls(actions)
 }
--- a/internal/tablesync/sync_test.go
+++ b/internal/tablesync/sync_test.go
@@ -80,3 +80,25 @@
 		c.Fatal("the peer was not called")
 	}
 }
+
+// TestStoreReadThatSpansAPauseIsNotFresh covers a watch whose answer has waited while
+// the process was paused: the read counts as old as the call, and not as an answer of
+// the comparison that the pause started.
+func TestStoreReadThatSpansAPauseIsNotFresh(t *testing.T) {
+	c := qt.New(t)
+	s := newTestSync("")
+	start := time.Now()
+	clock := start
+	s.now = func() time.Time { return clock }
+	makeCurrent(s, start)
+	call := s.startStoreCall()
+	clock = start.Add(time.Minute)
+	s.step(clock)
+	s.recordStoreCall(call, nil)
+	c.Assert(s.lastStoreRead(), qt.Equals, start)
+	clock = clock.Add(500 * time.Millisecond)
+	s.step(clock)
+	clock = clock.Add(600 * time.Millisecond)
+	s.step(clock)
+	c.Assert(s.State(), qt.Equals, propagate.Comparing)
+}
--- a/internal/tablesync/watch.go
+++ b/internal/tablesync/watch.go
@@ -59,7 +59,7 @@
 	if last.IsZero() {
 		last = s.started
 	}
-	return propagate.ShouldWatchStore(s.config.Self, s.members.Current().Instances, time.Since(last), s.config.WatchWait)
+	return propagate.ShouldWatchStore(s.config.Self, s.members.Current().Instances, s.now().Sub(last), s.config.WatchWait)
 }
 
 func (s *Sync) lastStoreRead() time.Time {
@@ -100,8 +100,9 @@
 	s.mu.Lock()
 	afterVersion := s.watch.version
 	s.mu.Unlock()
+	call := s.startStoreCall()
 	objects, err := s.store.Watch(ctx, ObjectKind, afterVersion, s.config.WatchWait)
-	s.recordStoreCall(err)
+	s.recordStoreCall(call, err)
 	if err != nil {
 		return err
 	}
@@ -130,11 +131,12 @@
 func (s *Sync) verifyOnce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	call := s.startStoreCall()
 	object, err := s.store.Get(ctx, ObjectKind, ObjectName)
 	if failure.Is(err, failure.NotFound) {
 		object, err = platform.Object{Kind: ObjectKind, Name: ObjectName, Value: []byte("{}")}, nil
 	}
-	s.recordStoreCall(err)
+	s.recordStoreCall(call, err)
 	if err != nil {
 		return
 	}
@@ -143,16 +145,39 @@
 	}
 }
 
-func (s *Sync) recordStoreCall(err error) {
-	now := time.Now()
+// storeCall is a call to the store in progress.
+type storeCall struct {
+	startedAt time.Time
+	// epoch is the freshness epoch at the start of the call.
+	epoch int
+}
+
+func (s *Sync) startStoreCall() storeCall {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCall{startedAt: s.now(), epoch: s.protocol.Freshness().Epoch()}
+}
+
+// recordStoreCall records the end of a call to the store. If the process was paused
+// during the call, the answer may be as old as the call.
+func (s *Sync) recordStoreCall(call storeCall, err error) {
+	now := s.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.watch.reachable = err == nil
-	if err == nil {
-		s.watch.lastRead = now
-		s.protocol.Freshness().StoreRead(now)
-		s.publishState()
+	if err != nil {
+		return
+	}
+	freshness := s.protocol.Freshness()
+	readAt := now
+	if freshness.Paused(now) || freshness.Epoch() != call.epoch {
+		readAt = call.startedAt
+	}
+	if readAt.After(s.watch.lastRead) {
+		s.watch.lastRead = readAt
 	}
+	freshness.StoreRead(call.epoch, now)
+	s.publishState()
 }
 
 // applyObject applies a state of the stored object. Reads may be stale, so only
