A read of the list of instances counts from its start, and not beyond its timeout

Cause: the read was dated, and its changes stamped, by the time at which its answer was handled. A process that was paused during the read took an old list for the newest, which overrides that of its peers. Change: the read is dated by its start; one that took longer than its timeout, which only a pause can cause, is discarded and logged as failed.

--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"plantainrelay/internal/failure"
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/member"
 	"plantainrelay/internal/platform"
@@ -41,6 +42,7 @@
 	config           Config
 	source           platform.InstanceList
 	log              *logrus.Entry
+	now              func() time.Time
 	current          atomic.Pointer[member.List]
 	lastPlatformRead atomic.Pointer[platformRead]
 	platformReads    atomic.Int64
@@ -58,7 +60,7 @@
 
 // New returns a View without instances.
 func New(config Config, source platform.InstanceList, log *logrus.Entry) *View {
-	view := &View{config: config, source: source, log: log, registry: member.NewRegistry(), changed: make(chan struct{}, 1)}
+	view := &View{config: config, source: source, log: log, now: time.Now, registry: member.NewRegistry(), changed: make(chan struct{}, 1)}
 	view.current.Store(&member.List{})
 	view.lastPlatformRead.Store(&platformRead{})
 	return view
@@ -76,7 +78,7 @@
 // method keeps reading the list from the platform itself, even if it is not one
 // of the readers of its zone.
 func (v *View) DirectRead() (*member.List, time.Time) {
-	v.directReadRequested.Store(time.Now().UnixNano())
+	v.directReadRequested.Store(v.now().UnixNano())
 	last := v.lastPlatformRead.Load()
 	return &last.list, last.startedAt
 }
@@ -111,12 +113,12 @@
 }
 
 func (v *View) isReader() bool {
-	if time.Since(time.Unix(0, v.directReadRequested.Load())) < directReadPeriod {
+	if v.now().Sub(time.Unix(0, v.directReadRequested.Load())) < directReadPeriod {
 		return true
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return propagate.ShouldReadList(v.config.Self, v.Current().Instances, time.Since(v.lastRead))
+	return propagate.ShouldReadList(v.config.Self, v.Current().Instances, v.now().Sub(v.lastRead))
 }
 
 func (v *View) pollDelay() time.Duration {
@@ -131,8 +133,12 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	v.platformReads.Add(1)
-	started := time.Now()
+	started := v.now()
 	list, err := v.source.Instances(ctx)
+	if err == nil && v.now().Sub(started) > readTimeout {
+		// The process was paused, and the list may be as old as the pause.
+		err = failure.New(failure.NotReachable, "wait for the next read", "the read took longer than its timeout of %s", readTimeout)
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if err != nil {
@@ -141,9 +147,11 @@
 		return
 	}
 	v.failures = 0
-	v.lastRead = time.Now()
+	if started.After(v.lastRead) {
+		v.lastRead = started
+	}
 	v.lastPlatformRead.Store(&platformRead{list: list, startedAt: started})
-	if v.replicated.ApplyRead(&list, v.lastRead.UnixMilli()) {
+	if v.replicated.ApplyRead(&list, started.UnixMilli()) {
 		v.applyList()
 	}
 }
@@ -160,7 +168,7 @@
 // applyList applies the replicated list to the view. The caller holds mu.
 func (v *View) applyList() {
 	kept := v.registry.KeptCount()
-	v.registry.Update(v.replicated.List(), time.Now())
+	v.registry.Update(v.replicated.List(), v.now())
 	if now := v.registry.KeptCount(); now > kept {
 		v.log.WithField("kept", now).Error("the list of instances dropped too many at once; they are kept until confirmed gone; check the platform's list")
 	}
@@ -178,7 +186,7 @@
 func (v *View) expire() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.registry.Expire(time.Now()) {
+	if v.registry.Expire(v.now()) {
 		v.publish()
 	}
 }
@@ -227,7 +235,7 @@
 func (v *View) Answered(name string, incarnation uint64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.registry.Answered(name, incarnation, time.Now()) {
+	if v.registry.Answered(name, incarnation, v.now()) {
 		v.log.WithField(logging.FieldInstance, name).Info("the instance answered with a new incarnation")
 		v.publish()
 	}
@@ -245,14 +253,14 @@
 func (v *View) Probes() []member.Instance {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.registry.Probes(time.Now())
+	return v.registry.Probes(v.now())
 }
 
 // StatusCounts returns the number of instances in each status.
 func (v *View) StatusCounts() map[member.PeerStatus]int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	now := time.Now()
+	now := v.now()
 	counts := map[member.PeerStatus]int{member.StatusUnlisted: len(v.registry.Unlisted(now))}
 	for _, instance := range v.Current().Instances {
 		counts[v.registry.Status(instance.Name, now)]++
