Reads reported in a peer's call are dated by an echo

Cause: the ages of reads in a peer's call were counted back from its receipt. A call that had waited in a stalled link, or while its receiver was paused, made an old read of the store or of the list a fresh one, and the receiver passed it on as such; the takeover of a watch was late by that time. Change: a summary carries the time at which it was composed, and a call repeats that of the last summary from the called process with the time since then. The receiver dates the reads by the earliest time that this proves on its own clock and ignores them without it; answers are dated by the start of their call as before. Processes of an older build send no echo: until all are replaced, reads spread by answers only.

--- a/internal/message/tables.go
+++ b/internal/message/tables.go
@@ -30,6 +30,15 @@
 	StoreReadAge int64
 	// Current means that the sender may serve requests with the tables it holds.
 	Current bool
+	// Sent is the time since the start of the sender, in milliseconds, at which the
+	// summary was composed.
+	Sent int64
+	// EchoIncarnation and EchoSent repeat Incarnation and Sent of the last summary that
+	// the sender received from the process that it calls; Elapsed is the time since then
+	// in milliseconds. EchoIncarnation is 0 if there is none.
+	EchoIncarnation uint64
+	EchoSent        int64
+	Elapsed         int64
 }
 
 // TablesFetchArgs requests the data that the sender lacks.
--- a/internal/tablesync/spread.go
+++ b/internal/tablesync/spread.go
@@ -43,7 +43,7 @@
 }
 
 func (s *Sync) exchange(ctx context.Context, action propagate.Action) error {
-	args, sentAt := s.summary(), s.now()
+	args, sentAt := s.summary(action.Peer.Name), s.now()
 	var reply message.PeerSummary
 	if err := s.client.Call(ctx, action.Peer.ControlAddress, message.MethodTablesExchange, args, &reply); err != nil {
 		return err
@@ -52,8 +52,9 @@
 		return failure.New(failure.NotReachable, "wait for the instance list to be updated", "instance %s answered at the address of %s", reply.From, action.Peer.Name)
 	}
 	s.members.Answered(reply.From, reply.Incarnation)
-	s.recordReads(action.Peer, reply, sentAt)
 	now := s.now()
+	s.recordSummary(reply, now)
+	s.recordReads(action.Peer, reply, sentAt)
 	s.mu.Lock()
 	actions := s.protocol.Answered(action, digestOf(reply), reply.Current, now)
 	s.publishState()
@@ -85,8 +86,10 @@
 	s.startCalls(actions)
 }
 
-// summary returns the description of this process that it sends to peers.
-func (s *Sync) summary() message.PeerSummary {
+// summary returns the description of this process that it sends to the named peer. An
+// answer needs no echo: its caller knows when it started the call.
+func (s *Sync) summary(peer string) message.PeerSummary {
+	composed := s.now()
 	s.mu.Lock()
 	digest := s.digest()
 	current := s.protocol.Freshness().State() == propagate.Current
@@ -99,24 +102,26 @@
 		Hash:        digest.Hash,
 		Current:     current,
 	}
-	summary.ReadAge, summary.StoreReadAge = encodeAge(s.members.LastReadTime()), encodeAge(s.lastStoreRead())
+	summary.ReadAge, summary.StoreReadAge = s.encodeAge(s.members.LastReadTime()), s.encodeAge(s.lastStoreRead())
+	s.addEcho(&summary, peer, composed)
 	return summary
 }
 
 // encodeAge returns the age of a read as encoded in summaries: milliseconds plus
 // one, or 0 for no read.
-func encodeAge(read time.Time) int64 {
+func (s *Sync) encodeAge(read time.Time) int64 {
 	if read.IsZero() {
 		return 0
 	}
-	return 1 + time.Since(read).Milliseconds()
+	return 1 + s.now().Sub(read).Milliseconds()
 }
 
 // recordReads records the latest reads of the instance list and the store that a
-// peer reports. sentAt stands for the time at which the summary was sent: for an
-// answer it is the start of the call, a lower bound; for a call it is its receipt.
+// peer reports. sentAt is a lower bound of the time at which the summary was composed:
+// for an answer the start of the call, for a call what its echo proves. If it is zero,
+// the reads are ignored.
 func (s *Sync) recordReads(peer member.Instance, summary message.PeerSummary, sentAt time.Time) {
-	if !s.protocol.SharesList(peer) {
+	if sentAt.IsZero() || !s.protocol.SharesList(peer) {
 		return
 	}
 	if summary.ReadAge > 0 {
@@ -141,9 +146,11 @@
 		s.members.Answered(summary.From, summary.Incarnation)
 		return
 	}
-	s.recordReads(peer, summary, s.now())
+	now := s.now()
+	s.recordReads(peer, summary, s.composedAt(summary, now))
+	s.recordSummary(summary, now)
 	s.mu.Lock()
-	actions := s.protocol.DigestReceived(peer, digestOf(summary), s.now())
+	actions := s.protocol.DigestReceived(peer, digestOf(summary), now)
 	s.mu.Unlock()
 	s.startCalls(actions)
 }
@@ -164,7 +171,7 @@
 	// Detects a pause of this process first: after one, the summary must not
 	// report the tables as current.
 	s.sync.State()
-	*reply = s.sync.summary()
+	*reply = s.sync.summary("")
 	return nil
 }
 
--- a/internal/tablesync/survey.go
+++ b/internal/tablesync/survey.go
@@ -96,7 +96,7 @@
 	ctx, cancel := context.WithTimeout(ctx, surveyCallTimeout)
 	defer cancel()
 	var reply message.PeerSummary
-	err := s.client.Call(ctx, instance.ControlAddress, message.MethodTablesExchange, s.summary(), &reply)
+	err := s.client.Call(ctx, instance.ControlAddress, message.MethodTablesExchange, s.summary(instance.Name), &reply)
 	return err == nil && reply.From == instance.Name && reply.Revision >= revision
 }
 
--- a/internal/tablesync/sync.go
+++ b/internal/tablesync/sync.go
@@ -72,13 +72,16 @@
 	protocol    *propagate.Protocol
 	subscribers []chan struct{}
 	watch       storeState
+	// received holds the last summary of each peer.
+	received map[string]receivedSummary
 }
 
 // New returns a Sync without tables.
 func New(config Config, store platform.ObjectStore, members *membership.View, client *peer.Client, log *logrus.Entry) *Sync {
 	now := time.Now()
 	protocol := propagate.New(propagate.Config{Self: config.Self, Interval: config.ExchangeInterval, Seed: rand.Uint64()}, now)
-	return &Sync{config: config, store: store, members: members, client: client, log: log, now: time.Now, started: now, protocol: protocol}
+	return &Sync{config: config, store: store, members: members, client: client, log: log, now: time.Now, started: now, protocol: protocol,
+		received: map[string]receivedSummary{}}
 }
 
 // Current returns the newest known snapshot, or nil. Its revision never
@@ -254,6 +257,7 @@
 }
 
 func (s *Sync) membersChanged() {
+	s.forgetSummaries()
 	topology := propagate.NewTopology(s.members.Current().Instances)
 	s.mu.Lock()
 	s.protocol.SetTopology(topology)
