An archive with other tables under the same revision is not confirmed

Cause: after a write to the history with an unknown outcome, the archive counted as made when the slot held the revision or a higher one. The slot of a store that was restored may hold another edit of that revision, or tables of another time; the replaced tables were lost, and a rollback would have brought back others. Change: the archive is made when the slot holds the same tables, compared as encoded, also before the write.

--- a/internal/admin/history.go
+++ b/internal/admin/history.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"strconv"
@@ -33,26 +34,27 @@
 	if err != nil {
 		return err
 	}
-	if archived.Revision >= snapshot.Revision && archived.EditID == snapshot.EditID {
-		return nil
-	}
 	value, err := json.Marshal(snapshot)
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "report this", "the tables cannot be encoded")
 	}
+	if encodesTo(archived, value) {
+		return nil
+	}
 	_, err = e.store.Put(ctx, historyKind, historySlotName(snapshot.Revision), value, object.Version)
 	if failure.Is(err, failure.Conflict) || failure.Is(err, failure.Unknown) {
-		return e.confirmArchived(ctx, snapshot, err)
+		return e.confirmArchived(ctx, snapshot.Revision, value, err)
 	}
 	return err
 }
 
-// confirmArchived checks whether a write to the history with an unknown outcome
-// took effect. Another editor may have archived the same revision.
-func (e *Editor) confirmArchived(ctx context.Context, snapshot *table.Snapshot, cause error) error {
+// confirmArchived checks whether a write of value to the history with an unknown
+// outcome took effect. Another editor may have archived the same revision. The slot may
+// also hold other tables of that revision, from before the store was restored.
+func (e *Editor) confirmArchived(ctx context.Context, revision int64, value []byte, cause error) error {
 	for range storeReadAttempts {
-		_, archived, err := e.readHistorySlot(ctx, snapshot.Revision)
-		if err == nil && archived.Revision >= snapshot.Revision {
+		_, archived, err := e.readHistorySlot(ctx, revision)
+		if err == nil && encodesTo(archived, value) {
 			return nil
 		}
 		if err := sleep(ctx, storeReadInterval); err != nil {
@@ -62,6 +64,11 @@
 	return failure.Wrap(cause, failure.NotReachable, "send the edit again", "the history could not be written; nothing was changed")
 }
 
+func encodesTo(snapshot *table.Snapshot, value []byte) bool {
+	encoded, err := json.Marshal(snapshot)
+	return err == nil && bytes.Equal(encoded, value)
+}
+
 func (e *Editor) readHistorySlot(ctx context.Context, revision int64) (platform.Object, *table.Snapshot, error) {
 	object, err := e.store.Get(ctx, historyKind, historySlotName(revision))
 	if failure.Is(err, failure.NotFound) {
