The fuzz test of messages covers all of them

Cause: five messages of the package were not decoded by it: StateArgs, BurnArgs, BurnReply, LeavingArgs and LeavingReply. Change: they are, and a decoded report is merged and read as the fleet's report is.

--- a/internal/message/fuzz_test.go
+++ b/internal/message/fuzz_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"plantainrelay/internal/burn"
 	"plantainrelay/internal/member"
 	"plantainrelay/internal/message"
 	"plantainrelay/internal/swarm"
@@ -35,6 +36,11 @@
 	func() any { return &message.OwnersReply{} },
 	func() any { return &message.KeyStatusArgs{} },
 	func() any { return &message.KeyStatusReply{} },
+	func() any { return &message.StateArgs{} },
+	func() any { return &message.BurnArgs{} },
+	func() any { return &message.BurnReply{} },
+	func() any { return &message.LeavingArgs{} },
+	func() any { return &message.LeavingReply{} },
 }
 
 // FuzzMessages decodes bytes as each message, as net/rpc does with the data of a peer,
@@ -47,6 +53,10 @@
 		message.WeightsExchangeArgs{From: "a", Chunks: []int{0, 9, -1}, Turns: []int{1 << 40}, Ask: true},
 		message.WeightsExchangeReply{Known: true, Have: weights.Bitmap{0xff}},
 		message.AttemptStatusReply{Answer: &message.Answer{Status: 200, Header: map[string][]string{"A": {"b"}}, Body: []byte("x")}},
+		message.StateArgs{From: "a", Seen: message.RoutingState{Pool: "model", Open: true}, Hold: time.Second},
+		message.BurnArgs{From: "a"},
+		message.BurnReply{Report: newReport(f)},
+		message.LeavingArgs{Instance: "a"},
 	} {
 		var raw bytes.Buffer
 		if err := gob.NewEncoder(&raw).Encode(seed); err != nil {
@@ -73,6 +83,8 @@
 				exerciseAnnounce(decoded)
 			case *message.WeightsExchangeArgs:
 				newPlan().RecordOffer(decoded.From, decoded.Chunks, decoded.Turns, now)
+			case *message.BurnReply:
+				exerciseReport(decoded.Report)
 			case *message.WeightsExchangeReply:
 				_, _ = decoded.Have.Count(), decoded.Have.Has(-1)
 				newPlan().RecordAnswer("b", decoded.Have, now)
@@ -81,6 +93,34 @@
 	})
 }
 
+var durationKey = burn.Key{Objective: burn.FirstToken, Customer: "a", Route: "lookup"}
+
+// newReport returns the report of an entry that has counted a request and a duration.
+func newReport(f *testing.F) burn.Report {
+	aggregator := burn.NewAggregator(burn.Targets{}, 2)
+	aggregator.RecordRequest(now, durationKey.Customer, durationKey.Route, true)
+	aggregator.RecordDuration(now, durationKey, time.Second)
+	report, err := aggregator.Report(now)
+	if err != nil {
+		f.Fatal(err)
+	}
+	return report
+}
+
+// exerciseReport adds the report to itself, as those of two entries, and reads the sum.
+func exerciseReport(report burn.Report) {
+	sum, err := burn.Merge(report, report)
+	if err != nil {
+		return
+	}
+	for _, line := range sum.Lines {
+		_, _ = line.Alert(), line.BudgetLeft()
+		if histogram, err := line.DecodeHistogram(); err == nil && histogram != nil {
+			burn.DurationAtPercentile(histogram, 99)
+		}
+	}
+}
+
 var now = time.Unix(1000, 0)
 
 // newPlan returns the plan of one of two members that fetches 16 chunks.
