A fault of the soak that was not injected is not recorded

Cause: the restart of all ledger agents was recorded when no agent was left for it, and kills and pauses were recorded before they were made and with their errors ignored. A recorded fault excuses the calls that break meanwhile, so that the check could not fail for them. Change: Cluster.Kill reports a process that had ended before or in another way; a kill or a pause is recorded only after it was made, from the time before it.

--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -465,6 +465,20 @@
 	return c.Process(name).Command.Process.Signal(signal)
 }
 
+// Kill kills the process of the given name and waits until it has exited. It returns an
+// error if the process ended before, or in another way.
+func (c *Cluster) Kill(name string) error {
+	process := c.Process(name)
+	if err := c.Signal(name, syscall.SIGKILL); err != nil {
+		return fmt.Errorf("%s was not killed: %w", name, err)
+	}
+	<-process.exited
+	if status, ok := process.Command.ProcessState.Sys().(syscall.WaitStatus); !ok || status.Signal() != syscall.SIGKILL {
+		return fmt.Errorf("%s was not killed: it ended with %s", name, process.Command.ProcessState)
+	}
+	return nil
+}
+
 // Exited returns a channel that is closed when the process has exited.
 func (p *Process) Exited() <-chan struct{} { return p.exited }
 
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -77,10 +78,30 @@
 
 // beginFault records the start of a fault; the returned function records its end.
 func (r *run) beginFault(kind string, breaksCalls bool, instances ...string) func() {
+	return r.recordFault(time.Now(), kind, breaksCalls, instances...)
+}
+
+// beginKill kills instances and records that as a fault that breaks calls; the returned
+// function records its end. If one was not running, nothing is recorded, so that what
+// it broke is not excused.
+func (r *run) beginKill(kind string, instances ...string) (end func(), err error) {
+	from := time.Now()
+	if len(instances) == 0 {
+		return nil, errNoneLeft
+	}
+	for _, name := range instances {
+		if err := r.fleet.Kill(name); err != nil {
+			return nil, err
+		}
+	}
+	return r.recordFault(from, kind, true, instances...), nil
+}
+
+func (r *run) recordFault(from time.Time, kind string, breaksCalls bool, instances ...string) func() {
 	r.logf("fault: %s %s", kind, strings.Join(instances, " "))
 	r.mu.Lock()
 	index := len(r.faults)
-	r.faults = append(r.faults, checker.Fault{Kind: kind, Instances: instances, BreaksCalls: breaksCalls, From: time.Now(), To: time.Now().Add(time.Hour)})
+	r.faults = append(r.faults, checker.Fault{Kind: kind, Instances: instances, BreaksCalls: breaksCalls, From: from, To: time.Now().Add(time.Hour)})
 	r.mu.Unlock()
 	return func() {
 		r.mu.Lock()
@@ -99,6 +120,8 @@
 	}
 }
 
+var errNoneLeft = errors.New("all candidate instances already have a fault in progress")
+
 // reserve reserves a random instance that has no fault in progress. It returns a
 // function that ends the reservation.
 func (r *run) reserve(names func() []string) (name string, release func(), err error) {
@@ -116,7 +139,7 @@
 			}, nil
 		}
 	}
-	return "", nil, fmt.Errorf("all candidate instances already have a fault in progress")
+	return "", nil, errNoneLeft
 }
 
 // liveAgents returns the agents that faults may affect: those of pools with more than
@@ -166,10 +189,14 @@
 		return err
 	}
 	defer done()
-	end := r.beginFault("agent killed and replaced", true, name)
+	end, err := r.beginKill("agent killed and replaced", name)
+	if err != nil {
+		return err
+	}
 	defer end()
-	_ = r.fleet.Signal(name, syscall.SIGKILL)
-	_ = r.fleet.Signal(name+"-backend", syscall.SIGKILL)
+	if err := r.fleet.Kill(name + "-backend"); err != nil {
+		return err
+	}
 	sleep(ctx, staleListDuration)
 	return r.replace(name)
 }
@@ -180,10 +207,11 @@
 		return err
 	}
 	defer done()
-	end := r.beginFault("agent process restarted", true, name)
+	end, err := r.beginKill("agent process restarted", name)
+	if err != nil {
+		return err
+	}
 	defer end()
-	_ = r.fleet.Signal(name, syscall.SIGKILL)
-	<-r.fleet.Process(name).Exited()
 	sleep(ctx, time.Second)
 	if err := r.fleet.RestartDaemon(name); err != nil {
 		return err
@@ -204,12 +232,11 @@
 		defer done()
 		names = append(names, name)
 	}
-	end := r.beginFault("all ledger agents restarted", true, names...)
-	defer end()
-	for _, name := range names {
-		_ = r.fleet.Signal(name, syscall.SIGKILL)
-		<-r.fleet.Process(name).Exited()
+	end, err := r.beginKill("all ledger agents restarted", names...)
+	if err != nil {
+		return err
 	}
+	defer end()
 	sleep(ctx, rackFailureDuration)
 	for _, name := range names {
 		if err := r.fleet.RestartDaemon(name); err != nil {
@@ -232,9 +259,11 @@
 		return err
 	}
 	defer done()
-	end := r.beginFault("entry killed and replaced", true, name)
+	end, err := r.beginKill("entry killed and replaced", name)
+	if err != nil {
+		return err
+	}
 	defer end()
-	_ = r.fleet.Signal(name, syscall.SIGKILL)
 	r.load.removeEntry(name)
 	sleep(ctx, staleListDuration)
 	return r.replace(name)
@@ -336,9 +365,12 @@
 		return err
 	}
 	defer done()
-	end := r.beginFault("process paused", true, name)
+	from := time.Now()
+	if err := r.fleet.Signal(name, syscall.SIGSTOP); err != nil {
+		return err
+	}
+	end := r.recordFault(from, "process paused", true, name)
 	defer end()
-	_ = r.fleet.Signal(name, syscall.SIGSTOP)
 	sleep(ctx, pauseDuration)
 	return r.fleet.Signal(name, syscall.SIGCONT)
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"os"
 	"slices"
 	"strings"
@@ -50,6 +51,15 @@
 	}
 }
 
+// TestFaultWithoutTargetsIsNotRecorded covers a fault for which no instance is left: a
+// record of it would excuse calls that broke for another reason.
+func TestFaultWithoutTargetsIsNotRecorded(t *testing.T) {
+	c := qt.New(t)
+	r := &run{config: Config{Deployment: Deployments["dumitrescu"]}, random: rand.New(rand.NewPCG(1, 1))}
+	c.Assert(r.restartLedgerAgents(t.Context()), qt.Equals, errNoneLeft)
+	c.Assert(r.faults, qt.HasLen, 0)
+}
+
 func cloneHistory(h *checker.History) *checker.History {
 	other := *h
 	other.Calls, other.Executions, other.Shutdowns = slices.Clone(h.Calls), slices.Clone(h.Executions), slices.Clone(h.Shutdowns)
