A grant of an origin fetch waits for a member that does not take part yet

Cause: an instance that gets a release a moment before another one asks it for its chunks, is told that it does not take part yet, and backs off from it. While it does, it passed over the chunks of which the other is the root; nobody was granted them, and the whole pool waited for the takeover delay of 10 s. Permits had no part in it. Change: a root that answered is granted the fetch; the offer is repeated until it takes part, as other offers are. Unreachable roots are passed over as before. Measured: TestGrantWaitsForAMemberThatStartsLater failed before.

--- a/bench/weights/core/core.go
+++ b/bench/weights/core/core.go
@@ -340,7 +340,7 @@
 			wait = dialTimeout
 		}
 		r.schedule(r.now+wait, func() {
-			n.plan.RecordAskFailure(to.name, epoch.Add(r.now))
+			n.plan.RecordAskFailure(to.name, !to.dead, epoch.Add(r.now))
 			r.step(n)
 		})
 		return
--- a/internal/distribute/exchange.go
+++ b/internal/distribute/exchange.go
@@ -91,7 +91,7 @@
 	case e.call.args.Ask && e.participates:
 		d.plan.RecordAnswer(e.call.offer.To, e.reply.Have, time.Now())
 	case e.call.args.Ask:
-		d.plan.RecordAskFailure(e.call.offer.To, time.Now())
+		d.plan.RecordAskFailure(e.call.offer.To, e.reached, time.Now())
 	}
 }
 
--- a/internal/swarm/finish.go
+++ b/internal/swarm/finish.go
@@ -101,6 +101,7 @@
 	state := p.source(name)
 	growth := min(factor<<min(state.failures, 16), maxBackoffFactor)
 	state.failures++
+	state.answered = false
 	state.backoffUntil = now.Add(p.jitter(p.config.InitialBackoff * time.Duration(growth)))
 }
 
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -125,6 +125,9 @@
 	have         weights.Bitmap
 	backoffUntil time.Time
 	failures     int
+	// answered is set if the last failure was the answer that the member does not take
+	// part in the distribution yet.
+	answered bool
 }
 
 // Plan is the state of one distribution on one instance. It is not safe for
@@ -326,11 +329,12 @@
 	p.nextScan = now
 }
 
-// RecordAskFailure records that a member did not answer or does not take part in
-// the distribution of this manifest.
-func (p *Plan) RecordAskFailure(from string, now time.Time) {
+// RecordAskFailure records that a member did not answer or, if it was reached, does not
+// take part in the distribution of this manifest.
+func (p *Plan) RecordAskFailure(from string, reached bool, now time.Time) {
 	p.askDone(from)
 	p.backOff(from, 1, now)
+	p.source(from).answered = reached
 }
 
 // RecordParticipant records that a member takes part in the distribution of this
@@ -378,12 +382,13 @@
 }
 
 // grantNext lets the root of the chunk originWindow positions later fetch that
-// chunk from the origin. It skips chunks whose root is in backoff, and those of
-// its own that it already holds.
+// chunk from the origin. It skips chunks whose root is unreachable, and those of its
+// own that it already holds. A root that does not take part yet gets the grant when it
+// does: nobody else would fetch the chunk before the takeover delay has passed.
 func (p *Plan) grantNext(chunk int, now time.Time) {
 	for next := chunk + originWindow; next < p.chunks; next += originWindow {
 		root := p.layout.Root(next)
-		if p.inBackoff(root, now) {
+		if p.inBackoff(root, now) && !p.sources[root].answered {
 			continue
 		}
 		if root != p.config.Self {
--- a/internal/swarm/swarm_test.go
+++ b/internal/swarm/swarm_test.go
@@ -159,3 +159,31 @@
 	}
 	qt.Assert(t, calls > 2 && calls < 12, qt.IsTrue, qt.Commentf("%d calls in a minute", calls))
 }
+
+// TestGrantWaitsForAMemberThatStartsLater covers a release that reaches one member a
+// moment before the next: a grant that is withheld from the other one leaves its chunk to
+// the takeover delay, for which the whole pool waits.
+func TestGrantWaitsForAMemberThatStartsLater(t *testing.T) {
+	const window = 16
+	list := members(4, 2, 1)
+	layout := swarm.NewLayout(list)
+	granted := 0
+	for chunk := range window {
+		self, other := layout.Root(chunk), layout.Root(chunk+window)
+		if self == other {
+			continue
+		}
+		for _, reached := range []bool{true, false} {
+			p := plan(self, list, 2*window)
+			p.RecordAskFailure(other, reached, epoch)
+			p.FinishFetch(swarm.Fetch{Chunk: chunk, Source: swarm.Origin}, swarm.Verified, epoch)
+			found := false
+			for _, offer := range p.Next(epoch).Offers {
+				found = found || offer.To == other && len(offer.OriginGrants) == 1 && offer.OriginGrants[0] == chunk+window
+			}
+			qt.Assert(t, found, qt.Equals, reached)
+			granted++
+		}
+	}
+	qt.Assert(t, granted > 0, qt.IsTrue)
+}
