Placement keeps what instances say about themselves

A start of an instance that says that it leaves gets nothing more, whatever the list says: the notice is kept apart from the list entry, which may lag, expire, or come back from an older copy of the store. An instance that asks for no requests gets none until the end of that time; that is no failure. Afterwards the number of this entry's requests there may grow from one to the limit within a second.

--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -147,6 +147,9 @@
 	instances map[string]*instance
 	byHost    map[string]*instance
 	reports   map[string]receivedReport
+	// notices holds what instances have said about themselves. It outlives their list
+	// entries.
+	notices map[InstanceStart]*notice
 	// latestStart holds the latest start time in the list, by address.
 	latestStart map[string]int64
 	// zoneLoads holds the mean loads of other availability zones.
@@ -164,7 +167,7 @@
 // New returns a Fleet without instances.
 func New(config Config) *Fleet {
 	return &Fleet{
-		config: config, instances: map[string]*instance{}, byHost: map[string]*instance{}, reports: map[string]receivedReport{}, latestStart: map[string]int64{}, zoneLoads: map[string]receivedZoneLoads{},
+		config: config, instances: map[string]*instance{}, byHost: map[string]*instance{}, reports: map[string]receivedReport{}, notices: map[InstanceStart]*notice{}, latestStart: map[string]int64{}, zoneLoads: map[string]receivedZoneLoads{},
 		random: rand.New(rand.NewPCG(config.Seed, config.Seed+1)),
 	}
 }
@@ -191,6 +194,7 @@
 // entries that are missing before keepUntil may have expired because the store
 // was unavailable; their instances stay in use until then.
 func (f *Fleet) SetList(backends []catalog.Backend, keepUntil, now time.Time) []Change {
+	f.extendNotices(now)
 	listed := map[string]bool{}
 	var changes []Change
 	// Other entries may use the instances of the first list already.
@@ -220,7 +224,7 @@
 		if listed[id] {
 			continue
 		}
-		if now.Before(keepUntil) && !inst.Leaving {
+		if now.Before(keepUntil) && !inst.Leaving && !f.isMarkedLeaving(inst.start()) {
 			if inst.retainUntil.IsZero() {
 				inst.retainUntil = keepUntil
 				changes = append(changes, Change{ID: id, Pool: inst.Pool, Kind: Lapsed})
@@ -402,6 +406,9 @@
 	if f.load(inst, now) >= f.limit(inst)-min(need.ReservedSlots, f.limit(inst)-1) {
 		return false
 	}
+	if limit, ramping := f.rampLimit(inst, now); ramping && inst.ownRequests >= limit {
+		return false
+	}
 	if limit, settling := f.settlingLimit(inst, need, now); settling && inst.ownRequests >= limit {
 		return false
 	}
@@ -524,18 +531,28 @@
 }
 
 func (f *Fleet) usable(inst *instance, need Requirements, now time.Time) bool {
-	if inst.Pool != need.Pool || inst.Leaving || inst.addressReused || need.Tried[inst.ID] || now.Before(inst.avoidUntil) {
+	if !f.accepts(inst, need) || need.Tried[inst.ID] || now.Before(f.usableFrom(inst)) {
 		return false
 	}
-	if f.reports[inst.Host].EngineStart > inst.Start || f.latestStart[inst.Address] > inst.Start {
-		// The list entry belongs to an earlier start at this address.
+	return need.Model == "" || inst.hasVersion(need) && !inst.switching()
+}
+
+// accepts reports whether the instance belongs to the pool and still accepts requests.
+func (f *Fleet) accepts(inst *instance, need Requirements) bool {
+	if inst.Pool != need.Pool || inst.Leaving || inst.addressReused || f.isMarkedLeaving(inst.start()) {
 		return false
 	}
+	// Otherwise the list entry belongs to an earlier start at this address.
+	return f.reports[inst.Host].EngineStart <= inst.Start && f.latestStart[inst.Address] <= inst.Start
+}
+
+// hasVersion reports whether the weights loaded may serve the request.
+func (i *instance) hasVersion(need Requirements) bool {
 	if need.Model == "" {
 		return true
 	}
-	version := inst.version(need.Model)
-	return version > 0 && version >= need.MinVersion && !inst.switching()
+	version := i.version(need.Model)
+	return version > 0 && version >= need.MinVersion
 }
 
 // version returns the version that is loaded completely. An agent report about
@@ -605,6 +622,9 @@
 	// CallerDisconnected means that the caller disconnected, which says nothing about the
 	// instance.
 	CallerDisconnected
+	// AskedToWait means that the instance asked to be sent no requests for a time, which
+	// RecordWait records. It is no failure.
+	AskedToWait
 )
 
 // AttemptFinished records the end of an attempt that Choose counted. An attempt
@@ -630,6 +650,6 @@
 		inst.avoidUntil = now.Add(f.config.FailureBackoff / 4)
 	case AddressReused:
 		inst.addressReused = true
-	case CallerDisconnected:
+	case CallerDisconnected, AskedToWait:
 	}
 }
