Entries heed instances that say that they leave or ask for no requests

An instance that leaves says so in its answers, often before its list entry does, and one that is full says with 503 for how long it wants nothing. Entries went on sending to both, took the latter's errors for failures, and kept callers queued while all instances waited.

Each answer's notices are recorded before anything else is done with it. Queued requests of a pool whose instances all wait are rejected at once with the time of the first end, unless one can still start in its queue time. Counters, gauges and log lines name each change.

Measured: on the code before, TestInstanceThatSaysThatItLeavesGetsNothingMore failed for a success and a rejection (an error and a cut answer were hidden by the backoff; the test has more requests since) and TestInstanceThatAskedToWaitGetsNothing in both cases. With the recording in attempt taken out, all cases of both fail. With the rejection, the field in heartbeats, its reading, or the agent's report taken out again, TestQueuedRequestIsRejectedWhenAllInstancesWait, TestEntriesLearnOfLeavingInstancesFromEachOther and TestEntryLearnsOfALeavingEngineFromItsAgent failed.

--- a/internal/beat/message.go
+++ b/internal/beat/message.go
@@ -78,6 +78,15 @@
 	Loaded    int64
 	Switching bool
 	Pace      float64
+	// Leaving says that this start of the engine accepts no new requests.
+	Leaving bool
+}
+
+// LeavingBackend is a start of a backend server instance that accepts no new requests.
+type LeavingBackend struct {
+	ID string
+	// Born is its start time in Unix milliseconds.
+	Born int64
 }
 
 // Message is one datagram.
@@ -113,6 +122,9 @@
 	// ZoneLoads holds the mean loads of the entry's availability zone by pool; only
 	// entries of a large fleet send them.
 	ZoneLoads map[string]ZoneLoad
+	// LeavingBackends holds starts of instances that have said that they leave, and of
+	// which the sender has learned a short time ago.
+	LeavingBackends []LeavingBackend
 	// ComposedAt is the time on the sender's clock at which it started to compose the
 	// message. The ages in the message refer to that time, even if the sender is
 	// paused before it sends the message. Zero means the time of sending.
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -120,13 +120,14 @@
 
 // outcomeCauses explains the outcomes that do not depend on an attempt.
 var outcomeCauses = map[string]string{
-	"overload":     "all slots of the pool's instances were in use until it was too late to respond in time",
-	"no_instance":  "no instance of the pool accepted the request: none was available, or those that were tried refused it and the retry budget was used up",
-	"stale_tables": "the entry could not prove that its tables were current; check its connections to the store and to other entries",
-	"no_tables":    "the entry had no tables yet",
-	"no_route":     "no route of the tables in force matches the host and path",
-	"unknown_key":  "no customer of the tables in force has this key",
-	"caller_left":  "the caller closed its connection",
+	"overload":       "all slots of the pool's instances were in use until it was too late to respond in time",
+	"no_instance":    "no instance of the pool accepted the request: none was available, or those that were tried refused it and the retry budget was used up",
+	"instances_wait": "all instances of the pool had asked to be sent no requests for a time",
+	"stale_tables":   "the entry could not prove that its tables were current; check its connections to the store and to other entries",
+	"no_tables":      "the entry had no tables yet",
+	"no_route":       "no route of the tables in force matches the host and path",
+	"unknown_key":    "no customer of the tables in force has this key",
+	"caller_left":    "the caller closed its connection",
 }
 
 func explainOutcome(line requestLog) string {
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -164,7 +164,7 @@
 	now := clock.Now()
 	h.view.detectListOutage(now)
 	h.view.recordVersionLimits(now)
-	loads := encodeLoads(h.scheduler.ownLoads())
+	loads, leaving := encodeLoads(h.scheduler.ownLoads()), encodeLeaving(h.scheduler.recentlyLeaving(now))
 	h.mu.Lock()
 	h.updateReadiness()
 	h.sequence++
@@ -173,6 +173,7 @@
 		Role: beat.Entry, Instance: self.Instance, Host: self.Host, AvailabilityZone: self.AvailabilityZone, Start: h.start, Sequence: h.sequence,
 		FrontAddress: self.FrontAddress, Ready: self.Ready, Leaving: self.Leaving, Collections: copies.CollectionStates(h.copies), Loads: loads,
 		Releases: h.view.releaseAges(now), StoreUnavailable: self.StoreUnavailable, ComposedAt: now,
+		LeavingBackends: leaving,
 	}
 	near, far := h.directory.SplitRecipients(h.directory.NextRecipients(now))
 	livePeers, smallFleet := h.directory.LiveEntries(now), h.directory.BroadcastsToAll()
@@ -189,7 +190,7 @@
 		h.socket.Send(message, far)
 	}
 	if toAgents {
-		message.Loads, message.Hosts, message.ZoneLoads = nil, nil, nil
+		message.Loads, message.Hosts, message.ZoneLoads, message.LeavingBackends = nil, nil, nil, nil
 		zone := self.AvailabilityZone
 		if smallFleet {
 			zone = ""
@@ -247,6 +248,7 @@
 			h.scheduler.recordAgentReport(m.Host, placement.AgentReport{
 				EngineStart: m.Report.Born, LoadedVersion: m.Report.Loaded, Switching: m.Report.Switching, Slowdown: m.Report.Pace, AgentStart: m.Start, Sequence: m.Sequence,
 			}, now)
+			h.recordLeavingEngine(m)
 		} else {
 			h.replyToNewAgent(m.Host)
 		}
@@ -277,10 +279,21 @@
 	if len(m.ZoneLoads) > 0 {
 		h.scheduler.recordZoneLoads(m.AvailabilityZone, decodeZoneLoads(m.ZoneLoads), now)
 	}
+	h.frontend.recordLeaving(decodeLeaving(m.LeavingBackends), m.Host)
 	h.recordReleaseAges(m)
 	h.puller.MessageReceived(ctx, m)
 }
 
+// recordLeavingEngine records that an engine leaves, if its agent reports it.
+func (h *heartbeater) recordLeavingEngine(m *beat.Message) {
+	if !m.Report.Leaving {
+		return
+	}
+	if start, found := h.scheduler.instanceAt(m.Host, m.Report.Born); found {
+		h.frontend.recordLeaving([]placement.InstanceStart{start}, sourceAgent)
+	}
+}
+
 // recordReleaseAges merges the release ages of a message, counted from its arrival: the
 // release is at least that old. A delay on the way makes it seem younger until the next
 // message. Counted from the earliest time at which the message can have been composed, it
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -164,6 +164,7 @@
 	e.scheduler.loadChanged = e.heartbeats.recordLoadChange
 	e.scheduler.backendExpired, e.scheduler.minVersion = e.view.backendExpired, e.view.minVersion
 	e.metrics.Gauge("tables_proof_age_seconds", "Age of the proof that the tables are current.", func() float64 { return e.view.proofAge().Seconds() })
+	registerNoticeGauges(e.metrics, e.scheduler)
 	store := platform.NewStoreClient(s.StoreAddress, newStoreTransport())
 	store.OnCall = func(method string, kind platform.Kind) { counts.storeCalls.WithLabelValues(method, string(kind)).Inc() }
 	e.copies = copies.New(copies.Config{
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -74,6 +74,10 @@
 	PauseMs    int64  `json:"max_pause_ms,omitempty"`
 	Ms         int64  `json:"ms"`
 	Outcome    string `json:"outcome"`
+	// Leaving and WaitMs are what the response says about the instance: that it leaves,
+	// and for how long it wants no requests.
+	Leaving bool  `json:"leaving,omitempty"`
+	WaitMs  int64 `json:"wait_ms,omitempty"`
 	// bytes is the size of the response body.
 	bytes int
 }
@@ -226,7 +230,7 @@
 	record.Ms, record.Outcome = duration.Milliseconds(), string(outcome)
 	x.attempts = append(x.attempts, record)
 	x.observeAttempt(record)
-	x.frontend.scheduler.release(t, choice, outcome.placementResult(), duration)
+	x.frontend.scheduler.release(t, choice, record.placementResult(outcome), duration)
 	x.frontend.metrics.attempts.WithLabelValues(string(outcome)).Inc()
 	return x.nextAction(ctx, outcome)
 }
@@ -341,6 +345,15 @@
 	callerDisconnected outcome = "caller_left"
 )
 
+// placementResult returns what the outcome of the attempt says about the instance. A time
+// to wait explains an error.
+func (r attemptRecord) placementResult(o outcome) placement.Result {
+	if result := o.placementResult(); r.WaitMs == 0 || result != placement.Failed && result != placement.Succeeded {
+		return result
+	}
+	return placement.AskedToWait
+}
+
 func (o outcome) placementResult() placement.Result {
 	switch o {
 	case answered:
@@ -377,7 +390,9 @@
 	startLimit.stop()
 	record.FirstMs = clock.Now().Sub(started).Milliseconds()
 	x.frontend.scheduler.responseStarted(choice)
-	switch platform.ClassifyResponse(response.StatusCode, response.Header, x.call.AttemptID, choice.Backend.ID) {
+	info := platform.DecodeResponse(response.StatusCode, response.Header, x.call.AttemptID, choice.Backend.ID)
+	x.frontend.recordNotice(choice, info, record)
+	switch info.Class {
 	case platform.NotRun:
 		return notRun
 	case platform.AddressReused:
--- a/internal/relay/frontend.go
+++ b/internal/relay/frontend.go
@@ -72,17 +72,18 @@
 }
 
 var remedies = map[string]string{
-	"no_tables":     "come back after the time in Retry-After",
-	"stale_tables":  "come back after the time in Retry-After",
-	"no_route":      "check the host and the path against the table of routes",
-	"unknown_key":   "send a key that a customer holds",
-	"body_too_big":  "send a smaller body",
-	"body_too_slow": "send the body without pauses",
-	"bad_target":    "send the path of the request, not a whole URL",
-	"overload":      "come back after the time in Retry-After",
-	"no_instance":   "come back after the time in Retry-After",
-	"unknown":       "the request may have run; ask before it is sent again",
-	"timeout":       "the request may have run; ask before it is sent again",
+	"no_tables":         "come back after the time in Retry-After",
+	"stale_tables":      "come back after the time in Retry-After",
+	"no_route":          "check the host and the path against the table of routes",
+	"unknown_key":       "send a key that a customer holds",
+	"body_too_big":      "send a smaller body",
+	"body_too_slow":     "send the body without pauses",
+	"bad_target":        "send the path of the request, not a whole URL",
+	reasonInstancesWait: "come back after the time in Retry-After",
+	"overload":          "come back after the time in Retry-After",
+	"no_instance":       "come back after the time in Retry-After",
+	"unknown":           "the request may have run; ask before it is sent again",
+	"timeout":           "the request may have run; ask before it is sent again",
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -48,6 +48,8 @@
 	// placed receives the chosen instance; it is closed when the request is shed.
 	placed     chan placement.Choice
 	retryAfter time.Duration
+	// reason is why the request was shed.
+	reason string
 }
 
 // retryLimits bound the retries of all entries together.
@@ -94,6 +96,12 @@
 	}
 }
 
+// The reasons why a request gets no slot.
+const (
+	reasonOverload      = "overload"
+	reasonInstancesWait = "instances_wait"
+)
+
 // rejection describes why a request got no slot.
 type rejection struct {
 	retryAfter time.Duration
@@ -107,7 +115,7 @@
 	now := clock.Now()
 	s.nextID++
 	t.ID = s.nextID
-	t.placed = make(chan placement.Choice, 1)
+	t.placed, t.reason = make(chan placement.Choice, 1), reasonOverload
 	s.tickets[t.ID] = t
 	s.updateMinVersion(t, now)
 	s.extendQueueTime(t, now)
@@ -155,19 +163,19 @@
 		if ok {
 			return choice, nil
 		}
-		return placement.Choice{}, &rejection{retryAfter: t.retryAfter, reason: "overload"}
+		return placement.Choice{}, &rejection{retryAfter: t.retryAfter, reason: t.reason}
 	case <-ctx.Done():
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.queue(t.need.Pool).Cancel(t.ID) {
 		delete(s.tickets, t.ID)
-		return placement.Choice{}, &rejection{retryAfter: minRetryAfter, reason: "overload"}
+		return placement.Choice{}, &rejection{retryAfter: minRetryAfter, reason: reasonOverload}
 	}
 	// The request was placed or shed at the same time.
 	choice, ok := <-t.placed
 	if !ok {
-		return placement.Choice{}, &rejection{retryAfter: t.retryAfter, reason: "overload"}
+		return placement.Choice{}, &rejection{retryAfter: t.retryAfter, reason: t.reason}
 	}
 	return choice, nil
 }
@@ -182,6 +190,7 @@
 // dispatchWaiting assigns free slots to queued requests. The caller holds mu.
 func (s *scheduler) dispatchWaiting(pool string, now time.Time) {
 	queue := s.queue(pool)
+	s.rejectWhileAllWait(pool, now)
 	for queue.Queued() > 0 {
 		id, found, shed := queue.NextStartable(func(id uint64) bool {
 			s.updateMinVersion(s.tickets[id], now)
