A leaving engine gets no orders, and its agent tells entries that it leaves

It ignored the header that says that the engine leaves: it would order it to load a new version and so cut its last streams, entries learned of it only from answers, and other engines of the zone waited for its switch until the deadline. The report now holds it; the agent passes it on at once and sends no order, also when it shows during the drain before one.

Measured: TestNoOrderForALeavingEngine, TestEngineThatLeavesDuringTheDrainGetsNoOrder and TestLeavingNeighborsHoldUpNoSwitch failed before.

--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -377,7 +377,7 @@
 		Start: a.start, Sequence: a.sequence, ComposedAt: now,
 	}
 	if a.report.Start > 0 {
-		message.Report = &beat.EngineReport{Born: a.report.Start, Loaded: a.report.LoadedVersion, Switching: a.switching, Pace: a.report.Slowdown}
+		message.Report = &beat.EngineReport{Born: a.report.Start, Loaded: a.report.LoadedVersion, Switching: a.switching, Pace: a.report.Slowdown, Leaving: a.report.Leaving}
 	}
 	var hosts []string
 	for host, entry := range a.entries {
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -21,6 +21,7 @@
 	"plantainrelay/internal/swarm"
 	"plantainrelay/internal/weights"
 	"plantainrelay/platform"
+	"plantainrelay/platform/standin"
 )
 
 const model = "m"
@@ -31,11 +32,16 @@
 	staged map[int][]byte
 	report string
 	orders []string
+	// leaving makes all responses say that the engine leaves.
+	leaving bool
 }
 
 func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.leaving {
+		w.Header().Set(standin.HeaderLeaving, "1")
+	}
 	chunk, _ := strconv.Atoi(r.URL.Query().Get("ItemCount"))
 	body, _ := io.ReadAll(r.Body)
 	switch {
--- a/internal/loader/switch.go
+++ b/internal/loader/switch.go
@@ -101,6 +101,13 @@
 	return a.switching
 }
 
+// isEngineLeaving reports whether this start of the engine has said that it leaves.
+func (a *agent) isEngineLeaving() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.report.Leaving
+}
+
 // isEngineUnknown reports whether the engine has not been reached.
 func (a *agent) isEngineUnknown() bool {
 	a.mu.Lock()
@@ -144,7 +151,12 @@
 		return
 	}
 	last := a.report
+	report.Leaving = report.Leaving || last.Leaving && last.Start == report.Start
 	a.report = report
+	if report.Leaving && !(last.Leaving && last.Start == report.Start) {
+		a.log.WithFields(logrus.Fields{"born": report.Start, "version": report.LoadedVersion}).Info("the engine says that it is leaving; it gets no more orders")
+		a.triggerMessage()
+	}
 	if a.switching && (report.LoadedVersion == a.target.version || report.Start != last.Start) {
 		a.switching = false
 		a.triggerMessage()
@@ -168,11 +180,12 @@
 }
 
 // mayLoad reports whether all chunks of the target are held and the engine does not
-// serve it, and whether the engine may be given an order now.
+// serve it, and whether the engine may be given an order now. An engine that leaves gets
+// none: it would cut its last streams for weights that it will not serve.
 func (a *agent) mayLoad(last loadOrder, now time.Time) (complete, allowed bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.report.Start == 0 || a.target.version == 0 || a.report.LoadedVersion >= a.target.version || a.report.Busy {
+	if a.report.Start == 0 || a.report.Leaving || a.target.version == 0 || a.report.LoadedVersion >= a.target.version || a.report.Busy {
 		return false, false
 	}
 	if last.version == a.target.version && last.engineStart == a.report.Start && now.Sub(last.sentAt) < orderTimeout {
@@ -195,7 +208,8 @@
 			continue
 		}
 		last, found := a.neighbors[member.Name]
-		if !found || now.Sub(last.sentAt) > neighborTimeout {
+		// Engines that leave do not switch.
+		if !found || now.Sub(last.sentAt) > neighborTimeout || last.report.Leaving {
 			continue
 		}
 		neighbors = append(neighbors, rollout.Neighbor{
@@ -221,7 +235,7 @@
 	if report.LoadedVersion > 0 {
 		a.drain(ctx)
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || a.isEngineLeaving() {
 		a.setSwitching(false)
 		return last
 	}
