The fault soak plays instances that leave unlisted or ask to wait

Arrivals at instances are recorded with what their answers say, and checked by entry: after an answer that says that the instance leaves has been passed on, and while an instance has asked for no requests. Two changes to a sound history show that each check reports.

--- a/test/soak/fleet/check.go
+++ b/test/soak/fleet/check.go
@@ -35,6 +35,7 @@
 			c.violation("LOST", "%s did not exit within the shutdown timeout", stop.Target)
 		}
 	}
+	c.checkNotices()
 	c.checkRecovery()
 	return c.violations
 }
--- a/test/soak/fleet/check_test.go
+++ b/test/soak/fleet/check_test.go
@@ -66,6 +66,16 @@
 	}},
 	{"an old version after the bound", "VERSION", func(h *History) { h.addRelease(3, checkEpoch.Add(-9*time.Second)) }},
 	{"a late request to an instance that shuts down", "DRAIN", func(h *History) { h.addDrainNotice("i-1", checkEpoch.Add(-3*time.Second)) }},
+	{"a late request to an instance whose answer has said that it leaves", "DRAIN notice", func(h *History) {
+		h.Calls[0].Ended = checkEpoch.Add(-3 * time.Second)
+		h.addArrival(standin.Arrival{BackendID: "i-1", Attempt: h.Calls[0].Attempt, At: checkEpoch.Add(-4 * time.Second), Leaving: true})
+		h.addArrival(standin.Arrival{BackendID: "i-1", Attempt: h.Calls[1].Attempt, At: checkEpoch})
+	}},
+	{"requests to an instance that has asked to wait", "BUDGET", func(h *History) {
+		for i, after := range []time.Duration{0, 600, 700, 800} {
+			h.addArrival(standin.Arrival{BackendID: "i-1", Attempt: h.Calls[0].Attempt, At: checkEpoch.Add(after * time.Millisecond), Wait: time.Duration(1-min(i, 1)) * time.Second})
+		}
+	}},
 	{"a booking runs twice", "TWICE", func(h *History) { h.Executions = append(h.Executions, h.Executions[1]) }},
 	{"a refused booking that ran", "REFUSED", func(h *History) { h.Calls[1].Outcome, h.Calls[1].Status = Refused, 503 }},
 	{"another request's answer", "MIXED", func(h *History) { h.Calls[2].Correct = false }},
--- a/test/soak/fleet/faults.go
+++ b/test/soak/fleet/faults.go
@@ -33,6 +33,10 @@
 	{"instance crashed", func(r *run) error { return r.crashInstance("instance crashed", true) }},
 	{"instance lost power", func(r *run) error { return r.crashInstance("instance lost power", false) }},
 	{"instance replaced", (*run).replaceInstance},
+	{"instance leaves unlisted", (*run).leaveUnlisted},
+	{"instance asks to wait", func(r *run) error {
+		return r.setFaults("instance asks to wait", standin.BackendFaults{RetryAfter: "2.5"})
+	}},
 	{"instance slow", func(r *run) error { return r.setFaults("instance slow", standin.BackendFaults{SlowFactor: 6}) }},
 	{"answers lost", func(r *run) error { return r.setFaults("answers lost", standin.BackendFaults{DropResponses: true}) }},
 	{"answers cut", func(r *run) error { return r.setFaults("answers cut", standin.BackendFaults{TruncateResponses: true}) }},
@@ -246,6 +250,34 @@
 	return r.StartBackend(instance, 0, nil)
 }
 
+// leaveUnlisted makes an instance say in its answers that it leaves, while its list entry
+// lags or never says so, stops it, and later starts another one at the same address.
+func (r *run) leaveUnlisted() error {
+	instance, done := r.reserveInstance(r.isBackend)
+	if instance == nil {
+		return nil
+	}
+	defer done()
+	r.mu.Lock()
+	lags := r.random.IntN(2) == 0
+	r.mu.Unlock()
+	start := instance.StartCount
+	instance.Backend.SayLeaving()
+	time.Sleep(r.config.Bounds.Drain/2 + drainTime)
+	if lags {
+		instance.Backend.SetLeaving()
+		if err := r.Register(instance); err != nil {
+			return err
+		}
+		time.Sleep(drainTime)
+	}
+	defer r.history.beginFault("instance leaves unlisted", instance.Name)()
+	instance.Backend.Stop()
+	r.Deregister(instance, start)
+	time.Sleep(2 * time.Second)
+	return r.StartBackend(instance, 0, nil)
+}
+
 func (r *run) setFaults(kind string, faults standin.BackendFaults) error {
 	return r.injectAtInstance(kind, r.isBackend, func(instance *testfleet.Instance) error {
 		instance.Backend.SetFaults(faults)
--- a/test/soak/fleet/fleet.go
+++ b/test/soak/fleet/fleet.go
@@ -75,7 +75,7 @@
 	var err error
 	r.Fleet, err = testfleet.New(testfleet.Config{
 		Entries: config.Entries, Engines: config.Engines, KeyRevokeTime: config.Bounds.Revoke, VersionSwitchTime: config.Bounds.Version, ShutdownGrace: shutdownTimeout,
-		Bin: config.Bin, Dir: config.Dir, OnExecution: r.history.addExecution, OnProcessStart: func(name string) { r.history.addStart(name, time.Now()) },
+		Bin: config.Bin, Dir: config.Dir, OnExecution: r.history.addExecution, OnArrival: r.history.addArrival, OnProcessStart: func(name string) { r.history.addStart(name, time.Now()) },
 	})
 	if err != nil {
 		return nil, err
--- a/test/soak/fleet/history.go
+++ b/test/soak/fleet/history.go
@@ -79,6 +79,7 @@
 	RecoveryCheckFrom time.Time
 	Calls             []Call
 	Executions        []standin.Execution
+	Arrivals          []standin.Arrival
 	Windows           []FaultWindow
 	// Stops are the graceful stops of entries, Overdue those that exceeded the timeout.
 	Stops, Overdue []FaultWindow
@@ -103,6 +104,10 @@
 	h.update(func() { h.Executions = append(h.Executions, execution) })
 }
 
+func (h *History) addArrival(arrival standin.Arrival) {
+	h.update(func() { h.Arrivals = append(h.Arrivals, arrival) })
+}
+
 func (h *History) addTable(table standin.Table, at time.Time) {
 	h.update(func() { h.tables = append(h.tables, acceptedChange{at: at, table: table}) })
 }
--- a/test/testfleet/testfleet.go
+++ b/test/testfleet/testfleet.go
@@ -61,8 +61,9 @@
 	// the processes.
 	Bin, Dir string
 	// OnExecution is called for each request that a backend server starts to
-	// execute, OnProcessStart for each start of a process.
+	// execute, OnArrival, when set, for each that reaches one, OnProcessStart for each start of a process.
 	OnExecution    func(standin.Execution)
+	OnArrival      func(standin.Arrival)
 	OnProcessStart func(instance string)
 }
 
@@ -200,7 +201,7 @@
 func (f *Fleet) StartBackend(instance *Instance, version int64, staged map[int][]byte) error {
 	instance.StartCount++
 	config := standin.BackendConfig{
-		ID: instance.BackendID(), Pool: instance.Pool, Zone: instance.Zone, Address: instance.Address, Slots: slots, OnStart: f.config.OnExecution,
+		ID: instance.BackendID(), Pool: instance.Pool, Zone: instance.Zone, Address: instance.Address, Slots: slots, OnStart: f.config.OnExecution, OnArrival: f.config.OnArrival,
 	}
 	if instance.Pool == ModelPool {
 		weights := ModelWeights
