A heartbeat that is too large leaves out the instances that leave

Names in the list are not bounded in length; a message that did not fit was not sent, and its entry would count as gone. Measured: TestOversizedNoticesAreOmitted failed before.

--- a/internal/beat/message_test.go
+++ b/internal/beat/message_test.go
@@ -58,6 +58,19 @@
 	c.Assert(err, qt.IsNotNil)
 }
 
+// TestOversizedNoticesAreOmitted guards against an entry that counts as gone, because the
+// names of leaving instances do not fit into its message.
+func TestOversizedNoticesAreOmitted(t *testing.T) {
+	c := qt.New(t)
+	m := &Message{Host: "10.0.0.1", Sequence: 4, LeavingBackends: []LeavingBackend{{ID: strings.Repeat("i", maxDatagram), Born: 1}}}
+	raw, err := encodeWithinLimit(m)
+	c.Assert(err, qt.IsNil)
+	got, _, err := decode(raw)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.Sequence, qt.Equals, uint64(4))
+	c.Assert(got.LeavingBackends, qt.HasLen, 0)
+}
+
 // TestTrailerIsBounded checks the size that encodeWithinLimit leaves for the trailer.
 func TestTrailerIsBounded(t *testing.T) {
 	raw, err := encode(trailer{Epoch: math.MaxUint32, Sent: math.MaxInt64, EchoEpoch: math.MaxUint32, EchoSent: math.MaxInt64, Elapsed: math.MinInt64})
--- a/internal/beat/socket.go
+++ b/internal/beat/socket.go
@@ -66,14 +66,14 @@
 }
 
 // encodeWithinLimit encodes a message. A message that would not fit into a datagram is
-// encoded without its loads.
+// encoded without its loads, and without the instances that leave.
 func encodeWithinLimit(m *Message) ([]byte, error) {
 	raw, err := encode(m)
 	if err != nil || len(raw) <= maxDatagram-maxTrailer {
 		return raw, err
 	}
 	small := *m
-	small.Loads, small.LoadsOmitted = nil, true
+	small.Loads, small.LoadsOmitted, small.LeavingBackends = nil, true, nil
 	if raw, err = encode(&small); err == nil && len(raw) > maxDatagram-maxTrailer {
 		err = failure.New(failure.Invalid, "report this", "a message to peers has %d bytes without its loads", len(raw))
 	}
