Revisions of the store have an era, which goes first

Cause: a store that is restored from an older copy gives its revisions out again. A replica compared by the number alone: it kept content that the store had lost, rejected new content with a known number, and took the proof of one history for the other.

Change: replica.Revision is era and number, compared in this order, in replicas, in what peers pull and tell each other, and in logs. A copy moves to a newer era with a whole listing only. The watcher lists at once; the other entries of its availability zone wait for it, 300 ms for each rank. A document with a version of its own is retained until the store has that version again, and peers exchange such documents, so that a starting process gets them too. A store without the header is in era 0.

--- a/internal/beat/message.go
+++ b/internal/beat/message.go
@@ -40,6 +40,10 @@
 	// AgeMs is the time in milliseconds since the copy was last confirmed to be
 	// current.
 	AgeMs int64
+	// Era is the era of Content; Versions is the sum of the documents' own versions. Both
+	// are 0 from processes that do not know them.
+	Era      int64
+	Versions int64
 }
 
 // Load describes the requests that an entry has in progress at one instance.
--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -5,6 +5,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -20,6 +21,10 @@
 // is longer than the interval between two reads of the store by an assigned watcher.
 const staleProofAge = 4 * time.Second
 
+// maxRandomRank bounds the rank of a process that does not know its own. It is high,
+// because all of them receive the collections from those that do.
+const maxRandomRank = 20
+
 // Plan holds the settings that keep one collection current.
 type Plan struct {
 	duty.Plan
@@ -33,8 +38,10 @@
 // CollectionState is the state of a collection as reported to peers.
 type CollectionState struct {
 	Known   bool
-	Content int64
-	Age     time.Duration
+	Content replica.Revision
+	// Versions is the sum of the documents' own versions.
+	Versions int64
+	Age      time.Duration
 }
 
 type collectionCopy struct {
@@ -55,6 +62,10 @@
 	// ShouldWatch reports whether this process is assigned to watch a collection of the
 	// store; nil when it never is.
 	ShouldWatch func(platform.Kind) bool
+	// ListRank returns the rank of this process among those that list a collection after a
+	// restore of the store; the first one has rank 0. When nil, the rank is random, up to
+	// maxRandomRank.
+	ListRank func(platform.Kind) int
 	// Changed is called after a collection has changed, one call at a time for each
 	// collection.
 	Changed func(platform.Kind)
@@ -70,6 +81,8 @@
 	mu     sync.Mutex
 	plans  map[platform.Kind]Plan
 	copies map[platform.Kind]*collectionCopy
+	// era is the latest era of the store's revisions that this process knows of.
+	era int64
 }
 
 // New returns empty copies.
@@ -77,6 +90,9 @@
 	if config.ShouldWatch == nil {
 		config.ShouldWatch = func(platform.Kind) bool { return false }
 	}
+	if config.ListRank == nil {
+		config.ListRank = func(platform.Kind) int { return 1 + rand.IntN(maxRandomRank) }
+	}
 	if config.StoreAvailabilityChanged == nil {
 		config.StoreAvailabilityChanged = func() {}
 	}
@@ -108,7 +124,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	held := c.copies[kind].replica
-	return CollectionState{Known: held.Known(), Content: held.Content(), Age: clock.Now().Sub(held.Proof())}
+	return CollectionState{Known: held.Known(), Content: held.Content(), Versions: held.Versions(), Age: clock.Now().Sub(held.Proof())}
 }
 
 // StoreUnavailable reports whether reads of the store fail, that is, whether the last
@@ -130,7 +146,7 @@
 	Documents map[string]replica.Document
 	// Content is the content revision of the documents; Proof is the latest time at
 	// which they are known to have been current.
-	Content int64
+	Content replica.Revision
 	Proof   time.Time
 }
 
@@ -150,7 +166,7 @@
 // ProofOf returns the latest time at which documents with the given content revision
 // are known to have been current. Only the present documents and those before the last
 // change are known.
-func (c *Copies) ProofOf(kind platform.Kind, content int64) (proof time.Time, known bool) {
+func (c *Copies) ProofOf(kind platform.Kind, content replica.Revision) (proof time.Time, known bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.copies[kind].replica.ProofOf(content)
@@ -158,7 +174,7 @@
 
 // Since returns the changes for a peer whose copy is complete up to revision, and the
 // age of their proof. It returns false when this process has no copy.
-func (c *Copies) Since(kind platform.Kind, revision int64) (replica.Change, time.Duration, bool) {
+func (c *Copies) Since(kind platform.Kind, revision replica.Revision) (replica.Change, time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	collection := c.copies[kind]
@@ -180,40 +196,91 @@
 	if !state.Known {
 		return false
 	}
+	c.recordEra(state.Content.Era, peer)
 	c.mu.Lock()
 	held, now := c.copies[kind].replica, clock.Now()
 	previousProof := held.Proof()
 	if !sentAfter.IsZero() {
 		held.RecordProof(state.Content, sentAfter.Add(-state.Age))
 	}
-	newProof, known, content := held.Proof(), held.Known(), held.Content()
+	newProof, known, content, versions := held.Proof(), held.Known(), held.Content(), held.Versions()
 	c.mu.Unlock()
 	if known && now.Sub(previousProof) > staleProofAge && now.Sub(newProof) <= staleProofAge {
 		c.config.Log.WithFields(logrus.Fields{
-			"collection": string(kind), "peer": peer, "content": content, "told_age_ms": state.Age.Milliseconds(),
+			"collection": string(kind), "peer": peer, "content": content.Number, "era": content.Era, "told_age_ms": state.Age.Milliseconds(),
 			"message_age_ms": now.Sub(sentAfter).Milliseconds(), "last_proof_age_ms": now.Sub(previousProof).Milliseconds(),
 			"proof_age_ms": now.Sub(newProof).Milliseconds(),
 		}).Info("a peer renewed a stale proof")
 	}
-	return !known || state.Content > content
+	return !known || state.Content.After(content) || state.Versions > versions
 }
 
 // AsOf returns the store revision up to which a copy is complete.
-func (c *Copies) AsOf(kind platform.Kind) int64 {
+func (c *Copies) AsOf(kind platform.Kind) replica.Revision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.copies[kind].replica.AsOf()
 }
 
+// Era returns the latest era of the store's revisions that this process knows of; 0 for a
+// store that was never restored.
+func (c *Copies) Era() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.era
+}
+
+// recordEra records the era of the store's revisions as seen in a response of the store or
+// in the message of a peer. The copies of an earlier era are read again.
+func (c *Copies) recordEra(era int64, source string) {
+	if era <= c.Era() {
+		return
+	}
+	ranks := map[platform.Kind]int{}
+	for _, kind := range platform.Kinds {
+		ranks[kind] = c.config.ListRank(kind)
+	}
+	last, outdated := c.setEra(era, ranks)
+	if outdated > 0 {
+		c.config.Log.WithFields(logrus.Fields{"era": era, "last_era": last, "source": source, "collections": outdated}).
+			Warning("the store was restored from an older copy; its collections are read again")
+	}
+}
+
+// setEra raises the era, and returns the previous one and the number of copies that are
+// outdated by it.
+func (c *Copies) setEra(era int64, ranks map[platform.Kind]int) (last int64, outdated int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last = c.era
+	if era <= last {
+		return last, 0
+	}
+	c.era = era
+	for kind, collection := range c.copies {
+		if collection.outdated(era) {
+			collection.reader.StoreRestored(ranks[kind], clock.Now())
+			outdated++
+		}
+	}
+	return last, outdated
+}
+
+// outdated reports whether the copy is of an era before the given one. The caller holds
+// Copies.mu.
+func (c *collectionCopy) outdated(era int64) bool {
+	return c.replica.Known() && c.replica.AsOf().Era < era
+}
+
 // apply merges a change from source, a peer or the store.
 func (c *Copies) apply(kind platform.Kind, change replica.Change, proof time.Time, source string) {
 	c.mu.Lock()
 	collection := c.copies[kind]
-	known := collection.replica.Known()
+	known, content := collection.replica.Known(), collection.replica.Content()
 	documents := collection.replica.Apply(change, proof)
-	changed := len(documents) > 0 || (!known && collection.replica.Known())
+	changed := len(documents) > 0 || (!known && collection.replica.Known()) || content != collection.replica.Content()
 	fields := logrus.Fields{
-		"collection": string(kind), "source": source, "as_of": change.AsOf, "content": collection.replica.Content(),
+		"collection": string(kind), "source": source, "era": change.AsOf.Era, "as_of": change.AsOf.Number, "content": collection.replica.Content().Number,
 		"changes": len(documents), "proof_age_ms": clock.Now().Sub(proof).Milliseconds(),
 	}
 	c.mu.Unlock()
--- a/internal/copies/follow.go
+++ b/internal/copies/follow.go
@@ -11,6 +11,7 @@
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/duty"
 	"plantainrelay/internal/failure"
+	"plantainrelay/internal/replica"
 	"plantainrelay/platform"
 )
 
@@ -66,7 +67,9 @@
 	assigned, state := c.config.ShouldWatch(kind), c.CollectionState(kind)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.copies[kind].reader.Next(duty.CopyState{Known: state.Known, Age: state.Age}, assigned, clock.Now())
+	collection := c.copies[kind]
+	held := duty.CopyState{Known: state.Known, Age: state.Age, Outdated: collection.outdated(c.era)}
+	return collection.reader.Next(held, assigned, clock.Now())
 }
 
 // logReadReason logs when the reason for reading the store changes.
@@ -76,7 +79,7 @@
 	last := collection.readReason
 	collection.readReason = reason
 	fields := logrus.Fields{
-		"collection": string(kind), "reason": reason, "last_reason": last, "content": collection.replica.Content(),
+		"collection": string(kind), "reason": reason, "last_reason": last, "content": collection.replica.Content().Number, "era": collection.replica.Content().Era,
 		"proof_age_ms": clock.Now().Sub(collection.replica.Proof()).Milliseconds(),
 	}
 	c.mu.Unlock()
@@ -91,29 +94,42 @@
 	c.mu.Lock()
 	collection := c.copies[kind]
 	collection.reader.CallStarted(reason, wait, proof)
-	known, from := collection.replica.Known(), collection.replica.AsOf()
+	watch, from := collection.replica.Known() && reason != duty.StoreRestored, collection.replica.AsOf()
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, wait+responseSlack)
 	defer cancel()
 	overdue := time.AfterFunc(wait+duty.OverdueDelay+time.Millisecond, c.config.StoreAvailabilityChanged)
 	defer overdue.Stop()
-	if known {
+	if watch {
 		change, err := c.config.Store.Watch(ctx, kind, from, wait)
-		if err == nil {
-			c.apply(kind, change, proof, storeSource)
-			return len(change.Documents) > 0, nil
-		}
-		if !failure.Is(err, failure.NotFound) {
+		c.recordEra(change.AsOf.Era, storeSource)
+		switch {
+		case c.Era() > from.Era && (err == nil || failure.Is(err, failure.NotFound)):
+			// The next call lists the collection, unless a peer sends it first.
+			return false, nil
+		case err == nil:
+			return len(change.Documents) > 0, c.applyResponse(kind, change, proof)
+		case !failure.Is(err, failure.NotFound):
 			return false, err
 		}
 		c.config.Log.WithField("collection", string(kind)).Info("the store no longer has the changes since this revision; listing the collection")
 	}
 	change, err := c.config.Store.List(ctx, kind)
+	c.recordEra(change.AsOf.Era, storeSource)
 	if err != nil {
 		return false, err
 	}
+	return true, c.applyResponse(kind, change, proof)
+}
+
+// applyResponse applies a response of the store, unless the store was restored since it
+// made the response.
+func (c *Copies) applyResponse(kind platform.Kind, change replica.Change, proof time.Time) error {
+	if era := c.Era(); change.AsOf.Era < era {
+		return failure.New(failure.Refused, "wait until the store recovers", "the store's response for %s is of era %d, before era %d", kind, change.AsOf.Era, era)
+	}
 	c.apply(kind, change, proof, storeSource)
-	return true, nil
+	return nil
 }
 
 func (c *Copies) readFailed(kind platform.Kind, err error) {
--- a/internal/copies/pull.go
+++ b/internal/copies/pull.go
@@ -27,18 +27,6 @@
 	pullHedgeDelay = 300 * time.Millisecond
 )
 
-// PullArgs asks for the changes of a collection since a revision.
-type PullArgs struct {
-	Kind  string
-	Since int64
-}
-
-// PullReply holds the changes and the age of their proof.
-type PullReply struct {
-	Change replica.Change
-	Age    time.Duration
-}
-
 // Service lets peers pull changes of the collections.
 type Service struct {
 	copies *Copies
@@ -51,11 +39,11 @@
 
 // Pull returns the changes that the caller lacks.
 func (s *Service) Pull(args PullArgs, reply *PullReply) error {
-	change, age, known := s.copies.Since(platform.Kind(args.Kind), args.Since)
+	change, age, known := s.copies.Since(platform.Kind(args.Kind), replica.Revision{Era: args.Era, Number: args.Since})
 	if !known {
 		return failure.New(failure.NotFound, "ask another process", "this process has no copy of %s yet", args.Kind)
 	}
-	reply.Change, reply.Age = change, age
+	reply.Change, reply.Age = encodeChange(change), age
 	return nil
 }
 
@@ -99,7 +87,13 @@
 			return
 		}
 		kind := platform.Kinds[i]
-		received := CollectionState{Known: state.Known, Content: state.Content, Age: time.Duration(state.AgeMs) * time.Millisecond}
+		received := CollectionState{
+			Known: state.Known, Content: replica.Revision{Era: state.Era, Number: state.Content}, Versions: state.Versions,
+			Age: time.Duration(state.AgeMs) * time.Millisecond,
+		}
+		if received.Content.Era > p.copies.AsOf(kind).Era {
+			p.allowPull(kind)
+		}
 		if p.copies.PeerStateReceived(kind, received, m.ComposedAfter, m.Host) && p.tryBegin(kind, m.Host, now) {
 			go p.pull(ctx, kind, m.Host)
 		}
@@ -128,6 +122,14 @@
 	return true
 }
 
+// allowPull ends the minimum interval since the last pull of a collection: after a restore
+// of the store, a process that may not pull would have to list the collection itself.
+func (p *Puller) allowPull(kind platform.Kind) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.lastPulls, kind)
+}
+
 func (p *Puller) end(kind platform.Kind, host string, asked time.Time, succeeded bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -141,12 +143,12 @@
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	var reply PullReply
-	asked := clock.Now()
-	err := p.client.Call(ctx, beat.Address(host, p.port), pullMethod, PullArgs{Kind: string(kind), Since: p.copies.AsOf(kind)}, &reply)
+	asked, since := clock.Now(), p.copies.AsOf(kind)
+	err := p.client.Call(ctx, beat.Address(host, p.port), pullMethod, PullArgs{Kind: string(kind), Since: since.Number, Era: since.Era}, &reply)
 	if err != nil {
 		p.log.WithError(err).WithFields(logrus.Fields{"peer": host, "collection": string(kind)}).Warning("changes could not be pulled from a peer")
 	} else {
-		p.copies.ApplyFromPeer(kind, reply.Change, asked.Add(-reply.Age), host)
+		p.copies.ApplyFromPeer(kind, decodeChange(reply.Change), asked.Add(-reply.Age), host)
 	}
 	p.end(kind, host, asked, err == nil)
 }
@@ -156,7 +158,7 @@
 	states := make([]beat.CollectionState, len(platform.Kinds))
 	for i, kind := range platform.Kinds {
 		state := copies.CollectionState(kind)
-		states[i] = beat.CollectionState{Known: state.Known, Content: state.Content, AgeMs: state.Age.Milliseconds()}
+		states[i] = beat.CollectionState{Known: state.Known, Content: state.Content.Number, AgeMs: state.Age.Milliseconds(), Era: state.Content.Era, Versions: state.Versions}
 	}
 	return states
 }
--- a/internal/copies/pull_test.go
+++ b/internal/copies/pull_test.go
@@ -70,8 +70,8 @@
 func TestChangesArePulledOverRPC(t *testing.T) {
 	c := qt.New(t)
 	from := New(Config{Log: testLog(), Changed: func(platform.Kind) {}})
-	document := replica.Document{Name: "main", Revision: 7, Body: []byte("{}")}
-	from.ApplyFromPeer(platform.Tables, replica.Change{Whole: true, AsOf: 9, Documents: []replica.Document{document}}, clock.Now().Add(-time.Second), "peer")
+	document := replica.Document{Name: "main", Revision: replica.Revision{Number: 7}, Body: []byte("{}")}
+	from.ApplyFromPeer(platform.Tables, replica.Change{Whole: true, AsOf: replica.Revision{Number: 9}, Documents: []replica.Document{document}}, clock.Now().Add(-time.Second), "peer")
 	server := peer.NewServer(peer.Security{}, testLog())
 	c.Assert(server.Register(ServiceName, NewService(from)), qt.IsNil)
 	port := freePort(c)
@@ -81,11 +81,11 @@
 	puller := NewPuller(to, peer.NewClient(peer.Security{}), port, 1, nil, testLog())
 	puller.pull(t.Context(), platform.Tables, "127.0.0.1")
 	c.Assert(<-changed, qt.Equals, platform.Tables)
-	c.Assert(to.Documents(platform.Tables)["main"].Revision, qt.Equals, int64(7))
+	c.Assert(to.Documents(platform.Tables)["main"].Revision, qt.Equals, replica.Revision{Number: 7})
 	age := to.CollectionState(platform.Tables).Age
 	c.Assert(age >= time.Second && age < time.Minute, qt.IsTrue, qt.Commentf("%s", age))
-	c.Assert(to.PeerStateReceived(platform.Tables, CollectionState{Known: true, Content: 7}, clock.Now(), "peer"), qt.IsFalse)
-	c.Assert(to.PeerStateReceived(platform.Tables, CollectionState{Known: true, Content: 8}, clock.Now(), "peer"), qt.IsTrue)
+	c.Assert(to.PeerStateReceived(platform.Tables, CollectionState{Known: true, Content: replica.Revision{Number: 7}}, clock.Now(), "peer"), qt.IsFalse)
+	c.Assert(to.PeerStateReceived(platform.Tables, CollectionState{Known: true, Content: replica.Revision{Number: 8}}, clock.Now(), "peer"), qt.IsTrue)
 	c.Assert(to.CollectionState(platform.Tables).Age < age, qt.IsTrue, qt.Commentf("a peer with the same content renews the proof"))
 }
 
@@ -96,9 +96,9 @@
 	c := qt.New(t)
 	copies := New(Config{Log: testLog(), Changed: func(platform.Kind) {}})
 	old := clock.Now().Add(-7 * time.Second)
-	document := replica.Document{Name: "main", Revision: 7, Body: []byte("{}")}
-	copies.ApplyFromPeer(platform.Tables, replica.Change{Whole: true, AsOf: 7, Documents: []replica.Document{document}}, old, "peer")
-	reported := CollectionState{Known: true, Content: 7, Age: time.Second}
+	document := replica.Document{Name: "main", Revision: replica.Revision{Number: 7}, Body: []byte("{}")}
+	copies.ApplyFromPeer(platform.Tables, replica.Change{Whole: true, AsOf: replica.Revision{Number: 7}, Documents: []replica.Document{document}}, old, "peer")
+	reported := CollectionState{Known: true, Content: replica.Revision{Number: 7}, Age: time.Second}
 	copies.PeerStateReceived(platform.Tables, reported, time.Time{}, "peer")
 	c.Assert(copies.CollectionState(platform.Tables).Age >= 7*time.Second, qt.IsTrue)
 	sentAfter := clock.Now().Add(-5 * time.Second)
@@ -120,9 +120,9 @@
 	}})
 	var sources sync.WaitGroup
 	for revision := range int64(20) {
-		document := replica.Document{Name: "main", Revision: revision + 1}
+		document := replica.Document{Name: "main", Revision: replica.Revision{Number: revision + 1}}
 		sources.Go(func() {
-			copies.ApplyFromPeer(platform.Tables, replica.Change{Whole: true, AsOf: revision + 1, Documents: []replica.Document{document}}, clock.Now(), "peer")
+			copies.ApplyFromPeer(platform.Tables, replica.Change{Whole: true, AsOf: replica.Revision{Number: revision + 1}, Documents: []replica.Document{document}}, clock.Now(), "peer")
 		})
 	}
 	sources.Wait()
--- a/internal/duty/fleet_test.go
+++ b/internal/duty/fleet_test.go
@@ -49,7 +49,9 @@
 	lastCheck   time.Time
 	sendNow     bool
 	// appliedAt is the time at which each revision was first in effect on the node.
-	appliedAt map[int64]time.Time
+	appliedAt map[replica.Revision]time.Time
+	// era is the latest era of the store that the node knows of.
+	era int64
 }
 
 // storeCall is a call to the store in progress.
@@ -57,6 +59,9 @@
 	began, ends time.Time
 	wait        time.Duration
 	fault       storeFault
+	// list is set when the call lists the collection; otherwise it watches from since.
+	list  bool
+	since replica.Revision
 }
 
 type event struct {
@@ -70,13 +75,16 @@
 	random   *rand.Rand
 	nodes    []*node
 	events   []event
-	revision int64
+	revision replica.Revision
 	faults   map[string]storeFault
 	calls    int
+	// callTimes holds the times of all calls, listings the hosts that listed the collection.
+	callTimes []time.Time
+	listings  []string
 }
 
 func newFleet(seed uint64, plan duty.Plan, zones ...int) *fleet {
-	f := &fleet{now: time.Unix(1_000, 0), random: rand.New(rand.NewPCG(seed, 1)), revision: 1, faults: map[string]storeFault{}}
+	f := &fleet{now: time.Unix(1_000, 0), random: rand.New(rand.NewPCG(seed, 1)), revision: replica.Revision{Number: 1}, faults: map[string]storeFault{}}
 	config := peers.Config{
 		LiveTimeout: 900 * time.Millisecond, FarLiveTimeout: 2500 * time.Millisecond, MaxBroadcast: 16, RemoveAfter: time.Minute, ProbeTimeout: time.Minute, ProbeInterval: time.Second,
 	}
@@ -85,7 +93,7 @@
 			entry := peers.Entry{Host: fmt.Sprintf("10.%d.0.%d", zone, i), AvailabilityZone: fmt.Sprint(zone), Start: 1, Ready: true}
 			f.nodes = append(f.nodes, &node{
 				entry: entry, peers: peers.New(config, entry, []string{"10.0.0.0", "10.1.0.0"}, f.now), copy: replica.New(),
-				reader: duty.NewReader(plan, f.now), lastSent: f.now.Add(-f.randomBelow(beatInterval)), appliedAt: map[int64]time.Time{},
+				reader: duty.NewReader(plan, f.now), lastSent: f.now.Add(-f.randomBelow(beatInterval)), appliedAt: map[replica.Revision]time.Time{},
 			})
 		}
 	}
@@ -138,15 +146,20 @@
 	}
 	n.lastCheck = f.now
 	n.peers.SetStoreUnavailable(n.reader.StoreUnavailable(f.now))
-	held := duty.CopyState{Known: n.copy.Known(), Age: f.now.Sub(n.copy.Proof())}
+	held := duty.CopyState{Known: n.copy.Known(), Age: f.now.Sub(n.copy.Proof()), Outdated: n.copy.Known() && n.copy.AsOf().Era < n.era}
 	reason, wait := n.reader.Next(held, n.peers.ShouldWatch(collection, f.now), f.now)
 	if reason == duty.None || reason == duty.BackingOff {
 		return
 	}
 	n.lastCheck = time.Time{}
 	f.calls++
+	f.callTimes = append(f.callTimes, f.now)
 	n.reader.CallStarted(reason, wait, f.now)
-	n.call = &storeCall{began: f.now, wait: wait, fault: f.faults[n.entry.Host]}
+	list := !n.copy.Known() || reason == duty.StoreRestored
+	n.call = &storeCall{began: f.now, wait: wait, fault: f.faults[n.entry.Host], list: list, since: n.copy.AsOf()}
+	if list {
+		f.listings = append(f.listings, n.entry.Host)
+	}
 	switch n.call.fault {
 	case silent:
 		n.call.ends = f.now.Add(wait + answerSlack)
@@ -158,7 +171,7 @@
 }
 
 func (f *fleet) finish(n *node) {
-	changed := f.revision > n.copy.AsOf()
+	changed := f.revision.After(n.copy.AsOf())
 	answered := n.call.fault == "" && f.faults[n.entry.Host] != silent
 	if f.now.Before(n.call.ends) && (!answered || !changed || f.now.Before(n.call.began.Add(storeLatency))) {
 		return
@@ -170,6 +183,10 @@
 		return
 	}
 	n.reader.CallSucceeded()
+	f.recordEra(n, f.revision.Era)
+	if !ended.list && ended.since.Era < f.revision.Era {
+		return
+	}
 	f.apply(n, f.change(), ended.began)
 	if changed {
 		n.pausedUntil = f.now.Add(batchDelay)
@@ -181,6 +198,14 @@
 	return replica.Change{Whole: true, AsOf: f.revision, Documents: []replica.Document{document}}
 }
 
+// recordEra records the era that a node has seen in a response or in a message.
+func (f *fleet) recordEra(n *node, era int64) {
+	if era > n.era {
+		n.era = era
+		n.reader.StoreRestored(n.peers.ListRank(collection, f.now), f.now)
+	}
+}
+
 func (f *fleet) apply(n *node, change replica.Change, proof time.Time) {
 	if len(n.copy.Apply(change, proof)) > 0 {
 		n.appliedAt[n.copy.Content()] = f.now
@@ -205,17 +230,17 @@
 	}
 }
 
-func (f *fleet) receive(to, from *node, entry peers.Entry, content int64, proof time.Time, known bool) {
+func (f *fleet) receive(to, from *node, entry peers.Entry, content replica.Revision, proof time.Time, known bool) {
 	if current, _ := to.peers.RecordMessage(entry, f.now); !current || !known {
 		return
 	}
+	f.recordEra(to, content.Era)
 	to.copy.RecordProof(content, proof)
-	if content <= to.copy.Content() && to.copy.Known() || to.pulling {
+	if !content.After(to.copy.Content()) && to.copy.Known() || to.pulling {
 		return
 	}
 	to.pulling = true
-	change, proven := replica.Change{Whole: true, AsOf: from.copy.AsOf()}, from.copy.Proof()
-	change.Documents = append(change.Documents, replica.Document{Name: "main", Revision: content})
+	change, proven := from.copy.Since(to.copy.AsOf()), from.copy.Proof()
 	f.after(pullDelay, func() {
 		to.pulling = false
 		f.apply(to, change, proven)
@@ -249,7 +274,7 @@
 }
 
 // propagationTime returns how long after at the revision was in effect on all nodes.
-func (f *fleet) propagationTime(revision int64, at time.Time) time.Duration {
+func (f *fleet) propagationTime(revision replica.Revision, at time.Time) time.Duration {
 	longest := time.Duration(0)
 	for _, n := range f.nodes {
 		appliedAt, found := n.appliedAt[revision]
@@ -271,7 +296,7 @@
 		f.injectFault(fault, share)
 		for change := range 3 {
 			f.run(f.now.Add(f.randomBelow(3 * time.Second)))
-			f.revision++
+			f.revision.Number++
 			confirmed := f.now
 			f.run(f.now.Add(apply + 3*time.Second))
 			if took := f.propagationTime(f.revision, confirmed); took > apply {
--- a/internal/duty/reader.go
+++ b/internal/duty/reader.go
@@ -18,6 +18,10 @@
 	// OverdueDelay is how long after its timeout a call without an answer is considered
 	// failed. It is many times the latency of the store, even of a slow one.
 	OverdueDelay = 350 * time.Millisecond
+	// relistInterval is the time, after a restore of the store, between the listings of two
+	// successive entries of an availability zone. It is enough for the first one to reach
+	// the others.
+	relistInterval = 300 * time.Millisecond
 )
 
 // Plan holds the settings that keep one collection current.
@@ -45,6 +49,8 @@
 	// Probing means that the last call failed. An entry that can't read the store
 	// probes it to detect when it can be read again.
 	Probing Reason = "probing"
+	// StoreRestored means that the store was restored since the copy was read.
+	StoreRestored Reason = "store restored"
 	// BackingOff means that there is a reason to read, but the last call failed too
 	// recently.
 	BackingOff Reason = "pausing"
@@ -55,6 +61,8 @@
 	Known bool
 	// Age is the age of the proof that the copy is current.
 	Age time.Duration
+	// Outdated reports whether the copy is of an earlier era of the store's revisions.
+	Outdated bool
 }
 
 // Reader schedules the reads of one collection. It is not safe for concurrent use.
@@ -64,6 +72,8 @@
 	backoff time.Duration
 	// retryAt is the earliest time of the next call.
 	retryAt time.Time
+	// relistAt is when an outdated copy is listed, unless a peer sends a newer one first.
+	relistAt time.Time
 	// failing reports whether the last call failed; failedAt is the time of the failure.
 	failing  bool
 	failedAt time.Time
@@ -72,6 +82,8 @@
 	// watchConfirmed reports whether the last call was made as the assigned watcher and
 	// has not failed.
 	watchConfirmed bool
+	// watching reports whether that call followed another one of the kind.
+	watching bool
 }
 
 // NewReader returns the reader of a process that started at the given time.
@@ -93,6 +105,10 @@
 		return None, 0
 	case !state.Known:
 		return NoCopy, proofWatchTimeout
+	case state.Outdated && now.Before(r.relistAt):
+		return None, 0
+	case state.Outdated:
+		return StoreRestored, 0
 	case assigned:
 		return AssignedWatcher, r.watchTimeout()
 	case state.Age > r.plan.MaxProofAge:
@@ -115,10 +131,22 @@
 	return proofWatchTimeout
 }
 
+// StoreRestored records that the store was restored, so that the copy has to be listed
+// again. The watcher lists it at once. Any other process first waits for a peer to send the
+// listing, the longer the higher its rank among those that would list it; the first one
+// has rank 0.
+func (r *Reader) StoreRestored(rank int, now time.Time) {
+	r.relistAt = now
+	if !r.watching {
+		r.relistAt = now.Add(time.Duration(rank) * relistInterval)
+	}
+}
+
 // CallStarted records the start of a call, the reason for it and how long it may wait
 // for a change.
 func (r *Reader) CallStarted(reason Reason, wait time.Duration, now time.Time) {
 	r.overdueAt = now.Add(wait + OverdueDelay)
+	r.watching = r.watchConfirmed && reason == AssignedWatcher
 	r.watchConfirmed = reason == AssignedWatcher
 }
 
@@ -132,7 +160,7 @@
 func (r *Reader) CallFailed(now time.Time, jitter float64) {
 	r.retryAt = now.Add(r.backoff/2 + time.Duration(jitter*float64(r.backoff)))
 	r.backoff = min(2*r.backoff, maxBackoff)
-	r.failing, r.failedAt, r.watchConfirmed, r.overdueAt = true, now, false, time.Time{}
+	r.failing, r.failedAt, r.watchConfirmed, r.watching, r.overdueAt = true, now, false, false, time.Time{}
 }
 
 // StoreUnavailable reports whether the last call failed or the current one is overdue.
--- a/internal/loader/metrics.go
+++ b/internal/loader/metrics.go
@@ -35,6 +35,7 @@
 		defer a.mu.Unlock()
 		return float64(a.report.LoadedVersion)
 	})
+	m.Gauge("store_era", "Latest era of the store's revisions that this process knows of; it rises when the store is restored from an older copy.", func() float64 { return float64(a.copies.Era()) })
 	vector := func(name, help string, labels ...string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: metrics.Namespace, Name: name, Help: help}, labels)
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -339,14 +339,8 @@
 // zone that is the entry ranked first among those that can read the store, or
 // among all if none can.
 func (d *Directory) ShouldWatch(collection string, now time.Time) bool {
-	zone := []Entry{d.self}
-	for _, entry := range d.LiveEntries(now) {
-		if entry.AvailabilityZone == d.self.AvailabilityZone && !entry.Leaving {
-			zone = append(zone, entry)
-		}
-	}
 	var all, readers []string
-	for _, entry := range zone {
+	for _, entry := range d.zoneEntries(now) {
 		all = append(all, entry.Host)
 		if !entry.StoreUnavailable {
 			readers = append(readers, entry.Host)
@@ -358,6 +352,29 @@
 	return member.Rank(collection, readers)[0] == d.self.Host
 }
 
+// ListRank returns the position of this entry in the order in which the live entries of
+// its availability zone list a collection after a restore of the store. It does not depend
+// on who can read the store: after an outage, entries differ in what they know of that.
+func (d *Directory) ListRank(collection string, now time.Time) int {
+	var hosts []string
+	for _, entry := range d.zoneEntries(now) {
+		hosts = append(hosts, entry.Host)
+	}
+	return slices.Index(member.Rank(collection, hosts), d.self.Host)
+}
+
+// zoneEntries returns this entry and the live ones of its availability zone that are not
+// leaving.
+func (d *Directory) zoneEntries(now time.Time) []Entry {
+	zone := []Entry{d.self}
+	for _, entry := range d.LiveEntries(now) {
+		if entry.AvailabilityZone == d.self.AvailabilityZone && !entry.Leaving {
+			zone = append(zone, entry)
+		}
+	}
+	return zone
+}
+
 // maxLiveAge is how long the list of live entries is used before it is checked again
 // which of them have been silent for too long.
 const maxLiveAge = 100 * time.Millisecond
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -320,6 +320,14 @@
 	return h.directory.ShouldWatch(string(kind), clock.Now())
 }
 
+// listRank returns the rank of this entry among those of its availability zone that list a
+// collection after a restore of the store.
+func (h *heartbeater) listRank(kind platform.Kind) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.directory.ListRank(string(kind), clock.Now())
+}
+
 // frontAddresses returns the entry addresses to hand out to a caller in an availability
 // zone.
 func (h *heartbeater) frontAddresses(zone string) []string {
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -168,13 +168,14 @@
 	store := platform.NewStoreClient(s.StoreAddress, newStoreTransport())
 	store.OnCall = func(method string, kind platform.Kind) { counts.storeCalls.WithLabelValues(method, string(kind)).Inc() }
 	e.copies = copies.New(copies.Config{
-		Store: store, Plans: newPlans(s.Bounds), Log: log, ShouldWatch: e.heartbeats.shouldWatch, StoreAvailabilityChanged: e.heartbeats.triggerSend,
+		Store: store, Plans: newPlans(s.Bounds), Log: log, ShouldWatch: e.heartbeats.shouldWatch, ListRank: e.heartbeats.listRank, StoreAvailabilityChanged: e.heartbeats.triggerSend,
 		Changed: func(kind platform.Kind) {
 			e.view.handleChange(kind)
 			e.heartbeats.triggerSend()
 		},
 	})
 	e.view.copies, e.heartbeats.copies = e.copies, e.copies
+	e.metrics.Gauge("store_era", "Latest era of the store's revisions that this process knows of; it rises when the store is restored from an older copy.", func() float64 { return float64(e.copies.Era()) })
 	client := peer.NewClient(peer.Security{})
 	e.heartbeats.puller = copies.NewPuller(e.copies, client, s.PeerPort, maxConcurrentPulls, nil, log)
 	weightsDepot, err := depot.New(depot.Config{
--- a/internal/relay/frontend_test.go
+++ b/internal/relay/frontend_test.go
@@ -45,16 +45,16 @@
 	view := newView(scheduler, time.Minute, time.Second, logger)
 	scheduler.minVersion = view.minVersion
 	view.copies = copies.New(copies.Config{Log: logger, Changed: view.handleChange})
-	table := replica.Document{Name: platform.TableName, Revision: 1, Body: []byte(standin.EntryTestTable)}
-	view.copies.ApplyFromPeer(platform.Tables, replica.Change{Whole: true, AsOf: 1, Documents: []replica.Document{table}}, clock.Now(), "peer")
+	table := replica.Document{Name: platform.TableName, Revision: replica.Revision{Number: 1}, Body: []byte(standin.EntryTestTable)}
+	view.copies.ApplyFromPeer(platform.Tables, replica.Change{Whole: true, AsOf: replica.Revision{Number: 1}, Documents: []replica.Document{table}}, clock.Now(), "peer")
 	var backends []replica.Document
 	for i, handler := range handlers {
 		instance := httptest.NewServer(handler)
 		t.Cleanup(instance.Close)
 		body := standin.EntryTestBackend(strings.TrimPrefix(instance.URL, "http://"))
-		backends = append(backends, replica.Document{Name: fmt.Sprintf("i-%d", i), Revision: 1, Body: []byte(body)})
+		backends = append(backends, replica.Document{Name: fmt.Sprintf("i-%d", i), Revision: replica.Revision{Number: 1}, Body: []byte(body)})
 	}
-	view.copies.ApplyFromPeer(platform.Backends, replica.Change{Whole: true, AsOf: 1, Documents: backends}, clock.Now(), "peer")
+	view.copies.ApplyFromPeer(platform.Backends, replica.Change{Whole: true, AsOf: replica.Revision{Number: 1}, Documents: backends}, clock.Now(), "peer")
 	f := &frontend{view: view, scheduler: scheduler, sender: newSender(), log: logger, metrics: newFrontendMetrics(metrics.New()), returningCallers: newReturningCallerDetector()}
 	f.setBounds(platform.Bounds{ConfigApplyTime: 2 * time.Second, KeyRevokeTime: 5 * time.Second})
 	server := httptest.NewServer(f)
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -12,6 +12,7 @@
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/copies"
 	"plantainrelay/internal/placement"
+	"plantainrelay/internal/replica"
 	"plantainrelay/platform"
 )
 
@@ -52,7 +53,7 @@
 // copy that they were decoded from.
 type activeTables struct {
 	*catalog.Table
-	content int64
+	content replica.Revision
 	proof   time.Time
 }
 
@@ -114,7 +115,7 @@
 	}
 	v.active.Store(&activeTables{Table: table, content: snapshot.Content, proof: snapshot.Proof})
 	v.log.WithFields(logrus.Fields{
-		"version": table.Version, "revision": document.Revision, "proof_age_ms": v.proofAge().Milliseconds(),
+		"version": table.Version, "revision": document.Revision.Number, "era": document.Revision.Era, "proof_age_ms": v.proofAge().Milliseconds(),
 	}).Info("tables in force")
 }
 
@@ -140,9 +141,9 @@
 	v.logBackendChange(change, state.Content, state.Age)
 }
 
-func (v *view) logBackendChange(change placement.Change, revision int64, proofAge time.Duration) {
+func (v *view) logBackendChange(change placement.Change, revision replica.Revision, proofAge time.Duration) {
 	v.log.WithFields(logrus.Fields{
-		"backend": change.ID, "pool": change.Pool, "state": string(change.Kind), "revision": revision, "proof_age_ms": proofAge.Milliseconds(),
+		"backend": change.ID, "pool": change.Pool, "state": string(change.Kind), "revision": revision.Number, "era": revision.Era, "proof_age_ms": proofAge.Milliseconds(),
 	}).Info("backend server list changed")
 }
 
@@ -161,7 +162,7 @@
 		// be old.
 		updated, isNew := next.Add(decoded, !v.releasesLoaded || v.wasPaused(now), now)
 		if isNew {
-			v.log.WithFields(logrus.Fields{"model": decoded.Model, "version": decoded.Version, "revision": document.Revision}).Info("release seen")
+			v.log.WithFields(logrus.Fields{"model": decoded.Model, "version": decoded.Version, "revision": document.Revision.Number, "era": document.Revision.Era}).Info("release seen")
 			if v.releasesLoaded {
 				v.onRelease(decoded)
 			}
--- a/internal/relay/view_test.go
+++ b/internal/relay/view_test.go
@@ -47,7 +47,7 @@
 	f.frontend.setBounds(platform.Bounds{ConfigApplyTime: apply, KeyRevokeTime: 5 * time.Second})
 	status := func(age time.Duration, path, key string) int {
 		active := *f.frontend.view.active.Load()
-		f.frontend.view.active.Store(&activeTables{Table: active.Table, content: -1, proof: clock.Now().Add(-age)})
+		f.frontend.view.active.Store(&activeTables{Table: active.Table, content: replica.Revision{Number: -1}, proof: clock.Now().Add(-age)})
 		response, _, err := f.do(http.MethodPost, path, func(r *http.Request) { r.Header.Set(standin.HeaderKey, key) })
 		c.Assert(err, qt.IsNil)
 		return response.StatusCode
@@ -85,21 +85,21 @@
 		listed = append(listed, document)
 	}
 	v.copies = copies.New(copies.Config{Log: v.log, Changed: func(kind platform.Kind) {
-		if v.copies.AsOf(kind) > 1 {
+		if v.copies.AsOf(kind).Number > 1 {
 			<-unblock
 		}
 		v.handleChange(kind)
 	}})
-	table := replica.Document{Name: platform.TableName, Revision: 1, Body: []byte(standin.EntryTestTable)}
-	v.copies.ApplyFromPeer(platform.Tables, replica.Change{Whole: true, AsOf: 1, Documents: []replica.Document{table}}, clock.Now().Add(-7*time.Second), "peer")
-	v.copies.ApplyFromPeer(platform.Backends, replica.Change{Whole: true, AsOf: 1, Documents: listed}, clock.Now(), "peer")
-	newer := replica.Document{Name: platform.TableName, Revision: 2, Body: []byte(strings.Replace(standin.EntryTestTable, `"good"`, `"other"`, 1))}
+	table := replica.Document{Name: platform.TableName, Revision: replica.Revision{Number: 1}, Body: []byte(standin.EntryTestTable)}
+	v.copies.ApplyFromPeer(platform.Tables, replica.Change{Whole: true, AsOf: replica.Revision{Number: 1}, Documents: []replica.Document{table}}, clock.Now().Add(-7*time.Second), "peer")
+	v.copies.ApplyFromPeer(platform.Backends, replica.Change{Whole: true, AsOf: replica.Revision{Number: 1}, Documents: listed}, clock.Now(), "peer")
+	newer := replica.Document{Name: platform.TableName, Revision: replica.Revision{Number: 2}, Body: []byte(strings.Replace(standin.EntryTestTable, `"good"`, `"other"`, 1))}
 	applied := make(chan struct{})
 	go func() {
 		defer close(applied)
-		v.copies.ApplyFromPeer(platform.Tables, replica.Change{Whole: true, AsOf: 2, Documents: []replica.Document{newer}}, clock.Now(), "peer")
+		v.copies.ApplyFromPeer(platform.Tables, replica.Change{Whole: true, AsOf: replica.Revision{Number: 2}, Documents: []replica.Document{newer}}, clock.Now(), "peer")
 	}()
-	for v.copies.AsOf(platform.Tables) < 2 {
+	for v.copies.AsOf(platform.Tables).Number < 2 {
 		time.Sleep(time.Millisecond)
 	}
 	response, _, err := f.do("POST", "/once/1")
@@ -117,8 +117,8 @@
 	c := qt.New(t)
 	f := newFixture(t, answerOK)
 	v := f.frontend.view
-	garbled := replica.Document{Name: platform.TableName, Revision: 2, Body: []byte("{")}
-	v.copies.ApplyFromPeer(platform.Tables, replica.Change{Whole: true, AsOf: 2, Documents: []replica.Document{garbled}}, clock.Now().Add(time.Minute), "peer")
+	garbled := replica.Document{Name: platform.TableName, Revision: replica.Revision{Number: 2}, Body: []byte("{")}
+	v.copies.ApplyFromPeer(platform.Tables, replica.Change{Whole: true, AsOf: replica.Revision{Number: 2}, Documents: []replica.Document{garbled}}, clock.Now().Add(time.Minute), "peer")
 	c.Assert(v.table(), qt.IsNotNil, qt.Commentf("the last valid tables stay in force"))
 	c.Assert(v.proofAge() >= 0, qt.IsTrue, qt.Commentf("%s", v.proofAge()))
 }
@@ -130,7 +130,7 @@
 	c := qt.New(t)
 	listEntry := func(name string, revision int64) replica.Document {
 		body := standin.EntryTestBackend(fmt.Sprintf("10.0.0.1:%d", revision))
-		return replica.Document{Name: name, Revision: revision, Body: []byte(body)}
+		return replica.Document{Name: name, Revision: replica.Revision{Number: revision}, Body: []byte(body)}
 	}
 	var long []replica.Document
 	for i := range 1_000 {
@@ -138,16 +138,16 @@
 	}
 	for range 20 {
 		v := newFixture(t).frontend.view
-		v.copies.ApplyFromPeer(platform.Backends, replica.Change{Whole: true, AsOf: 2, Documents: long}, clock.Now(), "peer")
+		v.copies.ApplyFromPeer(platform.Backends, replica.Change{Whole: true, AsOf: replica.Revision{Number: 2}, Documents: long}, clock.Now(), "peer")
 		var handlers sync.WaitGroup
 		handlers.Go(func() {
-			table := []replica.Document{{Name: platform.TableName, Revision: 2, Body: []byte(standin.EntryTestTable)}}
-			v.copies.ApplyFromPeer(platform.Tables, replica.Change{Whole: true, AsOf: 2, Documents: table}, clock.Now(), "peer")
+			table := []replica.Document{{Name: platform.TableName, Revision: replica.Revision{Number: 2}, Body: []byte(standin.EntryTestTable)}}
+			v.copies.ApplyFromPeer(platform.Tables, replica.Change{Whole: true, AsOf: replica.Revision{Number: 2}, Documents: table}, clock.Now(), "peer")
 		})
-		for v.copies.AsOf(platform.Tables) < 2 {
+		for v.copies.AsOf(platform.Tables).Number < 2 {
 			time.Sleep(100 * time.Microsecond)
 		}
-		v.copies.ApplyFromPeer(platform.Backends, replica.Change{Whole: true, AsOf: 3, Documents: []replica.Document{listEntry("i-1", 3)}}, clock.Now(), "peer")
+		v.copies.ApplyFromPeer(platform.Backends, replica.Change{Whole: true, AsOf: replica.Revision{Number: 3}, Documents: []replica.Document{listEntry("i-1", 3)}}, clock.Now(), "peer")
 		handlers.Wait()
 		choice, found := v.scheduler.fleet.Choose(placement.Requirements{Pool: "s", Tried: map[string]bool{}}, clock.Now())
 		c.Assert(found, qt.IsTrue)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -13,12 +13,14 @@
 
 var epoch = time.Unix(1_000, 0)
 
-func document(name string, revision int64) replica.Document {
-	return replica.Document{Name: name, Revision: revision, Body: []byte(name)}
+func at(number int64) replica.Revision { return replica.Revision{Number: number} }
+
+func document(name string, number int64) replica.Document {
+	return replica.Document{Name: name, Revision: at(number), Body: []byte(name)}
 }
 
-func whole(asOf int64, documents ...replica.Document) replica.Change {
-	return replica.Change{Whole: true, AsOf: asOf, Documents: documents}
+func whole(number int64, documents ...replica.Document) replica.Change {
+	return replica.Change{Whole: true, AsOf: at(number), Documents: documents}
 }
 
 func TestCopyKeepsTheHighestRevision(t *testing.T) {
@@ -26,14 +28,14 @@
 	r := replica.New()
 	c.Assert(r.Apply(whole(10, document("a", 9)), epoch), qt.HasLen, 1)
 	c.Assert(r.Apply(whole(8, document("a", 7), document("b", 8)), epoch.Add(time.Second)), qt.HasLen, 0)
-	c.Assert(r.Documents()["a"].Revision, qt.Equals, int64(9))
+	c.Assert(r.Documents()["a"].Revision, qt.Equals, at(9))
 	c.Assert(r.Proof(), qt.Equals, epoch)
 }
 
 func TestChangesBeforeAListingAreIgnored(t *testing.T) {
 	c := qt.New(t)
 	r := replica.New()
-	c.Assert(r.Apply(replica.Change{AsOf: 5, Documents: []replica.Document{document("a", 5)}}, epoch), qt.HasLen, 0)
+	c.Assert(r.Apply(replica.Change{AsOf: at(5), Documents: []replica.Document{document("a", 5)}}, epoch), qt.HasLen, 0)
 	c.Assert(r.Known(), qt.IsFalse)
 }
 
@@ -42,9 +44,9 @@
 	r := replica.New()
 	r.Apply(whole(10, document("a", 9), document("b", 10)), epoch)
 	changed := r.Apply(whole(12, document("b", 10)), epoch)
-	c.Assert(changed, qt.DeepEquals, []replica.Document{{Name: "a", Revision: 12, Removed: true}})
+	c.Assert(changed, qt.DeepEquals, []replica.Document{{Name: "a", Revision: at(12), Removed: true}})
 	// A delayed older revision does not restore a removed document.
-	r.Apply(replica.Change{AsOf: 13, Documents: []replica.Document{document("a", 11)}}, epoch)
+	r.Apply(replica.Change{AsOf: at(13), Documents: []replica.Document{document("a", 11)}}, epoch)
 	_, found := r.Documents()["a"]
 	c.Assert(found, qt.IsFalse)
 }
@@ -53,11 +55,11 @@
 	c := qt.New(t)
 	r := replica.New()
 	r.Apply(whole(10, document("a", 9)), epoch)
-	r.RecordProof(8, epoch.Add(time.Second))
+	r.RecordProof(at(8), epoch.Add(time.Second))
 	c.Assert(r.Proof(), qt.Equals, epoch)
-	r.RecordProof(9, epoch.Add(time.Second))
+	r.RecordProof(at(9), epoch.Add(time.Second))
 	c.Assert(r.Proof(), qt.Equals, epoch.Add(time.Second))
-	r.RecordProof(9, epoch)
+	r.RecordProof(at(9), epoch)
 	c.Assert(r.Proof(), qt.Equals, epoch.Add(time.Second))
 }
 
@@ -69,12 +71,12 @@
 		store := map[string]replica.Document{}
 		revision := int64(1)
 		copies := []*replica.Replica{replica.New(), replica.New(), replica.New()}
-		seen := make([]map[string]int64, len(copies))
+		seen := make([]map[string]replica.Revision, len(copies))
 		for i := range seen {
-			seen[i] = map[string]int64{}
+			seen[i] = map[string]replica.Revision{}
 		}
 		list := func() replica.Change {
-			change := replica.Change{Whole: true, AsOf: revision}
+			change := replica.Change{Whole: true, AsOf: at(revision)}
 			for _, held := range store {
 				change.Documents = append(change.Documents, held)
 			}
@@ -82,7 +84,7 @@
 		}
 		check := func(i int) {
 			for name, held := range copies[i].Documents() {
-				if held.Revision < seen[i][name] {
+				if seen[i][name].After(held.Revision) {
 					t.Fatalf("copy %d replaced %s by an older revision", i, name)
 				}
 				seen[i][name] = held.Revision
@@ -119,7 +121,7 @@
 			}
 			for name, want := range store {
 				if held.Documents()[name].Revision != want.Revision {
-					t.Fatalf("a copy has revision %d of %s, the store has %d", held.Documents()[name].Revision, name, want.Revision)
+					t.Fatalf("a copy has revision %s of %s, the store has %s", held.Documents()[name].Revision, name, want.Revision)
 				}
 			}
 		}
@@ -132,14 +134,14 @@
 	c := qt.New(t)
 	r := replica.New()
 	r.Apply(whole(10, document("a", 9)), epoch)
-	r.RecordProof(9, epoch.Add(time.Second))
+	r.RecordProof(at(9), epoch.Add(time.Second))
 	r.Apply(whole(12, document("a", 12)), epoch.Add(5*time.Second))
-	proof, known := r.ProofOf(9)
+	proof, known := r.ProofOf(at(9))
 	c.Assert(known, qt.IsTrue)
 	c.Assert(proof, qt.Equals, epoch.Add(time.Second))
-	proof, known = r.ProofOf(12)
+	proof, known = r.ProofOf(at(12))
 	c.Assert(known, qt.IsTrue)
 	c.Assert(proof, qt.Equals, epoch.Add(5*time.Second))
-	_, known = r.ProofOf(8)
+	_, known = r.ProofOf(at(8))
 	c.Assert(known, qt.IsFalse)
 }
