--- a/internal/beat/message_test.go
+++ b/internal/beat/message_test.go
@@ -20,7 +20,7 @@
 	c := qt.New(t)
 	sent := &Message{
 		Role: Agent, Instance: "edge-1", Host: "10.0.0.1", Start: 7, Sequence: 9, Ready: true,
-		Collections: []CollectionState{{Known: true, Content: 5, AgeMs: 100}}, Loads: map[string]Load{"i-1": {Count: 3, Unread: 1200}},
+		Collections: []CollectionState{{Known: true, Content: 5, AgeMs: 100, Era: 2, Versions: 7}}, Loads: map[string]Load{"i-1": {Count: 3, Unread: 1200}},
 		Releases: []Release{{Model: "m", Version: 2, AgeMs: 40}}, Report: &EngineReport{Born: 5, Loaded: 2, Pace: 1.5, Leaving: true},
 		LeavingBackends: []LeavingBackend{{ID: "i-1", Born: 5}},
 	}
