--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -163,6 +163,7 @@
 	// underestimates them.
 	now := clock.Now()
 	h.view.detectListOutage(now)
+	h.view.recheckList(now)
 	h.view.recordVersionLimits(now)
 	loads, leaving := encodeLoads(h.scheduler.ownLoads()), encodeLeaving(h.scheduler.recentlyLeaving(now))
 	h.mu.Lock()
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -42,11 +42,15 @@
 	// releasesMu while the releases are replaced or their limits are logged.
 	backendsMu     sync.Mutex
 	backendDecoder platform.BackendDecoder
+	listHistory    placement.ListHistory
 	releasesMu     sync.Mutex
 	// keepMissingUntil is the time, in nanoseconds of the boot clock, until which
 	// backend servers missing from the list are kept, since their list entries may only
 	// have expired during a store outage.
 	keepMissingUntil atomic.Int64
+	// recheckListAt is the time, in nanoseconds of the boot clock, at which the list is
+	// decoded again although it has not changed; 0 for never.
+	recheckListAt atomic.Int64
 }
 
 // activeTables are the tables in force, with the content revision and the proof of the
@@ -129,6 +133,13 @@
 	now := clock.Now()
 	snapshot := v.copies.Snapshot(platform.Backends)
 	backends := v.backendDecoder.Decode(snapshot.Documents, table)
+	if v.listHistory.Restored(snapshot.Content.Era) {
+		// The restored list lacks the instances that have registered since the copy was
+		// made; they register again as after an outage.
+		v.keepMissingUntil.Store(now.Add(missingGracePeriod).UnixNano())
+	}
+	v.listHistory.Correct(backends, snapshot.Documents, snapshot.Content.Era, now)
+	v.recheckListAt.Store(unixNano(v.listHistory.RecheckAt(now)))
 	for _, change := range v.scheduler.setList(backends, time.Unix(0, v.keepMissingUntil.Load()), now) {
 		v.logBackendChange(change, snapshot.Content, now.Sub(snapshot.Proof))
 	}
@@ -173,6 +184,21 @@
 	v.releases.Store(next)
 }
 
+// unixNano returns the time in nanoseconds, 0 for the zero time.
+func unixNano(at time.Time) int64 {
+	if at.IsZero() {
+		return 0
+	}
+	return at.UnixNano()
+}
+
+// recheckList decodes the list again when it is time.
+func (v *view) recheckList(now time.Time) {
+	if at := v.recheckListAt.Load(); at != 0 && now.UnixNano() >= at {
+		v.decodeBackends()
+	}
+}
+
 // detectListOutage extends the grace period for missing backend servers during an
 // outage of the platform's list, in which no entry can prove that its copy is current.
 func (v *view) detectListOutage(now time.Time) {
