A peer that knows of lost changes renews no proof

Cause: after a restore, a peer with equal content and a higher version of the tables renewed the proof of a process that had not pulled that version yet, or could not. A key revoked there then passed for as long.

Change: a state with higher versions renews no proof. Agents wait longer before they list a collection, and the sum of versions is kept instead of computed for each message.

Measured: TestPeerWithHigherVersionsRenewsNoProof fails without the condition.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -21,9 +21,12 @@
 // is longer than the interval between two reads of the store by an assigned watcher.
 const staleProofAge = 4 * time.Second
 
-// maxRandomRank bounds the rank of a process that does not know its own. It is high,
-// because all of them receive the collections from those that do.
-const maxRandomRank = 20
+// minRandomRank and maxRandomRank bound the rank of a process that does not know its own.
+// They are high, because all of them receive the collections from those that do.
+const (
+	minRandomRank = 10
+	maxRandomRank = 30
+)
 
 // Plan holds the settings that keep one collection current.
 type Plan struct {
@@ -63,8 +66,8 @@
 	// store; nil when it never is.
 	ShouldWatch func(platform.Kind) bool
 	// ListRank returns the rank of this process among those that list a collection after a
-	// restore of the store; the first one has rank 0. When nil, the rank is random, up to
-	// maxRandomRank.
+	// restore of the store; the first one has rank 0. When nil, the rank is random, from
+	// minRandomRank to maxRandomRank.
 	ListRank func(platform.Kind) int
 	// Changed is called after a collection has changed, one call at a time for each
 	// collection.
@@ -91,7 +94,7 @@
 		config.ShouldWatch = func(platform.Kind) bool { return false }
 	}
 	if config.ListRank == nil {
-		config.ListRank = func(platform.Kind) int { return 1 + rand.IntN(maxRandomRank) }
+		config.ListRank = func(platform.Kind) int { return minRandomRank + rand.IntN(maxRandomRank-minRandomRank+1) }
 	}
 	if config.StoreAvailabilityChanged == nil {
 		config.StoreAvailabilityChanged = func() {}
@@ -200,7 +203,8 @@
 	c.mu.Lock()
 	held, now := c.copies[kind].replica, clock.Now()
 	previousProof := held.Proof()
-	if !sentAfter.IsZero() {
+	// A peer whose documents have higher versions knows of changes that the store has lost.
+	if !sentAfter.IsZero() && state.Versions <= held.Versions() {
 		held.RecordProof(state.Content, sentAfter.Add(-state.Age))
 	}
 	newProof, known, content, versions := held.Proof(), held.Known(), held.Content(), held.Versions()
--- a/internal/copies/restore_test.go
+++ b/internal/copies/restore_test.go
@@ -182,6 +182,23 @@
 	c.Assert(f.PeerStateReceived(platform.Tables, behind, clock.Now(), "peer"), qt.IsTrue)
 }
 
+// TestPeerWithHigherVersionsRenewsNoProof guards against tables that count as current while
+// a peer holds a later revocation, which the restored store has lost.
+func TestPeerWithHigherVersionsRenewsNoProof(t *testing.T) {
+	c := qt.New(t)
+	held := New(Config{Log: testLog(), Changed: func(platform.Kind) {}})
+	revision := replica.Revision{Era: 1, Number: 9}
+	document := replica.Document{Name: platform.TableName, Revision: revision, Version: 4}
+	change := replica.Change{Whole: true, AsOf: revision, Documents: []replica.Document{document}}
+	held.ApplyFromPeer(platform.Tables, change, clock.Now().Add(-time.Hour), "peer")
+	reported := CollectionState{Known: true, Content: revision, Versions: 5}
+	c.Assert(held.PeerStateReceived(platform.Tables, reported, clock.Now(), "peer"), qt.IsTrue)
+	c.Assert(held.CollectionState(platform.Tables).Age >= time.Hour, qt.IsTrue)
+	reported.Versions = 4
+	c.Assert(held.PeerStateReceived(platform.Tables, reported, clock.Now(), "peer"), qt.IsFalse)
+	c.Assert(held.CollectionState(platform.Tables).Age < time.Hour, qt.IsTrue)
+}
+
 // TestRestoredTablesArePulledAtOnce guards against agents that list the tables after a
 // restore because they may not pull them from their peers so soon.
 func TestRestoredTablesArePulledAtOnce(t *testing.T) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -62,6 +62,8 @@
 	// retained holds documents of earlier eras whose own version is higher than that of
 	// the document in documents.
 	retained map[string]Document
+	// versions is the sum of the documents' own versions.
+	versions int64
 	// tombstoneFloor is the revision after which no removal is missing.
 	tombstoneFloor Revision
 	// asOf is the store revision up to which the copy is complete; content is the
@@ -85,6 +87,15 @@
 // a higher version of their own are used. A change that begins a new era is ignored
 // unless it is whole.
 func (r *Replica) Apply(change Change, proof time.Time) []Document {
+	changed := r.apply(change, proof)
+	r.versions = 0
+	for _, document := range r.Documents() {
+		r.versions += document.Version
+	}
+	return changed
+}
+
+func (r *Replica) apply(change Change, proof time.Time) []Document {
 	newEra := change.AsOf.Era > r.asOf.Era
 	if !change.Whole && (!r.known || newEra) {
 		return nil
@@ -234,13 +245,7 @@
 
 // Versions returns the sum of the documents' own versions. A copy with a higher sum has a
 // document that a copy with the same content revision lacks.
-func (r *Replica) Versions() int64 {
-	sum := int64(0)
-	for _, document := range r.Documents() {
-		sum += document.Version
-	}
-	return sum
-}
+func (r *Replica) Versions() int64 { return r.versions }
 
 // Since returns the changes for a peer whose copy is complete up to revision.
 func (r *Replica) Since(revision Revision) Change {
--- a/test/imports/imports_test.go
+++ b/test/imports/imports_test.go
@@ -119,7 +119,7 @@
 // platform/ may use them.
 var platformNames = []string{
 	"Response-Seal", "Not-Executed", "Expect-Instance", "Expect-Version", "Attempt-Id", "Deadline-Ms", "X-Api-Key", "Token-Usage",
-	"Instance-Id", "Server-Load", "FullCreditMs", "GapTargetMs", "ColdLeftMs", "ApiKeys", "PLANTAINRELAY_BOOT", "ConfigApplyMs",
+	"Instance-Id", "Server-Load", "Store-Era", "FullCreditMs", "GapTargetMs", "ColdLeftMs", "ApiKeys", "PLANTAINRELAY_BOOT", "ConfigApplyMs",
 	`"/v1/objects`, `/v1/report"`, `"/v1/order`, `"/v1/stage`, `"/v1/resolve`, `"/v1/readiness`, "ItemCount", "SwitchMode",
 }
 
