Tests of endless responses do not wait for a request that was never sent

Beside a load of 20 and more on 8 cores a run of internal/relay (kind 6, 20 ms) and one of platform (three cases) hung until their time limits: the caller's limit of 700 and 300 ms had passed before the request reached the stand-in, and the tests then waited for the end of its response.

The relay's gives the caller 2 s and fails at once, instead of hanging, when the request has not reached the instance.

--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -15,15 +15,19 @@
 // maxReadBytes bounds what is read of a response: the largest one, and read buffers.
 const maxReadBytes = maxResponseBytes + 256<<10
 
-// endlessInstance returns an instance whose responses have no end. closed receives a value
-// when its connection was closed.
-func endlessInstance(id string, kind standin.EndlessResponse, interval time.Duration) (instance *standin.Backend, closed chan struct{}) {
-	closed = make(chan struct{}, 16)
+// endlessTimeLeft is the caller's time limit, in milliseconds, for responses without an
+// end. The request has to reach the instance within it.
+const endlessTimeLeft = "2000"
+
+// endlessInstance returns an instance whose responses have no end. started receives a
+// value when a request has reached it, closed when its connection was closed.
+func endlessInstance(id string, kind standin.EndlessResponse, interval time.Duration) (instance *standin.Backend, started, closed chan struct{}) {
+	started, closed = make(chan struct{}, 16), make(chan struct{}, 16)
 	instance = standin.NewBackend(standin.BackendConfig{
-		ID: id, Pool: "s", Slots: 4, OnStart: func(standin.Execution) {}, OnEndlessClosed: func() { closed <- struct{}{} },
+		ID: id, Pool: "s", Slots: 4, OnStart: func(standin.Execution) { started <- struct{}{} }, OnEndlessClosed: func() { closed <- struct{}{} },
 	}, 0, nil)
 	instance.SetFaults(standin.BackendFaults{Endless: kind, EndlessInterval: interval})
-	return instance, closed
+	return instance, started, closed
 }
 
 // countReads counts what the fixture reads from its instances.
@@ -57,13 +61,14 @@
 // of bytes, and another request is answered by a sound instance.
 func TestEndlessResponseIsNeverTakenForComplete(t *testing.T) {
 	endlessCases(t, func(c *qt.C, kind standin.EndlessResponse, interval time.Duration) {
-		instance, closed := endlessInstance("i-0", kind, interval)
+		instance, started, closed := endlessInstance("i-0", kind, interval)
 		f := newFixture(c.TB.(*testing.T), instance.ServeHTTP)
 		read := f.countReads()
-		response, _, err := f.do(http.MethodPost, "/once/", func(r *http.Request) { r.Header.Set(standin.HeaderTimeLeft, "700") })
+		response, _, err := f.do(http.MethodPost, "/once/", func(r *http.Request) { r.Header.Set(standin.HeaderTimeLeft, endlessTimeLeft) })
 		if err == nil {
 			c.Check(response.StatusCode == http.StatusBadGateway || response.StatusCode == http.StatusGatewayTimeout, qt.IsTrue, qt.Commentf("%d", response.StatusCode))
 		}
+		c.Assert(len(started), qt.Equals, 1)
 		<-closed
 		c.Check(read.Load() <= maxReadBytes, qt.IsTrue, qt.Commentf("%d bytes", read.Load()))
 	})
@@ -77,7 +82,7 @@
 			// The start of a large body has been forwarded before the size is known.
 			return
 		}
-		instance, closed := endlessInstance("i-0", kind, interval)
+		instance, _, closed := endlessInstance("i-0", kind, interval)
 		f := newFixture(c.TB.(*testing.T), instance.ServeHTTP, newSoundInstance("i-1").ServeHTTP)
 		// The choice between two idle instances is random.
 		for {
@@ -98,13 +103,14 @@
 // without a bound, and the stream does not look complete.
 func TestEndlessStreamIsAborted(t *testing.T) {
 	endlessCases(t, func(c *qt.C, kind standin.EndlessResponse, interval time.Duration) {
-		instance, closed := endlessInstance("i-0", kind, interval)
+		instance, started, closed := endlessInstance("i-0", kind, interval)
 		f := newFixture(c.TB.(*testing.T), instance.ServeHTTP)
 		read := f.countReads()
-		response, _, err := f.do(http.MethodPost, "/fixed/", func(r *http.Request) { r.Header.Set(standin.HeaderTimeLeft, "700") })
+		response, _, err := f.do(http.MethodPost, "/fixed/", func(r *http.Request) { r.Header.Set(standin.HeaderTimeLeft, endlessTimeLeft) })
 		if err == nil {
 			c.Check(response.StatusCode >= http.StatusInternalServerError, qt.IsTrue, qt.Commentf("%d", response.StatusCode))
 		}
+		c.Assert(len(started), qt.Equals, 1)
 		<-closed
 		c.Check(read.Load() <= maxReadBytes, qt.IsTrue, qt.Commentf("%d bytes", read.Load()))
 	})
--- a/internal/relay/view_test.go
+++ b/internal/relay/view_test.go
@@ -209,8 +209,8 @@
 	v := newView(nil, time.Minute, time.Second, logrus.NewEntry(logger))
 	v.copies = copies.New(copies.Config{Log: v.log, Changed: v.handleChange})
 	apply := func(version int64) {
-		document := replica.Document{Name: "m", Revision: version, Body: []byte(standin.EntryTestRelease("m", version))}
-		v.copies.ApplyFromPeer(platform.Releases, replica.Change{Whole: true, AsOf: version, Documents: []replica.Document{document}}, clock.Now(), "store")
+		document := replica.Document{Name: "m", Revision: replica.Revision{Number: version}, Body: []byte(standin.EntryTestRelease("m", version))}
+		v.copies.ApplyFromPeer(platform.Releases, replica.Change{Whole: true, AsOf: replica.Revision{Number: version}, Documents: []replica.Document{document}}, clock.Now(), "store")
 	}
 	estimated := func() bool {
 		ages := v.releaseAges(clock.Now())
