Simulate how releases reach a fleet, on a virtual clock with faults

Change: bench/simulation drives duty, replica, peers, placement and rollout of a fleet in one thread, with links, store, engines and callers modeled, and faults drawn by seed in series that overlap. It checks VERSION, RECOVER, calls to the store, and that engines switch and are used. A failing scenario is shrunk and printed with its timeline; testdata holds the cases that go test plays. Ten mutations of the decisions must be found.

--- /dev/null
+++ b/bench/simulation/entry.go
@@ -0,0 +1,285 @@
+package simulation
+
+import (
+	"strconv"
+	"time"
+
+	"plantainrelay/internal/catalog"
+	"plantainrelay/internal/duty"
+	"plantainrelay/internal/peers"
+	"plantainrelay/internal/placement"
+)
+
+// The settings of package relay.
+const (
+	entryHeartbeatInterval = 200 * time.Millisecond
+	agentHeartbeatEvery    = 4
+	maxReadyProofAge       = 3500 * time.Millisecond
+	maxHostsPerMessage     = 16
+	steadyHostsPerMessage  = 4
+	discoveryPeriod        = 30 * time.Second
+	dutyCheckInterval      = 100 * time.Millisecond
+	entryMaxPulls          = 2
+	waitingInterval        = 15 * time.Millisecond
+)
+
+const (
+	// model and pool name the only model and its pool.
+	model = "m"
+	pool  = "p"
+	// queueTime is how long a request waits at an entry for a slot, and maxAttempts how
+	// often it is sent.
+	queueTime   = time.Second
+	maxAttempts = 3
+	// silenceTimeout is how long an entry waits for an engine that does not answer.
+	silenceTimeout = 600 * time.Millisecond
+)
+
+// applyBound is the time within which a change of the tables must be in effect.
+const applyBound = 2 * time.Second
+
+var entryPlans = [collections]plan{
+	tables:   {Plan: duty.TablesPlan(applyBound), checkInterval: dutyCheckInterval, batchDelay: 100 * time.Millisecond},
+	backends: {Plan: duty.Plan{WatchTimeout: 1500 * time.Millisecond, MaxProofAge: 4 * time.Second}, checkInterval: dutyCheckInterval, batchDelay: 350 * time.Millisecond},
+	releases: {Plan: duty.Plan{WatchTimeout: 3 * time.Second, MaxProofAge: 8 * time.Second}, checkInterval: dutyCheckInterval, batchDelay: 100 * time.Millisecond},
+}
+
+var collectionNames = [collections]string{"tables", "backends", "releases"}
+
+var directoryConfig = peers.Config{
+	LiveTimeout: 900 * time.Millisecond, FarLiveTimeout: 2500 * time.Millisecond, MaxBroadcast: 16, RemoveAfter: time.Minute,
+	ProbeTimeout: time.Minute, ProbeInterval: time.Second, MinProbeInterval: 150 * time.Millisecond,
+}
+
+// entry is one incarnation of an entry, wired like package relay.
+type entry struct {
+	*process
+	directory   *peers.Directory
+	copies      *copies
+	versions    *versions
+	fleet       *placement.Fleet
+	sequence    uint64
+	turns       int
+	sendPending bool
+	// loggedMinVersion is the oldest allowed version that was recorded last.
+	loggedMinVersion int64
+}
+
+func newEntry(p *process) *entry {
+	w := p.world
+	e := &entry{process: p, versions: newVersions(w.scenario.Mutation)}
+	e.directory = peers.New(directoryConfig, peers.Entry{
+		Instance: p.host, Host: p.host, AvailabilityZone: p.zone, FrontAddress: p.host + ":80", Start: p.start.UnixNano(),
+	}, w.seeds, w.now)
+	e.fleet = placement.New(placement.Config{
+		AvailabilityZone: p.zone, MaxPeerLoadAge: 1200 * time.Millisecond, FailureBackoff: 500 * time.Millisecond, MaxFailureBackoff: 6 * time.Second,
+		Seed: w.random.Uint64(), Engine: func(string) *catalog.Engine { return engineSettings },
+	})
+	e.copies = newCopies(p, entryPlans, entryMaxPulls)
+	e.copies.shouldWatch, e.copies.changed, e.copies.storeAvailabilityChanged = e.shouldWatch, e.collectionChanged, e.triggerSend
+	return e
+}
+
+func (e *entry) begin() {
+	e.copies.begin()
+	e.every(entryHeartbeatInterval, e.sendHeartbeat)
+}
+
+func (e *entry) shouldWatch(kind int) bool {
+	e.directory.SetStoreUnavailable(e.copies.storeUnavailable())
+	return e.directory.ShouldWatch(collectionNames[kind], e.world.now)
+}
+
+func (e *entry) collectionChanged(kind int) {
+	now := e.world.now
+	switch kind {
+	case backends:
+		e.fleet.SetList(e.world.decodeBackends(e.copies.collections[backends].replica), time.Time{}, now)
+	case releases:
+		version, found := decodeRelease(e.copies.collections[releases].replica)
+		if found && e.versions.add(version, now) {
+			e.world.record(e.host, "release seen", version, 0, "")
+		}
+	}
+	e.triggerSend()
+}
+
+// triggerSend sends a heartbeat at once.
+func (e *entry) triggerSend() {
+	if !e.sendPending {
+		e.sendPending = true
+		e.after(0, func() {
+			e.sendPending = false
+			e.sendHeartbeat()
+		})
+	}
+}
+
+func (e *entry) ready() bool {
+	held := e.copies.collections[tables].replica
+	return held.Known() && e.world.now.Sub(held.Proof()) <= maxReadyProofAge
+}
+
+func (e *entry) sendHeartbeat() {
+	now := e.world.now
+	e.recordMinVersion(now)
+	e.directory.SetState(e.ready(), false)
+	e.directory.SetStoreUnavailable(e.copies.storeUnavailable())
+	e.sequence++
+	m := &message{from: e.process, composedAt: now, states: e.copies.states(), self: e.directory.Self(), releases: e.versions.releases.Ages(now)}
+	m.self.Sequence = e.sequence
+	recipients := e.directory.NextRecipients(now)
+	live := []string{e.host}
+	for _, other := range e.directory.LiveEntries(now) {
+		live = append(live, other.Host)
+	}
+	limit := steadyHostsPerMessage
+	if e.directory.HasDiscovered(discoveryPeriod, now) {
+		limit = maxHostsPerMessage
+	}
+	m.hosts = e.directory.HostsToName(limit, now)
+	e.fleet.SetEntries(e.host, live)
+	e.send(m, recipients)
+	if e.turns%agentHeartbeatEvery == 0 {
+		zone := e.zone
+		if e.directory.BroadcastsToAll() {
+			zone = ""
+		}
+		e.send(m, e.fleet.EngineHosts(zone))
+	}
+	e.turns++
+}
+
+func (e *entry) recordMinVersion(now time.Time) {
+	if oldest := e.versions.minVersion(now); oldest != e.loggedMinVersion {
+		e.loggedMinVersion = oldest
+		e.world.record(e.host, "oldest allowed version changed", oldest, 0, "")
+	}
+}
+
+func (e *entry) receive(m *message, composedAfter time.Time) {
+	now := earliestComposed(composedAfter, e.world.now)
+	if m.from.number >= e.world.scenario.Entries {
+		if m.report != nil {
+			e.fleet.UpdateReport(m.from.host, *m.report, now)
+		} else {
+			e.replyToNewAgent(m.from)
+		}
+		return
+	}
+	current, isNew := e.directory.RecordMessage(m.self, now)
+	e.directory.AddCandidates(m.hosts, e.world.now)
+	if !current {
+		return
+	}
+	if isNew {
+		e.triggerSend()
+	}
+	for _, age := range m.releases {
+		if e.versions.merge(age, e.world.now) {
+			e.world.record(e.host, "a peer reported the age of a release", age.Version, age.Age, m.from.host)
+		}
+	}
+	e.copies.messageReceived(m.from, m.states, composedAfter)
+}
+
+func (e *entry) replyToNewAgent(agent *process) {
+	e.sequence++
+	m := &message{from: e.process, composedAt: e.world.now, states: e.copies.states(), self: e.directory.Self()}
+	e.send(m, []string{agent.host})
+}
+
+// request is a request of a caller at an entry.
+type request struct {
+	number     int
+	sentAt     time.Time
+	startBy    time.Time
+	attempts   int
+	minVersion int64
+	tried      map[string]bool
+}
+
+// accept takes a request of a caller.
+func (e *entry) accept(r *request) {
+	if !e.ready() {
+		e.world.judge.refused(r)
+		return
+	}
+	r.startBy = e.world.now.Add(queueTime)
+	r.minVersion = e.versions.minVersion(e.world.now)
+	e.place(r)
+}
+
+// place sends the request to an instance, or waits for a slot.
+func (e *entry) place(r *request) {
+	now := e.world.now
+	if now.After(r.startBy) || r.attempts == maxAttempts {
+		e.world.judge.refused(r)
+		return
+	}
+	if e.world.scenario.Mutation != KeepQueuedVersion {
+		r.minVersion = e.versions.minVersion(now)
+	}
+	choice, found := e.fleet.Choose(placement.Requirements{
+		Pool: pool, Model: model, MinVersion: r.minVersion, TargetVersion: e.versions.releases.TargetVersion(model), Tried: r.tried,
+	}, now)
+	if !found {
+		e.after(waitingInterval, func() { e.place(r) })
+		return
+	}
+	r.attempts++
+	e.attempt(r, choice)
+}
+
+// attempt sends the request to the chosen instance.
+func (e *entry) attempt(r *request, choice placement.Choice) {
+	w, life, ended := e.world, e.life, false
+	to := w.byHost[choice.Backend.Host]
+	end := func(result placement.Result, again bool) {
+		if ended || e.life != life {
+			return
+		}
+		e.run(func() {
+			if ended {
+				return
+			}
+			ended = true
+			e.fleet.AttemptFinished(choice, result, w.now)
+			if again {
+				r.tried = map[string]bool{choice.Backend.ID: true}
+				e.place(r)
+			}
+		})
+	}
+	expected := int64(0)
+	if e.versions.minVersion(w.now) > 0 {
+		expected = choice.Version
+	}
+	a := &attempt{request: r, entry: e.process, id: choice.Backend.ID, expected: expected, sentAt: w.now, belief: e.versions}
+	a.answer = func(outcome attemptOutcome) {
+		w.transfer(to.number, e.number, to.zone, e.zone, func() {
+			switch outcome {
+			case attemptBegun:
+				a.begun = true
+				e.fleet.ResponseStarted(choice)
+			case attemptDone:
+				end(placement.Succeeded, false)
+			case attemptRefused:
+				end(placement.Full, true)
+			case attemptBroken:
+				end(placement.Failed, true)
+			}
+		})
+	}
+	w.transfer(e.number, to.number, e.zone, to.zone, func() { w.engines[to.number-w.scenario.Entries].arrive(a) })
+	e.after(silenceTimeout, func() {
+		if !a.begun {
+			a.canceled = true
+			end(placement.Failed, true)
+		}
+	})
+}
+
+func newRequest(number int, now time.Time) *request { return &request{number: number, sentAt: now} }
+
+func (r *request) String() string { return "request " + strconv.Itoa(r.number) }
--- /dev/null
+++ b/bench/simulation/mutation.go
@@ -0,0 +1,37 @@
+package simulation
+
+// Mutation is a fault in the decisions of the processes, put in on purpose in order to
+// see that the checks find it. The zero value is none.
+type Mutation string
+
+// The mutations.
+const (
+	// DropBetween drops a release that a peer reports and that lies between known
+	// ones, as before the incident 0002 was corrected.
+	DropBetween Mutation = "drop-between"
+	// IgnorePeerAges leaves the ages reported by peers out.
+	IgnorePeerAges Mutation = "ignore-peer-ages"
+	// NeverEnforce lets any version start requests at any time.
+	NeverEnforce Mutation = "never-enforce"
+	// EnforceLate enforces a version only when its whole bound has passed, without the
+	// margin for requests under way.
+	EnforceLate Mutation = "enforce-late"
+	// FoundIsNew takes the releases that a process finds at its start for new ones.
+	FoundIsNew Mutation = "found-is-new"
+	// KeepQueuedVersion does not apply a bound that ends while a request is queued.
+	KeepQueuedVersion Mutation = "keep-queued-version"
+	// CountFromNewest counts an agent's bound from the newest release.
+	CountFromNewest Mutation = "count-from-newest"
+	// IgnoreSwitchBy leaves out the time from which an engine switches regardless of
+	// others.
+	IgnoreSwitchBy Mutation = "ignore-switch-by"
+	// WatchAlways lets all entries watch the store.
+	WatchAlways Mutation = "watch-always"
+	// NoBackoff calls the store again at once after a failure.
+	NoBackoff Mutation = "no-backoff"
+)
+
+// Mutations are all mutations.
+var Mutations = []Mutation{
+	DropBetween, IgnorePeerAges, NeverEnforce, EnforceLate, FoundIsNew, KeepQueuedVersion, CountFromNewest, IgnoreSwitchBy, WatchAlways, NoBackoff,
+}
--- /dev/null
+++ b/bench/simulation/simulation_test.go
@@ -0,0 +1,144 @@
+package simulation_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/bench/simulation"
+)
+
+var size = simulation.Size{Entries: 8, Agents: 8, Duration: time.Minute}
+
+// check plays a scenario and reports a finding with its timeline.
+func check(t *testing.T, s simulation.Scenario) {
+	result := simulation.Run(s)
+	for _, f := range result.Findings {
+		var timeline bytes.Buffer
+		simulation.PrintTimeline(&timeline, result, f)
+		t.Errorf("seed %d breaks %s\n%s", s.Seed, f.Rule, timeline.String())
+	}
+	qt.Check(t, result.Sent > 0 && result.Served > 0, qt.IsTrue)
+}
+
+// readCases returns the scenarios in a file, one in each line.
+func readCases(c *qt.C, path string) []simulation.Scenario {
+	file, err := os.Open(path)
+	c.Assert(err, qt.IsNil)
+	defer file.Close()
+	var cases []simulation.Scenario
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		var s simulation.Scenario
+		c.Assert(json.Unmarshal(lines.Bytes(), &s), qt.IsNil)
+		cases = append(cases, s)
+	}
+	c.Assert(len(cases) > 0, qt.IsTrue)
+	return cases
+}
+
+// TestFixedSeeds leaves the check for outdated engines to TestOpenCases.
+func TestFixedSeeds(t *testing.T) {
+	for seed := range uint64(24) {
+		s := simulation.Draw(seed+1, size)
+		s.Rules = []string{simulation.RuleVersion, simulation.RuleRecover, simulation.RuleCalls}
+		check(t, s)
+	}
+}
+
+// TestCases plays the scenarios that once failed, by a fault of the product or by a
+// mutation.
+func TestCases(t *testing.T) {
+	for _, s := range readCases(qt.New(t), "testdata/cases.jsonl") {
+		s.Mutation = ""
+		check(t, s)
+	}
+}
+
+// TestOpenCases plays scenarios that fail by faults which are not corrected yet. It is
+// listed in KNOWN-RED.txt.
+func TestOpenCases(t *testing.T) {
+	for _, s := range readCases(qt.New(t), "testdata/open.jsonl") {
+		check(t, s)
+	}
+}
+
+// TestMutationsAreFound guards against checks that find nothing. Each search starts at
+// the seed that found the mutation when this test was written.
+func TestMutationsAreFound(t *testing.T) {
+	const maxSeeds = 200
+	for _, mutated := range []struct {
+		mutation simulation.Mutation
+		rule     string
+		seed     uint64
+	}{
+		{simulation.DropBetween, simulation.RuleVersion, 46},
+		{simulation.IgnorePeerAges, simulation.RuleVersion, 98},
+		{simulation.NeverEnforce, simulation.RuleVersion, 1},
+		{simulation.EnforceLate, simulation.RuleVersion, 5},
+		{simulation.FoundIsNew, simulation.RuleVersion, 4},
+		{simulation.KeepQueuedVersion, simulation.RuleVersion, 2},
+		{simulation.CountFromNewest, simulation.RuleOutdated, 1},
+		{simulation.IgnoreSwitchBy, simulation.RuleOutdated, 1},
+		{simulation.WatchAlways, simulation.RuleCalls, 1},
+		{simulation.NoBackoff, simulation.RuleCalls, 2},
+	} {
+		t.Run(string(mutated.mutation), func(t *testing.T) {
+			for seed := mutated.seed; seed < mutated.seed+maxSeeds; seed++ {
+				s := simulation.Draw(seed, size)
+				s.Rules = []string{mutated.rule}
+				if len(simulation.Run(s).Findings) > 0 {
+					continue
+				}
+				s.Mutation = mutated.mutation
+				if len(simulation.Run(s).Findings) > 0 {
+					return
+				}
+			}
+			t.Errorf("not found within %d seeds", maxSeeds)
+		})
+	}
+}
+
+func TestSameSeedGivesTheSameRun(t *testing.T) {
+	c := qt.New(t)
+	journal := func() string {
+		var text strings.Builder
+		for _, event := range simulation.Run(simulation.Draw(7, size)).Journal {
+			fmt.Fprintln(&text, event)
+		}
+		return text.String()
+	}
+	first := journal()
+	c.Assert(len(first) > 0, qt.IsTrue)
+	c.Assert(journal() == first, qt.IsTrue)
+}
+
+// TestShrinkRemovesWhatIsNotNeeded checks that a shrunk scenario still fails, and that no
+// fault remains without which it fails, too.
+func TestShrinkRemovesWhatIsNotNeeded(t *testing.T) {
+	c := qt.New(t)
+	s := simulation.Draw(4, size)
+	s.Mutation, s.Rules = simulation.FoundIsNew, []string{simulation.RuleVersion}
+	shrunk := simulation.Shrink(s)
+	c.Assert(len(shrunk.Faults) < len(s.Faults), qt.IsTrue)
+	c.Assert(simulation.Run(shrunk).Findings, qt.HasLen, 1)
+	for i := range shrunk.Faults {
+		less := shrunk
+		less.Faults = append(append([]simulation.Fault{}, shrunk.Faults[:i]...), shrunk.Faults[i+1:]...)
+		c.Assert(simulation.Run(less).Findings, qt.HasLen, 0)
+	}
+}
+
+func BenchmarkRun(b *testing.B) {
+	size := simulation.Size{Entries: 20, Agents: 20, Duration: time.Minute}
+	for seed := uint64(1); b.Loop(); seed++ {
+		simulation.Run(simulation.Draw(seed, size))
+	}
+}
