The end of a switch is decided in package rollout

Cause: the loader decided between two reads of the engine's report whether the engine takes requests again, out of reach of tests on decisions and of the simulation.

Change: the condition moves to rollout.SwitchEnded, unchanged. The simulation uses it.

--- a/bench/simulation/agent.go
+++ b/bench/simulation/agent.go
@@ -184,7 +184,8 @@
 	}
 	a.lastReport = placement.AgentReport{EngineStart: e.start, LoadedVersion: e.loaded}
 	a.pending.RemoveUpTo(e.loaded)
-	if a.switching && (e.loaded == a.target.version || e.start != last.EngineStart) {
+	before, current := rollout.EngineState{Start: last.EngineStart, Version: last.LoadedVersion}, rollout.EngineState{Start: e.start, Version: e.loaded}
+	if a.switching && rollout.SwitchEnded(before, current, a.target.version) {
 		a.switching = false
 		a.triggerSend()
 	}
--- a/internal/loader/switch.go
+++ b/internal/loader/switch.go
@@ -157,7 +157,7 @@
 		a.log.WithFields(logrus.Fields{"born": report.Start, "version": report.LoadedVersion}).Info("the engine says that it is leaving; it gets no more orders")
 		a.triggerMessage()
 	}
-	if a.switching && (report.LoadedVersion == a.target.version || report.Start != last.Start) {
+	if a.switching && rollout.SwitchEnded(engineState(last), engineState(report), a.target.version) {
 		a.switching = false
 		a.triggerMessage()
 	}
@@ -170,6 +170,10 @@
 	}
 }
 
+func engineState(report platform.EngineReport) rollout.EngineState {
+	return rollout.EngineState{Start: report.Start, Version: report.LoadedVersion}
+}
+
 func (a *agent) poolEngine() (catalog.Engine, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- /dev/null
+++ b/internal/rollout/ended.go
@@ -0,0 +1,13 @@
+package rollout
+
+// EngineState is the state of a model engine in one of its reports: when it started, in
+// Unix milliseconds, and the version that it serves, 0 for none.
+type EngineState struct {
+	Start, Version int64
+}
+
+// SwitchEnded reports whether an instance that stopped taking requests, in order to load
+// a version, may take them again. last and current are successive states of its engine.
+func SwitchEnded(last, current EngineState, target int64) bool {
+	return current.Version == target || current.Start != last.Start
+}
