An engine takes requests again when its load has ended, whatever the target

Cause: if a release changes an agent's target while its engine is loading, the engine then serves a version that is not the target, and the agent went on reporting that it was switching, until the target was loaded. Entries sent the engine no request meanwhile, although its version was allowed.

Change: a switch has also ended when the engine serves a newer version than before.

Not played on a real fleet.

--- a/bench/simulation/mutation.go
+++ b/bench/simulation/mutation.go
@@ -25,6 +25,9 @@
 	// IgnoreSwitchBy leaves out the time from which an engine switches regardless of
 	// others.
 	IgnoreSwitchBy Mutation = "ignore-switch-by"
+	// KeepSwitching ends a switch only with the target, although a release may have changed
+	// it while the engine was loading.
+	KeepSwitching Mutation = "keep-switching"
 	// WatchAlways lets all entries watch the store.
 	WatchAlways Mutation = "watch-always"
 	// NoBackoff calls the store again at once after a failure.
@@ -33,5 +36,5 @@
 
 // Mutations are all mutations.
 var Mutations = []Mutation{
-	DropBetween, IgnorePeerAges, NeverEnforce, EnforceLate, FoundIsNew, KeepQueuedVersion, CountFromNewest, IgnoreSwitchBy, WatchAlways, NoBackoff,
+	DropBetween, IgnorePeerAges, NeverEnforce, EnforceLate, FoundIsNew, KeepQueuedVersion, CountFromNewest, IgnoreSwitchBy, KeepSwitching, WatchAlways, NoBackoff,
 }
--- a/internal/rollout/ended.go
+++ b/internal/rollout/ended.go
@@ -8,6 +8,8 @@
 
 // SwitchEnded reports whether an instance that stopped taking requests, in order to load
 // a version, may take them again. last and current are successive states of its engine.
+// A newer release may have changed the target while the engine was loading, so that the
+// engine serves a newer version than before, but not the target.
 func SwitchEnded(last, current EngineState, target int64) bool {
-	return current.Version == target || current.Start != last.Start
+	return current.Version == target || current.Version > last.Version || current.Start != last.Start
 }
