Entries of the simulation exchange their loads

Entries did not know each other's loads, sent more to the few engines that were left after a series of faults than these have slots for, and backed off from them: an artifact of the model.

Change: heartbeats and load updates carry loads, as in package relay.

--- a/bench/simulation/doc.go
+++ b/bench/simulation/doc.go
@@ -11,7 +11,6 @@
 //     relay (entry) and loader (agent). It repeats their order of calls without locks
 //     and sockets, and has to follow when they change.
 //
-// Not modeled: the content of the tables, admission by priority and customer, load
-// updates between entries, corrupt chunks, depots, clock drift, instances that join or
+// Not modeled: the content of the tables, admission by priority and customer, corrupt chunks, depots, clock drift, instances that join or
 // drain, and list entries that expire while the store is down.
 package simulation
--- a/bench/simulation/entry.go
+++ b/bench/simulation/entry.go
@@ -20,6 +20,7 @@
 	discoveryPeriod        = 30 * time.Second
 	dutyCheckInterval      = 100 * time.Millisecond
 	entryMaxPulls          = 2
+	maxNearbyPeers         = 16
 	waitingInterval        = 15 * time.Millisecond
 )
 
@@ -126,7 +127,7 @@
 	e.directory.SetState(e.ready(), false)
 	e.directory.SetStoreUnavailable(e.copies.storeUnavailable())
 	e.sequence++
-	m := &message{from: e.process, composedAt: now, states: e.copies.states(), self: e.directory.Self(), releases: e.versions.releases.Ages(now)}
+	m := &message{from: e.process, composedAt: now, states: e.copies.states(), self: e.directory.Self(), releases: e.versions.releases.Ages(now), loads: e.fleet.OwnLoads()}
 	m.self.Sequence = e.sequence
 	recipients := e.directory.NextRecipients(now)
 	live := []string{e.host}
@@ -167,6 +168,10 @@
 		}
 		return
 	}
+	if m.loadsOnly {
+		e.recordLoads(m, false, now)
+		return
+	}
 	current, isNew := e.directory.RecordMessage(m.self, now)
 	e.directory.AddCandidates(m.hosts, e.world.now)
 	if !current {
@@ -175,6 +180,7 @@
 	if isNew {
 		e.triggerSend()
 	}
+	e.recordLoads(m, true, now)
 	for _, age := range m.releases {
 		if e.versions.merge(age, e.world.now) {
 			e.world.record(e.host, "a peer reported the age of a release", age.Version, age.Age, m.from.host)
@@ -183,6 +189,20 @@
 	e.copies.messageReceived(m.from, m.states, composedAfter)
 }
 
+func (e *entry) recordLoads(m *message, complete bool, now time.Time) {
+	if e.directory.AcceptLoads(m.from.host, m.self.Start, m.self.Sequence) {
+		e.fleet.UpdatePeerLoads(m.from.host, m.loads, complete, now)
+	}
+}
+
+// sendLoad tells the entries nearby at once that a request was placed at an instance.
+func (e *entry) sendLoad(id string) {
+	e.sequence++
+	m := &message{from: e.process, composedAt: e.world.now, self: e.directory.Self(), loads: map[string]placement.Load{id: e.fleet.OwnLoad(id)}, loadsOnly: true}
+	m.self.Sequence = e.sequence
+	e.send(m, e.directory.NearHosts(maxNearbyPeers, e.world.now))
+}
+
 func (e *entry) replyToNewAgent(agent *process) {
 	e.sequence++
 	m := &message{from: e.process, composedAt: e.world.now, states: e.copies.states(), self: e.directory.Self()}
@@ -228,6 +248,7 @@
 		return
 	}
 	r.attempts++
+	e.sendLoad(choice.Backend.ID)
 	e.attempt(r, choice)
 }
 
--- a/bench/simulation/message.go
+++ b/bench/simulation/message.go
@@ -15,7 +15,10 @@
 	// self, loads and hosts are those of an entry.
 	self     peers.Entry
 	releases []placement.ReleaseAge
-	hosts    []string
+	loads    map[string]placement.Load
+	// loadsOnly marks a message that contains only the loads that have changed.
+	loadsOnly bool
+	hosts     []string
 	// report is that of an agent, nil if it does not reach its engine.
 	report *placement.AgentReport
 	// agentSequence orders the messages of an agent.
