Attempts of the simulation end if their response is lost on a cut link

Cause: reported an engine without requests. Responses lost during a cut never ended, and the entries counted them as load for good: an artifact of the model.

Change: an attempt ends after 3 s.

--- a/bench/simulation/entry.go
+++ b/bench/simulation/entry.go
@@ -34,6 +34,9 @@
 	maxAttempts = 3
 	// silenceTimeout is how long an entry waits for an engine that does not answer.
 	silenceTimeout = 600 * time.Millisecond
+	// responseTimeout is the longest time until the end of a response. It ends attempts
+	// whose responses are lost on a link that was cut.
+	responseTimeout = 3 * time.Second
 )
 
 // applyBound is the time within which a change of the tables must be in effect.
@@ -299,6 +302,7 @@
 			end(placement.Failed, true)
 		}
 	})
+	e.after(responseTimeout, func() { end(placement.Failed, false) })
 }
 
 func newRequest(number int, now time.Time) *request { return &request{number: number, sentAt: now} }
