The fault soak restores the store

Cause: no run of the real programs met a store that comes back from a copy.

Change: the fault "store restored" takes the store down for 1 s, restores a copy 6 s old, and the operator writes again 1.5 s later; instances with their next heartbeat.

--- a/test/soak/fleet/faults.go
+++ b/test/soak/fleet/faults.go
@@ -20,6 +20,14 @@
 // pairProbability is the probability that two faults are injected at once.
 const pairProbability = 0.5
 
+// The store is down for storeRestoreTime before it comes back from a copy of storeCopyAge;
+// the operator writes again after operatorRewriteDelay.
+const (
+	storeRestoreTime     = time.Second
+	storeCopyAge         = 6 * time.Second
+	operatorRewriteDelay = 1500 * time.Millisecond
+)
+
 // extraPause is how much longer than the Revoke bound entries are paused.
 const extraPause = 3 * time.Second
 
@@ -78,6 +86,7 @@
 	{"key taken away", (*run).revokeKey},
 	{"key taken from paused entries", (*run).revokeKeyDuringPause},
 	{"store refuses its readers", (*run).stallTableWatchers},
+	{"store restored", (*run).restoreStore},
 }
 
 // selectedFaults returns the kinds of faults that the run injects.
@@ -318,6 +327,31 @@
 	return nil
 }
 
+// restoreStore takes the store down for a moment and restores it from a copy that is some
+// seconds old. The operator and the instances then write again what was lost.
+func (r *run) restoreStore() error {
+	release := r.reserve("store")
+	if release == nil {
+		return nil
+	}
+	defer release()
+	defer r.history.beginFault("store restored", "")()
+	r.Store.SetFaults(standin.StoreFaults{Down: true})
+	time.Sleep(storeRestoreTime)
+	r.Store.Restore(storeCopyAge)
+	r.Store.SetFaults(standin.StoreFaults{})
+	time.Sleep(operatorRewriteDelay)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := r.Store.Put(standin.KindTables, standin.TableName, r.table.Encode()); err != nil {
+		return err
+	}
+	if r.version == 0 {
+		return nil
+	}
+	return r.Store.Put(standin.KindReleases, testfleet.ModelWeights.Model, standin.EncodeRelease(testfleet.ModelWeights.Model, r.version+1))
+}
+
 // stallLink blocks data from location to an instance and, unless oneWay, vice versa.
 func (r *run) stallLink(kind string, matches func(*testfleet.Instance) bool, location string, oneWay bool, wait time.Duration) error {
 	return r.injectAtInstance(kind, matches, func(instance *testfleet.Instance) error {
