The model of a restore runs its usual calls once

Cause: the test took over a minute with the race detector.

Change: the calls without a restore are counted only where they are compared. The same assertions pass.

--- a/internal/duty/restore_test.go
+++ b/internal/duty/restore_test.go
@@ -52,10 +52,12 @@
 		f := newFleet(1, duty.TablesPlan(2*time.Second), 110, 110, 110)
 		f.revision.Number = 100
 		f.run(f.now.Add(3 * time.Second))
-		f.callTimes = nil
-		f.run(f.now.Add(3 * time.Second))
-		usual := len(f.callTimes)
-		if outage > 0 {
+		usual := 0
+		if outage == 0 {
+			f.callTimes = nil
+			f.run(f.now.Add(3 * time.Second))
+			usual = len(f.callTimes)
+		} else {
 			f.setStoreDown(busy)
 			f.run(f.now.Add(outage))
 			f.setStoreDown("")
