A gate closes with the first response from other weights than the admitted ones

Cause: a response from other weights was discarded, but the gate stayed open until the next status query of the engine, up to 0.5 s later and more on a busy machine. Each attempt until then was lost; a lookup that lost all three of its attempts there was answered 504. Trace of TestDelayedOrderToAnEngineWithoutFences: 13 discarded responses of model-1 in 92 ms, the lookup is given up at 34.809, the status is applied at 34.850. Change: the gate reports such a response to an attempt that it still admits; the rollout closes it until the engine reports which weights it holds. A status that was read before is discarded.

--- a/internal/distribute/driver.go
+++ b/internal/distribute/driver.go
@@ -185,6 +185,10 @@
 			d.retarget(ctx)
 		case e := <-d.events:
 			e.apply(ctx, d)
+		case <-d.gate.Mismatched():
+			// A status that was read before may still show the admitted weights.
+			d.engineEpoch++
+			d.perform(ctx, d.rollout.ResponseMismatched())
 		case <-ticker.C:
 		}
 		d.step(ctx)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -51,7 +51,8 @@
 	latestTime  time.Time
 	// changed is closed and replaced when the state changes for any reason other
 	// than the start or end of an attempt.
-	changed chan struct{}
+	changed    chan struct{}
+	mismatched chan struct{}
 }
 
 // New returns a closed gate.
@@ -64,6 +65,8 @@
 		records: newRecords(config.MaxRecords, config.MaxStoredTotal),
 		keys:    ownership.NewKeyTable(config.Instance, config.Incarnation, config.MaxKeys),
 		changed: make(chan struct{}),
+
+		mismatched: make(chan struct{}, 1),
 	}, nil
 }
 
@@ -75,6 +78,26 @@
 	return g.changed
 }
 
+// Mismatched returns a channel that receives a value after a response came from other
+// weights than those that the gate still admits requests for. It supports a single
+// receiver.
+func (g *Gate) Mismatched() <-chan struct{} { return g.mismatched }
+
+// reportMismatch reports that the response to an attempt, which was admitted for the
+// given weights, came from others.
+func (g *Gate) reportMismatch(admitted AdmittedWeights) {
+	g.mu.Lock()
+	current := g.open && g.admitted == admitted
+	g.mu.Unlock()
+	if !current {
+		return
+	}
+	select {
+	case g.mismatched <- struct{}{}:
+	default:
+	}
+}
+
 // notifyWaiters wakes the callers that wait for a change. The caller holds mu.
 func (g *Gate) notifyWaiters() {
 	close(g.changed)
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -170,6 +170,7 @@
 	defer response.Body.Close()
 	if !e.fromAdmittedWeights(response) {
 		e.handler.log.WithField(logging.FieldAttempt, e.attempt).Error("discarded a response that came from weights that are not admitted")
+		e.handler.gate.reportMismatch(e.admitted)
 		panic(http.ErrAbortHandler)
 	}
 	e.relay(response, !repeatable(r))
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -302,6 +302,16 @@
 	return actions
 }
 
+// ResponseMismatched reports that the engine answered a request from other weights than
+// the admitted ones. The gate is closed until the engine reports which weights it holds.
+func (r *Rollout) ResponseMismatched() []Action {
+	if !r.open {
+		return nil
+	}
+	r.open = false
+	return []Action{ActionCloseGate}
+}
+
 // EngineUnresponsive reports that the engine did not answer a status query. The
 // gate is closed after maxUnanswered consecutive ones.
 func (r *Rollout) EngineUnresponsive() []Action {
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -281,3 +281,17 @@
 	qt.Assert(t, r.EngineReported(rollout.EngineWeights{}, true), qt.DeepEquals, []rollout.Action{rollout.ActionCloseGate, rollout.ActionFetch})
 	qt.Assert(t, r.Open(), qt.IsFalse)
 }
+
+// TestMismatchedResponseClosesGate covers an engine on which a delayed order takes effect:
+// until its status is read, each further attempt there would be lost.
+func TestMismatchedResponseClosesGate(t *testing.T) {
+	c := qt.New(t)
+	r := serving(t)
+	c.Assert(r.ResponseMismatched(), qt.DeepEquals, []rollout.Action{rollout.ActionCloseGate})
+	c.Assert(r.Open(), qt.IsFalse)
+	c.Assert(r.ResponseMismatched(), qt.HasLen, 0)
+	admitted := r.Admitted()
+	reported := rollout.EngineWeights{Manifest: admitted.Manifest, Whole: admitted.Whole}
+	c.Assert(r.EngineReported(reported, false), qt.DeepEquals, []rollout.Action{rollout.ActionOpenGate})
+	c.Assert(r.Open(), qt.IsTrue)
+}
