A retry goes to an ejected instance rather than to one that was tried

Cause: slow and failing instances were candidates only when no other was, also when a request had tried all the others: its attempts went to the instance that had just broken one, after a wait in which its state was read again. Two failed runs of TestDelayedOrderToAnEngineWithoutFences lost all three attempts of a lookup at model-1 while three instances (two of them in the first) served; that these were ejected, or returning from it, is inferred from the code: ejections are not logged. Change: instances that the request has tried are no candidates, so that the ejected ones are. Measured: TestRetryGoesToASlowInstanceRatherThanTheTriedOne failed before.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -137,7 +137,7 @@
 		e.handler.agentStates.pin(owner.Instance)
 		return owner.Instance, found
 	}
-	candidates := e.handler.agentStates.candidates(e.route.Pool, e.rng)
+	candidates := e.handler.agentStates.candidates(e.route.Pool, e.triedInstances, e.rng)
 	chosen, found := balance.Choose(candidates, e.handler.config.AvailabilityZone, e.triedInstances, e.rng)
 	return chosen.Name, found
 }
--- a/internal/gateway/states.go
+++ b/internal/gateway/states.go
@@ -326,15 +326,15 @@
 	return all
 }
 
-// candidates returns the instances of pool that can get an attempt now. Slow
-// and failing ones are excluded unless no others are available.
-func (s *AgentStates) candidates(pool string, random *rand.Rand) []balance.Candidate {
+// candidates returns the instances of pool, other than the tried ones, that can get an
+// attempt now. Slow and failing ones are excluded unless no others are available.
+func (s *AgentStates) candidates(pool string, tried map[string]bool, random *rand.Rand) []balance.Candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var healthy, outliers []balance.Candidate
 	for name, state := range s.agents {
 		load := s.inFlight[name] + state.otherRequests()
-		if !s.usable(name, state, pool) || load >= state.MaxRunning {
+		if tried[name] || !s.usable(name, state, pool) || load >= state.MaxRunning {
 			continue
 		}
 		candidate := balance.Candidate{Name: name, AvailabilityZone: state.instance.AvailabilityZone, Load: load}
