--- a/internal/rollout/ended_test.go
+++ b/internal/rollout/ended_test.go
@@ -13,7 +13,9 @@
 // moved the target while the engine was loading.
 func TestSwitchEndsAlthoughTheTargetHasChanged(t *testing.T) {
 	c := qt.New(t)
-	state := func(start, version int64) rollout.EngineState { return rollout.EngineState{Start: start, Version: version} }
+	state := func(start, version int64) rollout.EngineState {
+		return rollout.EngineState{Start: start, Version: version}
+	}
 	for _, one := range []struct {
 		last, current rollout.EngineState
 		ended         bool
