--- a/internal/peer/client_test.go
+++ b/internal/peer/client_test.go
@@ -50,7 +50,9 @@
 	}()
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	c.Assert(client.Call(ctx, address, "Wait.Wait", "c", &reply), qt.IsNotNil)
+	// The reply of a call that has timed out may still be written.
+	var late string
+	c.Assert(client.Call(ctx, address, "Wait.Wait", "c", &late), qt.IsNotNil)
 	close(release)
 	c.Assert(<-patient, qt.IsNil)
 	c.Assert(client.Call(t.Context(), address, "Echo.Echo", "d", &reply), qt.IsNil)
