--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -162,6 +162,7 @@
 	now := clock.Now()
 	v.releasesMu.Lock()
 	defer v.releasesMu.Unlock()
+	v.detectPause(now)
 	next := v.releases.Load()
 	for _, document := range v.copies.Documents(platform.Releases) {
 		decoded, err := platform.DecodeRelease(document)
@@ -171,7 +172,7 @@
 		}
 		// A release that is present at the start of the process, or found after a pause, may
 		// be old.
-		updated, isNew := next.Add(decoded, !v.releasesLoaded || v.wasPaused(now), now)
+		updated, isNew := next.Add(decoded, !v.releasesLoaded || v.recentlyPaused(now), now)
 		if isNew {
 			v.log.WithFields(logrus.Fields{"model": decoded.Model, "version": decoded.Version, "revision": document.Revision.Number, "era": document.Revision.Era}).Info("release seen")
 			if v.releasesLoaded {
@@ -262,7 +263,8 @@
 	defer v.releasesMu.Unlock()
 	next := v.releases.Load()
 	// A message that waited while this process stood still makes a release too young.
-	waited := v.wasPaused(now)
+	v.detectPause(now)
+	waited := v.recentlyPaused(now)
 	for _, age := range ages {
 		merged := next.MergePeerAge(placement.ReleaseAge{
 			Release: catalog.Release{Model: age.Model, Version: age.Version}, Age: time.Duration(age.AgeMs) * time.Millisecond, Estimated: age.Estimated || waited,
@@ -275,12 +277,17 @@
 	v.releases.Store(next)
 }
 
-// wasPaused reports whether the process has just been paused. The caller holds releasesMu.
-func (v *view) wasPaused(now time.Time) bool {
+// detectPause notes a pause of the process that has just ended. The caller holds releasesMu.
+func (v *view) detectPause(now time.Time) {
 	if !v.lastTick.IsZero() && now.Sub(v.lastTick) > maxTickGap {
 		v.log.WithField("ms", now.Sub(v.lastTick).Milliseconds()).Info("the process was paused")
 		v.lastTick, v.pauseEnd = now, now
 	}
+}
+
+// recentlyPaused reports whether a pause of the process ended less than startGrace ago. The
+// caller holds releasesMu.
+func (v *view) recentlyPaused(now time.Time) bool {
 	return !v.pauseEnd.IsZero() && now.Sub(v.pauseEnd) < v.startGrace
 }
 
@@ -289,7 +296,7 @@
 func (v *view) recordVersionLimits(now time.Time) {
 	v.releasesMu.Lock()
 	defer v.releasesMu.Unlock()
-	v.wasPaused(now)
+	v.detectPause(now)
 	v.lastTick = now
 	releases := v.releases.Load()
 	for _, model := range releases.Models() {
