--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -298,6 +299,11 @@
 	return false
 }
 
+// wasInterrupted reports whether the response to an attempt broke off or never came.
+func (x *exchange) wasInterrupted() bool {
+	return slices.ContainsFunc(x.attempts, func(record attemptRecord) bool { return outcome(record.Outcome) == broken })
+}
+
 // finish sends the final response of a request that no attempt has answered.
 func (x *exchange) finish(ctx context.Context, final dispatch.Outcome) {
 	switch {
--- a/internal/relay/frontend.go
+++ b/internal/relay/frontend.go
@@ -206,5 +206,8 @@
 	if len(x.attempts) > 0 {
 		fields["attempts"] = x.attempts
 	}
+	if x.wasInterrupted() && len(x.call.SharedParts) > 0 {
+		fields["shared_parts"] = x.call.SharedParts
+	}
 	x.frontend.log.WithFields(fields).Info("request ended")
 }
