Package blocklist decides which parts of prompts are kept from instances

Change: a decision package that combines crashes (one for each start of an instance, whoever reports it) and responses. A part is suspected when an instance crashes within 150 ms of the beginning of a response to a request with it, cleared by a response that goes on, and blocked after 4 to 8 independent crashes without one, the more the larger the share of all requests that crashes interrupt. Parts that cannot be told apart need two more. Records of blocks have versions, so that the store, peers and a restored store agree on the latest. Not used yet.

--- /dev/null
+++ b/internal/blocklist/blocklist.go
@@ -0,0 +1,273 @@
+// Package blocklist decides which parts of prompts are kept away from model engines,
+// because instances crash when they begin to respond to requests with them. It combines
+// the crashes and the responses that all entries have seen. It does no I/O: callers pass
+// in events and the time, and get decisions back.
+//
+// A part is suspected when an instance crashes shortly after it has begun to respond to a
+// request with that part. A response that goes on for much longer, or is complete, clears
+// all parts of its request. A part is blocked after several crashes at different times without such a
+// response in between. Guaranteed is that a part whose requests have crashed every instance
+// is blocked after at most maxCrashTimes of these at different times, or tieCrashTimes more
+// if another part was in all of the requests; not that no other part is ever blocked, which
+// complete responses correct.
+package blocklist
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	// independentAfter is the time between two crashes from which on they are independent.
+	// Those with a cause of their own, such as the failure of a rack, come together.
+	independentAfter = 200 * time.Millisecond
+	// crashWindow is the time from the beginning of a response in which an instance of
+	// usual speed crashes if the response causes it, maxCrashWindow the same for the
+	// slowest one.
+	crashWindow    = 150 * time.Millisecond
+	maxCrashWindow = time.Second
+	// clearWindowFactor times the same time is how long a response must have gone on to
+	// clear the parts of its request, and clearEvents the number of its events.
+	clearWindowFactor = 2
+	clearEvents       = 2
+	// suspicionRetention is how long a crash counts.
+	suspicionRetention = time.Hour
+	// maxCrashes, maxSuspects and maxResponses bound the crashes, the suspected parts of one
+	// crash, and the parts with a response that are kept.
+	maxCrashes   = 256
+	maxSuspects  = 16
+	maxResponses = 2048
+)
+
+// Part is a part of prompts, which the engines of a model process.
+type Part struct {
+	Model string
+	// ID identifies the part.
+	ID string
+}
+
+// Start identifies one start of an instance.
+type Start struct {
+	Instance string
+	// Born is the start time in Unix milliseconds.
+	Born int64
+}
+
+// Crash is the end of one start of an instance while it was responding to requests.
+type Crash struct {
+	Start Start
+	Model string
+	// Version is the version of the weights.
+	Version int64
+	At      time.Time
+	// Suspects holds the IDs of the shared parts of requests to which the instance had
+	// begun to respond not longer than Window before.
+	Suspects []string
+}
+
+// crash is a known crash with the suspects that have not been cleared.
+type crash struct {
+	model    string
+	version  int64
+	at       time.Time
+	suspects map[string]bool
+	// explained is set when a blocked part was among the suspects. It is kept, so that later
+	// reports of the crash count against no other part.
+	explained bool
+	// changedAt is when a suspect was last added.
+	changedAt time.Time
+}
+
+// versionedPart is a part as processed with one version of the weights.
+type versionedPart struct {
+	Part
+	version int64
+}
+
+// clearing is a suspected part that a response has cleared.
+type clearing struct {
+	part versionedPart
+	// at is the time of the response, learnedAt when this entry learned of it.
+	at, learnedAt time.Time
+}
+
+// List holds the blocked parts and the evidence against others. It is not safe for
+// concurrent use.
+type List struct {
+	crashes map[Start]*crash
+	// suspected counts the crashes of which a part is suspected.
+	suspected map[versionedPart]int
+	// responses holds when a response last cleared a part.
+	responses *simplelru.LRU[versionedPart, time.Time]
+	// exposures holds how often requests of this entry were answered or interrupted.
+	exposures map[weights]*exposure
+	// cleared holds the latest clearings of suspected parts, the oldest first.
+	cleared []clearing
+	blocks  map[Part]*block
+}
+
+// New returns an empty list.
+func New() *List {
+	responses, err := simplelru.NewLRU[versionedPart, time.Time](maxResponses, nil)
+	if err != nil {
+		// The size is a positive constant.
+		panic(err)
+	}
+	return &List{crashes: map[Start]*crash{}, suspected: map[versionedPart]int{}, responses: responses, exposures: map[weights]*exposure{}, blocks: map[Part]*block{}}
+}
+
+// Window returns the longest time from the beginning of a response to the crash that it
+// causes, at an engine that runs slower than usual by the given factor.
+func Window(slowdown float64) time.Duration {
+	return min(time.Duration(max(slowdown, 1)*float64(crashWindow)), maxCrashWindow)
+}
+
+// Outlives reports whether a response that has gone on for the given time, with so many
+// events, shows that it does not crash its instance.
+func Outlives(responseTime time.Duration, events int, slowdown float64) bool {
+	return events >= clearEvents && responseTime >= clearWindowFactor*Window(slowdown)
+}
+
+// RecordResponse records, once for each request, that the response to one with these shared
+// parts went on as long as Outlives requires, or was complete. It clears the parts.
+func (l *List) RecordResponse(model string, version int64, parts []string, now time.Time) {
+	l.exposureOf(weights{model: model, version: version}, now).addResponse(now)
+	for _, id := range parts {
+		l.clear(versionedPart{Part: Part{Model: model, ID: id}, version: version}, now, now)
+	}
+}
+
+// LiftAnswered lifts the blocks of parts of a request whose response was complete, because
+// it was sent before they were blocked, or on trial. It returns their records.
+func (l *List) LiftAnswered(model string, parts []string, now time.Time) (lifted []Record) {
+	for _, id := range parts {
+		if record, blocked := l.blockedRecord(Part{Model: model, ID: id}); blocked {
+			lifted = append(lifted, l.decide(record.lifted(), now))
+		}
+	}
+	return lifted
+}
+
+// RecordCleared records that another entry has seen a response that clears a suspected
+// part.
+func (l *List) RecordCleared(cleared Cleared, now time.Time) {
+	part, at := versionedPart{Part: cleared.Part, version: cleared.Version}, earlier(cleared.At, now)
+	if last, found := l.responses.Peek(part); found && !at.After(last) {
+		return
+	}
+	l.clear(part, at, now)
+}
+
+// clear removes a part from the suspects of the crashes up to the given time.
+func (l *List) clear(part versionedPart, at, now time.Time) {
+	l.responses.Add(part, at)
+	if l.suspected[part] == 0 {
+		return
+	}
+	for start, known := range l.crashes {
+		if known.model == part.Model && known.version == part.version && known.suspects[part.ID] && !known.at.After(at) {
+			l.removeSuspect(start, known, part.ID)
+		}
+	}
+	l.cleared = append(l.cleared, clearing{part: part, at: at, learnedAt: now})
+	if excess := len(l.cleared) - maxCleared; excess > 0 {
+		l.cleared = slices.Delete(l.cleared, 0, excess)
+	}
+}
+
+// HasResponse reports whether a response is known for each of the shared parts, with this
+// version of the weights.
+func (l *List) HasResponse(model string, version int64, parts []string) bool {
+	for _, id := range parts {
+		if !l.responses.Contains(versionedPart{Part: Part{Model: model, ID: id}, version: version}) {
+			return false
+		}
+	}
+	return true
+}
+
+// RecordCrash records the crash of an instance, as this entry has seen it or another one
+// has reported it. Several reports of a crash count once, with the suspects of all. It
+// returns the parts that are blocked because of it.
+func (l *List) RecordCrash(reported Crash, now time.Time) (blocked []Record) {
+	l.prune(now)
+	if now.Sub(reported.At) > suspicionRetention {
+		return nil
+	}
+	known := l.crashes[reported.Start]
+	if known == nil {
+		known = &crash{model: reported.Model, version: reported.Version, at: reported.At, suspects: map[string]bool{}}
+		l.crashes[reported.Start] = known
+	}
+	if known.explained {
+		return nil
+	}
+	// A report that was delayed makes the crash seem later.
+	known.at = earlier(known.at, reported.At)
+	for _, id := range reported.Suspects {
+		l.addSuspect(known, id, now)
+	}
+	if len(known.suspects) == 0 {
+		delete(l.crashes, reported.Start)
+		return nil
+	}
+	return l.evaluate(known.model, now)
+}
+
+// addSuspect adds a suspected part of a crash, unless a later response has cleared it.
+func (l *List) addSuspect(known *crash, id string, now time.Time) {
+	part := versionedPart{Part: Part{Model: known.model, ID: id}, version: known.version}
+	if known.suspects[id] || len(known.suspects) >= maxSuspects {
+		return
+	}
+	if last, found := l.responses.Peek(part); found && !last.Before(known.at) {
+		return
+	}
+	known.suspects[id], known.changedAt = true, now
+	l.suspected[part]++
+}
+
+func (l *List) removeSuspect(start Start, known *crash, id string) {
+	part := versionedPart{Part: Part{Model: known.model, ID: id}, version: known.version}
+	delete(known.suspects, id)
+	if l.suspected[part]--; l.suspected[part] <= 0 {
+		delete(l.suspected, part)
+	}
+	if len(known.suspects) == 0 {
+		delete(l.crashes, start)
+	}
+}
+
+// prune removes old crashes, and the oldest one if there are too many.
+func (l *List) prune(now time.Time) {
+	var oldest Start
+	var oldestAt time.Time
+	for start, known := range l.crashes {
+		switch {
+		case now.Sub(known.at) > suspicionRetention:
+			l.remove(start)
+		case oldestAt.IsZero() || known.at.Before(oldestAt):
+			oldest, oldestAt = start, known.at
+		}
+	}
+	if len(l.crashes) >= maxCrashes {
+		l.remove(oldest)
+	}
+}
+
+func (l *List) remove(start Start) {
+	known := l.crashes[start]
+	for id := range known.suspects {
+		l.removeSuspect(start, known, id)
+	}
+	delete(l.crashes, start)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/blocklist/blocklist_test.go
@@ -0,0 +1,298 @@
+package blocklist_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/internal/blocklist"
+)
+
+const (
+	model = "m"
+	// enough is the number of crashes after which a part is blocked.
+	enough = 4
+)
+
+var epoch = time.Unix(1_000, 0)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+// crashAt returns the crash of an instance with the given number.
+func crashAt(instance, ms int, suspects ...string) blocklist.Crash {
+	return blocklist.Crash{Start: blocklist.Start{Instance: "i-" + strconv.Itoa(instance), Born: 1}, Model: model, Version: 1, At: at(ms), Suspects: suspects}
+}
+
+// newList returns a list of an entry whose requests are answered.
+func newList() *blocklist.List {
+	l := blocklist.New()
+	for i := range 20 {
+		l.RecordResponse(model, 1, []string{fmt.Sprint("answered before ", i)}, at(-i))
+	}
+	return l
+}
+
+// record records crashes as they occur, and returns the IDs of the parts that are blocked.
+func record(l *blocklist.List, crashes ...blocklist.Crash) (ids []string) {
+	for _, one := range crashes {
+		for _, blocked := range l.RecordCrash(one, one.At) {
+			ids = append(ids, blocked.ID)
+		}
+	}
+	return ids
+}
+
+func isBlocked(l *blocklist.List, id string) bool {
+	_, blocked := l.Blocked(model, []string{"other", id})
+	return blocked
+}
+
+// TestOneCrashCountsOnce guards against a block because of a single crash that several
+// entries and attempts report, in any order and more than once.
+func TestOneCrashCountsOnce(t *testing.T) {
+	c := qt.New(t)
+	l := newList()
+	for i := range 20 {
+		c.Assert(record(l, crashAt(1, 100*i, "first", fmt.Sprint("own-", i%3))), qt.HasLen, 0)
+	}
+	c.Assert(l.BlockedParts(), qt.Equals, 0)
+}
+
+// TestOnlyTheCommonPartIsBlocked guards against blocks of what sound requests share with
+// those that crash instances: the first part, and parts that both happen to have.
+func TestOnlyTheCommonPartIsBlocked(t *testing.T) {
+	c := qt.New(t)
+	l := newList()
+	for i := range enough {
+		// Sound requests with the first part are answered all the time, and one victim is
+		// suspected in two of the crashes.
+		l.RecordResponse(model, 1, []string{"first"}, at(1000*i-100))
+		suspects := []string{"first", "bad", fmt.Sprint("rare-", i)}
+		if i < 2 {
+			suspects = append(suspects, "victim")
+		}
+		blocked := record(l, crashAt(i, 1000*i, suspects...))
+		if i < enough-1 {
+			c.Assert(blocked, qt.HasLen, 0)
+		}
+		l.RecordResponse(model, 1, []string{"first"}, at(1000*i+400))
+	}
+	c.Assert(isBlocked(l, "bad"), qt.IsTrue)
+	for _, id := range []string{"first", "victim", "rare-0"} {
+		c.Assert(isBlocked(l, id), qt.IsFalse, qt.Commentf(id))
+	}
+	_, elsewhere := l.Blocked("another model", []string{"bad"})
+	c.Assert(elsewhere, qt.IsFalse)
+}
+
+// TestSimultaneousCrashesAreOneOccurrence guards against blocks after the crash of a rack
+// or of all instances, in which popular and rare parts are on many of them.
+func TestSimultaneousCrashesAreOneOccurrence(t *testing.T) {
+	c := qt.New(t)
+	l := newList()
+	for round := range enough - 1 {
+		for i := range 24 {
+			c.Assert(record(l, crashAt(100*round+i, 5000*round+8*i, "first", "hot", "rare")), qt.HasLen, 0)
+		}
+	}
+	// The next failure of all instances comes after some have served requests again.
+	l.RecordResponse(model, 1, []string{"first", "hot", "rare"}, at(19_000))
+	for i := range 24 {
+		c.Assert(record(l, crashAt(900+i, 20_000+8*i, "first", "hot", "rare")), qt.HasLen, 0)
+	}
+}
+
+// TestResponseClearsEarlierCrashesOnly guards against a part whose requests are answered
+// now and then being blocked, also when reports of a crash arrive after the response; and
+// against a response that clears crashes after it.
+func TestResponseClearsEarlierCrashesOnly(t *testing.T) {
+	c := qt.New(t)
+	l := newList()
+	for i := range 10 {
+		crash := crashAt(i, 1000*i, "sound")
+		c.Assert(record(l, crash), qt.HasLen, 0)
+		l.RecordResponse(model, 1, []string{"sound"}, at(1000*i+500))
+		// The report of another entry arrives late.
+		c.Assert(l.RecordCrash(crash, at(1000*i+900)), qt.HasLen, 0)
+	}
+	c.Assert(record(l, crashAt(20, 20_000, "sound"), crashAt(21, 21_000, "sound"), crashAt(22, 22_000, "sound")), qt.HasLen, 0)
+	// Another entry has seen a response before the last crashes.
+	l.RecordCleared(blocklist.Cleared{Part: blocklist.Part{Model: model, ID: "sound"}, Version: 1, At: at(19_000)}, at(22_500))
+	c.Assert(record(l, crashAt(23, 23_000, "sound")), qt.DeepEquals, []string{"sound"})
+}
+
+// TestPartsThatCannotBeToldApart guards against a block of the wrong part while further
+// crashes may tell, and against none at all when they do not.
+func TestPartsThatCannotBeToldApart(t *testing.T) {
+	c := qt.New(t)
+	l := newList()
+	c.Assert(record(l, crashAt(1, 0, "bad", "x"), crashAt(2, 300, "x", "bad"), crashAt(3, 600, "bad", "x"), crashAt(4, 900, "bad", "x")), qt.HasLen, 0)
+	c.Assert(record(l, crashAt(5, 1200, "bad")), qt.DeepEquals, []string{"bad"})
+
+	l = newList()
+	var blocked []string
+	for i := range enough + 2 {
+		c.Assert(blocked, qt.HasLen, 0)
+		blocked = append(blocked, record(l, crashAt(i, 300*i, "bad", "x"))...)
+	}
+	c.Assert(blocked, qt.DeepEquals, []string{"bad", "x"})
+}
+
+// TestTwoPartsAtOnce guards against one part hiding the other.
+func TestTwoPartsAtOnce(t *testing.T) {
+	c := qt.New(t)
+	l := newList()
+	var blocked []string
+	for i := range 2 * enough {
+		bad := []string{"bad-1", "bad-2"}[i%2]
+		blocked = append(blocked, record(l, crashAt(i, 300*i, bad, "first", fmt.Sprint("rare-", i)))...)
+		l.RecordResponse(model, 1, []string{"first"}, at(300*i+200))
+	}
+	c.Assert(blocked, qt.DeepEquals, []string{"bad-1", "bad-2"})
+}
+
+// TestNewerWeights guards against a response with other weights that clears a part, and
+// against a block that ends with a release.
+func TestNewerWeights(t *testing.T) {
+	c := qt.New(t)
+	l := newList()
+	for range 20 {
+		l.RecordResponse(model, 2, []string{"first"}, at(0))
+	}
+	for i := range enough {
+		l.RecordResponse(model, 1, []string{"bad"}, at(1000*i+500))
+		crash := crashAt(i, 1000*i, "bad")
+		crash.Version = 2
+		l.RecordCrash(crash, crash.At)
+	}
+	c.Assert(isBlocked(l, "bad"), qt.IsTrue)
+	l.RecordResponse(model, 3, []string{"other"}, at(9000))
+	c.Assert(isBlocked(l, "bad"), qt.IsTrue)
+}
+
+// TestWeightsThatNeverRespond guards against blocks of parts, which outlive the weights,
+// because engines crash at any request with new weights.
+func TestWeightsThatNeverRespond(t *testing.T) {
+	c := qt.New(t)
+	l := newList()
+	for i := range 40 {
+		crash := crashAt(i, 300*i, "first", fmt.Sprint("part-", i%4))
+		crash.Version = 2
+		c.Assert(record(l, crash), qt.HasLen, 0)
+	}
+}
+
+// TestManyInterruptedRequestsNeedMoreEvidence guards against blocks while requests of all
+// kinds are on instances that crash.
+func TestManyInterruptedRequestsNeedMoreEvidence(t *testing.T) {
+	c := qt.New(t)
+	l := newList()
+	for range 40 {
+		l.RecordInterruption(model, 1, at(0))
+	}
+	var blockedAfter int
+	for i := 1; i <= 10 && blockedAfter == 0; i++ {
+		if len(record(l, crashAt(i, 300*i, "part"))) > 0 {
+			blockedAfter = i
+		}
+	}
+	c.Assert(blockedAfter, qt.Equals, 8)
+}
+
+// TestSlowCrashesCount guards against evidence that lapses, or needs a burst: the part
+// comes once in some minutes.
+func TestSlowCrashesCount(t *testing.T) {
+	c := qt.New(t)
+	l := newList()
+	const minute = 60_000
+	c.Assert(record(l, crashAt(1, 0, "bad"), crashAt(2, 10*minute, "bad"), crashAt(3, 20*minute, "bad")), qt.HasLen, 0)
+	c.Assert(record(l, crashAt(4, 30*minute, "bad")), qt.DeepEquals, []string{"bad"})
+}
+
+// TestVictimsOfABlockedPartAreNotSuspected guards against blocks of sound parts that were
+// on the same instances as a blocked one, when entries report them apart or late.
+func TestVictimsOfABlockedPartAreNotSuspected(t *testing.T) {
+	c := qt.New(t)
+	l := newList()
+	c.Assert(record(l, crashAt(1, 0, "bad"), crashAt(2, 300, "bad"), crashAt(3, 600, "bad"), crashAt(4, 900, "bad")), qt.DeepEquals, []string{"bad"})
+	// Requests that were on their way crash further instances.
+	for i := 5; i < 10; i++ {
+		c.Assert(record(l, crashAt(i, 300*i, "victim", "bad")), qt.HasLen, 0)
+		c.Assert(record(l, crashAt(i, 300*i, "victim")), qt.HasLen, 0)
+	}
+	for i := 1; i < 5; i++ {
+		c.Assert(record(l, crashAt(i, 300*i, "victim")), qt.HasLen, 0)
+	}
+	c.Assert(isBlocked(l, "victim"), qt.IsFalse)
+}
+
+// TestDelayedReportsDoNotMultiplyAnOccurrence guards against reports of one failure that
+// seem to be of several, because some of them arrive late.
+func TestDelayedReportsDoNotMultiplyAnOccurrence(t *testing.T) {
+	c := qt.New(t)
+	l := newList()
+	for i := range enough {
+		c.Assert(record(l, crashAt(i, 5*i, "sound")), qt.HasLen, 0)
+	}
+	for i := range enough {
+		delayed := crashAt(i, 1000*i, "sound")
+		c.Assert(l.RecordCrash(delayed, at(5000)), qt.HasLen, 0)
+	}
+}
+
+// TestMemoryIsBounded covers callers whose prompts have parts that never repeat, while
+// instances crash all the time: the rest of the evidence is still found.
+func TestMemoryIsBounded(t *testing.T) {
+	c := qt.New(t)
+	l := newList()
+	for i := range 3000 {
+		l.RecordResponse(model, 1, []string{fmt.Sprint("answered-", i)}, at(20*i))
+		record(l, crashAt(i, 20*i, fmt.Sprint("a-", i), fmt.Sprint("b-", i)))
+	}
+	c.Assert(l.SuspectedParts() <= 2*256, qt.IsTrue, qt.Commentf("%d", l.SuspectedParts()))
+	c.Assert(l.HasResponse(model, 1, []string{"answered-2999"}), qt.IsTrue)
+	c.Assert(l.HasResponse(model, 1, []string{"answered-1"}), qt.IsFalse)
+	c.Assert(record(l, crashAt(9001, 60_000, "bad"), crashAt(9002, 60_300, "bad"), crashAt(9003, 60_600, "bad"), crashAt(9005, 60_900, "bad")), qt.DeepEquals, []string{"bad"})
+	long := make([]string, 100)
+	for i := range long {
+		long[i] = fmt.Sprint("part-", i)
+	}
+	record(l, crashAt(9004, 61_000, long...))
+	c.Assert(l.RecentCrashes(at(61_000), 1)[0].Suspects, qt.HasLen, 16)
+}
+
+// TestReportsAreForRecentNews covers what one entry tells others, and that it does not go
+// round: what was known is no news.
+func TestReportsAreForRecentNews(t *testing.T) {
+	c := qt.New(t)
+	l := newList()
+	record(l, crashAt(1, 0, "a"), crashAt(2, 2000, "b", "c"))
+	c.Assert(l.RecentCrashes(at(1000), 10), qt.DeepEquals, []blocklist.Crash{crashAt(2, 2000, "b", "c")})
+	l.RecordCrash(crashAt(1, 0, "a"), at(2500))
+	c.Assert(l.RecentCrashes(at(1000), 10), qt.HasLen, 1)
+	c.Assert(l.RecentCrashes(at(0), 1), qt.HasLen, 1)
+
+	l.RecordResponse(model, 1, []string{"b", "never suspected"}, at(3000))
+	cleared := l.RecentlyCleared(at(2900), 10)
+	c.Assert(cleared, qt.DeepEquals, []blocklist.Cleared{{Part: blocklist.Part{Model: model, ID: "b"}, Version: 1, At: at(3000)}})
+	other := newList()
+	record(other, crashAt(2, 2000, "b"))
+	other.RecordCleared(cleared[0], at(3200))
+	c.Assert(other.SuspectedParts(), qt.Equals, 0)
+	c.Assert(other.RecentlyCleared(at(3100), 10), qt.HasLen, 1)
+	other.RecordCleared(cleared[0], at(9000))
+	c.Assert(other.RecentlyCleared(at(8000), 10), qt.HasLen, 0)
+}
+
+func TestWindows(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(blocklist.Window(0), qt.Equals, 150*time.Millisecond)
+	c.Assert(blocklist.Window(3), qt.Equals, 450*time.Millisecond)
+	c.Assert(blocklist.Window(100), qt.Equals, time.Second)
+	c.Assert(blocklist.Outlives(400*time.Millisecond, 2, 1), qt.IsTrue)
+	c.Assert(blocklist.Outlives(400*time.Millisecond, 1, 1), qt.IsFalse, qt.Commentf("it may hang before it crashes"))
+	c.Assert(blocklist.Outlives(400*time.Millisecond, 2, 2), qt.IsFalse)
+}
