A test of usage documents does not depend on the time of day

Seen: TestUnreadableDocumentDoesNotBlockOthers fails each time from 16:00 to 20:00 UTC (found at 17:38; 40 of 40 runs). Change: it expects one for each document name, at least two. All other documents must still be written.

--- a/internal/metering/meter_test.go
+++ b/internal/metering/meter_test.go
@@ -204,10 +204,15 @@
 	meter.mu.Lock()
 	pending := meter.counter.Pending(now)
 	meter.mu.Unlock()
-	c.Assert(len(pending) >= 2, qt.IsTrue)
+	// Two of the hours may be of the same day, and then in the same document.
+	names := map[string]bool{}
+	for _, report := range pending {
+		names[usage.DocumentName(report.Source, report.Hour)] = true
+	}
+	c.Assert(len(names) >= 2, qt.IsTrue)
 	broken := usage.DocumentName(pending[0].Source, pending[0].Hour)
 	store.objects[broken] = platform.Object{Name: broken, Version: 1, Value: json.RawMessage(`"not a document"`)}
 	meter.Flush(t.Context())
-	c.Assert(store.objects, qt.HasLen, len(pending))
+	c.Assert(store.objects, qt.HasLen, len(names))
 	c.Assert(meter.FailedFlushes(), qt.Equals, int64(1))
 }
