--- a/internal/beat/message.go
+++ b/internal/beat/message.go
@@ -93,6 +93,36 @@
 	Born int64
 }
 
+// CrashedBackend is the crash of a start of a backend server instance.
+type CrashedBackend struct {
+	ID string
+	// Born is its start time in Unix milliseconds.
+	Born int64
+	// Model and Version are the weights that it had loaded.
+	Model   string
+	Version int64
+	AgeMs   int64
+	// Suspects holds the IDs of the parts of prompts that may have crashed it.
+	Suspects []string
+}
+
+// ClearedPart is a part of prompts that a response has shown not to crash instances with
+// this version of the weights.
+type ClearedPart struct {
+	Model, ID string
+	Version   int64
+	AgeMs     int64
+}
+
+// PartRecord is a decision about a part of prompts. A higher version replaces a lower one.
+type PartRecord struct {
+	Model, ID string
+	Version   int64
+	Lifted    bool
+	Crashes   int
+	Trials    int
+}
+
 // Message is one datagram.
 type Message struct {
 	Role Role
@@ -129,6 +159,11 @@
 	// LeavingBackends holds starts of instances that have said that they leave, and of
 	// which the sender has learned a short time ago.
 	LeavingBackends []LeavingBackend
+	// Crashes and ClearedParts are what the sender has learned a short time ago,
+	// PartRecords the decisions that it has not seen in the store.
+	Crashes      []CrashedBackend
+	ClearedParts []ClearedPart
+	PartRecords  []PartRecord
 	// ComposedAt is the time on the sender's clock at which it started to compose the
 	// message. The ages in the message refer to that time, even if the sender is
 	// paused before it sends the message. Zero means the time of sending.
--- a/internal/beat/socket.go
+++ b/internal/beat/socket.go
@@ -66,14 +66,14 @@
 }
 
 // encodeWithinLimit encodes a message. A message that would not fit into a datagram is
-// encoded without its loads, and without the instances that leave.
+// encoded without its loads, and without the instances that leave or have crashed.
 func encodeWithinLimit(m *Message) ([]byte, error) {
 	raw, err := encode(m)
 	if err != nil || len(raw) <= maxDatagram-maxTrailer {
 		return raw, err
 	}
 	small := *m
-	small.Loads, small.LoadsOmitted, small.LeavingBackends = nil, true, nil
+	small.Loads, small.LoadsOmitted, small.LeavingBackends, small.Crashes, small.ClearedParts = nil, true, nil, nil, nil
 	if raw, err = encode(&small); err == nil && len(raw) > maxDatagram-maxTrailer {
 		err = failure.New(failure.Invalid, "report this", "a message to peers has %d bytes without its loads", len(raw))
 	}
--- a/internal/blocklist/blocklist.go
+++ b/internal/blocklist/blocklist.go
@@ -7,9 +7,9 @@
 // request with that part. A response that goes on for much longer, or is complete, clears
 // all parts of its request. A part is blocked after several crashes at different times without such a
 // response in between. Guaranteed is that a part whose requests have crashed every instance
-// is blocked after at most maxCrashTimes of these at different times, or tieCrashTimes more
-// if another part was in all of the requests; not that no other part is ever blocked, which
-// complete responses correct.
+// is blocked after at most maxCrashTimes of these at different times; not that no other part
+// is ever blocked. Complete responses, and crashes that a blocked part does not explain,
+// correct that.
 package blocklist
 
 import (
@@ -63,23 +63,29 @@
 	Version int64
 	At      time.Time
 	// Suspects holds the IDs of the shared parts of requests to which the instance had
-	// begun to respond not longer than Window before.
+	// begun to respond not longer than Window before, each request's in the order of its
+	// prompt.
 	Suspects []string
 }
 
-// crash is a known crash with the suspects that have not been cleared.
+// crash is a known crash with the suspects that have not been cleared, in the order of
+// Crash.Suspects.
 type crash struct {
+	start    Start
 	model    string
 	version  int64
 	at       time.Time
-	suspects map[string]bool
-	// explained is set when a blocked part was among the suspects. It is kept, so that later
-	// reports of the crash count against no other part.
-	explained bool
+	suspects []string
+	// explainedBy is the blocked part that was among the suspects. Then suspects holds only
+	// the parts that could not be told apart from it, and later reports of the crash are
+	// ignored.
+	explainedBy string
 	// changedAt is when a suspect was last added.
 	changedAt time.Time
 }
 
+func (c *crash) isSuspected(id string) bool { return slices.Contains(c.suspects, id) }
+
 // versionedPart is a part as processed with one version of the weights.
 type versionedPart struct {
 	Part
@@ -166,9 +172,9 @@
 	if l.suspected[part] == 0 {
 		return
 	}
-	for start, known := range l.crashes {
-		if known.model == part.Model && known.version == part.version && known.suspects[part.ID] && !known.at.After(at) {
-			l.removeSuspect(start, known, part.ID)
+	for _, known := range l.crashes {
+		if known.model == part.Model && known.version == part.version && known.isSuspected(part.ID) && !known.at.After(at) {
+			l.removeSuspect(known, part.ID)
 		}
 	}
 	l.cleared = append(l.cleared, clearing{part: part, at: at, learnedAt: now})
@@ -190,18 +196,18 @@
 
 // RecordCrash records the crash of an instance, as this entry has seen it or another one
 // has reported it. Several reports of a crash count once, with the suspects of all. It
-// returns the parts that are blocked because of it.
-func (l *List) RecordCrash(reported Crash, now time.Time) (blocked []Record) {
+// returns the decisions that are made because of it.
+func (l *List) RecordCrash(reported Crash, now time.Time) []Record {
 	l.prune(now)
 	if now.Sub(reported.At) > suspicionRetention {
 		return nil
 	}
 	known := l.crashes[reported.Start]
 	if known == nil {
-		known = &crash{model: reported.Model, version: reported.Version, at: reported.At, suspects: map[string]bool{}}
+		known = &crash{start: reported.Start, model: reported.Model, version: reported.Version, at: reported.At}
 		l.crashes[reported.Start] = known
 	}
-	if known.explained {
+	if known.explainedBy != "" {
 		return nil
 	}
 	// A report that was delayed makes the crash seem later.
@@ -209,34 +215,38 @@
 	for _, id := range reported.Suspects {
 		l.addSuspect(known, id, now)
 	}
-	if len(known.suspects) == 0 {
-		delete(l.crashes, reported.Start)
-		return nil
-	}
+	l.forgetIfCleared(known)
 	return l.evaluate(known.model, now)
 }
 
 // addSuspect adds a suspected part of a crash, unless a later response has cleared it.
 func (l *List) addSuspect(known *crash, id string, now time.Time) {
 	part := versionedPart{Part: Part{Model: known.model, ID: id}, version: known.version}
-	if known.suspects[id] || len(known.suspects) >= maxSuspects {
+	if known.isSuspected(id) || len(known.suspects) >= maxSuspects {
 		return
 	}
 	if last, found := l.responses.Peek(part); found && !last.Before(known.at) {
 		return
 	}
-	known.suspects[id], known.changedAt = true, now
+	known.suspects, known.changedAt = append(known.suspects, id), now
 	l.suspected[part]++
 }
 
-func (l *List) removeSuspect(start Start, known *crash, id string) {
+// removeSuspect removes a suspected part of a crash, and the crash if it was the last one.
+func (l *List) removeSuspect(known *crash, id string) {
 	part := versionedPart{Part: Part{Model: known.model, ID: id}, version: known.version}
-	delete(known.suspects, id)
+	known.suspects = slices.DeleteFunc(known.suspects, func(other string) bool { return other == id })
 	if l.suspected[part]--; l.suspected[part] <= 0 {
 		delete(l.suspected, part)
 	}
-	if len(known.suspects) == 0 {
-		delete(l.crashes, start)
+	l.forgetIfCleared(known)
+}
+
+// forgetIfCleared removes a crash of which no part is suspected. One that is explained is
+// kept, since further reports of it count against no part.
+func (l *List) forgetIfCleared(known *crash) {
+	if len(known.suspects) == 0 && known.explainedBy == "" {
+		delete(l.crashes, known.start)
 	}
 }
 
@@ -259,8 +269,8 @@
 
 func (l *List) remove(start Start) {
 	known := l.crashes[start]
-	for id := range known.suspects {
-		l.removeSuspect(start, known, id)
+	for _, id := range slices.Clone(known.suspects) {
+		l.removeSuspect(known, id)
 	}
 	delete(l.crashes, start)
 }
--- a/internal/blocklist/blocks.go
+++ b/internal/blocklist/blocks.go
@@ -164,23 +164,25 @@
 	return news
 }
 
-// Unsaved returns up to limit records that the store lacks and that have been known for at
-// least minAge, the oldest first.
-func (l *List) Unsaved(limit int, minAge time.Duration, now time.Time) []Record {
-	var unsaved []*block
+// UnsavedRecord is a record that the store lacks.
+type UnsavedRecord struct {
+	Record
+	// LearnedAt is when this entry learned of the record.
+	LearnedAt time.Time
+}
+
+// Unsaved returns up to limit records that the store lacks, the oldest first.
+func (l *List) Unsaved(limit int) []UnsavedRecord {
+	var unsaved []UnsavedRecord
 	for _, known := range l.blocks {
-		if known.record.Version > known.stored && now.Sub(known.learnedAt) >= minAge {
-			unsaved = append(unsaved, known)
+		if known.record.Version > known.stored {
+			unsaved = append(unsaved, UnsavedRecord{Record: known.record, LearnedAt: known.learnedAt})
 		}
 	}
-	slices.SortFunc(unsaved, func(a, b *block) int {
-		return cmp.Or(a.learnedAt.Compare(b.learnedAt), strings.Compare(a.record.Model, b.record.Model), strings.Compare(a.record.ID, b.record.ID))
+	slices.SortFunc(unsaved, func(a, b UnsavedRecord) int {
+		return cmp.Or(a.LearnedAt.Compare(b.LearnedAt), strings.Compare(a.Model, b.Model), strings.Compare(a.ID, b.ID))
 	})
-	var records []Record
-	for _, known := range unsaved[:min(len(unsaved), limit)] {
-		records = append(records, known.record)
-	}
-	return records
+	return unsaved[:min(len(unsaved), limit)]
 }
 
 // Saved records that the store has a record.
--- a/internal/blocklist/evaluate.go
+++ b/internal/blocklist/evaluate.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -17,40 +16,41 @@
 	times   int
 }
 
-// evaluate blocks the parts of a model that cause crashes. Crashes in which a blocked part
-// is suspected are explained by it, and count against no other part any more: other parts
-// of the same requests, and requests that ran on the same instances, are victims.
+// evaluate blocks the parts of a model that cause crashes, and returns the decisions.
+// Crashes in which a blocked part is suspected are explained by it, and count against no
+// other part any more: other parts of the same requests, and requests that ran on the same
+// instances, are victims.
 func (l *List) evaluate(model string, now time.Time) []Record {
-	l.markExplained(model)
+	l.explainCrashes(model)
 	for _, candidate := range l.candidates(model) {
-		causes := l.causes(candidate, now)
-		if len(causes) == 0 {
+		if candidate.times < l.requiredCrashTimes(candidate, now) {
 			continue
 		}
-		var blocked []Record
-		for _, id := range causes {
-			blocked = append(blocked, l.decide(l.record(Part{Model: model, ID: id}).blocked(candidate.times), now))
-		}
-		return append(blocked, l.evaluate(model, now)...)
+		equals := candidate.equals()
+		cause := Part{Model: model, ID: equals[len(equals)-1]}
+		decisions := []Record{l.decide(l.record(cause).blocked(candidate.times), now)}
+		decisions = append(decisions, l.liftDisplaced(model, l.explain(candidate.crashes, equals), now)...)
+		return append(decisions, l.evaluate(model, now)...)
 	}
 	return nil
 }
 
 // candidates returns the parts with the least evidence that can be enough, that with the
-// most first.
+// most first. At least one crash must have no explanation yet.
 func (l *List) candidates(model string) []evidence {
-	byID := map[string][]*crash{}
+	byID, unexplained := map[string][]*crash{}, map[string]bool{}
 	for _, known := range l.crashes {
 		if known.model != model {
 			continue
 		}
-		for id := range known.suspects {
+		for _, id := range known.suspects {
 			byID[id] = append(byID[id], known)
+			unexplained[id] = unexplained[id] || known.explainedBy == ""
 		}
 	}
 	var candidates []evidence
 	for id, crashes := range byID {
-		if times := countIndependent(crashes); times >= minCrashTimes {
+		if times := countIndependent(crashes); times >= minCrashTimes && unexplained[id] {
 			candidates = append(candidates, evidence{id: id, crashes: crashes, times: times})
 		}
 	}
@@ -60,8 +60,8 @@
 	return candidates
 }
 
-// countIndependent returns the number of times, independentAfter or more apart, at which
-// crashes occurred.
+// countIndependent sorts crashes by time, and returns the number of times, independentAfter
+// or more apart, at which they occurred.
 func countIndependent(crashes []*crash) int {
 	slices.SortFunc(crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
 	count := 0
@@ -74,43 +74,61 @@
 	return count
 }
 
-// causes returns the parts that are to be blocked because of the evidence against one: the
-// part, and those that are suspected of all the same crashes, from which it cannot be told
-// apart. It returns none while the evidence is not enough, or further crashes may tell them
-// apart.
-func (l *List) causes(candidate evidence, now time.Time) []string {
-	last := candidate.crashes[len(candidate.crashes)-1]
-	required, known := l.requiredCrashTimes(weights{model: last.model, version: last.version}, now)
-	if !known || candidate.times < required {
-		return nil
-	}
-	common := maps.Clone(last.suspects)
-	for _, other := range candidate.crashes {
-		maps.DeleteFunc(common, func(id string, _ bool) bool { return !other.suspects[id] })
-	}
-	if len(common) > 1 && candidate.times < required+tieCrashTimes {
-		return nil
-	}
-	return slices.Sorted(maps.Keys(common))
+// equals returns the parts that are suspected of all these crashes, from which the part
+// cannot be told apart, in the order in which they stand in prompts. The last one is the
+// most likely cause: parts at the beginning of a prompt are shared by more requests, and
+// these would have been answered.
+func (e evidence) equals() []string {
+	return slices.DeleteFunc(slices.Clone(e.crashes[0].suspects), func(id string) bool {
+		return slices.ContainsFunc(e.crashes, func(known *crash) bool { return !known.isSuspected(id) })
+	})
 }
 
-// markExplained marks the crashes of which a blocked part is suspected.
-func (l *List) markExplained(model string) {
-	for start, known := range l.crashes {
-		if known.model != model || !l.isExplained(known) {
+// explainCrashes explains the crashes of which a part that is blocked is suspected.
+func (l *List) explainCrashes(model string) {
+	for _, known := range l.crashes {
+		if known.model != model || known.explainedBy != "" {
 			continue
 		}
-		l.remove(start)
-		known.explained = true
-		l.crashes[start] = known
+		for _, id := range known.suspects {
+			if _, blocked := l.blockedRecord(Part{Model: model, ID: id}); blocked {
+				l.explain([]*crash{known}, []string{id})
+				break
+			}
+		}
+	}
+}
+
+// explain records that crashes are explained by the last one of the given parts, and
+// returns what has explained them before. The other parts cannot be told apart from it.
+func (l *List) explain(crashes []*crash, equals []string) (displaced map[string]bool) {
+	cause, others := equals[len(equals)-1], equals[:len(equals)-1]
+	displaced = map[string]bool{}
+	for _, known := range crashes {
+		if known.explainedBy != "" {
+			displaced[known.explainedBy] = true
+		}
+		known.explainedBy = cause
+		for _, id := range slices.Clone(known.suspects) {
+			if !slices.Contains(others, id) {
+				l.removeSuspect(known, id)
+			}
+		}
 	}
+	return displaced
 }
 
-func (l *List) isExplained(known *crash) bool {
-	for id := range known.suspects {
-		if _, blocked := l.blockedRecord(Part{Model: known.model, ID: id}); blocked {
-			return true
+// liftDisplaced lifts the blocks of those parts that do not explain any crash any more.
+func (l *List) liftDisplaced(model string, displaced map[string]bool, now time.Time) (lifted []Record) {
+	for _, known := range l.crashes {
+		if known.model == model {
+			delete(displaced, known.explainedBy)
+		}
+	}
+	for id := range displaced {
+		if record, blocked := l.blockedRecord(Part{Model: model, ID: id}); blocked {
+			lifted = append(lifted, l.decide(record.lifted(), now))
 		}
 	}
-	return false
+	return lifted
 }
--- a/internal/blocklist/exposure.go
+++ b/internal/blocklist/exposure.go
@@ -2,16 +2,15 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
 const (
 	// minCrashTimes and maxCrashTimes bound the number of times at which instances must
-	// have crashed before a part is blocked, tieCrashTimes is how many more there must be
-	// if it cannot be told apart from another part.
+	// have crashed before a part is blocked.
 	minCrashTimes = 4
 	maxCrashTimes = 8
-	tieCrashTimes = 2
 	// maxChance is the greatest probability with which requests with a part are on
 	// instances that crash only by chance, each time and without a response in between.
 	maxChance = 1e-4
@@ -19,11 +18,14 @@
 	// instances that crash.
 	exposurePeriod  = 10 * time.Second
 	exposureBuckets = 10
+	// maxInterruptions bounds the interrupted requests that are kept.
+	maxInterruptions = 128
 	// priorResponses and priorInterruptions are added to the counts: what is expected while
 	// there are few requests.
 	priorResponses, priorInterruptions = 39.0, 1.0
-	// minResponses is the number of responses after which weights are known to work. Those
-	// that crash at any request are no evidence against a part.
+	// minResponses is the number of responses after which weights are known to work. If
+	// other weights of the model are, crashes with those that are not known to work are no
+	// evidence against a part: they may crash at any request.
 	minResponses = 3
 	// maxExposures bounds the weights whose exposure is kept.
 	maxExposures = 64
@@ -38,13 +40,21 @@
 // exposure counts the requests of this entry to engines with the same weights that were
 // answered, and those interrupted by a crash soon after their response had begun.
 type exposure struct {
-	responses int
-	buckets   [exposureBuckets]exposureBucket
-	last      int64
-	lastUse   time.Time
+	// answered is the number of requests that were answered, up to minResponses; buckets
+	// holds those of exposurePeriod, up to the one with the index last.
+	answered int
+	buckets  [exposureBuckets]int
+	last     int64
+	// interruptions holds the latest requests that were interrupted, the oldest first.
+	interruptions []interruption
+	lastUse       time.Time
 }
 
-type exposureBucket struct{ responses, interruptions int }
+// interruption is a request that a crash has interrupted.
+type interruption struct {
+	at    time.Time
+	parts []string
+}
 
 // exposureOf returns the exposure for weights, to be changed.
 func (l *List) exposureOf(of weights, now time.Time) *exposure {
@@ -75,42 +85,74 @@
 }
 
 // RecordInterruption records that the crash of an instance has interrupted a request of
-// this entry, not longer than Window after its response had begun.
-func (l *List) RecordInterruption(model string, version int64, now time.Time) {
-	l.exposureOf(weights{model: model, version: version}, now).bucketAt(now).interruptions++
+// this entry with these shared parts, not longer than Window after its response had begun.
+func (l *List) RecordInterruption(model string, version int64, parts []string, now time.Time) {
+	known := l.exposureOf(weights{model: model, version: version}, now)
+	known.interruptions = append(known.interruptions, interruption{at: now, parts: parts})
+	if excess := len(known.interruptions) - maxInterruptions; excess > 0 {
+		known.interruptions = slices.Delete(known.interruptions, 0, excess)
+	}
 }
 
 func (e *exposure) addResponse(now time.Time) {
-	e.responses = min(e.responses+1, minResponses)
-	e.bucketAt(now).responses++
+	e.answered = min(e.answered+1, minResponses)
+	*e.bucketAt(now)++
 }
 
 // bucketAt clears the buckets that are older than exposurePeriod, and returns that for now.
-func (e *exposure) bucketAt(now time.Time) *exposureBucket {
+func (e *exposure) bucketAt(now time.Time) *int {
 	index := now.UnixNano() / int64(exposurePeriod/exposureBuckets)
 	for expired := e.last + 1; expired <= index && expired <= e.last+exposureBuckets; expired++ {
-		e.buckets[expired%exposureBuckets] = exposureBucket{}
+		e.buckets[expired%exposureBuckets] = 0
 	}
 	e.last = max(e.last, index)
 	return &e.buckets[index%exposureBuckets]
 }
 
-// requiredCrashTimes returns at how many different times instances with these weights must
-// have crashed before a part is blocked: the more of all requests are on instances that
-// crash, the more crashes come together with any part. It returns false if the weights are
-// not known to work.
-func (l *List) requiredCrashTimes(of weights, now time.Time) (int, bool) {
-	known := l.exposures[of]
-	if known == nil || known.responses < minResponses {
-		return 0, false
+// count returns how many requests without a part were answered and interrupted during
+// exposurePeriod.
+func (e *exposure) count(part string, now time.Time) (responses, interruptions float64) {
+	e.bucketAt(now)
+	for _, answered := range e.buckets {
+		responses += float64(answered)
+	}
+	for _, one := range e.interruptions {
+		if now.Sub(one.at) < exposurePeriod && !slices.Contains(one.parts, part) {
+			interruptions++
+		}
+	}
+	return responses, interruptions
+}
+
+// requiredCrashTimes returns at how many different times instances must have crashed before
+// a part is blocked: the more of the other requests are on instances that crash, the more
+// crashes come together with any part. It is out of reach if the weights may not work.
+func (l *List) requiredCrashTimes(candidate evidence, now time.Time) int {
+	last := candidate.crashes[len(candidate.crashes)-1]
+	of := weights{model: last.model, version: last.version}
+	if l.areNewlyReleased(of) {
+		return math.MaxInt
 	}
-	known.bucketAt(now)
 	responses, interruptions := priorResponses, priorInterruptions
-	for _, bucket := range known.buckets {
-		responses += float64(bucket.responses)
-		interruptions += float64(bucket.interruptions)
+	if known := l.exposures[of]; known != nil {
+		answered, interrupted := known.count(candidate.id, now)
+		responses, interruptions = responses+answered, interruptions+interrupted
 	}
 	chance := interruptions / (responses + interruptions)
 	times := math.Ceil(math.Log(maxChance) / math.Log(chance))
-	return int(min(max(times, minCrashTimes), maxCrashTimes)), true
+	return int(min(max(times, minCrashTimes), maxCrashTimes))
+}
+
+// areNewlyReleased reports whether other weights of the model are known to work, and these
+// are not.
+func (l *List) areNewlyReleased(of weights) bool {
+	if known := l.exposures[of]; known != nil && known.answered >= minResponses {
+		return false
+	}
+	for other, known := range l.exposures {
+		if other.model == of.model && known.answered >= minResponses {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/blocklist/reports.go
+++ b/internal/blocklist/reports.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -24,7 +23,7 @@
 func (l *List) RecentCrashes(since time.Time, limit int) []Crash {
 	var recent []Start
 	for start, known := range l.crashes {
-		if !known.explained && !known.changedAt.Before(since) {
+		if known.explainedBy == "" && !known.changedAt.Before(since) {
 			recent = append(recent, start)
 		}
 	}
@@ -34,7 +33,7 @@
 	var crashes []Crash
 	for _, start := range recent[:min(len(recent), limit)] {
 		known := l.crashes[start]
-		crashes = append(crashes, Crash{Start: start, Model: known.model, Version: known.version, At: known.at, Suspects: slices.Sorted(maps.Keys(known.suspects))})
+		crashes = append(crashes, Crash{Start: start, Model: known.model, Version: known.version, At: known.at, Suspects: slices.Clone(known.suspects)})
 	}
 	return crashes
 }
--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -17,9 +17,10 @@
 	"plantainrelay/platform"
 )
 
-// staleProofAge is the age of a proof beyond which its renewal by a peer is logged. It
-// is longer than the interval between two reads of the store by an assigned watcher.
-const staleProofAge = 4 * time.Second
+// minStaleProofAge is the least age of a proof beyond which its renewal by a peer is
+// logged. It is longer than the interval between two reads of the tables by an assigned
+// watcher.
+const minStaleProofAge = 4 * time.Second
 
 // minRandomRank and maxRandomRank bound the rank of a process that does not know its own.
 // They are high, because all of them receive the collections from those that do.
@@ -38,6 +39,9 @@
 	BatchDelay time.Duration
 }
 
+// staleProofAge is the age of a proof beyond which its renewal by a peer is logged.
+func (p Plan) staleProofAge() time.Duration { return max(minStaleProofAge, 2*p.WatchTimeout) }
+
 // CollectionState is the state of a collection as reported to peers.
 type CollectionState struct {
 	Known   bool
@@ -61,6 +65,8 @@
 type Config struct {
 	Store *platform.StoreClient
 	Plans map[platform.Kind]Plan
+	// Kinds are the collections that this process replicates; all when nil.
+	Kinds []platform.Kind
 	Log   *logrus.Entry
 	// ShouldWatch reports whether this process is assigned to watch a collection of the
 	// store; nil when it never is.
@@ -99,13 +105,19 @@
 	if config.StoreAvailabilityChanged == nil {
 		config.StoreAvailabilityChanged = func() {}
 	}
+	if config.Kinds == nil {
+		config.Kinds = platform.Kinds
+	}
 	c := &Copies{config: config, plans: config.Plans, copies: map[platform.Kind]*collectionCopy{}}
-	for _, kind := range platform.Kinds {
+	for _, kind := range config.Kinds {
 		c.copies[kind] = &collectionCopy{replica: replica.New(), reader: duty.NewReader(c.plans[kind].Plan, clock.Now())}
 	}
 	return c
 }
 
+// replicates reports whether this process keeps a copy of a collection.
+func (c *Copies) replicates(kind platform.Kind) bool { return c.copies[kind] != nil }
+
 // SetPlans replaces the plans of all collections.
 func (c *Copies) SetPlans(plans map[platform.Kind]Plan) {
 	c.mu.Lock()
@@ -126,6 +138,9 @@
 func (c *Copies) CollectionState(kind platform.Kind) CollectionState {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.replicates(kind) {
+		return CollectionState{}
+	}
 	held := c.copies[kind].replica
 	return CollectionState{Known: held.Known(), Content: held.Content(), Versions: held.Versions(), Age: clock.Now().Sub(held.Proof())}
 }
@@ -196,7 +211,7 @@
 // sent before sentAfter. A message with an unknown time renews no proof, because it may
 // have been delayed. PeerStateReceived reports whether the peer has newer documents.
 func (c *Copies) PeerStateReceived(kind platform.Kind, state CollectionState, sentAfter time.Time, peer string) bool {
-	if !state.Known {
+	if !state.Known || !c.replicates(kind) {
 		return false
 	}
 	c.recordEra(state.Content.Era, peer)
@@ -208,6 +223,7 @@
 		held.RecordProof(state.Content, sentAfter.Add(-state.Age))
 	}
 	newProof, known, content, versions := held.Proof(), held.Known(), held.Content(), held.Versions()
+	staleProofAge := c.plans[kind].staleProofAge()
 	c.mu.Unlock()
 	if known && now.Sub(previousProof) > staleProofAge && now.Sub(newProof) <= staleProofAge {
 		c.config.Log.WithFields(logrus.Fields{
@@ -241,7 +257,7 @@
 		return
 	}
 	ranks := map[platform.Kind]int{}
-	for _, kind := range platform.Kinds {
+	for _, kind := range c.config.Kinds {
 		ranks[kind] = c.config.ListRank(kind)
 	}
 	last, outdated := c.setEra(era, ranks)
--- a/internal/copies/follow.go
+++ b/internal/copies/follow.go
@@ -28,7 +28,7 @@
 // Run keeps the copies current until ctx ends.
 func (c *Copies) Run(ctx context.Context) {
 	var group sync.WaitGroup
-	for _, kind := range platform.Kinds {
+	for _, kind := range c.config.Kinds {
 		group.Go(func() { c.keepCurrent(ctx, kind) })
 	}
 	group.Wait()
--- a/internal/copies/pull.go
+++ b/internal/copies/pull.go
@@ -82,11 +82,11 @@
 // collections of which the peer has newer documents.
 func (p *Puller) MessageReceived(ctx context.Context, m *beat.Message) {
 	now := clock.Now()
-	for i, state := range m.Collections {
-		if i >= len(platform.Kinds) {
-			return
-		}
+	for i, state := range m.Collections[:min(len(m.Collections), len(platform.Kinds))] {
 		kind := platform.Kinds[i]
+		if !p.copies.replicates(kind) {
+			continue
+		}
 		received := CollectionState{
 			Known: state.Known, Content: replica.Revision{Era: state.Era, Number: state.Content}, Versions: state.Versions,
 			Age: time.Duration(state.AgeMs) * time.Millisecond,
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -85,6 +85,9 @@
 	platform.Releases: {CheckInterval: ageCheckInterval, Plan: duty.Plan{MaxProofAge: 9 * time.Second, StartupPeerWait: startupPeerWait}},
 }
 
+// kinds are the collections that an agent needs.
+var kinds = []platform.Kind{platform.Tables, platform.Backends, platform.Releases}
+
 // minPullIntervals holds the minimum time between pulls. It saves bandwidth on an
 // agent's link when the tables change often: an agent needs only their pools, which
 // rarely change.
@@ -208,7 +211,7 @@
 		sendNow: make(chan struct{}, 1), entries: map[string]entryState{}, neighbors: map[string]neighbor{},
 	}
 	store := platform.NewStoreClient(s.StoreAddress, remote)
-	a.copies = copies.New(copies.Config{Store: store, Plans: refreshPlans, Log: log, Changed: a.decodeCollections})
+	a.copies = copies.New(copies.Config{Store: store, Plans: refreshPlans, Kinds: kinds, Log: log, Changed: a.decodeCollections})
 	a.metrics = newAgentMetrics(a)
 	store.OnCall = func(method string, kind platform.Kind) { a.metrics.store.WithLabelValues(method, string(kind)).Inc() }
 	a.puller = copies.NewPuller(a.copies, a.client, s.PeerPort, maxConcurrentPulls, minPullIntervals, log)
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -359,7 +359,9 @@
 	// PendingPromptTokens the number of prompt tokens to be processed before this
 	// request's.
 	Load, Limit, PendingPromptTokens int
-	ticket                           uint64
+	// Slowdown is how many times slower than usual the engine runs, at least 1.
+	Slowdown float64
+	ticket   uint64
 }
 
 // Choose picks an instance with a free slot and counts the request there. It
@@ -380,7 +382,7 @@
 	f.lastTicket++
 	choice := Choice{
 		Backend: best.Backend, Version: best.version(need.Model), Load: f.load(best, now), Limit: f.limit(best),
-		PendingPromptTokens: f.pendingPromptTokens(best, now), ticket: f.lastTicket,
+		PendingPromptTokens: f.pendingPromptTokens(best, now), Slowdown: best.slowdown(), ticket: f.lastTicket,
 	}
 	best.ownRequests++
 	best.pendingPromptTokens[choice.ticket] = need.PromptTokens
--- a/internal/placement/notices.go
+++ b/internal/placement/notices.go
@@ -120,6 +120,13 @@
 // saysLeaving reports whether this start of the instance has said that it leaves.
 func (i *instance) saysLeaving() bool { return i.notice != nil && i.notice.leaving }
 
+// EndsUnexpectedly reports whether the chosen start of an instance is in use, so that nobody
+// expects it to end.
+func (f *Fleet) EndsUnexpectedly(choice Choice) bool {
+	inst := f.instances[choice.Backend.ID]
+	return inst != nil && inst.Start == choice.Backend.Start && !inst.Leaving && !inst.saysLeaving() && !inst.switching() && !inst.addressReused
+}
+
 // RecentlyLeaving returns the starts that were marked as leaving at the given time or
 // later, the newest first, at most limit.
 func (f *Fleet) RecentlyLeaving(since time.Time, limit int) []InstanceStart {
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"plantainrelay/internal/beat"
+	"plantainrelay/internal/blocklist"
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/copies"
+	"plantainrelay/internal/member"
 	"plantainrelay/internal/peers"
 	"plantainrelay/internal/placement"
 	"plantainrelay/internal/ring"
@@ -155,6 +158,38 @@
 	return loads
 }
 
+// announceBlocks tells all live entries at once which decisions about parts of prompts the
+// store does not have yet. The next heartbeats repeat them.
+func (h *heartbeater) announceBlocks() {
+	records := encodeRecords(h.frontend.blocker.unsaved(maxRecordsPerMessage))
+	if len(records) == 0 {
+		return
+	}
+	h.mu.Lock()
+	h.sequence++
+	message := &beat.Message{Role: beat.Entry, Host: h.directory.Self().Host, Start: h.start, Sequence: h.sequence, LoadsOnly: true, PartRecords: records}
+	var hosts []string
+	for _, entry := range h.directory.LiveEntries(clock.Now()) {
+		hosts = append(hosts, entry.Host)
+	}
+	h.mu.Unlock()
+	h.socket.Send(message, hosts)
+}
+
+// blockRank returns the position of this entry in the order in which the live entries save
+// the record of a part.
+func (h *heartbeater) blockRank(part blocklist.Part) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	hosts := []string{h.directory.Self().Host}
+	for _, entry := range h.directory.LiveEntries(clock.Now()) {
+		if !entry.Leaving {
+			hosts = append(hosts, entry.Host)
+		}
+	}
+	return slices.Index(member.Rank(part.Model+"/"+part.ID, hosts), h.directory.Self().Host)
+}
+
 // triggerSend makes Run send the next heartbeat immediately.
 func (h *heartbeater) triggerSend() { ring.Notify(h.sendNow) }
 
@@ -181,6 +216,7 @@
 	farLoadsLapse := heartbeatInterval*time.Duration(h.directory.FarTurns()) > maxPeerLoadAge
 	message.Hosts = h.directory.HostsToName(h.hostsPerMessage(now), now)
 	h.mu.Unlock()
+	h.frontend.blocker.addReports(message, now)
 	h.recordLiveEntries(self.Host, livePeers)
 	h.socket.Send(message, near)
 	if len(far) > 0 {
@@ -192,6 +228,7 @@
 	}
 	if toAgents {
 		message.Loads, message.Hosts, message.ZoneLoads, message.LeavingBackends = nil, nil, nil, nil
+		message.Crashes, message.ClearedParts, message.PartRecords = nil, nil, nil
 		zone := self.AvailabilityZone
 		if smallFleet {
 			zone = ""
@@ -255,6 +292,7 @@
 		}
 		return
 	}
+	h.frontend.blocker.readReports(m)
 	if m.LoadsOnly {
 		h.handleLoadUpdate(m, now)
 		return
--- /dev/null
+++ b/internal/relay/crashes.go
@@ -0,0 +1,165 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"plantainrelay/internal/blocklist"
+	"plantainrelay/internal/clock"
+	"plantainrelay/internal/placement"
+)
+
+// confirmTimeout bounds the connection by which it is found out whether an instance has
+// crashed.
+const confirmTimeout = 400 * time.Millisecond
+
+// admitParts reports whether no part of the request's prompt is blocked, or the request is
+// let through on trial.
+func (x *exchange) admitParts() bool {
+	if len(x.parts) == 0 {
+		return true
+	}
+	part, isTrial, admitted := x.frontend.blocker.admit(x.model, x.parts)
+	x.isTrial = isTrial
+	if !admitted {
+		x.blockedPart = part.ID
+	}
+	return admitted
+}
+
+// isBlocked reports whether a part of the request's prompt is blocked.
+func (x *exchange) isBlocked() bool {
+	if len(x.parts) == 0 || x.isTrial {
+		return false
+	}
+	_, blocked := x.frontend.blocker.blocked(x.model, x.parts)
+	return blocked
+}
+
+// isCanceledByBlock reports whether the request was canceled because a part of its prompt
+// was blocked.
+func (x *exchange) isCanceledByBlock(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errPartBlocked)
+}
+
+// blockedRefusal returns the refusal of a request because of a blocked part. It says that
+// the request has not run only if no attempt may have run.
+func (x *exchange) blockedRefusal() refusal {
+	if x.mayHaveRun() {
+		return refusal{status: http.StatusBadGateway, reason: reasonBlocked}
+	}
+	return refusal{status: http.StatusServiceUnavailable, reason: reasonBlocked, retryAfter: blockedRetryAfter}
+}
+
+// refuseBlocked ends a request one of whose parts was blocked after it had been admitted.
+func (x *exchange) refuseBlocked() {
+	if part, blocked := x.frontend.blocker.blocked(x.model, x.parts); blocked {
+		x.blockedPart = part.ID
+	}
+	if x.responseStarted {
+		x.logOutcome(0, reasonBlocked)
+		x.abort()
+	}
+	x.refuse(x.blockedRefusal())
+}
+
+// responseProgress is what is known of the response to one attempt.
+type responseProgress struct {
+	beganAt time.Time
+	// startedAt is the same time without the time in which the machine was suspended, which
+	// is cheap to compare with.
+	startedAt time.Time
+	// broken says that the instance's connection ended within the response.
+	broken bool
+	// outlived says that the response clears the parts of the request.
+	outlived bool
+}
+
+// responseBegan records that an instance has begun to respond.
+func (x *exchange) responseBegan() {
+	x.progress = responseProgress{beganAt: clock.Now(), startedAt: time.Now()}
+	x.pending.responding.Store(true)
+}
+
+// noteProgress records that a response goes on. It is called for each event.
+func (x *exchange) noteProgress(choice placement.Choice, events int) {
+	if len(x.parts) == 0 || x.progress.outlived || !blocklist.Outlives(time.Since(x.progress.startedAt), events, choice.Slowdown) {
+		return
+	}
+	x.progress.outlived = true
+	x.frontend.blocker.responseOutlived(x.model, choice.Version, x.parts)
+}
+
+// noteComplete records that the response of an instance is complete.
+func (x *exchange) noteComplete(choice placement.Choice) {
+	if len(x.parts) == 0 {
+		return
+	}
+	if !x.progress.outlived {
+		x.frontend.blocker.responseOutlived(x.model, choice.Version, x.parts)
+	}
+	x.frontend.blocker.responseComplete(x.model, x.parts)
+}
+
+// noteBreak records the error that ended the body of a response.
+func (x *exchange) noteBreak(err error) {
+	x.progress.broken = errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// mayHaveCrashedInstance reports whether the interrupted attempt may be the reason why its
+// instance has ended: it ended soon after its response had begun. If so, it records the
+// crash. Such a request is sent to another instance only if all parts of its prompt are
+// known not to be the reason.
+func (x *exchange) mayHaveCrashedInstance(choice placement.Choice, record *attemptRecord) bool {
+	ended := clock.Now()
+	responseTime := ended.Sub(x.progress.beganAt)
+	if len(x.parts) == 0 || !x.progress.broken || responseTime > blocklist.Window(choice.Slowdown) {
+		return false
+	}
+	// After a pause of this process it is not known how long the response went on.
+	if x.frontend.view.wasPausedSince(x.progress.beganAt) || !x.frontend.scheduler.endsUnexpectedly(choice) || !x.frontend.sender.refused(choice.Backend.Address) {
+		return false
+	}
+	record.Crashed = true
+	isCleared := x.frontend.blocker.hasResponse(x.model, choice.Version, x.parts)
+	x.frontend.log.WithFields(logrus.Fields{
+		"request": x.call.AttemptID, "backend": choice.Backend.ID, "born": choice.Backend.Start, "pool": x.pool, "version": choice.Version,
+		"response_ms": responseTime.Milliseconds(), "events": record.Events, "shared_parts": x.parts, "cleared": isCleared,
+	}).Warning("a backend server crashed soon after it had begun to respond")
+	x.frontend.blocker.requestInterrupted(blocklist.Crash{
+		Start: blocklist.Start{Instance: choice.Backend.ID, Born: choice.Backend.Start}, Model: x.model, Version: choice.Version, At: ended, Suspects: x.parts,
+	})
+	next := "ended"
+	if isCleared {
+		next = "sent again"
+	}
+	x.frontend.metrics.blocks.interruptions.WithLabelValues(next).Inc()
+	return !isCleared
+}
+
+// refused reports whether the instance at address refuses connections, because its process
+// has ended. An instance that is cut off, or without power, does not respond at all.
+func (s *sender) refused(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	conn.Close()
+	return false
+}
+
+// endsUnexpectedly reports whether the end of the chosen instance is unexpected.
+func (s *scheduler) endsUnexpectedly(choice placement.Choice) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.EndsUnexpectedly(choice)
+}
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -67,6 +67,8 @@
 const (
 	backendsWatchTimeout = 1500 * time.Millisecond
 	releasesWatchTimeout = 3 * time.Second
+	// blocksWatchTimeout is long: any entry that blocks a part tells the others at once.
+	blocksWatchTimeout = 25 * time.Second
 	// maxConcurrentPulls allows a pull from a second peer while the first one is slow.
 	maxConcurrentPulls = 2
 	// dutyCheckInterval is the time between two checks of which entry is the watcher of
@@ -82,6 +84,7 @@
 		platform.Tables:   {Plan: duty.TablesPlan(bounds.ConfigApplyTime), CheckInterval: dutyCheckInterval, BatchDelay: 100 * time.Millisecond},
 		platform.Backends: {Plan: duty.Plan{WatchTimeout: backendsWatchTimeout, MaxProofAge: 4 * time.Second}, CheckInterval: dutyCheckInterval, BatchDelay: 350 * time.Millisecond},
 		platform.Releases: {Plan: duty.Plan{WatchTimeout: releasesWatchTimeout, MaxProofAge: 8 * time.Second}, CheckInterval: dutyCheckInterval, BatchDelay: 100 * time.Millisecond},
+		platform.Blocks:   {Plan: duty.Plan{WatchTimeout: blocksWatchTimeout, MaxProofAge: 3 * blocksWatchTimeout}, CheckInterval: dutyCheckInterval, BatchDelay: 350 * time.Millisecond},
 	}
 }
 
@@ -118,6 +121,7 @@
 	go e.copies.Run(ctx)
 	go e.heartbeats.Run(ctx)
 	go e.scheduler.Run(ctx)
+	go e.saver.Run(ctx)
 	err = d.Run()
 	log.Info("entry stopped")
 	return err
@@ -135,6 +139,8 @@
 	copies     *copies.Copies
 	view       *view
 	scheduler  *scheduler
+	blocker    *blocker
+	saver      *blockSaver
 	frontend   *frontend
 	heartbeats *heartbeater
 	depot      *depot.Depot
@@ -156,15 +162,17 @@
 		Engine: func(pool string) *catalog.Engine { return e.view.engine(pool) },
 	}), newRetryLimits(s.Bounds))
 	e.scheduler.retrySlackFrom = clock.Now().Add(s.Bounds.RetryWindow)
-	e.view = newView(e.scheduler, s.Bounds.VersionSwitchTime-switchMargin, s.Bounds.StableTime-stablePeriodMargin, log)
+	e.blocker = newBlocker(log, counts.blocks)
+	e.view = newView(e.scheduler, e.blocker, s.Bounds.VersionSwitchTime-switchMargin, s.Bounds.StableTime-stablePeriodMargin, log)
 	e.metrics.Registry.MustRegister(e.view.versionMetrics.minVersion, e.view.versionMetrics.target)
-	e.frontend = &frontend{view: e.view, scheduler: e.scheduler, sender: newSender(), log: log, metrics: counts, zone: s.AvailabilityZone, returningCallers: newReturningCallerDetector()}
+	e.frontend = &frontend{view: e.view, scheduler: e.scheduler, blocker: e.blocker, sender: newSender(), log: log, metrics: counts, zone: s.AvailabilityZone, returningCallers: newReturningCallerDetector()}
 	e.frontend.setBounds(s.Bounds)
 	e.heartbeats = &heartbeater{socket: socket, view: e.view, scheduler: e.scheduler, frontend: e.frontend, log: log, start: start, sendNow: make(chan struct{}, 1), loadChanges: make(chan string, maxPendingLoadChanges), placed: make(chan struct{}, 1)}
 	e.scheduler.loadChanged = e.heartbeats.recordLoadChange
 	e.scheduler.backendExpired, e.scheduler.minVersion = e.view.backendExpired, e.view.minVersion
 	e.metrics.Gauge("tables_proof_age_seconds", "Age of the proof that the tables are current.", func() float64 { return e.view.proofAge().Seconds() })
 	registerNoticeGauges(e.metrics, e.scheduler)
+	registerBlockGauges(e.metrics, e.blocker)
 	store := platform.NewStoreClient(s.StoreAddress, newStoreTransport())
 	store.OnCall = func(method string, kind platform.Kind) { counts.storeCalls.WithLabelValues(method, string(kind)).Inc() }
 	e.copies = copies.New(copies.Config{
@@ -175,6 +183,8 @@
 		},
 	})
 	e.view.copies, e.heartbeats.copies = e.copies, e.copies
+	e.saver = newBlockSaver(e.blocker, e.copies, store, e.heartbeats.blockRank, log)
+	e.blocker.decided, e.blocker.claimTrial = e.heartbeats.announceBlocks, e.saver.claimTrial
 	e.metrics.Gauge("store_era", "Latest era of the store's revisions that this process knows of; it rises when the store is restored from an older copy.", func() float64 { return float64(e.copies.Era()) })
 	client := peer.NewClient(peer.Security{})
 	e.heartbeats.puller = copies.NewPuller(e.copies, client, s.PeerPort, maxConcurrentPulls, nil, log)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -79,6 +79,8 @@
 	// and for how long it wants no requests.
 	Leaving bool  `json:"leaving,omitempty"`
 	WaitMs  int64 `json:"wait_ms,omitempty"`
+	// Crashed says that the instance crashed soon after it had begun to respond.
+	Crashed bool `json:"crashed,omitempty"`
 	// bytes is the size of the response body.
 	bytes int
 }
@@ -96,7 +98,15 @@
 	customer catalog.Customer
 	pool     string
 	model    string
-	deadline time.Time
+	// parts holds the IDs of the parts of the prompt that a model engine may crash at.
+	parts []string
+	// blockedPart is the one because of which the request is refused. isTrial says that it
+	// is let through although one of its parts is blocked.
+	blockedPart string
+	isTrial     bool
+	pending     *pendingRequest
+	progress    responseProgress
+	deadline    time.Time
 	// returning means that the caller retries after a rejection.
 	returning bool
 	decision  *dispatch.Request
@@ -121,9 +131,6 @@
 	x.deadline = x.arrived.Add(timeLeft)
 	x.returning = x.frontend.returningCallers.isReturning(x.route.Name, x.call.TimeLeft, x.route.Timeout)
 	x.tried = map[string]bool{}
-	if engine := x.table.Pools[x.pool].Engine; engine != nil {
-		x.model = engine.Model
-	}
 	x.decision = dispatch.New(dispatch.Config{
 		Repeatable:  x.route.Repeatable(),
 		Deadline:    x.deadline,
@@ -144,6 +151,12 @@
 func (x *exchange) run() {
 	ctx, cancel := context.WithTimeout(x.r.Context(), x.deadline.Sub(clock.Now()))
 	defer cancel()
+	ctx, cancelBlocked := context.WithCancelCause(ctx)
+	defer cancelBlocked(nil)
+	x.pending = &pendingRequest{cancel: cancelBlocked}
+	if len(x.parts) > 0 && !x.isTrial {
+		defer x.frontend.blocker.watch(x.model, x.parts, x.pending)()
+	}
 	action := x.decision.Start(clock.Now())
 	for {
 		switch action.Kind {
@@ -227,6 +240,9 @@
 	}
 	x.tried[choice.Backend.ID] = true
 	outcome := x.attempt(ctx, choice, &record)
+	if outcome == broken && x.mayHaveCrashedInstance(choice, &record) {
+		outcome = crashSuspect
+	}
 	duration := clock.Now().Sub(started)
 	record.Ms, record.Outcome = duration.Milliseconds(), string(outcome)
 	x.attempts = append(x.attempts, record)
@@ -259,6 +275,12 @@
 	case callerDisconnected:
 		x.logOutcome(0, string(outcome))
 		x.abort()
+	case partBlocked:
+		x.refuseBlocked()
+		return dispatch.Action{}, true
+	case crashSuspect:
+		x.finish(ctx, dispatch.Unknown)
+		return dispatch.Action{}, true
 	case notSent:
 		return x.decision.NotStarted(now), false
 	case notRun, addressReused:
@@ -284,6 +306,10 @@
 		x.logOutcome(0, string(callerDisconnected))
 		x.abort()
 	}
+	if x.isCanceledByBlock(ctx) {
+		x.refuseBlocked()
+		return dispatch.Action{}
+	}
 	x.refuse(refusal{status: http.StatusServiceUnavailable, reason: r.reason, retryAfter: r.retryAfter})
 	return dispatch.Action{}
 }
@@ -291,7 +317,7 @@
 func (x *exchange) mayHaveRun() bool {
 	for _, record := range x.attempts {
 		switch outcome(record.Outcome) {
-		case notSent, notRun, addressReused:
+		case notSent, notRun, addressReused, partBlocked:
 		default:
 			return true
 		}
@@ -301,7 +327,9 @@
 
 // wasInterrupted reports whether the response to an attempt broke off or never came.
 func (x *exchange) wasInterrupted() bool {
-	return slices.ContainsFunc(x.attempts, func(record attemptRecord) bool { return outcome(record.Outcome) == broken })
+	return slices.ContainsFunc(x.attempts, func(record attemptRecord) bool {
+		return outcome(record.Outcome) == broken || outcome(record.Outcome) == crashSuspect
+	})
 }
 
 // finish sends the final response of a request that no attempt has answered.
@@ -313,6 +341,8 @@
 	case x.responseStarted:
 		x.logOutcome(0, "broken_off")
 		x.abort()
+	case x.isCanceledByBlock(ctx):
+		x.refuseBlocked()
 	case final == dispatch.NotRun:
 		x.refuse(refusal{status: http.StatusServiceUnavailable, reason: "no_instance", retryAfter: minRetryAfter})
 	case ctx.Err() != nil:
@@ -344,6 +374,12 @@
 	broken outcome = "broken"
 	// silent means the same as broken, after the instance sent nothing for too long.
 	silent outcome = "silent"
+	// crashSuspect means the same as broken, and that the request may be the reason why the
+	// instance has crashed.
+	crashSuspect outcome = "crash_suspect"
+	// partBlocked means that the request was not sent, because a part of its prompt is
+	// blocked.
+	partBlocked outcome = "blocked"
 	// failed means that the instance returned a server error that another instance may
 	// not return.
 	failed outcome = "failed"
@@ -368,7 +404,7 @@
 		return placement.Full
 	case addressReused:
 		return placement.AddressReused
-	case callerDisconnected:
+	case callerDisconnected, partBlocked:
 		return placement.CallerDisconnected
 	}
 	return placement.Failed
@@ -380,6 +416,10 @@
 		// The bound has ended since the request was placed.
 		return notSent
 	}
+	if x.isBlocked() {
+		return partBlocked
+	}
+	x.pending.responding.Store(false)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watchdog := newWatchdog(cancel, x.firstResponseTimeout())
@@ -406,10 +446,15 @@
 	case platform.Mismatched:
 		return broken
 	}
+	x.responseBegan()
 	if x.route.Kind == catalog.Streaming && response.StatusCode == http.StatusOK {
-		return x.forwardStream(response, watchdog, record)
+		return x.forwardStream(response, choice, watchdog, record)
+	}
+	outcome := x.forwardResponse(response, watchdog, record)
+	if outcome == answered && response.StatusCode/100 == 2 {
+		x.noteComplete(choice)
 	}
-	return x.forwardResponse(response, watchdog, record)
+	return outcome
 }
 
 // classifyFailure returns the outcome of an attempt that has no complete response.
@@ -471,6 +516,7 @@
 	start, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
 	record.bytes = len(start)
 	if err != nil {
+		x.noteBreak(err)
 		return x.classifyFailure(watchdog, true)
 	}
 	if response.StatusCode >= http.StatusInternalServerError && x.route.Kind == catalog.Idempotent && len(x.attempts)+1 < x.route.MaxAttempts {
@@ -530,7 +576,7 @@
 }
 
 // forwardStream forwards the events of a response as they arrive.
-func (x *exchange) forwardStream(response *http.Response, watchdog *watchdog, record *attemptRecord) outcome {
+func (x *exchange) forwardStream(response *http.Response, choice placement.Choice, watchdog *watchdog, record *attemptRecord) outcome {
 	reader := newEventReader(response.Body)
 	pauseTimeout := max(time.Duration(pauseFactor*float64(x.route.MaxPause)), minSilenceTimeout)
 	flusher := http.NewResponseController(x.w)
@@ -539,10 +585,12 @@
 	last := time.Now()
 	for {
 		next, err := reader.next()
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && record.Events > 0 {
+			x.noteComplete(choice)
 			return x.finishStream(response)
 		}
 		if err != nil {
+			x.noteBreak(err)
 			return x.classifyFailure(watchdog, true)
 		}
 		if next.hasID && x.hasEvent && next.id <= x.lastEvent {
@@ -567,6 +615,7 @@
 			x.lastEvent, x.hasEvent = next.id, true
 		}
 		record.Events++
+		x.noteProgress(choice, record.Events)
 		if !reader.buffered() {
 			if err := flusher.Flush(); err != nil {
 				return callerDisconnected
--- a/internal/relay/frontend.go
+++ b/internal/relay/frontend.go
@@ -36,6 +36,7 @@
 type frontend struct {
 	view      *view
 	scheduler *scheduler
+	blocker   *blocker
 	sender    *sender
 	log       *logrus.Entry
 	metrics   *frontendMetrics
@@ -80,6 +81,7 @@
 	"body_too_slow":     "send the body without pauses",
 	"bad_target":        "send the path of the request, not a whole URL",
 	reasonInstancesWait: "come back after the time in Retry-After",
+	reasonBlocked:       "send the prompt without the part that crashes instances, or ask the operators to lift the block",
 	"overload":          "come back after the time in Retry-After",
 	"no_instance":       "come back after the time in Retry-After",
 	"unknown":           "the request may have run; ask before it is sent again",
@@ -154,6 +156,13 @@
 		x.customer = customer
 	}
 	x.pool = route.ChoosePool(newRandom())
+	if engine := table.Pools[x.pool].Engine; engine != nil {
+		x.model, x.parts = engine.Model, x.call.SharedParts
+	}
+	if !x.admitParts() {
+		refused := x.blockedRefusal()
+		return &refused
+	}
 	x.prepare()
 	return nil
 }
@@ -209,5 +218,8 @@
 	if x.wasInterrupted() && len(x.call.SharedParts) > 0 {
 		fields["shared_parts"] = x.call.SharedParts
 	}
+	if x.blockedPart != "" {
+		fields["blocked_part"] = x.blockedPart
+	}
 	x.frontend.log.WithFields(fields).Info("request ended")
 }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -19,6 +19,7 @@
 	responseBytes *prometheus.CounterVec
 	longestPause  prometheus.Histogram
 	notices       *prometheus.CounterVec
+	blocks        *blockMetrics
 }
 
 // latencyBuckets are the bucket bounds of the latency histograms in seconds, from an
@@ -43,12 +44,13 @@
 			Namespace: metrics.Namespace, Name: "answer_bytes_total", Help: "Bytes of answers by the availability zone that they came from, own or other.",
 		}, []string{"availability_zone"}),
 		notices:      newNoticeCounter(),
+		blocks:       newBlockMetrics(),
 		longestPause: histogram("longest_pause_seconds", "Longest pause between two events of a stream."),
 		firstEvent:   histogram("first_event_seconds", "Time from a request's arrival to the first event of its answer."),
 		duration:     histogram("request_seconds", "Time from a request's arrival to the end of its answer."),
 		queueTime:    histogram("queue_seconds", "Time that attempts waited for a place."),
 	}
-	m.Registry.MustRegister(f.refused, f.attempts, f.storeCalls, f.retries, f.responseBytes, f.notices, f.longestPause, f.firstEvent, f.duration, f.queueTime)
+	m.Registry.MustRegister(f.refused, f.attempts, f.storeCalls, f.retries, f.responseBytes, f.notices, f.blocks.decisions, f.blocks.interruptions, f.longestPause, f.firstEvent, f.duration, f.queueTime)
 	return f
 }
 
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -21,6 +21,7 @@
 type view struct {
 	copies    *copies.Copies
 	scheduler *scheduler
+	blocker   *blocker
 	log       *logrus.Entry
 	active    atomic.Pointer[activeTables]
 	releases  atomic.Pointer[placement.Releases]
@@ -70,13 +71,16 @@
 // was paused.
 const maxTickGap = 500 * time.Millisecond
 
+// wakeTime is how long after a pause the process still reads what arrived during the pause.
+const wakeTime = 200 * time.Millisecond
+
 // listOutageAge is the age of the list's proof that indicates an outage of the list. In
 // normal operation the age stays below two watch timeouts.
 const listOutageAge = 2*backendsWatchTimeout + 800*time.Millisecond
 
-func newView(scheduler *scheduler, switchBound, stable time.Duration, log *logrus.Entry) *view {
+func newView(scheduler *scheduler, blocker *blocker, switchBound, stable time.Duration, log *logrus.Entry) *view {
 	v := &view{
-		scheduler: scheduler, log: log, onRelease: func(catalog.Release) {}, minVersions: map[string]int64{}, versionMetrics: newVersionMetrics(), startGrace: stable,
+		scheduler: scheduler, blocker: blocker, log: log, onRelease: func(catalog.Release) {}, minVersions: map[string]int64{}, versionMetrics: newVersionMetrics(), startGrace: stable,
 	}
 	v.releases.Store(placement.NewReleases(switchBound, stable))
 	return v
@@ -98,9 +102,17 @@
 		v.decodeBackends()
 	case platform.Releases:
 		v.decodeReleases()
+	case platform.Blocks:
+		v.decodeBlocks()
 	}
 }
 
+// decodeBlocks applies the records of blocked parts.
+func (v *view) decodeBlocks() {
+	snapshot := v.copies.Snapshot(platform.Blocks)
+	v.blocker.setStored(decodeStoredBlocks(snapshot.Documents, snapshot.Content.Era, v.log))
+}
+
 func (v *view) decodeTable() {
 	snapshot := v.copies.Snapshot(platform.Tables)
 	document, found := snapshot.Documents[platform.TableName]
@@ -285,6 +297,14 @@
 	}
 }
 
+// wasPausedSince reports whether the process may have been paused since the given time.
+func (v *view) wasPausedSince(at time.Time) bool {
+	v.releasesMu.Lock()
+	defer v.releasesMu.Unlock()
+	v.detectPause(clock.Now())
+	return v.pauseEnd.Add(wakeTime).After(at)
+}
+
 // recentlyPaused reports whether a pause of the process ended less than startGrace ago. The
 // caller holds releasesMu.
 func (v *view) recentlyPaused(now time.Time) bool {
