Entries learn blocked parts before they send requests; tests of blocks

Change: a starting entry is ready, and takes requests with shared parts, once it has read the blocks from the store or a peer, or StableMs after its start. After a pause such requests wait for a message of another entry that was composed after it and whose copy is not newer, at most 0.6 s. Requests that a block cancels say nothing about the instance that had them (found by the test: it was avoided as if it had failed).

--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -270,7 +270,7 @@
 // updateReadiness recomputes whether this entry accepts requests. The caller holds mu.
 func (h *heartbeater) updateReadiness() {
 	table, age := h.view.tablesAndProofAge()
-	ready := table != nil && age <= maxReadyProofAge && !h.frontend.leaving.Load()
+	ready := table != nil && age <= maxReadyProofAge && !h.frontend.leaving.Load() && h.frontend.blockGate.hasRead(clock.Now())
 	if ready != h.ready {
 		h.log.WithFields(logrus.Fields{"ready": ready, "proof_age_ms": age.Milliseconds()}).Info("readiness changed")
 	}
@@ -321,6 +321,7 @@
 	h.frontend.recordLeaving(decodeLeaving(m.LeavingBackends), m.Host)
 	h.recordReleaseAges(m)
 	h.puller.MessageReceived(ctx, m)
+	h.frontend.blockGate.messageReceived(m)
 }
 
 // recordLeavingEngine records that an engine leaves, if its agent reports it.
--- /dev/null
+++ b/internal/relay/blockgate.go
@@ -0,0 +1,95 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"plantainrelay/internal/beat"
+	"plantainrelay/internal/clock"
+	"plantainrelay/internal/copies"
+	"plantainrelay/internal/replica"
+	"plantainrelay/platform"
+)
+
+const (
+	// maxBlocksWait bounds how long a request waits until this entry knows which parts are
+	// blocked, longer than peerNewsTimeout; blocksCheckInterval is the time between two
+	// checks.
+	maxBlocksWait       = 700 * time.Millisecond
+	blocksCheckInterval = 10 * time.Millisecond
+	// peerNewsTimeout is how long after a pause requests wait for a message of another entry:
+	// some heartbeats. An entry that hears none by then is alone, or cut off.
+	peerNewsTimeout = 600 * time.Millisecond
+	// blocksUnknownRetryAfter is the Retry-After of a request that is refused because this
+	// entry has just started and could not read the blocked parts yet.
+	blocksUnknownRetryAfter = 500 * time.Millisecond
+	reasonBlocksUnknown     = "blocks_unknown"
+)
+
+// blockGate holds back requests until this entry knows which parts the others have blocked:
+// after its start, and after a pause. It is safe for concurrent use.
+type blockGate struct {
+	copies *copies.Copies
+	view   *view
+	// learnBy is when a starting entry serves requests although it could not read the
+	// blocked parts: the store is unavailable, and no other entry knows them.
+	learnBy time.Time
+
+	mu sync.Mutex
+	// heardAt is the latest time at which another entry knew no more than this one.
+	heardAt time.Time
+}
+
+// messageReceived notes that a message of another entry was handled. It counts if its
+// sender had no newer copy of the blocked parts.
+func (g *blockGate) messageReceived(m *beat.Message) {
+	index := len(platform.Kinds) - 1
+	if m.ComposedAfter.IsZero() || len(m.Collections) <= index {
+		return
+	}
+	state := m.Collections[index]
+	if content := (replica.Revision{Era: state.Era, Number: state.Content}); state.Known && content.After(g.copies.CollectionState(platform.Blocks).Content) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m.ComposedAfter.After(g.heardAt) {
+		g.heardAt = m.ComposedAfter
+	}
+}
+
+// hasRead reports whether this entry has read the blocked parts since its start, from the
+// store or from another entry, or has given up.
+func (g *blockGate) hasRead(now time.Time) bool {
+	return !now.Before(g.learnBy) || g.copies.CollectionState(platform.Blocks).Known
+}
+
+// isOpen reports whether this entry knows the blocked parts. It returns false if it has just
+// started or was paused, and has not learned them since.
+func (g *blockGate) isOpen(now time.Time) bool {
+	if !g.hasRead(now) {
+		return false
+	}
+	pauseEnd := g.view.lastPauseEnd(now)
+	if pauseEnd.IsZero() || now.Sub(pauseEnd) > peerNewsTimeout {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.heardAt.After(pauseEnd)
+}
+
+// await waits until the gate is open, and reports whether it is.
+func (g *blockGate) await(ctx context.Context) bool {
+	for limit := clock.Now().Add(maxBlocksWait); ; {
+		now := clock.Now()
+		if g.isOpen(now) {
+			return true
+		}
+		if !now.Before(limit) || ctx.Err() != nil {
+			return false
+		}
+		clock.Sleep(ctx, blocksCheckInterval)
+	}
+}
--- a/internal/relay/blocks.go
+++ b/internal/relay/blocks.go
@@ -32,8 +32,9 @@
 // pendingRequest is a request that has no response yet.
 type pendingRequest struct {
 	cancel context.CancelCauseFunc
-	// responding is set while an instance is responding.
-	responding atomic.Bool
+	// responding is set while an instance is responding, canceled once the request was
+	// canceled because a part was blocked.
+	responding, canceled atomic.Bool
 }
 
 // blocker keeps requests with blocked parts of prompts away from instances. It is safe
@@ -230,6 +231,7 @@
 		}
 		for request := range b.pending[record.Part] {
 			if !request.responding.Load() {
+				request.canceled.Store(true)
 				request.cancel(errPartBlocked)
 			}
 		}
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -5,13 +5,16 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"plantainrelay/internal/blocklist"
 	"plantainrelay/internal/clock"
+	"plantainrelay/internal/placement"
 	"plantainrelay/internal/replica"
 	"plantainrelay/platform"
 	"plantainrelay/platform/standin"
@@ -48,7 +51,6 @@
 		Pools:  []standin.Pool{{Name: modelPool, Slots: 8, Weights: &weights}},
 	}
 	f.renewTables()
-	backends := map[string]any{}
 	for i := range count {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -61,10 +63,18 @@
 		go engine.Serve(listener)
 		t.Cleanup(func() { engine.Stop() })
 		f.engines = append(f.engines, engine)
+	}
+	f.list(count)
+	return f
+}
+
+// list makes the first engines those of the platform's list.
+func (f *engineFixture) list(count int) {
+	backends := map[string]any{}
+	for i, engine := range f.engines[:count] {
 		backends["i-"+strconv.Itoa(i)] = engine.Document()
 	}
 	f.apply(platform.Backends, backends)
-	return f
 }
 
 // renewTables makes the tables current again, without which no request with a key is served.
@@ -106,3 +116,153 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
 }
+
+// TestSuspectedRequestIsNotSentAgain guards against a request that crashes a second instance
+// because the first one has not answered it, and against a sound one that is not sent again
+// because it was on the same instance.
+func TestSuspectedRequestIsNotSentAgain(t *testing.T) {
+	c := qt.New(t)
+	f := newEngineFixture(t, 4)
+	f.list(1)
+	_, _, err := f.write("before", 5, firstPart)
+	c.Assert(err, qt.IsNil)
+	statuses := make(chan int, 2)
+	send := func(attempt string, events int, parts ...string) {
+		response, body, err := f.write(attempt, events, parts...)
+		if err != nil || strings.Count(body, "id: ") < events {
+			statuses <- 0
+			return
+		}
+		statuses <- response.StatusCode
+	}
+	f.engines[0].SetFaults(standin.BackendFaults{SlowFactor: 4})
+	go send("crash", 5, firstPart, crashPart)
+	waitUntil(c, func() bool { return f.arrivals.Load() == 2 })
+	go send("sound", 6, firstPart)
+	waitUntil(c, func() bool { return f.arrivals.Load() == 3 })
+	f.list(4)
+	c.Assert([]int{<-statuses, <-statuses}, qt.ContentEquals, []int{0, http.StatusOK})
+	c.Assert(f.crashes.Load(), qt.Equals, int64(1))
+}
+
+// born returns the start time of an engine in the list.
+func (f *engineFixture) born(engine int) int64 {
+	document := replica.Document{Name: "x", Body: standin.EncodeDocument(f.engines[engine].Document())}
+	backend, _ := platform.DecodeBackend(document, f.frontend.view.table())
+	return backend.Start
+}
+
+// block blocks crashPart, as another entry has decided.
+func (f *engineFixture) block() {
+	f.frontend.blocker.adopt([]blocklist.Record{{Part: blocklist.Part{Model: modelName, ID: crashPart}, Version: 1, Crashes: 4}}, "peer")
+}
+
+// TestBlockedRequestIsRefusedAtOnce guards against requests with a blocked part that take an
+// instance, a place in the queue or a retry, and against an answer that is not true.
+func TestBlockedRequestIsRefusedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	f := newEngineFixture(t, 2)
+	f.block()
+	for i := range 50 {
+		response, body, err := f.write(strconv.Itoa(i), 5, crashPart, firstPart)
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		c.Assert(response.Header.Get(standin.HeaderWait), qt.Equals, "60.00")
+		c.Assert(strings.Contains(body, reasonBlocked), qt.IsTrue, qt.Commentf(body))
+	}
+	c.Assert(f.arrivals.Load(), qt.Equals, int64(0))
+	c.Assert(f.frontend.scheduler.retryBudgets, qt.HasLen, 0)
+	c.Assert(f.frontend.scheduler.queues, qt.HasLen, 0)
+	// The part is not the request's own, and not one of another model.
+	for _, parts := range [][]string{{}, {firstPart}} {
+		response, _, err := f.do(http.MethodPost, "/write/x", func(request *http.Request) {
+			standin.CallerRequest{AttemptID: "own", APIKey: "good", Events: 2, TimeLeft: time.Second, Parts: append(parts, crashPart)}.SetHeaders(request.Header)
+		})
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+	}
+}
+
+// TestBlockEndsRequestsWithoutAResponse guards against requests that crash instances after
+// their part is blocked, because they are queued or on their way, and against the claim
+// that one which an instance has received has not run.
+func TestBlockEndsRequestsWithoutAResponse(t *testing.T) {
+	c := qt.New(t)
+	f := newEngineFixture(t, 1)
+	f.engines[0].SetFaults(standin.BackendFaults{Hang: true})
+	// The fixture has no description of engines, so that each takes requests for its slots twice.
+	const slots = 16
+	statuses := make(chan int, slots+1)
+	for i := range slots + 1 {
+		go func() {
+			response, _, err := f.write(strconv.Itoa(i), 5, crashPart)
+			if err != nil {
+				statuses <- 0
+				return
+			}
+			statuses <- response.StatusCode
+		}()
+	}
+	waitUntil(c, func() bool { return f.arrivals.Load() == slots && f.frontend.scheduler.queuedRequests(modelPool) == 1 })
+	f.block()
+	counts := map[int]int{}
+	for range slots + 1 {
+		counts[<-statuses]++
+	}
+	c.Assert(counts, qt.DeepEquals, map[int]int{http.StatusBadGateway: slots, http.StatusServiceUnavailable: 1})
+	waitUntil(c, func() bool { return f.frontend.scheduler.ownLoad("i-0").Count == 0 })
+	usable, _ := f.frontend.scheduler.fleet.Usable(placement.Requirements{Pool: modelPool, Model: modelName}, clock.Now())
+	c.Assert(usable, qt.Equals, 1, qt.Commentf("the instance counts as sound"))
+}
+
+// TestOrdinaryEndsAreNoEvidence guards against suspicion of parts because of what happens to
+// connections and instances in operation.
+func TestOrdinaryEndsAreNoEvidence(t *testing.T) {
+	for name, fail := range map[string]func(f *engineFixture){
+		"connections reset": func(f *engineFixture) { f.engines[0].ResetConnections() },
+		"planned end": func(f *engineFixture) {
+			f.engines[0].SetLeaving()
+			f.list(1)
+			f.engines[0].Crash()
+		},
+		"planned end that a response has told": func(f *engineFixture) {
+			f.frontend.recordLeaving([]placement.InstanceStart{{ID: "i-0", Start: f.born(0)}}, "peer")
+			f.engines[0].Crash()
+		},
+		"pause of the entry": func(f *engineFixture) {
+			f.pauseEnded(clock.Now())
+			f.engines[0].Crash()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newEngineFixture(t, 1)
+			f.engines[0].SetFaults(standin.BackendFaults{SlowFactor: 6})
+			done := make(chan struct{})
+			go func() {
+				_, _, _ = f.write("sound", 20, "rare")
+				close(done)
+			}()
+			waitUntil(c, func() bool { return f.engines[0].Responding() == 1 })
+			fail(f)
+			<-done
+			c.Assert(f.frontend.blocker.list.SuspectedParts(), qt.Equals, 0)
+		})
+	}
+}
+
+// pauseEnded makes the entry one whose last pause ended at the given time.
+func (f *engineFixture) pauseEnded(at time.Time) {
+	f.frontend.view.releasesMu.Lock()
+	defer f.frontend.view.releasesMu.Unlock()
+	f.frontend.view.pauseEnd = at
+}
+
+// TestCrashIsEvidence is the counterpart of TestOrdinaryEndsAreNoEvidence.
+func TestCrashIsEvidence(t *testing.T) {
+	c := qt.New(t)
+	f := newEngineFixture(t, 1)
+	_, _, _ = f.write("crash", 20, "first", crashPart)
+	c.Assert(f.frontend.blocker.list.SuspectedParts(), qt.Equals, 2)
+	c.Assert(f.frontend.blocker.list.RecentCrashes(time.Time{}, 1)[0].Suspects, qt.DeepEquals, []string{"first", crashPart})
+}
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -20,18 +20,23 @@
 // crashed.
 const confirmTimeout = 400 * time.Millisecond
 
-// admitParts reports whether no part of the request's prompt is blocked, or the request is
-// let through on trial.
-func (x *exchange) admitParts() bool {
+// admitParts returns the refusal of a request if a part of its prompt is blocked, unless the
+// request is let through on trial.
+func (x *exchange) admitParts() *refusal {
 	if len(x.parts) == 0 {
-		return true
+		return nil
+	}
+	if !x.frontend.blockGate.await(x.r.Context()) {
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonBlocksUnknown, retryAfter: blocksUnknownRetryAfter}
 	}
 	part, isTrial, admitted := x.frontend.blocker.admit(x.model, x.parts)
 	x.isTrial = isTrial
-	if !admitted {
-		x.blockedPart = part.ID
+	if admitted {
+		return nil
 	}
-	return admitted
+	x.blockedPart = part.ID
+	refused := x.blockedRefusal()
+	return &refused
 }
 
 // isBlocked reports whether a part of the request's prompt is blocked.
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -165,7 +165,7 @@
 	e.blocker = newBlocker(log, counts.blocks)
 	e.view = newView(e.scheduler, e.blocker, s.Bounds.VersionSwitchTime-switchMargin, s.Bounds.StableTime-stablePeriodMargin, log)
 	e.metrics.Registry.MustRegister(e.view.versionMetrics.minVersion, e.view.versionMetrics.target)
-	e.frontend = &frontend{view: e.view, scheduler: e.scheduler, blocker: e.blocker, sender: newSender(), log: log, metrics: counts, zone: s.AvailabilityZone, returningCallers: newReturningCallerDetector()}
+	e.frontend = &frontend{view: e.view, scheduler: e.scheduler, blocker: e.blocker, blockGate: &blockGate{view: e.view, learnBy: clock.Now().Add(s.Bounds.StableTime)}, sender: newSender(), log: log, metrics: counts, zone: s.AvailabilityZone, returningCallers: newReturningCallerDetector()}
 	e.frontend.setBounds(s.Bounds)
 	e.heartbeats = &heartbeater{socket: socket, view: e.view, scheduler: e.scheduler, frontend: e.frontend, log: log, start: start, sendNow: make(chan struct{}, 1), loadChanges: make(chan string, maxPendingLoadChanges), placed: make(chan struct{}, 1)}
 	e.scheduler.loadChanged = e.heartbeats.recordLoadChange
@@ -182,7 +182,7 @@
 			e.heartbeats.triggerSend()
 		},
 	})
-	e.view.copies, e.heartbeats.copies = e.copies, e.copies
+	e.view.copies, e.heartbeats.copies, e.frontend.blockGate.copies = e.copies, e.copies, e.copies
 	e.saver = newBlockSaver(e.blocker, e.copies, store, e.heartbeats.blockRank, log)
 	e.blocker.decided, e.blocker.claimTrial = e.heartbeats.announceBlocks, e.saver.claimTrial
 	e.metrics.Gauge("store_era", "Latest era of the store's revisions that this process knows of; it rises when the store is restored from an older copy.", func() float64 { return float64(e.copies.Era()) })
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -278,7 +278,7 @@
 	case partBlocked:
 		x.refuseBlocked()
 		return dispatch.Action{}, true
-	case crashSuspect:
+	case crashSuspect, canceled:
 		x.finish(ctx, dispatch.Unknown)
 		return dispatch.Action{}, true
 	case notSent:
@@ -378,8 +378,9 @@
 	// instance has crashed.
 	crashSuspect outcome = "crash_suspect"
 	// partBlocked means that the request was not sent, because a part of its prompt is
-	// blocked.
+	// blocked; canceled that it was sent before, and may have run.
 	partBlocked outcome = "blocked"
+	canceled    outcome = "canceled"
 	// failed means that the instance returned a server error that another instance may
 	// not return.
 	failed outcome = "failed"
@@ -404,7 +405,7 @@
 		return placement.Full
 	case addressReused:
 		return placement.AddressReused
-	case callerDisconnected, partBlocked:
+	case callerDisconnected, partBlocked, canceled:
 		return placement.CallerDisconnected
 	}
 	return placement.Failed
@@ -464,6 +465,8 @@
 		return callerDisconnected
 	case !sent:
 		return notSent
+	case x.pending.canceled.Load():
+		return canceled
 	case watchdog.fired():
 		return silent
 	}
--- a/internal/relay/frontend.go
+++ b/internal/relay/frontend.go
@@ -37,6 +37,7 @@
 	view      *view
 	scheduler *scheduler
 	blocker   *blocker
+	blockGate *blockGate
 	sender    *sender
 	log       *logrus.Entry
 	metrics   *frontendMetrics
@@ -81,6 +82,7 @@
 	"body_too_slow":     "send the body without pauses",
 	"bad_target":        "send the path of the request, not a whole URL",
 	reasonInstancesWait: "come back after the time in Retry-After",
+	reasonBlocksUnknown: "come back after the time in Retry-After",
 	reasonBlocked:       "send the prompt without the part that crashes instances, or ask the operators to lift the block",
 	"overload":          "come back after the time in Retry-After",
 	"no_instance":       "come back after the time in Retry-After",
@@ -159,9 +161,8 @@
 	if engine := table.Pools[x.pool].Engine; engine != nil {
 		x.model, x.parts = engine.Model, x.call.SharedParts
 	}
-	if !x.admitParts() {
-		refused := x.blockedRefusal()
-		return &refused
+	if refused := x.admitParts(); refused != nil {
+		return refused
 	}
 	x.prepare()
 	return nil
--- a/internal/relay/frontend_test.go
+++ b/internal/relay/frontend_test.go
@@ -57,7 +57,7 @@
 		backends = append(backends, replica.Document{Name: fmt.Sprintf("i-%d", i), Revision: replica.Revision{Number: 1}, Body: []byte(body)})
 	}
 	view.copies.ApplyFromPeer(platform.Backends, replica.Change{Whole: true, AsOf: replica.Revision{Number: 1}, Documents: backends}, clock.Now(), "peer")
-	f := &frontend{view: view, scheduler: scheduler, blocker: blocker, sender: newSender(), log: logger, metrics: counts, returningCallers: newReturningCallerDetector()}
+	f := &frontend{view: view, scheduler: scheduler, blocker: blocker, blockGate: &blockGate{view: view, copies: view.copies}, sender: newSender(), log: logger, metrics: counts, returningCallers: newReturningCallerDetector()}
 	f.setBounds(platform.Bounds{ConfigApplyTime: 2 * time.Second, KeyRevokeTime: 5 * time.Second})
 	server := httptest.NewServer(f)
 	t.Cleanup(server.Close)
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -297,12 +297,17 @@
 	}
 }
 
-// wasPausedSince reports whether the process may have been paused since the given time.
-func (v *view) wasPausedSince(at time.Time) bool {
+// lastPauseEnd returns when the last pause of the process ended; zero without one.
+func (v *view) lastPauseEnd(now time.Time) time.Time {
 	v.releasesMu.Lock()
 	defer v.releasesMu.Unlock()
-	v.detectPause(clock.Now())
-	return v.pauseEnd.Add(wakeTime).After(at)
+	v.detectPause(now)
+	return v.pauseEnd
+}
+
+// wasPausedSince reports whether the process may have been paused since the given time.
+func (v *view) wasPausedSince(at time.Time) bool {
+	return v.lastPauseEnd(clock.Now()).Add(wakeTime).After(at)
 }
 
 // recentlyPaused reports whether a pause of the process ended less than startGrace ago. The
