A stream without a length that ends before its first event is not complete

What callers saw: a stream that has neither a length nor chunks, from an instance that ends the connection before the first event, was passed on as a complete, empty answer. Cause: the end of the connection was the end of the stream wherever it came, except inside an event. The stand-in sends unframed responses: whole, cut, reset, empty, kept open, above the limit. Result: without the check TestUnframedStreams/ended_without_event fails; all cases pass with it.

--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -44,6 +44,7 @@
 func newEngineFixture(t *testing.T, count int) *engineFixture {
 	t.Helper()
 	f := &engineFixture{fixture: newFixture(t)}
+	go f.frontend.scheduler.Run(t.Context())
 	weights := standin.Weights{Model: modelName, Chunks: 1, ChunkBytes: 8, Layers: 1}
 	f.table = standin.Table{
 		Version: 4, Keys: map[string][]string{"firm": {"good"}},
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -102,9 +102,10 @@
 	x.frontend.blocker.responseOutlived(x.model, choice.Version, x.parts)
 }
 
-// noteComplete records that the response of an instance is complete.
-func (x *exchange) noteComplete(choice placement.Choice) {
-	if len(x.parts) == 0 {
+// noteComplete records that the response of an instance is complete. A stream that ends
+// before its first event does not show that the instance can respond.
+func (x *exchange) noteComplete(choice placement.Choice, events int) {
+	if len(x.parts) == 0 || events == 0 {
 		return
 	}
 	if !x.progress.outlived {
@@ -115,7 +116,7 @@
 
 // noteBreak records the error that ended the body of a response.
 func (x *exchange) noteBreak(err error) {
-	x.progress.broken = errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+	x.progress.broken = errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF)
 }
 
 // mayHaveCrashedInstance reports whether the interrupted attempt may be the reason why its
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -453,7 +453,7 @@
 	}
 	outcome := x.forwardResponse(response, watchdog, record)
 	if outcome == answered && response.StatusCode/100 == 2 {
-		x.noteComplete(choice)
+		x.noteComplete(choice, 1)
 	}
 	return outcome
 }
@@ -588,8 +588,8 @@
 	last := time.Now()
 	for {
 		next, err := reader.next()
-		if errors.Is(err, io.EOF) && record.Events > 0 {
-			x.noteComplete(choice)
+		if errors.Is(err, io.EOF) && !x.endedWithoutEvents(response, record) {
+			x.noteComplete(choice, record.Events)
 			return x.finishStream(response)
 		}
 		if err != nil {
@@ -627,6 +627,14 @@
 	}
 }
 
+// endedWithoutEvents reports whether a stream that has no length and is not chunked ended
+// with its connection before the first event. One that resumes after an event may have none
+// left.
+func (x *exchange) endedWithoutEvents(response *http.Response, record *attemptRecord) bool {
+	isUnframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	return isUnframed && record.Events == 0 && !x.hasEvent && x.call.LastEventID == ""
+}
+
 func (x *exchange) startStream(response *http.Response) {
 	if x.responseStarted {
 		return
