The fault soak crashes instances at parts of prompts

Change: callers send prompts with shared and rare parts; for some seconds, and in series with all other faults, a share of them has a part at which instances crash (a new one, or one of before). A crashed instance, also one of the existing fault, refuses connections until it is back. The soak checks BUDGET from the arrivals at instances, and that no sound request is refused because of a blocked part.

--- a/test/faultproxy/network.go
+++ b/test/faultproxy/network.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -168,6 +169,30 @@
 	return nil
 }
 
+// Refuse closes all connections from one location to another that pass through a proxy, and
+// refuses new ones until the returned function is called.
+func (n *Network) Refuse(from, to string) (accept func() error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var stopped []*toxiproxy.Proxy
+	for proxy, locations := range n.locations {
+		if locations == [2]string{from, to} {
+			proxy.Stop()
+			stopped = append(stopped, proxy)
+		}
+	}
+	return func() error {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		for _, proxy := range stopped {
+			if err := proxy.Start(); err != nil && !errors.Is(err, toxiproxy.ErrProxyAlreadyStarted) {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
 // Bytes returns the number of bytes forwarded from one location to another.
 func (n *Network) Bytes(from, to string) int64 {
 	n.mu.Lock()
--- a/test/soak/fleet/check_test.go
+++ b/test/soak/fleet/check_test.go
@@ -76,6 +76,18 @@
 			h.addArrival(standin.Arrival{BackendID: "i-1", Attempt: h.Calls[0].Attempt, At: checkEpoch.Add(after * time.Millisecond), Wait: time.Duration(1-min(i, 1)) * time.Second})
 		}
 	}},
+	{"requests with a part that has crashed five instances", "BUDGET part", func(h *History) {
+		for i := range 5 {
+			h.Crashes = append(h.Crashes, PartCrash{Part: "crash-1", At: checkEpoch.Add(time.Duration(i-8) * time.Second)})
+		}
+		h.Calls[0].CrashingPart = "crash-1"
+		for range 4 {
+			h.addArrival(standin.Arrival{BackendID: "i-1", Attempt: h.Calls[0].Attempt, At: checkEpoch})
+		}
+	}},
+	{"a sound request that is refused because of a blocked part", "LOST part", func(h *History) {
+		h.Calls[0].Outcome, h.Calls[0].Detail, h.Executions = Refused, `{"error":"blocked_prompt"}`, h.Executions[1:]
+	}},
 	{"a booking runs twice", "TWICE", func(h *History) { h.Executions = append(h.Executions, h.Executions[1]) }},
 	{"a refused booking that ran", "REFUSED", func(h *History) { h.Calls[1].Outcome, h.Calls[1].Status = Refused, 503 }},
 	{"another request's answer", "MIXED", func(h *History) { h.Calls[2].Correct = false }},
--- a/test/soak/fleet/faults.go
+++ b/test/soak/fleet/faults.go
@@ -41,6 +41,8 @@
 	{"instance crashed", func(r *run) error { return r.crashInstance("instance crashed", true) }},
 	{"instance lost power", func(r *run) error { return r.crashInstance("instance lost power", false) }},
 	{"instance replaced", (*run).replaceInstance},
+	{"prompts crash instances", (*run).crashByPrompts},
+	{"known prompts crash instances", (*run).crashByKnownPrompts},
 	{"instance leaves unlisted", (*run).leaveUnlisted},
 	{"instance asks to wait", func(r *run) error {
 		return r.setFaults("instance asks to wait", standin.BackendFaults{RetryAfter: "2.5"})
@@ -227,6 +229,9 @@
 // timeout.
 func (r *run) crashInstance(kind string, keepChunks bool) error {
 	return r.injectAtInstance(kind, r.isBackend, func(instance *testfleet.Instance) error {
+		if keepChunks {
+			r.RefuseConnections(instance)
+		}
 		start, staged := instance.StartCount, instance.Backend.Stop()
 		if !keepChunks {
 			staged = nil
--- a/test/soak/fleet/fleet.go
+++ b/test/soak/fleet/fleet.go
@@ -65,6 +65,11 @@
 	reserved map[string]bool
 	table    standin.Table
 	version  int64
+	// crashingParts holds the parts of prompts at which instances crash now, crashedParts the
+	// number of those there ever were.
+	crashingParts []string
+	crashedParts  int
+	restarts      sync.WaitGroup
 }
 
 // Run executes one run and returns its history.
@@ -76,6 +81,7 @@
 	r.Fleet, err = testfleet.New(testfleet.Config{
 		Entries: config.Entries, Engines: config.Engines, KeyRevokeTime: config.Bounds.Revoke, VersionSwitchTime: config.Bounds.Version, ShutdownGrace: shutdownTimeout,
 		Bin: config.Bin, Dir: config.Dir, OnExecution: r.history.addExecution, OnArrival: r.history.addArrival, OnProcessStart: func(name string) { r.history.addStart(name, time.Now()) },
+		CrashPart: crashPart, OnCrash: r.instanceCrashed,
 	})
 	if err != nil {
 		return nil, err
@@ -97,6 +103,7 @@
 	load.Go(func() { r.sendHeartbeats(ctx) })
 	load.Go(func() { r.watchStalls(ctx) })
 	r.inject()
+	r.restarts.Wait()
 	r.logf("faults have ended")
 	for range maxRecoveryChecks {
 		time.Sleep(settleTime)
--- a/test/soak/fleet/history.go
+++ b/test/soak/fleet/history.go
@@ -41,10 +41,14 @@
 	Attempt, Key, Entry string
 	Kind                standin.RouteKind
 	Method, URI, Body   string
-	Sent, Ended         time.Time
-	Outcome             Outcome
-	Status              int
-	RetryAfter          time.Duration
+	// Parts holds the parts of the prompt, the request's own one last. CrashingPart is the
+	// one at which instances crash, if any.
+	Parts        []string
+	CrashingPart string
+	Sent, Ended  time.Time
+	Outcome      Outcome
+	Status       int
+	RetryAfter   time.Duration
 	// EventsRequested and EventsReceived are numbers of events. Correct means that the
 	// events came in order, or that the body belongs to the request.
 	EventsRequested, EventsReceived int
@@ -80,6 +84,7 @@
 	Calls             []Call
 	Executions        []standin.Execution
 	Arrivals          []standin.Arrival
+	Crashes           []PartCrash
 	Windows           []FaultWindow
 	// Stops are the graceful stops of entries, Overdue those that exceeded the timeout.
 	Stops, Overdue []FaultWindow
