plantainctl shows, lifts and adds blocks of parts of prompts

Change: plantainctl blocks list, lift PART, add PART on the platform's store (--store), under the condition that nobody else changes the record meanwhile; plantainctl explain names the blocked part, the shared parts and crashes.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -32,6 +32,10 @@
 	// ProofAgeMs is how long ago the tables were last proven current.
 	ProofAgeMs int64        `json:"proof_age_ms"`
 	Attempts   []attemptLog `json:"attempts"`
+	// BlockedPart is the part of the prompt because of which the request was refused,
+	// SharedParts are all parts but its own.
+	BlockedPart string   `json:"blocked_part"`
+	SharedParts []string `json:"shared_parts"`
 }
 
 type attemptLog struct {
@@ -115,6 +119,9 @@
 		fmt.Fprintf(out, "  attempt %d at %s (version %d, %d of %d slots in use): queued %d ms, response headers after %d ms, %d events, longest pause %d ms, ended after %d ms: %s\n",
 			i+1, attempt.Instance, attempt.Version, attempt.Load, attempt.Limit, attempt.QueueMs, attempt.FirstMs, attempt.Events, attempt.PauseMs, attempt.Ms, attempt.Outcome)
 	}
+	if len(line.SharedParts) > 0 {
+		fmt.Fprintf(out, "  parts of the prompt that other requests share: %s\n", strings.Join(line.SharedParts, ", "))
+	}
 	fmt.Fprintln(out, "  cause: "+explainOutcome(line))
 }
 
@@ -124,6 +131,7 @@
 	"no_instance":    "no instance of the pool accepted the request: none was available, or those that were tried refused it and the retry budget was used up",
 	"instances_wait": "all instances of the pool had asked to be sent no requests for a time",
 	"stale_tables":   "the entry could not prove that its tables were current; check its connections to the store and to other entries",
+	"blocks_unknown": "the entry had just started and could not read yet which parts of prompts are blocked",
 	"no_tables":      "the entry had no tables yet",
 	"no_route":       "no route of the tables in force matches the host and path",
 	"unknown_key":    "no customer of the tables in force has this key",
@@ -131,6 +139,9 @@
 }
 
 func explainOutcome(line requestLog) string {
+	if line.BlockedPart != "" {
+		return fmt.Sprintf("instances crash when they begin to respond to the part %s of the prompt, which is blocked; see plantainctl blocks", line.BlockedPart)
+	}
 	if len(line.Attempts) == 0 {
 		if text, known := outcomeCauses[line.Outcome]; known {
 			return text
@@ -138,6 +149,9 @@
 		return "the entry responded with the outcome " + line.Outcome
 	}
 	last := line.Attempts[len(line.Attempts)-1]
+	if last.Outcome == "crash_suspect" {
+		return fmt.Sprintf("%s crashed soon after it had begun to respond; the request may be the reason and was not sent to another instance", last.Instance)
+	}
 	switch line.Outcome {
 	case "answered":
 		return explainLatency(line)
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -31,7 +31,7 @@
 	flags.StringVar(&o.tokenFile, "token-file", os.Getenv("PLANTAIN_TOKEN_FILE"), "file that holds your operator token")
 	flags.StringVar(&o.output, "output", "text", "output format: text or json; usage also supports csv, report burn also html")
 	o.tls.register(root)
-	root.AddCommand(tableCommand(o), statusCommand(o), usageCommand(o), reportCommand(o), explainCommand(), settingsCommand(), command.VersionCommand())
+	root.AddCommand(tableCommand(o), statusCommand(o), usageCommand(o), reportCommand(o), explainCommand(), settingsCommand(), blocksCommand(o), command.VersionCommand())
 	return root
 }
 
