--- a/bench/simulation/cmd/main.go
+++ b/bench/simulation/cmd/main.go
@@ -26,6 +26,7 @@
 	size        simulation.Size
 	parallel    int
 	mutation    string
+	prompts     bool
 	rules       []string
 	maxFindings int
 }
@@ -44,6 +45,7 @@
 	flags.DurationVar(&o.size.Duration, "day", time.Minute, "length of a run on the virtual clock")
 	flags.IntVar(&o.parallel, "parallel", 2, "number of runs at once")
 	flags.StringVar(&o.mutation, "mutation", "", "fault in the decisions to put in")
+	flags.BoolVar(&o.prompts, "prompts", false, "give requests prompts, with parts at which engines crash")
 	flags.StringSliceVar(&o.rules, "rules", nil, "rules to check, all by default")
 	flags.IntVar(&o.maxFindings, "findings", 3, "number of findings after which to stop")
 	debug.SetGCPercent(gcPercent)
@@ -87,9 +89,13 @@
 	scenarios, results := make([]simulation.Scenario, count), make([]simulation.Result, count)
 	var group errgroup.Group
 	group.SetLimit(o.parallel)
+	draw := simulation.Draw
+	if o.prompts {
+		draw = simulation.DrawWithPrompts
+	}
 	for i := range count {
 		group.Go(func() error {
-			scenarios[i] = simulation.Draw(first+i, o.size)
+			scenarios[i] = draw(first+i, o.size)
 			scenarios[i].Mutation, scenarios[i].Rules = simulation.Mutation(o.mutation), o.rules
 			results[i] = simulation.Run(scenarios[i])
 			results[i].Journal = nil
--- a/bench/simulation/copies.go
+++ b/bench/simulation/copies.go
@@ -62,6 +62,9 @@
 
 func (c *copies) begin() {
 	for kind := range c.collections {
+		if kind == blockedParts && (!c.process.world.scenario.Prompts || c.process.entry == nil) {
+			continue
+		}
 		c.keepCurrent(kind)
 	}
 }
@@ -179,7 +182,7 @@
 func (c *copies) messageReceived(from *process, states [collections]collectionState, composedAfter time.Time) {
 	for kind, state := range states {
 		held := c.collections[kind]
-		if !state.known {
+		if !state.known || kind == blockedParts && c.process.entry == nil {
 			continue
 		}
 		if !composedAfter.IsZero() {
--- a/bench/simulation/engine.go
+++ b/bench/simulation/engine.go
@@ -60,8 +60,13 @@
 	sentAt   time.Time
 	belief   *versions
 	begun    bool
+	begunAt  time.Time
 	canceled bool
-	answer   func(attemptOutcome)
+	// outlived says that the response has gone on long enough to clear the request's parts.
+	outlived bool
+	// broken says that the response broke off.
+	broken bool
+	answer func(attemptOutcome)
 }
 
 // engine models a model engine beside an agent.
@@ -73,10 +78,11 @@
 	start int64
 	life  int
 	up    bool
-	// downs counts the faults in progress that keep it down.
-	downs   int
-	loaded  int64
-	loading bool
+	// downs counts the faults in progress that keep it down, powerless those in which its
+	// instance is down, too.
+	downs, powerless int
+	loaded           int64
+	loading          bool
 	// stagedVersion and stagedCount describe the staging area.
 	stagedVersion int64
 	stagedCount   int
@@ -106,6 +112,10 @@
 	e.downs++
 	e.life++
 	e.up, e.loaded, e.loading, e.listed = false, 0, false, listedEngine{}
+	if powerLost {
+		e.powerless++
+		e.queued, e.running = nil, nil
+	}
 	e.breakAll(attemptBroken)
 	if powerLost {
 		e.stagedVersion, e.stagedCount = 0, 0
@@ -181,6 +191,9 @@
 // arrive takes an attempt.
 func (e *engine) arrive(a *attempt) {
 	e.arrivedAt = e.world.now
+	if a.request.crashing != "" && e.up {
+		e.world.judge.arrived(a)
+	}
 	switch {
 	case !e.up:
 	case a.id != e.id(), e.loading, e.loaded == 0, a.expected > 0 && a.expected != e.loaded:
@@ -212,12 +225,16 @@
 	if e.life != life || !e.holds(a) {
 		return
 	}
-	if a.canceled {
+	if a.canceled || a.request.canceled {
 		e.finish(a)
 		return
 	}
 	e.world.judge.begun(e, a)
 	a.answer(attemptBegun)
+	if a.request.crashing != "" {
+		e.crashAt(a)
+		return
+	}
 	e.world.after(minRun+e.world.randomBelow(runRange), func() {
 		if e.life == life && e.holds(a) {
 			a.answer(attemptDone)
--- a/bench/simulation/entry.go
+++ b/bench/simulation/entry.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"plantainrelay/internal/blocklist"
 	"plantainrelay/internal/catalog"
 	"plantainrelay/internal/duty"
 	"plantainrelay/internal/peers"
@@ -43,12 +44,13 @@
 const applyBound = 2 * time.Second
 
 var entryPlans = [collections]plan{
-	tables:   {Plan: duty.TablesPlan(applyBound), checkInterval: dutyCheckInterval, batchDelay: 100 * time.Millisecond},
-	backends: {Plan: duty.Plan{WatchTimeout: 1500 * time.Millisecond, MaxProofAge: 4 * time.Second}, checkInterval: dutyCheckInterval, batchDelay: 350 * time.Millisecond},
-	releases: {Plan: duty.Plan{WatchTimeout: 3 * time.Second, MaxProofAge: 8 * time.Second}, checkInterval: dutyCheckInterval, batchDelay: 100 * time.Millisecond},
+	tables:       {Plan: duty.TablesPlan(applyBound), checkInterval: dutyCheckInterval, batchDelay: 100 * time.Millisecond},
+	backends:     {Plan: duty.Plan{WatchTimeout: 1500 * time.Millisecond, MaxProofAge: 4 * time.Second}, checkInterval: dutyCheckInterval, batchDelay: 350 * time.Millisecond},
+	releases:     {Plan: duty.Plan{WatchTimeout: 3 * time.Second, MaxProofAge: 8 * time.Second}, checkInterval: dutyCheckInterval, batchDelay: 100 * time.Millisecond},
+	blockedParts: {Plan: duty.Plan{WatchTimeout: 25 * time.Second, MaxProofAge: 75 * time.Second}, checkInterval: dutyCheckInterval, batchDelay: 350 * time.Millisecond},
 }
 
-var collectionNames = [collections]string{"tables", "backends", "releases"}
+var collectionNames = [collections]string{"tables", "backends", "releases", "blocks"}
 
 var directoryConfig = peers.Config{
 	LiveTimeout: 900 * time.Millisecond, FarLiveTimeout: 2500 * time.Millisecond, MaxBroadcast: 16, RemoveAfter: time.Minute,
@@ -67,6 +69,7 @@
 	sendPending bool
 	// loggedMinVersion is the oldest allowed version that was recorded last.
 	loggedMinVersion int64
+	blocks           *blocks
 }
 
 func newEntry(p *process) *entry {
@@ -79,6 +82,7 @@
 		AvailabilityZone: p.zone, MaxPeerLoadAge: 1200 * time.Millisecond, FailureBackoff: 500 * time.Millisecond, MaxFailureBackoff: 6 * time.Second,
 		Seed: w.random.Uint64(), Engine: func(string) *catalog.Engine { return engineSettings },
 	})
+	e.blocks = newBlocks(e)
 	e.copies = newCopies(p, entryPlans, entryMaxPulls)
 	e.copies.shouldWatch, e.copies.changed, e.copies.storeAvailabilityChanged = e.shouldWatch, e.collectionChanged, e.triggerSend
 	return e
@@ -87,6 +91,9 @@
 func (e *entry) begin() {
 	e.copies.begin()
 	e.every(entryHeartbeatInterval, e.sendHeartbeat)
+	if e.world.scenario.Prompts {
+		e.blocks.begin()
+	}
 }
 
 func (e *entry) shouldWatch(kind int) bool {
@@ -104,6 +111,8 @@
 		if found && e.versions.add(version, now) {
 			e.world.record(e.host, "release seen", version, 0, "")
 		}
+	case blockedParts:
+		e.blocks.storeChanged()
 	}
 	e.triggerSend()
 }
@@ -121,7 +130,7 @@
 
 func (e *entry) ready() bool {
 	held := e.copies.collections[tables].replica
-	return held.Known() && e.world.now.Sub(held.Proof()) <= maxReadyProofAge
+	return held.Known() && e.world.now.Sub(held.Proof()) <= maxReadyProofAge && (!e.world.scenario.Prompts || e.blocks.hasRead())
 }
 
 func (e *entry) sendHeartbeat() {
@@ -132,6 +141,7 @@
 	e.sequence++
 	m := &message{from: e.process, composedAt: now, states: e.copies.states(), self: e.directory.Self(), releases: e.versions.releases.Ages(now), loads: e.fleet.OwnLoads()}
 	m.self.Sequence = e.sequence
+	m.blocks = e.blocks.reports()
 	recipients := e.directory.NextRecipients(now)
 	live := []string{e.host}
 	for _, other := range e.directory.LiveEntries(now) {
@@ -171,6 +181,7 @@
 		}
 		return
 	}
+	e.blocks.read(m, now)
 	if m.loadsOnly {
 		e.recordLoads(m, false, now)
 		return
@@ -190,6 +201,7 @@
 		}
 	}
 	e.copies.messageReceived(m.from, m.states, composedAfter)
+	e.blocks.noteHeard(m, composedAfter)
 }
 
 func (e *entry) recordLoads(m *message, complete bool, now time.Time) {
@@ -220,6 +232,11 @@
 	attempts   int
 	minVersion int64
 	tried      map[string]bool
+	// parts are the shared parts of its prompt, crashing is the one at which engines crash.
+	// canceled is set when one of them was blocked before there was a response.
+	parts    []string
+	crashing string
+	canceled bool
 }
 
 // accept takes a request of a caller.
@@ -230,6 +247,10 @@
 	}
 	r.startBy = e.world.now.Add(queueTime)
 	r.minVersion = e.versions.minVersion(e.world.now)
+	if len(r.parts) > 0 {
+		e.blocks.admit(r)
+		return
+	}
 	e.place(r)
 }
 
@@ -240,6 +261,10 @@
 		e.world.judge.refused(r)
 		return
 	}
+	if r.canceled || e.blocks.isBlocked(r) {
+		e.world.judge.blocked(e, r)
+		return
+	}
 	if e.world.scenario.Mutation != KeepQueuedVersion {
 		r.minVersion = e.versions.minVersion(now)
 	}
@@ -286,12 +311,17 @@
 			case attemptBegun:
 				a.begun = true
 				e.fleet.ResponseStarted(choice)
+				e.responseBegan(a, choice, func() bool { return ended || e.life != life })
 			case attemptDone:
+				e.responseEnded(a, choice)
 				end(placement.Succeeded, false)
 			case attemptRefused:
 				end(placement.Full, true)
 			case attemptBroken:
-				end(placement.Failed, true)
+				a.broken = true
+				if e.life == life {
+					e.run(func() { e.blocks.attemptBroken(a, choice, func(again bool) { end(placement.Failed, again) }) })
+				}
 			}
 		})
 	}
@@ -305,6 +335,36 @@
 	e.after(responseTimeout, func() { end(placement.Failed, false) })
 }
 
+// responseBegan follows a response that has begun.
+func (e *entry) responseBegan(a *attempt, choice placement.Choice, ended func() bool) {
+	if len(a.request.parts) == 0 || ended() {
+		return
+	}
+	e.run(func() {
+		a.begunAt = e.world.now
+		e.blocks.unwatch(a.request)
+	})
+	e.after(2*blocklist.Window(1), func() {
+		if !ended() && !a.broken {
+			a.outlived = true
+			e.blocks.responded(a.request, choice.Version)
+		}
+	})
+}
+
+// responseEnded records that a response is complete.
+func (e *entry) responseEnded(a *attempt, choice placement.Choice) {
+	if len(a.request.parts) == 0 || e.entry != e {
+		return
+	}
+	e.run(func() {
+		if !a.outlived {
+			e.blocks.responded(a.request, choice.Version)
+		}
+		e.blocks.completed(a.request)
+	})
+}
+
 func newRequest(number int, now time.Time) *request { return &request{number: number, sentAt: now} }
 
 func (r *request) String() string { return "request " + strconv.Itoa(r.number) }
--- a/bench/simulation/judge.go
+++ b/bench/simulation/judge.go
@@ -18,6 +18,11 @@
 	// RuleUnused stands for no rule, but for the price of refusals while engines have
 	// free slots: an engine that may start requests gets some.
 	RuleUnused = "unused engine"
+	// RuleBudget is BUDGET: requests with a part that has crashed five instances reach no
+	// further ones.
+	RuleBudget = "BUDGET"
+	// RuleLost is LOST: requests that only share other parts with them go on.
+	RuleLost = "LOST"
 	// RuleCalls stands for the price of calls to the store, with the figures of
 	// docs/decisions/0050-platform.md.
 	RuleCalls = "store calls"
@@ -41,6 +46,10 @@
 	callWindow = 10
 	// maxCallsPerProcess bounds the calls of a process in a window.
 	maxCallsPerProcess = 120
+	// crashesUntilBlocked and maxSentLate are the platform's bound: later than stablePeriod
+	// after so many crashes no more requests with a part may reach engines.
+	crashesUntilBlocked = 5
+	maxSentLate         = 3
 	// settleSeconds is the time after a fault until the calls are those at rest.
 	settleSeconds = 5
 	// callMargin is the factor on the calls at rest.
@@ -89,11 +98,15 @@
 	refusedAll    int
 	callsAll      int
 	checkedSecond int
+	// crashes holds the times of the crashes at each part, sentLate the number of requests
+	// with it that were sent too late.
+	crashes  map[string][]time.Time
+	sentLate map[string]int
 }
 
 func newJudge(w *world) *judge {
 	s := w.scenario
-	j := &judge{world: w, recoverFrom: epoch.Add(recoverTime), callsBy: make([][]int, s.Entries+s.Agents)}
+	j := &judge{world: w, recoverFrom: epoch.Add(recoverTime), callsBy: make([][]int, s.Entries+s.Agents), crashes: map[string][]time.Time{}, sentLate: map[string]int{}}
 	seconds := s.DurationMs/1000 + 2
 	j.calls, j.writes = make([]int, seconds), make([]int, seconds)
 	for i := range j.callsBy {
@@ -199,13 +212,45 @@
 
 func (j *judge) sent(r *request) {
 	j.sentAll++
-	if !r.sentAt.Before(j.recoverFrom) {
+	if !r.sentAt.Before(j.recoverFrom) && r.crashing == "" {
 		j.owed++
 	}
 }
 
 func (j *judge) refused(*request) { j.refusedAll++ }
 
+func (j *judge) crashed(part string) { j.crashes[part] = append(j.crashes[part], j.world.now) }
+
+// arrived checks a request with a part that crashes engines, at one of them.
+func (j *judge) arrived(a *attempt) {
+	part := a.request.crashing
+	crashes := j.crashes[part]
+	if len(crashes) < crashesUntilBlocked || a.sentAt.Sub(crashes[crashesUntilBlocked-1]) <= stablePeriod || !j.inTouch(a.entry.number, a.sentAt) {
+		return
+	}
+	if j.sentLate[part]++; j.sentLate[part] <= maxSentLate {
+		return
+	}
+	j.report(Finding{
+		Rule: RuleBudget, Since: crashes[0].Sub(epoch) - time.Second, Hosts: []string{a.entry.host},
+		Text:    fmt.Sprintf("%s with part %s reaches an engine, sent by %s %d ms after %d engines had crashed at it; it is the %dth", a.request, part, a.entry.host, a.sentAt.Sub(crashes[crashesUntilBlocked-1]).Milliseconds(), crashesUntilBlocked, j.sentLate[part]),
+		Beliefs: fmt.Sprintf("%s: blocked parts %v", a.entry.host, a.entry.blockRecords()),
+	})
+}
+
+// blocked checks a request that is refused because one of its parts is blocked.
+func (j *judge) blocked(e *entry, r *request) {
+	j.refusedAll++
+	if r.crashing != "" {
+		return
+	}
+	j.report(Finding{
+		Rule: RuleLost, Since: max(j.world.now.Sub(epoch)-2*recoverTime, 0), Hosts: []string{e.host},
+		Text:    fmt.Sprintf("%s with the parts %v is refused by %s, and none of them crashes engines", r, r.parts, e.host),
+		Beliefs: fmt.Sprintf("%s: blocked parts %v", e.host, e.blockRecords()),
+	})
+}
+
 // check checks what is seen over time.
 func (j *judge) check() {
 	for i, e := range j.world.engines {
--- a/bench/simulation/message.go
+++ b/bench/simulation/message.go
@@ -21,6 +21,7 @@
 	hosts     []string
 	// report is that of an agent, nil if it does not reach its engine.
 	report *placement.AgentReport
+	blocks blockReports
 	// agentSequence orders the messages of an agent.
 	agentSequence uint64
 }
--- a/bench/simulation/mutation.go
+++ b/bench/simulation/mutation.go
@@ -30,9 +30,20 @@
 	WatchAlways Mutation = "watch-always"
 	// NoBackoff calls the store again at once after a failure.
 	NoBackoff Mutation = "no-backoff"
+	// CountReports takes each report of a crash for a crash of its own.
+	CountReports Mutation = "count-reports"
+	// IgnorePeerCrashes leaves the crashes reported by peers out.
+	IgnorePeerCrashes Mutation = "ignore-peer-crashes"
+	// KeepSuspects lets no response clear a part of prompts.
+	KeepSuspects Mutation = "keep-suspects"
+	// ForgetBlocks neither reads blocked parts from the store nor enters them there.
+	ForgetBlocks Mutation = "forget-blocks"
+	// LapseBlocks ends all blocks after some seconds.
+	LapseBlocks Mutation = "lapse-blocks"
 )
 
 // Mutations are all mutations.
 var Mutations = []Mutation{
 	DropBetween, IgnorePeerAges, NeverEnforce, EnforceLate, FoundIsNew, KeepQueuedVersion, IgnoreSwitchBy, KeepSwitching, WatchAlways, NoBackoff,
+	CountReports, IgnorePeerCrashes, KeepSuspects, ForgetBlocks, LapseBlocks,
 }
--- a/bench/simulation/process.go
+++ b/bench/simulation/process.go
@@ -96,6 +96,9 @@
 	}
 	waiting := p.postponed
 	p.postponed = nil
+	if p.entry != nil {
+		p.entry.blocks.resumedAt = p.world.now
+	}
 	for _, do := range waiting {
 		do()
 	}
--- a/bench/simulation/scenario.go
+++ b/bench/simulation/scenario.go
@@ -91,6 +91,10 @@
 	// ReleasesMs holds the times at which releases are published, in milliseconds.
 	ReleasesMs []int   `json:"releases_ms"`
 	Faults     []Fault `json:"faults"`
+	// Prompts gives the requests prompts. CrashingParts are parts of them at which engines
+	// crash.
+	Prompts       bool           `json:"prompts,omitempty"`
+	CrashingParts []CrashingPart `json:"crashing_parts,omitempty"`
 }
 
 // Size is the size of a fleet and the length of its day.
--- a/bench/simulation/simulation_test.go
+++ b/bench/simulation/simulation_test.go
@@ -53,6 +53,15 @@
 	}
 }
 
+// TestFixedSeedsWithPrompts plays requests with prompts, some of which crash engines.
+func TestFixedSeedsWithPrompts(t *testing.T) {
+	for seed := range uint64(20) {
+		s := simulation.DrawWithPrompts(seed+1, size)
+		s.Rules = []string{simulation.RuleBudget, simulation.RuleLost, simulation.RuleVersion, simulation.RuleRecover, simulation.RuleCalls}
+		check(t, s)
+	}
+}
+
 // TestCases plays the scenarios that once failed, by a fault of the product or by a
 // mutation.
 func TestCases(t *testing.T) {
@@ -89,10 +98,18 @@
 		{simulation.KeepSwitching, simulation.RuleUnused, 51},
 		{simulation.WatchAlways, simulation.RuleCalls, 1},
 		{simulation.NoBackoff, simulation.RuleCalls, 2},
+		{simulation.CountReports, simulation.RuleLost, 11},
+		{simulation.KeepSuspects, simulation.RuleLost, 12},
+		{simulation.IgnorePeerCrashes, simulation.RuleBudget, 54},
+		{simulation.ForgetBlocks, simulation.RuleBudget, 171},
+		{simulation.LapseBlocks, simulation.RuleBudget, 40},
 	} {
 		t.Run(string(mutated.mutation), func(t *testing.T) {
 			for seed := mutated.seed; seed < mutated.seed+maxSeeds; seed++ {
 				s := simulation.Draw(seed, size)
+				if mutated.rule == simulation.RuleBudget || mutated.rule == simulation.RuleLost {
+					s = simulation.DrawWithPrompts(seed, size)
+				}
 				s.Rules = []string{mutated.rule}
 				if len(simulation.Run(s).Findings) > 0 {
 					continue
--- a/bench/simulation/store.go
+++ b/bench/simulation/store.go
@@ -13,6 +13,8 @@
 	tables = iota
 	backends
 	releases
+	// blockedParts is read only where requests have prompts.
+	blockedParts
 	collections
 )
 
--- a/bench/simulation/world.go
+++ b/bench/simulation/world.go
@@ -34,10 +34,13 @@
 	journal []Event
 	version int64
 	callers int
+	// prompts draws the prompts and what engines do at them, so that runs without prompts
+	// stay as they are.
+	prompts *rand.Rand
 }
 
 func newWorld(s Scenario) *world {
-	w := &world{scheduler: scheduler{now: epoch}, scenario: s, random: rand.New(rand.NewPCG(s.Seed, 1)), network: newNetwork(), byHost: map[string]*process{}, version: loadedAtStart}
+	w := &world{scheduler: scheduler{now: epoch}, scenario: s, random: rand.New(rand.NewPCG(s.Seed, 1)), network: newNetwork(), byHost: map[string]*process{}, version: loadedAtStart, prompts: rand.New(rand.NewPCG(s.Seed, 4))}
 	w.judge = newJudge(w)
 	w.store = newStore(w)
 	for number := range s.Entries + s.Agents {
@@ -95,6 +98,9 @@
 func (w *world) nextRequest() {
 	w.callers++
 	r := newRequest(w.callers, w.now)
+	if w.scenario.Prompts {
+		w.addPrompt(r)
+	}
 	to := w.processes[w.random.IntN(w.scenario.Entries)]
 	w.judge.sent(r)
 	w.after(w.delay("", to.zone), func() { to.run(func() { to.entry.accept(r) }) })
@@ -147,6 +153,7 @@
 
 func (w *world) restorePower() {
 	for _, e := range w.engines {
+		e.powerless--
 		e.restart()
 	}
 	restartAll(w.processes)
--- a/internal/blocklist/blocklist.go
+++ b/internal/blocklist/blocklist.go
@@ -13,6 +13,7 @@
 package blocklist
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -32,6 +33,9 @@
 	// clear the parts of its request, and clearEvents the number of its events.
 	clearWindowFactor = 2
 	clearEvents       = 2
+	// settleTime is the time from the first report of a crash until it counts: the reports
+	// of other entries may name the part that explains it.
+	settleTime = 250 * time.Millisecond
 	// suspicionRetention is how long a crash counts.
 	suspicionRetention = time.Hour
 	// maxCrashes, maxSuspects and maxResponses bound the crashes, the suspected parts of one
@@ -76,12 +80,15 @@
 	version  int64
 	at       time.Time
 	suspects []string
+	// hadSeveral says that several parts were suspected.
+	hadSeveral bool
 	// explainedBy is the blocked part that was among the suspects. Then suspects holds only
 	// the parts that could not be told apart from it, and later reports of the crash are
 	// ignored.
 	explainedBy string
-	// changedAt is when a suspect was last added.
-	changedAt time.Time
+	// learnedAt is when this entry learned of the crash, changedAt when a suspect was last
+	// added.
+	learnedAt, changedAt time.Time
 }
 
 func (c *crash) isSuspected(id string) bool { return slices.Contains(c.suspects, id) }
@@ -92,6 +99,16 @@
 	version int64
 }
 
+// response is the latest response of engines with some weights that has cleared a part.
+type response struct {
+	version int64
+	at      time.Time
+}
+
+// maxVersions bounds the weights of which the latest response for a part is kept, those of
+// the highest versions.
+const maxVersions = 3
+
 // clearing is a suspected part that a response has cleared.
 type clearing struct {
 	part versionedPart
@@ -104,9 +121,9 @@
 type List struct {
 	crashes map[Start]*crash
 	// suspected counts the crashes of which a part is suspected.
-	suspected map[versionedPart]int
-	// responses holds when a response last cleared a part.
-	responses *simplelru.LRU[versionedPart, time.Time]
+	suspected map[Part]int
+	// responses holds the latest responses that have cleared a part.
+	responses *simplelru.LRU[Part, []response]
 	// exposures holds how often requests of this entry were answered or interrupted.
 	exposures map[weights]*exposure
 	// cleared holds the latest clearings of suspected parts, the oldest first.
@@ -116,12 +133,12 @@
 
 // New returns an empty list.
 func New() *List {
-	responses, err := simplelru.NewLRU[versionedPart, time.Time](maxResponses, nil)
+	responses, err := simplelru.NewLRU[Part, []response](maxResponses, nil)
 	if err != nil {
 		// The size is a positive constant.
 		panic(err)
 	}
-	return &List{crashes: map[Start]*crash{}, suspected: map[versionedPart]int{}, responses: responses, exposures: map[weights]*exposure{}, blocks: map[Part]*block{}}
+	return &List{crashes: map[Start]*crash{}, suspected: map[Part]int{}, responses: responses, exposures: map[weights]*exposure{}, blocks: map[Part]*block{}}
 }
 
 // Window returns the longest time from the beginning of a response to the crash that it
@@ -160,20 +177,42 @@
 // part.
 func (l *List) RecordCleared(cleared Cleared, now time.Time) {
 	part, at := versionedPart{Part: cleared.Part, version: cleared.Version}, earlier(cleared.At, now)
-	if last, found := l.responses.Peek(part); found && !at.After(last) {
-		return
+	if !l.isCleared(part, at) {
+		l.clear(part, at, now)
+	}
+}
+
+// isCleared reports whether a response at or after the given time, of engines with the same
+// or later weights, has cleared a part.
+func (l *List) isCleared(part versionedPart, at time.Time) bool {
+	responses, _ := l.responses.Peek(part.Part)
+	return slices.ContainsFunc(responses, func(one response) bool { return one.version >= part.version && !one.at.Before(at) })
+}
+
+// addResponse keeps a response that has cleared a part.
+func (l *List) addResponse(part versionedPart, at time.Time) {
+	responses, _ := l.responses.Get(part.Part)
+	index := slices.IndexFunc(responses, func(one response) bool { return one.version == part.version })
+	if index < 0 {
+		responses = append(slices.Clone(responses), response{version: part.version, at: at})
+		slices.SortFunc(responses, func(a, b response) int { return cmp.Compare(b.version, a.version) })
+		responses = responses[:min(len(responses), maxVersions)]
+	} else if at.After(responses[index].at) {
+		responses[index].at = at
 	}
-	l.clear(part, at, now)
+	l.responses.Add(part.Part, responses)
 }
 
-// clear removes a part from the suspects of the crashes up to the given time.
+// clear removes a part from the suspects of the crashes up to the given time, of engines
+// with the same or earlier weights.
 func (l *List) clear(part versionedPart, at, now time.Time) {
-	l.responses.Add(part, at)
-	if l.suspected[part] == 0 {
+	l.addResponse(part, at)
+	l.endSuspicion(part.Part, now)
+	if l.suspected[part.Part] == 0 {
 		return
 	}
 	for _, known := range l.crashes {
-		if known.model == part.Model && known.version == part.version && known.isSuspected(part.ID) && !known.at.After(at) {
+		if known.model == part.Model && known.version <= part.version && known.isSuspected(part.ID) && !known.at.After(at) {
 			l.removeSuspect(known, part.ID)
 		}
 	}
@@ -184,31 +223,27 @@
 }
 
 // HasResponse reports whether a response is known for each of the shared parts, with this
-// version of the weights.
+// version of the weights or a later one.
 func (l *List) HasResponse(model string, version int64, parts []string) bool {
-	for _, id := range parts {
-		if !l.responses.Contains(versionedPart{Part: Part{Model: model, ID: id}, version: version}) {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(parts, func(id string) bool {
+		return !l.isCleared(versionedPart{Part: Part{Model: model, ID: id}, version: version}, time.Time{})
+	})
 }
 
 // RecordCrash records the crash of an instance, as this entry has seen it or another one
-// has reported it. Several reports of a crash count once, with the suspects of all. It
-// returns the decisions that are made because of it.
-func (l *List) RecordCrash(reported Crash, now time.Time) []Record {
+// has reported it. Several reports of a crash count once, with the suspects of all.
+func (l *List) RecordCrash(reported Crash, now time.Time) {
 	l.prune(now)
 	if now.Sub(reported.At) > suspicionRetention {
-		return nil
+		return
 	}
 	known := l.crashes[reported.Start]
 	if known == nil {
-		known = &crash{start: reported.Start, model: reported.Model, version: reported.Version, at: reported.At}
+		known = &crash{start: reported.Start, learnedAt: now, model: reported.Model, version: reported.Version, at: reported.At}
 		l.crashes[reported.Start] = known
 	}
 	if known.explainedBy != "" {
-		return nil
+		return
 	}
 	// A report that was delayed makes the crash seem later.
 	known.at = earlier(known.at, reported.At)
@@ -216,7 +251,6 @@
 		l.addSuspect(known, id, now)
 	}
 	l.forgetIfCleared(known)
-	return l.evaluate(known.model, now)
 }
 
 // addSuspect adds a suspected part of a crash, unless a later response has cleared it.
@@ -225,16 +259,17 @@
 	if known.isSuspected(id) || len(known.suspects) >= maxSuspects {
 		return
 	}
-	if last, found := l.responses.Peek(part); found && !last.Before(known.at) {
+	if l.isCleared(part, known.at) {
 		return
 	}
 	known.suspects, known.changedAt = append(known.suspects, id), now
-	l.suspected[part]++
+	known.hadSeveral = known.hadSeveral || len(known.suspects) > 1
+	l.suspected[part.Part]++
 }
 
 // removeSuspect removes a suspected part of a crash, and the crash if it was the last one.
 func (l *List) removeSuspect(known *crash, id string) {
-	part := versionedPart{Part: Part{Model: known.model, ID: id}, version: known.version}
+	part := Part{Model: known.model, ID: id}
 	known.suspects = slices.DeleteFunc(known.suspects, func(other string) bool { return other == id })
 	if l.suspected[part]--; l.suspected[part] <= 0 {
 		delete(l.suspected, part)
--- a/internal/blocklist/blocklist_test.go
+++ b/internal/blocklist/blocklist_test.go
@@ -35,12 +35,22 @@
 	return l
 }
 
+// settled is the time after which a crash counts.
+const settled = 250 * time.Millisecond
+
+// evaluate returns the IDs of the parts about which the list decides.
+func evaluate(l *blocklist.List, now time.Time) (ids []string) {
+	for _, decision := range l.Evaluate(now) {
+		ids = append(ids, decision.ID)
+	}
+	return ids
+}
+
 // record records crashes as they occur, and returns the IDs of the parts that are blocked.
 func record(l *blocklist.List, crashes ...blocklist.Crash) (ids []string) {
 	for _, one := range crashes {
-		for _, blocked := range l.RecordCrash(one, one.At) {
-			ids = append(ids, blocked.ID)
-		}
+		l.RecordCrash(one, one.At)
+		ids = append(ids, evaluate(l, one.At.Add(settled))...)
 	}
 	return ids
 }
@@ -116,7 +126,8 @@
 		c.Assert(record(l, crash), qt.HasLen, 0)
 		l.RecordResponse(model, 1, []string{"sound"}, at(1000*i+500))
 		// The report of another entry arrives late.
-		c.Assert(l.RecordCrash(crash, at(1000*i+900)), qt.HasLen, 0)
+		l.RecordCrash(crash, at(1000*i+600))
+		c.Assert(evaluate(l, at(1000*i+900)), qt.HasLen, 0)
 	}
 	c.Assert(record(l, crashAt(20, 20_000, "sound"), crashAt(21, 21_000, "sound"), crashAt(22, 22_000, "sound")), qt.HasLen, 0)
 	// Another entry has seen a response before the last crashes.
@@ -148,6 +159,22 @@
 	c.Assert(isBlocked(l, "victim"), qt.IsFalse)
 }
 
+// TestLastSuspectNeedsLessEvidence guards against one more crash when responses have cleared
+// everything else that was suspected.
+func TestLastSuspectNeedsLessEvidence(t *testing.T) {
+	c := qt.New(t)
+	l := newList()
+	for i := range enough - 1 {
+		first := fmt.Sprint("first-", i)
+		c.Assert(record(l, crashAt(i, 1000*i, first, "bad")), qt.HasLen, 0)
+		if i < enough-2 {
+			l.RecordResponse(model, 1, []string{first}, at(1000*i+600))
+		}
+	}
+	l.RecordResponse(model, 1, []string{"first-2"}, at(3000))
+	c.Assert(evaluate(l, at(3000)), qt.DeepEquals, []string{"bad"})
+}
+
 // TestTwoPartsAtOnce guards against one part hiding the other.
 func TestTwoPartsAtOnce(t *testing.T) {
 	c := qt.New(t)
@@ -161,8 +188,8 @@
 	c.Assert(blocked, qt.DeepEquals, []string{"bad-1", "bad-2"})
 }
 
-// TestNewerWeights guards against a response with other weights that clears a part, and
-// against a block that ends with a release.
+// TestNewerWeights guards against a response with earlier weights that clears a part, and
+// against a block that ends with a release. One with later weights clears it.
 func TestNewerWeights(t *testing.T) {
 	c := qt.New(t)
 	l := newList()
@@ -173,11 +200,14 @@
 		l.RecordResponse(model, 1, []string{"bad"}, at(1000*i+500))
 		crash := crashAt(i, 1000*i, "bad")
 		crash.Version = 2
-		l.RecordCrash(crash, crash.At)
+		record(l, crash)
 	}
 	c.Assert(isBlocked(l, "bad"), qt.IsTrue)
 	l.RecordResponse(model, 3, []string{"other"}, at(9000))
 	c.Assert(isBlocked(l, "bad"), qt.IsTrue)
+	c.Assert(record(l, crashAt(11, 10_000, "sound")), qt.HasLen, 0)
+	l.RecordResponse(model, 4, []string{"sound"}, at(11_000))
+	c.Assert(l.SuspectedParts(), qt.Equals, 0)
 }
 
 // TestWeightsThatNeverRespond guards against blocks of parts, which outlive the weights,
@@ -246,7 +276,8 @@
 	}
 	for i := range enough {
 		delayed := crashAt(i, 1000*i, "sound")
-		c.Assert(l.RecordCrash(delayed, at(5000)), qt.HasLen, 0)
+		l.RecordCrash(delayed, at(5000))
+		c.Assert(evaluate(l, at(6000)), qt.HasLen, 0)
 	}
 }
 
--- a/internal/blocklist/blocks.go
+++ b/internal/blocklist/blocks.go
@@ -8,6 +8,9 @@
 )
 
 const (
+	// suspicionTimes is the number of times at which instances must have crashed before the
+	// suspicion of a part is recorded.
+	suspicionTimes = 2
 	// maxBlocks bounds the parts whose records are kept.
 	maxBlocks = 1024
 	// trialDelay is the time from the decision to block a part until one request with it is
@@ -25,10 +28,11 @@
 type Record struct {
 	Part
 	Version int64
-	// Lifted says that the part is not blocked any more.
-	Lifted bool
-	// Crashes is the number of independent crashes that led to the block, Trials the number
-	// of requests that were let through since.
+	// Suspected says that the part is not blocked yet, Lifted that it is not any more.
+	Suspected bool
+	Lifted    bool
+	// Crashes is the number of times at which instances have crashed, Trials the number of
+	// requests that were let through since the part was blocked.
 	Crashes int
 	Trials  int
 }
@@ -37,9 +41,13 @@
 	return Record{Part: r.Part, Version: r.Version + 1, Crashes: crashes}
 }
 
+func (r Record) suspected(crashes int) Record {
+	return Record{Part: r.Part, Version: r.Version + 1, Crashes: crashes, Suspected: true}
+}
+
 func (r Record) lifted() Record {
 	r.Version++
-	r.Lifted = true
+	r.Lifted, r.Suspected = true, false
 	return r
 }
 
@@ -63,12 +71,47 @@
 // blockedRecord returns the record of a part if it is blocked.
 func (l *List) blockedRecord(part Part) (Record, bool) {
 	known := l.blocks[part]
-	if known == nil || known.record.Lifted {
+	if known == nil || known.record.Lifted || known.record.Suspected {
 		return Record{}, false
 	}
 	return known.record, true
 }
 
+// suspectedCrashTimes returns the number of times at which instances have crashed because of
+// a part, as far as its record and these crashes tell. The record may be of crashes that
+// this entry does not know.
+func (l *List) suspectedCrashTimes(part Part, crashes []*crash) int {
+	times := countIndependent(crashes)
+	known := l.blocks[part]
+	if known == nil || !known.record.Suspected {
+		return times
+	}
+	// Crashes around the time of the record may be those that it is of.
+	later := slices.DeleteFunc(slices.Clone(crashes), func(one *crash) bool { return one.at.Sub(known.learnedAt) < independentAfter })
+	return max(times, known.record.Crashes+countIndependent(later))
+}
+
+// suspect records that a part is suspected of crashes at so many times, which starting
+// entries have to know.
+func (l *List) suspect(part Part, times int, now time.Time) {
+	known := l.record(part)
+	if times >= suspicionTimes && !(known.Suspected && known.Crashes >= times) {
+		l.decide(known.suspected(times), now)
+	}
+}
+
+// endSuspicion ends the suspicion of a part that a response has cleared.
+func (l *List) endSuspicion(part Part, now time.Time) {
+	known := l.blocks[part]
+	switch {
+	case known == nil || !known.record.Suspected:
+	case known.stored == 0:
+		delete(l.blocks, part)
+	default:
+		l.decide(known.record.lifted(), now)
+	}
+}
+
 // record returns the record of a part, without a version if there is none.
 func (l *List) record(part Part) Record {
 	if known := l.blocks[part]; known != nil {
@@ -102,14 +145,15 @@
 	}
 	var oldest *block
 	for _, known := range l.blocks {
-		if oldest == nil || known.record.Lifted && !oldest.record.Lifted ||
-			known.record.Lifted == oldest.record.Lifted && known.learnedAt.Before(oldest.learnedAt) {
+		if oldest == nil || !known.isBlocked() && oldest.isBlocked() || known.isBlocked() == oldest.isBlocked() && known.learnedAt.Before(oldest.learnedAt) {
 			oldest = known
 		}
 	}
 	delete(l.blocks, oldest.record.Part)
 }
 
+func (b *block) isBlocked() bool { return !b.record.Lifted && !b.record.Suspected }
+
 // Blocked returns the first blocked one of the shared parts of a request.
 func (l *List) Blocked(model string, parts []string) (Part, bool) {
 	if len(l.blocks) == 0 {
--- a/internal/blocklist/blocks_test.go
+++ b/internal/blocklist/blocks_test.go
@@ -40,7 +40,7 @@
 func TestStartingEntryLearnsBlocks(t *testing.T) {
 	c := qt.New(t)
 	_, blocked := blockedList()
-	c.Assert(blocked, qt.Equals, blocklist.Record{Part: badPart, Version: 1, Crashes: enough})
+	c.Assert(blocked, qt.Equals, blocklist.Record{Part: badPart, Version: blocked.Version, Crashes: enough})
 	fromStore, fromPeer := blocklist.New(), blocklist.New()
 	c.Assert(fromStore.SetStored(stored(blocked), at(0)), qt.DeepEquals, []blocklist.Record{blocked})
 	c.Assert(isBlocked(fromStore, "bad"), qt.IsTrue)
@@ -76,7 +76,7 @@
 	c := qt.New(t)
 	l, blocked := blockedList()
 	lifted := blocked
-	lifted.Version, lifted.Lifted = 2, true
+	lifted.Version, lifted.Lifted = blocked.Version+1, true
 	c.Assert(l.SetStored(stored(lifted), at(1000)), qt.DeepEquals, []blocklist.Record{lifted})
 	c.Assert(isBlocked(l, "bad"), qt.IsFalse)
 	c.Assert(l.Adopt(blocked, at(2000)), qt.IsFalse)
@@ -84,7 +84,7 @@
 	c.Assert(isBlocked(l, "bad"), qt.IsFalse)
 	c.Assert(record(l, crashAt(11, 4_000, "bad"), crashAt(12, 4_500, "bad"), crashAt(14, 5_000, "bad")), qt.HasLen, 0)
 	c.Assert(record(l, crashAt(13, 6_000, "bad")), qt.DeepEquals, []string{"bad"})
-	c.Assert(l.Records()[0].Version, qt.Equals, int64(3))
+	c.Assert(l.Records()[0].Version > lifted.Version, qt.IsTrue)
 }
 
 // TestCompleteResponseLiftsABlock guards against parts that stay blocked by mistake, and
@@ -101,6 +101,32 @@
 	c.Assert(unsavedRecords(l), qt.DeepEquals, lifted)
 }
 
+// TestSuspicionOutlivesTheEntriesThatKnowIt guards against crashes that are counted anew
+// after all entries have restarted, and against a block of other parts because of those that
+// only the record tells of.
+func TestSuspicionOutlivesTheEntriesThatKnowIt(t *testing.T) {
+	c := qt.New(t)
+	l := newList()
+	c.Assert(record(l, crashAt(1, 0, "first", "bad")), qt.HasLen, 0)
+	c.Assert(unsavedRecords(l), qt.HasLen, 0)
+	c.Assert(record(l, crashAt(2, 1000, "bad", "x"), crashAt(3, 2000, "bad", "x")), qt.HasLen, 0)
+	l.RecordResponse(model, 1, []string{"x"}, at(2500))
+	suspicion := unsavedRecords(l)
+	c.Assert(suspicion, qt.DeepEquals, []blocklist.Record{{Part: badPart, Version: 2, Suspected: true, Crashes: 3}})
+	c.Assert(isBlocked(l, "bad"), qt.IsFalse)
+
+	restarted := newList()
+	c.Assert(restarted.SetStored(stored(suspicion...), at(5000)), qt.DeepEquals, suspicion)
+	c.Assert(record(restarted, crashAt(3, 5050, "bad")), qt.HasLen, 0, qt.Commentf("it may be one of those"))
+	c.Assert(record(restarted, crashAt(4, 6000, "bad", "first")), qt.DeepEquals, []string{"bad"})
+
+	cleared := newList()
+	cleared.SetStored(stored(suspicion...), at(5000))
+	cleared.RecordResponse(model, 1, []string{"bad"}, at(5500))
+	c.Assert(unsavedRecords(cleared), qt.DeepEquals, []blocklist.Record{{Part: badPart, Version: 3, Lifted: true, Crashes: 3}})
+	c.Assert(record(cleared, crashAt(4, 6000, "bad")), qt.HasLen, 0)
+}
+
 // TestTrials guards against blocks that never end, against more than two trials of a part
 // that goes on crashing instances, and against trials of several entries at once.
 func TestTrials(t *testing.T) {
--- a/internal/blocklist/evaluate.go
+++ b/internal/blocklist/evaluate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -11,36 +12,65 @@
 type evidence struct {
 	id string
 	// crashes are those of which the part is suspected, by time; times is the number of
-	// independent times at which they occurred.
+	// independent times at which they occurred, with those that only its record tells of.
 	crashes []*crash
 	times   int
 }
 
+// Evaluate blocks the parts that cause crashes, and returns the decisions. It has to be
+// called a few times a second.
+func (l *List) Evaluate(now time.Time) (decisions []Record) {
+	models := map[string]bool{}
+	for _, known := range l.crashes {
+		models[known.model] = models[known.model] || known.explainedBy == "" && known.isSettled(now)
+	}
+	for _, model := range slices.Sorted(maps.Keys(models)) {
+		if models[model] {
+			decisions = append(decisions, l.evaluate(model, now)...)
+		}
+	}
+	return decisions
+}
+
+func (c *crash) isSettled(now time.Time) bool { return now.Sub(c.learnedAt) >= settleTime }
+
 // evaluate blocks the parts of a model that cause crashes, and returns the decisions.
 // Crashes in which a blocked part is suspected are explained by it, and count against no
 // other part any more: other parts of the same requests, and requests that ran on the same
 // instances, are victims.
 func (l *List) evaluate(model string, now time.Time) []Record {
 	l.explainCrashes(model)
-	for _, candidate := range l.candidates(model) {
+	candidates := l.candidates(model, now)
+	for _, candidate := range candidates {
 		if candidate.times < l.requiredCrashTimes(candidate, now) {
 			continue
 		}
-		equals := candidate.equals()
+		equals := l.equals(model, candidate)
 		cause := Part{Model: model, ID: equals[len(equals)-1]}
 		decisions := []Record{l.decide(l.record(cause).blocked(candidate.times), now)}
 		decisions = append(decisions, l.liftDisplaced(model, l.explain(candidate.crashes, equals), now)...)
 		return append(decisions, l.evaluate(model, now)...)
 	}
+	for _, candidate := range candidates {
+		if candidate.times == candidates[0].times {
+			l.suspect(Part{Model: model, ID: candidate.id}, candidate.times, now)
+		}
+	}
 	return nil
 }
 
-// candidates returns the parts with the least evidence that can be enough, that with the
-// most first. At least one crash must have no explanation yet.
-func (l *List) candidates(model string) []evidence {
+// isSole reports whether responses have cleared other parts that were suspected of each of
+// the crashes, and none but this one is left.
+func (e evidence) isSole() bool {
+	return !slices.ContainsFunc(e.crashes, func(known *crash) bool { return len(known.suspects) > 1 || !known.hadSeveral })
+}
+
+// candidates returns the parts that are suspected of crashes at several times, that with
+// the most first. At least one crash must have no explanation yet.
+func (l *List) candidates(model string, now time.Time) []evidence {
 	byID, unexplained := map[string][]*crash{}, map[string]bool{}
 	for _, known := range l.crashes {
-		if known.model != model {
+		if known.model != model || !known.isSettled(now) {
 			continue
 		}
 		for _, id := range known.suspects {
@@ -50,7 +80,7 @@
 	}
 	var candidates []evidence
 	for id, crashes := range byID {
-		if times := countIndependent(crashes); times >= minCrashTimes && unexplained[id] {
+		if times := l.suspectedCrashTimes(Part{Model: model, ID: id}, crashes); times >= suspicionTimes && unexplained[id] {
 			candidates = append(candidates, evidence{id: id, crashes: crashes, times: times})
 		}
 	}
@@ -74,13 +104,16 @@
 	return count
 }
 
-// equals returns the parts that are suspected of all these crashes, from which the part
-// cannot be told apart, in the order in which they stand in prompts. The last one is the
-// most likely cause: parts at the beginning of a prompt are shared by more requests, and
-// these would have been answered.
-func (e evidence) equals() []string {
-	return slices.DeleteFunc(slices.Clone(e.crashes[0].suspects), func(id string) bool {
-		return slices.ContainsFunc(e.crashes, func(known *crash) bool { return !known.isSuspected(id) })
+// equals returns the parts that are suspected of all the same crashes, from which the
+// candidate cannot be told apart, in the order in which they stand in prompts. The last one
+// is the most likely cause: parts at the beginning of a prompt are shared by more requests,
+// and these would have been answered.
+func (l *List) equals(model string, candidate evidence) []string {
+	return slices.DeleteFunc(slices.Clone(candidate.crashes[0].suspects), func(id string) bool {
+		if slices.ContainsFunc(candidate.crashes, func(known *crash) bool { return !known.isSuspected(id) }) {
+			return true
+		}
+		return l.suspectedCrashTimes(Part{Model: model, ID: id}, candidate.crashes) < candidate.times
 	})
 }
 
--- a/internal/blocklist/exposure.go
+++ b/internal/blocklist/exposure.go
@@ -11,6 +11,9 @@
 	// have crashed before a part is blocked.
 	minCrashTimes = 4
 	maxCrashTimes = 8
+	// minSoleCrashTimes is the least number if responses have cleared all other parts that
+	// were suspected of these crashes.
+	minSoleCrashTimes = 3
 	// maxChance is the greatest probability with which requests with a part are on
 	// instances that crash only by chance, each time and without a response in between.
 	maxChance = 1e-4
@@ -22,7 +25,7 @@
 	maxInterruptions = 128
 	// priorResponses and priorInterruptions are added to the counts: what is expected while
 	// there are few requests.
-	priorResponses, priorInterruptions = 39.0, 1.0
+	priorResponses, priorInterruptions = 9.75, 0.25
 	// minResponses is the number of responses after which weights are known to work. If
 	// other weights of the model are, crashes with those that are not known to work are no
 	// evidence against a part: they may crash at any request.
@@ -128,9 +131,8 @@
 // a part is blocked: the more of the other requests are on instances that crash, the more
 // crashes come together with any part. It is out of reach if the weights may not work.
 func (l *List) requiredCrashTimes(candidate evidence, now time.Time) int {
-	last := candidate.crashes[len(candidate.crashes)-1]
-	of := weights{model: last.model, version: last.version}
-	if l.areNewlyReleased(of) {
+	of, found := l.workingWeights(candidate.crashes)
+	if !found {
 		return math.MaxInt
 	}
 	responses, interruptions := priorResponses, priorInterruptions
@@ -140,9 +142,24 @@
 	}
 	chance := interruptions / (responses + interruptions)
 	times := math.Ceil(math.Log(maxChance) / math.Log(chance))
+	if candidate.isSole() {
+		return int(min(max(times, minSoleCrashTimes), maxCrashTimes))
+	}
 	return int(min(max(times, minCrashTimes), maxCrashTimes))
 }
 
+// workingWeights returns the weights of the latest crash among those with weights that are
+// known to work, or that no others of the model are known to be better than. It returns
+// false if there is none.
+func (l *List) workingWeights(crashes []*crash) (weights, bool) {
+	for _, known := range slices.Backward(crashes) {
+		if of := (weights{model: known.model, version: known.version}); !l.areNewlyReleased(of) {
+			return of, true
+		}
+	}
+	return weights{}, false
+}
+
 // areNewlyReleased reports whether other weights of the model are known to work, and these
 // are not.
 func (l *List) areNewlyReleased(of weights) bool {
--- a/internal/blocklist/traffic_test.go
+++ b/internal/blocklist/traffic_test.go
@@ -98,6 +98,12 @@
 		t.after(time.Duration(t.random.ExpFloat64()/rate*float64(time.Second)), arrive)
 	}
 	t.after(0, arrive)
+	var evaluate func()
+	evaluate = func() {
+		t.list.Evaluate(t.now)
+		t.after(evaluateInterval, evaluate)
+	}
+	t.after(0, evaluate)
 	for len(t.events) > 0 && t.events[0].at.Before(end) {
 		next := heap.Pop(&t.events).(timedEvent)
 		t.now = next.at
@@ -214,7 +220,7 @@
 // blockedIDs returns the IDs of all blocked parts.
 func (t *traffic) blockedIDs() (ids []string) {
 	for _, record := range t.list.Records() {
-		if !record.Lifted {
+		if !record.Lifted && !record.Suspected {
 			ids = append(ids, record.ID)
 		}
 	}
@@ -268,6 +274,7 @@
 	trafficSeeds     = 12
 	trafficInstances = 24
 	trafficRate      = 110.0
+	evaluateInterval = 200 * time.Millisecond
 	// stableTime and maxSentLate are the bound that the platform states.
 	stableTime  = 3 * time.Second
 	maxSentLate = 3
--- a/internal/ctl/blocks.go
+++ b/internal/ctl/blocks.go
@@ -109,8 +109,11 @@
 }
 
 func blockState(record blocklist.Record) string {
-	if record.Lifted {
+	switch {
+	case record.Lifted:
 		return "lifted"
+	case record.Suspected:
+		return "suspected"
 	}
 	return "blocked"
 }
@@ -132,8 +135,8 @@
 	if err != nil {
 		return err
 	}
-	if block.Version == 0 || block.Lifted != lift {
-		block.Version, block.Lifted = block.Version+1, lift
+	if block.Version == 0 || block.Lifted != lift || block.Suspected {
+		block.Version, block.Lifted, block.Suspected = block.Version+1, lift, false
 		if err := client.SaveBlock(ctx, block.Record, block.revision); err != nil {
 			return err
 		}
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -200,6 +200,7 @@
 	h.view.detectListOutage(now)
 	h.view.recheckList(now)
 	h.view.recordVersionLimits(now)
+	h.frontend.blocker.evaluate(now)
 	loads, leaving := encodeLoads(h.scheduler.ownLoads()), encodeLeaving(h.scheduler.recentlyLeaving(now))
 	h.mu.Lock()
 	h.updateReadiness()
--- a/internal/relay/blockreports.go
+++ b/internal/relay/blockreports.go
@@ -39,6 +39,10 @@
 func encodeRecords(records []blocklist.UnsavedRecord) []beat.PartRecord {
 	var encoded []beat.PartRecord
 	for _, one := range records {
+		if one.Suspected {
+			// The crashes themselves are reported.
+			continue
+		}
 		encoded = append(encoded, beat.PartRecord{Model: one.Model, ID: one.ID, Version: one.Version, Lifted: one.Lifted, Crashes: one.Crashes, Trials: one.Trials})
 	}
 	return encoded
--- a/internal/relay/blocks.go
+++ b/internal/relay/blocks.go
@@ -141,11 +141,9 @@
 // after its response had begun.
 func (b *blocker) requestInterrupted(crash blocklist.Crash) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.list.RecordInterruption(crash.Model, crash.Version, crash.Suspects, crash.At)
-	blocked := b.list.RecordCrash(crash, crash.At)
-	b.cancelPending(blocked)
-	b.mu.Unlock()
-	b.afterDecision(blocked)
+	b.list.RecordCrash(crash, crash.At)
 }
 
 // recordPeerCrashes records crashes that another entry has reported.
@@ -153,22 +151,24 @@
 	if len(crashes) == 0 && len(cleared) == 0 {
 		return
 	}
-	var blocked []blocklist.Record
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	for _, one := range cleared {
 		b.list.RecordCleared(one, now)
 	}
 	for _, crash := range crashes {
-		blocked = append(blocked, b.list.RecordCrash(crash, now)...)
+		b.list.RecordCrash(crash, now)
 	}
-	b.cancelPending(blocked)
-	b.mu.Unlock()
-	b.afterDecision(blocked)
 }
 
-func (b *blocker) afterDecision(blocked []blocklist.Record) {
-	if len(blocked) > 0 {
-		b.logRecords(blocked, sourceCrashes)
+// evaluate blocks the parts that cause crashes. It has to be called with each heartbeat.
+func (b *blocker) evaluate(now time.Time) {
+	b.mu.Lock()
+	decisions := b.list.Evaluate(now)
+	b.cancelPending(decisions)
+	b.mu.Unlock()
+	if len(decisions) > 0 {
+		b.logRecords(decisions, sourceCrashes)
 		b.decided()
 	}
 }
@@ -226,7 +226,7 @@
 // holds mu.
 func (b *blocker) cancelPending(records []blocklist.Record) {
 	for _, record := range records {
-		if record.Lifted {
+		if record.Lifted || record.Suspected {
 			continue
 		}
 		for request := range b.pending[record.Part] {
@@ -246,6 +246,9 @@
 
 func (b *blocker) logRecords(records []blocklist.Record, source string) {
 	for _, record := range records {
+		if record.Suspected {
+			continue
+		}
 		log := b.log.WithFields(logrus.Fields{
 			"model": record.Model, "part": record.ID, "version": record.Version, "crashes": record.Crashes, "trials": record.Trials, "source": source,
 		})
--- a/internal/relay/blocks_test.go
+++ b/internal/relay/blocks_test.go
@@ -48,6 +48,9 @@
 			}
 		}
 	}
+	for _, entry := range entries {
+		entry.evaluate(clock.Now().Add(time.Second))
+	}
 }
 
 func testCrash(start string, age time.Duration, suspects ...string) blocklist.Crash {
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -45,6 +46,7 @@
 	t.Helper()
 	f := &engineFixture{fixture: newFixture(t)}
 	go f.frontend.scheduler.Run(t.Context())
+	go f.evaluateBlocks(t.Context())
 	weights := standin.Weights{Model: modelName, Chunks: 1, ChunkBytes: 8, Layers: 1}
 	f.table = standin.Table{
 		Version: 4, Keys: map[string][]string{"firm": {"good"}},
@@ -69,6 +71,14 @@
 	return f
 }
 
+// evaluateBlocks does what the heartbeats of an entry do for its blocks.
+func (f *engineFixture) evaluateBlocks(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.frontend.blocker.evaluate(clock.Now())
+		clock.Sleep(ctx, heartbeatInterval)
+	}
+}
+
 // list makes the first engines those of the platform's list.
 func (f *engineFixture) list(count int) {
 	backends := map[string]any{}
