--- a/bench/simulation/engine.go
+++ b/bench/simulation/engine.go
@@ -114,6 +114,9 @@
 	e.up, e.loaded, e.loading, e.listed = false, 0, false, listedEngine{}
 	if powerLost {
 		e.powerless++
+	}
+	if powerLost && e.world.scenario.Prompts {
+		// Nothing resets its connections.
 		e.queued, e.running = nil, nil
 	}
 	e.breakAll(attemptBroken)
