A request interrupted at two instances is not sent to a third

Change: dispatch bounds the interrupted attempts of a request, by 2 for the own interface and for lookups; streams on the platform are interrupted by switches of versions and have the blocked parts. Result: TestRequestThatEndsInstancesIsNotSentToAThird; without the bound the request reaches 10 instances.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -43,6 +43,9 @@
 	Deadline time.Time
 	// MaxAttempts bounds the attempts.
 	MaxAttempts int
+	// MaxInterruptions, above 0, bounds the attempts that ended without a complete response:
+	// the request may be the reason, and would end further instances.
+	MaxInterruptions int
 	// QueryInterval is the interval between status queries about one attempt.
 	QueryInterval time.Duration
 	// MaxWait bounds how long the request waits for an instance to become
@@ -85,6 +88,7 @@
 type Request struct {
 	config         Config
 	attempts       int
+	interruptions  int
 	mayHaveStarted bool
 	silentSince    time.Time
 	waitingSince   time.Time
@@ -142,8 +146,12 @@
 	if delivered {
 		return Action{Kind: Finish, Outcome: Unknown}
 	}
+	r.interruptions++
 	if r.config.Repeatable {
 		r.mayHaveStarted = true
+		if r.config.MaxInterruptions > 0 && r.interruptions >= r.config.MaxInterruptions {
+			return r.finish()
+		}
 		if r.config.Retry != nil && !r.config.Retry() {
 			return r.finish()
 		}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -92,6 +92,24 @@
 	}
 }
 
+// TestRequestThatEndsInstancesIsNotSentToAThird guards against a request that ends one
+// instance after the other, up to MaxAttempts, because each of them looks faulty.
+func TestRequestThatEndsInstancesIsNotSentToAThird(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	r := dispatch.New(dispatch.Config{Repeatable: true, Deadline: now.Add(time.Minute), MaxAttempts: 10, MaxInterruptions: 2})
+	sent := 0
+	action := r.Start(now)
+	for action.Kind == dispatch.Send {
+		sent++
+		if action = r.NotStarted(now); action.Kind == dispatch.Send {
+			action = r.AttemptInterrupted(false, now)
+		}
+	}
+	if want := (dispatch.Action{Kind: dispatch.Finish, Outcome: dispatch.Unknown}); sent != 2 || action != want {
+		t.Fatalf("%d instances, then %+v; want 2, then %+v", sent, action, want)
+	}
+}
+
 // TestDeadlineEndsBrokenAndHeldRequests checks that a request gets its outcome at its
 // deadline: no status is queried and no instance is waited for beyond it.
 func TestDeadlineEndsBrokenAndHeldRequests(t *testing.T) {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -30,6 +30,9 @@
 	maxIdleConnsPerAgent  = 256
 	maxBufferedBytes      = 8 << 20
 	streamBufferBytes     = 32 << 10
+	// maxInterruptions bounds the instances at which a request is interrupted: it may be the
+	// reason why they end.
+	maxInterruptions = 2
 )
 
 func newAttemptClient(security peer.Security) *http.Client {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -126,15 +126,16 @@
 		rng:            rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	e.dispatcher = dispatch.New(dispatch.Config{
-		Repeatable:    route.Repeatable,
-		Deadline:      deadline,
-		MaxAttempts:   h.config.MaxAttempts,
-		QueryInterval: h.config.StatusQueryInterval,
-		MaxSilence:    h.config.MaxSilence,
-		MaxWait:       h.config.MaxWait,
-		WaitInterval:  waitInterval,
-		Retry:         h.retryBudgets.recordRequest(route.Name),
-		RetryDelay:    retryDelay(),
+		Repeatable:       route.Repeatable,
+		Deadline:         deadline,
+		MaxAttempts:      h.config.MaxAttempts,
+		MaxInterruptions: maxInterruptions,
+		QueryInterval:    h.config.StatusQueryInterval,
+		MaxSilence:       h.config.MaxSilence,
+		MaxWait:          h.config.MaxWait,
+		WaitInterval:     waitInterval,
+		Retry:            h.retryBudgets.recordRequest(route.Name),
+		RetryDelay:       retryDelay(),
 	})
 	outcome = h.admitAndRun(e)
 	h.log.WithFields(logrus.Fields{
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -54,6 +54,8 @@
 	// maxResponseBytes bounds a response, and each part of a stream that comes from one
 	// instance. It also bounds what an instance can send that never ends its response.
 	maxResponseBytes = 16 << 20
+	// maxInterruptions bounds the instances at which one request is interrupted.
+	maxInterruptions = 2
 	// forwardBufferBytes is the size of the buffer for the rest of a large response.
 	forwardBufferBytes = 32 << 10
 )
@@ -132,14 +134,25 @@
 	x.returning = x.frontend.returningCallers.isReturning(x.route.Name, x.call.TimeLeft, x.route.Timeout)
 	x.tried = map[string]bool{}
 	x.decision = dispatch.New(dispatch.Config{
-		Repeatable:  x.route.Repeatable(),
-		Deadline:    x.deadline,
-		MaxAttempts: x.route.MaxAttempts,
-		Retry:       x.takeRetry,
+		Repeatable:       x.route.Repeatable(),
+		Deadline:         x.deadline,
+		MaxAttempts:      x.route.MaxAttempts,
+		Retry:            x.takeRetry,
+		MaxInterruptions: x.maxInterruptions(),
 	})
 	x.frontend.scheduler.countRequest(x.pool)
 }
 
+// maxInterruptions returns the bound on interrupted attempts, 0 for none. A stream is
+// interrupted by each switch of versions, and what it may crash is told by the parts of its
+// prompt.
+func (x *exchange) maxInterruptions() int {
+	if x.route.Kind == catalog.Streaming {
+		return 0
+	}
+	return maxInterruptions
+}
+
 // takeRetry takes one retry from the pool's budget and reports whether it was granted.
 func (x *exchange) takeRetry() bool {
 	granted := x.frontend.scheduler.takeRetry(x.pool)
