--- a/review/_harness/fleet.go
+++ b/review/_harness/fleet.go
@@ -25,8 +25,12 @@
 // backendPort is the port of each backend server on its own loopback address.
 const backendPort = 8081
 
-// engineSlots is the number of requests that a model engine processes at once.
-const engineSlots = 16
+// firstBackendHost is the last byte of the first backend server's address.
+const firstBackendHost = 101
+
+// engineSlots is the number of requests that a model engine processes at once, serviceSlots
+// the same for an instance of another service.
+const engineSlots, serviceSlots = 16, 6
 
 // expiryTime is the time after which the list drops a crashed instance: three intervals
 // of 1,200 ms (HeartbeatMs) without a status report.
@@ -41,9 +45,9 @@
 
 // process is a program of the project that this harness has started.
 type process struct {
-	name, ip string
-	cmd      *exec.Cmd
-	exited   chan struct{}
+	name, ip, zone, program, backendAddress, pool string
+	cmd                                           *exec.Cmd
+	exited                                        chan struct{}
 }
 
 // backend is a stand-in of a backend server.
@@ -94,10 +98,22 @@
 	if f.storeAddress, err = f.serve(f.store); err != nil {
 		return nil, err
 	}
-	f.originAddress, err = f.serve(standin.NewOrigin(modelWeights))
+	f.originAddress, err = f.serve(publishedOnly(standin.NewOrigin(modelWeights)))
 	return f, err
 }
 
+// publishedOnly answers requests for other versions than the first one with 404: no other
+// one was ever named.
+func publishedOnly(origin http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("Version") != "1" {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		origin.ServeHTTP(w, r)
+	})
+}
+
 // freeNetwork returns the second byte of a network 127.x.0.0/16 whose first address has
 // the ports of an entry free.
 func freeNetwork() (int, error) {
@@ -158,12 +174,8 @@
 // and get an agent each.
 func (f *fleet) addBackends(pool string, count int, handle func(*backend, http.Handler, http.ResponseWriter, *http.Request)) error {
 	for i := range count {
-		first := 101
-		if pool != modelPool {
-			first = 201
-		}
 		zone := i % len(zones)
-		b := &backend{fleet: f, name: fmt.Sprintf("%s-%d", pool, i+1), ip: f.address(zone, first+i), zone: zones[zone], pool: pool, handle: handle}
+		b := &backend{fleet: f, name: fmt.Sprintf("%s-%d", pool, i+1), ip: f.address(zone, firstBackendHost+len(f.backends)), zone: zones[zone], pool: pool, handle: handle}
 		version := int64(0)
 		if pool == modelPool {
 			version = 1
@@ -207,7 +219,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
-	p := &process{name: name, ip: ip, cmd: cmd, exited: make(chan struct{})}
+	p := &process{name: name, ip: ip, zone: zone, program: program, backendAddress: backendAddress, pool: pool, cmd: cmd, exited: make(chan struct{})}
 	f.record.add("start", "%s is process %d", name, cmd.Process.Pid)
 	go func() {
 		// The exit status is in ProcessState.
@@ -217,6 +229,11 @@
 	return p, nil
 }
 
+// restart starts a process that has ended once more.
+func (f *fleet) restart(p *process) (*process, error) {
+	return f.start(p.name, p.ip, p.zone, p.program, p.backendAddress, p.pool)
+}
+
 func (p *process) front() string { return fmt.Sprintf("%s:%d", p.ip, standin.PortFront) }
 
 // hasExited reports whether the process has ended.
@@ -290,10 +307,10 @@
 	b.mu.Lock()
 	b.starts++
 	b.id, b.crashed, b.conns = fmt.Sprintf("i-%s-%d", b.name, b.starts), false, map[net.Conn]bool{}
-	config := standin.BackendConfig{ID: b.id, Pool: b.pool, Zone: b.zone, Address: b.address(), Slots: engineSlots, OnStart: b.began}
+	config := standin.BackendConfig{ID: b.id, Pool: b.pool, Zone: b.zone, Address: b.address(), Slots: serviceSlots, OnStart: b.began}
 	if b.pool == modelPool {
 		weights := modelWeights
-		config.Weights = &weights
+		config.Weights, config.Slots = &weights, engineSlots
 	}
 	b.sound = standin.NewBackend(config, version, staged)
 	b.server = &http.Server{Handler: b, ReadHeaderTimeout: time.Minute, ConnState: b.connChanged}
@@ -341,7 +358,12 @@
 // crash ends the backend server as the crash of its process does: its connections are
 // reset and new ones are refused. It starts again after the given time under a new ID,
 // with its staged chunks and without weights. It reports whether it was running.
-func (b *backend) crash(down time.Duration) bool {
+func (b *backend) crash(down time.Duration) bool { return b.end(down, true) }
+
+// losePower is the same for a loss of power: what is staged is lost as well.
+func (b *backend) losePower(down time.Duration) bool { return b.end(down, false) }
+
+func (b *backend) end(down time.Duration, keepStaged bool) bool {
 	b.mu.Lock()
 	if b.crashed {
 		b.mu.Unlock()
@@ -358,6 +380,9 @@
 	b.mu.Unlock()
 	server.Close()
 	staged := sound.Stop()
+	if !keepStaged {
+		staged = nil
+	}
 	time.AfterFunc(expiryTime, func() { b.fleet.store.Remove(standin.KindBackends, id) })
 	time.AfterFunc(down, func() {
 		if err := b.start(0, staged); err != nil {
--- a/review/_harness/slashes.go
+++ b/review/_harness/slashes.go
@@ -18,7 +18,7 @@
 	table := standin.Table{
 		Version: 3,
 		Routes:  []standin.Route{{Name: "book", Host: callerHost, PathPrefix: "/", Pool: servicePool, Kind: standin.NonIdempotent, Timeout: 2500 * time.Millisecond, Objective: 200 * time.Millisecond}},
-		Pools:   []standin.Pool{{Name: servicePool, Slots: 6}},
+		Pools:   []standin.Pool{{Name: servicePool, Slots: serviceSlots}},
 		Keys:    map[string][]string{"firm-1": {callerKey}},
 	}.Encode().(map[string]any)
 	if err := f.publish(table); err != nil {
--- a/review/_harness/tenant.go
+++ b/review/_harness/tenant.go
@@ -20,7 +20,7 @@
 	return standin.Table{
 		Version: version,
 		Routes:  []standin.Route{{Name: "book", Host: callerHost, PathPrefix: "/book/", Pool: servicePool, Kind: standin.NonIdempotent, Timeout: 2500 * time.Millisecond, Objective: 200 * time.Millisecond}},
-		Pools:   []standin.Pool{{Name: servicePool, Slots: 6}},
+		Pools:   []standin.Pool{{Name: servicePool, Slots: serviceSlots}},
 		Keys:    map[string][]string{"firm-1": keys},
 	}.Encode().(map[string]any)
 }
