--- a/review/_harness/poison.go
+++ b/review/_harness/poison.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -102,6 +103,23 @@
 	begun  bool
 }
 
+// option returns the number in an environment variable, by which the case is varied.
+func option(name string, usual int) int {
+	if number, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return number
+	}
+	return usual
+}
+
+// sharedParts returns the parts of a prompt that sound requests have, too.
+func sharedParts(first int) []string {
+	parts := []string{fmt.Sprintf("5eed000%d", first)}
+	for i := range option("MORE_PARTS", 0) {
+		parts = append(parts, fmt.Sprintf("ab%06d", i))
+	}
+	return parts
+}
+
 func playCrashAtFirstToken(f *fleet, trouble bool) (bool, error) {
 	log := &crashLog{}
 	if err := f.publish(modelTable(f.originAddress)); err != nil {
@@ -141,7 +159,7 @@
 		sendEach(soundInterval, quiet+noisy, func(i int) {
 			attempt := nextAttempt()
 			c := call{attempt: attempt, method: http.MethodPost, target: fmt.Sprintf("/write/%d", i), body: "sound " + attempt, key: callerKey, events: 15, limit: 6 * time.Second,
-				parts: []string{fmt.Sprintf("5eed000%d", i%4), "own" + attempt}}
+				parts: append(sharedParts(i%4), "own"+attempt)}
 			got := c.send(f.record, f.entries[i%len(f.entries)])
 			mu.Lock()
 			defer mu.Unlock()
@@ -152,10 +170,10 @@
 	noisyFrom := time.Now()
 	if trouble {
 		senders.Go(func() {
-			sendEach(crashingInterval, noisy, func(i int) {
+			sendEach(time.Duration(option("CRASHING_MS", int(crashingInterval.Milliseconds())))*time.Millisecond, noisy, func(i int) {
 				attempt := nextAttempt()
 				c := call{attempt: attempt, method: http.MethodPost, target: fmt.Sprintf("/write/c%d", i), body: "crashing " + attempt, key: callerKey, events: 15, limit: 6 * time.Second,
-					parts: []string{fmt.Sprintf("5eed000%d", i%4), crashingPart, "own" + attempt}}
+					parts: append(sharedParts(i%4), crashingPart, "own"+attempt)}
 				c.send(f.record, f.entries[i%len(f.entries)])
 			})
 		})
