--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -7,4 +7,4 @@
 for program in target/plantain-entry target/plantain-agent target/review/harness; do
   [ -x "$program" ] || { echo "$program is missing; run the build line and review/build.sh" >&2; exit 2; }
 done
-exec target/review/harness silence-during-drain review/5
+exec target/review/harness silence-during-drain review/4
