--- a/review/_harness/poison.go
+++ b/review/_harness/poison.go
@@ -18,6 +18,8 @@
 	crashingPart = "c0ffee01"
 	// prefillTime is the time that an engine reads a prompt before it begins to write.
 	prefillTime = 60 * time.Millisecond
+	// firstPassTime is the time from the head of an answer to the crash, before the first event.
+	firstPassTime = 60 * time.Millisecond
 	// soundInterval and crashingInterval are the times between two requests without and with
 	// the crashing part.
 	soundInterval, crashingInterval = 50 * time.Millisecond, 250 * time.Millisecond
@@ -69,14 +71,13 @@
 		return
 	}
 	time.Sleep(prefillTime)
-	if os.Getenv("FIRST_EVENT") == "1" {
-		// For comparison: the crash comes when the first event is out.
+	if os.Getenv("HEAD") == "1" {
+		// For comparison: the head of the answer is out before the crash.
 		w.Header().Set("Content-Type", "text/event-stream")
 		w.Header().Set(standin.HeaderAttempt, attempt)
 		w.Header().Set(standin.HeaderSeal, "seal-"+attempt)
-		_, _ = fmt.Fprint(w, standin.StreamEvent(attempt, 1))
 		_ = http.NewResponseController(w).Flush()
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(firstPassTime)
 	}
 	if b.crash(engineDown) {
 		l.mu.Lock()
