Return an attempt's slot also when forwarding the response panics

Cause: net/http parses any status of three characters and panics when one below 100 is sent on. The panic left the attempt before its slot was released; the load told to other entries stayed too, so that 12 lost slots filled the instance everywhere.

Change: the slot is returned in a deferred call. A status outside 200 to 599 completes no request, on the platform's path and on both sides of the own interface. Panics of handlers are logged with the request and counted. The critical section of the scheduler releases its lock in a deferred call.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -157,7 +157,7 @@
 		return e.handleAttemptError(err), false
 	}
 	defer response.Body.Close()
-	if response.Header.Get(message.HeaderAttempt) != e.attemptID {
+	if response.Header.Get(message.HeaderAttempt) != e.attemptID || !message.IsFinal(response.StatusCode) {
 		return e.dispatcher.AttemptInterrupted(false, time.Now()), false
 	}
 	if running, err := strconv.Atoi(response.Header.Get(message.HeaderRunning)); err == nil {
@@ -395,7 +395,7 @@
 }
 
 func (e *exchange) deliverStoredAnswer() dispatch.Outcome {
-	if e.storedAnswer == nil {
+	if e.storedAnswer == nil || !message.IsFinal(e.storedAnswer.Status) {
 		return e.writeOutcome(dispatch.Unknown)
 	}
 	header := http.Header(e.storedAnswer.Header)
--- a/internal/message/http.go
+++ b/internal/message/http.go
@@ -37,3 +37,9 @@
 func Bodiless(method string, status int) bool {
 	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
 }
+
+// IsFinal reports whether a status is one that completes a request: RFC 9110 knows 100 to
+// 599, of which those below 200 are interim.
+func IsFinal(status int) bool {
+	return status >= http.StatusOK && status < 600
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -245,24 +245,33 @@
 	if rejected != nil {
 		return x.handleRejection(ctx, rejected), true
 	}
+	return x.nextAction(ctx, x.attemptInSlot(ctx, t, choice, clock.Now().Sub(queuedAt)))
+}
+
+// attemptInSlot makes one attempt in the slot that was acquired for the ticket. It returns
+// the slot also if the attempt panics.
+func (x *exchange) attemptInSlot(ctx context.Context, t *ticket, choice placement.Choice, queueTime time.Duration) (result outcome) {
 	started := clock.Now()
-	x.frontend.metrics.queueTime.Observe(started.Sub(queuedAt).Seconds())
+	x.frontend.metrics.queueTime.Observe(queueTime.Seconds())
 	record := attemptRecord{
 		Instance: choice.Backend.ID, Zone: choice.Backend.AvailabilityZone, Version: choice.Version, MinVersion: t.need.MinVersion, Load: choice.Load, Limit: choice.Limit, Unread: choice.PendingPromptTokens,
-		QueueMs: started.Sub(queuedAt).Milliseconds(),
+		QueueMs: queueTime.Milliseconds(),
 	}
 	x.tried[choice.Backend.ID] = true
-	outcome := x.attempt(ctx, choice, &record)
-	if outcome == broken && x.mayHaveCrashedInstance(choice, &record) {
-		outcome = crashSuspect
-	}
-	duration := clock.Now().Sub(started)
-	record.Ms, record.Outcome = duration.Milliseconds(), string(outcome)
-	x.attempts = append(x.attempts, record)
-	x.observeAttempt(record)
-	x.frontend.scheduler.release(t, choice, record.placementResult(outcome), duration)
-	x.frontend.metrics.attempts.WithLabelValues(string(outcome)).Inc()
-	return x.nextAction(ctx, outcome)
+	result = broken
+	defer func() {
+		duration := clock.Now().Sub(started)
+		record.Ms, record.Outcome = duration.Milliseconds(), string(result)
+		x.attempts = append(x.attempts, record)
+		x.observeAttempt(record)
+		x.frontend.scheduler.release(t, choice, record.placementResult(result), duration)
+		x.frontend.metrics.attempts.WithLabelValues(string(result)).Inc()
+	}()
+	result = x.attempt(ctx, choice, &record)
+	if result == broken && x.mayHaveCrashedInstance(choice, &record) {
+		result = crashSuspect
+	}
+	return result
 }
 
 // observeAttempt updates the metrics from the record of an attempt.
@@ -458,6 +467,7 @@
 	case platform.AddressReused:
 		return addressReused
 	case platform.Mismatched:
+		x.logMismatch(response, record)
 		return broken
 	}
 	x.responseBegan()
@@ -471,6 +481,13 @@
 	return outcome
 }
 
+// logMismatch logs a response that does not belong to the request, or is none.
+func (x *exchange) logMismatch(response *http.Response, record *attemptRecord) {
+	x.frontend.log.WithFields(logrus.Fields{
+		"request": x.call.AttemptID, "instance": record.Instance, "status": response.StatusCode, "first_ms": record.FirstMs,
+	}).Warning("discarded a response that does not belong to the request or has an invalid status; check the backend server")
+}
+
 // classifyFailure returns the outcome of an attempt that has no complete response.
 func (x *exchange) classifyFailure(watchdog *watchdog, sent bool) outcome {
 	switch {
--- a/internal/relay/frontend.go
+++ b/internal/relay/frontend.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -106,9 +107,25 @@
 		x.refuse(*refused)
 		return
 	}
+	defer x.logPanic()
 	x.run()
 }
 
+// logPanic logs a panic other than the one that closes the caller's connection, and closes
+// it as well.
+func (x *exchange) logPanic() {
+	reason := recover()
+	if reason == nil {
+		return
+	}
+	if reason != http.ErrAbortHandler {
+		x.frontend.metrics.panics.Inc()
+		x.frontend.log.WithFields(logrus.Fields{"request": x.call.AttemptID, "attempts": x.attempts, "stack": string(debug.Stack())}).
+			Errorf("handling a request panicked: %v; its connection is closed; report this", reason)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (f *frontend) readBody(r *http.Request) ([]byte, *refusal) {
 	if !strings.HasPrefix(r.RequestURI, "/") {
 		return nil, &refusal{status: http.StatusBadRequest, reason: "bad_target"}
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -111,7 +111,17 @@
 // acquire waits for a slot. It returns a rejection when the request is shed or when ctx
 // ends first.
 func (s *scheduler) acquire(ctx context.Context, t *ticket) (placement.Choice, *rejection) {
+	if isWaiting := s.enqueue(t); isWaiting {
+		ring.Notify(s.requestQueued)
+	}
+	return s.awaitSlot(ctx, t)
+}
+
+// enqueue queues a request, and places it at once if a slot is free. It reports whether the
+// request waits.
+func (s *scheduler) enqueue(t *ticket) (isWaiting bool) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := clock.Now()
 	s.nextID++
 	t.ID = s.nextID
@@ -121,12 +131,7 @@
 	s.extendQueueTime(t, now)
 	s.shed(s.queue(t.need.Pool).Offer(t.Ticket, now), now)
 	s.dispatchWaiting(t.need.Pool, now)
-	isWaiting := s.tickets[t.ID] != nil
-	s.mu.Unlock()
-	if isWaiting {
-		ring.Notify(s.requestQueued)
-	}
-	return s.awaitSlot(ctx, t)
+	return s.tickets[t.ID] != nil
 }
 
 // extendQueueTime lets a returning caller wait longer while no instance is usable, or
--- a/internal/relay/gate_test.go
+++ b/internal/relay/gate_test.go
@@ -125,11 +125,15 @@
 	return s.queue(pool).Queued()
 }
 
+// maxTestWait bounds the wait for a condition.
+const maxTestWait = 20 * time.Second
+
 // waitUntil waits for a condition that another goroutine brings about.
 func waitUntil(c *qt.C, condition func() bool) {
-	for !condition() {
-		if c.Context().Err() != nil {
-			c.Fatal("the test ended")
+	c.Helper()
+	for until := time.Now().Add(maxTestWait); !condition(); {
+		if c.Context().Err() != nil || time.Now().After(until) {
+			c.Fatal("the condition is not met")
 		}
 		time.Sleep(time.Millisecond)
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -20,6 +20,7 @@
 	longestPause  prometheus.Histogram
 	notices       *prometheus.CounterVec
 	blocks        *blockMetrics
+	panics        prometheus.Counter
 }
 
 // latencyBuckets are the bucket bounds of the latency histograms in seconds, from an
@@ -43,6 +44,9 @@
 		responseBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Name: "answer_bytes_total", Help: "Bytes of answers by the availability zone that they came from, own or other.",
 		}, []string{"availability_zone"}),
+		panics: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Name: "request_panics_total", Help: "Requests whose connection was closed because handling them panicked.",
+		}),
 		notices:      newNoticeCounter(),
 		blocks:       newBlockMetrics(),
 		longestPause: histogram("longest_pause_seconds", "Longest pause between two events of a stream."),
@@ -50,7 +54,7 @@
 		duration:     histogram("request_seconds", "Time from a request's arrival to the end of its answer."),
 		queueTime:    histogram("queue_seconds", "Time that attempts waited for a place."),
 	}
-	m.Registry.MustRegister(f.refused, f.attempts, f.storeCalls, f.retries, f.responseBytes, f.notices, f.blocks.decisions, f.blocks.interruptions, f.longestPause, f.firstEvent, f.duration, f.queueTime)
+	m.Registry.MustRegister(f.refused, f.attempts, f.storeCalls, f.retries, f.responseBytes, f.notices, f.blocks.decisions, f.blocks.interruptions, f.panics, f.longestPause, f.firstEvent, f.duration, f.queueTime)
 	return f
 }
 
