Count a crash before the first byte as evidence against parts of prompts

Cause: only a connection that broke within a response was looked at. A reset before the header was an ordinary interruption: no crash was recorded, and the request was sent on.

Change: an attempt whose connection ends before the header, at an instance that refuses connections then and was not expected to end, counts as interrupted by a crash, and its shared parts are suspected. Most requests that wait for a response when an instance crashes are not the reason. So such a request is sent again unless a part without any known response is suspected of another crash at a different time. The progress of an earlier attempt is no longer taken for that of the next one.

--- a/bench/simulation/blocks.go
+++ b/bench/simulation/blocks.go
@@ -281,7 +281,11 @@
 // instance. Such a request is not sent again unless all of its parts were answered.
 func (b *blocks) attemptBroken(a *attempt, choice placement.Choice, next func(again bool)) {
 	w := b.world
-	if len(a.request.parts) == 0 || a.begunAt.IsZero() || w.now.Sub(a.begunAt) > blocklist.Window(1) || b.resumedAt.Add(wakeTime).After(a.begunAt) || !b.fleet.EndsUnexpectedly(choice) {
+	since := a.begunAt
+	if !a.begun {
+		since = a.sentAt
+	}
+	if len(a.request.parts) == 0 || a.begun && w.now.Sub(since) > blocklist.Window(1) || b.resumedAt.Add(wakeTime).After(since) || !b.fleet.EndsUnexpectedly(choice) {
 		next(true)
 		return
 	}
@@ -295,11 +299,12 @@
 			next(true)
 			return
 		}
-		again := b.list.HasResponse(model, choice.Version, a.request.parts)
-		b.list.RecordInterruption(model, choice.Version, a.request.parts, brokenAt)
-		b.list.RecordCrash(blocklist.Crash{
+		crash := blocklist.Crash{
 			Start: blocklist.Start{Instance: choice.Backend.ID, Born: choice.Backend.Start}, Model: model, Version: choice.Version, At: brokenAt, Suspects: a.request.parts,
-		}, w.now)
+		}
+		again := b.list.HasResponse(model, choice.Version, a.request.parts) || !a.begun && !b.list.IsSuspectedElsewhere(crash)
+		b.list.RecordInterruption(model, choice.Version, a.request.parts, brokenAt)
+		b.list.RecordCrash(crash, w.now)
 		next(again)
 	}
 	to := w.byHost[choice.Backend.Host]
--- a/bench/simulation/engine.go
+++ b/bench/simulation/engine.go
@@ -233,11 +233,14 @@
 		return
 	}
 	e.world.judge.begun(e, a)
-	a.answer(attemptBegun)
 	if a.request.crashing != "" {
+		if !a.request.crashesBeforeHeader {
+			a.answer(attemptBegun)
+		}
 		e.crashAt(a)
 		return
 	}
+	a.answer(attemptBegun)
 	e.world.after(minRun+e.world.randomBelow(runRange), func() {
 		if e.life == life && e.holds(a) {
 			a.answer(attemptDone)
--- a/bench/simulation/entry.go
+++ b/bench/simulation/entry.go
@@ -237,6 +237,8 @@
 	parts    []string
 	crashing string
 	canceled bool
+	// crashesBeforeHeader says that engines crash at it before the response begins.
+	crashesBeforeHeader bool
 }
 
 // accept takes a request of a caller.
--- a/bench/simulation/prompts.go
+++ b/bench/simulation/prompts.go
@@ -27,6 +27,8 @@
 	AtMs  int     `json:"at_ms"`
 	ForMs int     `json:"for_ms"`
 	Share float64 `json:"share"`
+	// BeforeHeader says that engines crash before the header of a response is out.
+	BeforeHeader bool `json:"before_header,omitempty"`
 }
 
 // DrawWithPrompts returns the scenario of a seed in which requests have prompts, with parts
@@ -54,7 +56,7 @@
 		begin := epoch.Add(time.Duration(part.AtMs) * time.Millisecond)
 		active := !w.now.Before(begin) && w.now.Before(begin.Add(time.Duration(part.ForMs)*time.Millisecond))
 		if active && r.crashing == "" && w.prompts.Float64() < part.Share {
-			r.crashing = part.ID
+			r.crashing, r.crashesBeforeHeader = part.ID, part.BeforeHeader
 			r.parts = append(r.parts, part.ID)
 			w.prompts.Shuffle(len(r.parts), func(i, j int) { r.parts[i], r.parts[j] = r.parts[j], r.parts[i] })
 		}
--- a/bench/simulation/simulation_test.go
+++ b/bench/simulation/simulation_test.go
@@ -62,6 +62,19 @@
 	}
 }
 
+// TestCrashesBeforeTheHeader is the same with engines that crash before any byte of a
+// response is out.
+func TestCrashesBeforeTheHeader(t *testing.T) {
+	for seed := range uint64(20) {
+		s := simulation.DrawWithPrompts(seed+101, size)
+		for i := range s.CrashingParts {
+			s.CrashingParts[i].BeforeHeader = true
+		}
+		s.Rules = []string{simulation.RuleBudget, simulation.RuleLost, simulation.RuleVersion, simulation.RuleRecover}
+		check(t, s)
+	}
+}
+
 // TestCases plays the scenarios that once failed, by a fault of the product or by a
 // mutation.
 func TestCases(t *testing.T) {
--- a/internal/blocklist/blocklist.go
+++ b/internal/blocklist/blocklist.go
@@ -4,7 +4,7 @@
 // in events and the time, and get decisions back.
 //
 // A part is suspected when an instance crashes shortly after it has begun to respond to a
-// request with that part. A response that goes on for much longer, or is complete, clears
+// request with that part, or before any byte of the response has arrived. A response that goes on for much longer, or is complete, clears
 // all parts of its request. A part is blocked after several crashes at different times without such a
 // response in between. Guaranteed is that a part whose requests have crashed every instance
 // is blocked after at most maxCrashTimes of these at different times; not that no other part
@@ -67,8 +67,8 @@
 	Version int64
 	At      time.Time
 	// Suspects holds the IDs of the shared parts of requests to which the instance had
-	// begun to respond not longer than Window before, each request's in the order of its
-	// prompt.
+	// begun to respond not longer than Window before, or not begun to, as far as is known
+	// outside: each request's in the order of its prompt.
 	Suspects []string
 }
 
@@ -230,6 +230,22 @@
 	})
 }
 
+// IsSuspectedElsewhere reports whether one of the suspects of a crash, for which no response
+// is known, is suspected of another crash at a different time.
+func (l *List) IsSuspectedElsewhere(reported Crash) bool {
+	for _, other := range l.crashes {
+		if gap := other.at.Sub(reported.At).Abs(); other.model != reported.Model || other.start == reported.Start || gap < independentAfter {
+			continue
+		}
+		for _, id := range reported.Suspects {
+			if other.isSuspected(id) && !l.HasResponse(reported.Model, reported.Version, []string{id}) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // RecordCrash records the crash of an instance, as this entry has seen it or another one
 // has reported it. Several reports of a crash count once, with the suspects of all.
 func (l *List) RecordCrash(reported Crash, now time.Time) {
--- a/internal/blocklist/exposure.go
+++ b/internal/blocklist/exposure.go
@@ -41,7 +41,7 @@
 }
 
 // exposure counts the requests of this entry to engines with the same weights that were
-// answered, and those interrupted by a crash soon after their response had begun.
+// answered, and those interrupted by a crash before their response had begun or soon after.
 type exposure struct {
 	// answered is the number of requests that were answered, up to minResponses; buckets
 	// holds those of exposurePeriod, up to the one with the index last.
@@ -88,7 +88,8 @@
 }
 
 // RecordInterruption records that the crash of an instance has interrupted a request of
-// this entry with these shared parts, not longer than Window after its response had begun.
+// this entry with these shared parts, before its response had begun or not longer than
+// Window after that.
 func (l *List) RecordInterruption(model string, version int64, parts []string, now time.Time) {
 	known := l.exposureOf(weights{model: model, version: version}, now)
 	known.interruptions = append(known.interruptions, interruption{at: now, parts: parts})
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -150,7 +150,7 @@
 	}
 	last := line.Attempts[len(line.Attempts)-1]
 	if last.Outcome == "crash_suspect" {
-		return fmt.Sprintf("%s crashed soon after it had begun to respond; the request may be the reason and was not sent to another instance", last.Instance)
+		return fmt.Sprintf("%s crashed before it had responded or soon after it had begun to; the request may be the reason and was not sent to another instance", last.Instance)
 	}
 	switch line.Outcome {
 	case "answered":
--- a/internal/relay/blocks.go
+++ b/internal/relay/blocks.go
@@ -137,8 +137,16 @@
 	}
 }
 
-// requestInterrupted records that a crash has interrupted a request of this entry soon
-// after its response had begun.
+// isSuspectedElsewhere reports whether a part that may have caused a crash is suspected of
+// another one.
+func (b *blocker) isSuspectedElsewhere(crash blocklist.Crash) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.list.IsSuspectedElsewhere(crash)
+}
+
+// requestInterrupted records that a crash has interrupted a request of this entry before
+// its response had begun or soon after.
 func (b *blocker) requestInterrupted(crash blocklist.Crash) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -42,7 +42,7 @@
 	arrivals atomic.Int64
 }
 
-func newEngineFixture(t *testing.T, count int) *engineFixture {
+func newEngineFixture(t *testing.T, count int, modifiers ...func(*standin.BackendConfig)) *engineFixture {
 	t.Helper()
 	f := &engineFixture{fixture: newFixture(t)}
 	go f.frontend.scheduler.Run(t.Context())
@@ -59,10 +59,14 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		engine := standin.NewBackend(standin.BackendConfig{
+		config := standin.BackendConfig{
 			ID: "i-" + strconv.Itoa(i), Pool: modelPool, Address: listener.Addr().String(), Slots: 8, Weights: &weights, CrashPart: crashPart,
 			OnStart: func(standin.Execution) {}, OnArrival: func(standin.Arrival) { f.arrivals.Add(1) }, BeforeCrash: func(string) { f.crashes.Add(1) },
-		}, 1, nil)
+		}
+		for _, modify := range modifiers {
+			modify(&config)
+		}
+		engine := standin.NewBackend(config, 1, nil)
 		go engine.Serve(listener)
 		t.Cleanup(func() { engine.Stop() })
 		f.engines = append(f.engines, engine)
@@ -114,9 +118,15 @@
 // instance after the other, because each of them is sent to another one and the next
 // request with the same part of the prompt is, too (incident 0003).
 func TestPromptPartThatCrashesInstancesIsBlocked(t *testing.T) {
+	const bound = 5
+	checkPartIsBlocked(t, bound)
+}
+
+func checkPartIsBlocked(t *testing.T, bound int64, modifiers ...func(*standin.BackendConfig)) {
+	t.Helper()
 	c := qt.New(t)
-	const instances, requests, bound = 14, 20, 5
-	f := newEngineFixture(t, instances)
+	const instances, requests = 14, 20
+	f := newEngineFixture(t, instances, modifiers...)
 	for i := range requests {
 		f.renewTables()
 		_, _, _ = f.write(fmt.Sprintf("crash-%d", i), 5, firstPart, crashPart)
@@ -128,6 +138,46 @@
 	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
 }
 
+// crashBeforeHeader makes instances crash before the header of a response.
+func crashBeforeHeader(config *standin.BackendConfig) { config.CrashBeforeHeader = true }
+
+// TestCrashBeforeTheHeaderIsEvidence guards against requests that crash one instance after
+// the other because no byte of a response reaches the entry before (incident 0005). The
+// first of them is sent to a second instance.
+func TestCrashBeforeTheHeaderIsEvidence(t *testing.T) {
+	const bound = 6
+	checkPartIsBlocked(t, bound, crashBeforeHeader)
+}
+
+// TestPendingRequestsAreSentAgainAfterACrash guards against sound requests that are given up
+// because they wait for a response of an instance that crashes, though nothing else speaks
+// against their parts, and against such a request that goes on from crash to crash.
+func TestPendingRequestsAreSentAgainAfterACrash(t *testing.T) {
+	c := qt.New(t)
+	f := newEngineFixture(t, 3, crashBeforeHeader)
+	f.list(1)
+	f.engines[0].SetFaults(standin.BackendFaults{Hang: true})
+	done := make(chan int, 1)
+	go func() {
+		response, _, err := f.write("sound", 5, "unknown")
+		if err != nil {
+			done <- 0
+			return
+		}
+		done <- response.StatusCode
+	}()
+	waitUntil(c, func() bool { return f.arrivals.Load() == 1 })
+	f.list(3)
+	f.engines[0].Crash()
+	c.Assert(<-done, qt.Equals, http.StatusOK)
+	c.Assert(f.frontend.blocker.list.SuspectedParts(), qt.Equals, 0, qt.Commentf("its response clears the part"))
+
+	response, _, err := f.write("crash", 5, crashPart)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
+	c.Assert(f.crashes.Load(), qt.Equals, int64(2), qt.Commentf("the second crash speaks against the part"))
+}
+
 // TestSuspectedRequestIsNotSentAgain guards against a request that crashes a second instance
 // because the first one has not answered it, and against a sound one that is not sent again
 // because it was on the same instance.
@@ -245,20 +295,22 @@
 			f.engines[0].Crash()
 		},
 	} {
-		t.Run(name, func(t *testing.T) {
-			c := qt.New(t)
-			f := newEngineFixture(t, 1)
-			f.engines[0].SetFaults(standin.BackendFaults{SlowFactor: 6})
-			done := make(chan struct{})
-			go func() {
-				_, _, _ = f.write("sound", 20, "rare")
-				close(done)
-			}()
-			waitUntil(c, func() bool { return f.engines[0].Responding() == 1 })
-			fail(f)
-			<-done
-			c.Assert(f.frontend.blocker.list.SuspectedParts(), qt.Equals, 0)
-		})
+		for phase, faults := range map[string]standin.BackendFaults{"responding": {SlowFactor: 6}, "before the header": {Hang: true}} {
+			t.Run(name+", "+phase, func(t *testing.T) {
+				c := qt.New(t)
+				f := newEngineFixture(t, 1)
+				f.engines[0].SetFaults(faults)
+				done := make(chan struct{})
+				go func() {
+					_, _, _ = f.write("sound", 20, "rare")
+					close(done)
+				}()
+				waitUntil(c, func() bool { return f.arrivals.Load() == 1 && (faults.Hang || f.engines[0].Responding() == 1) })
+				fail(f)
+				<-done
+				c.Assert(f.frontend.blocker.list.SuspectedParts(), qt.Equals, 0)
+			})
+		}
 	}
 }
 
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -77,11 +77,12 @@
 
 // responseProgress is what is known of the response to one attempt.
 type responseProgress struct {
-	beganAt time.Time
-	// startedAt is the same time without the time in which the machine was suspended, which
+	// sentAt is when the attempt was begun, beganAt when the response did; it is zero before.
+	sentAt, beganAt time.Time
+	// startedAt is the time beganAt without the time in which the machine was suspended, which
 	// is cheap to compare with.
 	startedAt time.Time
-	// broken says that the instance's connection ended within the response.
+	// broken says that the instance's connection ended before or within the response.
 	broken bool
 	// outlived says that the response clears the parts of the request.
 	outlived bool
@@ -89,7 +90,7 @@
 
 // responseBegan records that an instance has begun to respond.
 func (x *exchange) responseBegan() {
-	x.progress = responseProgress{beganAt: clock.Now(), startedAt: time.Now()}
+	x.progress.beganAt, x.progress.startedAt = clock.Now(), time.Now()
 	x.pending.responding.Store(true)
 }
 
@@ -114,40 +115,65 @@
 	x.frontend.blocker.responseComplete(x.model, x.parts)
 }
 
-// noteBreak records the error that ended the body of a response.
+// noteBreak records the error that ended the connection before or within the response.
 func (x *exchange) noteBreak(err error) {
-	x.progress.broken = errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF)
+	x.progress.broken = errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF)
 }
 
 // mayHaveCrashedInstance reports whether the interrupted attempt may be the reason why its
-// instance has ended: it ended soon after its response had begun. If so, it records the
-// crash. Such a request is sent to another instance only if all parts of its prompt are
-// known not to be the reason.
+// instance has ended, so that it must not be sent to another one. If the attempt may be the
+// reason, it records the crash.
 func (x *exchange) mayHaveCrashedInstance(choice placement.Choice, record *attemptRecord) bool {
 	ended := clock.Now()
-	responseTime := ended.Sub(x.progress.beganAt)
-	if len(x.parts) == 0 || !x.progress.broken || responseTime > blocklist.Window(choice.Slowdown) {
+	since := x.progress.interruptibleSince(ended, blocklist.Window(choice.Slowdown))
+	if len(x.parts) == 0 || !x.progress.broken || since.IsZero() {
 		return false
 	}
 	// After a pause of this process it is not known how long the response went on.
-	if x.frontend.view.wasPausedSince(x.progress.beganAt) || !x.frontend.scheduler.endsUnexpectedly(choice) || !x.frontend.sender.refused(choice.Backend.Address) {
+	if x.frontend.view.wasPausedSince(since) || !x.frontend.scheduler.endsUnexpectedly(choice) || !x.frontend.sender.refused(choice.Backend.Address) {
 		return false
 	}
 	record.Crashed = true
-	isCleared := x.frontend.blocker.hasResponse(x.model, choice.Version, x.parts)
-	x.frontend.log.WithFields(logrus.Fields{
-		"request": x.call.AttemptID, "backend": choice.Backend.ID, "born": choice.Backend.Start, "pool": x.pool, "version": choice.Version,
-		"response_ms": responseTime.Milliseconds(), "events": record.Events, "shared_parts": x.parts, "cleared": isCleared,
-	}).Warning("a backend server crashed soon after it had begun to respond")
-	x.frontend.blocker.requestInterrupted(blocklist.Crash{
+	crash := blocklist.Crash{
 		Start: blocklist.Start{Instance: choice.Backend.ID, Born: choice.Backend.Start}, Model: x.model, Version: choice.Version, At: ended, Suspects: x.parts,
-	})
+	}
+	isRepeated := x.mayRepeatAfter(crash)
+	x.frontend.log.WithFields(logrus.Fields{
+		"request": x.call.AttemptID, "backend": choice.Backend.ID, "born": choice.Backend.Start, "pool": x.pool, "version": choice.Version, "begun": x.progress.hasBegun(),
+		"since_ms": ended.Sub(since).Milliseconds(), "events": record.Events, "shared_parts": x.parts, "repeated": isRepeated,
+	}).Warning("a backend server crashed before it had responded, or soon after it had begun to")
+	x.frontend.blocker.requestInterrupted(crash)
 	next := "ended"
-	if isCleared {
+	if isRepeated {
 		next = "sent again"
 	}
 	x.frontend.metrics.blocks.interruptions.WithLabelValues(next).Inc()
-	return !isCleared
+	return !isRepeated
+}
+
+// mayRepeatAfter reports whether the request may be sent to another instance after a crash
+// that has interrupted it: if all parts of its prompt are known not to be the reason, or, as
+// long as no response had begun, if none of the others is suspected of a further crash. Most
+// of the requests that wait for a response when an instance crashes are not the reason.
+func (x *exchange) mayRepeatAfter(crash blocklist.Crash) bool {
+	if x.frontend.blocker.hasResponse(x.model, crash.Version, x.parts) {
+		return true
+	}
+	return !x.progress.hasBegun() && !x.frontend.blocker.isSuspectedElsewhere(crash)
+}
+
+func (p *responseProgress) hasBegun() bool { return !p.beganAt.IsZero() }
+
+// interruptibleSince returns since when the attempt can have crashed its instance at the
+// given time, or zero if its response began longer than window before.
+func (p *responseProgress) interruptibleSince(at time.Time, window time.Duration) time.Time {
+	switch {
+	case !p.hasBegun():
+		return p.sentAt
+	case at.Sub(p.beganAt) > window:
+		return time.Time{}
+	}
+	return p.beganAt
 }
 
 // refused reports whether the instance at address refuses connections, because its process
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -81,7 +81,8 @@
 	// and for how long it wants no requests.
 	Leaving bool  `json:"leaving,omitempty"`
 	WaitMs  int64 `json:"wait_ms,omitempty"`
-	// Crashed says that the instance crashed soon after it had begun to respond.
+	// Crashed says that the instance crashed before it had responded, or soon after it had
+	// begun to.
 	Crashed bool `json:"crashed,omitempty"`
 	// bytes is the size of the response body.
 	bytes int
@@ -443,6 +444,7 @@
 		return partBlocked
 	}
 	x.pending.responding.Store(false)
+	x.progress = responseProgress{sentAt: clock.Now()}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watchdog := newWatchdog(cancel, x.firstResponseTimeout())
@@ -453,6 +455,7 @@
 	started := clock.Now()
 	response, sent, err := x.frontend.sender.send(request)
 	if err != nil {
+		x.noteBreak(err)
 		return x.classifyFailure(watchdog, sent)
 	}
 	defer response.Body.Close()
