Suspect parts of prompts behind 32 others

Parts that every request shares came first and displaced the one that no response had ever cleared.

Of a crash the likeliest suspects of all reports are kept: parts without a known response first, then those whose last one is the oldest, the later ones of a prompt among equals. The IDs of suspects in one heartbeat are bounded: beyond the size of a datagram no crash was reported at all.

TestReportsOfManySuspectsAreBounded is new.

--- a/internal/blocklist/blocklist.go
+++ b/internal/blocklist/blocklist.go
@@ -263,33 +263,82 @@
 	}
 	// A report that was delayed makes the crash seem later.
 	known.at = earlier(known.at, reported.At)
-	for _, id := range reported.Suspects {
-		l.addSuspect(known, id, now)
-	}
+	l.addSuspects(known, reported.Suspects, now)
 	l.forgetIfCleared(known)
 }
 
-// addSuspect adds a suspected part of a crash, unless a later response has cleared it.
-func (l *List) addSuspect(known *crash, id string, now time.Time) {
-	part := versionedPart{Part: Part{Model: known.model, ID: id}, version: known.version}
-	if known.isSuspected(id) || len(known.suspects) >= maxSuspects {
-		return
+// addSuspects adds the suspected parts of a crash that no later response has cleared. If
+// there are too many, the likeliest of all are kept.
+func (l *List) addSuspects(known *crash, ids []string, now time.Time) {
+	added := slices.Clone(known.suspects)
+	for _, id := range ids {
+		if !slices.Contains(added, id) && !l.isCleared(versionedPart{Part: Part{Model: known.model, ID: id}, version: known.version}, known.at) {
+			added = append(added, id)
+		}
 	}
-	if l.isCleared(part, known.at) {
-		return
+	kept := l.likeliest(known, added)
+	for _, id := range known.suspects {
+		if !slices.Contains(kept, id) {
+			l.countSuspect(Part{Model: known.model, ID: id}, -1)
+		}
+	}
+	for _, id := range kept {
+		if !known.isSuspected(id) {
+			known.changedAt = now
+			l.countSuspect(Part{Model: known.model, ID: id}, 1)
+		}
+	}
+	known.suspects, known.hadSeveral = kept, known.hadSeveral || len(added) > 1
+}
+
+// likeliest returns at most maxSuspects of the given parts in their order: those for which no
+// response is known, or whose latest one is the oldest. Among equals the later ones are
+// kept, which fewer requests share.
+func (l *List) likeliest(known *crash, ids []string) []string {
+	if len(ids) <= maxSuspects {
+		return ids
+	}
+	indexes := make([]int, len(ids))
+	respondedAt := make([]time.Time, len(ids))
+	for i, id := range ids {
+		indexes[i] = i
+		respondedAt[i] = l.lastResponse(versionedPart{Part: Part{Model: known.model, ID: id}, version: known.version})
+	}
+	slices.SortFunc(indexes, func(a, b int) int {
+		return cmp.Or(respondedAt[a].Compare(respondedAt[b]), cmp.Compare(b, a))
+	})
+	indexes = slices.Sorted(slices.Values(indexes[:maxSuspects]))
+	kept := make([]string, 0, maxSuspects)
+	for _, i := range indexes {
+		kept = append(kept, ids[i])
+	}
+	return kept
+}
+
+// lastResponse returns the time of the latest known response for a part, of engines with the
+// same or later weights.
+func (l *List) lastResponse(part versionedPart) (last time.Time) {
+	responses, _ := l.responses.Peek(part.Part)
+	for _, one := range responses {
+		if one.version >= part.version && one.at.After(last) {
+			last = one.at
+		}
+	}
+	return last
+}
+
+// countSuspect changes the number of crashes of which a part is suspected.
+func (l *List) countSuspect(part Part, change int) {
+	if l.suspected[part] += change; l.suspected[part] <= 0 {
+		delete(l.suspected, part)
 	}
-	known.suspects, known.changedAt = append(known.suspects, id), now
-	known.hadSeveral = known.hadSeveral || len(known.suspects) > 1
-	l.suspected[part.Part]++
 }
 
 // removeSuspect removes a suspected part of a crash, and the crash if it was the last one.
 func (l *List) removeSuspect(known *crash, id string) {
 	part := Part{Model: known.model, ID: id}
 	known.suspects = slices.DeleteFunc(known.suspects, func(other string) bool { return other == id })
-	if l.suspected[part]--; l.suspected[part] <= 0 {
-		delete(l.suspected, part)
-	}
+	l.countSuspect(part, -1)
 	l.forgetIfCleared(known)
 }
 
--- a/internal/blocklist/blocklist_test.go
+++ b/internal/blocklist/blocklist_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -175,6 +176,33 @@
 	c.Assert(evaluate(l, at(3000)), qt.DeepEquals, []string{"bad"})
 }
 
+// TestCrashingPartBehindManyOthers guards against a part that is never suspected because
+// more parts stand before it than are kept of a crash, or because requests with other parts
+// were reported first (incident 0005).
+func TestCrashingPartBehindManyOthers(t *testing.T) {
+	for name, requests := range map[string]int{"one request": 1, "several requests": 3} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			l := newList()
+			var shared []string
+			for i := range 40 {
+				shared = append(shared, fmt.Sprint("shared-", i))
+			}
+			var blocked []string
+			for i := range enough {
+				l.RecordResponse(model, 1, shared, at(1000*i-100))
+				for request := range requests - 1 {
+					l.RecordCrash(crashAt(i, 1000*i, append(slices.Clone(shared), fmt.Sprint("own-", i, "-", request))...), at(1000*i))
+				}
+				blocked = append(blocked, record(l, crashAt(i, 1000*i, append(slices.Clone(shared), "bad")...))...)
+				l.RecordResponse(model, 1, shared, at(1000*i+500))
+			}
+			c.Assert(isBlocked(l, "bad"), qt.IsTrue, qt.Commentf("%v", blocked))
+			c.Assert(l.BlockedParts(), qt.Equals, 1)
+		})
+	}
+}
+
 // TestTwoPartsAtOnce guards against one part hiding the other.
 func TestTwoPartsAtOnce(t *testing.T) {
 	c := qt.New(t)
--- a/internal/relay/blockreports.go
+++ b/internal/relay/blockreports.go
@@ -14,6 +14,9 @@
 	maxCrashesPerMessage = 12
 	maxClearedPerMessage = 16
 	maxRecordsPerMessage = 16
+	// maxSuspectBytes bounds the IDs of suspected parts in one heartbeat, which is not sent
+	// at all if it exceeds the size of a datagram.
+	maxSuspectBytes = 3 << 10
 	// crashReportPeriod is how long after it has learned of it this entry tells others of a
 	// crash or of a part that was cleared: some heartbeats. Each of them tells others in
 	// turn.
@@ -25,7 +28,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	since := now.Add(-crashReportPeriod)
+	bytesLeft := maxSuspectBytes
 	for _, crash := range b.list.RecentCrashes(since, maxCrashesPerMessage) {
+		for _, id := range crash.Suspects {
+			bytesLeft -= len(id)
+		}
+		if bytesLeft < 0 {
+			break
+		}
 		m.Crashes = append(m.Crashes, beat.CrashedBackend{
 			ID: crash.Start.Instance, Born: crash.Start.Born, Model: crash.Model, Version: crash.Version, AgeMs: now.Sub(crash.At).Milliseconds(), Suspects: crash.Suspects,
 		})
--- a/internal/relay/blocks_test.go
+++ b/internal/relay/blocks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -267,3 +268,24 @@
 	}
 	c.Assert(letThrough, qt.Equals, 1)
 }
+
+// TestReportsOfManySuspectsAreBounded guards against crashes that no other entry learns of,
+// because the IDs of their suspects do not fit in one message.
+func TestReportsOfManySuspectsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	b := newTestBlocker()
+	for i := range 2 * maxCrashesPerMessage {
+		var suspects []string
+		for j := range 40 {
+			suspects = append(suspects, fmt.Sprintf("%02d-%02d-%s", i, j, strings.Repeat("x", 58)))
+		}
+		b.requestInterrupted(testCrash(fmt.Sprint("i-", i), 0, suspects...))
+	}
+	m := &beat.Message{}
+	b.addReports(m, clock.Now())
+	size := 0
+	for _, crash := range m.Crashes {
+		size += len(strings.Join(crash.Suspects, ""))
+	}
+	c.Assert(size > 0 && size <= maxSuspectBytes, qt.IsTrue, qt.Commentf("%d bytes in %d crashes", size, len(m.Crashes)))
+}
