Limit requests with suspected parts of prompts to probes

Cause: crashes closer than 200 ms count as one, since the failure of a rack looks like that, and until enough independent ones are known nothing limited the requests.

Change: a part that is suspected of four crashes without a block, at two independent times or with no known response, is on probation: entries take turns to send one request with it, 0.6 s after the last crash that they know of. Others are rejected at once, also those that were queued. A response ends the probation everywhere; a crash is one more independent time.

--- a/bench/simulation/blocks.go
+++ b/bench/simulation/blocks.go
@@ -96,6 +96,8 @@
 			b.world.judge.refused(r)
 		case b.isBlocked(r):
 			b.world.judge.blocked(b.entry, r)
+		case !b.list.ProbeDue(model, r.parts, b.turn, b.world.now):
+			b.world.judge.refused(r)
 		default:
 			b.watch(r)
 			b.place(r)
@@ -242,7 +244,7 @@
 		return
 	}
 	for _, unsaved := range b.list.Unsaved(maxSavesPerTurn) {
-		if now.Sub(unsaved.LearnedAt) < time.Duration(b.rank(unsaved.Part))*saveRankDelay {
+		if rank, _ := b.turn(unsaved.Part); now.Sub(unsaved.LearnedAt) < time.Duration(rank)*saveRankDelay {
 			continue
 		}
 		b.retryAt = now.Add(saveTimeout)
@@ -259,12 +261,14 @@
 	}
 }
 
-func (b *blocks) rank(part blocklist.Part) int {
+// turn returns the position of this entry in the order in which entries save or probe a part,
+// and their number.
+func (b *blocks) turn(part blocklist.Part) (rank, entries int) {
 	hosts := []string{b.host}
 	for _, other := range b.directory.LiveEntries(b.world.now) {
 		hosts = append(hosts, other.Host)
 	}
-	return slices.Index(member.Rank(part.Model+"/"+part.ID, hosts), b.host)
+	return slices.Index(member.Rank(part.Model+"/"+part.ID, hosts), b.host), len(hosts)
 }
 
 // responded records that a response has gone on for long enough, or is complete.
--- a/bench/simulation/entry.go
+++ b/bench/simulation/entry.go
@@ -277,6 +277,11 @@
 		e.after(waitingInterval, func() { e.place(r) })
 		return
 	}
+	if !e.blocks.list.StartProbe(model, r.parts, e.blocks.turn, now) {
+		e.fleet.AttemptFinished(choice, placement.CallerDisconnected, now)
+		e.world.judge.refused(r)
+		return
+	}
 	r.attempts++
 	e.sendLoad(choice.Backend.ID)
 	e.attempt(r, choice)
--- a/bench/simulation/simulation_test.go
+++ b/bench/simulation/simulation_test.go
@@ -114,7 +114,7 @@
 		{simulation.CountReports, simulation.RuleLost, 11},
 		{simulation.KeepSuspects, simulation.RuleLost, 12},
 		{simulation.IgnorePeerCrashes, simulation.RuleBudget, 54},
-		{simulation.ForgetBlocks, simulation.RuleBudget, 171},
+		{simulation.ForgetBlocks, simulation.RuleBudget, 405},
 		{simulation.LapseBlocks, simulation.RuleBudget, 40},
 	} {
 		t.Run(string(mutated.mutation), func(t *testing.T) {
--- a/internal/blocklist/blocklist.go
+++ b/internal/blocklist/blocklist.go
@@ -6,7 +6,8 @@
 // A part is suspected when an instance crashes shortly after it has begun to respond to a
 // request with that part, or before any byte of the response has arrived. A response that goes on for much longer, or is complete, clears
 // all parts of its request. A part is blocked after several crashes at different times without such a
-// response in between. Guaranteed is that a part whose requests have crashed every instance
+// response in between. Many crashes in quick succession, which may have one cause of their
+// own, limit the requests with the part to probes until it is blocked or cleared. Guaranteed is that a part whose requests have crashed every instance
 // is blocked after at most maxCrashTimes of these at different times; not that no other part
 // is ever blocked. Complete responses, and crashes that a blocked part does not explain,
 // correct that.
@@ -129,6 +130,8 @@
 	// cleared holds the latest clearings of suspected parts, the oldest first.
 	cleared []clearing
 	blocks  map[Part]*block
+	// probations holds the parts whose requests are limited to probes.
+	probations map[Part]*probation
 }
 
 // New returns an empty list.
@@ -138,7 +141,7 @@
 		// The size is a positive constant.
 		panic(err)
 	}
-	return &List{crashes: map[Start]*crash{}, suspected: map[Part]int{}, responses: responses, exposures: map[weights]*exposure{}, blocks: map[Part]*block{}}
+	return &List{crashes: map[Start]*crash{}, suspected: map[Part]int{}, responses: responses, exposures: map[weights]*exposure{}, blocks: map[Part]*block{}, probations: map[Part]*probation{}}
 }
 
 // Window returns the longest time from the beginning of a response to the crash that it
@@ -209,6 +212,7 @@
 	l.addResponse(part, at)
 	l.endSuspicion(part.Part, now)
 	if l.suspected[part.Part] == 0 {
+		delete(l.probations, part.Part)
 		return
 	}
 	for _, known := range l.crashes {
@@ -216,6 +220,9 @@
 			l.removeSuspect(known, part.ID)
 		}
 	}
+	if l.suspected[part.Part] == 0 {
+		delete(l.probations, part.Part)
+	}
 	l.cleared = append(l.cleared, clearing{part: part, at: at, learnedAt: now})
 	if excess := len(l.cleared) - maxCleared; excess > 0 {
 		l.cleared = slices.Delete(l.cleared, 0, excess)
@@ -286,6 +293,7 @@
 		if !known.isSuspected(id) {
 			known.changedAt = now
 			l.countSuspect(Part{Model: known.model, ID: id}, 1)
+			l.delayProbes(Part{Model: known.model, ID: id}, now)
 		}
 	}
 	known.suspects, known.hadSeveral = kept, known.hadSeveral || len(added) > 1
--- a/internal/blocklist/evaluate.go
+++ b/internal/blocklist/evaluate.go
@@ -24,6 +24,11 @@
 	for _, known := range l.crashes {
 		models[known.model] = models[known.model] || known.explainedBy == "" && known.isSettled(now)
 	}
+	for part := range l.probations {
+		if !models[part.Model] {
+			delete(l.probations, part)
+		}
+	}
 	for _, model := range slices.Sorted(maps.Keys(models)) {
 		if models[model] {
 			decisions = append(decisions, l.evaluate(model, now)...)
@@ -42,7 +47,7 @@
 	l.explainCrashes(model)
 	candidates := l.candidates(model, now)
 	for _, candidate := range candidates {
-		if candidate.times < l.requiredCrashTimes(candidate, now) {
+		if candidate.times < suspicionTimes || candidate.times < l.requiredCrashTimes(candidate, now) {
 			continue
 		}
 		equals := l.equals(model, candidate)
@@ -51,6 +56,7 @@
 		decisions = append(decisions, l.liftDisplaced(model, l.explain(candidate.crashes, equals), now)...)
 		return append(decisions, l.evaluate(model, now)...)
 	}
+	l.updateProbations(model, candidates)
 	for _, candidate := range candidates {
 		if candidate.times == candidates[0].times {
 			l.suspect(Part{Model: model, ID: candidate.id}, candidate.times, now)
@@ -65,8 +71,8 @@
 	return !slices.ContainsFunc(e.crashes, func(known *crash) bool { return len(known.suspects) > 1 || !known.hadSeveral })
 }
 
-// candidates returns the parts that are suspected of crashes at several times, that with
-// the most first. At least one crash must have no explanation yet.
+// candidates returns the parts that are suspected of crashes, that of crashes at the most
+// times first. At least one crash must have no explanation yet.
 func (l *List) candidates(model string, now time.Time) []evidence {
 	byID, unexplained := map[string][]*crash{}, map[string]bool{}
 	for _, known := range l.crashes {
@@ -80,8 +86,8 @@
 	}
 	var candidates []evidence
 	for id, crashes := range byID {
-		if times := l.suspectedCrashTimes(Part{Model: model, ID: id}, crashes); times >= suspicionTimes && unexplained[id] {
-			candidates = append(candidates, evidence{id: id, crashes: crashes, times: times})
+		if unexplained[id] {
+			candidates = append(candidates, evidence{id: id, crashes: crashes, times: l.suspectedCrashTimes(Part{Model: model, ID: id}, crashes)})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b evidence) int {
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -177,8 +177,8 @@
 }
 
 // blockRank returns the position of this entry in the order in which the live entries save
-// the record of a part.
-func (h *heartbeater) blockRank(part blocklist.Part) int {
+// the record of a part or probe it, and their number.
+func (h *heartbeater) blockRank(part blocklist.Part) (rank, entries int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	hosts := []string{h.directory.Self().Host}
@@ -187,7 +187,7 @@
 			hosts = append(hosts, entry.Host)
 		}
 	}
-	return slices.Index(member.Rank(part.Model+"/"+part.ID, hosts), h.directory.Self().Host)
+	return slices.Index(member.Rank(part.Model+"/"+part.ID, hosts), h.directory.Self().Host), len(hosts)
 }
 
 // triggerSend makes Run send the next heartbeat immediately.
--- a/internal/relay/blocks.go
+++ b/internal/relay/blocks.go
@@ -44,6 +44,8 @@
 	metrics *blockMetrics
 	// decided is called after this entry has blocked a part or lifted a block.
 	decided func()
+	// turn returns the position of this entry among those that may probe a part.
+	turn blocklist.Turn
 	// claimTrial is called, without a lock, when a trial of a blocked part is due. It enters
 	// the trial in the store before it grants it.
 	claimTrial func(blocklist.Record)
@@ -55,7 +57,7 @@
 
 func newBlocker(log *logrus.Entry, m *blockMetrics) *blocker {
 	return &blocker{
-		log: log, metrics: m, decided: func() {}, claimTrial: func(blocklist.Record) {}, list: blocklist.New(), pending: map[blocklist.Part]map[*pendingRequest]bool{},
+		log: log, metrics: m, decided: func() {}, turn: func(blocklist.Part) (int, int) { return 0, 1 }, claimTrial: func(blocklist.Record) {}, list: blocklist.New(), pending: map[blocklist.Part]map[*pendingRequest]bool{},
 	}
 }
 
@@ -172,9 +174,14 @@
 // evaluate blocks the parts that cause crashes. It has to be called with each heartbeat.
 func (b *blocker) evaluate(now time.Time) {
 	b.mu.Lock()
+	before := b.list.ProbationParts()
 	decisions := b.list.Evaluate(now)
+	after := b.list.ProbationParts()
 	b.cancelPending(decisions)
 	b.mu.Unlock()
+	if before != after {
+		b.log.WithFields(logrus.Fields{"parts": after, "before": before}).Warning("the number of suspected parts of prompts whose requests are sent one at a time has changed")
+	}
 	if len(decisions) > 0 {
 		b.logRecords(decisions, sourceCrashes)
 		b.decided()
@@ -299,7 +306,7 @@
 			Namespace: metrics.Namespace, Name: "block_decisions_total", Help: "Decisions about parts of prompts that this entry has made or learned of, by kind.",
 		}, []string{"kind"}),
 		interruptions: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: metrics.Namespace, Name: "crash_interruptions_total", Help: "Requests interrupted by the crash of an instance soon after its response had begun, by what became of them.",
+			Namespace: metrics.Namespace, Name: "crash_interruptions_total", Help: "Requests interrupted by the crash of an instance before their response had begun or soon after, by what became of them.",
 		}, []string{"next"}),
 	}
 }
@@ -315,5 +322,6 @@
 	}
 	m.Gauge("blocked_parts", "Parts of prompts that are kept away from instances.", count((*blocklist.List).BlockedParts))
 	m.Gauge("suspected_parts", "Parts of prompts that may have crashed an instance.", count((*blocklist.List).SuspectedParts))
+	m.Gauge("probation_parts", "Suspected parts of prompts whose requests are sent one at a time.", count((*blocklist.List).ProbationParts))
 	m.Gauge("unsaved_blocks", "Decisions about parts of prompts that the store does not have.", count(func(l *blocklist.List) int { return len(l.Unsaved(math.MaxInt)) }))
 }
--- a/internal/relay/blocks_test.go
+++ b/internal/relay/blocks_test.go
@@ -167,7 +167,7 @@
 		snapshot := held.Snapshot(platform.Blocks)
 		b.setStored(decodeStoredBlocks(snapshot.Documents, snapshot.Content.Era, b.log))
 	}})
-	return &saverFixture{blockSaver: newBlockSaver(b, held, client, func(blocklist.Part) int { return rank }, b.log), store: store}
+	return &saverFixture{blockSaver: newBlockSaver(b, held, client, func(blocklist.Part) (int, int) { return rank, rank + 1 }, b.log), store: store}
 }
 
 // read lists the collection, as an entry does that watches it.
--- a/internal/relay/blocksaver.go
+++ b/internal/relay/blocksaver.go
@@ -38,14 +38,14 @@
 	log     *logrus.Entry
 	// rank returns the position of this entry in the order in which entries save the
 	// record of a part.
-	rank func(blocklist.Part) int
+	rank blocklist.Turn
 	// trials holds trials that are due, to be entered in the store.
 	trials  chan blocklist.Record
 	backoff time.Duration
 	retryAt time.Time
 }
 
-func newBlockSaver(b *blocker, c *copies.Copies, store *platform.StoreClient, rank func(blocklist.Part) int, log *logrus.Entry) *blockSaver {
+func newBlockSaver(b *blocker, c *copies.Copies, store *platform.StoreClient, rank blocklist.Turn, log *logrus.Entry) *blockSaver {
 	return &blockSaver{blocker: b, copies: c, store: store, rank: rank, log: log, trials: make(chan blocklist.Record, 1), backoff: minSaveBackoff}
 }
 
@@ -79,7 +79,7 @@
 		return
 	}
 	for _, unsaved := range s.blocker.unsaved(maxSavesPerTurn) {
-		if now.Sub(unsaved.LearnedAt) < time.Duration(s.rank(unsaved.Part))*saveRankDelay {
+		if rank, _ := s.rank(unsaved.Part); now.Sub(unsaved.LearnedAt) < time.Duration(rank)*saveRankDelay {
 			continue
 		}
 		if !s.save(ctx, unsaved.Record) {
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -109,8 +109,12 @@
 
 // write sends a request for a stream whose prompt has the given shared parts.
 func (f *engineFixture) write(attempt string, events int, parts ...string) (*http.Response, string, error) {
+	return f.writeWithin(2500*time.Millisecond, attempt, events, parts...)
+}
+
+func (f *engineFixture) writeWithin(limit time.Duration, attempt string, events int, parts ...string) (*http.Response, string, error) {
 	return f.do(http.MethodPost, "/write/x", func(request *http.Request) {
-		standin.CallerRequest{AttemptID: attempt, APIKey: "good", Events: events, TimeLeft: 2500 * time.Millisecond, Parts: append(parts, "own-"+attempt)}.SetHeaders(request.Header)
+		standin.CallerRequest{AttemptID: attempt, APIKey: "good", Events: events, TimeLeft: limit, Parts: append(parts, "own-"+attempt)}.SetHeaders(request.Header)
 	})
 }
 
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -31,9 +31,13 @@
 	}
 	part, isTrial, admitted := x.frontend.blocker.admit(x.model, x.parts)
 	x.isTrial = isTrial
-	if admitted {
+	if admitted && (isTrial || x.frontend.blocker.probeDue(x.model, x.parts)) {
 		return nil
 	}
+	if admitted {
+		refused := suspectedRefusal()
+		return &refused
+	}
 	x.blockedPart = part.ID
 	refused := x.blockedRefusal()
 	return &refused
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -184,7 +184,7 @@
 	})
 	e.view.copies, e.heartbeats.copies, e.frontend.blockGate.copies = e.copies, e.copies, e.copies
 	e.saver = newBlockSaver(e.blocker, e.copies, store, e.heartbeats.blockRank, log)
-	e.blocker.decided, e.blocker.claimTrial = e.heartbeats.announceBlocks, e.saver.claimTrial
+	e.blocker.decided, e.blocker.claimTrial, e.blocker.turn = e.heartbeats.announceBlocks, e.saver.claimTrial, e.heartbeats.blockRank
 	e.metrics.Gauge("store_era", "Latest era of the store's revisions that this process knows of; it rises when the store is restored from an older copy.", func() float64 { return float64(e.copies.Era()) })
 	client := peer.NewClient(peer.Security{})
 	e.heartbeats.puller = copies.NewPuller(e.copies, client, s.PeerPort, maxConcurrentPulls, nil, log)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -301,6 +301,9 @@
 	case partBlocked:
 		x.refuseBlocked()
 		return dispatch.Action{}, true
+	case partSuspected:
+		x.refuseSuspected()
+		return dispatch.Action{}, true
 	case crashSuspect, canceled:
 		x.finish(ctx, dispatch.Unknown)
 		return dispatch.Action{}, true
@@ -340,7 +343,7 @@
 func (x *exchange) mayHaveRun() bool {
 	for _, record := range x.attempts {
 		switch outcome(record.Outcome) {
-		case notSent, notRun, addressReused, partBlocked:
+		case notSent, notRun, addressReused, partBlocked, partSuspected:
 		default:
 			return true
 		}
@@ -404,6 +407,9 @@
 	// blocked; canceled that it was sent before, and may have run.
 	partBlocked outcome = "blocked"
 	canceled    outcome = "canceled"
+	// partSuspected means that the request was not sent, because a part of its prompt is on
+	// probation.
+	partSuspected outcome = "suspected"
 	// failed means that the instance returned a server error that another instance may
 	// not return.
 	failed outcome = "failed"
@@ -428,7 +434,7 @@
 		return placement.Full
 	case addressReused:
 		return placement.AddressReused
-	case callerDisconnected, partBlocked, canceled:
+	case callerDisconnected, partBlocked, partSuspected, canceled:
 		return placement.CallerDisconnected
 	}
 	return placement.Failed
@@ -443,6 +449,9 @@
 	if x.isBlocked() {
 		return partBlocked
 	}
+	if !x.mayBeSent() {
+		return partSuspected
+	}
 	x.pending.responding.Store(false)
 	x.progress = responseProgress{sentAt: clock.Now()}
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/relay/frontend.go
+++ b/internal/relay/frontend.go
@@ -85,6 +85,7 @@
 	reasonInstancesWait: "come back after the time in Retry-After",
 	reasonBlocksUnknown: "come back after the time in Retry-After",
 	reasonBlocked:       "send the prompt without the part that crashes instances, or ask the operators to lift the block",
+	reasonSuspected:     "come back after the time in Retry-After",
 	"overload":          "come back after the time in Retry-After",
 	"no_instance":       "come back after the time in Retry-After",
 	"unknown":           "the request may have run; ask before it is sent again",
