End a silent attempt only if another instance can take the request

Cause: the timeouts for silence cancelled an attempt whatever could follow: at the last attempt, where no instance had a free slot, and where the retry budget was used up.

Change: when the time ends, the attempt is given up only if another instance can take the request now and the bounds allow it, or if this start of the instance has certainly ended. Otherwise the response is awaited and the check is repeated. A timer that fires while an event arrives no longer cancels.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -140,6 +140,13 @@
 	return r.finish()
 }
 
+// MayRepeat reports whether a further attempt would follow if the last one were interrupted
+// now and the retry budget allowed it.
+func (r *Request) MayRepeat(now time.Time) bool {
+	isLastInterruption := r.config.MaxInterruptions > 0 && r.interruptions+1 >= r.config.MaxInterruptions
+	return r.config.Repeatable && !isLastInterruption && r.attempts < r.config.MaxAttempts && now.Add(r.config.RetryDelay).Before(r.config.Deadline)
+}
+
 // AttemptInterrupted reports that the last attempt ended without a complete
 // response. delivered says that the caller has received a part of it.
 func (r *Request) AttemptInterrupted(delivered bool, now time.Time) Action {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -137,3 +137,25 @@
 		}
 	}
 }
+
+// TestMayRepeatFollowsTheBounds checks that MayRepeat foresees what AttemptInterrupted does.
+func TestMayRepeatFollowsTheBounds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, repeatable := range []bool{true, false} {
+		for maxAttempts := 1; maxAttempts <= 3; maxAttempts++ {
+			for maxInterruptions := range 4 {
+				r := dispatch.New(dispatch.Config{Repeatable: repeatable, Deadline: now.Add(time.Second), MaxAttempts: maxAttempts, MaxInterruptions: maxInterruptions})
+				for action := r.Start(now); action.Kind == dispatch.Send; {
+					if r.MayRepeat(now.Add(time.Second)) {
+						t.Error("a request may be repeated after its deadline")
+					}
+					mayRepeat := r.MayRepeat(now)
+					action = r.AttemptInterrupted(false, now)
+					if isRepeated := action.Kind == dispatch.Send; isRepeated != mayRepeat {
+						t.Errorf("repeated: %t, expected %t (%d attempts, %d interruptions)", isRepeated, mayRepeat, maxAttempts, maxInterruptions)
+					}
+				}
+			}
+		}
+	}
+}
--- a/internal/dispatch/window.go
+++ b/internal/dispatch/window.go
@@ -53,15 +53,20 @@
 
 // TryRetry reports whether one more attempt is allowed, and if so counts it.
 func (b *WindowBudget) TryRetry(now time.Time) bool {
-	current := b.bucketAt(now)
-	requests, retries := b.totals()
-	if float64(retries+1) > b.ratio*float64(requests)+b.slack {
+	if !b.Allows(now) {
 		return false
 	}
-	current.retries++
+	b.bucketAt(now).retries++
 	return true
 }
 
+// Allows reports whether TryRetry would allow one more attempt.
+func (b *WindowBudget) Allows(now time.Time) bool {
+	b.bucketAt(now)
+	requests, retries := b.totals()
+	return float64(retries+1) <= b.ratio*float64(requests)+b.slack
+}
+
 // totals returns the requests and the retries in the window.
 func (b *WindowBudget) totals() (requests, retries int) {
 	for _, bucket := range b.buckets {
--- a/internal/placement/notices.go
+++ b/internal/placement/notices.go
@@ -127,6 +127,14 @@
 	return inst != nil && inst.Start == choice.Backend.Start && !inst.Leaving && !inst.saysLeaving() && !inst.switching() && !inst.addressReused
 }
 
+// HasEnded reports whether the chosen start of an instance has certainly ended: a later one
+// has its ID, or another instance its address. One that is not listed any more may go on for
+// a while.
+func (f *Fleet) HasEnded(choice Choice) bool {
+	inst := f.instances[choice.Backend.ID]
+	return inst != nil && (inst.Start > choice.Backend.Start || inst.addressReused)
+}
+
 // RecentlyLeaving returns the starts that were marked as leaving at the given time or
 // later, the newest first, at most limit.
 func (f *Fleet) RecentlyLeaving(since time.Time, limit int) []InstanceStart {
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -37,6 +37,7 @@
 	*fixture
 	table   standin.Table
 	engines []*standin.Backend
+	configs []standin.BackendConfig
 	crashes atomic.Int64
 	// arrivals counts the requests that have reached an engine.
 	arrivals atomic.Int64
@@ -69,7 +70,7 @@
 		engine := standin.NewBackend(config, 1, nil)
 		go engine.Serve(listener)
 		t.Cleanup(func() { engine.Stop() })
-		f.engines = append(f.engines, engine)
+		f.engines, f.configs = append(f.engines, engine), append(f.configs, config)
 	}
 	f.list(count)
 	return f
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -456,9 +456,9 @@
 	x.progress = responseProgress{sentAt: clock.Now()}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watchdog := newWatchdog(cancel, x.firstResponseTimeout())
+	watchdog := newWatchdog(cancel, x.firstResponseTimeout(), x.silenceCheck(choice))
 	defer watchdog.stop()
-	startLimit := newWatchdog(cancel, x.startLimit(choice))
+	startLimit := newWatchdog(cancel, x.startLimit(choice), nil)
 	defer startLimit.stop()
 	request := x.newAttemptRequest(ctx, choice)
 	started := clock.Now()
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -77,41 +77,86 @@
 	return request.WithContext(ctx)
 }
 
-// watchdog cancels an attempt that makes no progress.
+// silenceRecheckInterval is the time until a watchdog that may not cancel asks again.
+const silenceRecheckInterval = 100 * time.Millisecond
+
+// watchdog cancels an attempt that makes no progress, once it may.
 type watchdog struct {
-	mu      sync.Mutex
-	timer   *time.Timer
-	cancel  context.CancelFunc
-	expired bool
+	cancel context.CancelFunc
+	// mayCancel, when set, is asked when the time has ended. It is called without a lock.
+	mayCancel func() bool
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// due is when the time ends.
+	due              time.Time
+	expired, stopped bool
 }
 
 // newWatchdog returns a watchdog that cancels after limit; zero means no limit.
-func newWatchdog(cancel context.CancelFunc, limit time.Duration) *watchdog {
-	w := &watchdog{cancel: cancel}
-	if limit > 0 {
-		w.timer = time.AfterFunc(limit, w.fire)
+func newWatchdog(cancel context.CancelFunc, limit time.Duration, mayCancel func() bool) *watchdog {
+	w := &watchdog{cancel: cancel, mayCancel: mayCancel}
+	if limit <= 0 {
+		return w
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.due = time.Now().Add(limit)
+	w.timer = time.AfterFunc(limit, w.fire)
 	return w
 }
 
 func (w *watchdog) fire() {
+	if !w.isDue() {
+		return
+	}
+	mayCancel := w.mayCancel == nil || w.mayCancel()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	left := time.Until(w.due)
+	switch {
+	case w.stopped:
+	case left > 0:
+		// The attempt has made progress meanwhile.
+		w.timer.Reset(left)
+	case !mayCancel:
+		w.timer.Reset(silenceRecheckInterval)
+	default:
+		w.expired = true
+		w.cancel()
+	}
+}
+
+// isDue reports whether the time has ended, and otherwise sets the timer to its end.
+func (w *watchdog) isDue() bool {
 	w.mu.Lock()
-	w.expired = true
-	w.mu.Unlock()
-	w.cancel()
+	defer w.mu.Unlock()
+	if left := time.Until(w.due); left > 0 && !w.stopped {
+		w.timer.Reset(left)
+		return false
+	}
+	return !w.stopped
 }
 
 // extend restarts the timer with limit; it does nothing on a watchdog without a limit.
 func (w *watchdog) extend(limit time.Duration) {
-	if w.timer != nil {
-		w.timer.Reset(limit)
+	if w.timer == nil {
+		return
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.due = time.Now().Add(limit)
+	w.timer.Reset(limit)
 }
 
 func (w *watchdog) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
+	if w.timer == nil {
+		return
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
 }
 
 func (w *watchdog) fired() bool {
