Forward an instance's error if nothing can repeat the request

Callers got a 502 of the entry in place of the complete error of the only instance: a server error of a lookup was discarded whenever attempts were left, without asking whether another instance or the retry budget allowed one. TestOnlyErrorIsForwarded failed before.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -564,7 +564,7 @@
 		x.noteBreak(err)
 		return x.classifyFailure(watchdog, true)
 	}
-	if response.StatusCode >= http.StatusInternalServerError && x.route.Kind == catalog.Idempotent && len(x.attempts)+1 < x.route.MaxAttempts {
+	if response.StatusCode >= http.StatusInternalServerError && x.route.Kind == catalog.Idempotent && x.canRepeatNow() {
 		return failed
 	}
 	if x.responseStarted {
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -43,6 +43,12 @@
 	return x.frontend.scheduler.canRepeat(need, clock.Now())
 }
 
+// canRepeatNow reports whether the request would be sent to another instance if the attempt
+// failed now.
+func (x *exchange) canRepeatNow() bool {
+	return x.decision.MayRepeat(clock.Now()) && x.canRepeat(x.repeatNeed())
+}
+
 func (s *scheduler) canRepeat(need placement.Requirements, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -64,6 +64,22 @@
 	c.Assert(response.StatusCode, qt.Equals, http.StatusOK, qt.Commentf(body))
 }
 
+// TestOnlyErrorIsForwarded guards against an instance's error that is replaced by one of the
+// entry because the request could have been sent again, though no other instance could take
+// it.
+func TestOnlyErrorIsForwarded(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		writeSeal(w, r)
+		w.WriteHeader(http.StatusInternalServerError)
+		fmt.Fprint(w, "its own words")
+	})
+	response, body, err := f.do(http.MethodGet, "/look/x")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusInternalServerError)
+	c.Assert(body, qt.Equals, "its own words")
+}
+
 // TestEndedInstanceIsNotAwaited guards against requests that wait for a silent instance which
 // has started again since, and TestUnlistedInstanceIsAwaited against ones that are given up
 // because their instance is leaving without having said so.
