Soak: instances that fall silent for a moment while the tables change

Reproduces the users' report (LOST): beside a change of the tables a request got 502 after 1.3 s, and its instance ran it 0.2 s later. The attempt was given up after 2.5 times the objective, and no other instance had a slot.

--- a/test/soak/fleet/check.go
+++ b/test/soak/fleet/check.go
@@ -186,6 +186,7 @@
 		c.violation("DENIED", "%s was denied with status %d", call.Attempt, call.Status)
 	}
 	c.checkStop(call)
+	c.checkTableChange(call)
 }
 
 func (c *check) neverRevoked(key string) bool {
@@ -210,6 +211,20 @@
 	}
 }
 
+// checkTableChange checks that no request that has started to run is interrupted beside a
+// change of the tables, unless a fault overlaps it or most of its time has passed.
+func (c *check) checkTableChange(call Call) {
+	if call.Outcome != Failed || len(c.executions[call.Attempt]) == 0 || 10*call.Ended.Sub(call.Sent) >= 7*callTimeout || !c.noFaultDuring(call.Sent, call.Ended) {
+		return
+	}
+	for _, change := range c.history.tables {
+		if change.at.Before(call.Ended) && call.Sent.Before(change.at.Add(c.history.Bounds.Apply+time.Second)) {
+			c.violation("LOST", "%s was interrupted after %s beside a change of the tables: status %d %s", call.Attempt, call.Ended.Sub(call.Sent), call.Status, call.Detail)
+			return
+		}
+	}
+}
+
 // checkRecovery checks that at least MinServedShare of the requests are served after
 // the faults have ended and the system had time to recover. It ignores requests with
 // keys that were revoked at any time.
--- a/test/soak/fleet/check_test.go
+++ b/test/soak/fleet/check_test.go
@@ -100,6 +100,10 @@
 		h.Calls[1].Outcome = Failed
 		h.addStop(FaultWindow{Target: "entry-a1", From: checkEpoch.Add(500 * time.Millisecond), To: checkEpoch.Add(5 * time.Second)})
 	}},
+	{"a change of the tables interrupts a request", "LOST", func(h *History) {
+		h.Calls[2].Outcome, h.Calls[2].Status = Failed, 502
+		h.tables = append(h.tables, acceptedChange{at: checkEpoch.Add(500 * time.Millisecond), table: h.tables[0].table})
+	}},
 	{"an entry exceeds the shutdown timeout", "LOST", func(h *History) {
 		h.Overdue = append(h.Overdue, FaultWindow{Target: "entry-a1", From: checkEpoch, To: checkEpoch.Add(shutdownTimeout)})
 	}},
--- a/test/soak/fleet/faults.go
+++ b/test/soak/fleet/faults.go
@@ -51,6 +51,7 @@
 	{"answers lost", func(r *run) error { return r.setFaults("answers lost", standin.BackendFaults{DropResponses: true}) }},
 	{"answers cut", func(r *run) error { return r.setFaults("answers cut", standin.BackendFaults{TruncateResponses: true}) }},
 	{"instance silent", func(r *run) error { return r.setFaults("instance silent", standin.BackendFaults{Hang: true}) }},
+	{"instances pause at new tables", (*run).pauseInstances},
 	{"endless headers", func(r *run) error {
 		return r.setFaults("endless headers", standin.BackendFaults{Endless: standin.EndlessHeader})
 	}},
@@ -301,6 +302,37 @@
 	})
 }
 
+// pausedInstances is the number of instances that pause at once, instancePause how long each
+// of their responses does, before an event or before it begins.
+const (
+	pausedInstances = 3
+	instancePause   = 1500 * time.Millisecond
+)
+
+// pauseInstances makes the responses of some instances pause, while the tables change. That
+// is no fault, and excuses nothing.
+func (r *run) pauseInstances() error {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for range pausedInstances {
+		instance, done := r.reserveInstance(r.isBackend)
+		if instance == nil {
+			break
+		}
+		r.mu.Lock()
+		faults := standin.BackendFaults{SilentAt: 1 + r.random.IntN(3), SilentFor: instancePause}
+		r.mu.Unlock()
+		group.Go(func() {
+			defer done()
+			instance.Backend.SetFaults(faults)
+			time.Sleep(3 * time.Second)
+			instance.Backend.SetFaults(standin.BackendFaults{})
+		})
+	}
+	time.Sleep(instancePause / 2)
+	return r.changeRoute()
+}
+
 // reserve reserves a shared resource, such as the store, against other faults until
 // release is called. release is nil if the resource is already reserved.
 func (r *run) reserve(name string) (release func()) {
