--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -31,15 +31,16 @@
 	}
 	part, isTrial, admitted := x.frontend.blocker.admit(x.model, x.parts)
 	x.isTrial = isTrial
-	if admitted && (isTrial || x.frontend.blocker.probeDue(x.model, x.parts)) {
+	var refused refusal
+	switch {
+	case !admitted:
+		x.blockedPart = part.ID
+		refused = x.blockedRefusal()
+	case !isTrial && !x.frontend.blocker.probeDue(x.model, x.parts):
+		refused = suspectedRefusal()
+	default:
 		return nil
 	}
-	if admitted {
-		refused := suspectedRefusal()
-		return &refused
-	}
-	x.blockedPart = part.ID
-	refused := x.blockedRefusal()
 	return &refused
 }
 
