Let turns to probe a part lapse

While all engines are down the turns of all entries had come, and several sent a probe as soon as the first engine was back, within 54 and 154 ms, which counts as one crash.

A turn lasts half of the interval now and lapses; after 30 s without a crash entries do not wait for it.

--- a/bench/simulation/blocks.go
+++ b/bench/simulation/blocks.go
@@ -96,7 +96,7 @@
 			b.world.judge.refused(r)
 		case b.isBlocked(r):
 			b.world.judge.blocked(b.entry, r)
-		case !b.list.ProbeDue(model, r.parts, b.turn, b.world.now):
+		case b.world.scenario.Mutation != NoProbation && !b.list.ProbeDue(model, r.parts, b.turn, b.world.now):
 			b.world.judge.refused(r)
 		default:
 			b.watch(r)
@@ -289,6 +289,10 @@
 	if !a.begun {
 		since = a.sentAt
 	}
+	if !a.begun && w.scenario.Mutation == IgnoreEarlyCrashes {
+		next(true)
+		return
+	}
 	if len(a.request.parts) == 0 || a.begun && w.now.Sub(since) > blocklist.Window(1) || b.resumedAt.Add(wakeTime).After(since) || !b.fleet.EndsUnexpectedly(choice) {
 		next(true)
 		return
--- a/bench/simulation/entry.go
+++ b/bench/simulation/entry.go
@@ -277,7 +277,7 @@
 		e.after(waitingInterval, func() { e.place(r) })
 		return
 	}
-	if !e.blocks.list.StartProbe(model, r.parts, e.blocks.turn, now) {
+	if e.world.scenario.Mutation != NoProbation && !e.blocks.list.StartProbe(model, r.parts, e.blocks.turn, now) {
 		e.fleet.AttemptFinished(choice, placement.CallerDisconnected, now)
 		e.world.judge.refused(r)
 		return
--- a/bench/simulation/mutation.go
+++ b/bench/simulation/mutation.go
@@ -40,10 +40,14 @@
 	ForgetBlocks Mutation = "forget-blocks"
 	// LapseBlocks ends all blocks after some seconds.
 	LapseBlocks Mutation = "lapse-blocks"
+	// IgnoreEarlyCrashes takes no notice of a crash before the header of a response.
+	IgnoreEarlyCrashes Mutation = "ignore-early-crashes"
+	// NoProbation sends all requests with suspected parts.
+	NoProbation Mutation = "no-probation"
 )
 
 // Mutations are all mutations.
 var Mutations = []Mutation{
 	DropBetween, IgnorePeerAges, NeverEnforce, EnforceLate, FoundIsNew, KeepQueuedVersion, IgnoreSwitchBy, KeepSwitching, WatchAlways, NoBackoff,
-	CountReports, IgnorePeerCrashes, KeepSuspects, ForgetBlocks, LapseBlocks,
+	CountReports, IgnorePeerCrashes, KeepSuspects, ForgetBlocks, LapseBlocks, IgnoreEarlyCrashes, NoProbation,
 }
--- a/bench/simulation/simulation_test.go
+++ b/bench/simulation/simulation_test.go
@@ -116,6 +116,7 @@
 		{simulation.IgnorePeerCrashes, simulation.RuleBudget, 54},
 		{simulation.ForgetBlocks, simulation.RuleBudget, 405},
 		{simulation.LapseBlocks, simulation.RuleBudget, 40},
+		{simulation.IgnoreEarlyCrashes, simulation.RuleBudget, 102},
 	} {
 		t.Run(string(mutated.mutation), func(t *testing.T) {
 			for seed := mutated.seed; seed < mutated.seed+maxSeeds; seed++ {
@@ -123,6 +124,9 @@
 				if mutated.rule == simulation.RuleBudget || mutated.rule == simulation.RuleLost {
 					s = simulation.DrawWithPrompts(seed, size)
 				}
+				for i := range s.CrashingParts {
+					s.CrashingParts[i].BeforeHeader = mutated.mutation == simulation.IgnoreEarlyCrashes
+				}
 				s.Rules = []string{mutated.rule}
 				if len(simulation.Run(s).Findings) > 0 {
 					continue
--- a/internal/blocklist/probation.go
+++ b/internal/blocklist/probation.go
@@ -8,9 +8,12 @@
 	// times, unless no response is known for the part.
 	minProbationCrashes = 4
 	minProbationTimes   = 2
-	// probeInterval is the time between a crash, or a probe, and the next probe of the same
-	// part by the entry whose turn is next: all entries learn meanwhile how it has ended.
+	// probeInterval is the time from a crash until the turn of the first entry to probe a part,
+	// and between the turns of two entries: all of them learn meanwhile how a probe has ended.
+	// A turn lasts half of it, since entries learn of a crash at different times.
 	probeInterval = 600 * time.Millisecond
+	// probeRest is the time without a crash after which entries do not wait for their turn.
+	probeRest = 30 * time.Second
 )
 
 // probation is a part whose requests are limited to probes: it is suspected of many crashes
@@ -67,10 +70,12 @@
 }
 
 func (p *probation) isDue(rank, entries int, now time.Time) bool {
-	if now.Sub(p.lastCrash) < time.Duration(rank+1)*probeInterval {
+	elapsed := now.Sub(p.lastCrash)
+	if elapsed < probeInterval || now.Sub(p.probedAt) < probeInterval {
 		return false
 	}
-	return p.probedAt.IsZero() || now.Sub(p.probedAt) >= time.Duration(entries)*probeInterval
+	isOwnTurn := int(elapsed/probeInterval)%entries == rank && elapsed%probeInterval < probeInterval/2
+	return isOwnTurn || elapsed >= probeRest
 }
 
 // updateProbations puts those candidates of a model on probation that are not blocked though
