--- a/internal/relay/frontend_test.go
+++ b/internal/relay/frontend_test.go
@@ -96,6 +96,12 @@
 	fmt.Fprint(w, "answer")
 }
 
+func answerError(w http.ResponseWriter, r *http.Request) {
+	writeSeal(w, r)
+	w.WriteHeader(http.StatusInternalServerError)
+	fmt.Fprint(w, "its own words")
+}
+
 func rejectAsFull(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set(standin.HeaderNotRun, "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
@@ -234,11 +240,7 @@
 
 func TestInstanceErrorIsForwarded(t *testing.T) {
 	c := qt.New(t)
-	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
-		writeSeal(w, r)
-		w.WriteHeader(http.StatusInternalServerError)
-		fmt.Fprint(w, "its own words")
-	})
+	f := newFixture(t, answerError)
 	response, body, err := f.do(http.MethodPost, "/once/")
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.StatusCode, qt.Equals, http.StatusInternalServerError)
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -69,11 +69,7 @@
 // it.
 func TestOnlyErrorIsForwarded(t *testing.T) {
 	c := qt.New(t)
-	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
-		writeSeal(w, r)
-		w.WriteHeader(http.StatusInternalServerError)
-		fmt.Fprint(w, "its own words")
-	})
+	f := newFixture(t, answerError)
 	response, body, err := f.do(http.MethodGet, "/look/x")
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.StatusCode, qt.Equals, http.StatusInternalServerError)
