Relay: no check for silence on attempts without that timeout

Requests that may not be repeated have no timeout for silence, so that the check was prepared with each attempt and never called. No behaviour changes; the relay tests of silence and lost responses pass.

--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -14,6 +14,10 @@
 // silent: if another instance can take the request now, or this start has ended. Otherwise
 // its response, which may still come, is worth more than none.
 func (x *exchange) silenceCheck(choice placement.Choice) func() bool {
+	if !x.route.Repeatable() {
+		// Such an attempt has no timeout for silence.
+		return nil
+	}
 	// The check runs on another goroutine than the attempt, which changes the exchange.
 	need, mayRepeat, isLogged := x.repeatNeed(), x.decision.MayRepeat(clock.Now()), false
 	return func() bool {
