Relay: reserve the next attempt before a silent one is given up

Callers saw streams closed in the middle when one instance of a nearly full pool stood still for a second, beside a planned stop or without one. Cause: whether another instance has a free slot and the budget a retry was asked by each request for itself, and both were taken later. All requests of the silent instance saw the same free slots, gave up within a millisecond, and those that found none were shed from the queue and closed. In class: a decision on a check that another request's decision makes untrue before it is carried out.

The slot, the retry and the turn of a probe are now taken in one step, and an attempt is given up only with them in hand; they are returned if the instance goes on meanwhile. The same holds for an instance's error to a lookup, which is dropped only if the next attempt is certain to be made.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -163,11 +163,16 @@
 func (q *Queue) start(i int) uint64 {
 	next := q.queued[i]
 	q.queued = slices.Delete(q.queued, i, i+1)
-	q.runningByCustomer[next.Customer]++
-	q.runningTotal++
+	q.Start(next.Customer)
 	return next.ID
 }
 
+// Start counts a request as in progress that has not been queued.
+func (q *Queue) Start(customer string) {
+	q.runningByCustomer[customer]++
+	q.runningTotal++
+}
+
 // expire sheds requests that have waited too long. While there are fewer free
 // slots than requests, it also sheds those that would end after their deadline if
 // they started now. Requests with StartBy are shed at that time instead.
@@ -219,8 +224,8 @@
 	return q.runningByCustomer[a.Customer]*q.weight(b.Customer) < q.runningByCustomer[b.Customer]*q.weight(a.Customer)
 }
 
-// StartFailed records that a request that Next or NextStartable returned did not start.
-// It has no duration.
+// StartFailed records that a request that Next or NextStartable returned, or that Start has
+// counted, did not start. It has no duration.
 func (q *Queue) StartFailed(customer string) {
 	q.runningTotal--
 	q.runningByCustomer[customer]--
@@ -229,7 +234,8 @@
 	}
 }
 
-// RequestFinished records the end of a request that Next or NextStartable returned.
+// RequestFinished records the end of a request that Next or NextStartable returned, or that
+// Start has counted.
 func (q *Queue) RequestFinished(customer, route string, duration time.Duration) {
 	q.StartFailed(customer)
 	q.averageDuration = average(q.averageDuration, duration)
--- a/internal/dispatch/window.go
+++ b/internal/dispatch/window.go
@@ -60,6 +60,17 @@
 	return true
 }
 
+// ReturnRetry takes back a retry that TryRetry counted at takenAt and that was not made.
+func (b *WindowBudget) ReturnRetry(takenAt, now time.Time) {
+	b.bucketAt(now)
+	index := b.index(takenAt)
+	if index <= b.lastBucket-windowBuckets {
+		return
+	}
+	taken := &b.buckets[index%windowBuckets]
+	taken.retries = max(taken.retries-1, 0)
+}
+
 // Allows reports whether TryRetry would allow one more attempt.
 func (b *WindowBudget) Allows(now time.Time) bool {
 	b.bucketAt(now)
@@ -79,10 +90,14 @@
 // bucketAt clears the buckets that have left the window, and returns the bucket for
 // now.
 func (b *WindowBudget) bucketAt(now time.Time) *bucket {
-	index := now.UnixNano() / int64(b.window/windowBuckets)
+	index := b.index(now)
 	for expired := b.lastBucket + 1; expired <= index && expired <= b.lastBucket+windowBuckets; expired++ {
 		b.buckets[expired%windowBuckets] = bucket{}
 	}
 	b.lastBucket = max(b.lastBucket, index)
 	return &b.buckets[index%windowBuckets]
 }
+
+func (b *WindowBudget) index(at time.Time) int64 {
+	return at.UnixNano() / int64(b.window/windowBuckets)
+}
--- a/internal/dispatch/window_test.go
+++ b/internal/dispatch/window_test.go
@@ -48,3 +48,19 @@
 	c.Assert(budget.TryRetry(now), qt.IsTrue)
 	c.Assert(budget.TryRetry(now), qt.IsFalse)
 }
+
+// TestReturnedRetryMayBeTakenAgain guards against retries that were reserved and not made but
+// still count, and against ones that are returned after they have left the window.
+func TestReturnedRetryMayBeTakenAgain(t *testing.T) {
+	c := qt.New(t)
+	budget := dispatch.NewWindowBudget(time.Second, 0, 1)
+	now := time.Unix(100, 0)
+	c.Assert(budget.TryRetry(now), qt.IsTrue)
+	c.Assert(budget.TryRetry(now), qt.IsFalse)
+	budget.ReturnRetry(now, now.Add(100*time.Millisecond))
+	c.Assert(budget.TryRetry(now.Add(100*time.Millisecond)), qt.IsTrue)
+	later := now.Add(3 * time.Second)
+	c.Assert(budget.TryRetry(later), qt.IsTrue)
+	budget.ReturnRetry(now, later)
+	c.Assert(budget.TryRetry(later), qt.IsFalse)
+}
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -629,6 +629,8 @@
 	// CallerDisconnected means that the caller disconnected, which says nothing about the
 	// instance.
 	CallerDisconnected
+	// NotUsed means that the slot was given back before a request was sent.
+	NotUsed
 	// AskedToWait means that the instance asked to be sent no requests for a time, which
 	// RecordWait records. It is no failure.
 	AskedToWait
@@ -657,6 +659,6 @@
 		inst.avoidUntil = now.Add(f.config.FailureBackoff / 4)
 	case AddressReused:
 		inst.addressReused = true
-	case CallerDisconnected, AskedToWait:
+	case CallerDisconnected, NotUsed, AskedToWait:
 	}
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -67,16 +67,18 @@
 	Zone     string `json:"availability_zone"`
 	Version  int64  `json:"version,omitempty"`
 	// MinVersion is the oldest version that could start the request.
-	MinVersion int64  `json:"min_version,omitempty"`
-	Load       int    `json:"load"`
-	Limit      int    `json:"limit"`
-	Unread     int    `json:"unread,omitempty"`
-	QueueMs    int64  `json:"queue_ms"`
-	FirstMs    int64  `json:"first_ms,omitempty"`
-	Events     int    `json:"events,omitempty"`
-	PauseMs    int64  `json:"max_pause_ms,omitempty"`
-	Ms         int64  `json:"ms"`
-	Outcome    string `json:"outcome"`
+	MinVersion int64 `json:"min_version,omitempty"`
+	Load       int   `json:"load"`
+	Limit      int   `json:"limit"`
+	Unread     int   `json:"unread,omitempty"`
+	QueueMs    int64 `json:"queue_ms"`
+	// Reserved says that the slot was reserved before the attempt before it was given up.
+	Reserved bool   `json:"reserved,omitempty"`
+	FirstMs  int64  `json:"first_ms,omitempty"`
+	Events   int    `json:"events,omitempty"`
+	PauseMs  int64  `json:"max_pause_ms,omitempty"`
+	Ms       int64  `json:"ms"`
+	Outcome  string `json:"outcome"`
 	// Leaving and WaitMs are what the response says about the instance: that it leaves,
 	// and for how long it wants no requests.
 	Leaving bool  `json:"leaving,omitempty"`
@@ -115,6 +117,8 @@
 	decision  *dispatch.Request
 	tried     map[string]bool
 	attempts  []attemptRecord
+	// reserved is what the next attempt needs, if it has been reserved.
+	reserved *reservation
 	// responseStarted means that the caller has received a part of the response with
 	// this status. isStream means that the response is a stream; lastEvent is the ID of
 	// the last event in that part, if hasEvent.
@@ -156,7 +160,12 @@
 
 // takeRetry takes one retry from the pool's budget and reports whether it was granted.
 func (x *exchange) takeRetry() bool {
-	granted := x.frontend.scheduler.takeRetry(x.pool)
+	granted := x.reserved != nil && !x.reserved.isRetryUsed
+	if granted {
+		x.reserved.isRetryUsed = true
+	} else {
+		granted = x.frontend.scheduler.takeRetry(x.pool)
+	}
 	x.frontend.metrics.retries.WithLabelValues(strconv.FormatBool(granted)).Inc()
 	return granted
 }
@@ -167,6 +176,7 @@
 	defer cancel()
 	ctx, cancelBlocked := context.WithCancelCause(ctx)
 	defer cancelBlocked(nil)
+	defer x.releaseReservation()
 	x.pending = &pendingRequest{cancel: cancelBlocked}
 	if len(x.parts) > 0 && !x.isTrial {
 		defer x.frontend.blocker.watch(x.model, x.parts, x.pending)()
@@ -240,23 +250,36 @@
 // sendAttempt makes one attempt. ended means that the caller has received the final
 // response.
 func (x *exchange) sendAttempt(ctx context.Context) (next dispatch.Action, ended bool) {
+	if reserved := x.reserved; reserved != nil {
+		x.reserved = nil
+		return x.nextAction(ctx, x.attemptInSlot(ctx, acquiredSlot{ticket: reserved.ticket, choice: reserved.choice, isReserved: true}))
+	}
 	t := x.newTicket()
 	queuedAt := clock.Now()
 	choice, rejected := x.frontend.scheduler.acquire(ctx, t)
 	if rejected != nil {
 		return x.handleRejection(ctx, rejected), true
 	}
-	return x.nextAction(ctx, x.attemptInSlot(ctx, t, choice, clock.Now().Sub(queuedAt)))
+	return x.nextAction(ctx, x.attemptInSlot(ctx, acquiredSlot{ticket: t, choice: choice, queueTime: clock.Now().Sub(queuedAt)}))
+}
+
+// acquiredSlot is a slot of an instance that an attempt may use. isReserved means that it was
+// taken with a reservation, and queueTime that it was waited for.
+type acquiredSlot struct {
+	ticket     *ticket
+	choice     placement.Choice
+	queueTime  time.Duration
+	isReserved bool
 }
 
-// attemptInSlot makes one attempt in the slot that was acquired for the ticket. It returns
-// the slot also if the attempt panics.
-func (x *exchange) attemptInSlot(ctx context.Context, t *ticket, choice placement.Choice, queueTime time.Duration) (result outcome) {
+// attemptInSlot makes one attempt in a slot. It returns the slot also if the attempt panics.
+func (x *exchange) attemptInSlot(ctx context.Context, slot acquiredSlot) (result outcome) {
+	t, choice, queueTime := slot.ticket, slot.choice, slot.queueTime
 	started := clock.Now()
 	x.frontend.metrics.queueTime.Observe(queueTime.Seconds())
 	record := attemptRecord{
 		Instance: choice.Backend.ID, Zone: choice.Backend.AvailabilityZone, Version: choice.Version, MinVersion: t.need.MinVersion, Load: choice.Load, Limit: choice.Limit, Unread: choice.PendingPromptTokens,
-		QueueMs: queueTime.Milliseconds(),
+		QueueMs: queueTime.Milliseconds(), Reserved: slot.isReserved,
 	}
 	x.tried[choice.Backend.ID] = true
 	result = broken
@@ -449,16 +472,16 @@
 	if x.isBlocked() {
 		return partBlocked
 	}
-	if !x.mayBeSent() {
+	if !record.Reserved && !x.mayBeSent() {
 		return partSuspected
 	}
 	x.pending.responding.Store(false)
 	x.progress = responseProgress{sentAt: clock.Now()}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watchdog := newWatchdog(cancel, x.firstResponseTimeout(), x.silenceCheck(choice))
-	defer watchdog.stop()
-	startLimit := newWatchdog(cancel, x.startLimit(choice), nil)
+	watchdog := newWatchdog(cancel, x.firstResponseTimeout(), x.silenceDecision(choice), x.frontend.scheduler.cancelReservation)
+	defer x.takeReservation(watchdog)
+	startLimit := newWatchdog(cancel, x.startLimit(choice), nil, nil)
 	defer startLimit.stop()
 	request := x.newAttemptRequest(ctx, choice)
 	started := clock.Now()
@@ -564,7 +587,7 @@
 		x.noteBreak(err)
 		return x.classifyFailure(watchdog, true)
 	}
-	if response.StatusCode >= http.StatusInternalServerError && x.route.Kind == catalog.Idempotent && x.canRepeatNow() {
+	if response.StatusCode >= http.StatusInternalServerError && x.route.Kind == catalog.Idempotent && x.reserveRepeatNow() {
 		return failed
 	}
 	if x.responseStarted {
--- /dev/null
+++ b/internal/relay/reservation.go
@@ -0,0 +1,86 @@
+package relay
+
+import (
+	"time"
+
+	"plantainrelay/internal/clock"
+	"plantainrelay/internal/placement"
+)
+
+// reservation is what a further attempt of a request needs: a slot of another instance, a
+// retry of the pool's budget, and the turn of a probe if a part of the prompt is on
+// probation. An attempt that may still succeed is given up only for a reservation, since a
+// check alone may become untrue by the decision of another request.
+type reservation struct {
+	ticket *ticket
+	choice placement.Choice
+	// takenAt is when the retry was taken from the budget; isRetryUsed means that it
+	// counts for an attempt.
+	takenAt     time.Time
+	isRetryUsed bool
+}
+
+// reserve takes a slot and a retry for a request that is not queued. It returns nil if one of
+// them is not available.
+func (s *scheduler) reserve(t *ticket) *reservation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := clock.Now()
+	s.updateMinVersion(t, now)
+	budget := s.retryBudget(t.need.Pool)
+	if !budget.Allows(now) {
+		return nil
+	}
+	choice, found := s.fleet.Choose(t.need, now)
+	if !found {
+		return nil
+	}
+	budget.TryRetry(now)
+	s.queue(t.need.Pool).Start(t.Customer)
+	s.loadChanged(choice.Backend.ID, true)
+	return &reservation{ticket: t, choice: choice, takenAt: now}
+}
+
+// cancelReservation returns what reserve has taken. A retry that counts for an attempt stays
+// in the budget.
+func (s *scheduler) cancelReservation(r *reservation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := clock.Now()
+	pool := r.ticket.need.Pool
+	s.fleet.AttemptFinished(r.choice, placement.NotUsed, now)
+	s.queue(pool).StartFailed(r.ticket.Customer)
+	if !r.isRetryUsed {
+		s.retryBudget(pool).ReturnRetry(r.takenAt, now)
+	}
+	s.loadChanged(r.choice.Backend.ID, false)
+	s.dispatchWaiting(pool, now)
+}
+
+// reserveRepeat reserves what the next attempt of the request needs. It returns nil while no
+// other instance can take the request.
+func (x *exchange) reserveRepeat(t *ticket) *reservation {
+	reserved := x.frontend.scheduler.reserve(t)
+	if reserved == nil || len(x.parts) == 0 || x.isTrial || x.frontend.blocker.startProbe(x.model, x.parts) {
+		return reserved
+	}
+	x.frontend.scheduler.cancelReservation(reserved)
+	return nil
+}
+
+// takeReservation stops the watchdog of an attempt and takes over what it has reserved.
+func (x *exchange) takeReservation(w *watchdog) {
+	if reserved := w.stopAndTake(); reserved != nil {
+		x.releaseReservation()
+		x.reserved = reserved
+	}
+}
+
+// releaseReservation returns a reservation that was not used.
+func (x *exchange) releaseReservation() {
+	if x.reserved == nil {
+		return
+	}
+	x.frontend.scheduler.cancelReservation(x.reserved)
+	x.reserved = nil
+}
--- a/internal/relay/reservation_test.go
+++ b/internal/relay/reservation_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"plantainrelay/internal/placement"
 	"plantainrelay/platform/standin"
 )
 
@@ -138,3 +139,64 @@
 		c.Check(<-results, qt.Equals, fmt.Sprintf("%d events, %v", steppedEvents, error(nil)))
 	}
 }
+
+// TestReservationsShareNoSlotAndNoRetry guards against requests that are all told that they
+// may be repeated because of the same slot or the same retry.
+func TestReservationsShareNoSlotAndNoRetry(t *testing.T) {
+	c := qt.New(t)
+	const slots, requests, retries = 8, 40, 3
+	f, _ := newSteppedFixture(t, 1, slots)
+	s := f.frontend.scheduler
+	reserveAll := func() (all []*reservation) {
+		var mu sync.Mutex
+		var group sync.WaitGroup
+		for range requests {
+			group.Go(func() {
+				reserved := s.reserve(&ticket{need: placement.Requirements{Pool: modelPool}})
+				mu.Lock()
+				defer mu.Unlock()
+				if reserved != nil {
+					all = append(all, reserved)
+				}
+			})
+		}
+		group.Wait()
+		return all
+	}
+	s.setRetryLimits(retryLimits{window: 10 * time.Second, slack: requests})
+	all := reserveAll()
+	c.Assert(all, qt.HasLen, 2*slots)
+	for _, reserved := range all {
+		s.cancelReservation(reserved)
+	}
+	s.setRetryLimits(retryLimits{window: 10 * time.Second, slack: retries})
+	all = reserveAll()
+	c.Assert(all, qt.HasLen, retries)
+	all[0].isRetryUsed = true
+	for _, reserved := range all {
+		s.cancelReservation(reserved)
+	}
+	c.Assert(reserveAll(), qt.HasLen, retries-1)
+}
+
+// TestProgressWithdrawsTheReservation guards against slots that stay taken when an instance
+// goes on at the moment at which its attempt would be given up.
+func TestProgressWithdrawsTheReservation(t *testing.T) {
+	c := qt.New(t)
+	withdrawn := make(chan *reservation, 1)
+	reserved, decide, canceled := &reservation{}, make(chan struct{}), make(chan struct{})
+	w := newWatchdog(func() { close(canceled) }, time.Millisecond, func() giveUp {
+		<-decide
+		return giveUp{isAllowed: true, reserved: reserved}
+	}, func(r *reservation) { withdrawn <- r })
+	time.Sleep(5 * time.Millisecond)
+	w.extend(time.Minute)
+	close(decide)
+	c.Assert(<-withdrawn, qt.Equals, reserved)
+	c.Assert(w.stopAndTake(), qt.IsNil)
+	select {
+	case <-canceled:
+		c.Fatal("the attempt was canceled although it made progress")
+	default:
+	}
+}
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -80,22 +80,32 @@
 // silenceRecheckInterval is the time until a watchdog that may not cancel asks again.
 const silenceRecheckInterval = 100 * time.Millisecond
 
+// giveUp is the decision about an attempt that makes no progress. An attempt that is
+// canceled keeps what was reserved for the next one.
+type giveUp struct {
+	isAllowed bool
+	reserved  *reservation
+}
+
 // watchdog cancels an attempt that makes no progress, once it may.
 type watchdog struct {
 	cancel context.CancelFunc
-	// mayCancel, when set, is asked when the time has ended. It is called without a lock.
-	mayCancel func() bool
+	// decide, when set, is asked when the time has ended; withdraw gets what it has reserved
+	// for an attempt that is not canceled. Both are called without a lock.
+	decide   func() giveUp
+	withdraw func(*reservation)
 
 	mu    sync.Mutex
 	timer *time.Timer
 	// due is when the time ends.
 	due              time.Time
 	expired, stopped bool
+	reserved         *reservation
 }
 
 // newWatchdog returns a watchdog that cancels after limit; zero means no limit.
-func newWatchdog(cancel context.CancelFunc, limit time.Duration, mayCancel func() bool) *watchdog {
-	w := &watchdog{cancel: cancel, mayCancel: mayCancel}
+func newWatchdog(cancel context.CancelFunc, limit time.Duration, decide func() giveUp, withdraw func(*reservation)) *watchdog {
+	w := &watchdog{cancel: cancel, decide: decide, withdraw: withdraw}
 	if limit <= 0 {
 		return w
 	}
@@ -110,21 +120,44 @@
 	if !w.isDue() {
 		return
 	}
-	mayCancel := w.mayCancel == nil || w.mayCancel()
+	decision := giveUp{isAllowed: true}
+	if w.decide != nil {
+		decision = w.decide()
+	}
+	if !w.carryOut(decision) && decision.reserved != nil {
+		w.withdraw(decision.reserved)
+	}
+}
+
+// carryOut cancels the attempt if the decision allows it and the attempt has made no progress
+// meanwhile. It reports whether it has canceled the attempt.
+func (w *watchdog) carryOut(decision giveUp) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	left := time.Until(w.due)
 	switch {
 	case w.stopped:
 	case left > 0:
-		// The attempt has made progress meanwhile.
 		w.timer.Reset(left)
-	case !mayCancel:
+	case !decision.isAllowed:
 		w.timer.Reset(silenceRecheckInterval)
 	default:
-		w.expired = true
+		w.expired, w.reserved = true, decision.reserved
 		w.cancel()
+		return true
 	}
+	return false
+}
+
+// stopAndTake stops the watchdog and returns what was reserved when it canceled the attempt,
+// nil if it has not.
+func (w *watchdog) stopAndTake() *reservation {
+	w.stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	reserved := w.reserved
+	w.reserved = nil
+	return reserved
 }
 
 // isDue reports whether the time has ended, and otherwise sets the timer to its end.
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -10,53 +9,51 @@
 	"plantainrelay/internal/placement"
 )
 
-// silenceCheck returns the check whether an attempt may be given up because its instance is
-// silent: if another instance can take the request now, or this start has ended. Otherwise
-// its response, which may still come, is worth more than none.
-func (x *exchange) silenceCheck(choice placement.Choice) func() bool {
+// silenceDecision returns the decision whether an attempt is given up because its instance
+// is silent: if the next attempt has a slot and a retry reserved, or if this start of the
+// instance has ended. Otherwise its response, which may still come, is worth more than none.
+func (x *exchange) silenceDecision(choice placement.Choice) func() giveUp {
 	if !x.route.Repeatable() {
 		// Such an attempt has no timeout for silence.
 		return nil
 	}
-	// The check runs on another goroutine than the attempt, which changes the exchange.
-	need, mayRepeat, isLogged := x.repeatNeed(), x.decision.MayRepeat(clock.Now()), false
-	return func() bool {
-		if x.frontend.scheduler.hasEnded(choice) || mayRepeat && x.canRepeat(need) {
-			return true
+	// The decision runs on another goroutine than the attempt, which changes the exchange.
+	next, mayRepeat, isLogged := x.repeatTicket(), x.decision.MayRepeat(clock.Now()), false
+	return func() giveUp {
+		if mayRepeat {
+			if reserved := x.reserveRepeat(next); reserved != nil {
+				return giveUp{isAllowed: true, reserved: reserved}
+			}
+		}
+		if x.frontend.scheduler.hasEnded(choice) {
+			return giveUp{isAllowed: true}
 		}
 		if !isLogged {
 			isLogged = true
 			x.frontend.log.WithFields(logrus.Fields{"request": x.call.AttemptID, "backend": choice.Backend.ID, "pool": x.pool}).
 				Info("a backend server is silent; its response is awaited, because no other instance can take the request")
 		}
-		return false
+		return giveUp{}
 	}
 }
 
-// repeatNeed returns what a further attempt needs.
-func (x *exchange) repeatNeed() placement.Requirements {
-	need := x.placementNeed()
-	need.MaxWait, need.ReservedSlots, need.Tried = 0, 0, maps.Clone(x.tried)
-	return need
-}
-
-// canRepeat reports whether another instance has a free slot for the request, and the retry
-// budget allows the attempt.
-func (x *exchange) canRepeat(need placement.Requirements) bool {
-	need.MinVersion = x.requiredVersion()
-	return x.frontend.scheduler.canRepeat(need, clock.Now())
-}
-
-// canRepeatNow reports whether the request would be sent to another instance if the attempt
-// failed now.
-func (x *exchange) canRepeatNow() bool {
-	return x.decision.MayRepeat(clock.Now()) && x.canRepeat(x.repeatNeed())
+// repeatTicket returns the ticket of a further attempt that is made while another one is in
+// progress.
+func (x *exchange) repeatTicket() *ticket {
+	t := x.newTicket()
+	t.need.MaxWait, t.need.ReservedSlots, t.need.Tried = 0, 0, maps.Clone(x.tried)
+	t.need.RandomizeChoice = true
+	return t
 }
 
-func (s *scheduler) canRepeat(need placement.Requirements, now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.fleet.HasFreeSlot(need, now) && s.retryBudget(need.Pool).Allows(now)
+// reserveRepeatNow reserves the next attempt of the request, whose current one has failed. It
+// reports whether there will be one.
+func (x *exchange) reserveRepeatNow() bool {
+	if !x.decision.MayRepeat(clock.Now()) {
+		return false
+	}
+	x.reserved = x.reserveRepeat(x.repeatTicket())
+	return x.reserved != nil
 }
 
 func (s *scheduler) hasEnded(choice placement.Choice) bool {
