Relay: a begun stream waits for an instance and a retry as long as its caller does

Callers saw a stream closed in the middle when its instance had broken off and no other one had a free slot for half of the objective (a quarter of a second here), or the retry budget was used up at that moment. Callers wait two seconds or more for the next event, so that the time in which the stream could have gone on was given away.

Such a stream now waits, before new requests, until its caller would give it up less the objective.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -127,6 +127,8 @@
 	isStream        bool
 	lastEvent       int64
 	hasEvent        bool
+	// lastEventAt is when the caller got that event, by time.Now.
+	lastEventAt time.Time
 }
 
 // prepare sets the deadline and the retry decisions of an admitted request.
@@ -158,7 +160,8 @@
 	return maxInterruptions
 }
 
-// takeRetry takes one retry from the pool's budget and reports whether it was granted.
+// takeRetry takes one retry from the pool's budget and reports whether it was granted. A
+// stream that its caller has received a part of waits for one.
 func (x *exchange) takeRetry() bool {
 	granted := x.reserved != nil && !x.reserved.isRetryUsed
 	if granted {
@@ -166,6 +169,9 @@
 	} else {
 		granted = x.frontend.scheduler.takeRetry(x.pool)
 	}
+	if !granted && x.isResuming() {
+		granted = x.awaitRetry()
+	}
 	x.frontend.metrics.retries.WithLabelValues(strconv.FormatBool(granted)).Inc()
 	return granted
 }
@@ -234,13 +240,19 @@
 	if now := clock.Now(); len(x.attempts) > 0 {
 		startBy = now.Add(maxQueueTime)
 	}
-	if startBy.After(x.deadline) {
-		startBy = x.deadline
-	}
 	priority := x.route.Priority
 	if x.customer.HasPriority {
 		priority = x.customer.Priority
 	}
+	if x.isResuming() {
+		priority = resumedPriority
+		if resumeBy := x.resumeBy(); resumeBy.After(startBy) {
+			startBy = resumeBy
+		}
+	}
+	if startBy.After(x.deadline) {
+		startBy = x.deadline
+	}
 	return &ticket{
 		Ticket: admission.Ticket{Customer: x.customer.Name, Route: x.route.Name, Class: priority, Retry: x.returning, Deadline: x.deadline, StartBy: startBy},
 		need:   x.placementNeed(), maxReturnWait: time.Duration(returnWaitFactor * float64(x.route.Objective)),
@@ -682,6 +694,7 @@
 		if next.hasID {
 			x.lastEvent, x.hasEvent = next.id, true
 		}
+		x.lastEventAt = now
 		record.Events++
 		x.noteProgress(choice, record.Events)
 		if !reader.buffered() {
--- /dev/null
+++ b/internal/relay/resume.go
@@ -0,0 +1,45 @@
+package relay
+
+import (
+	"time"
+
+	"plantainrelay/internal/clock"
+	"plantainrelay/platform"
+)
+
+const (
+	// resumedPriority places streams that are resumed before all new requests: the work
+	// for the part that the caller has received would be lost.
+	resumedPriority = -1
+	// retryCheckInterval is the time between two attempts to take a retry from the budget.
+	retryCheckInterval = 25 * time.Millisecond
+)
+
+// isResuming reports whether the next attempt goes on with a stream that the caller has
+// received a part of.
+func (x *exchange) isResuming() bool {
+	return x.responseStarted && x.isStream && x.route.Resumable
+}
+
+// resumeBy returns when an interrupted stream has to be resumed at the latest: later, its
+// caller would have given it up before the next event.
+func (x *exchange) resumeBy() time.Time {
+	patience := platform.CallerPatience(x.route.Objective, x.route.MaxPause)
+	return clock.Now().Add(patience - time.Since(x.lastEventAt) - x.route.Objective)
+}
+
+// awaitRetry waits for a retry from the pool's budget as long as the stream may be resumed,
+// and reports whether it was granted.
+func (x *exchange) awaitRetry() bool {
+	until := x.resumeBy()
+	if x.deadline.Before(until) {
+		until = x.deadline
+	}
+	for x.r.Context().Err() == nil && !x.pending.canceled.Load() && clock.Now().Before(until) {
+		clock.Sleep(x.r.Context(), retryCheckInterval)
+		if x.frontend.scheduler.takeRetry(x.pool) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/relay/resume_test.go
@@ -0,0 +1,49 @@
+package relay
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/internal/clock"
+	"plantainrelay/internal/placement"
+	"plantainrelay/platform/standin"
+)
+
+// TestBegunStreamWaitsForAnInstance guards against streams that are closed after an instance
+// has broken off, because no other one has a free slot or the budget no retry at that moment,
+// though their callers wait for seconds (incident 0009).
+func TestBegunStreamWaitsForAnInstance(t *testing.T) {
+	const events, shortage = 8, 900 * time.Millisecond
+	for name, prepare := range map[string]func(f *engineFixture){
+		"no slot": func(f *engineFixture) {
+			f.list(2)
+			// The belief that the second engine is full ends after the shortage.
+			full := map[string]placement.Load{"i-1": {Count: 100}}
+			f.frontend.scheduler.recordPeerLoads("peer", full, true, clock.Now().Add(shortage-time.Second))
+		},
+		"no retry": func(f *engineFixture) {
+			f.frontend.scheduler.setRetryLimits(retryLimits{window: 10 * time.Second})
+			time.AfterFunc(shortage/10, func() { f.list(2) })
+			time.AfterFunc(shortage, func() {
+				f.frontend.scheduler.setRetryLimits(retryLimits{window: 10 * time.Second, slack: 5})
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			f := newEngineFixture(t, 2)
+			f.list(1)
+			f.engines[0].SetFaults(standin.BackendFaults{TruncateResponses: true})
+			prepare(f)
+			response, body, err := f.writeWithin(2500*time.Millisecond, "begun", events, firstPart)
+			c.Assert(err, qt.IsNil, qt.Commentf("%s", body))
+			c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+			c.Assert(strings.Count(body, "id: "), qt.Equals, events, qt.Commentf("%s", body))
+		})
+	}
+}
