Daemon: drain hooks receive the times of the shutdown

Cause: hooks learn that the process drains, but not when its listeners close and when it ends, so that a request path cannot tell whether a request can still end in time.

Change: OnDrain passes a Shutdown (signal handled, listeners close, process ends), from which the drain limit is now computed as well.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -52,7 +52,7 @@
 		return err
 	}
 	d := daemon.New(daemonConfig(s), log)
-	d.OnDrain(c.gate.Drain)
+	d.OnDrain(func(daemon.Shutdown) { c.gate.Drain() })
 	if err := c.listen(d, s, log); err != nil {
 		return err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -76,7 +76,7 @@
 	config     Config
 	log        *logrus.Entry
 	servers    []server
-	drainHooks []func()
+	drainHooks []func(Shutdown)
 	signals    chan os.Signal
 }
 
@@ -88,9 +88,24 @@
 	return d
 }
 
+// Shutdown holds the times of a graceful shutdown.
+type Shutdown struct {
+	// SignaledAt is when the first SIGTERM or SIGINT was handled.
+	SignaledAt time.Time
+	// LeaveUntil is when the listeners close.
+	LeaveUntil time.Time
+	// EndBy is when the process ends, whatever is in progress.
+	EndBy time.Time
+}
+
+func (d *Daemon) newShutdown(signaledAt time.Time) Shutdown {
+	leaveUntil := signaledAt.Add(d.config.LeaveDelay)
+	return Shutdown{SignaledAt: signaledAt, LeaveUntil: leaveUntil, EndBy: leaveUntil.Add(d.config.DrainLimit)}
+}
+
 // OnDrain registers fn to run in its own goroutine when the first SIGTERM or
 // SIGINT arrives.
-func (d *Daemon) OnDrain(fn func()) {
+func (d *Daemon) OnDrain(fn func(Shutdown)) {
 	d.drainHooks = append(d.drainHooks, fn)
 }
 
@@ -180,11 +195,12 @@
 				continue
 			}
 			draining = true
+			shutdown := d.newShutdown(time.Now())
 			d.log.WithField("signal", received.String()).Info("draining")
 			for _, fn := range d.drainHooks {
-				go fn()
+				go fn(shutdown)
 			}
-			drainTimeout = time.After(d.config.LeaveDelay + d.config.DrainLimit)
+			drainTimeout = time.After(time.Until(shutdown.EndBy))
 		case <-drainTimeout:
 			d.log.Warning("drain limit reached with requests still in progress")
 			return nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -51,9 +51,9 @@
 		return err
 	}
 	d := daemon.New(daemonConfig(s), log)
-	d.OnDrain(p.addresses.MarkSelfLeaving)
-	d.OnDrain(func() { p.addresses.AnnounceLeaving(p.client) })
-	d.OnDrain(p.tracker.Stop)
+	d.OnDrain(func(daemon.Shutdown) { p.addresses.MarkSelfLeaving() })
+	d.OnDrain(func(daemon.Shutdown) { p.addresses.AnnounceLeaving(p.client) })
+	d.OnDrain(func(daemon.Shutdown) { p.tracker.Stop() })
 	if err := p.listen(d, s, operators, log); err != nil {
 		return err
 	}
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -116,7 +116,7 @@
 	if err := e.listen(d, s); err != nil {
 		return err
 	}
-	d.OnDrain(e.beginLeaving)
+	d.OnDrain(func(daemon.Shutdown) { e.beginLeaving() })
 	command.WatchSettings(ctx, s, log, e.reload)
 	go e.copies.Run(ctx)
 	go e.heartbeats.Run(ctx)
