Relay: closed responses log their cause and the time since the signal to stop

Whether a stream was closed for want of a slot, of a retry, of an attempt or by its time limit could not be told from the line broken_off, nor how long after SIGTERM. The line has both now, and closed_responses_total counts by cause.

--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -247,7 +247,7 @@
 
 // beginLeaving removes this entry from the addresses handed out to callers.
 func (e *entry) beginLeaving() {
-	e.frontend.leaving.Store(true)
+	e.frontend.signaledAt.Store(clock.Now().UnixNano())
 	e.heartbeats.triggerSend()
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -127,6 +127,8 @@
 	isStream        bool
 	lastEvent       int64
 	hasEvent        bool
+	// closeCause is why no further attempt is made, for the log.
+	closeCause closeCause
 	// lastEventAt is when the caller got that event, by time.Now.
 	lastEventAt time.Time
 }
@@ -173,6 +175,9 @@
 		granted = x.awaitRetry()
 	}
 	x.frontend.metrics.retries.WithLabelValues(strconv.FormatBool(granted)).Inc()
+	if !granted {
+		x.closeCause = closedForRetry
+	}
 	return granted
 }
 
@@ -359,6 +364,7 @@
 
 // handleRejection ends a request that got no slot.
 func (x *exchange) handleRejection(ctx context.Context, r *rejection) dispatch.Action {
+	x.closeCause = closedForSlot
 	if len(x.attempts) > 0 && x.mayHaveRun() {
 		x.finish(ctx, dispatch.Unknown)
 		return dispatch.Action{}
@@ -400,8 +406,7 @@
 		x.logOutcome(0, string(callerDisconnected))
 		x.abort()
 	case x.responseStarted:
-		x.logOutcome(0, "broken_off")
-		x.abort()
+		x.closeResponse(ctx)
 	case x.isCanceledByBlock(ctx):
 		x.refuseBlocked()
 	case final == dispatch.NotRun:
@@ -413,6 +418,34 @@
 	}
 }
 
+// closeCause is why a response that has begun is not completed.
+type closeCause string
+
+const (
+	closedForTimeLimit closeCause = "time_limit"
+	closedForSlot      closeCause = "no_slot"
+	closedForRetry     closeCause = "no_retry"
+	closedForAttempts  closeCause = "no_attempt_left"
+	// closedForKind means that the response can't be resumed.
+	closedForKind closeCause = "not_resumable"
+)
+
+// closeResponse ends a response that can't be completed.
+func (x *exchange) closeResponse(ctx context.Context) {
+	switch {
+	case x.closeCause != "":
+	case ctx.Err() != nil:
+		x.closeCause = closedForTimeLimit
+	case !x.isResuming():
+		x.closeCause = closedForKind
+	default:
+		x.closeCause = closedForAttempts
+	}
+	x.frontend.metrics.closed.WithLabelValues(string(x.closeCause)).Inc()
+	x.logOutcome(0, "broken_off")
+	x.abort()
+}
+
 // abort closes the caller's connection, so that a partial response cannot be taken for
 // a complete one.
 func (x *exchange) abort() {
--- a/internal/relay/frontend.go
+++ b/internal/relay/frontend.go
@@ -52,9 +52,14 @@
 	// request that the tables do not allow gets a final denial. With an older proof it
 	// gets a Retry-After.
 	maxDenialProofAge atomic.Int64
-	leaving           atomic.Bool
+	// signaledAt is when this entry was told to stop, in nanoseconds of the boot clock; 0
+	// means that it was not.
+	signaledAt atomic.Int64
 }
 
+// isLeaving reports whether this entry was told to stop.
+func (f *frontend) isLeaving() bool { return f.signaledAt.Load() != 0 }
+
 // setBounds sets the bounds on revoked keys and on table changes.
 func (f *frontend) setBounds(bounds platform.Bounds) {
 	f.revokeBound.Store(int64(bounds.KeyRevokeTime))
@@ -94,7 +99,7 @@
 
 // ServeHTTP implements http.Handler.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.leaving.Load() {
+	if f.isLeaving() {
 		w.Header().Set("Connection", "close")
 	}
 	arrived := clock.Now()
@@ -237,6 +242,12 @@
 	if x.wasInterrupted() && len(x.call.SharedParts) > 0 {
 		fields["shared_parts"] = x.call.SharedParts
 	}
+	if x.closeCause != "" && outcome == "broken_off" {
+		fields["cause"], fields["last_event"] = x.closeCause, x.lastEvent
+	}
+	if signaledAt := x.frontend.signaledAt.Load(); signaledAt != 0 {
+		fields["since_signal_ms"] = (clock.Now().UnixNano() - signaledAt) / int64(time.Millisecond)
+	}
 	if x.blockedPart != "" {
 		fields["blocked_part"] = x.blockedPart
 	}
--- a/internal/relay/frontend_test.go
+++ b/internal/relay/frontend_test.go
@@ -378,7 +378,7 @@
 func TestLeavingEntryClosesConnections(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture(t, answerOK)
-	f.frontend.leaving.Store(true)
+	f.frontend.signaledAt.Store(clock.Now().UnixNano())
 	response, _, err := f.do(http.MethodPost, "/once/")
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.StatusCode, qt.Equals, 200)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -21,6 +21,7 @@
 	notices       *prometheus.CounterVec
 	blocks        *blockMetrics
 	panics        prometheus.Counter
+	closed        *prometheus.CounterVec
 }
 
 // latencyBuckets are the bucket bounds of the latency histograms in seconds, from an
@@ -47,6 +48,9 @@
 		panics: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Name: "request_panics_total", Help: "Requests whose connection was closed because handling them panicked.",
 		}),
+		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Name: "closed_responses_total", Help: "Responses that had begun and were closed before their end, by cause.",
+		}, []string{"cause"}),
 		notices:      newNoticeCounter(),
 		blocks:       newBlockMetrics(),
 		longestPause: histogram("longest_pause_seconds", "Longest pause between two events of a stream."),
@@ -54,7 +58,7 @@
 		duration:     histogram("request_seconds", "Time from a request's arrival to the end of its answer."),
 		queueTime:    histogram("queue_seconds", "Time that attempts waited for a place."),
 	}
-	m.Registry.MustRegister(f.refused, f.attempts, f.storeCalls, f.retries, f.responseBytes, f.notices, f.blocks.decisions, f.blocks.interruptions, f.panics, f.longestPause, f.firstEvent, f.duration, f.queueTime)
+	m.Registry.MustRegister(f.refused, f.attempts, f.storeCalls, f.retries, f.responseBytes, f.notices, f.blocks.decisions, f.blocks.interruptions, f.panics, f.closed, f.longestPause, f.firstEvent, f.duration, f.queueTime)
 	return f
 }
 
--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/placement"
@@ -47,3 +48,33 @@
 		})
 	}
 }
+
+// TestClosedResponseNamesItsCause guards against closed responses that the log doesn't
+// explain (incident 0009).
+func TestClosedResponseNamesItsCause(t *testing.T) {
+	for cause, prepare := range map[closeCause]func(f *engineFixture){
+		closedForRetry: func(f *engineFixture) {
+			f.frontend.scheduler.setRetryLimits(retryLimits{window: 10 * time.Second})
+		},
+		closedForSlot:     func(f *engineFixture) { f.list(1) },
+		closedForAttempts: func(f *engineFixture) {},
+	} {
+		t.Run(string(cause), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			f := newEngineFixture(t, 2)
+			for _, engine := range f.engines {
+				engine.SetFaults(standin.BackendFaults{TruncateResponses: true})
+			}
+			prepare(f)
+			f.frontend.signaledAt.Store(clock.Now().UnixNano())
+			log := logtest.NewLocal(f.frontend.log.Logger)
+			_, _, err := f.write("closed", 20, firstPart)
+			c.Assert(err, qt.IsNotNil)
+			ended := log.LastEntry()
+			c.Assert(ended.Message, qt.Equals, "request ended")
+			c.Assert(ended.Data["cause"], qt.Equals, cause)
+			c.Assert(ended.Data["since_signal_ms"], qt.Not(qt.IsNil))
+		})
+	}
+}
