Relay: a stopping entry takes only requests that can end before it does

Callers saw requests that were sent 2.5 to 3.2 s after SIGTERM cut 7.7 s after it, without a complete response, among them ones that may not be repeated. Cause: an entry took all requests for 0.4 of the grace period and ended whatever was in progress later, though a time limit of 6 s is longer than what was left; and a request that had no response at the end got none.

Listeners close after 0.3 of the grace period. 0.2 s before the process ends, requests without a response get one: 503 if no instance may have run them, else 502; streams that have begun are closed with the cause in the log.

--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -271,12 +271,12 @@
 // updateReadiness recomputes whether this entry accepts requests. The caller holds mu.
 func (h *heartbeater) updateReadiness() {
 	table, age := h.view.tablesAndProofAge()
-	ready := table != nil && age <= maxReadyProofAge && !h.frontend.isLeaving() && h.frontend.blockGate.hasRead(clock.Now())
+	ready := table != nil && age <= maxReadyProofAge && !h.frontend.shutdown.hasBegun() && h.frontend.blockGate.hasRead(clock.Now())
 	if ready != h.ready {
 		h.log.WithFields(logrus.Fields{"ready": ready, "proof_age_ms": age.Milliseconds()}).Info("readiness changed")
 	}
 	h.ready = ready
-	h.directory.SetState(ready, h.frontend.isLeaving())
+	h.directory.SetState(ready, h.frontend.shutdown.hasBegun())
 	h.directory.SetStoreUnavailable(h.copies.StoreUnavailable())
 }
 
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -46,7 +46,7 @@
 	stallTimeout = 5 * time.Second
 	// leaveGraceShare is the share of the grace period in which a stopping entry still
 	// accepts requests from callers that have cached its address.
-	leaveGraceShare = 0.4
+	leaveGraceShare = 0.3
 	// exitMargin is the time between the end of the drain and the end of the grace
 	// period.
 	exitMargin = 300 * time.Millisecond
@@ -116,7 +116,7 @@
 	if err := e.listen(d, s); err != nil {
 		return err
 	}
-	d.OnDrain(func(daemon.Shutdown) { e.beginLeaving() })
+	d.OnDrain(e.beginLeaving)
 	command.WatchSettings(ctx, s, log, e.reload)
 	go e.copies.Run(ctx)
 	go e.heartbeats.Run(ctx)
@@ -165,7 +165,7 @@
 	e.blocker = newBlocker(log, counts.blocks)
 	e.view = newView(e.scheduler, e.blocker, s.Bounds.VersionSwitchTime-switchMargin, s.Bounds.StableTime-stablePeriodMargin, log)
 	e.metrics.Registry.MustRegister(e.view.versionMetrics.minVersion, e.view.versionMetrics.target)
-	e.frontend = &frontend{view: e.view, scheduler: e.scheduler, blocker: e.blocker, blockGate: &blockGate{view: e.view, learnBy: clock.Now().Add(s.Bounds.StableTime)}, sender: newSender(), log: log, metrics: counts, zone: s.AvailabilityZone, returningCallers: newReturningCallerDetector()}
+	e.frontend = &frontend{view: e.view, scheduler: e.scheduler, blocker: e.blocker, blockGate: &blockGate{view: e.view, learnBy: clock.Now().Add(s.Bounds.StableTime)}, sender: newSender(), log: log, metrics: counts, zone: s.AvailabilityZone, returningCallers: newReturningCallerDetector(), shutdown: newShutdown()}
 	e.frontend.setBounds(s.Bounds)
 	e.heartbeats = &heartbeater{socket: socket, view: e.view, scheduler: e.scheduler, frontend: e.frontend, log: log, start: start, sendNow: make(chan struct{}, 1), loadChanges: make(chan string, maxPendingLoadChanges), placed: make(chan struct{}, 1)}
 	e.scheduler.loadChanged = e.heartbeats.recordLoadChange
@@ -245,9 +245,10 @@
 	return retryLimits{window: bounds.RetryWindow, ratio: retryRatioFactor * bounds.RetryRatio, slack: retrySlackFactor * bounds.RetrySlack}
 }
 
-// beginLeaving removes this entry from the addresses handed out to callers.
-func (e *entry) beginLeaving() {
-	e.frontend.signaledAt.Store(clock.Now().UnixNano())
+// beginLeaving removes this entry from the addresses handed out to callers, and limits the
+// requests that it takes.
+func (e *entry) beginLeaving(times daemon.Shutdown) {
+	e.frontend.shutdown.begin(times)
 	e.heartbeats.triggerSend()
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -185,10 +185,11 @@
 func (x *exchange) run() {
 	ctx, cancel := context.WithTimeout(x.r.Context(), x.deadline.Sub(clock.Now()))
 	defer cancel()
-	ctx, cancelBlocked := context.WithCancelCause(ctx)
-	defer cancelBlocked(nil)
+	ctx, cancelFor := context.WithCancelCause(ctx)
+	defer cancelFor(nil)
+	defer context.AfterFunc(x.frontend.shutdown.ending, func() { cancelFor(errShutdown) })()
 	defer x.releaseReservation()
-	x.pending = &pendingRequest{cancel: cancelBlocked}
+	x.pending = &pendingRequest{cancel: cancelFor}
 	if len(x.parts) > 0 && !x.isTrial {
 		defer x.frontend.blocker.watch(x.model, x.parts, x.pending)()
 	}
@@ -333,6 +334,7 @@
 	switch outcome {
 	case answered:
 		x.frontend.metrics.duration.Observe(now.Sub(x.arrived).Seconds())
+		x.frontend.shutdown.recordDuration(x.route.Name, now.Sub(x.arrived), now)
 		x.logOutcome(x.status, string(outcome))
 		return dispatch.Action{}, true
 	case callerDisconnected:
@@ -377,6 +379,10 @@
 		x.refuseBlocked()
 		return dispatch.Action{}
 	}
+	if isCanceledByShutdown(ctx) {
+		x.refuse(*leavingRefusal())
+		return dispatch.Action{}
+	}
 	x.refuse(refusal{status: http.StatusServiceUnavailable, reason: r.reason, retryAfter: r.retryAfter})
 	return dispatch.Action{}
 }
@@ -411,6 +417,8 @@
 		x.refuseBlocked()
 	case final == dispatch.NotRun:
 		x.refuse(refusal{status: http.StatusServiceUnavailable, reason: "no_instance", retryAfter: minRetryAfter})
+	case isCanceledByShutdown(ctx):
+		x.refuse(refusal{status: http.StatusBadGateway, reason: "unknown"})
 	case ctx.Err() != nil:
 		x.refuse(refusal{status: http.StatusGatewayTimeout, reason: "timeout"})
 	default:
@@ -423,6 +431,7 @@
 
 const (
 	closedForTimeLimit closeCause = "time_limit"
+	closedForShutdown  closeCause = "shutdown"
 	closedForSlot      closeCause = "no_slot"
 	closedForRetry     closeCause = "no_retry"
 	closedForAttempts  closeCause = "no_attempt_left"
@@ -433,6 +442,8 @@
 // closeResponse ends a response that can't be completed.
 func (x *exchange) closeResponse(ctx context.Context) {
 	switch {
+	case isCanceledByShutdown(ctx):
+		x.closeCause = closedForShutdown
 	case x.closeCause != "":
 	case ctx.Err() != nil:
 		x.closeCause = closedForTimeLimit
--- a/internal/relay/frontend.go
+++ b/internal/relay/frontend.go
@@ -52,14 +52,9 @@
 	// request that the tables do not allow gets a final denial. With an older proof it
 	// gets a Retry-After.
 	maxDenialProofAge atomic.Int64
-	// signaledAt is when this entry was told to stop, in nanoseconds of the boot clock; 0
-	// means that it was not.
-	signaledAt atomic.Int64
+	shutdown          *shutdown
 }
 
-// isLeaving reports whether this entry was told to stop.
-func (f *frontend) isLeaving() bool { return f.signaledAt.Load() != 0 }
-
 // setBounds sets the bounds on revoked keys and on table changes.
 func (f *frontend) setBounds(bounds platform.Bounds) {
 	f.revokeBound.Store(int64(bounds.KeyRevokeTime))
@@ -90,6 +85,7 @@
 	reasonInstancesWait: "come back after the time in Retry-After",
 	reasonBlocksUnknown: "come back after the time in Retry-After",
 	reasonBlocked:       "send the prompt without the part that crashes instances, or ask the operators to lift the block",
+	reasonLeaving:       "send the request to another entry",
 	reasonSuspected:     "come back after the time in Retry-After",
 	"overload":          "come back after the time in Retry-After",
 	"no_instance":       "come back after the time in Retry-After",
@@ -99,7 +95,7 @@
 
 // ServeHTTP implements http.Handler.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.isLeaving() {
+	if f.shutdown.hasBegun() {
 		w.Header().Set("Connection", "close")
 	}
 	arrived := clock.Now()
@@ -188,7 +184,7 @@
 		return refused
 	}
 	x.prepare()
-	return nil
+	return x.admitWhileStopping()
 }
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
@@ -245,8 +241,8 @@
 	if x.closeCause != "" && outcome == "broken_off" {
 		fields["cause"], fields["last_event"] = x.closeCause, x.lastEvent
 	}
-	if signaledAt := x.frontend.signaledAt.Load(); signaledAt != 0 {
-		fields["since_signal_ms"] = (clock.Now().UnixNano() - signaledAt) / int64(time.Millisecond)
+	if plan := x.frontend.shutdown.plan.Load(); plan != nil {
+		fields["since_signal_ms"] = clock.Now().Sub(plan.SignaledAt).Milliseconds()
 	}
 	if x.blockedPart != "" {
 		fields["blocked_part"] = x.blockedPart
--- a/internal/relay/frontend_test.go
+++ b/internal/relay/frontend_test.go
@@ -16,6 +16,7 @@
 
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/copies"
+	"plantainrelay/internal/daemon"
 	"plantainrelay/internal/metrics"
 	"plantainrelay/internal/placement"
 	"plantainrelay/internal/replica"
@@ -57,7 +58,7 @@
 		backends = append(backends, replica.Document{Name: fmt.Sprintf("i-%d", i), Revision: replica.Revision{Number: 1}, Body: []byte(body)})
 	}
 	view.copies.ApplyFromPeer(platform.Backends, replica.Change{Whole: true, AsOf: replica.Revision{Number: 1}, Documents: backends}, clock.Now(), "peer")
-	f := &frontend{view: view, scheduler: scheduler, blocker: blocker, blockGate: &blockGate{view: view, copies: view.copies}, sender: newSender(), log: logger, metrics: counts, returningCallers: newReturningCallerDetector()}
+	f := &frontend{view: view, scheduler: scheduler, blocker: blocker, blockGate: &blockGate{view: view, copies: view.copies}, sender: newSender(), log: logger, metrics: counts, returningCallers: newReturningCallerDetector(), shutdown: newShutdown()}
 	f.setBounds(platform.Bounds{ConfigApplyTime: 2 * time.Second, KeyRevokeTime: 5 * time.Second})
 	server := httptest.NewServer(f)
 	t.Cleanup(server.Close)
@@ -378,7 +379,7 @@
 func TestLeavingEntryClosesConnections(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture(t, answerOK)
-	f.frontend.signaledAt.Store(clock.Now().UnixNano())
+	f.frontend.shutdown.begin(daemon.Shutdown{SignaledAt: time.Now(), EndBy: time.Now().Add(5 * time.Second)})
 	response, _, err := f.do(http.MethodPost, "/once/")
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.StatusCode, qt.Equals, 200)
--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -35,7 +35,7 @@
 	if x.deadline.Before(until) {
 		until = x.deadline
 	}
-	for x.r.Context().Err() == nil && !x.pending.canceled.Load() && clock.Now().Before(until) {
+	for x.r.Context().Err() == nil && x.frontend.shutdown.ending.Err() == nil && !x.pending.canceled.Load() && clock.Now().Before(until) {
 		clock.Sleep(x.r.Context(), retryCheckInterval)
 		if x.frontend.scheduler.takeRetry(x.pool) {
 			return true
--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -10,6 +10,7 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"plantainrelay/internal/clock"
+	"plantainrelay/internal/daemon"
 	"plantainrelay/internal/placement"
 	"plantainrelay/platform/standin"
 )
@@ -67,7 +68,7 @@
 				engine.SetFaults(standin.BackendFaults{TruncateResponses: true})
 			}
 			prepare(f)
-			f.frontend.signaledAt.Store(clock.Now().UnixNano())
+			f.frontend.shutdown.begin(daemon.Shutdown{SignaledAt: time.Now(), EndBy: time.Now().Add(5 * time.Second)})
 			log := logtest.NewLocal(f.frontend.log.Logger)
 			_, _, err := f.write("closed", 20, firstPart)
 			c.Assert(err, qt.IsNotNil)
