Relay: a begun stream may return to an instance that was full

Callers saw a stream closed when the only instance that it could go on at had rejected it once for lack of room: an instance was asked once a request. A stream whose caller waits is offered to it again, each time with a retry of the budget.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -352,6 +352,10 @@
 	case notSent:
 		return x.decision.NotStarted(now), false
 	case notRun, addressReused:
+		if outcome == notRun && x.isResuming() {
+			// The instance may have room again while the stream waits.
+			delete(x.tried, x.attempts[len(x.attempts)-1].Instance)
+		}
 		if x.takeRetry() {
 			return x.decision.NotStarted(now), false
 		}
--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,3 +80,30 @@
 		})
 	}
 }
+
+// TestBegunStreamReturnsToAFullInstance guards against streams that are closed because the
+// only other instance rejected them once, though it takes them a moment later.
+func TestBegunStreamReturnsToAFullInstance(t *testing.T) {
+	c := qt.New(t)
+	const rejections, first, last = 3, 2, 5
+	var attempts atomic.Int64
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		switch attempt := attempts.Add(1); {
+		case attempt == 1:
+			writeSeal(w, r)
+			writeEvents(w, 1, first)
+			panic(http.ErrAbortHandler)
+		case attempt <= 1+rejections:
+			rejectAsFull(w, r)
+		default:
+			writeSeal(w, r)
+			writeEvents(w, first+1, last)
+		}
+	}
+	f := newFixture(t, handler, handler)
+	go f.frontend.scheduler.Run(t.Context())
+	response, body, err := f.do(http.MethodPost, "/stream/x")
+	c.Assert(err, qt.IsNil, qt.Commentf("%s", body))
+	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+	c.Assert(strings.Count(body, "id: "), qt.Equals, last, qt.Commentf("%s", body))
+}
