Daemon: phases of the shutdown are logged, and the last lines are written

Cause: requests in progress when the process ends left no line, and no line told the time since the signal. Two faults hid more. The asynchronous log writer was never flushed: the last line before the exit ("drained", or the drain limit) was lost. A SIGTERM before the daemon was set up was handled by the framework alone, which closed the listeners after its default of 1 s; the process ended with code 1 and "an HTTP server stopped unexpectedly". One between set-up and Run was followed by a whole leave delay of serving.

Change: lines for the signal, the end of the leave delay (connections, idle ones, requests), the drain limit (requests by listener, age of the oldest one) and the end, each with the time since the signal. A process that was signaled before Run ends at once with code 0. The listeners close 20 ms after the counts are taken. The agent's delay of 1 s was the framework's default for a zero setting and is now named.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,6 +32,10 @@
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 32 << 10
 	forcedExitMargin  = time.Minute
+	// closeMargin is the time between the end of the leave delay, when the open
+	// connections are counted, and the moment at which the framework closes the
+	// listeners and the idle connections.
+	closeMargin = 20 * time.Millisecond
 )
 
 // Config holds the shutdown times and the connection limits of a process.
@@ -67,8 +71,10 @@
 
 // server is a go-zero server with the listener that it was built from.
 type server struct {
-	restServer *rest.Server
-	listener   Listener
+	restServer  *rest.Server
+	listener    Listener
+	connections *connectionLimiter
+	requests    *requestTracker
 }
 
 // Daemon owns the HTTP servers of one process.
@@ -88,21 +94,6 @@
 	return d
 }
 
-// Shutdown holds the times of a graceful shutdown.
-type Shutdown struct {
-	// SignaledAt is when the first SIGTERM or SIGINT was handled.
-	SignaledAt time.Time
-	// LeaveUntil is when the listeners close.
-	LeaveUntil time.Time
-	// EndBy is when the process ends, whatever is in progress.
-	EndBy time.Time
-}
-
-func (d *Daemon) newShutdown(signaledAt time.Time) Shutdown {
-	leaveUntil := signaledAt.Add(d.config.LeaveDelay)
-	return Shutdown{SignaledAt: signaledAt, LeaveUntil: leaveUntil, EndBy: leaveUntil.Add(d.config.DrainLimit)}
-}
-
 // OnDrain registers fn to run in its own goroutine when the first SIGTERM or
 // SIGINT arrives.
 func (d *Daemon) OnDrain(fn func(Shutdown)) {
@@ -130,7 +121,10 @@
 		return failure.Wrap(err, failure.Internal, "report this", "the HTTP server cannot be set up")
 	}
 	framework.AddRoutes(listener.Routes)
-	d.servers = append(d.servers, server{restServer: framework, listener: listener})
+	d.servers = append(d.servers, server{
+		restServer: framework, listener: listener,
+		connections: newConnectionLimiter(d.config.MaxConnections), requests: newRequestTracker(),
+	})
 	logging.RedirectFrameworkLogs(d.log)
 	return nil
 }
@@ -157,7 +151,7 @@
 			Name:     d.config.Name,
 			Mode:     service.ProMode,
 			Log:      logx.LogConf{Mode: "console", Encoding: "json", Level: "error", Stat: false},
-			Shutdown: proc.ShutdownConf{WrapUpTime: d.config.LeaveDelay, WaitTime: total},
+			Shutdown: proc.ShutdownConf{WrapUpTime: d.config.LeaveDelay + closeMargin, WaitTime: total},
 		},
 		Host: host,
 		Port: port,
@@ -166,15 +160,20 @@
 
 // Run serves until the process receives SIGTERM or SIGINT and then either its
 // requests in progress have ended or the drain limit has passed. It returns nil
-// in both cases.
+// in both cases, and at once if the process has received a signal before.
 func (d *Daemon) Run() error {
+	defer d.flushLog()
+	if d.signaledBeforeRun() {
+		d.log.Info("signal received before the listeners were open; stopping")
+		return nil
+	}
 	stopped := make(chan struct{})
 	var group sync.WaitGroup
 	for _, server := range d.servers {
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			server.restServer.StartWithOpts(d.serverLimits(server.listener))
+			server.restServer.StartWithOpts(d.serverLimits(server))
 		}()
 	}
 	go func() {
@@ -184,44 +183,14 @@
 	return d.waitForStop(stopped)
 }
 
-func (d *Daemon) waitForStop(stopped <-chan struct{}) error {
-	var drainTimeout <-chan time.Time
-	draining := false
-	for {
-		select {
-		case received := <-d.signals:
-			if draining {
-				d.log.WithField("signal", received.String()).Warning("already draining; the signal is ignored")
-				continue
-			}
-			draining = true
-			shutdown := d.newShutdown(time.Now())
-			d.log.WithField("signal", received.String()).Info("draining")
-			for _, fn := range d.drainHooks {
-				go fn(shutdown)
-			}
-			drainTimeout = time.After(time.Until(shutdown.EndBy))
-		case <-drainTimeout:
-			d.log.Warning("drain limit reached with requests still in progress")
-			return nil
-		case <-stopped:
-			if draining {
-				d.log.Info("drained")
-				return nil
-			}
-			return failure.New(failure.Internal, "check that the listen addresses are free", "an HTTP server stopped unexpectedly")
-		}
-	}
-}
-
 // serverLimits returns the start option that sets the timeouts of a listener and
 // limits its connections and requests.
-func (d *Daemon) serverLimits(listener Listener) rest.StartOption {
+func (d *Daemon) serverLimits(s server) rest.StartOption {
 	return func(server *http.Server) {
 		server.ReadHeaderTimeout = readHeaderTimeout
 		server.IdleTimeout = idleTimeout
 		server.MaxHeaderBytes = maxHeaderBytes
-		server.ConnState = newConnectionLimiter(d.config.MaxConnections).stateChanged
-		server.Handler = limitRequests(server.Handler, listener.MaxBodyBytes, d.config.StallLimit)
+		server.ConnState = s.connections.stateChanged
+		server.Handler = limitRequests(s.requests.track(server.Handler), s.listener.MaxBodyBytes, d.config.StallLimit)
 	}
 }
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -129,6 +129,13 @@
 	}
 }
 
+// counts returns the number of open connections and how many of them have no request.
+func (c *connectionLimiter) counts() (open, idle int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open, c.idle.Len()
+}
+
 // closeLongestIdle closes the connection that has been idle for the longest
 // time and reports whether there was one. The server reports its StateClosed
 // later.
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -62,6 +62,8 @@
 	maxInFlight = 2
 	// metricsPort serves /metrics. deploy/system.toml names the same port.
 	metricsPort = "9102"
+	// leaveDelay is how long a stopped agent still answers its peers.
+	leaveDelay = time.Second
 	// Limits of the metrics listener, which only monitoring calls.
 	drainLimit            = time.Second
 	maxMetricsConnections = 8
@@ -155,7 +157,7 @@
 func Run(s platform.Settings) error {
 	log := logging.New(logging.NewBoundedWriter(os.Stdout), "info", s.Instance, s.AvailabilityZone)
 	log.WithField("engine", s.BackendAddress).Info("agent starting")
-	d := daemon.New(daemon.Config{Name: "plantain-agent", DrainLimit: drainLimit, MaxConnections: maxMetricsConnections, StallLimit: stallLimit}, log)
+	d := daemon.New(daemon.Config{Name: "plantain-agent", LeaveDelay: leaveDelay, DrainLimit: drainLimit, MaxConnections: maxMetricsConnections, StallLimit: stallLimit}, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	socket, err := beat.Open(s.IP, s.PeerPort, log)
--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -29,10 +29,12 @@
 	now             func() time.Time
 }
 
-// timedLine is a line with the Unix second in which it was logged.
+// timedLine is a line with the Unix second in which it was logged. One with written set
+// has no text: written is closed when the lines before it have been written.
 type timedLine struct {
-	text   []byte
-	second int64
+	text    []byte
+	second  int64
+	written chan struct{}
 }
 
 // NewBoundedWriter returns a writer that forwards lines to out.
@@ -57,6 +59,22 @@
 	return len(line), nil
 }
 
+// Flush waits until the lines logged before the call have been written, for at most
+// timeout.
+func (b *BoundedWriter) Flush(timeout time.Duration) {
+	expired := time.After(timeout)
+	written := make(chan struct{})
+	select {
+	case b.lines <- timedLine{written: written}:
+	case <-expired:
+		return
+	}
+	select {
+	case <-written:
+	case <-expired:
+	}
+}
+
 // Dropped returns the number of lines dropped since the last notice.
 func (b *BoundedWriter) Dropped() int64 { return b.dropped.Load() }
 
@@ -70,6 +88,10 @@
 func (b *BoundedWriter) run(out io.Writer) {
 	var lastSecond int64
 	for line := range b.lines {
+		if line.written != nil {
+			close(line.written)
+			continue
+		}
 		text := line.text
 		if lastSecond != 0 && line.second != lastSecond {
 			text = append(b.dropNotice(), text...)
--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -68,3 +68,38 @@
 	c.Assert(len(out.lines) <= maxLinesPerSecond+2, qt.IsTrue, qt.Commentf("%d lines", len(out.lines)))
 	c.Assert(strings.Contains(strings.Join(out.lines, ""), `"dropped":`), qt.IsTrue)
 }
+
+// TestFlushWaitsForLines guards against a process that exits before its last lines are
+// written.
+func TestFlushWaitsForLines(t *testing.T) {
+	c := qt.New(t)
+	reader, writer, err := os.Pipe()
+	c.Assert(err, qt.IsNil)
+	defer reader.Close()
+	b := NewBoundedWriter(writer)
+	_, _ = b.Write([]byte("last line\n"))
+	b.Flush(time.Minute)
+	c.Assert(reader.SetReadDeadline(time.Now().Add(time.Second)), qt.IsNil)
+	line := make([]byte, 10)
+	_, err = reader.Read(line)
+	c.Assert(err, qt.IsNil)
+	c.Check(string(line), qt.Equals, "last line\n")
+}
+
+// TestFlushOfFullPipeEnds guards against a process that cannot exit because nobody reads
+// its output.
+func TestFlushOfFullPipeEnds(t *testing.T) {
+	c := qt.New(t)
+	reader, writer, err := os.Pipe()
+	c.Assert(err, qt.IsNil)
+	defer reader.Close()
+	b := NewBoundedWriter(writer)
+	second := int64(0)
+	b.now = func() time.Time { second++; return time.Unix(second, 0) }
+	for range 3 * maxPendingLines {
+		_, _ = b.Write([]byte(strings.Repeat("x", 1023) + "\n"))
+	}
+	began := time.Now()
+	b.Flush(20 * time.Millisecond)
+	c.Check(time.Since(began) < 10*time.Second, qt.IsTrue)
+}
