Relay: a pause of the entry itself is not taken for the silence of instances

Callers got 502, or streams were resumed for nothing, after an entry had stood still for a second: when it went on, its timers fired before it had read what had arrived meanwhile.

The end of the time has to be confirmed by a second firing 50 ms later that is itself not late.

--- a/internal/relay/reservation_test.go
+++ b/internal/relay/reservation_test.go
@@ -184,12 +184,13 @@
 func TestProgressWithdrawsTheReservation(t *testing.T) {
 	c := qt.New(t)
 	withdrawn := make(chan *reservation, 1)
-	reserved, decide, canceled := &reservation{}, make(chan struct{}), make(chan struct{})
+	reserved, deciding, decide, canceled := &reservation{}, make(chan struct{}), make(chan struct{}), make(chan struct{})
 	w := newWatchdog(func() { close(canceled) }, time.Millisecond, func() giveUp {
+		close(deciding)
 		<-decide
 		return giveUp{isAllowed: true, reserved: reserved}
 	}, func(r *reservation) { withdrawn <- r })
-	time.Sleep(5 * time.Millisecond)
+	<-deciding
 	w.extend(time.Minute)
 	close(decide)
 	c.Assert(<-withdrawn, qt.Equals, reserved)
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -77,8 +77,29 @@
 	return request.WithContext(ctx)
 }
 
-// silenceRecheckInterval is the time until a watchdog that may not cancel asks again.
-const silenceRecheckInterval = 100 * time.Millisecond
+const (
+	// silenceRecheckInterval is the time until a watchdog that may not cancel asks again.
+	silenceRecheckInterval = 100 * time.Millisecond
+	// silenceConfirmInterval is the time between the end of a watchdog's time and its
+	// decision; maxConfirmDelay is the delay of the decision above which this process is
+	// taken to have stood still.
+	silenceConfirmInterval = 50 * time.Millisecond
+	maxConfirmDelay        = 2 * silenceRecheckInterval
+)
+
+// silenceConfirmation tells the silence of an instance from a pause of this process, in which
+// responses arrive that are read only after the timers have fired: a timer has to fire twice
+// in short succession.
+type silenceConfirmation struct {
+	lastFired time.Time
+}
+
+// isConfirmed reports whether the process has run since a timer that fires now fired before.
+func (s *silenceConfirmation) isConfirmed(now time.Time) bool {
+	sinceLast := now.Sub(s.lastFired)
+	s.lastFired = now
+	return sinceLast <= maxConfirmDelay
+}
 
 // giveUp is the decision about an attempt that makes no progress. An attempt that is
 // canceled keeps what was reserved for the next one.
@@ -101,6 +122,7 @@
 	due              time.Time
 	expired, stopped bool
 	reserved         *reservation
+	confirmation     silenceConfirmation
 }
 
 // newWatchdog returns a watchdog that cancels after limit; zero means no limit.
@@ -160,15 +182,23 @@
 	return reserved
 }
 
-// isDue reports whether the time has ended, and otherwise sets the timer to its end.
+// isDue reports whether the time has ended, and otherwise sets the timer to its end. If the
+// watchdog decides, the end has to be confirmed.
 func (w *watchdog) isDue() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if left := time.Until(w.due); left > 0 && !w.stopped {
+	now := time.Now()
+	switch left := w.due.Sub(now); {
+	case w.stopped:
+		return false
+	case left > 0:
 		w.timer.Reset(left)
 		return false
+	case w.decide != nil && !w.confirmation.isConfirmed(now):
+		w.timer.Reset(silenceConfirmInterval)
+		return false
 	}
-	return !w.stopped
+	return true
 }
 
 // extend restarts the timer with limit; it does nothing on a watchdog without a limit.
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -113,3 +113,20 @@
 	}
 	return response.StatusCode
 }
+
+// TestSilenceIsConfirmed guards against attempts that are given up after a pause of this
+// process, before it has read what arrived meanwhile.
+func TestSilenceIsConfirmed(t *testing.T) {
+	c := qt.New(t)
+	var s silenceConfirmation
+	now := time.Unix(1000, 0)
+	fires := func(after time.Duration) bool {
+		now = now.Add(after)
+		return s.isConfirmed(now)
+	}
+	c.Assert(fires(0), qt.IsFalse)
+	c.Assert(fires(silenceConfirmInterval), qt.IsTrue)
+	c.Assert(fires(silenceRecheckInterval), qt.IsTrue)
+	c.Assert(fires(time.Second), qt.IsFalse, qt.Commentf("the process stood still"))
+	c.Assert(fires(silenceConfirmInterval), qt.IsTrue)
+}
