Daemon: no request begins on a connection that was closed under it

Cause: net/http marks a kept connection as in use only after it has read a request's whole header. Until then the shutdown, and the limit on connections, may close it as idle; the handler began nevertheless and its response reached nobody.

Change: the handler does not begin if the connection is closed. Listen does nothing once the process has been told to stop, and orders the framework's unlocked read of its shutdown times after their write: the race detector reported both as races in a test process.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -100,8 +100,12 @@
 	d.drainHooks = append(d.drainHooks, fn)
 }
 
-// Listen adds an HTTP server.
+// Listen adds an HTTP server. It does nothing if the process has been told to stop: Run
+// would not start the server.
 func (d *Daemon) Listen(listener Listener) error {
+	if d.signaled() {
+		return nil
+	}
 	host, portText, err := net.SplitHostPort(listener.Address)
 	if err != nil {
 		return failure.Wrap(err, failure.Invalid, "use IP:port", "address %q cannot be used", listener.Address)
@@ -120,6 +124,9 @@
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "report this", "the HTTP server cannot be set up")
 	}
+	// The framework reads its shutdown times without a lock when a signal arrives. It
+	// loads the log level just before, so this store orders them after NewServer.
+	logx.SetLevel(logx.ErrorLevel)
 	framework.AddRoutes(listener.Routes)
 	d.servers = append(d.servers, server{
 		restServer: framework, listener: listener,
@@ -163,7 +170,7 @@
 // in both cases, and at once if the process has received a signal before.
 func (d *Daemon) Run() error {
 	defer d.flushLog()
-	if d.signaledBeforeRun() {
+	if d.signaled() {
 		d.log.Info("signal received before the listeners were open; stopping")
 		return nil
 	}
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -16,7 +17,11 @@
 func limitRequests(next http.Handler, maxBody int64, stallLimit time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		writer := &deadlineWriter{ResponseWriter: w, controller: http.NewResponseController(w), stallLimit: stallLimit}
-		writer.extendDeadline()
+		if errors.Is(writer.extendDeadline(), net.ErrClosed) {
+			// The connection was closed as idle while the request was read, so
+			// nobody would receive the response.
+			panic(http.ErrAbortHandler)
+		}
 		if r.Body != nil && r.Body != http.NoBody {
 			body := &deadlineBody{ReadCloser: http.MaxBytesReader(w, r.Body, maxBody), controller: writer.controller, stallLimit: stallLimit}
 			// net/http reads the part of the body that the handler leaves
@@ -38,19 +43,19 @@
 	stallLimit time.Duration
 }
 
-func (w *deadlineWriter) extendDeadline() {
-	_ = w.controller.SetWriteDeadline(time.Now().Add(w.stallLimit))
+func (w *deadlineWriter) extendDeadline() error {
+	return w.controller.SetWriteDeadline(time.Now().Add(w.stallLimit))
 }
 
 // Write implements http.ResponseWriter.
 func (w *deadlineWriter) Write(data []byte) (int, error) {
-	w.extendDeadline()
+	_ = w.extendDeadline()
 	return w.ResponseWriter.Write(data)
 }
 
 // FlushError sends the buffered data.
 func (w *deadlineWriter) FlushError() error {
-	w.extendDeadline()
+	_ = w.extendDeadline()
 	return w.controller.Flush()
 }
 
--- a/internal/daemon/limits_test.go
+++ b/internal/daemon/limits_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -185,3 +186,27 @@
 	c.Check(third.closed, qt.Equals, 0)
 	c.Check(busy.closed, qt.Equals, 1)
 }
+
+// TestRequestOnClosedConnectionDoesNotBegin guards against a request that is handled
+// although its connection was closed as idle while its header was read: nobody would get
+// the response.
+func TestRequestOnClosedConnectionDoesNotBegin(t *testing.T) {
+	c := qt.New(t)
+	var begun atomic.Int32
+	server := httptest.NewUnstartedServer(limitRequests(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		begun.Add(1)
+	}), 1000, testStallLimit))
+	server.Config.ConnState = func(conn net.Conn, state http.ConnState) {
+		if state == http.StateActive {
+			conn.Close()
+		}
+	}
+	server.Start()
+	conn := dial(t, server)
+	fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	c.Assert(conn.SetReadDeadline(time.Now().Add(testTimeout)), qt.IsNil)
+	raw, _ := io.ReadAll(conn)
+	c.Check(string(raw), qt.Equals, "")
+	server.Close()
+	c.Check(begun.Load(), qt.Equals, int32(0))
+}
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -62,6 +62,7 @@
 		_, _ = fmt.Fprintln(record, r.Header.Get("Id"))
 		delay, _ := time.ParseDuration(r.Header.Get("Delay"))
 		time.Sleep(delay)
+		w.WriteHeader(http.StatusOK)
 		_, _ = io.WriteString(w, "answer")
 	})
 	if err := d.Listen(Listener{Address: config.Address, Fallback: handler, MaxBodyBytes: 1000}); err != nil {
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -32,16 +32,14 @@
 	return time.Since(s.SignaledAt).Milliseconds()
 }
 
-// signaledBeforeRun reports whether the process has already received SIGTERM or SIGINT.
-// The framework handles them from the start of the process, before New.
-func (d *Daemon) signaledBeforeRun() bool {
+// signaled reports whether the process has already received SIGTERM or SIGINT. The
+// framework handles them from the start of the process, before New.
+func (d *Daemon) signaled() bool {
 	select {
 	case <-proc.Done():
 		return true
-	case <-d.signals:
-		return true
 	default:
-		return false
+		return len(d.signals) > 0
 	}
 }
 
