Daemon: kept connections close with their next response during a drain

Cause: callers in steady use of a kept connection went on to use it until the listeners closed, which ended it as idle, perhaps with a request on its way. Only the relay's frontend announced the end of the connection.

Change: after the signal each listener's responses carry Connection: close.

--- a/internal/daemon/crossing_test.go
+++ b/internal/daemon/crossing_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -68,3 +69,34 @@
 	}
 	return got
 }
+
+// TestKeptConnectionsAreClosedByResponses guards against callers in steady use of a kept
+// connection who have it closed under a request when the listeners close.
+func TestKeptConnectionsAreClosedByResponses(t *testing.T) {
+	const callers = 100
+	c := startChild(t, childConfig{LeaveDelay: 500 * time.Millisecond, DrainLimit: 10 * time.Second})
+	c.waitListening(t)
+	var answered, unread atomic.Int64
+	var group sync.WaitGroup
+	for range callers {
+		k := c.dial(t)
+		group.Go(func() {
+			defer k.conn.Close()
+			for !k.closing {
+				if k.send("steady", time.Millisecond) != nil || k.receive() != nil {
+					unread.Add(1)
+					return
+				}
+				answered.Add(1)
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	signaled := c.signal(t, syscall.SIGTERM)
+	group.Wait()
+	t.Logf("%d callers: %d answered, %d unread", callers, answered.Load(), unread.Load())
+	qt.Check(t, unread.Load(), qt.Equals, int64(0))
+	code, _ := c.waitExit(t, signaled)
+	qt.Check(t, code, qt.Equals, 0)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"os/signal"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -84,6 +85,7 @@
 	servers    []server
 	drainHooks []func(Shutdown)
 	signals    chan os.Signal
+	draining   atomic.Bool
 }
 
 // New returns a daemon. From this call on, the process handles SIGTERM and
@@ -198,6 +200,6 @@
 		server.IdleTimeout = idleTimeout
 		server.MaxHeaderBytes = maxHeaderBytes
 		server.ConnState = s.connections.stateChanged
-		server.Handler = limitRequests(s.requests.track(server.Handler), s.listener.MaxBodyBytes, d.config.StallLimit)
+		server.Handler = limitRequests(s.requests.track(d.closeWhileDraining(server.Handler)), s.listener.MaxBodyBytes, d.config.StallLimit)
 	}
 }
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -195,6 +195,8 @@
 type keptConnection struct {
 	conn   net.Conn
 	reader *bufio.Reader
+	// closing reports whether the last response announced the end of the connection.
+	closing bool
 }
 
 func (c *child) dial(t testing.TB) *keptConnection {
@@ -215,6 +217,7 @@
 		return err
 	}
 	defer response.Body.Close()
+	k.closing = response.Close
 	_, err = io.Copy(io.Discard, response.Body)
 	return err
 }
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"net/http"
 	"os"
 	"time"
 
@@ -68,12 +69,24 @@
 		"leave_delay_ms": d.config.LeaveDelay.Milliseconds(),
 		"drain_limit_ms": d.config.DrainLimit.Milliseconds(),
 	}).Info("draining")
+	d.draining.Store(true)
 	for _, fn := range d.drainHooks {
 		go fn(shutdown)
 	}
 	return shutdown
 }
 
+// closeWhileDraining closes each connection with its next response after the signal.
+// Otherwise the listeners' close would end it, perhaps under a request that is on its way.
+func (d *Daemon) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (d *Daemon) drain(shutdown Shutdown, stopped <-chan struct{}) {
 	leave, end := time.After(time.Until(shutdown.LeaveUntil)), time.After(time.Until(shutdown.EndBy))
 	for {
