--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -62,6 +62,7 @@
 		_, _ = fmt.Fprintln(record, r.Header.Get("Id"))
 		delay, _ := time.ParseDuration(r.Header.Get("Delay"))
 		time.Sleep(delay)
+		w.WriteHeader(http.StatusOK)
 		_, _ = io.WriteString(w, "answer")
 	})
 	if err := d.Listen(Listener{Address: config.Address, Fallback: handler, MaxBodyBytes: 1000}); err != nil {
@@ -194,6 +195,8 @@
 type keptConnection struct {
 	conn   net.Conn
 	reader *bufio.Reader
+	// closing reports whether the last response announced the end of the connection.
+	closing bool
 }
 
 func (c *child) dial(t testing.TB) *keptConnection {
@@ -214,6 +217,7 @@
 		return err
 	}
 	defer response.Body.Close()
+	k.closing = response.Close
 	_, err = io.Copy(io.Discard, response.Body)
 	return err
 }
