Soak: requests that are closed unread are counted

A request that crosses the close of its connection and is not passed on breaks no rule; its caller has to send it again all the same. The summary counts these requests too, so that changes of the end of the leave delay can be compared.

Every condition of checkCuts and of its excuses was taken out in turn: each time TestEachViolationIsReported or TestExcusedCutsAreCounted failed (11 changes).

--- a/test/soak/fleet/check_test.go
+++ b/test/soak/fleet/check_test.go
@@ -163,6 +163,10 @@
 			cutAtTheEnd(h, early, standin.Closed)
 			h.Calls[0].TimeLeft = callTimeout
 		},
+		"closed at once, not passed on": func(h *History) {
+			h.Calls[1].Outcome, h.Calls[1].Lost, h.Calls[1].Written = Failed, true, h.Calls[1].Ended.Add(-lossSlack/2)
+			h.Executions = slices.Delete(h.Executions, 1, 2)
+		},
 		"fault": func(h *History) {
 			cutAtTheEnd(h, lateStopTime+time.Second, standin.Closed)
 			h.Windows = append(h.Windows, FaultWindow{Kind: "store down", From: checkEpoch, To: checkEpoch.Add(time.Second)})
--- a/test/soak/fleet/cuts.go
+++ b/test/soak/fleet/cuts.go
@@ -50,16 +50,10 @@
 	}
 }
 
-// isCut reports whether an entry has read the request, as far as that can be seen, and has
-// ended it without a complete response.
+// isCut reports whether an entry has ended the request without a complete response after the
+// caller had sent it, or an instance had got it.
 func (c *check) isCut(call Call) bool {
-	if call.Outcome != Failed {
-		return false
-	}
-	if len(c.executions[call.Attempt]) > 0 {
-		return true
-	}
-	return call.Lost && (c.reachedInstance[call.Attempt] || call.Ended.Sub(call.Written) > lossSlack)
+	return call.Outcome == Failed && (call.Lost || len(c.executions[call.Attempt]) > 0)
 }
 
 // plannedWork returns the planned work beside which the request was cut, or "".
@@ -90,6 +84,8 @@
 func (c *check) cutExcuse(call Call) string {
 	limit, from := c.timeLimit(call), call.Sent.Add(-c.history.Bounds.Stable)
 	switch {
+	case !c.reachedInstance[call.Attempt] && call.Ended.Sub(call.Written) <= lossSlack:
+		return "closed at once, not passed on"
 	case c.machineStalledDuring(from, call.Ended):
 		return "machine stalled"
 	case !c.noFaultDuring(call.Sent, call.Ended):
