Soak: entries that are paused beside a stop; requests closed at once by kind of connection

The entry gave up the streams of four engines as silent when it went on itself, before it had read what had come, and no slot was left for them elsewhere.

"entries paused beside a stop" sends SIGSTOP for 1 to 1.5 s to the stopping entry and half of the others in a nearly full pool.

The loopback proxy accepts connections that an entry refuses, and resets them. So only requests on kept connections that are closed at once tell something.

--- a/test/soak/fleet/check_test.go
+++ b/test/soak/fleet/check_test.go
@@ -163,8 +163,8 @@
 			cutAtTheEnd(h, early, standin.Closed)
 			h.Calls[0].TimeLeft = callTimeout
 		},
-		"closed at once, not passed on": func(h *History) {
-			h.Calls[1].Outcome, h.Calls[1].Lost, h.Calls[1].Written = Failed, true, h.Calls[1].Ended.Add(-lossSlack/2)
+		"closed at once on a kept connection": func(h *History) {
+			h.Calls[1].Kept, h.Calls[1].Outcome, h.Calls[1].Lost, h.Calls[1].Written = true, Failed, true, h.Calls[1].Ended.Add(-lossSlack/2)
 			h.Executions = slices.Delete(h.Executions, 1, 2)
 		},
 		"fault": func(h *History) {
--- a/test/soak/fleet/cuts.go
+++ b/test/soak/fleet/cuts.go
@@ -85,7 +85,11 @@
 	limit, from := c.timeLimit(call), call.Sent.Add(-c.history.Bounds.Stable)
 	switch {
 	case !c.reachedInstance[call.Attempt] && call.Ended.Sub(call.Written) <= lossSlack:
-		return "closed at once, not passed on"
+		if !call.Kept {
+			// The proxy accepts connections that the entry refuses.
+			return "closed or refused at once on a new connection"
+		}
+		return "closed at once on a kept connection"
 	case c.machineStalledDuring(from, call.Ended):
 		return "machine stalled"
 	case !c.noFaultDuring(call.Sent, call.Ended):
--- a/test/soak/fleet/planned.go
+++ b/test/soak/fleet/planned.go
@@ -12,8 +12,8 @@
 	"plantainrelay/test/testfleet"
 )
 
-// Planned work and pauses of whole instances. None of it is a fault that excuses a cut
-// request.
+// Planned work and pauses of whole processes as on a busy machine. None of it is a fault that
+// excuses a cut request.
 
 const (
 	minSeriesPause = 500 * time.Millisecond
@@ -36,6 +36,7 @@
 	{"instances paused together", func(r *run) error { return r.pauseTogether(r.isBackend, pausedInstances) }},
 	{"engines paused in a full pool", func(r *run) error { return r.pauseInFullPool(false) }},
 	{"engines paused in a full pool beside a stop", func(r *run) error { return r.pauseInFullPool(true) }},
+	{"entries paused beside a stop", (*run).pauseBesideStop},
 	{"reloads beside a stop", func(r *run) error { return r.reloadBesideStop(false) }},
 	{"reloads and new tables beside a stop", func(r *run) error { return r.reloadBesideStop(true) }},
 }
@@ -116,9 +117,9 @@
 	return nil
 }
 
-// pauseInFullPool pauses one or two engines while long streams take nearly all slots, with
-// or without the stop of an entry beside it.
-func (r *run) pauseInFullPool(stop bool) error {
+// inFullPool runs a function while long streams take nearly all slots of the engines. It
+// does nothing if the pool is already filled.
+func (r *run) inFullPool(inject func() error) error {
 	release := r.reserve("full pool")
 	if release == nil {
 		return nil
@@ -130,23 +131,70 @@
 	defer cancel()
 	r.fillPool(ctx, &group)
 	time.Sleep(fillTime)
-	if stop {
-		group.Go(func() {
-			if err := r.stopEntry(); err != nil {
-				r.history.addViolation("SOAK", err.Error())
-			}
-		})
-		time.Sleep(r.randomTime(0, maxSeriesPause))
-	}
-	count := 1
-	if r.chance() {
-		count = 2
-	}
-	err := r.pauseTogether(r.isAgent, count)
+	err := inject()
 	time.Sleep(afterPause)
 	return err
 }
 
+// pauseInFullPool pauses one or two engines of a nearly full pool, with or without the stop
+// of an entry beside it.
+func (r *run) pauseInFullPool(stop bool) error {
+	var stopped sync.WaitGroup
+	defer stopped.Wait()
+	return r.inFullPool(func() error {
+		if stop {
+			stopped.Go(func() {
+				if err := r.stopEntry(); err != nil {
+					r.history.addViolation("SOAK", err.Error())
+				}
+			})
+			time.Sleep(r.randomTime(0, maxSeriesPause))
+		}
+		count := 1
+		if r.chance() {
+			count = 2
+		}
+		return r.pauseTogether(r.isAgent, count)
+	})
+}
+
+// pauseBesideStop pauses an entry after its SIGTERM together with half of the others, while
+// the pool is nearly full.
+func (r *run) pauseBesideStop() error {
+	stopping, done := r.reserveInstance(r.isEntry)
+	if stopping == nil {
+		return nil
+	}
+	defer done()
+	paused := []*testfleet.Instance{stopping}
+	for range len(r.entries()) / 2 {
+		if instance, done := r.reserveInstance(r.isEntry); instance != nil {
+			defer done()
+			paused = append(paused, instance)
+		}
+	}
+	var stopped sync.WaitGroup
+	defer stopped.Wait()
+	return r.inFullPool(func() error {
+		stopped.Go(func() { r.stopAndStart(stopping) })
+		time.Sleep(r.randomTime(minSeriesPause, maxSeriesPause))
+		if err := r.signalAll(paused, syscall.SIGSTOP); err != nil {
+			return err
+		}
+		time.Sleep(r.randomTime(minPause, maxPause))
+		return r.signalAll(paused, syscall.SIGCONT)
+	})
+}
+
+func (r *run) signalAll(instances []*testfleet.Instance, signal syscall.Signal) error {
+	for _, instance := range instances {
+		if err := r.Signal(instance, signal); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // fillPool adds callers of long streams until ctx ends. With the other callers, which are in
 // a stream about half of the time, they take all slots of the engines but a few.
 func (r *run) fillPool(ctx context.Context, group *sync.WaitGroup) {
