--- a/test/soak/fleet/faults.go
+++ b/test/soak/fleet/faults.go
@@ -95,9 +95,9 @@
 // selectedFaults returns the kinds of faults that the run injects.
 func (r *run) selectedFaults() []fault {
 	if len(r.config.Only) == 0 {
-		return slices.Concat(faults, plannedWork)
+		return slices.Concat(faults, plannedFaults)
 	}
-	return slices.DeleteFunc(slices.Concat(faults, plannedWork), func(candidate fault) bool { return !slices.Contains(r.config.Only, candidate.kind) })
+	return slices.DeleteFunc(slices.Concat(faults, plannedFaults), func(candidate fault) bool { return !slices.Contains(r.config.Only, candidate.kind) })
 }
 
 // inject injects random faults, single or in pairs, for the duration of the run.
--- a/test/soak/fleet/planned.go
+++ b/test/soak/fleet/planned.go
@@ -31,7 +31,7 @@
 	firstFiller  = 1000
 )
 
-var plannedWork = []fault{
+var plannedFaults = []fault{
 	{"entries stopped in series", (*run).stopInSeries},
 	{"instances paused together", func(r *run) error { return r.pauseTogether(r.isBackend, pausedInstances) }},
 	{"engines paused in a full pool", func(r *run) error { return r.pauseInFullPool(false) }},
