Placement: requests in progress outlive the list entry of their instance

An instance whose list entry, or whose pool, was missing for a moment came back without the requests in progress there: it got as many again as it has slots, rejected them, and used up retries and attempts. And the end of an attempt at an earlier start of an instance, or at its earlier address, counted for the present one: it was avoided for a while, or for good after a reused address, and its load was too low by one.

The fleet keeps this entry's attempts by ticket. A start that is listed again gets its own attempts back; the end of an attempt changes only the start that it was made at.

--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -108,6 +108,13 @@
 	PendingPromptTokens int
 }
 
+// ownAttempt is an attempt of this entry in progress.
+type ownAttempt struct {
+	backend         catalog.Backend
+	promptTokens    int
+	responseStarted bool
+}
+
 type peerLoad struct {
 	Load
 	receivedAt time.Time
@@ -156,6 +163,9 @@
 	waitsEnd time.Time
 	// latestStart holds the latest start time in the list, by address.
 	latestStart map[string]int64
+	// ownAttempts holds this entry's attempts in progress, by ticket. They outlive the list
+	// entries of their instances.
+	ownAttempts map[uint64]*ownAttempt
 	// zoneLoads holds the mean loads of other availability zones.
 	zoneLoads map[string]receivedZoneLoads
 	// listed is set after the first list.
@@ -171,7 +181,7 @@
 // New returns a Fleet without instances.
 func New(config Config) *Fleet {
 	return &Fleet{
-		config: config, instances: map[string]*instance{}, byHost: map[string]*instance{}, reports: map[string]receivedReport{}, notices: map[InstanceStart]*notice{}, latestStart: map[string]int64{}, zoneLoads: map[string]receivedZoneLoads{},
+		config: config, instances: map[string]*instance{}, byHost: map[string]*instance{}, reports: map[string]receivedReport{}, notices: map[InstanceStart]*notice{}, latestStart: map[string]int64{}, ownAttempts: map[uint64]*ownAttempt{}, zoneLoads: map[string]receivedZoneLoads{},
 		random: rand.New(rand.NewPCG(config.Seed, config.Seed+1)),
 	}
 }
@@ -210,9 +220,8 @@
 	for _, backend := range backends {
 		listed[backend.ID] = true
 		inst := f.instances[backend.ID]
-		if inst == nil || inst.Start != backend.Start || inst.Address != backend.Address {
-			inst = &instance{peerLoads: map[string]peerLoad{}, pendingPromptTokens: map[uint64]int{}}
-			inst.notice = f.notices[InstanceStart{ID: backend.ID, Start: backend.Start}]
+		if inst == nil || !isSameStart(inst.Backend, backend) {
+			inst = f.newInstance(backend)
 			f.instances[backend.ID] = inst
 			changes = append(changes, Change{ID: backend.ID, Pool: backend.Pool, Kind: Joined})
 		}
@@ -243,6 +252,22 @@
 	return changes
 }
 
+// newInstance returns a listed instance that is not known, or not any more.
+func (f *Fleet) newInstance(backend catalog.Backend) *instance {
+	inst := &instance{peerLoads: map[string]peerLoad{}, pendingPromptTokens: map[uint64]int{}}
+	inst.notice = f.notices[InstanceStart{ID: backend.ID, Start: backend.Start}]
+	for ticket, attempt := range f.ownAttempts {
+		if !isSameStart(attempt.backend, backend) {
+			continue
+		}
+		inst.ownRequests++
+		if !attempt.responseStarted {
+			inst.pendingPromptTokens[ticket] = attempt.promptTokens
+		}
+	}
+	return inst
+}
+
 func (f *Fleet) rebuildIndexes() {
 	clear(f.byHost)
 	clear(f.latestStart)
@@ -386,6 +411,7 @@
 	}
 	best.ownRequests++
 	best.pendingPromptTokens[choice.ticket] = need.PromptTokens
+	f.ownAttempts[choice.ticket] = &ownAttempt{backend: best.Backend, promptTokens: need.PromptTokens}
 	return choice, true
 }
 
@@ -508,6 +534,9 @@
 // ResponseStarted records that the response to a request has started, which means
 // that its prompt has been processed.
 func (f *Fleet) ResponseStarted(choice Choice) {
+	if attempt := f.ownAttempts[choice.ticket]; attempt != nil {
+		attempt.responseStarted = true
+	}
 	if inst := f.instances[choice.Backend.ID]; inst != nil {
 		delete(inst.pendingPromptTokens, choice.ticket)
 	}
@@ -574,6 +603,11 @@
 	return i.LoadedVersions[model]
 }
 
+// isSameStart reports whether two backend servers are the same start of an instance.
+func isSameStart(a, b catalog.Backend) bool {
+	return a.ID == b.ID && a.Start == b.Start && a.Address == b.Address
+}
+
 func (i *instance) switching() bool {
 	return i.lastReport.Switching && i.lastReport.EngineStart == i.Start
 }
@@ -637,10 +671,12 @@
 )
 
 // AttemptFinished records the end of an attempt that Choose counted. An attempt
-// that an engine aborts in order to switch versions does not count as a failure.
+// that an engine aborts in order to switch versions does not count as a failure. What became
+// of an attempt at an earlier start says nothing about the present one.
 func (f *Fleet) AttemptFinished(choice Choice, result Result, now time.Time) {
+	delete(f.ownAttempts, choice.ticket)
 	inst := f.instances[choice.Backend.ID]
-	if inst == nil {
+	if inst == nil || !isSameStart(inst.Backend, choice.Backend) {
 		return
 	}
 	inst.ownRequests = max(inst.ownRequests-1, 0)
