Tracker: a tracker that agents come back to does not know earlier permits

An entry that had granted the permits of a pool before, and became responsible for it again, skipped the grace period of a new tracker: it did not know the permit that the other entry had granted seconds ago and let a second instance switch beside the first, beyond max_unavailable, until the first one announced its switch.

The grace period begins anew when no instance of the pool has announced for longer than one counts as serving. Shorter changes of the entry that is asked are not covered.

--- a/internal/tracker/permit.go
+++ b/internal/tracker/permit.go
@@ -26,7 +26,7 @@
 
 func (p *poolState) count(requester *record, now time.Time) counts {
 	var c counts
-	ttl := max(servingTTL, servingTTLIntervals*p.interval())
+	ttl := p.servingTTL()
 	for name, other := range p.records {
 		if name == requester.Instance {
 			continue
@@ -74,8 +74,8 @@
 	if now.Before(requester.permitExpiry) || !requester.Open && requester.Stage != rollout.StageDraining {
 		return ""
 	}
-	if now.Sub(state.createdAt) < startupGrace {
-		return "the tracker has just started and does not know earlier permits"
+	if now.Sub(state.knownSince) < startupGrace {
+		return "the tracker has not heard of the pool for long enough to know earlier permits"
 	}
 	c := state.count(requester, now)
 	if reason := c.limitReason(row, requester); reason != "" {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -17,9 +17,9 @@
 const (
 	// permitLifetime is the lifetime of a permit unless it is renewed.
 	permitLifetime = 4 * time.Second
-	// startupGrace is the time during which a new tracker, which does not know
-	// earlier permits, grants none that would take a serving instance out of
-	// service. It is longer than the lifetime of any earlier permit.
+	// startupGrace is the time during which a new tracker, or one that agents come back
+	// to, does not know earlier permits and grants none that would take a serving
+	// instance out of service. It is longer than the lifetime of any earlier permit.
 	startupGrace = permitLifetime + time.Second
 	// servingTTL is the time for which an instance counts as serving after an
 	// announcement. In pools that announce less often, it is servingTTLIntervals
@@ -49,8 +49,10 @@
 
 // poolState holds the records of one pool.
 type poolState struct {
-	createdAt time.Time
-	records   map[string]*record
+	// knownSince is since when the instances announce to this tracker, announcedAt when one
+	// did last.
+	knownSince, announcedAt time.Time
+	records                 map[string]*record
 }
 
 // Tracker holds the announcements by pool. It is safe for concurrent use.
@@ -108,15 +110,21 @@
 	return nil
 }
 
-// poolState returns the state of the named pool after deleting expired records.
+// poolState returns the state of the named pool for an announcement, after deleting expired
+// records.
 func (t *Tracker) poolState(name string, now time.Time) (*poolState, error) {
 	if t.pools[name] == nil {
 		if len(t.pools) >= maxPools {
 			return nil, errLimitReached
 		}
-		t.pools[name] = &poolState{createdAt: now, records: map[string]*record{}}
+		t.pools[name] = &poolState{knownSince: now, announcedAt: now, records: map[string]*record{}}
 	}
 	state := t.pools[name]
+	if now.Sub(state.announcedAt) > state.servingTTL() {
+		// Another tracker has granted permits meanwhile.
+		state.knownSince = now
+	}
+	state.announcedAt = now
 	for instance, last := range state.records {
 		if now.Sub(last.announcedAt) > switchTTL {
 			delete(state.records, instance)
@@ -135,6 +143,11 @@
 	return p.records[instance], nil
 }
 
+// servingTTL is how long an instance counts as serving after an announcement.
+func (p *poolState) servingTTL() time.Duration {
+	return max(servingTTL, servingTTLIntervals*p.interval())
+}
+
 // interval is the time between two announcements of one instance.
 func (p *poolState) interval() time.Duration {
 	return max(minInterval, time.Duration(len(p.records))*intervalPerInstance)
