--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"net/http"
 	"os"
 	"time"
 
@@ -32,16 +33,14 @@
 	return time.Since(s.SignaledAt).Milliseconds()
 }
 
-// signaledBeforeRun reports whether the process has already received SIGTERM or SIGINT.
-// The framework handles them from the start of the process, before New.
-func (d *Daemon) signaledBeforeRun() bool {
+// signaled reports whether the process has already received SIGTERM or SIGINT. The
+// framework handles them from the start of the process, before New.
+func (d *Daemon) signaled() bool {
 	select {
 	case <-proc.Done():
 		return true
-	case <-d.signals:
-		return true
 	default:
-		return false
+		return len(d.signals) > 0
 	}
 }
 
@@ -70,12 +69,24 @@
 		"leave_delay_ms": d.config.LeaveDelay.Milliseconds(),
 		"drain_limit_ms": d.config.DrainLimit.Milliseconds(),
 	}).Info("draining")
+	d.draining.Store(true)
 	for _, fn := range d.drainHooks {
 		go fn(shutdown)
 	}
 	return shutdown
 }
 
+// closeWhileDraining closes each connection with its next response after the signal.
+// Otherwise the listeners' close would end it, perhaps under a request that is on its way.
+func (d *Daemon) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (d *Daemon) drain(shutdown Shutdown, stopped <-chan struct{}) {
 	leave, end := time.After(time.Until(shutdown.LeaveUntil)), time.After(time.Until(shutdown.EndBy))
 	for {
