Blocked parts: a record is saved only after an older one

An entry decided on a trial, read the later record of another entry, and saved the trial over it, as the expected revision was taken from the copy at the time of the write: a lifted block was in force again, or two entries let a trial through. The copy's record has to be older than the saved one now.

--- a/internal/relay/blocksaver.go
+++ b/internal/relay/blocksaver.go
@@ -99,7 +99,7 @@
 func (s *blockSaver) save(ctx context.Context, record blocklist.Record) bool {
 	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
 	defer cancel()
-	err := s.store.SaveBlock(ctx, record, s.storedRevision(record.Part))
+	err := s.saveAfterOlder(ctx, record)
 	log := s.log.WithFields(logrus.Fields{"model": record.Model, "part": record.ID, "version": record.Version, "lifted": record.Lifted, "trials": record.Trials})
 	if err == nil {
 		s.backoff = minSaveBackoff
@@ -117,12 +117,17 @@
 	return false
 }
 
-// storedRevision returns the revision of a part's record in the store, zero if it has none.
-func (s *blockSaver) storedRevision(part blocklist.Part) replica.Revision {
+// saveAfterOlder enters a record in the store if the store has an older one of the part, or
+// none. The copy of the store may have changed since the record was decided on.
+func (s *blockSaver) saveAfterOlder(ctx context.Context, record blocklist.Record) error {
 	snapshot := s.copies.Snapshot(platform.Blocks)
-	document, found := snapshot.Documents[platform.BlockName(part)]
+	document, found := snapshot.Documents[platform.BlockName(record.Part)]
 	if !found || document.Revision.Era < snapshot.Content.Era {
-		return replica.Revision{}
+		return s.store.SaveBlock(ctx, record, replica.Revision{})
 	}
-	return document.Revision
+	// A record that cannot be decoded is replaced.
+	if stored, err := platform.DecodeBlock(document); err == nil && stored.Version >= record.Version {
+		return failure.New(failure.Conflict, "none; the newer record holds", "version %d of the record is not newer than version %d in the store", record.Version, stored.Version)
+	}
+	return s.store.SaveBlock(ctx, record, document.Revision)
 }
