Retry budget: the slack of an entry that has ended is free after one window

The slack is divided by the live entries. When one ended, the others took over its share at once, though its retries still counted in the window: 22 of 12 with three entries that end one after the other. An entry that has ended now counts for one window more.

--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -52,12 +52,6 @@
 	reason string
 }
 
-// retryLimits bound the retries of all entries together.
-type retryLimits struct {
-	window       time.Duration
-	ratio, slack float64
-}
-
 // scheduler places queued requests on instances: it combines the admission queues with
 // the state of the fleet. It is safe for concurrent use.
 type scheduler struct {
@@ -68,7 +62,7 @@
 	nextID       uint64
 	retryBudgets map[string]*dispatch.WindowBudget
 	retryLimits  retryLimits
-	entryCount   int
+	slackSharers slackSharers
 	// retrySlackFrom is when this entry may start to use its share of the slack. Before
 	// that it knows neither what was retried in the window before its start nor, at
 	// first, how many entries share the slack.
@@ -91,7 +85,7 @@
 func newScheduler(fleet *placement.Fleet, retries retryLimits) *scheduler {
 	return &scheduler{
 		fleet: fleet, queues: map[string]*admission.Queue{}, tickets: map[uint64]*ticket{}, retryBudgets: map[string]*dispatch.WindowBudget{},
-		retryLimits: retries, entryCount: 1, requestQueued: make(chan struct{}, 1), overloads: map[string]*overload{}, loadChanged: func(string, bool) {},
+		retryLimits: retries, slackSharers: slackSharers{count: 1}, requestQueued: make(chan struct{}, 1), overloads: map[string]*overload{}, loadChanged: func(string, bool) {},
 		backendExpired: func(placement.Change) {}, minVersion: func(string, time.Time) int64 { return 0 },
 	}
 }
@@ -386,40 +380,6 @@
 	return s.fleet.OwnLoad(id)
 }
 
-// retrySlackShare returns this entry's share of the retry slack, the retries allowed
-// regardless of the number of requests. The caller holds mu.
-func (s *scheduler) retrySlackShare(now time.Time) float64 {
-	if now.Before(s.retrySlackFrom) {
-		return 0
-	}
-	return s.retryLimits.slack / float64(s.entryCount)
-}
-
-// setRetryLimits replaces the bounds on retries. Earlier retries still count.
-func (s *scheduler) setRetryLimits(retries retryLimits) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.retryLimits = retries
-	now := clock.Now()
-	slack := s.retrySlackShare(now)
-	for _, budget := range s.retryBudgets {
-		budget.SetLimits(retries.window, retries.ratio, now)
-		budget.SetSlack(slack)
-	}
-}
-
-// setEntries records the live entries, self among them, which share the retry budget.
-func (s *scheduler) setEntries(self string, hosts []string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fleet.SetEntries(self, hosts)
-	s.entryCount = len(hosts)
-	slack := s.retrySlackShare(clock.Now())
-	for _, budget := range s.retryBudgets {
-		budget.SetSlack(slack)
-	}
-}
-
 // engineHosts returns the IPs of the instances with model engines in an
 // availability zone, or in all when zone is empty.
 func (s *scheduler) engineHosts(zone string) []string {
