Relay: final responses keep a twentieth of the time to the end as margin

On an overloaded machine entries took up to 8.3 s and more from SIGTERM to exit instead of 7.7 s (16 entries beside 8 busy loops; signal and timers came late), beyond the grace period of 8 s. The final responses are now due 0.4 s before the process ends instead of 0.2 s. The lines 'entry stopped' and 'agent stopped' were often lost, as they followed the flush of the log: 'drained' and 'drain limit reached' tell the same and are written.

--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -187,9 +187,7 @@
 	if err != nil {
 		return err
 	}
-	err = d.Run()
-	log.Info("agent stopped")
-	return err
+	return d.Run()
 }
 
 // reload applies the settings that may change while the agent runs.
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -122,9 +122,7 @@
 	go e.heartbeats.Run(ctx)
 	go e.scheduler.Run(ctx)
 	go e.saver.Run(ctx)
-	err = d.Run()
-	log.Info("entry stopped")
-	return err
+	return d.Run()
 }
 
 func daemonConfig(s platform.Settings) daemon.Config {
--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// answerMargin is the time between the final responses of the requests that are still
-	// in progress and the end of the process.
-	answerMargin = 200 * time.Millisecond
+	// answerMarginShare is the share of the time from the signal to the end of the process
+	// that is kept for the final responses of the requests still in progress.
+	answerMarginShare = 0.05
 	// durationsPeriod is how long the duration of a request says how long others of its
 	// route may take, at least.
 	durationsPeriod = 20 * time.Second
@@ -52,6 +52,7 @@
 // begin starts the stop of a process that ends at endBy.
 func (s *shutdown) begin(times daemon.Shutdown) {
 	now := clock.Now()
+	answerMargin := time.Duration(answerMarginShare * float64(times.EndBy.Sub(times.SignaledAt)))
 	answerIn := time.Until(times.EndBy) - answerMargin
 	s.plan.Store(&drain.Plan{SignaledAt: now.Add(-time.Since(times.SignaledAt)), AnswerBy: now.Add(answerIn)})
 	time.AfterFunc(answerIn, s.end)
