Loader: no chunk of another version is staged while an engine may accept an order

The agent checked that no chunk of another version had been staged since it verified the staging area, and then sent the order to load. Until the engine accepted it, up to 0.8 s later or unknown without an answer, chunks of a newer target could be staged: the engine would load weights of two versions. The target moves on after an order only once the time limit of the ordered version has passed; earlier, its complete fetch is kept.

The check and the start of the order are one step now. Until the order is answered, and for 300 ms without an answer, no chunk of another version is staged; it is staged when the newer version is verified.

--- a/internal/loader/distribution.go
+++ b/internal/loader/distribution.go
@@ -274,10 +274,12 @@
 }
 
 // stageChunk copies a chunk to the engine's staging area, unless another version
-// has become the target. A chunk that fails to be staged here is staged by
-// verifyStagedChunks before the engine loads.
+// has become the target or is being ordered. A chunk that is not staged here is
+// staged by verifyStagedChunks before the engine loads.
 func (a *agent) stageChunk(ctx context.Context, wanted target, chunk int, data []byte) {
-	a.stagingCalls.begin(wanted.version)
+	if !a.stagingCalls.begin(wanted.version) {
+		return
+	}
 	defer func() { a.stagingCalls.end(wanted.version, clock.Now()) }()
 	if a.currentTarget().version != wanted.version {
 		return
--- a/internal/loader/switch.go
+++ b/internal/loader/switch.go
@@ -243,7 +243,7 @@
 		a.setSwitching(false)
 		return last
 	}
-	if !a.stillValid(verified) {
+	if !a.stillValid(verified) || !a.stagingCalls.beginOrder(verified.version, verified.at) {
 		log.WithField("verified_ms", clock.Now().Sub(verified.at).Milliseconds()).Info("the verification of the staged chunks is no longer valid; verifying again")
 		a.setSwitching(false)
 		return last
@@ -251,6 +251,7 @@
 	ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
 	defer cancel()
 	err := a.engine.StartLoad(ctx, wanted.model, wanted.version, resumable)
+	a.stagingCalls.endOrder(!failure.Is(err, failure.NotReachable), clock.Now())
 	if err == nil {
 		a.metrics.loadOrders.WithLabelValues("accepted").Inc()
 		log.WithField("after_ms", clock.Now().Sub(wanted.learnedAt).Milliseconds()).Info("the engine accepted the order to load")
@@ -339,6 +340,10 @@
 	if !held {
 		return false
 	}
+	if !a.stagingCalls.begin(wanted.version) {
+		return false
+	}
+	defer func() { a.stagingCalls.end(wanted.version, clock.Now()) }()
 	a.log.WithFields(logrus.Fields{"chunk": chunk, "version": wanted.version, "missing": err != nil}).Info("replacing a missing or corrupt staged chunk")
 	if err := a.engine.Stage(ctx, wanted.model, chunk, data); err != nil {
 		a.log.WithError(err).WithField("chunk", chunk).Warning("cannot stage a chunk")
