Test: entries that end one after the other count for the first one's window (failing)

slackSharers keeps the time at which the first entry ended. When the next one ends within the same window, both stop to count at the end of the first one's window: of three entries, ended at 1 s and 9 s, one shares the slack from 11.1 s on, though the retries of the second count until 19 s.

--- a/internal/relay/retryslack_test.go
+++ b/internal/relay/retryslack_test.go
@@ -36,3 +36,21 @@
 	}
 	c.Assert(total <= slack, qt.IsTrue, qt.Commentf("%d retries, %d allowed", total, slack))
 }
+
+// TestEachEndedEntryCountsForItsOwnWindow guards against the same when entries end within one
+// window, but not at once: the last one counts no longer than the first one.
+func TestEachEndedEntryCountsForItsOwnWindow(t *testing.T) {
+	c := qt.New(t)
+	const window = 10 * time.Second
+	began := time.Unix(1000, 0)
+	sharers := slackSharers{}
+	sharers.update(3, window, began)
+	for at := time.Second; at <= 18*time.Second; at += 100 * time.Millisecond {
+		live := 2
+		if at >= 9*time.Second {
+			live = 1
+		}
+		sharers.update(live, window, began.Add(at))
+		c.Assert(sharers.count >= 2, qt.IsTrue, qt.Commentf("%d entries share the slack after %s, one of which ended at 9s", sharers.count, at))
+	}
+}
