--- a/internal/relay/heads_test.go
+++ b/internal/relay/heads_test.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -24,8 +26,12 @@
 	lastEvents  = "id: 3\ndata: 3\n\nid: 4\ndata: 4\n\n"
 )
 
-// stopsAndGoesOn is the silence in the middle of a head.
-const stopsAndGoesOn = 1200 * time.Millisecond
+// stopsAndGoesOn is the silence in the middle of a head; shortPause is one where the head is
+// not what the test is about.
+const (
+	stopsAndGoesOn = 1200 * time.Millisecond
+	shortPause     = 50 * time.Millisecond
+)
 
 // requestKinds are the paths of a lookup, of a request that may run once, of a stream that
 // may be resumed and of one that may not.
@@ -227,7 +233,7 @@
 		"signed length":                    {parts: ok("Content-Length: +3\r\n", half)},
 		"length with a unit":               {parts: ok("Content-Length: 3;\r\n", half)},
 		"empty coding":                     {parts: ok("Transfer-Encoding:\r\n", half)},
-		"other coding":                     {parts: ok("Transfer-Encoding: identity\r\n", half)},
+		"identity coding":                  {parts: ok("Transfer-Encoding: identity\r\n", half)},
 		"CR within a head":                 {parts: ok("X: y\r"+length, half)},
 		"two heads in one":                 {parts: []string{whole[:strings.Index(whole, "\r\n\r\n")+2] + whole}},
 		"head cut, another one follows":    {parts: []string{strings.Replace(whole, "\r\n\r\n", "\r\nDate: 1", 1)[:len(whole)-len(body)+4] + strings.Replace(withLength("x"), testAttempt, "other", 1)}},
@@ -289,3 +295,145 @@
 	qt.Check(t, reached.Load(), qt.Equals, int32(1))
 	return response, body, err
 }
+
+// resumeAtScript sends a request for a stream that ends after firstEvents, and goes on at an
+// instance that answers with the parts.
+func resumeAtScript(t *testing.T, parts []string) (*http.Response, string, error) {
+	var reached atomic.Int32
+	first := sealed("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n", len(firstEvents), firstEvents))
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if reached.Load() == 0 {
+			rawScript(&reached, 0, first)(w, r)
+			return
+		}
+		rawScript(&reached, shortPause, parts...)(w, r)
+	}
+	f := newFixture(t, handler, handler)
+	response, body, err := f.do(http.MethodPost, "/stream/x")
+	qt.Check(t, reached.Load(), qt.Equals, int32(2))
+	return response, body, err
+}
+
+// TestResumedStreamIsNeverShort guards against a stream that ends as complete, or goes on with
+// other bytes, because the head or the body of the second response was cut or unusual.
+func TestResumedStreamIsNeverShort(t *testing.T) {
+	scripts := map[string][]string{}
+	for name, test := range oddHeads(lastEvents) {
+		scripts[name] = test.parts
+	}
+	for name, test := range cutHeads(lastEvents) {
+		scripts["cut: "+name] = test.parts
+	}
+	whole := withLength(lastEvents)
+	for cut := range whole {
+		scripts[fmt.Sprintf("cut at %d", cut)] = []string{whole[:cut]}
+	}
+	for name, parts := range scripts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			response, body, err := resumeAtScript(t, parts)
+			if isComplete(response, err) {
+				qt.Check(t, body, qt.Equals, firstEvents+lastEvents)
+			}
+			qt.Check(t, strings.HasPrefix(firstEvents+lastEvents, body), qt.IsTrue, qt.Commentf("%q", body))
+		})
+	}
+}
+
+// bodilessResponses are complete responses without a body, some of which have a length or
+// bytes after their end.
+func bodilessResponses() map[string]oddHead {
+	return map[string]oddHead{
+		"no content":                {parts: []string{sealed("HTTP/1.1 204 No Content", "", "")}},
+		"no content, bytes follow":  {parts: []string{sealed("HTTP/1.1 204 No Content", "Content-Length: 5\r\n", "hello")}},
+		"reset content":             {parts: []string{sealed("HTTP/1.1 205 Reset Content", "Content-Length: 0\r\n", "")}},
+		"reset content, body":       {parts: []string{sealed("HTTP/1.1 205 Reset Content", "", "hello")}},
+		"not modified":              {parts: []string{sealed("HTTP/1.1 304 Not Modified", "Content-Length: 500\r\n", "")}},
+		"not modified, bytes":       {parts: []string{sealed("HTTP/1.1 304 Not Modified", "", withLength("hello"))}},
+		"an empty body":             {parts: []string{sealed("HTTP/1.1 200 OK", "Content-Length: 0\r\n", "")}},
+		"an error without a length": {parts: []string{sealed("HTTP/1.1 500 Internal Server Error", "", "hello")}},
+	}
+}
+
+// TestNextRequestOnAKeptConnectionGetsItsOwnResponse guards against bytes of a cut or unusual
+// response that stay on the caller's connection, where the next response is due. The two
+// requests are sent one after the other, and together.
+func TestNextRequestOnAKeptConnectionGetsItsOwnResponse(t *testing.T) {
+	for _, scripts := range []map[string]oddHead{oddHeads(firstEvents), cutHeads(firstEvents), bodilessResponses()} {
+		for name, test := range scripts {
+			for _, method := range []string{http.MethodPost, http.MethodHead} {
+				for _, isPipelined := range []bool{false, true} {
+					t.Run(fmt.Sprintf("%s, %s, pipelined %t", name, method, isPipelined), func(t *testing.T) {
+						t.Parallel()
+						sendTwo(qt.New(t), method, isPipelined, test.parts)
+					})
+				}
+			}
+		}
+	}
+}
+
+// sendTwo sends a request that is answered with the parts and another one on the same
+// connection, which the entry may close in between.
+func sendTwo(c *qt.C, method string, isPipelined bool, parts []string) {
+	var reached atomic.Int32
+	f := newFixture(c.TB.(*testing.T), func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/odd") {
+			rawScript(&reached, shortPause, parts...)(w, r)
+			return
+		}
+		answerOK(w, r)
+	})
+	f.allowNoRetries()
+	go f.frontend.scheduler.Run(c.TB.(*testing.T).Context())
+	conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	c.Assert(conn.SetDeadline(time.Now().Add(20*time.Second)), qt.IsNil)
+	reader := bufio.NewReader(conn)
+	odd, next := newCallerRequest(c, method, "/once/odd", testAttempt), newCallerRequest(c, http.MethodPost, "/once/next", "attempt-2")
+	c.Assert(odd.Write(conn), qt.IsNil)
+	if isPipelined {
+		c.Assert(next.Write(conn), qt.IsNil)
+	}
+	if _, _, err := readWhole(reader, odd); err != nil {
+		// The connection ends with a response that cannot be complete.
+		return
+	}
+	// The instance is not used for a while after a failure.
+	if !isPipelined {
+		time.Sleep(150 * time.Millisecond)
+		if next.Write(conn) != nil {
+			return
+		}
+	}
+	response, body, err := readWhole(reader, next)
+	if err != nil {
+		c.Assert(err, qt.ErrorIs, io.ErrUnexpectedEOF)
+		return
+	}
+	if response.StatusCode == http.StatusOK {
+		c.Assert(body, qt.Equals, "answer")
+		c.Assert(response.Header.Get(standin.HeaderAttempt), qt.Equals, "attempt-2")
+	} else {
+		c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	}
+	c.Assert(reader.Buffered(), qt.Equals, 0)
+}
+
+func newCallerRequest(c *qt.C, method, path, attempt string) *http.Request {
+	request, err := http.NewRequest(method, "http://"+testHost+path, http.NoBody)
+	c.Assert(err, qt.IsNil)
+	standin.CallerRequest{AttemptID: attempt, APIKey: "good", TimeLeft: 2500 * time.Millisecond}.SetHeaders(request.Header)
+	return request
+}
+
+func readWhole(reader *bufio.Reader, request *http.Request) (*http.Response, string, error) {
+	response, err := http.ReadResponse(reader, request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response, string(body), err
+}
