Agent: a response of unknown framing is not marked as complete

The gate marked a backend server's response as complete, and stored it for callers that ask again, when its length had a space before the colon and its connection had ended early.

--- /dev/null
+++ b/internal/gate/framing_test.go
@@ -0,0 +1,48 @@
+package gate
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"plantainrelay/internal/message"
+	"plantainrelay/internal/peer"
+)
+
+// TestCutResponseIsNotMarkedComplete guards against a response of the backend server that was
+// cut in its head or body, or whose framing is unknown, and is marked as complete or stored.
+func TestCutResponseIsNotMarkedComplete(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nanswer"
+	responses := []string{
+		"HTTP/1.1 200 OK\r\nContent-Length : 6\r\n\r\nans", "HTTP/1.1 200 OK\r\ncontent-length  : 6\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n6\r\nans", "HTTP/1.1 103 Early Hints\r\n\r\n",
+	}
+	for cut := range whole {
+		responses = append(responses, whole[:cut])
+	}
+	for _, raw := range responses {
+		c := qt.New(t)
+		backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			conn, _, err := w.(http.Hijacker).Hijack()
+			c.Check(err, qt.IsNil)
+			_, _ = io.WriteString(conn, raw)
+			conn.Close()
+		}))
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		g := openGate(c, Config{MaxRunning: 10, MaxRecords: 10, MaxStoredResponse: 100})
+		recorder := httptest.NewRecorder()
+		e := &execution{handler: NewHandler(g, backend.URL, peer.Security{}, nil, logrus.NewEntry(log)), attempt: "a", w: recorder}
+		request := httptest.NewRequest(http.MethodPost, "/booking", nil)
+		c.Check(func() { e.serve(request, "/booking", nil, time.Now().Add(time.Minute)) }, qt.PanicMatches, http.ErrAbortHandler.Error(), qt.Commentf("%q", raw))
+		c.Check(e.stored, qt.IsNil)
+		c.Check(recorder.Header().Get(message.HeaderComplete), qt.Equals, "")
+		backend.Close()
+	}
+}
