Agent: a release outranks versions that are only served

The target was the highest version of any listed instance or release. Now the served versions count only while no release of the model is known, and a release replaces a target that was not released, also a higher one.

--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -99,10 +99,21 @@
 type target struct {
 	model   string
 	version int64
+	// isReleased is false for a version that is only served by some instance.
+	isReleased bool
 	// learnedAt is when this agent learned of the version.
 	learnedAt time.Time
 }
 
+// supersedes reports whether t replaces the last target. A release replaces any version that
+// is only served, also a newer one: the entry of the list that names it may be wrong.
+func (t target) supersedes(last target) bool {
+	if t.isReleased != last.isReleased {
+		return t.isReleased
+	}
+	return t.version > last.version
+}
+
 // agent is the process that manages one model engine.
 type agent struct {
 	settings     platform.Settings
@@ -263,36 +274,48 @@
 	return swarm.Member{Name: host, AvailabilityZone: zone, Region: a.settings.Regions[zone]}
 }
 
-// decodeTarget determines the target version: the newest one that was released or
-// that any instance serves. The caller holds mu.
+// decodeTarget determines the target version: the newest one that was released or, while no
+// release is known, that any instance serves. The caller holds mu.
 func (a *agent) decodeTarget() {
-	next := target{model: a.pool.Engine.Model, version: a.newestServed, learnedAt: clock.Now()}
+	next := target{model: a.pool.Engine.Model, version: a.newestRelease(), learnedAt: clock.Now()}
+	if next.isReleased = next.version > 0; !next.isReleased {
+		next.version = a.newestServed
+	}
+	if !next.supersedes(a.newestTarget) {
+		return
+	}
+	a.log.WithFields(logrus.Fields{"model": next.model, "version": next.version, "last": a.target.version, "released": next.isReleased}).Info("release seen")
+	a.newestTarget = next
+	a.chooseTarget(clock.Now())
+	a.triggerMessage()
+}
+
+// newestRelease returns the newest released version of the engine's model, 0 if none is known.
+// The caller holds mu.
+func (a *agent) newestRelease() int64 {
+	var newest int64
 	for _, document := range a.copies.Documents(platform.Releases) {
 		release, err := platform.DecodeRelease(document)
 		if err != nil {
 			a.log.WithError(err).Error("cannot decode a release; it is ignored")
 			continue
 		}
-		if release.Model == next.model {
-			next.version = max(next.version, release.Version)
+		if release.Model == a.pool.Engine.Model {
+			newest = max(newest, release.Version)
 		}
 	}
-	if next.version <= a.newestTarget.version {
-		return
-	}
-	a.log.WithFields(logrus.Fields{"model": next.model, "version": next.version, "last": a.target.version}).Info("release seen")
-	a.newestTarget = next
-	a.chooseTarget(clock.Now())
-	a.triggerMessage()
+	return newest
 }
 
 // chooseTarget moves the target to the newest version, unless the fetch of an
-// earlier one is nearly complete. The caller holds mu.
+// earlier one is nearly complete. A version that was not released is left at once. The
+// caller holds mu.
 func (a *agent) chooseTarget(now time.Time) {
-	if a.newestTarget.version <= a.target.version {
+	if !a.newestTarget.supersedes(a.target) {
 		return
 	}
-	if f := a.fetchInProgress; f != nil && f.target.version == a.target.version && a.report.LoadedVersion < a.target.version {
+	isSameKind := a.newestTarget.isReleased == a.target.isReleased
+	if f := a.fetchInProgress; isSameKind && f != nil && f.target.version == a.target.version && a.report.LoadedVersion < a.target.version {
 		progress := rollout.Progress{
 			Held: f.plan.Held(), Chunks: a.pool.Engine.Chunks, LastChunkAt: f.lastChunkAt,
 			ServeBy: a.target.learnedAt.Add(a.settings.Bounds.VersionSwitchTime),
