Relay: a canceled attempt reserves nothing more

An event that had been read already restarted the timer of a canceled attempt; it fired again, and the second reservation replaced the first one, whose slot and retry were never returned. A watchdog that has canceled its attempt decides no more.

--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -158,7 +158,7 @@
 	defer w.mu.Unlock()
 	left := time.Until(w.due)
 	switch {
-	case w.stopped:
+	case w.stopped || w.expired:
 	case left > 0:
 		w.timer.Reset(left)
 	case !decision.isAllowed:
@@ -189,7 +189,7 @@
 	defer w.mu.Unlock()
 	now := time.Now()
 	switch left := w.due.Sub(now); {
-	case w.stopped:
+	case w.stopped || w.expired:
 		return false
 	case left > 0:
 		w.timer.Reset(left)
