Dispatch: no retry is asked for if no attempt is left

A request whose attempts were used up took a retry from the budget all the same, and a begun stream waited 1.8 s for one before it was closed.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -144,7 +144,7 @@
 // now and the retry budget allowed it.
 func (r *Request) MayRepeat(now time.Time) bool {
 	isLastInterruption := r.config.MaxInterruptions > 0 && r.interruptions+1 >= r.config.MaxInterruptions
-	return r.config.Repeatable && !isLastInterruption && r.attempts < r.config.MaxAttempts && now.Add(r.config.RetryDelay).Before(r.config.Deadline)
+	return r.config.Repeatable && !isLastInterruption && r.mayAttempt(now, r.config.RetryDelay)
 }
 
 // AttemptInterrupted reports that the last attempt ended without a complete
@@ -159,7 +159,7 @@
 		if r.config.MaxInterruptions > 0 && r.interruptions >= r.config.MaxInterruptions {
 			return r.finish()
 		}
-		if r.config.Retry != nil && !r.config.Retry() {
+		if !r.mayAttempt(now, r.config.RetryDelay) || r.config.Retry != nil && !r.config.Retry() {
 			return r.finish()
 		}
 		return r.nextAttempt(now, r.config.RetryDelay)
@@ -201,8 +201,13 @@
 	return Action{Kind: QueryStatus, Wait: wait}
 }
 
+// mayAttempt reports whether the bounds allow an attempt after wait.
+func (r *Request) mayAttempt(now time.Time, wait time.Duration) bool {
+	return r.attempts < r.config.MaxAttempts && now.Add(wait).Before(r.config.Deadline)
+}
+
 func (r *Request) nextAttempt(now time.Time, wait time.Duration) Action {
-	if r.attempts >= r.config.MaxAttempts || !now.Add(wait).Before(r.config.Deadline) {
+	if !r.mayAttempt(now, wait) {
 		return r.finish()
 	}
 	r.attempts++
