Retry budget: each ended entry counts for its own window

Entries that ended within a window of each other stopped counting with the first of them: of seven that ended 1.3 s apart none counted 2.3 s after the last.

--- a/internal/relay/retrylimits.go
+++ b/internal/relay/retrylimits.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"plantainrelay/internal/clock"
@@ -15,20 +16,20 @@
 // slackSharers counts the entries that share the retry slack. One that has ended counts for
 // a window more, in which its retries still count.
 type slackSharers struct {
-	count   int
-	endedAt time.Time
+	count int
+	// endedAt holds when those of them have ended that are not live, the earliest first.
+	endedAt []time.Time
 }
 
 // update records the number of live entries.
 func (s *slackSharers) update(live int, window time.Duration, now time.Time) {
-	switch {
-	case live >= s.count:
-		s.count, s.endedAt = live, time.Time{}
-	case s.endedAt.IsZero():
-		s.endedAt = now
-	case now.Sub(s.endedAt) > window:
-		s.count, s.endedAt = live, time.Time{}
+	for known := s.count - len(s.endedAt); known > live; known-- {
+		s.endedAt = append(s.endedAt, now)
 	}
+	returned := max(live-(s.count-len(s.endedAt)), 0)
+	s.endedAt = s.endedAt[:max(len(s.endedAt)-returned, 0)]
+	s.endedAt = slices.DeleteFunc(s.endedAt, func(at time.Time) bool { return now.Sub(at) > window })
+	s.count = live + len(s.endedAt)
 }
 
 // retrySlackShare returns this entry's share of the retry slack, the retries allowed
