Relay: queued requests go before reservations

A slot that other entries had freed went to the reservation of a request whose silent instance could be awaited, not to a queued request, such as a begun stream without an instance.

--- a/internal/relay/reservation.go
+++ b/internal/relay/reservation.go
@@ -27,6 +27,8 @@
 	defer s.mu.Unlock()
 	now := clock.Now()
 	s.updateMinVersion(t, now)
+	// Requests that wait have no instance; this one has.
+	s.dispatchWaiting(t.need.Pool, now)
 	budget := s.retryBudget(t.need.Pool)
 	if !budget.Allows(now) {
 		return nil
