Relay: a stopping entry decides about a request before its trial

A request with a blocked part used up the trial that its entry had been granted, and was then refused because the entry was stopping.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -133,13 +133,17 @@
 	lastEventAt time.Time
 }
 
-// prepare sets the deadline and the retry decisions of an admitted request.
-func (x *exchange) prepare() {
+// setDeadline sets the time at which the request is given up.
+func (x *exchange) setDeadline() {
 	timeLeft := x.route.Timeout
 	if x.call.TimeLeft > 0 && (timeLeft <= 0 || x.call.TimeLeft < timeLeft) {
 		timeLeft = x.call.TimeLeft
 	}
 	x.deadline = x.arrived.Add(timeLeft)
+}
+
+// prepare sets the retry decisions of an admitted request.
+func (x *exchange) prepare() {
 	x.returning = x.frontend.returningCallers.isReturning(x.route.Name, x.call.TimeLeft, x.route.Timeout)
 	x.tried = map[string]bool{}
 	x.decision = dispatch.New(dispatch.Config{
--- a/internal/relay/frontend.go
+++ b/internal/relay/frontend.go
@@ -180,11 +180,15 @@
 	if engine := table.Pools[x.pool].Engine; engine != nil {
 		x.model, x.parts = engine.Model, x.call.SharedParts
 	}
+	x.setDeadline()
+	if refused := x.admitWhileStopping(); refused != nil {
+		return refused
+	}
 	if refused := x.admitParts(); refused != nil {
 		return refused
 	}
 	x.prepare()
-	return x.admitWhileStopping()
+	return nil
 }
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
