Relay: a rejected stream returns a few times only

A begun stream was offered again and again to the only instance left, which rejected it: 11 attempts, all ten retries of the pool in 1.8 s. It now returns four times at most, after 0.1 s and twice as long each time, and only if no other instance is left.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -129,6 +129,8 @@
 	hasEvent        bool
 	// closeCause is why no further attempt is made, for the log.
 	closeCause closeCause
+	// returns counts how often a rejected stream has returned to an instance.
+	returns int
 	// lastEventAt is when the caller got that event, by time.Now.
 	lastEventAt time.Time
 }
@@ -357,8 +359,7 @@
 		return x.decision.NotStarted(now), false
 	case notRun, addressReused:
 		if outcome == notRun && x.isResuming() {
-			// The instance may have room again while the stream waits.
-			delete(x.tried, x.attempts[len(x.attempts)-1].Instance)
+			x.allowReturn(ctx)
 		}
 		if x.takeRetry() {
 			return x.decision.NotStarted(now), false
--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"context"
 	"time"
 
 	"plantainrelay/internal/clock"
+	"plantainrelay/internal/placement"
 	"plantainrelay/platform"
 )
 
@@ -13,6 +15,11 @@
 	resumedPriority = -1
 	// retryCheckInterval is the time between two attempts to take a retry from the budget.
 	retryCheckInterval = 25 * time.Millisecond
+	// maxReturns bounds how often a rejected stream returns to instances that have rejected
+	// it; it waits returnDelay before the first time and twice as long before each further
+	// one.
+	maxReturns  = 4
+	returnDelay = 100 * time.Millisecond
 )
 
 // isResuming reports whether the next attempt goes on with a stream that the caller has
@@ -43,3 +50,23 @@
 	}
 	return false
 }
+
+// allowReturn lets a begun stream that an instance has rejected return to that instance after
+// a delay, if no other one is left.
+func (x *exchange) allowReturn(ctx context.Context) {
+	if x.returns >= maxReturns || x.frontend.scheduler.hasUsable(x.placementNeed()) {
+		return
+	}
+	clock.Sleep(ctx, returnDelay<<x.returns)
+	x.returns++
+	delete(x.tried, x.attempts[len(x.attempts)-1].Instance)
+}
+
+// hasUsable reports whether there are instances that the request has not tried, whether or
+// not they have free slots.
+func (s *scheduler) hasUsable(need placement.Requirements) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count, _ := s.fleet.Usable(need, clock.Now())
+	return count > 0
+}
