Relay: a request is cancelable before its parts are checked for blocks

A block that was decided between the check and the mark that no instance responds canceled nothing, so that one more request with the part was sent.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -534,13 +534,14 @@
 		// The bound has ended since the request was placed.
 		return notSent
 	}
+	// Before the check: a block that is decided after it cancels the request.
+	x.pending.responding.Store(false)
 	if x.isBlocked() {
 		return partBlocked
 	}
 	if !record.Reserved && !x.mayBeSent() {
 		return partSuspected
 	}
-	x.pending.responding.Store(false)
 	x.progress = responseProgress{sentAt: clock.Now()}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
