--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -127,12 +125,12 @@
 	isStream        bool
 	lastEvent       int64
 	hasEvent        bool
-	// closeCause is why no further attempt is made, for the log.
-	closeCause closeCause
-	// returns counts how often a rejected stream has returned to an instance.
-	returns int
 	// lastEventAt is when the caller got that event, by time.Now.
 	lastEventAt time.Time
+	// returns counts how often a rejected stream has returned to an instance.
+	returns int
+	// closeCause is why no further attempt is made, for the log.
+	closeCause closeCause
 }
 
 // setDeadline sets the time at which the request is given up.
@@ -435,99 +433,12 @@
 	}
 }
 
-// closeCause is why a response that has begun is not completed.
-type closeCause string
-
-const (
-	closedForTimeLimit closeCause = "time_limit"
-	closedForShutdown  closeCause = "shutdown"
-	closedForSlot      closeCause = "no_slot"
-	closedForRetry     closeCause = "no_retry"
-	closedForAttempts  closeCause = "no_attempt_left"
-	// closedForKind means that the response can't be resumed.
-	closedForKind closeCause = "not_resumable"
-)
-
-// closeResponse ends a response that can't be completed.
-func (x *exchange) closeResponse(ctx context.Context) {
-	switch {
-	case isCanceledByShutdown(ctx):
-		x.closeCause = closedForShutdown
-	case x.closeCause != "":
-	case ctx.Err() != nil:
-		x.closeCause = closedForTimeLimit
-	case !x.isResuming():
-		x.closeCause = closedForKind
-	default:
-		x.closeCause = closedForAttempts
-	}
-	x.frontend.metrics.closed.WithLabelValues(string(x.closeCause)).Inc()
-	x.logOutcome(0, "broken_off")
-	x.abort()
-}
-
 // abort closes the caller's connection, so that a partial response cannot be taken for
 // a complete one.
 func (x *exchange) abort() {
 	panic(http.ErrAbortHandler)
 }
 
-// outcome is the result of one attempt.
-type outcome string
-
-const (
-	// answered means that the caller has received the complete response.
-	answered outcome = "answered"
-	// notSent means that no byte of the request left this process.
-	notSent outcome = "not_sent"
-	// notRun means that the instance rejected the request without running it.
-	notRun outcome = "not_run"
-	// addressReused means that the address now belongs to another instance.
-	addressReused outcome = "moved"
-	// broken means that the attempt may have run and its response is incomplete.
-	broken outcome = "broken"
-	// silent means the same as broken, after the instance sent nothing for too long.
-	silent outcome = "silent"
-	// crashSuspect means the same as broken, and that the request may be the reason why the
-	// instance has crashed.
-	crashSuspect outcome = "crash_suspect"
-	// partBlocked means that the request was not sent, because a part of its prompt is
-	// blocked; canceled that it was sent before, and may have run.
-	partBlocked outcome = "blocked"
-	canceled    outcome = "canceled"
-	// partSuspected means that the request was not sent, because a part of its prompt is on
-	// probation.
-	partSuspected outcome = "suspected"
-	// failed means that the instance returned a server error that another instance may
-	// not return.
-	failed outcome = "failed"
-	// callerDisconnected means that the caller has disconnected.
-	callerDisconnected outcome = "caller_left"
-)
-
-// placementResult returns what the outcome of the attempt says about the instance. A time
-// to wait explains an error.
-func (r attemptRecord) placementResult(o outcome) placement.Result {
-	if result := o.placementResult(); r.WaitMs == 0 || result != placement.Failed && result != placement.Succeeded {
-		return result
-	}
-	return placement.AskedToWait
-}
-
-func (o outcome) placementResult() placement.Result {
-	switch o {
-	case answered:
-		return placement.Succeeded
-	case notRun:
-		return placement.Full
-	case addressReused:
-		return placement.AddressReused
-	case callerDisconnected, partBlocked, partSuspected, canceled:
-		return placement.CallerDisconnected
-	}
-	return placement.Failed
-}
-
 // attempt sends the request to one instance and forwards the response.
 func (x *exchange) attempt(ctx context.Context, choice placement.Choice, record *attemptRecord) outcome {
 	if choice.Version < x.requiredVersion() {
@@ -639,146 +550,3 @@
 	}
 	return newRequest(ctx, x.r, choice.Backend.Address, x.body, platform.ForwardHeader(x.r.Header, forward))
 }
-
-// forwardResponse forwards a response that is not a stream. Up to maxBufferedBytes are
-// read before any byte is forwarded, so that a shorter response that breaks off can
-// still be replaced by that of another instance.
-func (x *exchange) forwardResponse(response *http.Response, watchdog *watchdog, record *attemptRecord) outcome {
-	if response.ContentLength > maxResponseBytes {
-		return x.rejectOversized(record)
-	}
-	start, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
-	record.bytes = len(start)
-	if err != nil {
-		x.noteBreak(err)
-		return x.classifyFailure(watchdog, true)
-	}
-	if response.StatusCode >= http.StatusInternalServerError && x.route.Kind == catalog.Idempotent && x.reserveRepeatNow() {
-		return failed
-	}
-	if x.responseStarted {
-		return broken
-	}
-	complete, length := len(start) <= maxBufferedBytes, response.ContentLength
-	if complete {
-		length = int64(len(start))
-	}
-	platform.CopyResponseHeader(response.Header, x.w.Header())
-	if length >= 0 {
-		x.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
-	}
-	x.responseStarted, x.status = true, response.StatusCode
-	x.w.WriteHeader(response.StatusCode)
-	if _, err := x.w.Write(start); err != nil {
-		return callerDisconnected
-	}
-	if complete {
-		return answered
-	}
-	// The response has started in time. From here on only the deadline limits it.
-	watchdog.stop()
-	return x.forwardRemainder(response.Body, watchdog, record)
-}
-
-// forwardRemainder forwards the rest of a large response while it is read.
-func (x *exchange) forwardRemainder(body io.Reader, watchdog *watchdog, record *attemptRecord) outcome {
-	buffer := make([]byte, forwardBufferBytes)
-	for {
-		count, err := body.Read(buffer)
-		record.bytes += count
-		if record.bytes > maxResponseBytes {
-			return x.rejectOversized(record)
-		}
-		if _, writeErr := x.w.Write(buffer[:count]); writeErr != nil {
-			return callerDisconnected
-		}
-		if errors.Is(err, io.EOF) {
-			return answered
-		}
-		if err != nil {
-			return x.classifyFailure(watchdog, true)
-		}
-	}
-}
-
-// rejectOversized logs that a response exceeds the size limit.
-func (x *exchange) rejectOversized(record *attemptRecord) outcome {
-	x.frontend.log.WithFields(logrus.Fields{
-		"request": x.call.AttemptID, "instance": record.Instance, "bytes": record.bytes, "limit": maxResponseBytes,
-	}).Warning("a backend server's response exceeds the size limit; closing its connection")
-	return broken
-}
-
-// forwardStream forwards the events of a response as they arrive.
-func (x *exchange) forwardStream(response *http.Response, choice placement.Choice, watchdog *watchdog, record *attemptRecord) outcome {
-	reader := newEventReader(response.Body)
-	pauseTimeout := max(time.Duration(pauseFactor*float64(x.route.MaxPause)), minSilenceTimeout)
-	flusher := http.NewResponseController(x.w)
-	// Uses time.Now because it runs for each event: reading the boot clock is a system
-	// call.
-	last := time.Now()
-	for {
-		next, err := reader.next()
-		if errors.Is(err, io.EOF) && !x.endedWithoutEvents(response, record) {
-			x.noteComplete(choice, record.Events)
-			return x.finishStream(response)
-		}
-		if err != nil {
-			x.noteBreak(err)
-			return x.classifyFailure(watchdog, true)
-		}
-		if next.hasID && x.hasEvent && next.id <= x.lastEvent {
-			return broken
-		}
-		if record.bytes += len(next.raw); record.bytes > maxResponseBytes {
-			return x.rejectOversized(record)
-		}
-		if !next.isBlank {
-			watchdog.extend(pauseTimeout)
-		}
-		now := time.Now()
-		if record.Events > 0 {
-			record.PauseMs = max(record.PauseMs, now.Sub(last).Milliseconds())
-		}
-		last = now
-		x.startStream(response)
-		if _, err := x.w.Write(next.raw); err != nil {
-			return callerDisconnected
-		}
-		if next.hasID {
-			x.lastEvent, x.hasEvent = next.id, true
-		}
-		x.lastEventAt = now
-		record.Events++
-		x.noteProgress(choice, record.Events)
-		if !reader.buffered() {
-			if err := flusher.Flush(); err != nil {
-				return callerDisconnected
-			}
-		}
-	}
-}
-
-// endedWithoutEvents reports whether a stream that has no length and is not chunked ended
-// with its connection before the first event. One that resumes after an event may have none
-// left.
-func (x *exchange) endedWithoutEvents(response *http.Response, record *attemptRecord) bool {
-	isUnframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0
-	return isUnframed && record.Events == 0 && !x.hasEvent && x.call.LastEventID == ""
-}
-
-func (x *exchange) startStream(response *http.Response) {
-	if x.responseStarted {
-		return
-	}
-	x.responseStarted, x.isStream, x.status = true, true, response.StatusCode
-	platform.CopyResponseHeader(response.Header, x.w.Header())
-	x.w.WriteHeader(response.StatusCode)
-	x.frontend.metrics.firstEvent.Observe(clock.Now().Sub(x.arrived).Seconds())
-}
-
-// finishStream completes the response after the last event.
-func (x *exchange) finishStream(response *http.Response) outcome {
-	x.startStream(response)
-	return answered
-}
