--- a/internal/relay/review_fix_test.go
+++ b/internal/relay/review_fix_test.go
@@ -150,3 +150,17 @@
 	_, isTrial, _ := f.frontend.blocker.admit(modelName, []string{crashPart})
 	c.Assert(isTrial, qt.IsTrue, qt.Commentf("%s", body))
 }
+
+// TestWatchdogConfirmsSilence guards against a watchdog that decides at the first firing of its
+// timer, which may follow a pause of this process.
+func TestWatchdogConfirmsSilence(t *testing.T) {
+	c := qt.New(t)
+	began, decided := time.Now(), make(chan time.Duration, 1)
+	w := newWatchdog(func() {}, time.Millisecond, func() giveUp {
+		decided <- time.Since(began)
+		return giveUp{isAllowed: true}
+	}, func(*reservation) {})
+	after := <-decided
+	w.stop()
+	c.Assert(after >= silenceConfirmInterval, qt.IsTrue, qt.Commentf("decided after %s", after))
+}
