Relay: a reservation waits for the turn of a probe; rejected streams may return to all

A silent request whose part is on probation took a slot and returned it every 100 ms; it asks for the turn first. A begun stream that two instances had rejected could return to the last one only.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -70,7 +70,7 @@
 	Limit      int   `json:"limit"`
 	Unread     int   `json:"unread,omitempty"`
 	QueueMs    int64 `json:"queue_ms"`
-	// Reserved says that the slot was reserved before the attempt before it was given up.
+	// Reserved says that the slot was taken while the last attempt was still awaited.
 	Reserved bool   `json:"reserved,omitempty"`
 	FirstMs  int64  `json:"first_ms,omitempty"`
 	Events   int    `json:"events,omitempty"`
--- a/internal/relay/reservation.go
+++ b/internal/relay/reservation.go
@@ -60,10 +60,14 @@
 }
 
 // reserveRepeat reserves what the next attempt of the request needs. It returns nil while no
-// other instance can take the request.
+// other instance can take the request, or a part of its prompt has to wait for its probe.
 func (x *exchange) reserveRepeat(t *ticket) *reservation {
+	needsProbe := len(x.parts) > 0 && !x.isTrial
+	if needsProbe && !x.frontend.blocker.probeDue(x.model, x.parts) {
+		return nil
+	}
 	reserved := x.frontend.scheduler.reserve(t)
-	if reserved == nil || len(x.parts) == 0 || x.isTrial || x.frontend.blocker.startProbe(x.model, x.parts) {
+	if reserved == nil || !needsProbe || x.frontend.blocker.startProbe(x.model, x.parts) {
 		return reserved
 	}
 	x.frontend.scheduler.cancelReservation(reserved)
--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -51,15 +51,19 @@
 	return false
 }
 
-// allowReturn lets a begun stream that an instance has rejected return to that instance after
-// a delay, if no other one is left.
+// allowReturn lets a begun stream return to the instances that have rejected it, after a
+// delay, if no other one is left.
 func (x *exchange) allowReturn(ctx context.Context) {
 	if x.returns >= maxReturns || x.frontend.scheduler.hasUsable(x.placementNeed()) {
 		return
 	}
 	clock.Sleep(ctx, returnDelay<<x.returns)
 	x.returns++
-	delete(x.tried, x.attempts[len(x.attempts)-1].Instance)
+	for _, attempt := range x.attempts {
+		if outcome(attempt.Outcome) == notRun {
+			delete(x.tried, attempt.Instance)
+		}
+	}
 }
 
 // hasUsable reports whether there are instances that the request has not tried, whether or
--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -49,7 +49,7 @@
 	return s
 }
 
-// begin starts the stop of a process that ends at endBy.
+// begin starts the stop with the times of the process's shutdown.
 func (s *shutdown) begin(times daemon.Shutdown) {
 	now := clock.Now()
 	answerMargin := time.Duration(answerMarginShare * float64(times.EndBy.Sub(times.SignaledAt)))
