--- a/internal/placement/releases.go
+++ b/internal/placement/releases.go
@@ -95,6 +95,10 @@
 	return known.estimated == r.estimated && r.firstSeen.Before(known.firstSeen.Add(-reportSlack))
 }
 
+func (r release) age(model string, now time.Time) ReleaseAge {
+	return ReleaseAge{Release: catalog.Release{Model: model, Version: r.version}, Age: now.Sub(r.firstSeen), Estimated: r.estimated}
+}
+
 // enforcedFrom returns the time from which older versions must not start a request.
 func (r *Releases) enforcedFrom(known release) time.Time {
 	if known.estimated {
@@ -130,6 +134,16 @@
 	return until, limited
 }
 
+// FirstNewer returns the oldest known release that is newer than a version, with its age.
+func (r *Releases) FirstNewer(model string, version int64, now time.Time) (newer ReleaseAge, found bool) {
+	for _, known := range r.models[model] {
+		if known.version > version {
+			return known.age(model, now), true
+		}
+	}
+	return ReleaseAge{}, false
+}
+
 // Models returns the models with a known release, in order.
 func (r *Releases) Models() []string { return slices.Sorted(maps.Keys(r.models)) }
 
@@ -159,7 +173,7 @@
 		enforced := r.MinVersion(model, now)
 		for _, known := range r.models[model] {
 			if known.version >= enforced {
-				ages = append(ages, ReleaseAge{Release: catalog.Release{Model: model, Version: known.version}, Age: now.Sub(known.firstSeen), Estimated: known.estimated})
+				ages = append(ages, known.age(model, now))
 			}
 		}
 	}
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -56,26 +56,32 @@
 	}
 	f.renewTables()
 	for i := range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		config := standin.BackendConfig{
-			ID: "i-" + strconv.Itoa(i), Pool: modelPool, Address: listener.Addr().String(), Slots: 8, Weights: &weights, CrashPart: crashPart,
-			OnStart: func(standin.Execution) {}, OnArrival: func(standin.Arrival) { f.arrivals.Add(1) }, BeforeCrash: func(string) { f.crashes.Add(1) },
-		}
-		for _, modify := range modifiers {
-			modify(&config)
-		}
-		engine := standin.NewBackend(config, 1, nil)
-		go engine.Serve(listener)
-		t.Cleanup(func() { engine.Stop() })
-		f.engines, f.configs = append(f.engines, engine), append(f.configs, config)
+		f.addEngine(t, "i-"+strconv.Itoa(i), 1, modifiers...)
 	}
 	f.list(count)
 	return f
 }
 
+// addEngine starts an engine with a version of the weights, which is not listed.
+func (f *engineFixture) addEngine(t *testing.T, id string, version int64, modifiers ...func(*standin.BackendConfig)) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	config := standin.BackendConfig{
+		ID: id, Pool: modelPool, Address: listener.Addr().String(), Slots: 8, Weights: f.table.Pools[0].Weights, CrashPart: crashPart,
+		OnStart: func(standin.Execution) {}, OnArrival: func(standin.Arrival) { f.arrivals.Add(1) }, BeforeCrash: func(string) { f.crashes.Add(1) },
+	}
+	for _, modify := range modifiers {
+		modify(&config)
+	}
+	engine := standin.NewBackend(config, version, nil)
+	go engine.Serve(listener)
+	t.Cleanup(func() { engine.Stop() })
+	f.engines, f.configs = append(f.engines, engine), append(f.configs, config)
+}
+
 // evaluateBlocks does what the heartbeats of an entry do for its blocks.
 func (f *engineFixture) evaluateBlocks(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -77,6 +77,11 @@
 	PauseMs  int64  `json:"max_pause_ms,omitempty"`
 	Ms       int64  `json:"ms"`
 	Outcome  string `json:"outcome"`
+	// EndedFor is why this entry has ended the attempt itself, if it has.
+	EndedFor endReason `json:"ended_for,omitempty"`
+	// StartLimitMs is the time in which the instance had to start the request because of the
+	// bound on its version.
+	StartLimitMs int64 `json:"start_limit_ms,omitempty"`
 	// Leaving and WaitMs are what the response says about the instance: that it leaves,
 	// and for how long it wants no requests.
 	Leaving bool  `json:"leaving,omitempty"`
@@ -127,6 +132,9 @@
 	hasEvent        bool
 	// lastEventAt is when the caller got that event, by time.Now.
 	lastEventAt time.Time
+	// startWatchdog ends the current attempt if it does not start before the bound on the
+	// version of its instance.
+	startWatchdog *watchdog
 	// returns counts how often a rejected stream has returned to an instance.
 	returns int
 	// closeCause is why no further attempt is made, for the log.
@@ -314,6 +322,7 @@
 		x.frontend.metrics.attempts.WithLabelValues(string(result)).Inc()
 	}()
 	result = x.attempt(ctx, choice, &record)
+	x.recordOwnEnd(ctx, choice, result, &record)
 	if result == broken && x.mayHaveCrashedInstance(choice, &record) {
 		result = crashSuspect
 	}
@@ -458,8 +467,10 @@
 	defer cancel()
 	watchdog := newWatchdog(cancel, x.firstResponseTimeout(), x.silenceDecision(choice), x.frontend.scheduler.cancelReservation)
 	defer x.takeReservation(watchdog)
-	startLimit := newWatchdog(cancel, x.startLimit(choice), nil, nil)
-	defer startLimit.stop()
+	limit := x.startLimit(choice)
+	record.StartLimitMs = limit.Milliseconds()
+	x.startWatchdog = newWatchdog(cancel, limit, nil, nil)
+	defer x.startWatchdog.stop()
 	request := x.newAttemptRequest(ctx, choice)
 	started := clock.Now()
 	response, sent, err := x.frontend.sender.send(request)
@@ -468,7 +479,7 @@
 		return x.classifyFailure(watchdog, sent)
 	}
 	defer response.Body.Close()
-	startLimit.stop()
+	x.startWatchdog.stop()
 	record.FirstMs = clock.Now().Sub(started).Milliseconds()
 	x.frontend.scheduler.responseStarted(choice)
 	info := platform.DecodeResponse(response.StatusCode, response.Header, x.call.AttemptID, choice.Backend.ID)
@@ -509,6 +520,8 @@
 		return notSent
 	case x.pending.canceled.Load():
 		return canceled
+	case x.startWatchdog.fired():
+		return versionBound
 	case watchdog.fired():
 		return silent
 	}
@@ -522,6 +535,10 @@
 	return max(time.Duration(firstResponseFactor*float64(x.route.Objective)), minSilenceTimeout)
 }
 
+// sendPeriod returns how long after a release requests may be sent to older weights, where the
+// given bound is the time within which all instances must serve it.
+func sendPeriod(bound time.Duration) time.Duration { return bound - switchMargin }
+
 // startLimit returns how long the instance may take to start the request: one with old
 // weights must not start it after the bound of a newer version has ended. Zero means no
 // limit.
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -22,6 +22,7 @@
 	blocks        *blockMetrics
 	panics        prometheus.Counter
 	closed        *prometheus.CounterVec
+	ownEnds       *prometheus.CounterVec
 }
 
 // latencyBuckets are the bucket bounds of the latency histograms in seconds, from an
@@ -48,6 +49,9 @@
 		panics: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Name: "request_panics_total", Help: "Requests whose connection was closed because handling them panicked.",
 		}),
+		ownEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Name: "ended_attempts_total", Help: "Attempts that this entry ended before their response was complete, by reason.",
+		}, []string{"reason"}),
 		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Name: "closed_responses_total", Help: "Responses that had begun and were closed before their end, by cause.",
 		}, []string{"cause"}),
@@ -58,7 +62,7 @@
 		duration:     histogram("request_seconds", "Time from a request's arrival to the end of its answer."),
 		queueTime:    histogram("queue_seconds", "Time that attempts waited for a place."),
 	}
-	m.Registry.MustRegister(f.refused, f.attempts, f.storeCalls, f.retries, f.responseBytes, f.notices, f.blocks.decisions, f.blocks.interruptions, f.panics, f.closed, f.longestPause, f.firstEvent, f.duration, f.queueTime)
+	m.Registry.MustRegister(f.refused, f.attempts, f.storeCalls, f.retries, f.responseBytes, f.notices, f.blocks.decisions, f.blocks.interruptions, f.panics, f.ownEnds, f.closed, f.longestPause, f.firstEvent, f.duration, f.queueTime)
 	return f
 }
 
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"errors"
 
+	"github.com/sirupsen/logrus"
+
+	"plantainrelay/internal/clock"
 	"plantainrelay/internal/placement"
 )
 
@@ -22,6 +26,9 @@
 	broken outcome = "broken"
 	// silent means the same as broken, after the instance sent nothing for too long.
 	silent outcome = "silent"
+	// versionBound means the same as broken, after the instance had not started the request
+	// when the bound on its version of the weights was about to end.
+	versionBound outcome = "version_bound"
 	// crashSuspect means the same as broken, and that the request may be the reason why the
 	// instance has crashed.
 	crashSuspect outcome = "crash_suspect"
@@ -62,6 +69,60 @@
 	return placement.Failed
 }
 
+// endReason is why this entry has ended an attempt that its instance might have answered.
+type endReason string
+
+const (
+	endedForSilence endReason = "silence"
+	// endedForRestart means that the instance has certainly ended.
+	endedForRestart      endReason = "instance_ended"
+	endedForVersionBound endReason = "version_bound"
+	endedForBlock        endReason = "block"
+	endedForTimeLimit    endReason = "time_limit"
+	endedForShutdown     endReason = "shutdown"
+)
+
+// ownEndReason returns why this entry has ended an attempt, empty if it has not.
+func (x *exchange) ownEndReason(ctx context.Context, result outcome) endReason {
+	switch {
+	case result == silent && x.reserved == nil:
+		return endedForRestart
+	case result == silent:
+		return endedForSilence
+	case result == versionBound:
+		return endedForVersionBound
+	case result == canceled:
+		return endedForBlock
+	case result != broken:
+		return ""
+	case isCanceledByShutdown(ctx):
+		return endedForShutdown
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return endedForTimeLimit
+	}
+	return ""
+}
+
+// recordOwnEnd logs and counts an attempt without a complete response that this entry has ended
+// itself.
+func (x *exchange) recordOwnEnd(ctx context.Context, choice placement.Choice, result outcome, record *attemptRecord) {
+	reason := x.ownEndReason(ctx, result)
+	if reason == "" {
+		return
+	}
+	record.EndedFor = reason
+	x.frontend.metrics.ownEnds.WithLabelValues(string(reason)).Inc()
+	now := clock.Now()
+	fields := logrus.Fields{
+		"request": x.call.AttemptID, "backend": choice.Backend.ID, "pool": x.pool, "reason": reason, "sent_ms": now.Sub(x.progress.sentAt).Milliseconds(), "time_left_ms": x.deadline.Sub(now).Milliseconds(), "begun": x.responseStarted,
+		"next_reserved": x.reserved != nil,
+	}
+	if newer, found := x.frontend.view.releases.Load().FirstNewer(x.model, choice.Version, now); found {
+		fields["version"], fields["newer_version"], fields["newer_version_age_ms"], fields["start_limit_ms"] = choice.Version, newer.Version, newer.Age.Milliseconds(), record.StartLimitMs
+	}
+	x.frontend.log.WithFields(fields).Info("this entry has ended an attempt")
+}
+
 // closeCause is why a response that has begun is not completed.
 type closeCause string
 
