--- a/internal/relay/version_bound_test.go
+++ b/internal/relay/version_bound_test.go
@@ -1,6 +1,10 @@
 package relay
 
 import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -20,6 +24,113 @@
 	f.frontend.view.releases.Store(releases)
 }
 
+// executions records the requests that engines have begun.
+type executions struct {
+	mu  sync.Mutex
+	all []standin.Execution
+}
+
+func (e *executions) record(config *standin.BackendConfig) {
+	config.OnStart = func(execution standin.Execution) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.all = append(e.all, execution)
+	}
+}
+
+func (e *executions) begunAfter(at time.Time) (attempts []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, execution := range e.all {
+		if execution.StartedAt.After(at) {
+			attempts = append(attempts, execution.Attempt)
+		}
+	}
+	return attempts
+}
+
+// soundSilence is a silence of an instance that is no fault.
+const soundSilence = 1600 * time.Millisecond
+
+// TestSilentEngineBeginsNothingOnOldWeightsAfterTheBound guards against requests that are sent
+// to older weights so late that their engine, after a short silence, begins them when the bound
+// of the newer version has ended, and whose callers get an error meanwhile (incident 0013).
+func TestSilentEngineBeginsNothingOnOldWeightsAfterTheBound(t *testing.T) {
+	const bound, interval, events = 5 * time.Second, 5 * time.Millisecond, 2
+	for _, before := range []time.Duration{1550 * time.Millisecond, 1200 * time.Millisecond} {
+		t.Run(fmt.Sprintf("silent %s before the bound", before), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			var begun executions
+			f := newEngineFixture(t, 3, begun.record)
+			f.table.Routes[0].Timeout = 6 * time.Second
+			f.release(sendPeriod(bound))
+			released := time.Now()
+			time.Sleep(bound - before - 500*time.Millisecond)
+			f.renewTables()
+			time.AfterFunc(500*time.Millisecond, func() { f.engines[0].Pause(soundSilence) })
+			var calls sync.WaitGroup
+			for i := 0; time.Since(released) < bound; i++ {
+				calls.Go(func() {
+					response, body, err := f.writeWithin(5*time.Second, fmt.Sprintf("call-%d", i), events, firstPart)
+					c.Check(err, qt.IsNil)
+					if response.StatusCode != http.StatusServiceUnavailable {
+						c.Check(response.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("call-%d: %s", i, body))
+						c.Check(strings.Count(body, "id: "), qt.Equals, events)
+					}
+				})
+				time.Sleep(interval)
+			}
+			calls.Wait()
+			c.Check(begun.begunAfter(released.Add(bound)), qt.HasLen, 0)
+		})
+	}
+}
+
+// TestRequestEndedForTheVersionBoundWaitsForAnInstance guards against requests whose attempt is
+// ended for the bound on older weights and that get an error after a fraction of their
+// objective, though an instance with newer weights takes them a moment later (incident 0013).
+func TestRequestEndedForTheVersionBoundWaitsForAnInstance(t *testing.T) {
+	// The objective lets callers wait for 4 s, and a new request in the queue for half of it.
+	const objective, period, events, shortage = time.Second, 100 * time.Millisecond, 4, 700 * time.Millisecond
+	limit := period + switchMargin - cancelMargin
+	for name, prepare := range map[string]func(f *engineFixture){
+		"no slot": func(f *engineFixture) {
+			time.AfterFunc(limit+shortage, func() { f.list(2) })
+		},
+		"no retry": func(f *engineFixture) {
+			f.frontend.scheduler.setRetryLimits(retryLimits{window: 10 * time.Second})
+			time.AfterFunc(limit+shortage/10, func() { f.list(2) })
+			time.AfterFunc(limit+shortage, func() {
+				f.frontend.scheduler.setRetryLimits(retryLimits{window: 10 * time.Second, slack: 5})
+			})
+		},
+		"tables changed": func(f *engineFixture) {
+			time.AfterFunc(limit+shortage/2, func() {
+				f.table.Version++
+				f.renewTables()
+			})
+			time.AfterFunc(limit+shortage, func() { f.list(2) })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			f := newEngineFixture(t, 1)
+			f.addEngine(t, "i-1", 2)
+			f.table.Routes[0].Timeout, f.table.Routes[0].Objective = 6*time.Second, objective
+			f.renewTables()
+			f.engines[0].SetFaults(standin.BackendFaults{Hang: true})
+			f.release(period)
+			prepare(f)
+			response, body, err := f.writeWithin(5*time.Second, "ended", events, firstPart)
+			c.Assert(err, qt.IsNil)
+			c.Assert(response.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
+			c.Assert(strings.Count(body, "id: "), qt.Equals, events)
+		})
+	}
+}
+
 // TestOwnEndsNameTheirReason guards against attempts that the entry ends itself and whose log
 // lines do not say why, so that a bound can't be told from a silence (incident 0013).
 func TestOwnEndsNameTheirReason(t *testing.T) {
