Relay: a request whose attempt the entry has ended goes on as long as its caller waits

Callers got 502 0.2 s after the bound on older weights had ended their attempt, though an instance with newer weights took requests a moment later and their callers would have waited for seconds. Cause: the attempt was ended for a reason of our own without a next one in hand; its request then waited for half of its objective like a new one.

The next attempt is now reserved (slot, retry, probe) when the bound ends one. Without a reservation, and after any other end of our own, the request waits for a slot and a retry until its caller would give it up, before new requests, and may return to the instance that has loaded newer weights meanwhile. Ending an attempt for the bound no longer counts as a failure of the instance, and a pause of the entry is not taken for it.

TestAttemptOnOldWeightsEndsWithTheBound keeps its 502: its request may not be repeated.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -174,8 +174,8 @@
 	return maxInterruptions
 }
 
-// takeRetry takes one retry from the pool's budget and reports whether it was granted. A
-// stream that its caller has received a part of waits for one.
+// takeRetry takes one retry from the pool's budget and reports whether it was granted. A request
+// that must go on waits for one.
 func (x *exchange) takeRetry() bool {
 	granted := x.reserved != nil && !x.reserved.isRetryUsed
 	if granted {
@@ -183,7 +183,7 @@
 	} else {
 		granted = x.frontend.scheduler.takeRetry(x.pool)
 	}
-	if !granted && x.isResuming() {
+	if !granted && x.mustGoOn() {
 		granted = x.awaitRetry()
 	}
 	x.frontend.metrics.retries.WithLabelValues(strconv.FormatBool(granted)).Inc()
@@ -262,10 +262,10 @@
 	if x.customer.HasPriority {
 		priority = x.customer.Priority
 	}
-	if x.isResuming() {
+	if x.mustGoOn() {
 		priority = resumedPriority
-		if resumeBy := x.resumeBy(); resumeBy.After(startBy) {
-			startBy = resumeBy
+		if waitUntil := x.waitUntil(); waitUntil.After(startBy) {
+			startBy = waitUntil
 		}
 	}
 	if startBy.After(x.deadline) {
@@ -364,6 +364,9 @@
 		return dispatch.Action{}, true
 	case notSent:
 		return x.decision.NotStarted(now), false
+	case versionBound:
+		// Once the instance has newer weights, it may run the request.
+		delete(x.tried, x.attempts[len(x.attempts)-1].Instance)
 	case notRun, addressReused:
 		if outcome == notRun && x.isResuming() {
 			x.allowReturn(ctx)
@@ -469,8 +472,8 @@
 	defer x.takeReservation(watchdog)
 	limit := x.startLimit(choice)
 	record.StartLimitMs = limit.Milliseconds()
-	x.startWatchdog = newWatchdog(cancel, limit, nil, nil)
-	defer x.startWatchdog.stop()
+	x.startWatchdog = newWatchdog(cancel, limit, x.boundDecision(limit), x.frontend.scheduler.cancelReservation)
+	defer func() { x.takeReservation(x.startWatchdog) }()
 	request := x.newAttemptRequest(ctx, choice)
 	started := clock.Now()
 	response, sent, err := x.frontend.sender.send(request)
@@ -550,7 +553,7 @@
 	if !limited {
 		return 0
 	}
-	return max(until.Add(switchMargin-cancelMargin).Sub(clock.Now()), time.Millisecond)
+	return max(until.Add(switchMargin-cancelMargin-silenceConfirmInterval).Sub(clock.Now()), time.Millisecond)
 }
 
 func (x *exchange) newAttemptRequest(ctx context.Context, choice placement.Choice) *http.Request {
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -63,7 +63,7 @@
 		return placement.Full
 	case addressReused:
 		return placement.AddressReused
-	case callerDisconnected, partBlocked, partSuspected, canceled:
+	case callerDisconnected, partBlocked, partSuspected, canceled, versionBound:
 		return placement.CallerDisconnected
 	}
 	return placement.Failed
--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -2,16 +2,18 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"plantainrelay/internal/catalog"
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/placement"
 	"plantainrelay/platform"
 )
 
 const (
-	// resumedPriority places streams that are resumed before all new requests: the work
-	// for the part that the caller has received would be lost.
+	// resumedPriority places requests that must go on before all new ones: the work for the
+	// part that the caller has received, or the time that it has waited, would be lost.
 	resumedPriority = -1
 	// retryCheckInterval is the time between two attempts to take a retry from the budget.
 	retryCheckInterval = 25 * time.Millisecond
@@ -28,17 +30,31 @@
 	return x.responseStarted && x.isStream && x.route.Resumable
 }
 
-// resumeBy returns when an interrupted stream has to be resumed at the latest: later, its
-// caller would have given it up before the next event.
-func (x *exchange) resumeBy() time.Time {
+// mustGoOn reports whether the next attempt waits for a slot and a retry as long as the caller
+// does: the response has begun, or this entry has ended an attempt that might have succeeded.
+func (x *exchange) mustGoOn() bool {
+	return x.isResuming() || slices.ContainsFunc(x.attempts, func(record attemptRecord) bool { return record.EndedFor != "" })
+}
+
+// waitUntil returns when a request that must go on has to start at the latest: later, its caller
+// would have given it up before the response goes on.
+func (x *exchange) waitUntil() time.Time {
+	if x.route.Kind != catalog.Streaming {
+		return x.deadline.Add(-x.route.Objective)
+	}
+	now := clock.Now()
+	sinceEvent := now.Sub(x.arrived)
+	if x.responseStarted {
+		sinceEvent = time.Since(x.lastEventAt)
+	}
 	patience := platform.CallerPatience(x.route.Objective, x.route.MaxPause)
-	return clock.Now().Add(patience - time.Since(x.lastEventAt) - x.route.Objective)
+	return now.Add(patience - sinceEvent - x.route.Objective)
 }
 
-// awaitRetry waits for a retry from the pool's budget as long as the stream may be resumed,
-// and reports whether it was granted.
+// awaitRetry waits for a retry from the pool's budget as long as the request may go on, and
+// reports whether it was granted.
 func (x *exchange) awaitRetry() bool {
-	until := x.resumeBy()
+	until := x.waitUntil()
 	if x.deadline.Before(until) {
 		until = x.deadline
 	}
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -37,6 +38,20 @@
 	}
 }
 
+// boundDecision returns the decision about an attempt that has not started when the bound on the
+// version of its instance is about to end: it is given up, with the next attempt reserved if
+// possible. It returns nil for an attempt without a limit.
+func (x *exchange) boundDecision(limit time.Duration) func() giveUp {
+	if limit <= 0 {
+		return nil
+	}
+	if !x.decision.MayRepeat(clock.Now()) {
+		return func() giveUp { return giveUp{isAllowed: true} }
+	}
+	next := x.repeatTicket()
+	return func() giveUp { return giveUp{isAllowed: true, reserved: x.reserveRepeat(next)} }
+}
+
 // repeatTicket returns the ticket of a further attempt that is made while another one is in
 // progress.
 func (x *exchange) repeatTicket() *ticket {
--- a/internal/relay/version_bound_test.go
+++ b/internal/relay/version_bound_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,14 +15,35 @@
 	"plantainrelay/internal/catalog"
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/placement"
+	"plantainrelay/internal/replica"
+	"plantainrelay/platform"
 	"plantainrelay/platform/standin"
 )
 
-// release makes version 2 of the weights known. Requests may be sent to older ones for the
-// given period.
+// newRelease returns the releases with one of a model that is seen now. Requests may be sent to
+// older weights for the given period.
+func newRelease(period time.Duration, model string, version int64) *placement.Releases {
+	releases, _ := placement.NewReleases(period, time.Second).Add(catalog.Release{Model: model, Version: version}, false, clock.Now())
+	return releases
+}
+
+// release makes version 2 of the weights known.
 func (f *engineFixture) release(period time.Duration) {
-	releases, _ := placement.NewReleases(period, time.Second).Add(catalog.Release{Model: modelName, Version: 2}, false, clock.Now())
-	f.frontend.view.releases.Store(releases)
+	f.frontend.view.releases.Store(newRelease(period, modelName, 2))
+}
+
+// serveWeights makes the first instance an engine of model m with the given version.
+func (f *fixture) serveWeights(version int64) {
+	view, scheduler := f.frontend.view, f.frontend.scheduler
+	table := view.table()
+	if pool := table.Pools["s"]; pool.Engine == nil {
+		pool.Engine = &catalog.Engine{Model: "m"}
+		table.Pools["s"] = pool
+	}
+	backend := view.copies.Documents(platform.Backends)["i-0"]
+	backends := view.backendDecoder.Decode(map[string]replica.Document{"i-0": backend}, table)
+	backends[0].LoadedVersions = map[string]int64{"m": version}
+	scheduler.setList(backends, time.Time{}, clock.Now())
 }
 
 // executions records the requests that engines have begun.
@@ -155,3 +177,52 @@
 	}
 	c.Assert(found, qt.IsTrue)
 }
+
+// TestAttemptEndedForTheVersionBoundHasTheNextOneReserved guards against attempts that are ended
+// for the bound on older weights for a slot that another request takes meanwhile (incident 0013).
+func TestAttemptEndedForTheVersionBoundHasTheNextOneReserved(t *testing.T) {
+	c := qt.New(t)
+	f := newEngineFixture(t, 1)
+	f.addEngine(t, "i-1", 2)
+	// The timeout for silence comes later than the bound.
+	f.table.Routes[0].Timeout, f.table.Routes[0].Objective = 6*time.Second, time.Second
+	f.renewTables()
+	f.engines[0].SetFaults(standin.BackendFaults{Hang: true})
+	f.release(100 * time.Millisecond)
+	time.AfterFunc(500*time.Millisecond, func() { f.list(2) })
+	log := logtest.NewLocal(f.frontend.log.Logger)
+	response, _, err := f.writeWithin(5*time.Second, "reserved", 2, firstPart)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+	attempts := log.LastEntry().Data["attempts"].([]attemptRecord)
+	c.Assert(attempts, qt.HasLen, 2)
+	c.Assert(attempts[0].EndedFor, qt.Equals, endedForVersionBound)
+	c.Assert(attempts[1].Reserved, qt.IsTrue)
+}
+
+// TestRequestEndedForTheVersionBoundReturnsToItsInstance guards against requests that get an
+// error although the only instance has loaded newer weights meanwhile (incident 0013).
+func TestRequestEndedForTheVersionBoundReturnsToItsInstance(t *testing.T) {
+	c := qt.New(t)
+	var attempts atomic.Int32
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		if attempts.Add(1) == 1 {
+			hangUntilClosed(r)
+			return
+		}
+		writeSeal(w, r)
+		writeEvents(w, 1, 3)
+	})
+	go f.frontend.scheduler.Run(t.Context())
+	f.serveWeights(1)
+	f.frontend.view.releases.Store(newRelease(20*time.Millisecond, "m", 2))
+	ended := func() bool { return attempts.Load() == 1 && f.frontend.view.minVersion("m", clock.Now()) == 2 }
+	go func() {
+		waitUntil(c, ended)
+		f.serveWeights(2)
+	}()
+	response, body, err := f.do(http.MethodPost, "/stream/x")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
+	c.Assert(strings.Count(body, "id: "), qt.Equals, 3)
+}
--- a/internal/relay/view_test.go
+++ b/internal/relay/view_test.go
@@ -177,7 +177,8 @@
 
 // TestAttemptOnOldWeightsEndsWithTheBound guards against a request that was sent in time
 // and begins on old weights after the bound of the next version has ended, because the
-// engine is slow or paused.
+// engine is slow. This one may not be repeated; see TestRequestEndedForTheVersionBound... for
+// others.
 func TestAttemptOnOldWeightsEndsWithTheBound(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture(t, func(_ http.ResponseWriter, r *http.Request) {
@@ -185,17 +186,8 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 	})
-	view, scheduler := f.frontend.view, f.frontend.scheduler
-	table := view.table()
-	pool := table.Pools["s"]
-	pool.Engine = &catalog.Engine{Model: "m"}
-	table.Pools["s"] = pool
-	backend := view.copies.Documents(platform.Backends)["i-0"]
-	backends := view.backendDecoder.Decode(map[string]replica.Document{"i-0": backend}, table)
-	backends[0].LoadedVersions = map[string]int64{"m": 1}
-	scheduler.setList(backends, time.Time{}, clock.Now())
-	releases, _ := placement.NewReleases(1500*time.Millisecond, time.Second).Add(catalog.Release{Model: "m", Version: 2}, false, clock.Now())
-	view.releases.Store(releases)
+	f.serveWeights(1)
+	f.frontend.view.releases.Store(newRelease(1500*time.Millisecond, "m", 2))
 	response, _, err := f.do(http.MethodPost, "/fixed/")
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway, qt.Commentf("not 504 at the end of the route's timeout"))
