--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"plantainrelay/internal/catalog"
@@ -31,9 +30,23 @@
 }
 
 // mustGoOn reports whether the next attempt waits for a slot and a retry as long as the caller
-// does: the response has begun, or this entry has ended an attempt that might have succeeded.
+// does: the response has begun, or this entry has ended an attempt that might have succeeded. If
+// an instance has ended, there has to be another one.
 func (x *exchange) mustGoOn() bool {
-	return x.isResuming() || slices.ContainsFunc(x.attempts, func(record attemptRecord) bool { return record.EndedFor != "" })
+	if x.isResuming() {
+		return true
+	}
+	for _, record := range x.attempts {
+		switch record.EndedFor {
+		case endedForVersionBound, endedForSilence:
+			return true
+		case endedForRestart:
+			if x.frontend.scheduler.hasUsable(x.placementNeed()) {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // waitUntil returns when a request that must go on has to start at the latest: later, its caller
