Relay, loader: nothing is sent to older weights in the last 2 s before their bound

Cause: entries sent requests to older weights until 0.9 s before the bound; a request that has reached a silent engine can't be taken back, so that this margin has to cover the silence of a sound engine and the time to the first token. Engines switched 0.6 s earlier by a constant of the loader.

Both times now come from package rollout: entries send until 2.0 s before the bound (1.6 s of silence, 0.4 s to the first token), engines switch by 2.6 s before it whatever others do; for short bounds at most half of the time each.

TestSilentEngineBeginsNothingOnOldWeightsAfterTheBound (listed before) passes with it. Tests that named the bound of a view now name its send period; what they ask is unchanged. TestAttemptOnOldWeightsEndsWithTheBound has a shorter send period, so that the bound still ends the attempt before the caller's time limit.

--- a/internal/loader/switch.go
+++ b/internal/loader/switch.go
@@ -21,10 +21,6 @@
 	// maxSwitchFraction is the maximum fraction of an availability zone's engines
 	// that switch at the same time.
 	maxSwitchFraction = 0.34
-	// switchMargin is the time between the latest start of a switch and the
-	// deadline for the version. It covers the order, the load and the first
-	// requests.
-	switchMargin = 1500 * time.Millisecond
 	// verificationReuseTime is how long a verification of the staged chunks is
 	// reused before they are read again.
 	verificationReuseTime = 1200 * time.Millisecond
@@ -205,7 +201,7 @@
 // maySwitch decides whether an engine that is serving may stop in order to switch.
 // The caller holds mu.
 func (a *agent) maySwitch(now time.Time) bool {
-	limit := rollout.SwitchLimit{MaxFraction: maxSwitchFraction, SwitchBy: a.target.learnedAt.Add(a.settings.Bounds.VersionSwitchTime - switchMargin)}
+	limit := rollout.SwitchLimit{MaxFraction: maxSwitchFraction, SwitchBy: a.switchBy()}
 	var neighbors []rollout.Neighbor
 	for _, member := range a.members {
 		if member.AvailabilityZone != a.settings.AvailabilityZone || member.Name == a.settings.IP {
@@ -223,6 +219,12 @@
 	return limit.Allows(a.settings.IP, strconv.FormatInt(a.target.version, 10), neighbors, now)
 }
 
+// switchBy returns when the engine switches to the target whatever others do. The caller holds
+// mu.
+func (a *agent) switchBy() time.Time {
+	return a.target.learnedAt.Add(rollout.SwitchPeriod(a.settings.Bounds.VersionSwitchTime))
+}
+
 // loadTarget orders the engine to load the target. It sends no order if the staged
 // chunks were verified for another version, or if their verification is no longer
 // valid when the order is due. It returns the last order in effect.
@@ -273,7 +275,7 @@
 func (a *agent) drain(ctx context.Context) {
 	began := clock.Now()
 	a.mu.Lock()
-	remaining := a.target.learnedAt.Add(a.settings.Bounds.VersionSwitchTime-switchMargin).Sub(began) / switchRounds
+	remaining := a.switchBy().Sub(began) / switchRounds
 	a.mu.Unlock()
 	limit := min(max(remaining, minDrain), maxDrain)
 	for clock.Sleep(ctx, pollInterval) {
--- a/internal/relay/beats_test.go
+++ b/internal/relay/beats_test.go
@@ -11,6 +11,7 @@
 	"plantainrelay/internal/beat"
 	"plantainrelay/internal/catalog"
 	"plantainrelay/internal/clock"
+	"plantainrelay/internal/rollout"
 )
 
 // TestDelayedMessageDoesNotAgeARelease guards against old weights that are refused too
@@ -20,6 +21,7 @@
 func TestDelayedMessageDoesNotAgeARelease(t *testing.T) {
 	c := qt.New(t)
 	const bound = 7 * time.Second
+	period := rollout.SendPeriod(bound)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	logger := logrus.NewEntry(log)
@@ -31,7 +33,7 @@
 	for range 20 {
 		h.recordReleaseAges(&beat.Message{Role: beat.Entry, Host: "10.0.0.2", Releases: v.releaseAges(clock.Now()), ComposedAfter: clock.Now().Add(-time.Second)})
 	}
-	c.Assert(v.minVersion("m", released.Add(bound-500*time.Millisecond)), qt.Equals, int64(0))
+	c.Assert(v.minVersion("m", released.Add(period-500*time.Millisecond)), qt.Equals, int64(0))
 	h.recordReleaseAges(&beat.Message{Role: beat.Entry, Host: "10.0.0.2", Releases: []beat.Release{{Model: "m", Version: 2, AgeMs: 3000}}})
-	c.Assert(v.minVersion("m", released.Add(bound-2*time.Second)), qt.Equals, int64(2), qt.Commentf("an entry that saw it before is believed"))
+	c.Assert(v.minVersion("m", released.Add(period-2*time.Second)), qt.Equals, int64(2), qt.Commentf("an entry that saw it before is believed"))
 }
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -161,7 +161,7 @@
 	}), newRetryLimits(s.Bounds))
 	e.scheduler.retrySlackFrom = clock.Now().Add(s.Bounds.RetryWindow)
 	e.blocker = newBlocker(log, counts.blocks)
-	e.view = newView(e.scheduler, e.blocker, sendPeriod(s.Bounds.VersionSwitchTime), s.Bounds.StableTime-stablePeriodMargin, log)
+	e.view = newView(e.scheduler, e.blocker, s.Bounds.VersionSwitchTime, s.Bounds.StableTime-stablePeriodMargin, log)
 	e.metrics.Registry.MustRegister(e.view.versionMetrics.minVersion, e.view.versionMetrics.target)
 	e.frontend = &frontend{view: e.view, scheduler: e.scheduler, blocker: e.blocker, blockGate: &blockGate{view: e.view, learnBy: clock.Now().Add(s.Bounds.StableTime)}, sender: newSender(), log: log, metrics: counts, zone: s.AvailabilityZone, returningCallers: newReturningCallerDetector(), shutdown: newShutdown()}
 	e.frontend.setBounds(s.Bounds)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -37,9 +37,6 @@
 	pauseFactor = 2.5
 	// minSilenceTimeout is the lower bound of both timeouts.
 	minSilenceTimeout = 600 * time.Millisecond
-	// switchMargin is the time between the last attempt that may start on an older
-	// version of the weights and the end of the switch bound.
-	switchMargin = 900 * time.Millisecond
 	// cancelMargin is the time for which an instance may not know yet that an attempt has
 	// been cancelled.
 	cancelMargin = 200 * time.Millisecond
@@ -538,10 +535,6 @@
 	return max(time.Duration(firstResponseFactor*float64(x.route.Objective)), minSilenceTimeout)
 }
 
-// sendPeriod returns how long after a release requests may be sent to older weights, where the
-// given bound is the time within which all instances must serve it.
-func sendPeriod(bound time.Duration) time.Duration { return bound - switchMargin }
-
 // startLimit returns how long the instance may take to start the request: one with old
 // weights must not start it after the bound of a newer version has ended. Zero means no
 // limit.
@@ -553,7 +546,7 @@
 	if !limited {
 		return 0
 	}
-	return max(until.Add(switchMargin-cancelMargin-silenceConfirmInterval).Sub(clock.Now()), time.Millisecond)
+	return max(until.Add(x.frontend.view.sendMargin-cancelMargin-silenceConfirmInterval).Sub(clock.Now()), time.Millisecond)
 }
 
 func (x *exchange) newAttemptRequest(ctx context.Context, choice placement.Choice) *http.Request {
--- a/internal/relay/version_bound_test.go
+++ b/internal/relay/version_bound_test.go
@@ -16,6 +16,7 @@
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/placement"
 	"plantainrelay/internal/replica"
+	"plantainrelay/internal/rollout"
 	"plantainrelay/platform"
 	"plantainrelay/platform/standin"
 )
@@ -27,6 +28,9 @@
 	return releases
 }
 
+// sendMargin is the margin of the fixtures' views.
+const sendMargin = 2 * time.Second
+
 // release makes version 2 of the weights known.
 func (f *engineFixture) release(period time.Duration) {
 	f.frontend.view.releases.Store(newRelease(period, modelName, 2))
@@ -86,7 +90,7 @@
 			var begun executions
 			f := newEngineFixture(t, 3, begun.record)
 			f.table.Routes[0].Timeout = 6 * time.Second
-			f.release(sendPeriod(bound))
+			f.release(rollout.SendPeriod(bound))
 			released := time.Now()
 			time.Sleep(bound - before - 500*time.Millisecond)
 			f.renewTables()
@@ -115,7 +119,7 @@
 func TestRequestEndedForTheVersionBoundWaitsForAnInstance(t *testing.T) {
 	// The objective lets callers wait for 4 s, and a new request in the queue for half of it.
 	const objective, period, events, shortage = time.Second, 100 * time.Millisecond, 4, 700 * time.Millisecond
-	limit := period + switchMargin - cancelMargin
+	limit := period + sendMargin - cancelMargin
 	for name, prepare := range map[string]func(f *engineFixture){
 		"no slot": func(f *engineFixture) {
 			time.AfterFunc(limit+shortage, func() { f.list(2) })
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -13,6 +13,7 @@
 	"plantainrelay/internal/copies"
 	"plantainrelay/internal/placement"
 	"plantainrelay/internal/replica"
+	"plantainrelay/internal/rollout"
 	"plantainrelay/platform"
 )
 
@@ -35,6 +36,9 @@
 	// maxTickGap the process was paused until pauseEnd.
 	lastTick, pauseEnd time.Time
 	startGrace         time.Duration
+	// sendMargin is the time from the last request that may be sent to older weights to the end
+	// of the bound on them.
+	sendMargin time.Duration
 	// minVersions holds the oldest version of each model that may start requests, as it
 	// was last logged.
 	minVersions    map[string]int64
@@ -78,11 +82,14 @@
 // normal operation the age stays below two watch timeouts.
 const listOutageAge = 2*backendsWatchTimeout + 800*time.Millisecond
 
-func newView(scheduler *scheduler, blocker *blocker, switchBound, stable time.Duration, log *logrus.Entry) *view {
+// newView returns a view without collections. versionBound is the time after a release from
+// which no request may begin on older weights.
+func newView(scheduler *scheduler, blocker *blocker, versionBound, stable time.Duration, log *logrus.Entry) *view {
+	sendPeriod := rollout.SendPeriod(versionBound)
 	v := &view{
-		scheduler: scheduler, blocker: blocker, log: log, onRelease: func(catalog.Release) {}, minVersions: map[string]int64{}, versionMetrics: newVersionMetrics(), startGrace: stable,
+		scheduler: scheduler, blocker: blocker, log: log, onRelease: func(catalog.Release) {}, minVersions: map[string]int64{}, versionMetrics: newVersionMetrics(), startGrace: stable, sendMargin: versionBound - sendPeriod,
 	}
-	v.releases.Store(placement.NewReleases(switchBound, stable))
+	v.releases.Store(placement.NewReleases(sendPeriod, stable))
 	return v
 }
 
--- a/internal/relay/view_test.go
+++ b/internal/relay/view_test.go
@@ -187,7 +187,7 @@
 		<-r.Context().Done()
 	})
 	f.serveWeights(1)
-	f.frontend.view.releases.Store(newRelease(1500*time.Millisecond, "m", 2))
+	f.frontend.view.releases.Store(newRelease(200*time.Millisecond, "m", 2))
 	response, _, err := f.do(http.MethodPost, "/fixed/")
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway, qt.Commentf("not 504 at the end of the route's timeout"))
