Relay: a request that must go on returns to instances that have rejected it

After an attempt that the bound on older weights had ended, one rejection by the only instance with newer weights gave the caller 502, though it took requests 0.1 s later.

TestRequestEndedForTheVersionBoundReturnsToAFullInstance failed before (502).

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -132,7 +132,7 @@
 	// startWatchdog ends the current attempt if it does not start before the bound on the
 	// version of its instance.
 	startWatchdog *watchdog
-	// returns counts how often a rejected stream has returned to an instance.
+	// returns counts how often a rejected request has returned to an instance.
 	returns int
 	// closeCause is why no further attempt is made, for the log.
 	closeCause closeCause
@@ -365,7 +365,7 @@
 		// Once the instance has newer weights, it may run the request.
 		delete(x.tried, x.attempts[len(x.attempts)-1].Instance)
 	case notRun, addressReused:
-		if outcome == notRun && x.isResuming() {
+		if outcome == notRun && x.mustGoOn() {
 			x.allowReturn(ctx)
 		}
 		if x.takeRetry() {
--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -16,7 +16,7 @@
 	resumedPriority = -1
 	// retryCheckInterval is the time between two attempts to take a retry from the budget.
 	retryCheckInterval = 25 * time.Millisecond
-	// maxReturns bounds how often a rejected stream returns to instances that have rejected
+	// maxReturns bounds how often a rejected request returns to instances that have rejected
 	// it; it waits returnDelay before the first time and twice as long before each further
 	// one.
 	maxReturns  = 4
@@ -80,8 +80,8 @@
 	return false
 }
 
-// allowReturn lets a begun stream return to the instances that have rejected it, after a
-// delay, if no other one is left.
+// allowReturn lets a request that must go on return to the instances that have rejected it,
+// after a delay, if no other one is left.
 func (x *exchange) allowReturn(ctx context.Context) {
 	if x.returns >= maxReturns || x.frontend.scheduler.hasUsable(x.placementNeed()) {
 		return
--- a/internal/relay/version_bound_test.go
+++ b/internal/relay/version_bound_test.go
@@ -230,3 +230,34 @@
 	c.Assert(response.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
 	c.Assert(strings.Count(body, "id: "), qt.Equals, 3)
 }
+
+// TestRequestEndedForTheVersionBoundReturnsToAFullInstance guards against requests that get an
+// error because the only instance with newer weights rejected them once, though it takes them a
+// moment later.
+func TestRequestEndedForTheVersionBoundReturnsToAFullInstance(t *testing.T) {
+	c := qt.New(t)
+	const rejections = 2
+	var attempts atomic.Int32
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		switch attempt := attempts.Add(1); {
+		case attempt == 1:
+			hangUntilClosed(r)
+		case attempt <= 1+rejections:
+			rejectAsFull(w, r)
+		default:
+			writeSeal(w, r)
+			writeEvents(w, 1, 3)
+		}
+	})
+	go f.frontend.scheduler.Run(t.Context())
+	f.serveWeights(1)
+	f.frontend.view.releases.Store(newRelease(20*time.Millisecond, "m", 2))
+	go func() {
+		waitUntil(c, func() bool { return attempts.Load() == 1 })
+		f.serveWeights(2)
+	}()
+	response, body, err := f.do(http.MethodPost, "/stream/x", func(r *http.Request) { r.Header.Set(standin.HeaderTimeLeft, "5000") })
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
+	c.Assert(strings.Count(body, "id: "), qt.Equals, 3)
+}
