Relay: a reservation's ticket is made without the queue's times

A ticket that is not queued needs customer, route and requirements only; newTicket took the scheduler's lock once more an attempt for times that nobody read. No behaviour changed.

--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"plantainrelay/internal/admission"
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/placement"
 )
@@ -53,9 +54,9 @@
 }
 
 // repeatTicket returns the ticket of a further attempt that is made while another one is in
-// progress.
+// progress, and is not queued.
 func (x *exchange) repeatTicket() *ticket {
-	t := x.newTicket()
+	t := &ticket{Ticket: admission.Ticket{Customer: x.customer.Name, Route: x.route.Name}, need: x.placementNeed()}
 	t.need.MaxWait, t.need.ReservedSlots, t.need.Tried = 0, 0, maps.Clone(x.tried)
 	t.need.RandomizeChoice = true
 	return t
