Releases: a release is no younger than when this entry saw it

An entry that starts when a release comes takes its time for an estimate; the report of an entry that has seen it appear, but up to 0.5 s later, then replaced the time by the later one, and requests went to older weights that much longer: more than the margin for a silent engine. The earlier of both times is kept.

placement TestLateSightingLeavesTheMarginForASilentEngine (from the review) failed before.

--- a/internal/placement/releases.go
+++ b/internal/placement/releases.go
@@ -76,6 +76,10 @@
 	case found && !reported.replaces(known[at]):
 		return r
 	case found:
+		if reported.firstSeen.After(known[at].firstSeen) {
+			// This entry has seen the release before the one that saw it appear.
+			reported.firstSeen = known[at].firstSeen
+		}
 		versions := slices.Clone(known)
 		versions[at] = reported
 		return r.withVersions(told.Model, versions)
