Relay: a request is held after silences only if an instance is left to try

After a request that each instance had had was held as long as its caller waits, then got the same 502. After the bound on a version engines may still load a newer one; after a silence or a restart nothing more comes.

--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -30,17 +30,18 @@
 }
 
 // mustGoOn reports whether the next attempt waits for a slot and a retry as long as the caller
-// does: the response has begun, or this entry has ended an attempt that might have succeeded. If
-// an instance has ended, there has to be another one.
+// does: the response has begun, or this entry has ended an attempt that might have succeeded.
+// After silences there has to be an instance left to try; after the bound on a version one may
+// still load a newer one.
 func (x *exchange) mustGoOn() bool {
 	if x.isResuming() {
 		return true
 	}
 	for _, record := range x.attempts {
 		switch record.EndedFor {
-		case endedForVersionBound, endedForSilence:
+		case endedForVersionBound:
 			return true
-		case endedForRestart:
+		case endedForSilence, endedForRestart:
 			if x.frontend.scheduler.hasUsable(x.placementNeed()) {
 				return true
 			}
