Dispatch: an attempt that the entry has ended is no interruption by the request

Lookups end after two interruptions, as they may be the reason. An attempt that the bound on older weights had ended counted as one, and a lookup got 502 with another instance free.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -144,16 +144,34 @@
 // now and the retry budget allowed it.
 func (r *Request) MayRepeat(now time.Time) bool {
 	isLastInterruption := r.config.MaxInterruptions > 0 && r.interruptions+1 >= r.config.MaxInterruptions
-	return r.config.Repeatable && !isLastInterruption && r.mayAttempt(now, r.config.RetryDelay)
+	return !isLastInterruption && r.MayRepeatEnded(now)
+}
+
+// MayRepeatEnded is the same as MayRepeat for AttemptEnded.
+func (r *Request) MayRepeatEnded(now time.Time) bool {
+	return r.config.Repeatable && r.mayAttempt(now, r.config.RetryDelay)
 }
 
 // AttemptInterrupted reports that the last attempt ended without a complete
 // response. delivered says that the caller has received a part of it.
 func (r *Request) AttemptInterrupted(delivered bool, now time.Time) Action {
+	if !delivered {
+		r.interruptions++
+	}
+	return r.repeat(delivered, now)
+}
+
+// AttemptEnded reports that the caller of this package has ended the last attempt itself, for a
+// reason that lies neither in the request nor in the instance. It may have started. delivered is
+// as for AttemptInterrupted.
+func (r *Request) AttemptEnded(delivered bool, now time.Time) Action {
+	return r.repeat(delivered, now)
+}
+
+func (r *Request) repeat(delivered bool, now time.Time) Action {
 	if delivered {
 		return Action{Kind: Finish, Outcome: Unknown}
 	}
-	r.interruptions++
 	if r.config.Repeatable {
 		r.mayHaveStarted = true
 		if r.config.MaxInterruptions > 0 && r.interruptions >= r.config.MaxInterruptions {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -361,9 +361,6 @@
 		return dispatch.Action{}, true
 	case notSent:
 		return x.decision.NotStarted(now), false
-	case versionBound:
-		// Once the instance has newer weights, it may run the request.
-		delete(x.tried, x.attempts[len(x.attempts)-1].Instance)
 	case notRun, addressReused:
 		if outcome == notRun && x.mustGoOn() {
 			x.allowReturn(ctx)
@@ -377,7 +374,13 @@
 		x.finish(ctx, dispatch.Unknown)
 		return dispatch.Action{}, true
 	}
-	return x.decision.AttemptInterrupted(x.responseStarted && !(x.isStream && x.route.Resumable), now), false
+	delivered := x.responseStarted && !x.isResuming()
+	if outcome == versionBound {
+		// Once the instance has newer weights, it may run the request.
+		delete(x.tried, x.attempts[len(x.attempts)-1].Instance)
+		return x.decision.AttemptEnded(delivered, now), false
+	}
+	return x.decision.AttemptInterrupted(delivered, now), false
 }
 
 // handleRejection ends a request that got no slot.
