Relay: a retry counts when its attempt is made

A request that must go on takes its retry, then waits for an instance for seconds. Several of them took their retries one after the other and reached an instance together, more in one window of the budget than it allows. The retry is taken anew when the slot is there; if the budget does not allow it then, the slot is returned and the request waits for both again.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -132,6 +132,8 @@
 	// startWatchdog ends the current attempt if it does not start before the bound on the
 	// version of its instance.
 	startWatchdog *watchdog
+	// retryTakenAt is when the retry of the next attempt was taken from the budget.
+	retryTakenAt time.Time
 	// returns counts how often a rejected request has returned to an instance.
 	returns int
 	// closeCause is why no further attempt is made, for the log.
@@ -187,6 +189,7 @@
 	if !granted {
 		x.closeCause = closedForRetry
 	}
+	x.retryTakenAt = clock.Now()
 	return granted
 }
 
@@ -278,16 +281,34 @@
 // response.
 func (x *exchange) sendAttempt(ctx context.Context) (next dispatch.Action, ended bool) {
 	if reserved := x.reserved; reserved != nil {
-		x.reserved = nil
+		x.reserved, x.retryTakenAt = nil, time.Time{}
 		return x.nextAction(ctx, x.attemptInSlot(ctx, acquiredSlot{ticket: reserved.ticket, choice: reserved.choice, isReserved: true}))
 	}
-	t := x.newTicket()
 	queuedAt := clock.Now()
-	choice, rejected := x.frontend.scheduler.acquire(ctx, t)
-	if rejected != nil {
-		return x.handleRejection(ctx, rejected), true
+	for {
+		t := x.newTicket()
+		choice, rejected := x.frontend.scheduler.acquire(ctx, t)
+		if rejected != nil {
+			return x.handleRejection(ctx, rejected), true
+		}
+		if x.renewRetry() {
+			return x.nextAction(ctx, x.attemptInSlot(ctx, acquiredSlot{ticket: t, choice: choice, queueTime: clock.Now().Sub(queuedAt)}))
+		}
+		x.frontend.scheduler.returnSlot(t, choice)
+		if !x.takeRetry() {
+			x.finish(ctx, dispatch.Unknown)
+			return dispatch.Action{}, true
+		}
 	}
-	return x.nextAction(ctx, x.attemptInSlot(ctx, acquiredSlot{ticket: t, choice: choice, queueTime: clock.Now().Sub(queuedAt)}))
+}
+
+// renewRetry counts the retry of a request that may have waited for long when its attempt is
+// made, since that is when it reaches an instance. It reports whether the budget allows it then;
+// otherwise the retry is returned.
+func (x *exchange) renewRetry() bool {
+	takenAt := x.retryTakenAt
+	x.retryTakenAt = time.Time{}
+	return takenAt.IsZero() || !x.mustGoOn() || x.frontend.scheduler.renewRetry(x.pool, takenAt)
 }
 
 // acquiredSlot is a slot of an instance that an attempt may use. isReserved means that it was
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -331,6 +331,31 @@
 	return s.retryBudget(pool).TryRetry(clock.Now())
 }
 
+// renewRetry takes a retry now instead of one that was taken before, and reports whether the
+// budget allows it. The earlier one is returned in any case.
+func (s *scheduler) renewRetry(pool string, takenAt time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, budget := clock.Now(), s.retryBudget(pool)
+	budget.ReturnRetry(takenAt, now)
+	return budget.TryRetry(now)
+}
+
+// returnSlot returns a slot that no attempt has used.
+func (s *scheduler) returnSlot(t *ticket, choice placement.Choice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slotReturned(t, choice, clock.Now())
+}
+
+// slotReturned records that a slot was not used. The caller holds mu.
+func (s *scheduler) slotReturned(t *ticket, choice placement.Choice, now time.Time) {
+	s.fleet.AttemptFinished(choice, placement.NotUsed, now)
+	s.queue(t.need.Pool).StartFailed(t.Customer)
+	s.loadChanged(choice.Backend.ID, false)
+	s.dispatchWaiting(t.need.Pool, now)
+}
+
 func (s *scheduler) retryBudget(pool string) *dispatch.WindowBudget {
 	if s.retryBudgets[pool] == nil {
 		s.retryBudgets[pool] = dispatch.NewWindowBudget(s.retryLimits.window, s.retryLimits.ratio, s.retrySlackShare(clock.Now()))
--- a/internal/relay/reservation.go
+++ b/internal/relay/reservation.go
@@ -49,14 +49,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
-	pool := r.ticket.need.Pool
-	s.fleet.AttemptFinished(r.choice, placement.NotUsed, now)
-	s.queue(pool).StartFailed(r.ticket.Customer)
 	if !r.isRetryUsed {
-		s.retryBudget(pool).ReturnRetry(r.takenAt, now)
+		s.retryBudget(r.ticket.need.Pool).ReturnRetry(r.takenAt, now)
 	}
-	s.loadChanged(r.choice.Backend.ID, false)
-	s.dispatchWaiting(pool, now)
+	s.slotReturned(r.ticket, r.choice, now)
 }
 
 // reserveRepeat reserves what the next attempt of the request needs. It returns nil while no
