Relay: the bound on its version is checked while an attempt waits

The limit of an attempt was set when it was sent. A release that came while it waited at an instance did not bound it, and where the time of a release is an estimate the margin of the send period was added to the start-up period, so that an attempt could begin 1 s after a starting entry has to enforce the bound. The limit is compared with the known releases 0.25 s after an attempt was sent and every 0.1 s from then on, and estimates have the margin of the start-up period.

--- a/internal/placement/releases.go
+++ b/internal/placement/releases.go
@@ -130,12 +130,26 @@
 // AllowedUntil returns the time from which a version must not start a request, because a
 // newer one is enforced. limited is false if no newer version is known.
 func (r *Releases) AllowedUntil(model string, version int64) (until time.Time, limited bool) {
+	return r.StartBy(model, version, 0, 0)
+}
+
+// StartBy returns the time by which an instance must have started a request on a version: margin
+// after the time that AllowedUntil names, or estimateMargin where the time of the newer release is
+// an estimate. limited is false if no newer version is known.
+func (r *Releases) StartBy(model string, version int64, margin, estimateMargin time.Duration) (by time.Time, limited bool) {
 	for _, known := range r.models[model] {
-		if end := r.enforcedFrom(known); known.version > version && (!limited || end.Before(until)) {
-			until, limited = end, true
+		if known.version <= version {
+			continue
+		}
+		end := r.enforcedFrom(known).Add(margin)
+		if known.estimated {
+			end = r.enforcedFrom(known).Add(estimateMargin)
+		}
+		if !limited || end.Before(by) {
+			by, limited = end, true
 		}
 	}
-	return until, limited
+	return by, limited
 }
 
 // FirstNewer returns the oldest known release that is newer than a version, with its age.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -37,6 +37,9 @@
 	pauseFactor = 2.5
 	// minSilenceTimeout is the lower bound of both timeouts.
 	minSilenceTimeout = 600 * time.Millisecond
+	// startCheckInterval is the time after which an attempt without a response is first compared
+	// with the bounds of the releases that are known by then.
+	startCheckInterval = 250 * time.Millisecond
 	// cancelMargin is the time for which an instance may not know yet that an attempt has
 	// been cancelled.
 	cancelMargin = 200 * time.Millisecond
@@ -129,11 +132,11 @@
 	hasEvent        bool
 	// lastEventAt is when the caller got that event, by time.Now.
 	lastEventAt time.Time
+	// retryTakenAt is when the retry of the next attempt was taken from the budget.
+	retryTakenAt time.Time
 	// startWatchdog ends the current attempt if it does not start before the bound on the
 	// version of its instance.
 	startWatchdog *watchdog
-	// retryTakenAt is when the retry of the next attempt was taken from the budget.
-	retryTakenAt time.Time
 	// returns counts how often a rejected request has returned to an instance.
 	returns int
 	// closeCause is why no further attempt is made, for the log.
@@ -186,10 +189,10 @@
 		granted = x.awaitRetry()
 	}
 	x.frontend.metrics.retries.WithLabelValues(strconv.FormatBool(granted)).Inc()
+	x.retryTakenAt = clock.Now()
 	if !granted {
 		x.closeCause = closedForRetry
 	}
-	x.retryTakenAt = clock.Now()
 	return granted
 }
 
@@ -489,11 +492,14 @@
 	x.progress = responseProgress{sentAt: clock.Now()}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watchdog := newWatchdog(cancel, x.firstResponseTimeout(), x.silenceDecision(choice), x.frontend.scheduler.cancelReservation)
+	next := x.repeatTicket()
+	watchdog := newWatchdog(cancel, x.firstResponseTimeout(), x.silenceDecision(choice, next), x.frontend.scheduler.cancelReservation)
 	defer x.takeReservation(watchdog)
-	limit := x.startLimit(choice)
-	record.StartLimitMs = limit.Milliseconds()
-	x.startWatchdog = newWatchdog(cancel, limit, x.boundDecision(limit), x.frontend.scheduler.cancelReservation)
+	limit, limited := x.startLimit(choice)
+	if limited {
+		record.StartLimitMs = limit.Milliseconds()
+	}
+	x.startWatchdog = newWatchdog(cancel, x.firstStartCheck(limit, limited), x.boundDecision(choice, next), x.frontend.scheduler.cancelReservation)
 	defer func() { x.takeReservation(x.startWatchdog) }()
 	request := x.newAttemptRequest(ctx, choice)
 	started := clock.Now()
@@ -559,18 +565,30 @@
 	return max(time.Duration(firstResponseFactor*float64(x.route.Objective)), minSilenceTimeout)
 }
 
-// startLimit returns how long the instance may take to start the request: one with old
-// weights must not start it after the bound of a newer version has ended. Zero means no
-// limit.
-func (x *exchange) startLimit(choice placement.Choice) time.Duration {
+// startLimit returns how long the instance may take from now on to start the request: one with
+// old weights must not start it after the bound of a newer version has ended. limited is false
+// if no newer version is known.
+func (x *exchange) startLimit(choice placement.Choice) (limit time.Duration, limited bool) {
 	if x.model == "" {
-		return 0
+		return 0, false
 	}
-	until, limited := x.frontend.view.releases.Load().AllowedUntil(x.model, choice.Version)
+	by, limited := x.frontend.view.releases.Load().StartBy(x.model, choice.Version, x.frontend.view.sendMargin, stablePeriodMargin)
 	if !limited {
+		return 0, false
+	}
+	return by.Add(-cancelMargin).Sub(clock.Now()), true
+}
+
+// firstStartCheck returns when the start limit of an attempt is checked first, 0 for never. A
+// release may come while the attempt waits.
+func (x *exchange) firstStartCheck(limit time.Duration, limited bool) time.Duration {
+	if x.model == "" {
 		return 0
 	}
-	return max(until.Add(x.frontend.view.sendMargin-cancelMargin-silenceConfirmInterval).Sub(clock.Now()), time.Millisecond)
+	if limited {
+		return max(min(limit-silenceConfirmInterval, startCheckInterval), time.Millisecond)
+	}
+	return startCheckInterval
 }
 
 func (x *exchange) newAttemptRequest(ctx context.Context, choice placement.Choice) *http.Request {
--- a/internal/relay/reservation.go
+++ b/internal/relay/reservation.go
@@ -55,14 +55,16 @@
 	s.slotReturned(r.ticket, r.choice, now)
 }
 
-// reserveRepeat reserves what the next attempt of the request needs. It returns nil while no
-// other instance can take the request, or a part of its prompt has to wait for its probe.
-func (x *exchange) reserveRepeat(t *ticket) *reservation {
+// reserveRepeat reserves what the next attempt of the request needs, for a ticket like next. It
+// returns nil while no other instance can take the request, or a part of its prompt has to wait
+// for its probe.
+func (x *exchange) reserveRepeat(next *ticket) *reservation {
 	needsProbe := len(x.parts) > 0 && !x.isTrial
 	if needsProbe && !x.frontend.blocker.probeDue(x.model, x.parts) {
 		return nil
 	}
-	reserved := x.frontend.scheduler.reserve(t)
+	t := *next
+	reserved := x.frontend.scheduler.reserve(&t)
 	if reserved == nil || !needsProbe || x.frontend.blocker.startProbe(x.model, x.parts) {
 		return reserved
 	}
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -14,13 +13,13 @@
 // silenceDecision returns the decision whether an attempt is given up because its instance
 // is silent: if the next attempt has a slot and a retry reserved, or if this start of the
 // instance has ended. Otherwise its response, which may still come, is worth more than none.
-func (x *exchange) silenceDecision(choice placement.Choice) func() giveUp {
+func (x *exchange) silenceDecision(choice placement.Choice, next *ticket) func() giveUp {
 	if !x.route.Repeatable() {
 		// Such an attempt has no timeout for silence.
 		return nil
 	}
 	// The decision runs on another goroutine than the attempt, which changes the exchange.
-	next, mayRepeat, isLogged := x.repeatTicket(), x.decision.MayRepeat(clock.Now()), false
+	mayRepeat, isLogged := x.decision.MayRepeat(clock.Now()), false
 	return func() giveUp {
 		if mayRepeat {
 			if reserved := x.reserveRepeat(next); reserved != nil {
@@ -41,16 +40,19 @@
 
 // boundDecision returns the decision about an attempt that has not started when the bound on the
 // version of its instance is about to end: it is given up, with the next attempt reserved if
-// possible. It returns nil for an attempt without a limit.
-func (x *exchange) boundDecision(limit time.Duration) func() giveUp {
-	if limit <= 0 {
-		return nil
-	}
-	if !x.decision.MayRepeat(clock.Now()) {
-		return func() giveUp { return giveUp{isAllowed: true} }
+// possible.
+func (x *exchange) boundDecision(choice placement.Choice, next *ticket) func() giveUp {
+	mayRepeat := x.decision.MayRepeatEnded(clock.Now())
+	return func() giveUp {
+		limit, limited := x.startLimit(choice)
+		if !limited || limit > 0 {
+			return giveUp{}
+		}
+		if !mayRepeat {
+			return giveUp{isAllowed: true}
+		}
+		return giveUp{isAllowed: true, reserved: x.reserveRepeat(next)}
 	}
-	next := x.repeatTicket()
-	return func() giveUp { return giveUp{isAllowed: true, reserved: x.reserveRepeat(next)} }
 }
 
 // repeatTicket returns the ticket of a further attempt that is made while another one is in
