--- a/internal/placement/notices.go
+++ b/internal/placement/notices.go
@@ -135,6 +135,14 @@
 	return inst != nil && (inst.Start > choice.Backend.Start || inst.addressReused)
 }
 
+// HasSwitched reports whether the chosen start of an instance is switching from the version of its
+// weights at the time of the choice, or has done so.
+func (f *Fleet) HasSwitched(choice Choice) bool {
+	inst := f.instances[choice.Backend.ID]
+	return inst != nil && inst.Start == choice.Backend.Start && inst.lastReport.EngineStart == inst.Start &&
+		(inst.lastReport.Switching || inst.lastReport.LoadedVersion > choice.Version)
+}
+
 // RecentlyLeaving returns the starts that were marked as leaving at the given time or
 // later, the newest first, at most limit.
 func (f *Fleet) RecentlyLeaving(since time.Time, limit int) []InstanceStart {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -77,7 +77,7 @@
 	PauseMs  int64  `json:"max_pause_ms,omitempty"`
 	Ms       int64  `json:"ms"`
 	Outcome  string `json:"outcome"`
-	// EndedFor is why this entry has ended the attempt itself, if it has.
+	// EndedFor is why the attempt was ended by this entry or the instance's agent, if it was.
 	EndedFor endReason `json:"ended_for,omitempty"`
 	// StartLimitMs is the time in which the instance had to start the request because of the
 	// bound on its version.
@@ -343,6 +343,9 @@
 		x.frontend.metrics.attempts.WithLabelValues(string(result)).Inc()
 	}()
 	result = x.attempt(ctx, choice, &record)
+	if result == broken && ctx.Err() == nil && x.frontend.scheduler.hasSwitched(choice) {
+		result = switched
+	}
 	x.recordOwnEnd(ctx, choice, result, &record)
 	if result == broken && x.mayHaveCrashedInstance(choice, &record) {
 		result = crashSuspect
@@ -399,7 +402,7 @@
 		return dispatch.Action{}, true
 	}
 	delivered := x.responseStarted && !x.isResuming()
-	if outcome == versionBound {
+	if outcome == versionBound || outcome == switched {
 		// Once the instance has newer weights, it may run the request.
 		delete(x.tried, x.attempts[len(x.attempts)-1].Instance)
 		return x.decision.AttemptEnded(delivered, now), false
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -50,7 +50,7 @@
 			Namespace: metrics.Namespace, Name: "request_panics_total", Help: "Requests whose connection was closed because handling them panicked.",
 		}),
 		ownEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: metrics.Namespace, Name: "ended_attempts_total", Help: "Attempts that this entry ended before their response was complete, by reason.",
+			Namespace: metrics.Namespace, Name: "ended_attempts_total", Help: "Attempts that this entry or an agent ended before their response was complete, by reason.",
 		}, []string{"reason"}),
 		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Name: "closed_responses_total", Help: "Responses that had begun and were closed before their end, by cause.",
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -29,6 +29,9 @@
 	// versionBound means the same as broken, after the instance had not started the request
 	// when the bound on its version of the weights was about to end.
 	versionBound outcome = "version_bound"
+	// switched means the same as broken, while or after the instance switched to other weights by
+	// the order of its agent.
+	switched outcome = "switched"
 	// crashSuspect means the same as broken, and that the request may be the reason why the
 	// instance has crashed.
 	crashSuspect outcome = "crash_suspect"
@@ -63,13 +66,14 @@
 		return placement.Full
 	case addressReused:
 		return placement.AddressReused
-	case callerDisconnected, partBlocked, partSuspected, canceled, versionBound:
+	case callerDisconnected, partBlocked, partSuspected, canceled, versionBound, switched:
 		return placement.CallerDisconnected
 	}
 	return placement.Failed
 }
 
-// endReason is why this entry has ended an attempt that its instance might have answered.
+// endReason is why this entry, or the agent of the instance, has ended an attempt that the instance
+// might have answered.
 type endReason string
 
 const (
@@ -77,12 +81,13 @@
 	// endedForRestart means that the instance has certainly ended.
 	endedForRestart      endReason = "instance_ended"
 	endedForVersionBound endReason = "version_bound"
+	endedForSwitch       endReason = "switch"
 	endedForBlock        endReason = "block"
 	endedForTimeLimit    endReason = "time_limit"
 	endedForShutdown     endReason = "shutdown"
 )
 
-// ownEndReason returns why this entry has ended an attempt, empty if it has not.
+// ownEndReason returns why an attempt was ended by this entry or an agent, empty if it was not.
 func (x *exchange) ownEndReason(ctx context.Context, result outcome) endReason {
 	switch {
 	case result == silent && x.reserved == nil:
@@ -91,6 +96,8 @@
 		return endedForSilence
 	case result == versionBound:
 		return endedForVersionBound
+	case result == switched:
+		return endedForSwitch
 	case result == canceled:
 		return endedForBlock
 	case result != broken:
@@ -103,8 +110,8 @@
 	return ""
 }
 
-// recordOwnEnd logs and counts an attempt without a complete response that this entry has ended
-// itself.
+// recordOwnEnd logs and counts an attempt without a complete response that was ended by this entry
+// or an agent.
 func (x *exchange) recordOwnEnd(ctx context.Context, choice placement.Choice, result outcome, record *attemptRecord) {
 	reason := x.ownEndReason(ctx, result)
 	if reason == "" {
@@ -120,7 +127,7 @@
 	if newer, found := x.frontend.view.releases.Load().FirstNewer(x.model, choice.Version, now); found {
 		fields["version"], fields["newer_version"], fields["newer_version_age_ms"], fields["start_limit_ms"] = choice.Version, newer.Version, newer.Age.Milliseconds(), record.StartLimitMs
 	}
-	x.frontend.log.WithFields(fields).Info("this entry has ended an attempt")
+	x.frontend.log.WithFields(fields).Info("an attempt was ended by this entry or an agent")
 }
 
 // closeCause is why a response that has begun is not completed.
--- a/internal/relay/resume.go
+++ b/internal/relay/resume.go
@@ -30,16 +30,16 @@
 }
 
 // mustGoOn reports whether the next attempt waits for a slot and a retry as long as the caller
-// does: the response has begun, or this entry has ended an attempt that might have succeeded.
-// After silences there has to be an instance left to try; after the bound on a version one may
-// still load a newer one.
+// does: the response has begun, or this entry or an agent has ended an attempt that might have
+// succeeded. After silences there has to be an instance left to try; around a release one may still
+// load the newer version.
 func (x *exchange) mustGoOn() bool {
 	if x.isResuming() {
 		return true
 	}
 	for _, record := range x.attempts {
 		switch record.EndedFor {
-		case endedForVersionBound:
+		case endedForVersionBound, endedForSwitch:
 			return true
 		case endedForSilence, endedForRestart:
 			if x.frontend.scheduler.hasUsable(x.placementNeed()) {
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -79,3 +79,9 @@
 	defer s.mu.Unlock()
 	return s.fleet.HasEnded(choice)
 }
+
+func (s *scheduler) hasSwitched(choice placement.Choice) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.HasSwitched(choice)
+}
--- a/internal/relay/version_bound_test.go
+++ b/internal/relay/version_bound_test.go
@@ -169,7 +169,7 @@
 	c.Assert(err, qt.IsNil)
 	var found bool
 	for _, entry := range log.AllEntries() {
-		if entry.Message != "this entry has ended an attempt" {
+		if entry.Message != "an attempt was ended by this entry or an agent" {
 			continue
 		}
 		found = true
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -75,6 +75,9 @@
 // was paused.
 const maxTickGap = 500 * time.Millisecond
 
+// maxTickDelay is how much later than due a call of recordVersionLimits may come without a pause.
+const maxTickDelay = 50 * time.Millisecond
+
 // wakeTime is how long after a pause the process still reads what arrived during the pause.
 const wakeTime = 200 * time.Millisecond
 
@@ -191,7 +194,7 @@
 		}
 		// A release that is present at the start of the process, or found after a pause, may
 		// be old.
-		updated, isNew := next.Add(decoded, !v.releasesLoaded || v.recentlyPaused(now), now)
+		updated, isNew := next.Add(decoded, !v.releasesLoaded || v.recentlyPaused(now), v.seenSince(now))
 		if isNew {
 			v.log.WithFields(logrus.Fields{"model": decoded.Model, "version": decoded.Version, "revision": document.Revision.Number, "era": document.Revision.Era}).Info("release seen")
 			if v.releasesLoaded {
@@ -204,6 +207,15 @@
 	v.releases.Store(next)
 }
 
+// seenSince returns the earliest time at which what is read now may have come: this process may
+// have stood still for less than maxTickGap. The caller holds releasesMu.
+func (v *view) seenSince(now time.Time) time.Time {
+	if !v.lastTick.IsZero() && now.Sub(v.lastTick) > heartbeatInterval+maxTickDelay {
+		return v.lastTick
+	}
+	return now
+}
+
 // unixNano returns the time in nanoseconds, 0 for the zero time.
 func unixNano(at time.Time) int64 {
 	if at.IsZero() {
