--- a/internal/loader/switch.go
+++ b/internal/loader/switch.go
@@ -201,7 +201,7 @@
 // maySwitch decides whether an engine that is serving may stop in order to switch.
 // The caller holds mu.
 func (a *agent) maySwitch(now time.Time) bool {
-	limit := rollout.SwitchLimit{MaxFraction: maxSwitchFraction, SwitchBy: a.switchBy()}
+	limit := rollout.SwitchLimit{MaxFraction: maxSwitchFraction, SwitchBy: a.target.learnedAt.Add(rollout.SwitchPeriod(a.settings.Bounds.VersionSwitchTime))}
 	var neighbors []rollout.Neighbor
 	for _, member := range a.members {
 		if member.AvailabilityZone != a.settings.AvailabilityZone || member.Name == a.settings.IP {
@@ -219,12 +219,6 @@
 	return limit.Allows(a.settings.IP, strconv.FormatInt(a.target.version, 10), neighbors, now)
 }
 
-// switchBy returns when the engine switches to the target whatever others do. The caller holds
-// mu.
-func (a *agent) switchBy() time.Time {
-	return a.target.learnedAt.Add(rollout.SwitchPeriod(a.settings.Bounds.VersionSwitchTime))
-}
-
 // loadTarget orders the engine to load the target. It sends no order if the staged
 // chunks were verified for another version, or if their verification is no longer
 // valid when the order is due. It returns the last order in effect.
@@ -275,9 +269,9 @@
 func (a *agent) drain(ctx context.Context) {
 	began := clock.Now()
 	a.mu.Lock()
-	remaining := a.switchBy().Sub(began) / switchRounds
+	drainBy := a.target.learnedAt.Add(rollout.DrainPeriod(a.settings.Bounds.VersionSwitchTime))
 	a.mu.Unlock()
-	limit := min(max(remaining, minDrain), maxDrain)
+	limit := min(max(drainBy.Sub(began)/switchRounds, minDrain), maxDrain)
 	for clock.Sleep(ctx, pollInterval) {
 		a.readReport(ctx)
 		a.mu.Lock()
--- a/internal/rollout/bound.go
+++ b/internal/rollout/bound.go
@@ -13,9 +13,9 @@
 	// firstTokenTime is the usual time from the arrival of a request at an engine to its first
 	// token.
 	firstTokenTime = 400 * time.Millisecond
-	// switchTime is the time from the decision that an engine switches until it takes requests
-	// again: the order, the load and the first report.
-	switchTime = 600 * time.Millisecond
+	// lateDrain is how long after the send period the last group of engines may still drain: its
+	// engines get no requests then in any case, and shorter drains cut streams of all groups.
+	lateDrain = 500 * time.Millisecond
 	// maxMarginShare bounds each margin to a share of the time before it, for short bounds.
 	maxMarginShare = 0.5
 )
@@ -28,8 +28,14 @@
 }
 
 // SwitchPeriod returns the time after a release with the given bound at which an engine switches
-// whatever others do, so that it serves the release when the send period ends.
-func SwitchPeriod(bound time.Duration) time.Duration { return before(SendPeriod(bound), switchTime) }
+// whatever others do: when entries stop sending requests to its weights.
+func SwitchPeriod(bound time.Duration) time.Duration { return SendPeriod(bound) }
+
+// DrainPeriod returns the time after a release with the given bound by which the drains of all
+// groups of engines should have ended.
+func DrainPeriod(bound time.Duration) time.Duration {
+	return SendPeriod(bound) + min(lateDrain, (bound-SendPeriod(bound))/2)
+}
 
 func before(end, margin time.Duration) time.Duration {
 	return end - min(margin, time.Duration(maxMarginShare*float64(end)))
