Soak: a release whose weights come late, beside silences of engines

A request that an engine held and that ended with 502 beside a release counted as 'beside no planned work', and a failing origin excused both bounds in time and cuts.

Change: the kind 'late release beside silent engines': a version is named while the origin refuses or delays its chunks until a time between the end of the send period and 1 s after the bound; the pool is nearly full; one to three engines are silent for 1.0 to 1.6 s (a quarter of them slow instead) from 0.6 s before the end of the send period to 0.9 s before the bound; in half of the runs another release follows, in half the tables change. A cut of a request that ran on weights is LOST from a release until 1.6 s after its bound, unless excused as before; a failing origin excuses nothing. Two faults of the origin no longer overlap, as the first to end ended both.

Two of the four new cases of TestEachViolationIsReported fail with the former cuts.go, one with the former check.go (seen).

--- a/test/soak/fleet/check.go
+++ b/test/soak/fleet/check.go
@@ -64,7 +64,7 @@
 func (c *check) noFaultDuring(from, to time.Time) bool {
 	from = from.Add(-c.history.Bounds.Stable)
 	for _, window := range c.history.Windows {
-		if window.From.Before(to) && from.Before(window.To) {
+		if window.Kind != originKind && window.From.Before(to) && from.Before(window.To) {
 			return false
 		}
 	}
@@ -77,7 +77,7 @@
 func (c *check) noEntryFaultDuring(entry string, from, to time.Time) bool {
 	from = from.Add(-c.history.Bounds.Stable)
 	return !slices.ContainsFunc(c.history.Windows, func(window FaultWindow) bool {
-		return (window.Target == "" || window.Target == entry) && window.From.Before(to) && from.Before(window.To)
+		return window.Kind != originKind && (window.Target == "" || window.Target == entry) && window.From.Before(to) && from.Before(window.To)
 	})
 }
 
--- a/test/soak/fleet/check_test.go
+++ b/test/soak/fleet/check_test.go
@@ -66,6 +66,15 @@
 		h.Windows = append(h.Windows, FaultWindow{From: checkEpoch.Add(-time.Minute), To: checkEpoch.Add(time.Minute)})
 	}},
 	{"an old version after the bound", "VERSION", func(h *History) { h.addRelease(3, checkEpoch.Add(-9*time.Second)) }},
+	{"an old version after the bound, while the origin is down and its engine was silent", "VERSION", func(h *History) {
+		h.addRelease(3, checkEpoch.Add(-StatedBounds.Version-time.Millisecond))
+		h.Executions[0].StartedAt = checkEpoch.Add(maxSilence)
+		h.Windows = append(h.Windows, FaultWindow{Kind: originKind, From: checkEpoch.Add(-time.Minute), To: checkEpoch.Add(time.Minute)})
+	}},
+	{"a version older than the first one of two releases after its bound", "VERSION", func(h *History) {
+		h.addRelease(3, checkEpoch.Add(-StatedBounds.Version))
+		h.addRelease(4, checkEpoch.Add(-StatedBounds.Version+2*time.Second))
+	}},
 	{"a late request to an instance that shuts down", "DRAIN", func(h *History) { h.addDrainNotice("i-1", checkEpoch.Add(-3*time.Second)) }},
 	{"a late request to an instance whose answer has said that it leaves", "DRAIN notice", func(h *History) {
 		h.Calls[0].Ended = checkEpoch.Add(-3 * time.Second)
@@ -105,6 +114,15 @@
 		h.Calls[2].Outcome, h.Calls[2].Status = Failed, 502
 		h.tables = append(h.tables, acceptedChange{at: checkEpoch.Add(500 * time.Millisecond), table: h.tables[0].table})
 	}},
+	{"a request that an engine holds gets 502 before the bound of a release", "LOST", func(h *History) {
+		h.Calls[0].Outcome, h.Calls[0].Status, h.Calls[0].EventsReceived = Failed, 502, 0
+		h.addRelease(3, checkEpoch.Add(-StatedBounds.Version+time.Second))
+	}},
+	{"a request sent before a release is cut after seven tenths of its time, while the origin is down", "LOST", func(h *History) {
+		h.Calls[0].Outcome, h.Calls[0].Lost, h.Calls[0].EventsReceived, h.Calls[0].Ended = Failed, true, 3, checkEpoch.Add(callTimeout*8/10)
+		h.addRelease(3, checkEpoch.Add(time.Second))
+		h.Windows = append(h.Windows, FaultWindow{Kind: originKind, From: checkEpoch, To: checkEpoch.Add(time.Minute)})
+	}},
 	{"a request that was passed on and rejected is closed in a stop", "LOST", func(h *History) {
 		h.Calls[1].Outcome, h.Calls[1].Status, h.Calls[1].Lost, h.Executions = Failed, 0, true, slices.Delete(h.Executions, 1, 2)
 		h.Calls[1].Written = h.Calls[1].Ended.Add(-lossSlack / 2)
--- a/test/soak/fleet/cuts.go
+++ b/test/soak/fleet/cuts.go
@@ -68,6 +68,9 @@
 			return "beside a reload of the settings of " + reload.Target
 		}
 	}
+	if c.besideRelease(call) {
+		return "beside a release"
+	}
 	// Beside a change of the tables only the first seven tenths of the time count.
 	if 10*call.Ended.Sub(call.Sent) >= 7*call.TimeLeft {
 		return ""
--- a/test/soak/fleet/faults.go
+++ b/test/soak/fleet/faults.go
@@ -429,22 +429,21 @@
 
 // releaseVersion releases a version, optionally with the origin down or corrupting data.
 func (r *run) releaseVersion(down, corrupt bool) error {
-	if down || corrupt {
-		defer r.history.beginFault("origin fails", "")()
+	if !down && !corrupt {
+		return r.nameVersion()
 	}
+	release := r.reserve("origin")
+	if release == nil {
+		return nil
+	}
+	defer release()
+	defer r.history.beginFault(originKind, "")()
 	r.Origin.Down.Store(down)
 	r.Origin.CorruptChunks.Store(corrupt)
-	r.mu.Lock()
-	r.version++
-	version := r.version + 1
-	err := r.Store.Put(standin.KindReleases, testfleet.ModelWeights.Model, standin.EncodeRelease(testfleet.ModelWeights.Model, version))
-	r.history.addRelease(version, time.Now())
-	r.mu.Unlock()
-	if down || corrupt {
-		time.Sleep(2 * time.Second)
-		r.Origin.Down.Store(false)
-		r.Origin.CorruptChunks.Store(false)
-	}
+	err := r.nameVersion()
+	time.Sleep(2 * time.Second)
+	r.Origin.Down.Store(false)
+	r.Origin.CorruptChunks.Store(false)
 	return err
 }
 
--- a/test/soak/fleet/history.go
+++ b/test/soak/fleet/history.go
@@ -156,8 +156,12 @@
 	h.update(func() { h.violations = append(h.violations, Violation{Rule: rule, Text: text}) })
 }
 
-// stallKind is the kind of windows in which the test machine was short of CPU time.
-const stallKind = "machine stalled"
+// stallKind is the kind of windows in which the test machine was short of CPU time, originKind
+// that of those in which the origin failed. The latter excuse nothing: entries don't need it.
+const (
+	stallKind  = "machine stalled"
+	originKind = "origin fails"
+)
 
 func (h *History) addStall(from, to time.Time) {
 	h.update(func() { h.Windows = append(h.Windows, FaultWindow{Kind: stallKind, From: from, To: to}) })
--- a/test/soak/fleet/planned.go
+++ b/test/soak/fleet/planned.go
@@ -38,6 +38,7 @@
 	{"engines paused in a full pool beside a stop", func(r *run) error { return r.pauseInFullPool(true) }},
 	{"entries paused beside a stop", (*run).pauseBesideStop},
 	{"reloads beside a stop", func(r *run) error { return r.reloadBesideStop(false) }},
+	{"late release beside silent engines", (*run).releaseLate},
 	{"reloads and new tables beside a stop", func(r *run) error { return r.reloadBesideStop(true) }},
 }
 
@@ -48,13 +49,16 @@
 	return from + time.Duration(r.random.Int64N(int64(to-from)))
 }
 
-// chance is true half of the time.
-func (r *run) chance() bool {
+// randomInt returns a random number from 0 to below end.
+func (r *run) randomInt(end int) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.random.IntN(2) == 0
+	return r.random.IntN(end)
 }
 
+// chance is true half of the time.
+func (r *run) chance() bool { return r.randomInt(2) == 0 }
+
 // stopInSeries stops entries one after the other while the callers of the first ones come
 // over, and starts each one again. Some are stopped a second time soon after that.
 func (r *run) stopInSeries() error {
