Soak: only the sender, links and the store hold the bound of a release up

Cause: any fault anywhere excused an execution on older weights after the bound, so that VERSION was hardly checked beside other kinds. The rule asks for the sending entry, the links and the store. Change: faults of other entries, agents and instances excuse nothing there.

--- a/test/soak/fleet/check.go
+++ b/test/soak/fleet/check.go
@@ -81,6 +81,20 @@
 	})
 }
 
+// linkKinds are the kinds of faults of links.
+var linkKinds = []string{
+	"store cut off one way", "store cut off", "store refuses its readers", "callers' link silent", "instance's link silent", "callers' connections reset", "instance's connections reset",
+}
+
+// mayHoldVersionUp reports whether a fault of the entry, of a link or of what all entries
+// depend on overlaps the time span or the Stable time before it. The Version bound holds
+// beside faults of other processes and of instances.
+func (c *check) mayHoldVersionUp(entry string, from, to time.Time) bool {
+	return !c.noEntryFaultDuring(entry, from, to) || slices.ContainsFunc(c.history.Windows, func(window FaultWindow) bool {
+		return slices.Contains(linkKinds, window.Kind) && window.From.Before(to) && from.Add(-c.history.Bounds.Stable).Before(window.To)
+	})
+}
+
 // machineStalledDuring reports whether the test machine stalled in the time span.
 func (c *check) machineStalledDuring(from, to time.Time) bool {
 	return slices.ContainsFunc(c.history.Windows, func(window FaultWindow) bool {
@@ -158,7 +172,7 @@
 	}
 	for _, release := range c.history.releases {
 		late := e.StartedAt.Sub(release.at) > c.history.Bounds.Version
-		if late && e.Version < release.version && c.noFaultDuring(release.at, e.StartedAt) && !c.startedRecently(call.Entry, call.Sent) {
+		if late && e.Version < release.version && !c.mayHoldVersionUp(call.Entry, release.at, e.StartedAt) && !c.startedRecently(call.Entry, call.Sent) {
 			c.violation("VERSION", "%s started on version %d, %s after version %d was released", e.Attempt, e.Version, e.StartedAt.Sub(release.at), release.version)
 		}
 	}
--- a/test/soak/fleet/check_test.go
+++ b/test/soak/fleet/check_test.go
@@ -71,6 +71,12 @@
 		h.Executions[0].StartedAt = checkEpoch.Add(maxSilence)
 		h.Windows = append(h.Windows, FaultWindow{Kind: originKind, From: checkEpoch.Add(-time.Minute), To: checkEpoch.Add(time.Minute)})
 	}},
+	{"an old version after the bound, during faults of another entry and of the engine", "VERSION", func(h *History) {
+		h.addRelease(3, checkEpoch.Add(-9*time.Second))
+		for _, target := range []string{"entry-b1", "engine-a1"} {
+			h.Windows = append(h.Windows, FaultWindow{Kind: "agent paused", Target: target, From: checkEpoch.Add(-time.Minute), To: checkEpoch.Add(time.Minute)})
+		}
+	}},
 	{"a version older than the first one of two releases after its bound", "VERSION", func(h *History) {
 		h.addRelease(3, checkEpoch.Add(-StatedBounds.Version))
 		h.addRelease(4, checkEpoch.Add(-StatedBounds.Version+2*time.Second))
@@ -226,9 +232,12 @@
 		if modification.violates != "VERSION" && modification.violates != "DRAIN" {
 			continue
 		}
-		h := validHistory()
-		modification.apply(h)
-		h.Windows = append(h.Windows, FaultWindow{Kind: "store down", From: checkEpoch.Add(-4 * time.Second), To: checkEpoch.Add(-time.Second)})
-		c.Check(h.Check(), qt.HasLen, 0, qt.Commentf(modification.name))
+		for _, window := range []FaultWindow{{Kind: "store down"}, {Kind: "instance's link silent", Target: "i-1"}} {
+			h := validHistory()
+			modification.apply(h)
+			window.From, window.To = checkEpoch.Add(-4*time.Second), checkEpoch.Add(-time.Second)
+			h.Windows = append(h.Windows, window)
+			c.Check(h.Check(), qt.HasLen, 0, qt.Commentf("%s, %s", modification.name, window.Kind))
+		}
 	}
 }
