--- a/test/soak/fleet/fleet.go
+++ b/test/soak/fleet/fleet.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -25,6 +26,9 @@
 	Entries, Engines int
 	Callers          int
 	Bounds           Bounds
+	// VersionSwitchTime is the Version bound in the settings of the processes; the checked one
+	// if it is 0.
+	VersionSwitchTime time.Duration
 	// Only lists the kinds of faults to inject; all if it is empty.
 	Only []string
 	// Bin is the directory of the built binaries, Dir that of settings and logs.
@@ -75,12 +79,13 @@
 
 // Run executes one run and returns its history.
 func Run(config Config) (*History, error) {
+	config.VersionSwitchTime = cmp.Or(config.VersionSwitchTime, config.Bounds.Version)
 	r := &run{
 		config: config, random: rand.New(rand.NewPCG(config.Seed, 1)), startedAt: time.Now(), history: &History{Bounds: config.Bounds}, reserved: map[string]bool{},
 	}
 	var err error
 	r.Fleet, err = testfleet.New(testfleet.Config{
-		Entries: config.Entries, Engines: config.Engines, KeyRevokeTime: config.Bounds.Revoke, VersionSwitchTime: config.Bounds.Version, ShutdownGrace: shutdownTimeout,
+		Entries: config.Entries, Engines: config.Engines, KeyRevokeTime: config.Bounds.Revoke, VersionSwitchTime: config.VersionSwitchTime, ShutdownGrace: shutdownTimeout,
 		Bin: config.Bin, Dir: config.Dir, OnExecution: r.history.addExecution, OnArrival: r.history.addArrival, OnProcessStart: func(name string) { r.history.addStart(name, time.Now()) },
 		CrashPart: crashPart, OnCrash: r.instanceCrashed,
 	})
--- a/test/soak/fleet/releases.go
+++ b/test/soak/fleet/releases.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"plantainrelay/internal/rollout"
 	"plantainrelay/platform/standin"
 	"plantainrelay/test/testfleet"
@@ -40,22 +42,28 @@
 // lateRelease is a release whose weights come late, and what comes beside it. All times count
 // from the release.
 type lateRelease struct {
-	originDelay        time.Duration
-	originUntil        time.Duration
-	silences           []silence
+	originUntil time.Duration
+	// originDelay is the delay of each chunk; 0 says that the origin refuses them.
+	originDelay time.Duration
+	silences    []silence
+	// nextAfter is when another release follows, tableAt when the tables change, 0 for never.
 	nextAfter, tableAt time.Duration
 }
 
 // newLateRelease draws a release and what comes beside it.
 func (r *run) newLateRelease() lateRelease {
-	bound := r.config.Bounds.Version
+	bound := r.config.VersionSwitchTime
 	sendEnd := rollout.SendPeriod(bound)
 	late := lateRelease{originUntil: r.randomTime(sendEnd, bound+afterBound)}
 	if r.chance() {
 		late.originDelay = lateChunkDelay
 	}
 	for range 1 + r.randomInt(pausedInstances) {
-		late.silences = append(late.silences, silence{at: r.randomTime(sendEnd-beforeSendEnd, bound-beforeBound), length: r.randomTime(minPause, maxSilence), slow: r.chance() && r.chance()})
+		next := silence{at: r.randomTime(sendEnd-beforeSendEnd, bound-beforeBound), length: r.randomTime(minPause, maxSilence)}
+		if r.chance() {
+			next.slow = r.chance()
+		}
+		late.silences = append(late.silences, next)
 	}
 	if r.chance() {
 		late.nextAfter = r.randomTime(minSeriesInterval, maxSeriesInterval)
@@ -69,44 +77,60 @@
 // releaseLate names a version while the origin refuses or delays its chunks. Around the end of
 // the send period some engines of the nearly full pool fall silent for a moment.
 func (r *run) releaseLate() error {
-	if r.config.Bounds.Version > r.config.Duration {
+	if r.config.VersionSwitchTime > r.config.Duration {
 		r.logf("skipped: the bound of a release is longer than the run")
 		return nil
 	}
-	origin := r.reserve("origin")
-	if origin == nil {
+	release := r.reserve("origin")
+	if release == nil {
 		return nil
 	}
 	late, start := r.newLateRelease(), time.Now()
 	r.logf("late release: %+v", late)
-	var group sync.WaitGroup
-	defer group.Wait()
-	r.Origin.Delay.Store(int64(late.originDelay))
-	r.Origin.Down.Store(late.originDelay == 0)
-	at := func(after time.Duration, do func() error) {
-		group.Go(func() {
-			time.Sleep(time.Until(start.Add(after)))
-			if err := do(); err != nil {
-				r.history.addViolation("SOAK", "late release: "+err.Error())
-			}
-		})
+	r.setOrigin(late.originDelay == 0, late.originDelay)
+	fillAt := rollout.SendPeriod(r.config.VersionSwitchTime) - beforeSendEnd - fillBefore
+	steps := []step{
+		{0, r.nameVersion},
+		{fillAt, func() error {
+			return r.inFullPool(func() error { return r.silenceEngines(start, late.silences) })
+		}},
+		{late.originUntil, func() error {
+			defer release()
+			r.setOrigin(false, 0)
+			return nil
+		}},
 	}
-	at(late.originUntil, func() error {
-		defer origin()
-		r.Origin.Delay.Store(0)
-		r.Origin.Down.Store(false)
-		return nil
-	})
 	if late.nextAfter > 0 {
-		at(late.nextAfter, r.nameVersion)
+		steps = append(steps, step{late.nextAfter, r.nameVersion})
 	}
 	if late.tableAt > 0 {
-		at(late.tableAt, r.changeRoute)
+		steps = append(steps, step{late.tableAt, r.changeRoute})
+	}
+	return performAt(start, steps)
+}
+
+// setOrigin makes the origin refuse or delay chunks.
+func (r *run) setOrigin(down bool, delay time.Duration) {
+	r.Origin.Down.Store(down)
+	r.Origin.Delay.Store(int64(delay))
+}
+
+// step is what is done at a time after a start.
+type step struct {
+	after time.Duration
+	do    func() error
+}
+
+// performAt performs steps at their times and waits until all have ended.
+func performAt(start time.Time, steps []step) error {
+	var group errgroup.Group
+	for _, next := range steps {
+		group.Go(func() error {
+			time.Sleep(time.Until(start.Add(next.after)))
+			return next.do()
+		})
 	}
-	at(rollout.SendPeriod(r.config.Bounds.Version)-beforeSendEnd-fillBefore, func() error {
-		return r.inFullPool(func() error { return r.silenceEngines(start, late.silences) })
-	})
-	return r.nameVersion()
+	return group.Wait()
 }
 
 // silenceEngines makes one engine silent for each of the silences.
