Simulation: entries and agents take their margins from rollout

Cause: the simulation had copies of both margins before the bound on older weights, which the product takes from rollout.SendPeriod and rollout.SwitchPeriod now. Change: it uses these; the old margins become the mutations short-send-margin and switch-late.

--- a/bench/simulation/agent.go
+++ b/bench/simulation/agent.go
@@ -25,7 +25,7 @@
 	agentMaxPulls              = 1
 	startupPeerWait            = 1500 * time.Millisecond
 	maxSwitchFraction          = 0.34
-	agentSwitchMargin          = 1500 * time.Millisecond
+	engineCallTimeout          = 800 * time.Millisecond
 	minDrain                   = 60 * time.Millisecond
 	maxDrain                   = 800 * time.Millisecond
 	switchRounds               = 3
@@ -278,7 +278,10 @@
 }
 
 func (a *agent) switchBy() time.Time {
-	return a.target.learnedAt.Add(versionBound - agentSwitchMargin)
+	if a.world.scenario.Mutation == SwitchLate {
+		return a.target.learnedAt.Add(versionBound - lateSwitchMargin)
+	}
+	return a.target.learnedAt.Add(rollout.SwitchPeriod(versionBound))
 }
 
 // load stops new requests, waits for those in progress, and orders the load.
--- a/bench/simulation/mutation.go
+++ b/bench/simulation/mutation.go
@@ -1,5 +1,13 @@
 package simulation
 
+import "time"
+
+// The margins before a bound in front of incident 0013.
+const (
+	shortSendMargin  = 900 * time.Millisecond
+	lateSwitchMargin = 1500 * time.Millisecond
+)
+
 // Mutation is a fault in the decisions of the processes, put in on purpose in order to
 // see that the checks find it. The zero value is none.
 type Mutation string
@@ -16,6 +24,11 @@
 	// EnforceLate enforces a version only when its whole bound has passed, without the
 	// margin for requests under way.
 	EnforceLate Mutation = "enforce-late"
+	// ShortSendMargin lets entries send to older weights with a margin that is shorter than
+	// the silence of a sound engine, as before the incident 0013 was corrected.
+	ShortSendMargin Mutation = "short-send-margin"
+	// SwitchLate lets engines switch only after entries have stopped sending to them.
+	SwitchLate Mutation = "switch-late"
 	// FoundIsNew takes the releases that a process finds at its start for new ones.
 	FoundIsNew Mutation = "found-is-new"
 	// KeepQueuedVersion does not apply a bound that ends while a request is queued.
@@ -48,6 +61,6 @@
 
 // Mutations are all mutations.
 var Mutations = []Mutation{
-	DropBetween, IgnorePeerAges, NeverEnforce, EnforceLate, FoundIsNew, KeepQueuedVersion, IgnoreSwitchBy, KeepSwitching, WatchAlways, NoBackoff,
+	DropBetween, IgnorePeerAges, NeverEnforce, EnforceLate, ShortSendMargin, SwitchLate, FoundIsNew, KeepQueuedVersion, IgnoreSwitchBy, KeepSwitching, WatchAlways, NoBackoff,
 	CountReports, IgnorePeerCrashes, KeepSuspects, ForgetBlocks, LapseBlocks, IgnoreEarlyCrashes, NoProbation,
 }
--- a/bench/simulation/versions.go
+++ b/bench/simulation/versions.go
@@ -7,12 +7,12 @@
 
 	"plantainrelay/internal/catalog"
 	"plantainrelay/internal/placement"
+	"plantainrelay/internal/rollout"
 )
 
-// The bounds of the platform, and the margins with which package relay applies them.
+// The bounds of the platform, and the margin with which package relay applies that on stability.
 const (
 	versionBound       = 8 * time.Second
-	entrySwitchMargin  = 900 * time.Millisecond
 	stablePeriod       = 3 * time.Second
 	stablePeriodMargin = 800 * time.Millisecond
 )
@@ -28,9 +28,12 @@
 }
 
 func newVersions(mutation Mutation) *versions {
-	enforceAfter := versionBound - entrySwitchMargin
-	if mutation == EnforceLate {
+	enforceAfter := rollout.SendPeriod(versionBound)
+	switch mutation {
+	case EnforceLate:
 		enforceAfter = versionBound
+	case ShortSendMargin:
+		enforceAfter = versionBound - shortSendMargin
 	}
 	return &versions{releases: placement.NewReleases(enforceAfter, stablePeriod-stablePeriodMargin), mutation: mutation}
 }
