Simulation: silent engines, time to the first token, late chunks, higher load

Change: DrawWithSilences adds to a drawn scenario engines that are silent for 0.4 to 1.6 s around the ends of bounds and begin what they hold when they go on, also attempts that the entry has canceled; a time to the first token; releases whose chunks arrive after the bound; and a load that nearly fills the slots. None of them excuses an instance; RECOVER waits for a late origin.

--- a/bench/simulation/agent.go
+++ b/bench/simulation/agent.go
@@ -176,8 +176,11 @@
 // readReport reads the engine's state.
 func (a *agent) readReport() {
 	e, last := a.engine, a.lastReport
+	if e.silences > 0 && a.world.now.Sub(e.silentSince) < engineCallTimeout {
+		return
+	}
 	a.lastReport = placement.AgentReport{}
-	if !e.up {
+	if !e.up || e.silences > 0 {
 		return
 	}
 	a.lastReport = placement.AgentReport{EngineStart: e.start, LoadedVersion: e.loaded}
@@ -222,7 +225,8 @@
 	a.fetchNext(f)
 }
 
-// fetchNext fetches one chunk after the other. Nothing arrives while the links are cut.
+// fetchNext fetches one chunk after the other. Nothing arrives while the links are cut or the
+// origin is late, and a silent engine takes none.
 func (a *agent) fetchNext(f *fetch) {
 	if f.held >= chunks {
 		a.world.record(a.host, "all chunks have been fetched", f.version, 0, "")
@@ -233,7 +237,7 @@
 		if a.fetch != f {
 			return
 		}
-		if n := a.world.network; n.cutIn[a.number] == 0 && n.cutOut[a.number] == 0 {
+		if n := a.world.network; n.cutIn[a.number] == 0 && n.cutOut[a.number] == 0 && a.world.lateOrigins == 0 && a.engine.silences == 0 {
 			f.held++
 			f.lastChunkAt = a.world.now
 			a.stage(f)
@@ -309,14 +313,22 @@
 	}
 	a.after(verificationTime, func() {
 		a.draining = false
-		if a.engine.stagedVersion != next.version || !a.engine.order(next.version) {
-			a.switching = false
+		a.engine.run(func() { a.sendOrder(next) })
+	})
+}
+
+// sendOrder orders the load if the staged version is still that of the order. An agent that has
+// ended meanwhile leaves an order that its engine received while it was silent.
+func (a *agent) sendOrder(next order) {
+	if a.engine.stagedVersion != next.version || !a.engine.order(next.version) {
+		a.switching = false
+		if a.process.agent == a {
 			a.triggerSend()
-			return
 		}
-		next.sentAt = a.world.now
-		a.lastOrder = next
-	})
+		return
+	}
+	next.sentAt = a.world.now
+	a.lastOrder = next
 }
 
 func (a *agent) upToDate(now time.Time) bool {
--- a/bench/simulation/cmd/main.go
+++ b/bench/simulation/cmd/main.go
@@ -27,6 +27,7 @@
 	parallel    int
 	mutation    string
 	prompts     bool
+	silences    bool
 	rules       []string
 	maxFindings int
 }
@@ -46,6 +47,8 @@
 	flags.IntVar(&o.parallel, "parallel", 2, "number of runs at once")
 	flags.StringVar(&o.mutation, "mutation", "", "fault in the decisions to put in")
 	flags.BoolVar(&o.prompts, "prompts", false, "give requests prompts, with parts at which engines crash")
+	flags.BoolVar(&o.silences, "silences", false, "let engines fall silent and chunks arrive late around the bounds of releases")
+	command.MarkFlagsMutuallyExclusive("prompts", "silences")
 	flags.StringSliceVar(&o.rules, "rules", nil, "rules to check, all by default")
 	flags.IntVar(&o.maxFindings, "findings", 3, "number of findings after which to stop")
 	debug.SetGCPercent(gcPercent)
@@ -93,6 +96,9 @@
 	if o.prompts {
 		draw = simulation.DrawWithPrompts
 	}
+	if o.silences {
+		draw = simulation.DrawWithSilences
+	}
 	for i := range count {
 		group.Go(func() error {
 			scenarios[i] = draw(first+i, o.size)
--- a/bench/simulation/engine.go
+++ b/bench/simulation/engine.go
@@ -62,6 +62,9 @@
 	begun    bool
 	begunAt  time.Time
 	canceled bool
+	// held says that the engine was silent while it had the attempt, and will not notice that it
+	// is canceled.
+	held bool
 	// outlived says that the response has gone on long enough to clear the request's parts.
 	outlived bool
 	// broken says that the response broke off.
@@ -81,13 +84,19 @@
 	// downs counts the faults in progress that keep it down, powerless those in which its
 	// instance is down, too.
 	downs, powerless int
-	loaded           int64
-	loading          bool
+	// silences counts the silences in progress, postponed holds what waits for their end.
+	silences    int
+	silentSince time.Time
+	postponed   []func()
+	loaded      int64
+	loading     bool
 	// stagedVersion and stagedCount describe the staging area.
 	stagedVersion int64
 	stagedCount   int
-	queued        []*attempt
-	running       []*attempt
+	// leastFirstToken is the least time from a request's slot to its first token.
+	leastFirstToken time.Duration
+	queued          []*attempt
+	running         []*attempt
 	// listed is the document in the store that was written last.
 	listed listedEngine
 	// overdueSince is when the engine was first seen with an outdated version although
@@ -111,6 +120,7 @@
 	gone := e.listed
 	e.downs++
 	e.life++
+	e.silences, e.postponed = 0, nil
 	e.up, e.loaded, e.loading, e.listed = false, 0, false, listedEngine{}
 	if powerLost {
 		e.powerless++
@@ -148,7 +158,7 @@
 func (e *engine) report() {
 	life := e.life
 	e.world.after(minReportLag+e.world.randomBelow(reportLagRange), func() {
-		if e.life != life {
+		if e.life != life || e.silences > 0 {
 			return
 		}
 		state := listedEngine{id: e.id(), start: e.start, loaded: e.loaded}
@@ -180,7 +190,7 @@
 	e.world.record(e.host, "engine loads", version, 0, "")
 	e.breakAll(attemptBroken)
 	life := e.life
-	e.world.after(minLoad+e.world.randomBelow(loadRange), func() {
+	e.after(minLoad+e.world.randomBelow(loadRange), func() {
 		if e.life != life {
 			return
 		}
@@ -194,6 +204,12 @@
 // arrive takes an attempt.
 func (e *engine) arrive(a *attempt) {
 	e.arrivedAt = e.world.now
+	a.held = e.silences > 0
+	e.run(func() { e.take(a) })
+}
+
+// take queues or refuses an attempt that has arrived.
+func (e *engine) take(a *attempt) {
 	if a.request.crashing != "" && e.up {
 		e.world.judge.arrived(a)
 	}
@@ -219,8 +235,9 @@
 	if e.world.random.IntN(slowBeginEvery) == 0 {
 		delay = e.world.randomBelow(slowBegin)
 	}
+	delay = max(delay, e.leastFirstToken)
 	life := e.life
-	e.world.after(delay, func() { e.startAttempt(a, life) })
+	e.after(delay, func() { e.startAttempt(a, life) })
 }
 
 // startAttempt begins an attempt after its wait.
@@ -228,7 +245,7 @@
 	if e.life != life || !e.holds(a) {
 		return
 	}
-	if a.canceled || a.request.canceled {
+	if (a.canceled || a.request.canceled) && !a.held {
 		e.finish(a)
 		return
 	}
@@ -240,10 +257,14 @@
 		e.crashAt(a)
 		return
 	}
-	a.answer(attemptBegun)
-	e.world.after(minRun+e.world.randomBelow(runRange), func() {
+	answer := a.answer
+	if a.canceled {
+		answer = func(attemptOutcome) {}
+	}
+	answer(attemptBegun)
+	e.after(minRun+e.world.randomBelow(runRange), func() {
 		if e.life == life && e.holds(a) {
-			a.answer(attemptDone)
+			answer(attemptDone)
 			e.finish(a)
 		}
 	})
--- a/bench/simulation/judge.go
+++ b/bench/simulation/judge.go
@@ -113,7 +113,7 @@
 		j.callsBy[i] = make([]int, seconds)
 	}
 	for _, f := range s.Faults {
-		if after := f.end().Add(recoverTime); after.After(j.recoverFrom) {
+		if after := f.end().Add(recoverTime); f.Kind != Silence && after.After(j.recoverFrom) {
 			j.recoverFrom = after
 		}
 		switch {
@@ -183,7 +183,7 @@
 	}
 	for _, f := range j.world.scenario.Faults {
 		own := f.Kind == PowerLoss || f.Kind == KillEntries && number < j.world.scenario.Entries || f.Kind != Crash && f.Kind != KillEntries && f.Instance == number || f.Kind == CutPair && f.Other == number
-		if (own || f.onStore()) && !at.Before(f.begin()) && at.Before(f.end().Add(stablePeriod)) {
+		if f.isDisturbance() && (own || f.onStore()) && !at.Before(f.begin()) && at.Before(f.end().Add(stablePeriod)) {
 			return false
 		}
 	}
@@ -194,8 +194,10 @@
 func (j *judge) begun(e *engine, a *attempt) {
 	w := j.world
 	w.record(e.host, "request begins", e.loaded, 0, a.request.String())
-	j.servedAll++
-	if !a.request.sentAt.Before(j.recoverFrom) {
+	if !a.canceled {
+		j.servedAll++
+	}
+	if !a.canceled && !a.request.sentAt.Before(j.recoverFrom) {
 		j.served++
 	}
 	newest, found := j.required()
@@ -268,7 +270,7 @@
 func (j *judge) checkOverdue(p *process, e *engine) {
 	now := j.world.now
 	newest, found := j.required()
-	overdue := found && e.up && !e.loading && e.loaded > 0 && e.loaded < newest.version && e.stagedVersion >= newest.version && e.stagedCount == chunks && j.inTouch(p.number, now)
+	overdue := found && e.up && e.silences == 0 && !e.loading && e.loaded > 0 && e.loaded < newest.version && e.stagedVersion >= newest.version && e.stagedCount == chunks && j.inTouch(p.number, now)
 	switch {
 	case !overdue:
 		e.overdueSince = time.Time{}
@@ -304,7 +306,7 @@
 // calm reports whether no fault is in progress or has ended within the stable period.
 func (j *judge) calm(at time.Time) bool {
 	for _, f := range j.world.scenario.Faults {
-		if !at.Before(f.begin()) && at.Before(f.end().Add(stablePeriod)) {
+		if f.isDisturbance() && !at.Before(f.begin()) && at.Before(f.end().Add(stablePeriod)) {
 			return false
 		}
 	}
@@ -349,7 +351,7 @@
 func (j *judge) atRest(from, to int) bool {
 	begin, end := epoch.Add(time.Duration(from-settleSeconds)*time.Second), epoch.Add(time.Duration(to)*time.Second)
 	for _, f := range j.world.scenario.Faults {
-		if f.begin().Before(end) && f.end().After(begin) {
+		if f.isDisturbance() && f.begin().Before(end) && f.end().After(begin) {
 			return false
 		}
 	}
--- a/bench/simulation/scenario.go
+++ b/bench/simulation/scenario.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -38,6 +39,10 @@
 	KillEntries FaultKind = "kill-entries"
 	// PowerLoss ends all processes and engines.
 	PowerLoss FaultKind = "power-loss"
+	// Silence stops a model engine for at most maxSilence: it holds what it receives and goes
+	// on. LateOrigin lets no chunk of any version arrive. Neither excuses an instance.
+	Silence    FaultKind = "silence"
+	LateOrigin FaultKind = "late-origin"
 )
 
 // Fault is one fault of a scenario.
@@ -56,6 +61,10 @@
 
 func (f Fault) end() time.Time { return f.begin().Add(time.Duration(f.ForMs) * time.Millisecond) }
 
+// isDisturbance reports whether the fault may excuse an instance. A sound engine may be silent
+// for a while, and weights that do not arrive change no bound.
+func (f Fault) isDisturbance() bool { return f.Kind != Silence && f.Kind != LateOrigin }
+
 // onStore reports whether the fault disturbs the store.
 func (f Fault) onStore() bool {
 	return slices.Contains([]FaultKind{StoreDown, StoreRefusing, StoreSlow, StoreRejectsSome}, f.Kind)
@@ -72,7 +81,7 @@
 	switch {
 	case f.Kind == CutPair:
 		return fmt.Sprintf("%s, instance %d to %d", text, f.Instance, f.Other)
-	case f.onStore() || f.Kind == PowerLoss || f.Kind == KillEntries:
+	case f.onStore() || f.Kind == PowerLoss || f.Kind == KillEntries || f.Kind == LateOrigin:
 		return text
 	}
 	return fmt.Sprintf("%s, instance %d", text, f.Instance)
@@ -91,12 +100,20 @@
 	// ReleasesMs holds the times at which releases are published, in milliseconds.
 	ReleasesMs []int   `json:"releases_ms"`
 	Faults     []Fault `json:"faults"`
+	// RequestsPerEntry is the rate of requests, per second and entry; usualRequestsPerEntry if it
+	// is 0.
+	RequestsPerEntry int `json:"requests_per_entry,omitempty"`
+	// FirstTokenMs holds the least time from a request's slot to its first token, by engine; none
+	// if it is empty.
+	FirstTokenMs []int `json:"first_token_ms,omitempty"`
 	// Prompts gives the requests prompts. CrashingParts are parts of them at which engines
 	// crash.
 	Prompts       bool           `json:"prompts,omitempty"`
 	CrashingParts []CrashingPart `json:"crashing_parts,omitempty"`
 }
 
+func (s Scenario) requestsPerEntry() int { return cmp.Or(s.RequestsPerEntry, usualRequestsPerEntry) }
+
 // Size is the size of a fleet and the length of its day.
 type Size struct {
 	Entries, Agents int
--- a/bench/simulation/world.go
+++ b/bench/simulation/world.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// requestsPerEntry is the rate of requests, per second and entry.
-	requestsPerEntry = 5
+	// usualRequestsPerEntry is the rate of requests of scenarios that name none.
+	usualRequestsPerEntry = 5
 	// checkEvery is the interval between two checks of the engines and of the calls.
 	checkEvery = 100 * time.Millisecond
 	seedHosts  = 3
@@ -34,6 +34,8 @@
 	journal []Event
 	version int64
 	callers int
+	// lateOrigins counts the faults in progress in which no chunk arrives.
+	lateOrigins int
 	// prompts draws the prompts and what engines do at them, so that runs without prompts
 	// stay as they are.
 	prompts *rand.Rand
@@ -51,7 +53,11 @@
 			w.seeds = append(w.seeds, p.host)
 		}
 		if number >= s.Entries {
-			w.engines = append(w.engines, &engine{world: w, host: p.host, zone: p.zone, stagedVersion: loadedAtStart, stagedCount: chunks})
+			e := &engine{world: w, host: p.host, zone: p.zone, stagedVersion: loadedAtStart, stagedCount: chunks}
+			if len(s.FirstTokenMs) > 0 {
+				e.leastFirstToken = time.Duration(s.FirstTokenMs[number-s.Entries]) * time.Millisecond
+			}
+			w.engines = append(w.engines, e)
 		}
 	}
 	return w
@@ -104,7 +110,7 @@
 	to := w.processes[w.random.IntN(w.scenario.Entries)]
 	w.judge.sent(r)
 	w.after(w.delay("", to.zone), func() { to.run(func() { to.entry.accept(r) }) })
-	mean := time.Second / time.Duration(requestsPerEntry*w.scenario.Entries)
+	mean := time.Second / time.Duration(w.scenario.requestsPerEntry()*w.scenario.Entries)
 	w.after(w.randomBelow(2*mean), w.nextRequest)
 }
 
@@ -127,6 +133,11 @@
 		e := w.engines[f.Instance-w.scenario.Entries]
 		e.crash(false)
 		end = e.restart
+	case f.Kind == Silence:
+		end = w.engines[f.Instance-w.scenario.Entries].fallSilent()
+	case f.Kind == LateOrigin:
+		w.lateOrigins++
+		end = func() { w.lateOrigins-- }
 	case f.Kind == KillEntries:
 		for _, p := range w.processes[:w.scenario.Entries] {
 			p.kill()
