--- a/bench/simulation/simulation_test.go
+++ b/bench/simulation/simulation_test.go
@@ -53,6 +53,15 @@
 	}
 }
 
+// TestFixedSeedsWithSilences plays engines that are silent around the ends of bounds.
+func TestFixedSeedsWithSilences(t *testing.T) {
+	for seed := range uint64(10) {
+		s := simulation.DrawWithSilences(seed+1, size)
+		s.Rules = []string{simulation.RuleVersion, simulation.RuleRecover, simulation.RuleUnused, simulation.RuleCalls}
+		check(t, s)
+	}
+}
+
 // TestFixedSeedsWithPrompts plays requests with prompts, some of which crash engines.
 func TestFixedSeedsWithPrompts(t *testing.T) {
 	for seed := range uint64(20) {
@@ -99,31 +108,30 @@
 	for _, mutated := range []struct {
 		mutation simulation.Mutation
 		rule     string
+		draw     func(uint64, simulation.Size) simulation.Scenario
 		seed     uint64
 	}{
-		{simulation.DropBetween, simulation.RuleVersion, 19},
-		{simulation.IgnorePeerAges, simulation.RuleVersion, 24},
-		{simulation.NeverEnforce, simulation.RuleVersion, 1},
-		{simulation.EnforceLate, simulation.RuleVersion, 5},
-		{simulation.FoundIsNew, simulation.RuleVersion, 3},
-		{simulation.KeepQueuedVersion, simulation.RuleVersion, 17},
-		{simulation.IgnoreSwitchBy, simulation.RuleOutdated, 1},
-		{simulation.KeepSwitching, simulation.RuleUnused, 51},
-		{simulation.WatchAlways, simulation.RuleCalls, 1},
-		{simulation.NoBackoff, simulation.RuleCalls, 2},
-		{simulation.CountReports, simulation.RuleLost, 11},
-		{simulation.KeepSuspects, simulation.RuleLost, 12},
-		{simulation.IgnorePeerCrashes, simulation.RuleBudget, 54},
-		{simulation.ForgetBlocks, simulation.RuleBudget, 405},
-		{simulation.LapseBlocks, simulation.RuleBudget, 40},
-		{simulation.IgnoreEarlyCrashes, simulation.RuleBudget, 102},
+		{simulation.DropBetween, simulation.RuleVersion, simulation.DrawWithSilences, 19},
+		{simulation.IgnorePeerAges, simulation.RuleVersion, simulation.DrawWithSilences, 32},
+		{simulation.NeverEnforce, simulation.RuleVersion, simulation.Draw, 1},
+		{simulation.EnforceLate, simulation.RuleVersion, simulation.DrawWithSilences, 5},
+		{simulation.ShortSendMargin, simulation.RuleVersion, simulation.DrawWithSilences, 1},
+		{simulation.FoundIsNew, simulation.RuleVersion, simulation.Draw, 3},
+		{simulation.KeepQueuedVersion, simulation.RuleVersion, simulation.DrawWithSilences, 116},
+		{simulation.IgnoreSwitchBy, simulation.RuleOutdated, simulation.Draw, 1},
+		{simulation.KeepSwitching, simulation.RuleUnused, simulation.Draw, 51},
+		{simulation.WatchAlways, simulation.RuleCalls, simulation.Draw, 1},
+		{simulation.NoBackoff, simulation.RuleCalls, simulation.Draw, 2},
+		{simulation.CountReports, simulation.RuleLost, simulation.DrawWithPrompts, 11},
+		{simulation.KeepSuspects, simulation.RuleLost, simulation.DrawWithPrompts, 12},
+		{simulation.IgnorePeerCrashes, simulation.RuleBudget, simulation.DrawWithPrompts, 54},
+		{simulation.ForgetBlocks, simulation.RuleBudget, simulation.DrawWithPrompts, 405},
+		{simulation.LapseBlocks, simulation.RuleBudget, simulation.DrawWithPrompts, 40},
+		{simulation.IgnoreEarlyCrashes, simulation.RuleBudget, simulation.DrawWithPrompts, 102},
 	} {
 		t.Run(string(mutated.mutation), func(t *testing.T) {
 			for seed := mutated.seed; seed < mutated.seed+maxSeeds; seed++ {
-				s := simulation.Draw(seed, size)
-				if mutated.rule == simulation.RuleBudget || mutated.rule == simulation.RuleLost {
-					s = simulation.DrawWithPrompts(seed, size)
-				}
+				s := mutated.draw(seed, size)
 				for i := range s.CrashingParts {
 					s.CrashingParts[i].BeforeHeader = mutated.mutation == simulation.IgnoreEarlyCrashes
 				}
