--- a/bench/simulation/doc.go
+++ b/bench/simulation/doc.go
@@ -12,7 +12,12 @@
 //     relay (entry) and loader (agent). It repeats their order of calls without locks
 //     and sockets, and has to follow when they change.
 //
-// Not modeled: the content of the tables, admission by priority and customer, corrupt
+// Entries give up an attempt after a silence of its engine, whatever they could do next: the
+// reservation of the next attempt, the wait without one, the end of attempts for the bound and
+// the answers after them (package relay) are not modeled. LOST is therefore not checked for
+// callers whose requests silent engines hold.
+//
+// Not modeled either: the content of the tables, admission by priority and customer, corrupt
 // chunks, depots, clock drift, instances that join or drain, list entries that expire while
 // the store is down, restores of the store, and trials of blocked parts.
 package simulation
