--- a/internal/relay/version_bound_test.go
+++ b/internal/relay/version_bound_test.go
@@ -83,7 +83,7 @@
 // of the newer version has ended, and whose callers get an error meanwhile (incident 0013).
 func TestSilentEngineBeginsNothingOnOldWeightsAfterTheBound(t *testing.T) {
 	const bound, interval, events = 5 * time.Second, 5 * time.Millisecond, 2
-	for _, before := range []time.Duration{1550 * time.Millisecond, 1200 * time.Millisecond} {
+	for _, before := range []time.Duration{2050 * time.Millisecond, 1550 * time.Millisecond, 1200 * time.Millisecond} {
 		t.Run(fmt.Sprintf("silent %s before the bound", before), func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
