--- a/internal/placement/releases.go
+++ b/internal/placement/releases.go
@@ -17,7 +17,7 @@
 	// reportSlack is the difference of two reported times below which they count as equal.
 	reportSlack = 20 * time.Millisecond
 	// sightingDelay is how much later than others an entry may see a release and still
-	// know when it came. It is part of the margin before the end of the bound.
+	// know when it came.
 	sightingDelay = 500 * time.Millisecond
 )
 
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -65,7 +65,13 @@
 // addEngine starts an engine with a version of the weights, which is not listed.
 func (f *engineFixture) addEngine(t *testing.T, id string, version int64, modifiers ...func(*standin.BackendConfig)) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	f.addEngineAt(t, "127.0.0.1", id, version, modifiers...)
+}
+
+// addEngineAt does so on a loopback address.
+func (f *engineFixture) addEngineAt(t *testing.T, ip, id string, version int64, modifiers ...func(*standin.BackendConfig)) {
+	t.Helper()
+	listener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/relay/order_cut_test.go
+++ b/internal/relay/order_cut_test.go
@@ -44,23 +44,6 @@
 	tell(2, false)
 }
 
-// addEngineAt starts an engine on a loopback address of its own, as agents report by address.
-func (f *engineFixture) addEngineAt(t *testing.T, ip string) {
-	t.Helper()
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	config := standin.BackendConfig{
-		ID: fmt.Sprintf("i-%d", len(f.engines)), Pool: modelPool, Address: listener.Addr().String(), Slots: 8, Weights: f.table.Pools[0].Weights,
-		OnStart: func(standin.Execution) {}, OnArrival: func(standin.Arrival) { f.arrivals.Add(1) },
-	}
-	engine := standin.NewBackend(config, 1, nil)
-	go engine.Serve(listener)
-	t.Cleanup(func() { engine.Stop() })
-	f.engines, f.configs = append(f.engines, engine), append(f.configs, config)
-}
-
 // TestRequestCutByTheOrderOfAnAgentWaits guards against requests that an engine has received and
 // not begun, that end there as the agent orders it to switch to a release, and whose callers get
 // an error because all other engines switch at the same time (issue 47).
@@ -69,7 +52,8 @@
 	const engines, events, requests = 2, 4, 6
 	f := newEngineFixture(t, 0)
 	for i := range engines {
-		f.addEngineAt(t, fmt.Sprintf("127.0.0.%d", i+2))
+		// Agents report by address.
+		f.addEngineAt(t, fmt.Sprintf("127.0.0.%d", i+2), fmt.Sprintf("i-%d", i), 1)
 		f.engines[i].SetFaults(standin.BackendFaults{SilentAt: 1, SilentFor: time.Second})
 	}
 	f.table.Routes[0].Timeout = 6 * time.Second
--- a/internal/relay/switched_engine_test.go
+++ b/internal/relay/switched_engine_test.go
@@ -13,26 +13,9 @@
 	"plantainrelay/internal/catalog"
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/placement"
-	"plantainrelay/platform"
 	"plantainrelay/platform/standin"
 )
 
-// serveVersions makes all instances engines of model m with the given versions.
-func (f *fixture) serveVersions(versions map[string]int64) {
-	view := f.frontend.view
-	table := view.table()
-	pool := table.Pools["s"]
-	pool.Engine = &catalog.Engine{Model: "m"}
-	table.Pools["s"] = pool
-	backends := view.backendDecoder.Decode(view.copies.Documents(platform.Backends), table)
-	for i := range backends {
-		if version := versions[backends[i].ID]; version > 0 {
-			backends[i].LoadedVersions = map[string]int64{"m": version}
-		}
-	}
-	f.frontend.scheduler.setList(backends, time.Time{}, clock.Now())
-}
-
 // TestRequestWhoseEngineSwitchesIsSentElsewhere guards against requests that wait at an engine
 // until it has loaded other weights, and that begin there on weights they were not sent to, or
 // are given up when the engine rejects them (incident 0013).
@@ -43,7 +26,7 @@
 	switched := func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		expected.Store(r.Header.Get("Expect-Version"))
-		f.serveVersions(map[string]int64{"i-0": 2, "i-1": 2})
+		f.loadWeights(2, 2)
 		// The request is in the engine's queue while the engine loads.
 		time.Sleep(200 * time.Millisecond)
 		w.Header().Set("Instance-Id", "i-0")
@@ -55,7 +38,7 @@
 		writeEvents(w, 1, 3)
 	})
 	go f.frontend.scheduler.Run(t.Context())
-	f.serveVersions(map[string]int64{"i-0": 1})
+	f.loadWeights(1, 0)
 	releases, _ := placement.NewReleases(time.Second, time.Second).Add(catalog.Release{Model: "m", Version: 1}, false, clock.Now().Add(-time.Minute))
 	releases, _ = releases.Add(catalog.Release{Model: "m", Version: 2}, false, clock.Now())
 	f.frontend.view.releases.Store(releases)
--- a/internal/relay/version_bound_test.go
+++ b/internal/relay/version_bound_test.go
@@ -15,9 +15,7 @@
 	"plantainrelay/internal/catalog"
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/placement"
-	"plantainrelay/internal/replica"
 	"plantainrelay/internal/rollout"
-	"plantainrelay/platform"
 	"plantainrelay/platform/standin"
 )
 
@@ -36,20 +34,6 @@
 	f.frontend.view.releases.Store(newRelease(period, modelName, 2))
 }
 
-// serveWeights makes the first instance an engine of model m with the given version.
-func (f *fixture) serveWeights(version int64) {
-	view, scheduler := f.frontend.view, f.frontend.scheduler
-	table := view.table()
-	if pool := table.Pools["s"]; pool.Engine == nil {
-		pool.Engine = &catalog.Engine{Model: "m"}
-		table.Pools["s"] = pool
-	}
-	backend := view.copies.Documents(platform.Backends)["i-0"]
-	backends := view.backendDecoder.Decode(map[string]replica.Document{"i-0": backend}, table)
-	backends[0].LoadedVersions = map[string]int64{"m": version}
-	scheduler.setList(backends, time.Time{}, clock.Now())
-}
-
 // executions records the requests that engines have begun.
 type executions struct {
 	mu  sync.Mutex
@@ -218,12 +202,12 @@
 		writeEvents(w, 1, 3)
 	})
 	go f.frontend.scheduler.Run(t.Context())
-	f.serveWeights(1)
+	f.loadWeights(1)
 	f.frontend.view.releases.Store(newRelease(20*time.Millisecond, "m", 2))
 	ended := func() bool { return attempts.Load() == 1 && f.frontend.view.minVersion("m", clock.Now()) == 2 }
 	go func() {
 		waitUntil(c, ended)
-		f.serveWeights(2)
+		f.loadWeights(2)
 	}()
 	response, body, err := f.do(http.MethodPost, "/stream/x")
 	c.Assert(err, qt.IsNil)
@@ -250,11 +234,11 @@
 		}
 	})
 	go f.frontend.scheduler.Run(t.Context())
-	f.serveWeights(1)
+	f.loadWeights(1)
 	f.frontend.view.releases.Store(newRelease(20*time.Millisecond, "m", 2))
 	go func() {
 		waitUntil(c, func() bool { return attempts.Load() == 1 })
-		f.serveWeights(2)
+		f.loadWeights(2)
 	}()
 	response, body, err := f.do(http.MethodPost, "/stream/x", func(r *http.Request) { r.Header.Set(standin.HeaderTimeLeft, "5000") })
 	c.Assert(err, qt.IsNil)
--- a/internal/relay/view_test.go
+++ b/internal/relay/view_test.go
@@ -186,7 +186,7 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 	})
-	f.serveWeights(1)
+	f.loadWeights(1)
 	f.frontend.view.releases.Store(newRelease(200*time.Millisecond, "m", 2))
 	response, _, err := f.do(http.MethodPost, "/fixed/")
 	c.Assert(err, qt.IsNil)
