Relay: a silent attempt is ended only when another instance has begun to respond

Cause: a silent attempt was ended as soon as a slot and a retry were reserved for the next one. A rejection, a break or a silence at the next instance then left nothing of a response that the first instance would have completed.

Change: the next attempt is made beside the silent one, which ends when the other instance has sent the first bytes of its response. If the silent one goes on before, the other is canceled. Both count in the retry budget and in the bound on attempts.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -152,6 +152,18 @@
 	return r.config.Repeatable && r.mayAttempt(now, r.config.RetryDelay)
 }
 
+// RemainingAttempts returns how many attempts may be made beside the one in progress.
+func (r *Request) RemainingAttempts() int {
+	isLastInterruption := r.config.MaxInterruptions > 0 && r.interruptions+1 >= r.config.MaxInterruptions
+	if isLastInterruption || !r.config.Repeatable {
+		return 0
+	}
+	return max(r.config.MaxAttempts-r.attempts, 0)
+}
+
+// CountAttempts counts attempts that were made beside the present one and have been ended.
+func (r *Request) CountAttempts(further int) { r.attempts += further }
+
 // AttemptInterrupted reports that the last attempt ended without a complete
 // response. delivered says that the caller has received a part of it.
 func (r *Request) AttemptInterrupted(delivered bool, now time.Time) Action {
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -121,17 +121,20 @@
 }
 
 // noteBreak records the error that ended the connection before or within the response.
-func (x *exchange) noteBreak(err error) {
-	x.progress.broken = errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF)
+func (x *exchange) noteBreak(err error) { x.progress.broken = isBreak(err) }
+
+// isBreak reports whether an error is that of a connection that the instance has ended.
+func isBreak(err error) bool {
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF)
 }
 
 // mayHaveCrashedInstance reports whether the interrupted attempt may be the reason why its
 // instance has ended, so that it must not be sent to another one. If the attempt may be the
 // reason, it records the crash.
-func (x *exchange) mayHaveCrashedInstance(choice placement.Choice, record *attemptRecord) bool {
+func (x *exchange) mayHaveCrashedInstance(choice placement.Choice, progress responseProgress, record *attemptRecord) bool {
 	ended := clock.Now()
-	since := x.progress.interruptibleSince(ended, blocklist.Window(choice.Slowdown))
-	if len(x.parts) == 0 || !x.progress.broken || since.IsZero() {
+	since := progress.interruptibleSince(ended, blocklist.Window(choice.Slowdown))
+	if len(x.parts) == 0 || !progress.broken || since.IsZero() {
 		return false
 	}
 	// After a pause of this process it is not known how long the response went on.
@@ -142,9 +145,9 @@
 	crash := blocklist.Crash{
 		Start: blocklist.Start{Instance: choice.Backend.ID, Born: choice.Backend.Start}, Model: x.model, Version: choice.Version, At: ended, Suspects: x.parts,
 	}
-	isRepeated := x.mayRepeatAfter(crash)
+	isRepeated := x.mayRepeatAfter(crash, progress)
 	x.frontend.log.WithFields(logrus.Fields{
-		"request": x.call.AttemptID, "backend": choice.Backend.ID, "born": choice.Backend.Start, "pool": x.pool, "version": choice.Version, "begun": x.progress.hasBegun(),
+		"request": x.call.AttemptID, "backend": choice.Backend.ID, "born": choice.Backend.Start, "pool": x.pool, "version": choice.Version, "begun": progress.hasBegun(),
 		"since_ms": ended.Sub(since).Milliseconds(), "events": record.Events, "shared_parts": x.parts, "repeated": isRepeated,
 	}).Warning("a backend server crashed before it had responded, or soon after it had begun to")
 	x.frontend.blocker.requestInterrupted(crash)
@@ -160,11 +163,11 @@
 // that has interrupted it: if all parts of its prompt are known not to be the reason, or, as
 // long as no response had begun, if none of the others is suspected of a further crash. Most
 // of the requests that wait for a response when an instance crashes are not the reason.
-func (x *exchange) mayRepeatAfter(crash blocklist.Crash) bool {
+func (x *exchange) mayRepeatAfter(crash blocklist.Crash, progress responseProgress) bool {
 	if x.frontend.blocker.hasResponse(x.model, crash.Version, x.parts) {
 		return true
 	}
-	return !x.progress.hasBegun() && !x.frontend.blocker.isSuspectedElsewhere(crash)
+	return !progress.hasBegun() && !x.frontend.blocker.isSuspectedElsewhere(crash)
 }
 
 func (p *responseProgress) hasBegun() bool { return !p.beganAt.IsZero() }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -123,13 +123,12 @@
 	// reserved is what the next attempt needs, if it has been reserved.
 	reserved *reservation
 	// responseStarted means that the caller has received a part of the response with
-	// this status. isStream means that the response is a stream; lastEvent is the ID of
-	// the last event in that part, if hasEvent.
+	// this status. isStream means that the response is a stream; position is the last event
+	// in that part.
 	responseStarted bool
 	status          int
 	isStream        bool
-	lastEvent       int64
-	hasEvent        bool
+	position        streamPosition
 	// lastEventAt is when the caller got that event, by time.Now.
 	lastEventAt time.Time
 	// retryTakenAt is when the retry of the next attempt was taken from the budget.
@@ -285,7 +284,7 @@
 func (x *exchange) sendAttempt(ctx context.Context) (next dispatch.Action, ended bool) {
 	if reserved := x.reserved; reserved != nil {
 		x.reserved, x.retryTakenAt = nil, time.Time{}
-		return x.nextAction(ctx, x.attemptInSlot(ctx, acquiredSlot{ticket: reserved.ticket, choice: reserved.choice, isReserved: true}))
+		return x.nextAction(ctx, x.attemptInSlot(ctx, acquiredSlot{ticket: reserved.ticket, choice: reserved.choice, isReserved: true, standby: reserved.standby}))
 	}
 	queuedAt := clock.Now()
 	for {
@@ -321,6 +320,8 @@
 	choice     placement.Choice
 	queueTime  time.Duration
 	isReserved bool
+	// standby is the response that the instance has begun, if there is one.
+	standby *standby
 }
 
 // attemptInSlot makes one attempt in a slot. It returns the slot also if the attempt panics.
@@ -342,12 +343,16 @@
 		x.frontend.scheduler.release(t, choice, record.placementResult(result), duration)
 		x.frontend.metrics.attempts.WithLabelValues(string(result)).Inc()
 	}()
-	result = x.attempt(ctx, choice, &record)
+	if slot.standby != nil {
+		result = x.takeOver(ctx, choice, slot.standby, &record)
+	} else {
+		result = x.attempt(ctx, choice, &record)
+	}
 	if result == broken && ctx.Err() == nil && x.frontend.scheduler.hasSwitched(choice) {
 		result = switched
 	}
 	x.recordOwnEnd(ctx, choice, result, &record)
-	if result == broken && x.mayHaveCrashedInstance(choice, &record) {
+	if result == broken && x.mayHaveCrashedInstance(choice, x.progress, &record) {
 		result = crashSuspect
 	}
 	return result
@@ -479,7 +484,7 @@
 }
 
 // attempt sends the request to one instance and forwards the response.
-func (x *exchange) attempt(ctx context.Context, choice placement.Choice, record *attemptRecord) outcome {
+func (x *exchange) attempt(ctx context.Context, choice placement.Choice, record *attemptRecord) (result outcome) {
 	if choice.Version < x.requiredVersion() {
 		// The bound has ended since the request was placed.
 		return notSent
@@ -493,11 +498,12 @@
 		return partSuspected
 	}
 	x.progress = responseProgress{sentAt: clock.Now()}
+	requestCtx := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	next := x.repeatTicket()
-	watchdog := newWatchdog(cancel, x.firstResponseTimeout(), x.silenceDecision(choice, next), x.frontend.scheduler.cancelReservation)
-	defer x.takeReservation(watchdog)
+	watchdog, further := x.newSilenceWatchdog(requestCtx, cancel, choice, next)
+	defer func() { x.endWatch(watchdog, further, result) }()
 	limit, limited := x.startLimit(choice)
 	if limited {
 		record.StartLimitMs = limit.Milliseconds()
@@ -526,6 +532,11 @@
 		x.logMismatch(response, record)
 		return broken
 	}
+	return x.forward(response, choice, watchdog, record)
+}
+
+// forward forwards the response of an instance.
+func (x *exchange) forward(response *http.Response, choice placement.Choice, watchdog *watchdog, record *attemptRecord) outcome {
 	x.responseBegan()
 	if x.route.Kind == catalog.Streaming && response.StatusCode == http.StatusOK {
 		return x.forwardStream(response, choice, watchdog, record)
@@ -603,8 +614,8 @@
 		// one.
 		forward.Version = choice.Version
 	}
-	if x.hasEvent {
-		forward.LastEventID = strconv.FormatInt(x.lastEvent, 10)
+	if last, hasEvent := x.position.lastEvent(); hasEvent {
+		forward.LastEventID = strconv.FormatInt(last, 10)
 	}
 	return newRequest(ctx, x.r, choice.Backend.Address, x.body, platform.ForwardHeader(x.r.Header, forward))
 }
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -102,7 +102,7 @@
 			x.noteBreak(err)
 			return x.classifyFailure(watchdog, true)
 		}
-		if next.hasID && x.hasEvent && next.id <= x.lastEvent {
+		if last, hasEvent := x.position.lastEvent(); next.hasID && hasEvent && next.id <= last {
 			return broken
 		}
 		if record.bytes += len(next.raw); record.bytes > maxResponseBytes {
@@ -121,7 +121,7 @@
 			return callerDisconnected
 		}
 		if next.hasID {
-			x.lastEvent, x.hasEvent = next.id, true
+			x.position.set(next.id)
 		}
 		x.lastEventAt = now
 		record.Events++
@@ -138,8 +138,9 @@
 // with its connection before the first event. One that resumes after an event may have none
 // left.
 func (x *exchange) endedWithoutEvents(response *http.Response, record *attemptRecord) bool {
+	_, hasEvent := x.position.lastEvent()
 	isUnframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0
-	return isUnframed && record.Events == 0 && !x.hasEvent && x.call.LastEventID == ""
+	return isUnframed && record.Events == 0 && !hasEvent && x.call.LastEventID == ""
 }
 
 func (x *exchange) startStream(response *http.Response) {
--- a/internal/relay/frontend.go
+++ b/internal/relay/frontend.go
@@ -243,7 +243,8 @@
 		fields["shared_parts"] = x.call.SharedParts
 	}
 	if x.closeCause != "" && outcome == "broken_off" {
-		fields["cause"], fields["last_event"] = x.closeCause, x.lastEvent
+		fields["cause"] = x.closeCause
+		fields["last_event"], _ = x.position.lastEvent()
 	}
 	if plan := x.frontend.shutdown.plan.Load(); plan != nil {
 		fields["since_signal_ms"] = clock.Now().Sub(plan.SignaledAt).Milliseconds()
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -345,12 +345,12 @@
 func (s *scheduler) returnSlot(t *ticket, choice placement.Choice) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.slotReturned(t, choice, clock.Now())
+	s.slotReturned(t, choice, placement.NotUsed, clock.Now())
 }
 
-// slotReturned records that a slot was not used. The caller holds mu.
-func (s *scheduler) slotReturned(t *ticket, choice placement.Choice, now time.Time) {
-	s.fleet.AttemptFinished(choice, placement.NotUsed, now)
+// slotReturned records that a slot was not used, or not to the end. The caller holds mu.
+func (s *scheduler) slotReturned(t *ticket, choice placement.Choice, result placement.Result, now time.Time) {
+	s.fleet.AttemptFinished(choice, result, now)
 	s.queue(t.need.Pool).StartFailed(t.Customer)
 	s.loadChanged(choice.Backend.ID, false)
 	s.dispatchWaiting(t.need.Pool, now)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -22,6 +22,7 @@
 	blocks        *blockMetrics
 	panics        prometheus.Counter
 	closed        *prometheus.CounterVec
+	standbys      *prometheus.CounterVec
 	ownEnds       *prometheus.CounterVec
 }
 
@@ -52,6 +53,9 @@
 		ownEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Name: "ended_attempts_total", Help: "Attempts that this entry or an agent ended before their response was complete, by reason.",
 		}, []string{"reason"}),
+		standbys: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Name: "standby_attempts_total", Help: "Attempts at a second instance beside a silent one, by result.",
+		}, []string{"result"}),
 		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Name: "closed_responses_total", Help: "Responses that had begun and were closed before their end, by cause.",
 		}, []string{"cause"}),
@@ -62,7 +66,7 @@
 		duration:     histogram("request_seconds", "Time from a request's arrival to the end of its answer."),
 		queueTime:    histogram("queue_seconds", "Time that attempts waited for a place."),
 	}
-	m.Registry.MustRegister(f.refused, f.attempts, f.storeCalls, f.retries, f.responseBytes, f.notices, f.blocks.decisions, f.blocks.interruptions, f.panics, f.ownEnds, f.closed, f.longestPause, f.firstEvent, f.duration, f.queueTime)
+	m.Registry.MustRegister(f.refused, f.attempts, f.storeCalls, f.retries, f.responseBytes, f.notices, f.blocks.decisions, f.blocks.interruptions, f.panics, f.ownEnds, f.closed, f.standbys, f.longestPause, f.firstEvent, f.duration, f.queueTime)
 	return f
 }
 
--- a/internal/relay/reservation.go
+++ b/internal/relay/reservation.go
@@ -18,6 +18,12 @@
 	// counts for an attempt.
 	takenAt     time.Time
 	isRetryUsed bool
+	// isSent means that the request was sent to the instance, so that the retry counts there;
+	// result is what became of that attempt if it was not taken over, and standby the response
+	// that has begun.
+	isSent  bool
+	result  placement.Result
+	standby *standby
 }
 
 // reserve takes a slot and a retry for a request that is not queued. It returns nil if one of
@@ -40,19 +46,23 @@
 	budget.TryRetry(now)
 	s.queue(t.need.Pool).Start(t.Customer)
 	s.loadChanged(choice.Backend.ID, true)
-	return &reservation{ticket: t, choice: choice, takenAt: now}
+	return &reservation{ticket: t, choice: choice, takenAt: now, result: placement.NotUsed}
 }
 
 // cancelReservation returns what reserve has taken. A retry that counts for an attempt stays
-// in the budget.
+// in the budget. A response that has begun is ended.
 func (s *scheduler) cancelReservation(r *reservation) {
+	if r.standby != nil {
+		r.standby.close()
+		r.result = placement.CallerDisconnected
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
-	if !r.isRetryUsed {
+	if !r.isRetryUsed && !r.isSent {
 		s.retryBudget(r.ticket.need.Pool).ReturnRetry(r.takenAt, now)
 	}
-	s.slotReturned(r.ticket, r.choice, now)
+	s.slotReturned(r.ticket, r.choice, r.result, now)
 }
 
 // reserveRepeat reserves what the next attempt of the request needs, for a ticket like next. It
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -111,18 +111,25 @@
 // watchdog cancels an attempt that makes no progress, once it may.
 type watchdog struct {
 	cancel context.CancelFunc
-	// decide, when set, is asked when the time has ended; withdraw gets what it has reserved
-	// for an attempt that is not canceled. Both are called without a lock.
+	// decide, when set, is asked when the time has ended, one call at a time; withdraw gets what
+	// it has reserved for an attempt that is not canceled. Both are called without a lock.
 	decide   func() giveUp
 	withdraw func(*reservation)
+	// interrupt, when set, is called when the attempt makes progress or ends, so that a decision
+	// in progress returns.
+	interrupt func()
 
 	mu    sync.Mutex
 	timer *time.Timer
 	// due is when the time ends.
 	due              time.Time
 	expired, stopped bool
-	reserved         *reservation
-	confirmation     silenceConfirmation
+	// keepsDecision says that the decision in progress counts although the watchdog was stopped.
+	keepsDecision bool
+	// decided is closed when the decision in progress has been carried out; nil without one.
+	decided      chan struct{}
+	reserved     *reservation
+	confirmation silenceConfirmation
 }
 
 // newWatchdog returns a watchdog that cancels after limit; zero means no limit.
@@ -149,6 +156,10 @@
 	if !w.carryOut(decision) && decision.reserved != nil {
 		w.withdraw(decision.reserved)
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	close(w.decided)
+	w.decided = nil
 }
 
 // carryOut cancels the attempt if the decision allows it and the attempt has made no progress
@@ -158,6 +169,9 @@
 	defer w.mu.Unlock()
 	left := time.Until(w.due)
 	switch {
+	case w.stopped && w.keepsDecision && decision.isAllowed:
+		w.reserved = decision.reserved
+		return true
 	case w.stopped || w.expired:
 	case left > 0:
 		w.timer.Reset(left)
@@ -182,6 +196,25 @@
 	return reserved
 }
 
+// awaitDecision stops the watchdog and waits for its decision in progress, if there is one. If
+// keepsDecision, the decision is not interrupted, and what it reserves is kept.
+func (w *watchdog) awaitDecision(keepsDecision bool) {
+	if w.timer == nil {
+		return
+	}
+	w.mu.Lock()
+	if !keepsDecision {
+		w.interruptDecision()
+	}
+	w.stopped, w.keepsDecision = true, keepsDecision
+	w.timer.Stop()
+	decided := w.decided
+	w.mu.Unlock()
+	if decided != nil {
+		<-decided
+	}
+}
+
 // isDue reports whether the time has ended, and otherwise sets the timer to its end. If the
 // watchdog decides, the end has to be confirmed.
 func (w *watchdog) isDue() bool {
@@ -191,6 +224,9 @@
 	switch left := w.due.Sub(now); {
 	case w.stopped || w.expired:
 		return false
+	case w.decided != nil:
+		w.timer.Reset(silenceRecheckInterval)
+		return false
 	case left > 0:
 		w.timer.Reset(left)
 		return false
@@ -198,6 +234,7 @@
 		w.timer.Reset(silenceConfirmInterval)
 		return false
 	}
+	w.decided = make(chan struct{})
 	return true
 }
 
@@ -210,6 +247,14 @@
 	defer w.mu.Unlock()
 	w.due = time.Now().Add(limit)
 	w.timer.Reset(limit)
+	w.interruptDecision()
+}
+
+// interruptDecision makes a decision in progress return. The caller holds mu.
+func (w *watchdog) interruptDecision() {
+	if w.decided != nil && w.interrupt != nil {
+		w.interrupt()
+	}
 }
 
 func (w *watchdog) stop() {
@@ -218,6 +263,9 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !w.stopped {
+		w.interruptDecision()
+	}
 	w.stopped = true
 	w.timer.Stop()
 }
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -11,20 +11,17 @@
 )
 
 // silenceDecision returns the decision whether an attempt is given up because its instance
-// is silent: if the next attempt has a slot and a retry reserved, or if this start of the
+// is silent: if another instance has begun to respond to the request, or if this start of the
 // instance has ended. Otherwise its response, which may still come, is worth more than none.
-func (x *exchange) silenceDecision(choice placement.Choice, next *ticket) func() giveUp {
+func (x *exchange) silenceDecision(choice placement.Choice, further *standbys) func() giveUp {
 	if !x.route.Repeatable() {
 		// Such an attempt has no timeout for silence.
 		return nil
 	}
-	// The decision runs on another goroutine than the attempt, which changes the exchange.
-	mayRepeat, isLogged := x.decision.MayRepeat(clock.Now()), false
+	isLogged := false
 	return func() giveUp {
-		if mayRepeat {
-			if reserved := x.reserveRepeat(next); reserved != nil {
-				return giveUp{isAllowed: true, reserved: reserved}
-			}
+		if reserved := further.try(); reserved != nil {
+			return giveUp{isAllowed: true, reserved: reserved}
 		}
 		if x.frontend.scheduler.hasEnded(choice) {
 			return giveUp{isAllowed: true}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"slices"
 	"strconv"
+	"sync/atomic"
 )
 
 // maxEventBytes bounds one event of a stream.
@@ -25,6 +26,24 @@
 // are ignored.
 var eventFields = [][]byte{[]byte("data"), []byte("id"), []byte("event"), []byte("retry")}
 
+// streamPosition is the ID of the last event that a caller has received. A standby reads it
+// beside the attempt that sets it.
+type streamPosition struct {
+	id    atomic.Int64
+	known atomic.Bool
+}
+
+func (p *streamPosition) set(id int64) {
+	p.id.Store(id)
+	p.known.Store(true)
+}
+
+// lastEvent returns the ID; known is false before the first event that has one.
+func (p *streamPosition) lastEvent() (id int64, known bool) {
+	known = p.known.Load()
+	return p.id.Load(), known
+}
+
 // event is one complete event of a stream, with its bytes unchanged.
 type event struct {
 	raw []byte
