--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -6,6 +6,7 @@
 
 	"github.com/spf13/cobra"
 
+	"plantainrelay/internal/intake"
 	"plantainrelay/platform"
 )
 
@@ -36,6 +37,10 @@
 				return nil
 			}
 			debug.SetGCPercent(gcPercent)
+			machine := intake.Machine{MemoryBytes: settings.MemoryBytes}
+			if limit := machine.SoftMemoryBytes(); limit > 0 {
+				debug.SetMemoryLimit(limit)
+			}
 			return run(settings)
 		},
 	}
