daemon: deadlines for whole bodies, a limit that includes connections to instances

A body could be sent a byte at a time for any time, and connections of callers could take all descriptors. A listener's limiter may now be shared with the connections to instances; connections without a complete head are closed first, then those whose body is read for over a second. Reading a body can be bounded, aborted, and its rest discarded after a response. The receive buffer of a connection can be bounded.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 package daemon
 
 import (
+	"cmp"
 	"crypto/tls"
 	"net"
 	"net/http"
@@ -65,6 +66,13 @@
 	Fallback http.Handler
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
+	// Connections limits the connections; nil means MaxConnections of the process.
+	Connections *ConnectionLimiter
+	// HeadTime and HeadBytes, above 0, bound the time for a head and its size.
+	HeadTime  time.Duration
+	HeadBytes int
+	// ReceiveBytes, above 0, bounds what a connection receives before it is read.
+	ReceiveBytes int
 	// Certificate, when set, makes the listener use TLS with ClientAuth.
 	Certificate certs.Files
 	ClientAuth  tls.ClientAuthType
@@ -74,7 +82,7 @@
 type server struct {
 	restServer  *rest.Server
 	listener    Listener
-	connections *connectionLimiter
+	connections *ConnectionLimiter
 	requests    *requestTracker
 }
 
@@ -130,10 +138,11 @@
 	// loads the log level just before, so this store orders them after NewServer.
 	logx.SetLevel(logx.ErrorLevel)
 	framework.AddRoutes(listener.Routes)
-	d.servers = append(d.servers, server{
-		restServer: framework, listener: listener,
-		connections: newConnectionLimiter(d.config.MaxConnections), requests: newRequestTracker(),
-	})
+	connections := listener.Connections
+	if connections == nil {
+		connections = newConnectionLimiter(d.config.MaxConnections)
+	}
+	d.servers = append(d.servers, server{restServer: framework, listener: listener, connections: connections, requests: newRequestTracker()})
 	logging.RedirectFrameworkLogs(d.log)
 	return nil
 }
@@ -196,10 +205,10 @@
 // limits its connections and requests.
 func (d *Daemon) serverLimits(s server) rest.StartOption {
 	return func(server *http.Server) {
-		server.ReadHeaderTimeout = readHeaderTimeout
+		server.ReadHeaderTimeout = cmp.Or(s.listener.HeadTime, readHeaderTimeout)
 		server.IdleTimeout = idleTimeout
-		server.MaxHeaderBytes = maxHeaderBytes
-		server.ConnState = s.connections.stateChanged
-		server.Handler = limitRequests(s.requests.track(d.closeWhileDraining(server.Handler)), s.listener.MaxBodyBytes, d.config.StallLimit)
+		server.MaxHeaderBytes = cmp.Or(s.listener.HeadBytes, maxHeaderBytes)
+		server.ConnState, server.ConnContext = s.connections.stateChanged, withConn(s.listener.ReceiveBytes)
+		server.Handler = limitRequests(s.requests.track(d.closeWhileDraining(server.Handler)), s.listener.MaxBodyBytes, d.config.StallLimit, s.connections)
 	}
 }
--- a/internal/daemon/limits_test.go
+++ b/internal/daemon/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -21,8 +22,9 @@
 )
 
 func serve(t *testing.T, handler http.HandlerFunc, maxConnections int) *httptest.Server {
-	server := httptest.NewUnstartedServer(limitRequests(handler, 1000, testStallLimit))
-	server.Config.ConnState = newConnectionLimiter(maxConnections).stateChanged
+	limiter := newConnectionLimiter(maxConnections)
+	server := httptest.NewUnstartedServer(limitRequests(handler, 1000, testStallLimit, limiter))
+	server.Config.ConnState, server.Config.ConnContext = limiter.stateChanged, withConn(0)
 	server.Start()
 	t.Cleanup(server.CloseClientConnections)
 	return server
@@ -195,7 +197,7 @@
 	var begun atomic.Int32
 	server := httptest.NewUnstartedServer(limitRequests(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		begun.Add(1)
-	}), 1000, testStallLimit))
+	}), 1000, testStallLimit, nil))
 	server.Config.ConnState = func(conn net.Conn, state http.ConnState) {
 		if state == http.StateActive {
 			conn.Close()
@@ -210,3 +212,74 @@
 	server.Close()
 	c.Check(begun.Load(), qt.Equals, int32(0))
 }
+
+// TestBodyDeadline guards against a client that keeps its request by sending a byte before
+// each stall limit ends.
+func TestBodyDeadline(t *testing.T) {
+	read := make(chan error, 1)
+	server := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		SetBodyDeadline(r, time.Now().Add(2*testStallLimit))
+		_, err := io.ReadAll(r.Body)
+		read <- err
+	}, 10)
+	conn := dial(t, server)
+	fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n")
+	for range 1000 {
+		select {
+		case err := <-read:
+			qt.Assert(t, err, qt.ErrorMatches, ".*timeout.*")
+			return
+		case <-time.After(testStallLimit / 4):
+			fmt.Fprint(conn, "x")
+		}
+	}
+	t.Fatal("the handler is still waiting for the body")
+}
+
+// TestAbortBody guards against a body whose reads go on after it has lost its memory, and
+// against a response that is lost with it.
+func TestAbortBody(t *testing.T) {
+	begun, read := make(chan *http.Request, 1), make(chan error, 1)
+	server := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		begun <- r
+		_, err := io.ReadAll(r.Body)
+		read <- err
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}, 10)
+	conn := dial(t, server)
+	fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\nabc")
+	AbortBody(<-begun)
+	qt.Assert(t, <-read, qt.ErrorMatches, ".*timeout.*")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+}
+
+// TestDialsCountUntilClosed guards against descriptors of connections to instances that are
+// not counted, or counted after their end.
+func TestDialsCountUntilClosed(t *testing.T) {
+	c := qt.New(t)
+	limiter := NewConnectionLimiter(1, 2)
+	idle := &closeCounter{}
+	limiter.stateChanged(idle, http.StateNew)
+	dial := limiter.LimitDials(func(context.Context, string, string) (net.Conn, error) { return &closeCounter{}, nil })
+	first, err := dial(context.Background(), "tcp", "")
+	c.Assert(err, qt.IsNil)
+	c.Check(idle.closed, qt.Equals, 0)
+	second, err := dial(context.Background(), "tcp", "")
+	c.Assert(err, qt.IsNil)
+	c.Check(idle.closed, qt.Equals, 1)
+	_, err = dial(context.Background(), "tcp", "")
+	c.Check(err, qt.Equals, errNoDescriptors)
+	c.Check(first.Close(), qt.IsNil)
+	c.Check(first.Close(), qt.IsNil)
+	_, _, attempts := limiter.Counts()
+	c.Check(attempts, qt.Equals, 1)
+	c.Check(second.Close(), qt.IsNil)
+	failing := limiter.LimitDials(func(context.Context, string, string) (net.Conn, error) { return nil, io.EOF })
+	_, err = failing(context.Background(), "tcp", "")
+	c.Check(err, qt.Equals, io.EOF)
+	_, _, attempts = limiter.Counts()
+	c.Check(attempts, qt.Equals, 0)
+}
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -108,7 +108,7 @@
 func (d *Daemon) logLeaveDelayEnded(shutdown Shutdown) {
 	open, idle, requests := 0, 0, 0
 	for _, s := range d.servers {
-		listenerOpen, listenerIdle := s.connections.counts()
+		listenerOpen, listenerIdle, _ := s.connections.Counts()
 		listenerRequests, _ := s.requests.inProgress()
 		open, idle, requests = open+listenerOpen, idle+listenerIdle, requests+listenerRequests
 	}
