Peers and agents: bounds on connections, requests and forged addresses

The peer port took 4,096 connections, more than a machine has descriptors, and requests of 8 MB, whose memory is taken when they are announced.

--- a/internal/beat/echo.go
+++ b/internal/beat/echo.go
@@ -30,6 +30,10 @@
 // maxTrailerAge is how long the last trailer of a silent host is kept.
 const maxTrailerAge = time.Minute
 
+// maxTrailers bounds the hosts whose trailers are kept, since the addresses of datagrams can
+// be forged. It is several times the number of processes of a large fleet.
+const maxTrailers = 4096
+
 // receivedTrailer is the trailer last received from a host.
 type receivedTrailer struct {
 	epoch      uint32
@@ -78,7 +82,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.prune(now)
-	if last, found := s.received[host]; !found || last.epoch != t.Epoch || t.Sent > last.sent {
+	if last, found := s.received[host]; found && (last.epoch != t.Epoch || t.Sent > last.sent) || !found && len(s.received) < maxTrailers {
 		s.received[host] = receivedTrailer{epoch: t.Epoch, sent: t.Sent, receivedAt: now}
 	}
 	if t.EchoEpoch != s.epoch || t.EchoSent < 0 {
--- a/internal/beat/echo_test.go
+++ b/internal/beat/echo_test.go
@@ -1,6 +1,7 @@
 package beat
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"testing"
@@ -140,3 +141,16 @@
 	c.Assert(m.ComposedAfter.IsZero(), qt.IsFalse)
 	c.Assert(m.ComposedAfter.After(composed), qt.IsFalse, qt.Commentf("composed %s before its date", m.ComposedAfter.Sub(composed)))
 }
+
+// TestForgedAddressesUseNoMemory guards against a process that keeps a trailer for each of
+// any number of addresses.
+func TestForgedAddressesUseNoMemory(t *testing.T) {
+	c := qt.New(t)
+	s := newTrailerStore(1, clockOf(0, 0))
+	for host := range 2 * maxTrailers {
+		s.receive(fmt.Sprint("host-", host), trailer{Epoch: 2, Sent: 1}, clockOf(0, time.Second))
+	}
+	c.Check(len(s.received), qt.Equals, maxTrailers)
+	s.receive("host-0", trailer{Epoch: 2, Sent: 5}, clockOf(0, 2*time.Second))
+	c.Check(s.received["host-0"].sent, qt.Equals, int64(5))
+}
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -22,6 +22,7 @@
 	"plantainrelay/internal/daemon"
 	"plantainrelay/internal/depot"
 	"plantainrelay/internal/duty"
+	"plantainrelay/internal/intake"
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/ring"
@@ -68,6 +69,9 @@
 	drainLimit            = time.Second
 	maxMetricsConnections = 8
 	stallLimit            = 5 * time.Second
+	// maxPeerRequestBytes bounds a request of another process: the arguments of all calls are
+	// names and numbers.
+	maxPeerRequestBytes = 64 << 10
 	// maxConcurrentPulls is one, since an agent's link is narrow and large updates
 	// take long.
 	maxConcurrentPulls = 1
@@ -177,6 +181,8 @@
 	}
 	a := newAgent(s, socket, log)
 	server := peer.NewServer(peer.Security{}, log)
+	limits := intake.NewLimits(intake.Machine{MemoryBytes: s.MemoryBytes, Descriptors: s.MaxDescriptors}, s.Intake)
+	server.Limit(limits.Connections, maxPeerRequestBytes)
 	if err := server.Register(depot.ServiceName, &Service{agent: a}); err != nil {
 		return err
 	}
@@ -194,6 +200,7 @@
 	command.WatchSettings(ctx, s, log, a.reload)
 	err = d.Listen(daemon.Listener{
 		Address: net.JoinHostPort(s.IP, metricsPort), Routes: daemon.HealthAndMetricsRoutes(daemon.NewReadiness(), a.metrics.registry), MaxBodyBytes: 1 << 10,
+		HeadTime: limits.HeadTime, HeadBytes: limits.HeadBytes, ReceiveBytes: limits.ReceiveBytes,
 	})
 	if err != nil {
 		return err
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -84,6 +84,8 @@
 	rpc       *rpc.Server
 	pending   *pendingConns
 	connSlots chan struct{}
+	// maxRequestBytes bounds one received message.
+	maxRequestBytes uint64
 }
 
 // NewServer returns a Server without services.
@@ -94,9 +96,22 @@
 		rpc:       rpc.NewServer(),
 		pending:   newPendingConns(maxPendingConns),
 		connSlots: make(chan struct{}, maxConnections),
+		// The largest message is a whole copy of the tables.
+		maxRequestBytes: maxMessageBytes,
 	}
 }
 
+// pendingShare of the connections, one in pendingShare, may be in their handshake.
+const pendingShare = 8
+
+// Limit replaces the bounds on connections and on the size of a received message. It has to
+// be called before Listen.
+func (s *Server) Limit(connections int, requestBytes uint64) {
+	pending := max(min(connections/pendingShare, maxPendingConns), 1)
+	s.pending, s.connSlots = newPendingConns(pending), make(chan struct{}, max(connections-pending, 1))
+	s.maxRequestBytes = requestBytes
+}
+
 // Register registers the exported methods of service under name.
 func (s *Server) Register(name string, service any) error {
 	err := s.rpc.RegisterName(name, service)
@@ -142,7 +157,7 @@
 	select {
 	case s.connSlots <- struct{}{}:
 		defer func() { <-s.connSlots }()
-		s.rpc.ServeConn(&limitedConn{Conn: conn})
+		s.rpc.ServeConn(&limitedConn{Conn: conn, maxBytes: s.maxRequestBytes})
 	default:
 		s.log.Warning("too many control connections; closed a new one")
 	}
--- a/internal/peer/limit.go
+++ b/internal/peer/limit.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"net"
 	"time"
 
@@ -22,6 +23,8 @@
 // length's bytes, followed by those bytes.
 type limitedConn struct {
 	net.Conn
+	// maxBytes bounds a message; 0 means maxMessageBytes.
+	maxBytes uint64
 	// lengthBytes is the number of bytes of the length that are still to come, length
 	// what they say so far, remaining the rest of the message after its length.
 	lengthBytes int
@@ -43,6 +46,14 @@
 	return count, err
 }
 
+// Write implements net.Conn. A peer that does not read does not hold the message for good.
+func (l *limitedConn) Write(data []byte) (int, error) {
+	if err := l.SetWriteDeadline(time.Now().Add(messageTimeout)); err != nil {
+		return 0, err
+	}
+	return l.Conn.Write(data)
+}
+
 // follow reads the lengths of the messages in received.
 func (l *limitedConn) follow(received []byte) error {
 	for len(received) > 0 {
@@ -69,8 +80,8 @@
 				l.remaining = l.length
 			}
 		}
-		if l.length > maxMessageBytes || l.lengthBytes > 8 {
-			return failure.New(failure.Invalid, "check the process at the other end", "a peer announced a message of more than %d bytes", maxMessageBytes)
+		if limit := cmp.Or(l.maxBytes, maxMessageBytes); l.length > limit || l.lengthBytes > 8 {
+			return failure.New(failure.Invalid, "check the process at the other end", "a peer announced a message of more than %d bytes", limit)
 		}
 	}
 	return nil
--- a/internal/peer/limit_test.go
+++ b/internal/peer/limit_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 	"pgregory.net/rapid"
 )
 
@@ -64,6 +65,32 @@
 	}
 }
 
+// TestMessageLimitOfServer guards against memory for messages that are larger than any
+// request to the server.
+func TestMessageLimitOfServer(t *testing.T) {
+	c := qt.New(t)
+	raw := append([]byte{0xfe, 0x04, 0x01}, make([]byte, 1025)...)
+	_, err := io.ReadAll(&limitedConn{Conn: readerConn{Reader: bytes.NewReader(raw)}, maxBytes: 1025})
+	c.Check(err, qt.IsNil)
+	_, err = io.ReadAll(&limitedConn{Conn: readerConn{Reader: bytes.NewReader(raw)}, maxBytes: 1024})
+	c.Check(err, qt.ErrorMatches, ".*more than 1024 bytes.*")
+}
+
+// TestLimitOfConnections guards against more connections than the process has descriptors
+// for, in their handshake or after it.
+func TestLimitOfConnections(t *testing.T) {
+	c := qt.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	server := NewServer(Security{}, logrus.NewEntry(log))
+	server.Limit(16, 1024)
+	c.Check(server.pending.limit, qt.Equals, 2)
+	c.Check(cap(server.connSlots), qt.Equals, 14)
+	server.Limit(1, 1024)
+	c.Check(server.pending.limit, qt.Equals, 1)
+	c.Check(cap(server.connSlots), qt.Equals, 1)
+}
+
 // serveEndless accepts connections, runs the handshake and answers each first call with
 // bytes that never end. It delivers the number of bytes that it could send.
 func serveEndless(t *testing.T, key, start []byte, interval time.Duration) (address string, closed chan int64) {
