Entries stay within memory and descriptors under clients beyond the limits

Bodies were read whole, into growing slices, before their key and route were looked at, and nothing bounded them together: 100 clients with bodies of 4 MiB made an entry hold 569 to 627 MB. Now the head decides first; bodies are read into segments within one budget, which also counts heads and buffered responses; bodies without progress lose their memory first. Requests that are refused for memory have not run and get 503.

--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -21,6 +21,7 @@
 	"plantainrelay/internal/depot"
 	"plantainrelay/internal/duty"
 	"plantainrelay/internal/failure"
+	"plantainrelay/internal/intake"
 	"plantainrelay/internal/logging"
 	"plantainrelay/internal/metrics"
 	"plantainrelay/internal/peer"
@@ -38,9 +39,6 @@
 	// maxBody bounds a request body where the tables set no limit, and is the highest
 	// limit that they can set: bodies are kept in memory until a response has started.
 	maxBody = 16 << 20
-	// maxConnections bounds the connections of one listener: each caller keeps a few
-	// open, and file descriptors are limited.
-	maxConnections = 1500
 	// stallTimeout bounds how long a connection may make no progress within a request
 	// body or a response.
 	stallTimeout = 5 * time.Second
@@ -104,6 +102,7 @@
 		return err
 	}
 	server := peer.NewServer(peer.Security{}, log)
+	server.Limit(newLimits(s).PeerConnections, maxPeerRequestBytes)
 	if err := server.Register(copies.ServiceName, copies.NewService(e.copies)); err != nil {
 		return err
 	}
@@ -122,6 +121,7 @@
 	go e.heartbeats.Run(ctx)
 	go e.scheduler.Run(ctx)
 	go e.saver.Run(ctx)
+	go e.frontend.bodies.run(ctx)
 	return d.Run()
 }
 
@@ -129,7 +129,7 @@
 	leave := time.Duration(leaveGraceShare * float64(s.Bounds.ShutdownGrace))
 	return daemon.Config{
 		Name: "plantain-entry", LeaveDelay: leave, DrainLimit: s.Bounds.ShutdownGrace - leave - exitMargin,
-		MaxConnections: maxConnections, StallLimit: stallTimeout,
+		MaxConnections: newLimits(s).MetricsConnections, StallLimit: stallTimeout,
 	}
 }
 
@@ -143,6 +143,9 @@
 	heartbeats *heartbeater
 	depot      *depot.Depot
 	metrics    *metrics.Metrics
+	limits     intake.Limits
+	// connections limits those of callers and to instances.
+	connections *daemon.ConnectionLimiter
 	// addressTTL is how long callers may cache a response of the address directory.
 	addressTTL time.Duration
 }
@@ -165,6 +168,7 @@
 	e.metrics.Registry.MustRegister(e.view.versionMetrics.minVersion, e.view.versionMetrics.target)
 	e.frontend = &frontend{view: e.view, scheduler: e.scheduler, blocker: e.blocker, blockGate: &blockGate{view: e.view, learnBy: clock.Now().Add(s.Bounds.StableTime)}, sender: newSender(), log: log, metrics: counts, zone: s.AvailabilityZone, returningCallers: newReturningCallerDetector(), shutdown: newShutdown()}
 	e.frontend.setBounds(s.Bounds)
+	e.limitClients(s, log)
 	e.heartbeats = &heartbeater{socket: socket, view: e.view, scheduler: e.scheduler, frontend: e.frontend, log: log, start: start, sendNow: make(chan struct{}, 1), loadChanges: make(chan string, maxPendingLoadChanges), placed: make(chan struct{}, 1)}
 	e.scheduler.loadChanged = e.heartbeats.recordLoadChange
 	e.scheduler.backendExpired, e.scheduler.minVersion = e.view.backendExpired, e.view.minVersion
@@ -258,12 +262,13 @@
 	ready := rest.Route{Method: http.MethodGet, Path: platform.ReadyPath, Handler: e.serveReady}
 	address := rest.Route{Method: http.MethodGet, Path: platform.AddressPath, Handler: e.serveAddresses}
 	listeners := []daemon.Listener{
-		{Address: s.FrontAddress, Fallback: e.frontend, MaxBodyBytes: maxBody},
-		{Address: s.ReadyAddress, Routes: []rest.Route{ready}, MaxBodyBytes: 1 << 10},
-		{Address: s.DirectoryAddress, Routes: []rest.Route{address}, MaxBodyBytes: 1 << 10},
+		{Address: s.FrontAddress, Fallback: e.frontend, MaxBodyBytes: maxBody, Connections: e.connections},
+		{Address: s.ReadyAddress, Routes: []rest.Route{ready}, MaxBodyBytes: 1 << 10, Connections: e.newLimiter(e.limits.ReadyConnections)},
+		{Address: s.DirectoryAddress, Routes: []rest.Route{address}, MaxBodyBytes: 1 << 10, Connections: e.newLimiter(e.limits.DirectoryConnections)},
 		{Address: net.JoinHostPort(host, metricsPort), Routes: daemon.HealthAndMetricsRoutes(daemon.NewReadiness(), e.metrics.Registry), MaxBodyBytes: 1 << 10},
 	}
 	for _, listener := range listeners {
+		listener.HeadTime, listener.HeadBytes, listener.ReceiveBytes = e.limits.HeadTime, e.limits.HeadBytes, e.limits.ReceiveBytes
 		if listener.Address == "" {
 			continue
 		}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -100,7 +100,7 @@
 	r        *http.Request
 	call     platform.RequestInfo
 	arrived  time.Time
-	body     []byte
+	body     *body
 	table    *catalog.Table
 	route    *catalog.Route
 	customer catalog.Customer
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -22,7 +22,8 @@
 	if response.ContentLength > maxResponseBytes {
 		return x.rejectOversized(record)
 	}
-	start, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	start, complete, unreserve, err := x.readStart(response)
+	defer unreserve()
 	record.bytes = len(start)
 	if err != nil {
 		x.noteBreak(err)
@@ -34,7 +35,7 @@
 	if x.responseStarted {
 		return broken
 	}
-	complete, length := len(start) <= maxBufferedBytes, response.ContentLength
+	length := response.ContentLength
 	if complete {
 		length = int64(len(start))
 	}
@@ -43,6 +44,7 @@
 		x.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	x.responseStarted, x.status = true, response.StatusCode
+	x.releaseBody()
 	x.w.WriteHeader(response.StatusCode)
 	if _, err := x.w.Write(start); err != nil {
 		return callerDisconnected
@@ -147,6 +149,7 @@
 		return
 	}
 	x.responseStarted, x.isStream, x.status = true, true, response.StatusCode
+	x.releaseBody()
 	platform.CopyResponseHeader(response.Header, x.w.Header())
 	x.w.WriteHeader(response.StatusCode)
 	x.frontend.metrics.firstEvent.Observe(clock.Now().Sub(x.arrived).Seconds())
--- a/internal/relay/frontend.go
+++ b/internal/relay/frontend.go
@@ -1,11 +1,13 @@
 package relay
 
 import (
+	"encoding/json"
 	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime"
 	"runtime/debug"
 	"strconv"
 	"strings"
@@ -13,9 +15,11 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/zeromicro/go-zero/rest/httpx"
 
+	"plantainrelay/internal/catalog"
 	"plantainrelay/internal/clock"
+	"plantainrelay/internal/daemon"
+	"plantainrelay/internal/intake"
 	"plantainrelay/platform"
 )
 
@@ -31,6 +35,19 @@
 	// staleTablesRetryAfter is the Retry-After of a request rejected because of missing
 	// or stale tables.
 	staleTablesRetryAfter = time.Second
+	reasonNoMemory        = "no_memory"
+	// noMemoryRetryAfter is the Retry-After of a request whose body got no memory: bodies
+	// without progress have lost theirs by then.
+	noMemoryRetryAfter = time.Second
+	// unreadLimit is how much of the body of a refused request is read so that its connection
+	// can be used again, unreadTimeout for how long.
+	unreadLimit   = 64 << 10
+	unreadTimeout = 250 * time.Millisecond
+	// lingerLimit is how much is read of a larger body after the response, and lingerTimeout
+	// for how long: a connection that is closed under arriving bytes is reset, and the response
+	// may be lost with it.
+	lingerLimit   = 256 << 10
+	lingerTimeout = 500 * time.Millisecond
 )
 
 // frontend handles the requests of callers.
@@ -53,6 +70,8 @@
 	// gets a Retry-After.
 	maxDenialProofAge atomic.Int64
 	shutdown          *shutdown
+	bodies            *bodyStore
+	refusals          *refusalLog
 }
 
 // setBounds sets the bounds on revoked keys and on table changes.
@@ -66,6 +85,8 @@
 	status     int
 	reason     string
 	retryAfter time.Duration
+	// isCounted means that the log counts it with others of its reason.
+	isCounted bool
 }
 
 // refusalBody is the JSON body of a refusal.
@@ -89,6 +110,7 @@
 	reasonSuspected:     "come back after the time in Retry-After",
 	"overload":          "come back after the time in Retry-After",
 	"no_instance":       "come back after the time in Retry-After",
+	reasonNoMemory:      "come back after the time in Retry-After",
 	"unknown":           "the request may have run; ask before it is sent again",
 	"timeout":           "the request may have run; ask before it is sent again",
 }
@@ -100,19 +122,49 @@
 	}
 	arrived := clock.Now()
 	x := &exchange{frontend: f, w: w, r: r, call: platform.DecodeRequest(r.Header), arrived: arrived}
-	body, refused := f.readBody(r)
-	if refused == nil {
-		x.body = body
-		refused = x.admit()
+	if refused := x.admitHead(); refused != nil {
+		x.refuseUnread(*refused)
+		return
+	}
+	x.body = f.bodies.open(x.intakeRequest(), headBytes(r), func() { daemon.AbortBody(r) })
+	defer x.body.close()
+	if refused := x.readBody(); refused != nil {
+		x.body.release()
+		x.refuseUnread(*refused)
+		return
 	}
-	if refused != nil {
+	if refused := x.admit(); refused != nil {
 		x.refuse(*refused)
 		return
 	}
+	x.prepare()
 	defer x.logPanic()
 	x.run()
 }
 
+// intakeRequest describes the request for the decision about its memory.
+func (x *exchange) intakeRequest() intake.Request {
+	client, _, err := net.SplitHostPort(x.r.RemoteAddr)
+	if err != nil {
+		client = x.r.RemoteAddr
+	}
+	return intake.Request{
+		Owner: intake.Owner{Client: client, Route: x.route.Name, Customer: x.customer.Name}, Length: x.r.ContentLength,
+		Deadline: time.Now().Add(x.deadline.Sub(clock.Now())),
+	}
+}
+
+// headBytes returns about how much memory the head of a request takes.
+func headBytes(r *http.Request) int64 {
+	size := len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return int64(size)
+}
+
 // logPanic logs a panic other than the one that closes the caller's connection, and closes
 // it as well.
 func (x *exchange) logPanic() {
@@ -128,32 +180,124 @@
 	panic(http.ErrAbortHandler)
 }
 
-func (f *frontend) readBody(r *http.Request) ([]byte, *refusal) {
-	if !strings.HasPrefix(r.RequestURI, "/") {
-		return nil, &refusal{status: http.StatusBadRequest, reason: "bad_target"}
+// bodyLimit returns the largest body that is taken.
+func (x *exchange) bodyLimit() int64 {
+	if limit := x.table.Limits.BodyBytes; limit > 0 {
+		return min(limit, maxBody)
+	}
+	return maxBody
+}
+
+// readBody reads the body into memory, as it arrives.
+func (x *exchange) readBody() *refusal {
+	length := x.r.ContentLength
+	if length == 0 || x.r.Body == nil {
+		return bodyRefusal(x.body.completed())
 	}
-	reader := r.Body
-	if table := f.view.table(); table != nil && table.Limits.BodyBytes > 0 {
-		reader = http.MaxBytesReader(nil, r.Body, table.Limits.BodyBytes)
+	limit := x.bodyLimit()
+	if length > limit {
+		x.logBody(errBodyTooLarge)
+		return bodyRefusal(errBodyTooLarge)
 	}
-	body, err := io.ReadAll(reader)
+	daemon.SetBodyDeadline(x.r, x.body.deadline)
+	err := x.readSegments(length, limit)
 	if err == nil {
-		return body, nil
+		err = x.body.completed()
+	}
+	if err != nil {
+		x.logBody(err)
+	}
+	return bodyRefusal(err)
+}
+
+// errBodyTooLarge means that a body is larger than the tables allow.
+var errBodyTooLarge = errors.New("the body is too large")
+
+// readSegments reads a body of the given length, -1 for an unknown one.
+func (x *exchange) readSegments(length, limit int64) error {
+	var end [1]byte
+	for {
+		into := x.body.free()
+		isFull := x.body.size == length || x.body.size == limit
+		if isFull {
+			// Only the end is left.
+			into = end[:]
+		} else if len(into) == 0 {
+			missing := limit - x.body.size
+			if length > 0 {
+				missing = length - x.body.size
+			}
+			if err := x.body.grow(missing); err != nil {
+				return err
+			}
+			into = x.body.free()
+		}
+		count, err := x.r.Body.Read(into)
+		if isFull && count > 0 {
+			return errBodyTooLarge
+		}
+		x.body.received(count)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if x.body.size >= intake.SmallBytes {
+			// Bodies in tiny chunks take a millisecond for each segment; requests that are
+			// ready run in between.
+			runtime.Gosched()
+		}
 	}
+}
+
+// bodyRefusal returns the refusal of a request whose body cannot be read.
+func bodyRefusal(err error) *refusal {
 	var tooBig *http.MaxBytesError
 	var network net.Error
 	switch {
-	case errors.As(err, &tooBig):
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_big"}
+	case err == nil:
+		return nil
+	case errors.Is(err, errNoMemory):
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonNoMemory, retryAfter: noMemoryRetryAfter, isCounted: true}
+	case errors.Is(err, errBodyTooLarge), errors.As(err, &tooBig):
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_big", isCounted: true}
 	case errors.As(err, &network) && network.Timeout():
-		return nil, &refusal{status: http.StatusRequestTimeout, reason: "body_too_slow"}
+		return &refusal{status: http.StatusRequestTimeout, reason: "body_too_slow", isCounted: true}
 	}
 	// The connection is broken, so no response can be sent.
 	panic(http.ErrAbortHandler)
 }
 
-// admit authenticates the request and selects its route and pool from the tables.
+// admitHead decides from the head whether the body is read. A request that may be a trial of
+// a blocked part is one from now on.
+func (x *exchange) admitHead() *refusal {
+	if !strings.HasPrefix(x.r.RequestURI, "/") {
+		return &refusal{status: http.StatusBadRequest, reason: "bad_target"}
+	}
+	if refused := x.authorize(); refused != nil {
+		return refused
+	}
+	if x.isBlocked() {
+		return x.admitParts()
+	}
+	return nil
+}
+
+// admit decides again when the body has been read: tables, keys and blocked parts may have
+// changed meanwhile.
 func (x *exchange) admit() *refusal {
+	if refused := x.authorize(); refused != nil {
+		return refused
+	}
+	if x.isTrial {
+		return nil
+	}
+	return x.admitParts()
+}
+
+// authorize authenticates the request and selects its route and pool from the tables.
+func (x *exchange) authorize() *refusal {
 	f := x.frontend
 	table, age := f.view.tablesAndProofAge()
 	if table == nil {
@@ -166,6 +310,7 @@
 		return x.deny(http.StatusNotFound, "no_route", age)
 	}
 	x.route = route
+	x.customer = catalog.Customer{}
 	if table.NeedsKey(route) {
 		if revoke := time.Duration(f.revokeBound.Load()); revoke > 0 && age > revoke-revokeMargin {
 			return &refusal{status: http.StatusServiceUnavailable, reason: "stale_tables", retryAfter: staleTablesRetryAfter}
@@ -176,19 +321,12 @@
 		}
 		x.customer = customer
 	}
-	x.pool = route.ChoosePool(newRandom())
+	x.pool, x.model, x.parts = route.ChoosePool(newRandom()), "", nil
 	if engine := table.Pools[x.pool].Engine; engine != nil {
 		x.model, x.parts = engine.Model, x.call.SharedParts
 	}
 	x.setDeadline()
-	if refused := x.admitWhileStopping(); refused != nil {
-		return refused
-	}
-	if refused := x.admitParts(); refused != nil {
-		return refused
-	}
-	x.prepare()
-	return nil
+	return x.admitWhileStopping()
 }
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
@@ -209,17 +347,52 @@
 	return strings.ToLower(host)
 }
 
+// refuseUnread refuses a request whose body has not been read completely.
+func (x *exchange) refuseUnread(r refusal) {
+	length := x.r.ContentLength
+	if length == 0 || x.r.Body == nil || x.r.Body == http.NoBody {
+		x.refuse(r)
+		return
+	}
+	isSmall := length > 0 && length <= unreadLimit && x.r.Header.Get("Expect") == "" && r.reason != "body_too_slow"
+	if isSmall && daemon.DiscardBody(x.w, x.r, unreadLimit+1, unreadTimeout) {
+		x.refuse(r)
+		return
+	}
+	x.w.Header().Set("Connection", "close")
+	x.refuse(r)
+	if x.r.Header.Get("Expect") != "" || http.NewResponseController(x.w).Flush() != nil {
+		return
+	}
+	lingerUntil := time.Now().Add(lingerTimeout)
+	if !daemon.DiscardBody(x.w, x.r, lingerLimit, lingerTimeout) {
+		clock.Sleep(x.r.Context(), time.Until(lingerUntil))
+	}
+}
+
 // refuse sends an error response generated by this entry.
 func (x *exchange) refuse(r refusal) {
 	x.frontend.metrics.refused.WithLabelValues(r.reason).Inc()
-	x.logOutcome(r.status, r.reason)
+	if !r.isCounted {
+		x.logOutcome(r.status, r.reason)
+	}
 	if r.retryAfter > 0 {
 		x.w.Header().Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 2, 64))
 	}
 	if x.call.AttemptID != "" {
 		x.w.Header().Set("X-Plantain-Request", x.call.AttemptID)
 	}
-	httpx.WriteJson(x.w, r.status, refusalBody{Error: r.reason, Remedy: remedies[r.reason]})
+	text, err := json.Marshal(refusalBody{Error: r.reason, Remedy: remedies[r.reason]})
+	if err != nil {
+		// Two strings can be encoded.
+		panic(err)
+	}
+	// With its length, a response is complete before the connection is closed.
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	x.w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	x.w.WriteHeader(r.status)
+	// An error means that the caller has disconnected.
+	_, _ = x.w.Write(text)
 }
 
 func (x *exchange) logOutcome(status int, outcome string) {
--- a/internal/relay/frontend_test.go
+++ b/internal/relay/frontend_test.go
@@ -17,6 +17,7 @@
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/copies"
 	"plantainrelay/internal/daemon"
+	"plantainrelay/internal/intake"
 	"plantainrelay/internal/metrics"
 	"plantainrelay/internal/placement"
 	"plantainrelay/internal/replica"
@@ -58,7 +59,7 @@
 		backends = append(backends, replica.Document{Name: fmt.Sprintf("i-%d", i), Revision: replica.Revision{Number: 1}, Body: []byte(body)})
 	}
 	view.copies.ApplyFromPeer(platform.Backends, replica.Change{Whole: true, AsOf: replica.Revision{Number: 1}, Documents: backends}, clock.Now(), "peer")
-	f := &frontend{view: view, scheduler: scheduler, blocker: blocker, blockGate: &blockGate{view: view, copies: view.copies}, sender: newSender(), log: logger, metrics: counts, returningCallers: newReturningCallerDetector(), shutdown: newShutdown()}
+	f := &frontend{view: view, scheduler: scheduler, blocker: blocker, blockGate: &blockGate{view: view, copies: view.copies}, sender: newSender(), log: logger, metrics: counts, returningCallers: newReturningCallerDetector(), shutdown: newShutdown(), bodies: newBodyStore(intake.NewLimits(intake.Machine{}, intake.Settings{})), refusals: newRefusalLog(logger)}
 	f.setBounds(platform.Bounds{ConfigApplyTime: 2 * time.Second, KeyRevokeTime: 5 * time.Second})
 	server := httptest.NewServer(f)
 	t.Cleanup(server.Close)
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -1,9 +1,7 @@
 package relay
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -66,13 +64,13 @@
 
 // newRequest returns the request to the instance at address, with the method, target
 // and body of the caller's request.
-func newRequest(ctx context.Context, original *http.Request, address string, body []byte, header http.Header) *http.Request {
+func newRequest(ctx context.Context, original *http.Request, address string, body *body, header http.Header) *http.Request {
 	request := &http.Request{
 		Method: original.Method, URL: &url.URL{Scheme: "http", Host: address, Opaque: original.RequestURI},
 		Host: original.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
-	if len(body) > 0 {
-		request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+	if length := body.length(); length > 0 {
+		request.Body, request.ContentLength = body.newReader(), length
 	}
 	return request.WithContext(ctx)
 }
