--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -11,6 +11,9 @@
 	// groupShare is the share of the budget that one client, one route, and the customers
 	// without a key may hold with requests that are not small. Small ones may add smallReserve.
 	groupShare = 3.0 / 4
+	// bufferShare is the share of the budget up to which responses are buffered. They can be
+	// forwarded without, and bodies cannot be read.
+	bufferShare = 1.0 / 2
 	// minPaceTime is how long a body is read before its pace is judged.
 	minPaceTime = 500 * time.Millisecond
 )
@@ -121,9 +124,9 @@
 	delete(b.reading, account)
 }
 
-// TryCharge takes bytes for a request that runs, if they are left.
+// TryCharge takes bytes for a response, if less than bufferShare is used.
 func (b *Budget) TryCharge(account *Account, bytes int64) bool {
-	if !b.fits(account, bytes) {
+	if b.used+bytes > int64(bufferShare*float64(b.limit)) || !b.fits(account, bytes) {
 		return false
 	}
 	b.Charge(account, bytes)
--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -134,6 +134,20 @@
 	}
 }
 
+// TestResponsesLeaveRoomForBodies guards against responses to slow readers that leave no
+// memory for a body, also of the same client and route.
+func TestResponsesLeaveRoomForBodies(t *testing.T) {
+	c := qt.New(t)
+	b := newTestBudget(16 << 20)
+	for range 100 {
+		account := open(b, 1, 0, 0)
+		b.Completed(account)
+		b.TryCharge(account, 256<<10)
+	}
+	c.Check(b.Used(), qt.Equals, int64(8<<20))
+	c.Check(growTo(b, open(b, 1, 4<<20, 1), 4<<20, 1), qt.IsTrue)
+}
+
 // TestBudgetHolds checks with random requests that the budget is never exceeded by bodies,
 // that its sums are those of the accounts, and that nothing is left at the end.
 func TestBudgetHolds(t *testing.T) {
