--- a/internal/relay/bodies.go
+++ b/internal/relay/bodies.go
@@ -249,10 +249,14 @@
 }
 
 // newReader returns a reader of the whole body for one attempt. The transport may go on
-// reading after the attempt was given up, until it closes the reader.
+// reading after the attempt was given up, until it closes the reader. newReader returns nil if
+// the body was released, which a standby may find.
 func (b *body) newReader() io.ReadCloser {
 	b.store.mu.Lock()
 	defer b.store.mu.Unlock()
+	if b.isReleased {
+		return nil
+	}
 	if len(b.segments) == 1 {
 		// The transport sends the head and a body that it knows to be in memory together. An
 		// instance that responds without reading the body would reset the connection otherwise.
--- a/internal/relay/bodies_test.go
+++ b/internal/relay/bodies_test.go
@@ -253,3 +253,17 @@
 	c.Check(hook.LastEntry().Data["count"], qt.Equals, 100)
 	c.Check(hook.LastEntry().Data["client"], qt.Equals, "b")
 }
+
+// TestReleasedBodyIsNotSent guards against an attempt beside a response that has begun: the body
+// of its request has been given back, and would be sent empty.
+func TestReleasedBodyIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	store := newTestBodies(1 << 20)
+	held := store.open(intake.Request{Length: 3, Deadline: time.Now().Add(time.Second)}, 100, func() {})
+	c.Assert(held.grow(3), qt.IsNil)
+	copy(held.free()[:3], "abc")
+	held.received(3)
+	c.Assert(newRequest(t.Context(), &http.Request{Method: http.MethodPost, RequestURI: "/x"}, "127.0.0.1:1", held, nil), qt.IsNotNil)
+	held.release()
+	c.Assert(newRequest(t.Context(), &http.Request{Method: http.MethodPost, RequestURI: "/x"}, "127.0.0.1:1", held, nil), qt.IsNil)
+}
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -63,14 +63,18 @@
 }
 
 // newRequest returns the request to the instance at address, with the method, target
-// and body of the caller's request.
+// and body of the caller's request. It is nil if the body was released.
 func newRequest(ctx context.Context, original *http.Request, address string, body *body, header http.Header) *http.Request {
 	request := &http.Request{
 		Method: original.Method, URL: &url.URL{Scheme: "http", Host: address, Opaque: original.RequestURI},
 		Host: original.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if length := body.length(); length > 0 {
-		request.Body, request.ContentLength = body.newReader(), length
+		reader := body.newReader()
+		if reader == nil {
+			return nil
+		}
+		request.Body, request.ContentLength = reader, length
 	}
 	return request.WithContext(ctx)
 }
--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -121,7 +121,13 @@
 func (s *standbys) send(ctx context.Context, cancel context.CancelFunc, reserved *reservation) standbyResult {
 	x, choice := s.exchange, reserved.choice
 	progress := responseProgress{sentAt: clock.Now()}
-	response, sent, err := x.frontend.sender.send(x.newAttemptRequest(ctx, choice))
+	request := x.newAttemptRequest(ctx, choice)
+	if request == nil {
+		// The silent instance has responded meanwhile.
+		reserved.isSent = false
+		return standbyRejected
+	}
+	response, sent, err := x.frontend.sender.send(request)
 	if err != nil {
 		return s.classify(ctx, reserved, progress, sent, err)
 	}
