Relay: an event that arrives during a takeover is not forwarded twice

Cause: between the first bytes of the second instance and the end of the silent attempt, an event of the silent one could still be forwarded.

Change: an event counts only if the attempt has not been canceled before.

TestEventAfterTheTakeoverIsDiscarded does not compile before.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -108,8 +108,8 @@
 		if record.bytes += len(next.raw); record.bytes > maxResponseBytes {
 			return x.rejectOversized(record)
 		}
-		if !next.isBlank {
-			watchdog.extend(pauseTimeout)
+		if !next.isBlank && !watchdog.extend(pauseTimeout) {
+			return x.classifyFailure(watchdog, true)
 		}
 		now := time.Now()
 		if record.Events > 0 {
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -238,16 +238,21 @@
 	return true
 }
 
-// extend restarts the timer with limit; it does nothing on a watchdog without a limit.
-func (w *watchdog) extend(limit time.Duration) {
+// extend restarts the timer with limit; it does nothing on a watchdog without a limit. It returns
+// false if the attempt has been canceled: what has arrived since is part of the next attempt.
+func (w *watchdog) extend(limit time.Duration) bool {
 	if w.timer == nil {
-		return
+		return true
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.expired {
+		return false
+	}
 	w.due = time.Now().Add(limit)
 	w.timer.Reset(limit)
 	w.interruptDecision()
+	return true
 }
 
 // interruptDecision makes a decision in progress return. The caller holds mu.
--- a/internal/relay/standby_test.go
+++ b/internal/relay/standby_test.go
@@ -92,3 +92,17 @@
 	}
 	<-done
 }
+
+// TestEventAfterTheTakeoverIsDiscarded guards against a stream that is broken off because an event
+// of the silent instance arrives while the other one takes over, which sends that event as well.
+func TestEventAfterTheTakeoverIsDiscarded(t *testing.T) {
+	c := qt.New(t)
+	canceled, next := make(chan struct{}), &reservation{}
+	w := newWatchdog(func() { close(canceled) }, time.Millisecond, func() giveUp { return giveUp{isAllowed: true, reserved: next} }, nil)
+	<-canceled
+	c.Assert(w.extend(time.Minute), qt.IsFalse)
+	c.Assert(w.stopAndTake(), qt.Equals, next)
+	running := newWatchdog(func() {}, time.Minute, nil, nil)
+	c.Assert(running.extend(time.Minute), qt.IsTrue)
+	running.stop()
+}
