Depot: a slow fetch from the origin is waited for, not repeated at the origin

Cause: a depot that waits for the one that fetches a chunk from the origin gave up after its 2 s timeout and fetched the chunk from the origin itself. On a narrow origin link, a release of 64 chunks takes longer than that, so each one left the origin more than twice and all were late: 2.25 copies for each of two releases, complete at the agents 5.3 to 6.6 s after the release, though one copy takes 2.8 s.

Change: a depot answers that it is busy after 1.2 s, and its callers ask again. Only a depot that does not answer is bypassed.

TestSlowFetcherIsNotBypassed failed before (the chunk was fetched from the origin).

--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -47,6 +47,11 @@
 	retryTimeout           = 400 * time.Millisecond
 	originDownRetryTimeout = 150 * time.Millisecond
 	retryDelay             = 80 * time.Millisecond
+	// answerTimeout is how long a depot lets another process wait for a chunk that it does not
+	// hold yet before it answers that it is busy. It ends before fetchTimeout: a depot that
+	// does not answer counts as gone, and its callers then turn to the origin, whose link is
+	// too narrow for more than one copy of a chunk.
+	answerTimeout = 1200 * time.Millisecond
 	// callTimeout is the timeout of a call that carries no chunk.
 	callTimeout = 1200 * time.Millisecond
 	// AgentShare and EntryShare are the fractions of a link that uploads may use.
@@ -197,7 +202,11 @@
 	if !d.chunks.Contains(args) {
 		d.Prefetch(args.VersionArgs)
 	}
-	data, err := d.getChunk(args)
+	data, err := d.awaitChunk(args)
+	if failure.Is(err, failure.Refused) {
+		reply.Busy = true
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -213,18 +222,42 @@
 	if data, held := d.chunks.Get(args); held {
 		return data, nil
 	}
+	return chunkData(<-d.startFetch(args))
+}
+
+// awaitChunk is getChunk with a limit on the wait. A failure.Refused error means that the fetch
+// goes on.
+func (d *Depot) awaitChunk(args ChunkArgs) ([]byte, error) {
+	if data, held := d.chunks.Get(args); held {
+		return data, nil
+	}
+	timer := time.NewTimer(answerTimeout)
+	defer timer.Stop()
+	select {
+	case fetched := <-d.startFetch(args):
+		return chunkData(fetched)
+	case <-timer.C:
+		return nil, failure.New(failure.Refused, "ask again", "chunk %d of %s %d is still being fetched", args.Chunk, args.Model, args.Version)
+	}
+}
+
+func chunkData(fetched singleflight.Result) ([]byte, error) {
+	if fetched.Err != nil {
+		return nil, fetched.Err
+	}
+	return fetched.Val.([]byte), nil
+}
+
+// startFetch starts the fetch of a chunk, or joins the one in progress.
+func (d *Depot) startFetch(args ChunkArgs) <-chan singleflight.Result {
 	key := "chunk " + args.Model + " " + strconv.FormatInt(args.Version, 10) + " " + strconv.Itoa(args.Chunk)
-	data, err, _ := d.inFlight.Do(key, func() (any, error) {
-		// An earlier call may have added the chunk since the check above.
+	return d.inFlight.DoChan(key, func() (any, error) {
+		// An earlier call may have added the chunk since it was looked up.
 		if data, held := d.chunks.Get(args); held {
 			return data, nil
 		}
 		return d.fetchChunk(args)
 	})
-	if err != nil {
-		return nil, err
-	}
-	return data.([]byte), nil
 }
 
 // originFetcher returns the entry that fetches the item named by key from the
--- a/internal/depot/depot_test.go
+++ b/internal/depot/depot_test.go
@@ -202,3 +202,29 @@
 	uploads.SetBandwidth(0)
 	c.Assert(uploads.Acquire(uploadBurst), qt.IsTrue)
 }
+
+// TestSlowFetcherIsNotBypassed guards against chunks that leave the origin several times: a depot
+// that waits for the one that fetches from the origin turned to the origin itself when that took
+// longer than its timeout, and made the origin's narrow link slower for all.
+func TestSlowFetcherIsNotBypassed(t *testing.T) {
+	c := qt.New(t)
+	const port, fetcherHost, waitingHost = 17431, "127.0.0.2", "127.0.0.3"
+	var fetches, otherFetches atomic.Int32
+	// Longer than the timeout of a call between depots.
+	slow := newDepot(t, &fetches, func(_ int, data []byte) []byte {
+		time.Sleep(fetchTimeout + 200*time.Millisecond)
+		return data
+	})
+	slow.config.Host = fetcherHost
+	server := peer.NewServer(peer.Security{}, slow.log)
+	c.Assert(server.Register(ServiceName, slow), qt.IsNil)
+	c.Assert(server.Listen(fmt.Sprintf("%s:%d", fetcherHost, port)), qt.IsNil)
+	waiting := newDepot(t, &otherFetches, func(_ int, data []byte) []byte { return data })
+	waiting.config.Host, waiting.config.Port = waitingHost, port
+	upstream := waiting.config.Upstream()
+	upstream.OriginFetchers = []string{fetcherHost}
+	waiting.config.Upstream = func() Upstream { return upstream }
+	_, err := waiting.fetchChunkOnce(args(0))
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(otherFetches.Load(), qt.Equals, int32(0))
+}
