Loader: the next version is fetched while the target waits for its switch

Cause: an agent began to fetch a second release only after its engine had switched to the first one. With two releases 4 s apart, 76 engines switched to the second one within 1.2 s, the last that its bound left.

Change: once all chunks of the target are held, the newest version is fetched into memory, without touching the staging area. If it is complete before the engine has switched, the overtaken version is left out; the bound then counts from the release that the engine lacks for the longest time, and engines with older weights switch first.

--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -103,6 +103,17 @@
 	isReleased bool
 	// learnedAt is when this agent learned of the version.
 	learnedAt time.Time
+	// lackingSince, if set, is when this agent learned of the oldest release that the engine
+	// did not serve when this version became the target. Its bound holds for the switch.
+	lackingSince time.Time
+}
+
+// boundFrom returns the time from which the bound on the switch to this version counts.
+func (t target) boundFrom() time.Time {
+	if !t.lackingSince.IsZero() {
+		return t.lackingSince
+	}
+	return t.learnedAt
 }
 
 // supersedes reports whether t replaces the last target. A release replaces any version that
@@ -147,6 +158,9 @@
 	switching       bool
 	sequence        uint64
 	fetchInProgress *versionFetch
+	// nextFetch is the fetch of the newest version, into memory only, while the target waits
+	// for its switch.
+	nextFetch *versionFetch
 }
 
 // entryState is an entry from which a message was received.
@@ -308,14 +322,15 @@
 }
 
 // chooseTarget moves the target to the newest version, unless the fetch of an
-// earlier one is nearly complete. A version that was not released is left at once. The
+// earlier one is nearly complete and the newest one is not held yet. A version that was not released is left at once. The
 // caller holds mu.
 func (a *agent) chooseTarget(now time.Time) {
 	if !a.newestTarget.supersedes(a.target) {
 		return
 	}
 	isSameKind := a.newestTarget.isReleased == a.target.isReleased
-	if f := a.fetchInProgress; isSameKind && f != nil && f.target.version == a.target.version && a.report.LoadedVersion < a.target.version {
+	isNextHeld := a.nextFetch != nil && a.nextFetch.complete && a.nextFetch.target.version == a.newestTarget.version && !a.switching
+	if f := a.fetchInProgress; isSameKind && !isNextHeld && f != nil && f.target.version == a.target.version && a.report.LoadedVersion < a.target.version {
 		progress := rollout.Progress{
 			Held: f.plan.Held(), Chunks: a.pool.Engine.Chunks, LastChunkAt: f.lastChunkAt,
 			ServeBy: a.target.learnedAt.Add(a.settings.Bounds.VersionSwitchTime),
@@ -325,7 +340,11 @@
 		}
 	}
 	a.log.WithFields(logrus.Fields{"version": a.newestTarget.version, "last": a.target.version}).Info("target changed")
+	last := a.target
 	a.target = a.newestTarget
+	if isSameKind && last.isReleased && a.report.Start > 0 && a.report.LoadedVersion < last.version {
+		a.target.lackingSince = last.boundFrom()
+	}
 }
 
 // handleMessage processes a message from an entry or another agent.
--- a/internal/loader/distribution.go
+++ b/internal/loader/distribution.go
@@ -67,10 +67,73 @@
 			a.startFetch(ctx, wanted)
 			continue
 		}
-		a.startPlannedFetches(ctx)
+		a.startPlannedFetches(ctx, current)
+		a.fetchNext(ctx)
 	}
 }
 
+// fetchNext fetches the newest version into memory while the target, whose chunks are all held,
+// waits for its switch: it is complete earlier, which leaves the instances more time to switch
+// one after the other.
+func (a *agent) fetchNext(ctx context.Context) {
+	a.mu.Lock()
+	newest, next := a.newestTarget, a.nextFetch
+	isDue := a.fetchInProgress != nil && a.fetchInProgress.complete && newest.isReleased && newest.supersedes(a.target)
+	a.mu.Unlock()
+	switch {
+	case !isDue:
+	case next != nil && next.target.version == newest.version:
+		a.startPlannedFetches(ctx, next)
+	default:
+		a.startNextFetch(ctx, newest)
+	}
+}
+
+// startNextFetch starts the fetch of the newest version into memory.
+func (a *agent) startNextFetch(ctx context.Context, newest target) {
+	manifest, err := a.findManifest(ctx, newest)
+	if err != nil {
+		a.log.WithError(err).WithField("version", newest.version).Debug("cannot get the manifest yet; retrying")
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.nextFetch != nil {
+		// Only two versions are held.
+		a.chunks.removeVersion(a.nextFetch.target.version)
+	}
+	a.chunks.addVersion(manifest)
+	have, _ := a.chunks.bitmap(newest.version)
+	now := clock.Now()
+	a.nextFetch = &versionFetch{target: newest, plan: swarm.NewTieredPlan(fetchConfig, len(manifest.Digests), have), started: now, lastChunkAt: now}
+	a.log.WithFields(logrus.Fields{"version": newest.version, "chunks": len(manifest.Digests), "held": have.Count(), "target": a.target.version}).
+		Info("fetching the next version while the target waits for its switch")
+}
+
+// takeNextFetch makes the fetch of the next version that of the target, and stages the chunks
+// that are held. It returns false if there is none.
+func (a *agent) takeNextFetch(ctx context.Context, wanted target) bool {
+	a.mu.Lock()
+	next := a.nextFetch
+	a.nextFetch = nil
+	if next == nil || next.target.version != wanted.version {
+		a.mu.Unlock()
+		return false
+	}
+	a.fetchInProgress = next
+	isComplete, chunks := next.complete, a.pool.Engine.Chunks
+	a.mu.Unlock()
+	a.log.WithFields(logrus.Fields{"version": wanted.version, "complete": isComplete}).Info("the next version is the target now")
+	go func() {
+		for chunk := range chunks {
+			if data, held := a.chunks.chunk(wanted.version, chunk); held {
+				a.stageChunk(ctx, wanted, chunk, data)
+			}
+		}
+	}()
+	return true
+}
+
 // dropFetchedChunks drops all but the manifest of the version that the engine
 // serves. Its chunks are in the engine's staging area, and the process has little
 // memory.
@@ -78,6 +141,9 @@
 	a.mu.Lock()
 	fetched := a.fetchInProgress != nil
 	a.fetchInProgress = nil
+	if a.nextFetch != nil && a.nextFetch.target.version <= served.version {
+		a.nextFetch = nil
+	}
 	a.mu.Unlock()
 	if fetched {
 		a.chunks.dropChunks(served.version)
@@ -96,6 +162,9 @@
 // startFetch starts the fetch of a version: it gets the manifest and the chunks
 // that are staged already.
 func (a *agent) startFetch(ctx context.Context, wanted target) {
+	if a.takeNextFetch(ctx, wanted) {
+		return
+	}
 	manifest, err := a.findManifest(ctx, wanted)
 	if err != nil {
 		a.log.WithError(err).WithField("version", wanted.version).Debug("cannot get the manifest yet; retrying")
@@ -196,12 +265,11 @@
 	return count, nil
 }
 
-// startPlannedFetches starts the fetches that the plan allows now.
-func (a *agent) startPlannedFetches(ctx context.Context) {
+// startPlannedFetches starts the fetches that the plan of a version allows now.
+func (a *agent) startPlannedFetches(ctx context.Context, f *versionFetch) {
 	now := clock.Now()
 	a.mu.Lock()
-	f := a.fetchInProgress
-	if f == nil {
+	if f == nil || f != a.fetchInProgress && f != a.nextFetch {
 		a.mu.Unlock()
 		return
 	}
@@ -233,16 +301,20 @@
 		f.digestMismatches, f.lastChunkAt = 0, clock.Now()
 	}
 	manifestSuspect := f.digestMismatches >= maxDigestMismatches
-	if manifestSuspect && a.fetchInProgress == f {
-		a.fetchInProgress = nil
+	if manifestSuspect && (a.fetchInProgress == f || a.nextFetch == f) {
 		a.chunks.removeVersion(f.target.version)
+		if a.fetchInProgress == f {
+			a.fetchInProgress = nil
+		} else {
+			a.nextFetch = nil
+		}
 	}
 	a.mu.Unlock()
 	if manifestSuspect {
 		a.log.WithField("version", f.target.version).Warning("too many chunks do not match their digests; fetching the manifest again")
 	}
 	if outcome == swarm.Verified {
-		a.startPlannedFetches(ctx)
+		a.startPlannedFetches(ctx, f)
 	}
 }
 
@@ -277,10 +349,11 @@
 // has become the target or is being ordered. A chunk that is not staged here is
 // staged by verifyStagedChunks before the engine loads.
 func (a *agent) stageChunk(ctx context.Context, wanted target, chunk int, data []byte) {
-	if !a.stagingCalls.begin(wanted.version) {
+	if a.currentTarget().version != wanted.version || !a.stagingCalls.begin(wanted.version) {
 		return
 	}
 	defer func() { a.stagingCalls.end(wanted.version, clock.Now()) }()
+	// The target may have changed before the call was recorded.
 	if a.currentTarget().version != wanted.version {
 		return
 	}
--- a/internal/loader/switch.go
+++ b/internal/loader/switch.go
@@ -201,7 +201,9 @@
 // maySwitch decides whether an engine that is serving may stop in order to switch.
 // The caller holds mu.
 func (a *agent) maySwitch(now time.Time) bool {
-	limit := rollout.SwitchLimit{MaxFraction: maxSwitchFraction, SwitchBy: a.target.learnedAt.Add(rollout.SwitchPeriod(a.settings.Bounds.VersionSwitchTime))}
+	limit := rollout.SwitchLimit{
+		MaxFraction: maxSwitchFraction, SwitchBy: a.target.boundFrom().Add(rollout.SwitchPeriod(a.settings.Bounds.VersionSwitchTime)), Served: a.report.LoadedVersion,
+	}
 	var neighbors []rollout.Neighbor
 	for _, member := range a.members {
 		if member.AvailabilityZone != a.settings.AvailabilityZone || member.Name == a.settings.IP {
@@ -213,7 +215,7 @@
 			continue
 		}
 		neighbors = append(neighbors, rollout.Neighbor{
-			Name: member.Name, Updated: last.report.Loaded >= a.target.version, NotServing: last.report.Loaded == 0,
+			Name: member.Name, Updated: last.report.Loaded >= a.target.version, NotServing: last.report.Loaded == 0, Served: last.report.Loaded,
 		})
 	}
 	return limit.Allows(a.settings.IP, strconv.FormatInt(a.target.version, 10), neighbors, now)
@@ -269,7 +271,7 @@
 func (a *agent) drain(ctx context.Context) {
 	began := clock.Now()
 	a.mu.Lock()
-	drainBy := a.target.learnedAt.Add(rollout.DrainPeriod(a.settings.Bounds.VersionSwitchTime))
+	drainBy := a.target.boundFrom().Add(rollout.DrainPeriod(a.settings.Bounds.VersionSwitchTime))
 	a.mu.Unlock()
 	limit := min(max(drainBy.Sub(began)/switchRounds, minDrain), maxDrain)
 	for clock.Sleep(ctx, pollInterval) {
--- a/internal/rollout/turn.go
+++ b/internal/rollout/turn.go
@@ -17,6 +17,8 @@
 	// NotServing is set if the instance serves no requests, so that its switch
 	// costs no capacity.
 	NotServing bool
+	// Served is the version that the instance serves.
+	Served int64
 }
 
 // SwitchLimit decides when an instance may switch, so that the instances of an
@@ -27,6 +29,9 @@
 	MaxFraction float64
 	// SwitchBy is the time from which an instance switches regardless of others.
 	SwitchBy time.Time
+	// Served is the version that the instance itself serves, 0 if unknown. Instances with older
+	// weights switch first, since these may be used for a shorter time.
+	Served int64
 }
 
 // Allows reports whether the instance self may now switch to the version with the
@@ -42,13 +47,21 @@
 			continue
 		}
 		serving = append(serving, neighbor.Name)
-		if !neighbor.Updated && precedes(neighbor.Name, self, version) {
+		if !neighbor.Updated && l.follows(neighbor, self, version) {
 			waiting++
 		}
 	}
 	return waiting < max(1, int(l.MaxFraction*float64(len(serving))+0.5))
 }
 
+// follows reports whether the instance self switches to the version after neighbor.
+func (l SwitchLimit) follows(neighbor Neighbor, self, version string) bool {
+	if l.Served > 0 && neighbor.Served != l.Served {
+		return neighbor.Served < l.Served
+	}
+	return precedes(neighbor.Name, self, version)
+}
+
 // precedes reports whether instance a switches to the version before instance b.
 // The order is by hash and differs for each version.
 func precedes(a, b, version string) bool {
--- a/internal/rollout/turn_test.go
+++ b/internal/rollout/turn_test.go
@@ -84,3 +84,21 @@
 	c.Assert(whole.ShouldFinish(switchEpoch.Add(2*time.Second)), qt.IsTrue)
 	c.Assert(whole.ShouldFinish(switchEpoch.Add(5*time.Second)), qt.IsFalse, qt.Commentf("the deadline has passed"))
 }
+
+// TestOlderWeightsSwitchFirst guards against instances with the oldest weights that wait for
+// others and stay without requests, when releases follow each other.
+func TestOlderWeightsSwitchFirst(t *testing.T) {
+	c := qt.New(t)
+	limit := rollout.SwitchLimit{MaxFraction: 0.34, SwitchBy: switchEpoch.Add(time.Minute), Served: 1}
+	var newer []rollout.Neighbor
+	for i := range 8 {
+		newer = append(newer, rollout.Neighbor{Name: fmt.Sprintf("10.0.0.%d", i), Served: 2})
+	}
+	c.Assert(limit.Allows("10.0.0.9", "3", newer, switchEpoch), qt.IsTrue)
+	limit.Served = 2
+	older := make([]rollout.Neighbor, 8)
+	for i, neighbor := range newer {
+		older[i] = rollout.Neighbor{Name: neighbor.Name, Served: 1}
+	}
+	c.Assert(limit.Allows("10.0.0.9", "3", older, switchEpoch), qt.IsFalse)
+}
