Placement: a last attempt goes to instances with the newest weights

While instances load one release and the next one is named already, none has the target yet; those with the release before it will switch last.

TestLastAttemptAvoidsInstancesThatSwitch failed before.

--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -371,6 +371,9 @@
 	// RandomizeChoice restricts the choice to a few random instances, because many
 	// streams that are interrupted at once would otherwise all go to the same one.
 	RandomizeChoice bool
+	// AvoidSwitch prefers the instances with the newest weights to all others with free slots,
+	// because the request could not go on elsewhere if a switch aborted it.
+	AvoidSwitch bool
 	// Tried holds the IDs of the instances to which the request was sent already.
 	Tried map[string]bool
 }
@@ -394,7 +397,11 @@
 func (f *Fleet) Choose(need Requirements, now time.Time) (Choice, bool) {
 	var best *instance
 	bestScore := 0.0
-	for _, inst := range f.candidates(need, now) {
+	candidates := f.candidates(need, now)
+	// Until an instance has loaded the target, those that have loaded the release before it
+	// will switch last.
+	need.TargetVersion = min(need.TargetVersion, newestVersion(candidates, need.Model))
+	for _, inst := range candidates {
 		load, limit := f.load(inst, now), f.limit(inst)
 		score := f.score(inst, need, load, limit, now)
 		if best == nil || score < bestScore {
@@ -424,6 +431,10 @@
 			available = append(available, inst)
 		}
 	}
+	if need.AvoidSwitch {
+		newest := newestVersion(available, need.Model)
+		available = slices.DeleteFunc(available, func(inst *instance) bool { return inst.version(need.Model) < newest })
+	}
 	if need.RandomizeChoice && len(available) > randomChoices {
 		f.random.Shuffle(len(available), func(i, j int) { available[i], available[j] = available[j], available[i] })
 		available = available[:randomChoices]
@@ -431,6 +442,15 @@
 	return available
 }
 
+// newestVersion returns the newest version of the weights that any of the instances has.
+func newestVersion(instances []*instance, model string) int64 {
+	var newest int64
+	for _, inst := range instances {
+		newest = max(newest, inst.version(model))
+	}
+	return newest
+}
+
 // hasCapacity reports whether the instance has a free slot for the request and is
 // expected to produce the first event in time. A prompt that is too long for any
 // MaxWait is accepted by an engine that has no other prompts to process;
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -219,6 +219,31 @@
 	c.Assert(choice.Backend.ID, qt.Equals, "i-00")
 }
 
+// TestLastAttemptAvoidsInstancesThatSwitch guards against streams that are aborted by a switch at
+// two instances, which is the end of them, while an updated instance has a free slot.
+func TestLastAttemptAvoidsInstancesThatSwitch(t *testing.T) {
+	c := qt.New(t)
+	// The second target was released while the instances switch to version 2: none has it yet.
+	for _, target := range []int64{2, 3} {
+		fleet := newFleet(1)
+		listed := backends(6)
+		listed[5].LoadedVersions = map[string]int64{"m": 2}
+		fleet.SetList(listed, time.Time{}, epoch)
+		need := placement.Requirements{Pool: "engines", Model: "m", TargetVersion: target, PromptTokens: 500, RandomizeChoice: true, AvoidSwitch: true}
+		placed := 0
+		for {
+			choice, found := fleet.Choose(need, epoch)
+			c.Assert(found, qt.IsTrue)
+			if choice.Version != 2 {
+				// All slots of the updated instance are in use: an older one is better than none.
+				break
+			}
+			placed++
+		}
+		c.Assert(placed, qt.Equals, listed[5].Slots)
+	}
+}
+
 func TestFailedInstanceIsAvoidedThenRetried(t *testing.T) {
 	c := qt.New(t)
 	fleet := newFleet(1)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -232,6 +232,9 @@
 		Pool: x.pool, Model: x.model, TargetVersion: x.frontend.view.releases.Load().TargetVersion(x.model),
 		PromptTokens: x.call.PromptTokens, RandomizeChoice: x.responseStarted, Tried: x.tried,
 	}
+	if x.model != "" && len(x.attempts) > 0 {
+		need.AvoidSwitch = x.decision.RemainingAttempts() == 0
+	}
 	if x.model != "" && len(x.attempts) == 0 {
 		need.MaxWait = x.route.Objective
 	}
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -58,6 +58,7 @@
 	t := &ticket{Ticket: admission.Ticket{Customer: x.customer.Name, Route: x.route.Name}, need: x.placementNeed()}
 	t.need.MaxWait, t.need.ReservedSlots, t.need.Tried = 0, 0, maps.Clone(x.tried)
 	t.need.RandomizeChoice = true
+	t.need.AvoidSwitch = x.model != "" && x.decision.RemainingAttempts() <= 1
 	return t
 }
 
