--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -62,6 +62,9 @@
 	Anonymous bool
 	// Resumable says that another instance may continue an interrupted stream.
 	Resumable bool
+	// HomeRegions holds the only regions in which requests may be served, sorted; nil if
+	// the route does not restrict them.
+	HomeRegions []string
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -138,6 +141,9 @@
 	// Priority overrides the priority of the route if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// HomeRegions holds the only regions in which the customer's requests may be served,
+	// sorted; nil if the customer does not restrict them.
+	HomeRegions []string
 }
 
 // Table is one version of the routes and pools. It is immutable after New
