--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -29,6 +29,8 @@
 	// Engine returns the description of the engines of a pool, nil for pools of
 	// plain services.
 	Engine func(pool string) *catalog.Engine
+	// Regions maps availability zones to regions.
+	Regions map[string]string
 }
 
 const (
@@ -373,6 +375,10 @@
 	RandomizeChoice bool
 	// Tried holds the IDs of the instances to which the request was sent already.
 	Tried map[string]bool
+	// Regions holds the only regions in which the request may be served if
+	// RegionsRestricted is set.
+	Regions           []string
+	RegionsRestricted bool
 }
 
 // Choice is the instance chosen for one attempt.
@@ -575,7 +581,7 @@
 
 // accepts reports whether the instance belongs to the pool and still accepts requests.
 func (f *Fleet) accepts(inst *instance, need Requirements) bool {
-	if inst.Pool != need.Pool || inst.Leaving || inst.addressReused || inst.saysLeaving() {
+	if inst.Pool != need.Pool || inst.Leaving || inst.addressReused || inst.saysLeaving() || !f.AllowsZone(inst.AvailabilityZone, need) {
 		return false
 	}
 	// A list entry may belong to an earlier start at this address.
