Relay: requests and callers stay in the home regions

The tables in force when an instance is chosen count, also for queued requests, retries and reservations. Without a home instance a request that has not run is refused at once as no_home_instance. The directory names entries in the caller's region or in the homes of the host.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -386,9 +386,11 @@
 // FrontAddresses returns up to limit addresses at which requests are accepted now, for a
 // caller in the given availability zone: all of them if they are within the limit.
 // Otherwise they are those in the caller's zone, if these are enough, and successive
-// calls return successive ones, so that callers spread over all entries.
-func (d *Directory) FrontAddresses(zone string, limit int, now time.Time) []string {
-	ready := d.readyEntries(now)
+// calls return successive ones, so that callers spread over all entries. Of the allowed
+// sets of regions the first one with such an entry applies; isAllowed is false if there is
+// none, and the entries of any region are returned.
+func (d *Directory) FrontAddresses(zone string, allowed [][]string, limit int, now time.Time) (addresses []string, isAllowed bool) {
+	ready, isAllowed := inRegions(d.readyEntries(now), allowed)
 	if len(ready) > limit {
 		inZone := slices.DeleteFunc(slices.Clone(ready), func(entry Entry) bool { return entry.AvailabilityZone != zone })
 		if len(inZone) >= minZoneAddresses {
@@ -405,7 +407,21 @@
 	for i := range count {
 		fronts = append(fronts, ready[(first+i)%len(ready)].FrontAddress)
 	}
-	return fronts
+	return fronts, isAllowed
+}
+
+// inRegions returns the entries in the first of the sets of regions that has any, or all
+// entries and false.
+func inRegions(entries []Entry, sets [][]string) ([]Entry, bool) {
+	for _, regions := range sets {
+		inSet := slices.DeleteFunc(slices.Clone(entries), func(entry Entry) bool {
+			return entry.Region == "" || !slices.Contains(regions, entry.Region)
+		})
+		if len(inSet) > 0 {
+			return inSet, true
+		}
+	}
+	return entries, len(sets) == 0
 }
 
 // readyEntries returns the entries that accept requests, including this one, sorted by
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -23,6 +23,12 @@
 	return peers.Entry{Host: host, AvailabilityZone: zone, FrontAddress: host + ":80", Start: 1, Sequence: sequence, Ready: true}
 }
 
+// frontAddresses returns the addresses for a caller whose host has no home regions.
+func frontAddresses(d *peers.Directory, zone string, limit int, now time.Time) []string {
+	addresses, _ := d.FrontAddresses(zone, nil, limit, now)
+	return addresses
+}
+
 func TestSilentAndLeavingEntriesHaveNoFrontAddress(t *testing.T) {
 	c := qt.New(t)
 	d := peers.New(config, self(), nil, epoch)
@@ -31,10 +37,10 @@
 	leaving := other("10.0.0.3", "z2", 1)
 	leaving.Leaving = true
 	d.RecordMessage(leaving, epoch)
-	c.Assert(d.FrontAddresses("z1", 64, epoch), qt.DeepEquals, []string{"10.0.0.1:80", "10.0.0.2:80"})
-	c.Assert(d.FrontAddresses("z1", 64, epoch.Add(2*time.Second)), qt.DeepEquals, []string{"10.0.0.1:80"})
+	c.Assert(frontAddresses(d, "z1", 64, epoch), qt.DeepEquals, []string{"10.0.0.1:80", "10.0.0.2:80"})
+	c.Assert(frontAddresses(d, "z1", 64, epoch.Add(2*time.Second)), qt.DeepEquals, []string{"10.0.0.1:80"})
 	d.SetState(true, true)
-	c.Assert(d.FrontAddresses("z1", 64, epoch), qt.DeepEquals, []string{"10.0.0.2:80"})
+	c.Assert(frontAddresses(d, "z1", 64, epoch), qt.DeepEquals, []string{"10.0.0.2:80"})
 }
 
 func TestOldMessagesAreIgnored(t *testing.T) {
@@ -320,11 +326,11 @@
 		}
 		d.RecordMessage(other(fmt.Sprintf("10.0.%d.%d", i/250, 2+i), zone, 1), epoch)
 	}
-	inZone := d.FrontAddresses("z3", limit, epoch)
+	inZone := frontAddresses(d, "z3", limit, epoch)
 	c.Assert(inZone, qt.HasLen, 29)
 	named := map[string]bool{}
 	for range 3 {
-		addresses := d.FrontAddresses("few", limit, epoch)
+		addresses := frontAddresses(d, "few", limit, epoch)
 		c.Assert(addresses, qt.HasLen, limit)
 		for _, address := range addresses {
 			named[address] = true
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -60,11 +60,17 @@
 	// update; placed receives a value when a request has been placed.
 	loadChanges chan string
 	placed      chan struct{}
+	// regions maps availability zones to regions.
+	regions map[string]string
 
 	mu        sync.Mutex
 	directory *peers.Directory
 	sequence  uint64
 	ready     bool
+	// noHomeAnswers counts the answers of the address directory without an entry in an
+	// allowed region since noHomeLoggedAt, when this was last logged.
+	noHomeAnswers  int
+	noHomeLoggedAt time.Time
 }
 
 // Run sends and receives until ctx ends.
@@ -299,10 +305,10 @@
 		return
 	}
 	h.mu.Lock()
-	current, isNew := h.directory.RecordMessage(peers.Entry{
+	current, isNew := h.directory.RecordMessage(h.withRegion(peers.Entry{
 		Instance: m.Instance, Host: m.Host, AvailabilityZone: m.AvailabilityZone, FrontAddress: m.FrontAddress,
 		Start: m.Start, Sequence: m.Sequence, Ready: m.Ready, Leaving: m.Leaving, StoreUnavailable: m.StoreUnavailable,
-	}, now)
+	}), now)
 	loadsCurrent := current && h.directory.AcceptLoads(m.Host, m.Start, m.Sequence)
 	h.directory.AddCandidates(m.Hosts, clock.Now())
 	h.mu.Unlock()
@@ -369,15 +375,6 @@
 	return h.directory.ListRank(string(kind), clock.Now())
 }
 
-// frontAddresses returns the entry addresses to hand out to a caller in an availability
-// zone.
-func (h *heartbeater) frontAddresses(zone string) []string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.updateReadiness()
-	return h.directory.FrontAddresses(zone, platform.MaxAddresses, clock.Now())
-}
-
 // zoneHosts returns the hosts of the entries in an availability zone, or of all entries
 // when the zone has none.
 func (h *heartbeater) zoneHosts(zone string) []string {
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -157,7 +157,7 @@
 	e.scheduler = newScheduler(placement.New(placement.Config{
 		AvailabilityZone: s.AvailabilityZone, MaxPeerLoadAge: maxPeerLoadAge,
 		FailureBackoff: 500 * time.Millisecond, MaxFailureBackoff: 6 * time.Second, Seed: uint64(start),
-		Engine: func(pool string) *catalog.Engine { return e.view.engine(pool) },
+		Engine: func(pool string) *catalog.Engine { return e.view.engine(pool) }, Regions: s.Regions,
 	}), newRetryLimits(s.Bounds))
 	e.scheduler.retrySlackFrom = clock.Now().Add(s.Bounds.RetryWindow)
 	e.blocker = newBlocker(log, counts.blocks)
@@ -165,7 +165,7 @@
 	e.metrics.Registry.MustRegister(e.view.versionMetrics.minVersion, e.view.versionMetrics.target)
 	e.frontend = &frontend{view: e.view, scheduler: e.scheduler, blocker: e.blocker, blockGate: &blockGate{view: e.view, learnBy: clock.Now().Add(s.Bounds.StableTime)}, sender: newSender(), log: log, metrics: counts, zone: s.AvailabilityZone, returningCallers: newReturningCallerDetector(), shutdown: newShutdown()}
 	e.frontend.setBounds(s.Bounds)
-	e.heartbeats = &heartbeater{socket: socket, view: e.view, scheduler: e.scheduler, frontend: e.frontend, log: log, start: start, sendNow: make(chan struct{}, 1), loadChanges: make(chan string, maxPendingLoadChanges), placed: make(chan struct{}, 1)}
+	e.heartbeats = &heartbeater{socket: socket, view: e.view, scheduler: e.scheduler, frontend: e.frontend, log: log, start: start, regions: s.Regions, sendNow: make(chan struct{}, 1), loadChanges: make(chan string, maxPendingLoadChanges), placed: make(chan struct{}, 1)}
 	e.scheduler.loadChanged = e.heartbeats.recordLoadChange
 	e.scheduler.backendExpired, e.scheduler.minVersion = e.view.backendExpired, e.view.minVersion
 	e.metrics.Gauge("tables_proof_age_seconds", "Age of the proof that the tables are current.", func() float64 { return e.view.proofAge().Seconds() })
@@ -279,19 +279,3 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
-
-func (e *entry) serveAddresses(w http.ResponseWriter, r *http.Request) {
-	addresses := e.heartbeats.frontAddresses(platform.CallerZone(r.URL.Query()))
-	if len(addresses) == 0 {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	raw, err := platform.EncodeAddresses(addresses, e.addressTTL)
-	if err != nil {
-		w.WriteHeader(http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	// An error means that the caller has disconnected and needs no response.
-	_, _ = w.Write(raw)
-}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -238,6 +238,7 @@
 	if x.returning && len(x.attempts) == 0 {
 		need.ReservedSlots = reservedSlots
 	}
+	x.restrictRegions()(&need)
 	return need
 }
 
@@ -276,6 +277,7 @@
 	return &ticket{
 		Ticket: admission.Ticket{Customer: x.customer.Name, Route: x.route.Name, Class: priority, Retry: x.returning, Deadline: x.deadline, StartBy: startBy},
 		need:   x.placementNeed(), maxReturnWait: time.Duration(returnWaitFactor * float64(x.route.Objective)),
+		isRejectable: !x.mayHaveRun(), restrict: x.restrictRegions(),
 	}
 }
 
@@ -391,7 +393,7 @@
 	case crashSuspect, canceled:
 		x.finish(ctx, dispatch.Unknown)
 		return dispatch.Action{}, true
-	case notSent:
+	case notSent, notAllowed:
 		return x.decision.NotStarted(now), false
 	case notRun, addressReused:
 		if outcome == notRun && x.mustGoOn() {
@@ -441,7 +443,7 @@
 func (x *exchange) mayHaveRun() bool {
 	for _, record := range x.attempts {
 		switch outcome(record.Outcome) {
-		case notSent, notRun, addressReused, partBlocked, partSuspected:
+		case notSent, notAllowed, notRun, addressReused, partBlocked, partSuspected:
 		default:
 			return true
 		}
@@ -489,6 +491,9 @@
 		// The bound has ended since the request was placed.
 		return notSent
 	}
+	if !x.isAllowedAt(choice) {
+		return notAllowed
+	}
 	// Before the check: a block that is decided after it cancels the request.
 	x.pending.responding.Store(false)
 	if x.isBlocked() {
--- a/internal/relay/frontend.go
+++ b/internal/relay/frontend.go
@@ -82,6 +82,7 @@
 	"body_too_big":      "send a smaller body",
 	"body_too_slow":     "send the body without pauses",
 	"bad_target":        "send the path of the request, not a whole URL",
+	reasonNoHome:        "come back after the time in Retry-After; see whether the home regions of the route and the customer have instances",
 	reasonInstancesWait: "come back after the time in Retry-After",
 	reasonBlocksUnknown: "come back after the time in Retry-After",
 	reasonBlocked:       "send the prompt without the part that crashes instances, or ask the operators to lift the block",
@@ -239,6 +240,11 @@
 	if len(x.attempts) > 0 {
 		fields["attempts"] = x.attempts
 	}
+	if x.route != nil {
+		if homes, restricted := x.homes(x.table); restricted {
+			fields["home_regions"] = homes
+		}
+	}
 	if x.wasInterrupted() && len(x.call.SharedParts) > 0 {
 		fields["shared_parts"] = x.call.SharedParts
 	}
--- a/internal/relay/frontend_test.go
+++ b/internal/relay/frontend_test.go
@@ -41,7 +41,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	logger := log.WithField("test", t.Name())
-	scheduler := newScheduler(placement.New(placement.Config{MaxPeerLoadAge: time.Second, FailureBackoff: 100 * time.Millisecond, MaxFailureBackoff: time.Second, Seed: 1}),
+	scheduler := newScheduler(placement.New(placement.Config{MaxPeerLoadAge: time.Second, FailureBackoff: 100 * time.Millisecond, MaxFailureBackoff: time.Second, Seed: 1, Regions: testRegions}),
 		retryLimits{window: 10 * time.Second, ratio: 0.2, slack: 10})
 	counts := newFrontendMetrics(metrics.New())
 	blocker := newBlocker(logger, counts.blocks)
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -50,6 +50,11 @@
 	retryAfter time.Duration
 	// reason is why the request was shed.
 	reason string
+	// isRejectable means that the request has certainly not run.
+	isRejectable bool
+	// restrict updates the requirements by the tables in force; nil when it has none to
+	// update. It is called with the scheduler's mu held.
+	restrict func(*placement.Requirements)
 }
 
 // scheduler places queued requests on instances: it combines the admission queues with
@@ -121,8 +126,11 @@
 	t.ID = s.nextID
 	t.placed, t.reason = make(chan placement.Choice, 1), reasonOverload
 	s.tickets[t.ID] = t
-	s.updateMinVersion(t, now)
+	s.updateNeed(t, now)
 	s.extendQueueTime(t, now)
+	if s.rejectWithoutHome(t, now) {
+		return false
+	}
 	s.shed(s.queue(t.need.Pool).Offer(t.Ticket, now), now)
 	s.dispatchWaiting(t.need.Pool, now)
 	return s.tickets[t.ID] != nil
@@ -192,7 +200,7 @@
 	s.rejectWhileAllWait(pool, now)
 	for queue.Queued() > 0 {
 		id, found, shed := queue.NextStartable(func(id uint64) bool {
-			s.updateMinVersion(s.tickets[id], now)
+			s.updateNeed(s.tickets[id], now)
 			return s.fleet.HasFreeSlot(s.tickets[id].need, now)
 		}, now)
 		s.shed(shed, now)
@@ -203,9 +211,12 @@
 	}
 }
 
-// updateMinVersion applies the bounds that have ended while a request was queued. The
-// caller holds mu.
-func (s *scheduler) updateMinVersion(t *ticket, now time.Time) {
+// updateNeed applies the bounds that have ended, and the home regions that have changed, while
+// a request was queued. The caller holds mu.
+func (s *scheduler) updateNeed(t *ticket, now time.Time) {
+	if t.restrict != nil {
+		t.restrict(&t.need)
+	}
 	if t.need.Model != "" {
 		t.need.MinVersion = s.minVersion(t.need.Model, now)
 	}
@@ -308,6 +319,7 @@
 	for _, change := range s.fleet.Expire(now) {
 		s.backendExpired(change)
 	}
+	s.rejectAllWithoutHome(now)
 	for pool := range s.queues {
 		s.dispatchWaiting(pool, now)
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -24,6 +24,8 @@
 	closed        *prometheus.CounterVec
 	standbys      *prometheus.CounterVec
 	ownEnds       *prometheus.CounterVec
+	// directoryAnswers counts the answers of the address directory.
+	directoryAnswers *prometheus.CounterVec
 }
 
 // latencyBuckets are the bucket bounds of the latency histograms in seconds, from an
@@ -53,6 +55,9 @@
 		ownEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Name: "ended_attempts_total", Help: "Attempts that this entry or an agent ended before their response was complete, by reason.",
 		}, []string{"reason"}),
+		directoryAnswers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Name: "directory_answers_total", Help: "Answers of the address directory by the entries that they name: any, home (in the caller's region or a home region of the host), or no_home (others, because none of those accepts requests).",
+		}, []string{"scope"}),
 		standbys: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Name: "standby_attempts_total", Help: "Attempts at a second instance beside a silent one, by result.",
 		}, []string{"result"}),
@@ -66,7 +71,7 @@
 		duration:     histogram("request_seconds", "Time from a request's arrival to the end of its answer."),
 		queueTime:    histogram("queue_seconds", "Time that attempts waited for a place."),
 	}
-	m.Registry.MustRegister(f.refused, f.attempts, f.storeCalls, f.retries, f.responseBytes, f.notices, f.blocks.decisions, f.blocks.interruptions, f.panics, f.ownEnds, f.closed, f.standbys, f.longestPause, f.firstEvent, f.duration, f.queueTime)
+	m.Registry.MustRegister(f.refused, f.attempts, f.storeCalls, f.retries, f.responseBytes, f.notices, f.blocks.decisions, f.blocks.interruptions, f.panics, f.ownEnds, f.directoryAnswers, f.closed, f.standbys, f.longestPause, f.firstEvent, f.duration, f.queueTime)
 	return f
 }
 
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -18,6 +18,9 @@
 	answered outcome = "answered"
 	// notSent means that no byte of the request left this process.
 	notSent outcome = "not_sent"
+	// notAllowed means that the request was not sent, because the instance may not take it
+	// any more.
+	notAllowed outcome = "not_allowed"
 	// notRun means that the instance rejected the request without running it.
 	notRun outcome = "not_run"
 	// addressReused means that the address now belongs to another instance.
@@ -66,6 +69,8 @@
 		return placement.Full
 	case addressReused:
 		return placement.AddressReused
+	case notAllowed:
+		return placement.NotUsed
 	case callerDisconnected, partBlocked, partSuspected, canceled, versionBound, switched:
 		return placement.CallerDisconnected
 	}
--- a/internal/relay/reservation.go
+++ b/internal/relay/reservation.go
@@ -32,7 +32,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
-	s.updateMinVersion(t, now)
+	s.updateNeed(t, now)
 	// Requests that wait have no instance; this one has.
 	s.dispatchWaiting(t.need.Pool, now)
 	budget := s.retryBudget(t.need.Pool)
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -55,7 +55,7 @@
 // repeatTicket returns the ticket of a further attempt that is made while another one is in
 // progress, and is not queued.
 func (x *exchange) repeatTicket() *ticket {
-	t := &ticket{Ticket: admission.Ticket{Customer: x.customer.Name, Route: x.route.Name}, need: x.placementNeed()}
+	t := &ticket{Ticket: admission.Ticket{Customer: x.customer.Name, Route: x.route.Name}, need: x.placementNeed(), restrict: x.restrictRegions()}
 	t.need.MaxWait, t.need.ReservedSlots, t.need.Tried = 0, 0, maps.Clone(x.tried)
 	t.need.RandomizeChoice = true
 	return t
--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -120,6 +120,10 @@
 // send sends the request to the reserved instance and waits until it has begun to respond.
 func (s *standbys) send(ctx context.Context, cancel context.CancelFunc, reserved *reservation) standbyResult {
 	x, choice := s.exchange, reserved.choice
+	if !x.isAllowedAt(choice) {
+		reserved.isSent = false
+		return standbyRejected
+	}
 	progress := responseProgress{sentAt: clock.Now()}
 	response, sent, err := x.frontend.sender.send(x.newAttemptRequest(ctx, choice))
 	if err != nil {
