Placement: evacuated availability zones get no requests

They return with a ramp; what moves to other zones adds to their mean loads until these contain it, so that entries do not all fill the same zone.

--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -176,14 +176,18 @@
 	entries         []string
 	self            string
 	entriesRevision int
-	random          *rand.Rand
-	lastTicket      uint64
+	// evacuations holds the evacuations by availability zone, evacuatedAt when the last one
+	// came into force.
+	evacuations map[string]evacuation
+	evacuatedAt time.Time
+	random      *rand.Rand
+	lastTicket  uint64
 }
 
 // New returns a Fleet without instances.
 func New(config Config) *Fleet {
 	return &Fleet{
-		config: config, instances: map[string]*instance{}, byHost: map[string]*instance{}, reports: map[string]receivedReport{}, notices: map[InstanceStart]*notice{}, latestStart: map[string]int64{}, ownAttempts: map[uint64]*ownAttempt{}, zoneLoads: map[string]receivedZoneLoads{},
+		config: config, instances: map[string]*instance{}, byHost: map[string]*instance{}, reports: map[string]receivedReport{}, notices: map[InstanceStart]*notice{}, latestStart: map[string]int64{}, ownAttempts: map[uint64]*ownAttempt{}, zoneLoads: map[string]receivedZoneLoads{}, evacuations: map[string]evacuation{},
 		random: rand.New(rand.NewPCG(config.Seed, config.Seed+1)),
 	}
 }
@@ -525,7 +529,7 @@
 		}
 	}
 	if mean, known := f.zoneLoad(inst, now); known {
-		total = max(total, mean.PendingPromptTokens)
+		total = f.withZoneMean(inst.AvailabilityZone, total, mean.PendingPromptTokens)
 	}
 	return total
 }
@@ -626,7 +630,7 @@
 		}
 	}
 	if mean, known := f.zoneLoad(inst, now); known {
-		load = max(load, int(math.Round(mean.Utilization*float64(f.limit(inst)))))
+		load = f.withZoneMean(inst.AvailabilityZone, load, int(math.Round(mean.Utilization*float64(f.limit(inst)))))
 	}
 	return load
 }
--- a/internal/placement/homes.go
+++ b/internal/placement/homes.go
@@ -6,8 +6,12 @@
 )
 
 // AllowsZone reports whether a request with these requirements may be sent to the instances
-// of an availability zone. A zone whose region is unknown is in no home region.
+// of an availability zone: it is not evacuated, and in an allowed region. A zone whose region
+// is unknown is in no home region.
 func (f *Fleet) AllowsZone(zone string, need Requirements) bool {
+	if f.evacuations[zone].active {
+		return false
+	}
 	if !need.RegionsRestricted {
 		return true
 	}
--- a/internal/placement/notices.go
+++ b/internal/placement/notices.go
@@ -185,10 +185,10 @@
 func (i *instance) isWaiting(now time.Time) bool { return now.Before(i.waitUntil()) }
 
 // rampLimit returns how many requests this entry may have in progress at an instance whose
-// wait has ended a short time ago, so that it does not get all queued requests at once. It
+// wait, or the evacuation of whose zone, has ended a short time ago, so that it does not get all queued requests at once. It
 // returns false when there is no such limit.
 func (f *Fleet) rampLimit(inst *instance, now time.Time) (int, bool) {
-	ended := inst.waitUntil()
+	ended := later(inst.waitUntil(), f.evacuationEndedAt(inst))
 	if ended.IsZero() || now.Before(ended) || now.Sub(ended) >= rampPeriod {
 		return 0, false
 	}
--- a/internal/placement/zone.go
+++ b/internal/placement/zone.go
@@ -52,6 +52,16 @@
 	f.zoneLoads[zone] = receivedZoneLoads{byPool: byPool, receivedAt: now}
 }
 
+// withZoneMean combines the load that is known of an instance in another zone with the mean
+// there. The mean contains what is known, unless it precedes the requests that an evacuation
+// has moved: then they add to it, so that the entries do not overload the zone at once.
+func (f *Fleet) withZoneMean(zone string, known, mean int) int {
+	if f.precedesMovedLoad(zone) {
+		return known + mean
+	}
+	return max(known, mean)
+}
+
 // zoneLoad returns the mean load in the zone of an instance. It returns false for this
 // entry's own zone, and when no recent report is known.
 func (f *Fleet) zoneLoad(inst *instance, now time.Time) (ZoneLoad, bool) {
