Relay: evacuations of availability zones

Read only where the settings name a bound. The state of the collection ends messages where it is replicated only, and integers in messages are compact, so that no message grows.

--- a/internal/beat/message.go
+++ b/internal/beat/message.go
@@ -138,7 +138,8 @@
 	FrontAddress string
 	Ready        bool
 	Leaving      bool
-	// Collections holds the states of the collections in the order of platform.Kinds.
+	// Collections holds the states of the collections in the order of platform.Kinds, without
+	// the last ones that the sender does not replicate.
 	Collections []CollectionState
 	// Loads holds the load of the entry by instance ID.
 	Loads map[string]Load
@@ -189,6 +190,8 @@
 	// Structs are sent as arrays, because field names would make up most of a
 	// message.
 	encoder.UseArrayEncodedStructs(true)
+	// Revisions and ages take nine bytes each otherwise.
+	encoder.UseCompactInts(true)
 	err := encoder.Encode(value)
 	return raw.Bytes(), failure.Wrap(err, failure.Internal, "report this", "the message to a peer cannot be encoded")
 }
--- a/internal/beat/message_test.go
+++ b/internal/beat/message_test.go
@@ -121,3 +121,18 @@
 		}
 	})
 }
+
+// TestCollectionStatesAreCompact guards against the cost of states in each message to each
+// process: five of them took 215 bytes while each number took nine.
+func TestCollectionStatesAreCompact(t *testing.T) {
+	c := qt.New(t)
+	m := &Message{Host: "10.0.0.1"}
+	empty, err := encode(m)
+	c.Assert(err, qt.IsNil)
+	for range 5 {
+		m.Collections = append(m.Collections, CollectionState{Known: true, Content: 120_000, AgeMs: 2_500, Era: 1, Versions: 40})
+	}
+	raw, err := encode(m)
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(raw)-len(empty) <= 65, qt.IsTrue, qt.Commentf("%d bytes", len(raw)-len(empty)))
+}
--- a/internal/copies/pull.go
+++ b/internal/copies/pull.go
@@ -153,10 +153,15 @@
 	p.end(kind, host, asked, err == nil)
 }
 
-// CollectionStates returns the states of this process's collections for its messages.
+// CollectionStates returns the states of this process's collections for its messages, up to
+// the last one that it replicates.
 func CollectionStates(copies *Copies) []beat.CollectionState {
-	states := make([]beat.CollectionState, len(platform.Kinds))
-	for i, kind := range platform.Kinds {
+	kinds := platform.Kinds
+	for len(kinds) > 0 && !copies.replicates(kinds[len(kinds)-1]) {
+		kinds = kinds[:len(kinds)-1]
+	}
+	states := make([]beat.CollectionState, len(kinds))
+	for i, kind := range kinds {
 		state := copies.CollectionState(kind)
 		states[i] = beat.CollectionState{Known: state.Known, Content: state.Content.Number, AgeMs: state.Age.Milliseconds(), Era: state.Content.Era, Versions: state.Versions}
 	}
--- a/internal/duty/fleet_test.go
+++ b/internal/duty/fleet_test.go
@@ -289,9 +289,14 @@
 // lateChanges simulates changes of the tables while the store fails the entries that are
 // assigned to watch it, and returns the changes that were in effect too late.
 func lateChanges(seeds uint64, apply time.Duration, fault storeFault, share float64, zones ...int) []string {
+	return lateChangesOf(duty.TablesPlan(apply), seeds, apply, fault, share, zones...)
+}
+
+// lateChangesOf does so for a collection that is kept current by a plan.
+func lateChangesOf(plan duty.Plan, seeds uint64, apply time.Duration, fault storeFault, share float64, zones ...int) []string {
 	var failures []string
 	for seed := range seeds {
-		f := newFleet(seed, duty.TablesPlan(apply), zones...)
+		f := newFleet(seed, plan, zones...)
 		f.run(f.now.Add(5*time.Second + f.randomBelow(2*time.Second)))
 		f.injectFault(fault, share)
 		for change := range 3 {
@@ -328,6 +333,19 @@
 	}
 }
 
+// TestEvacuationAppliesInTimeWhileTheStoreRejectsWatchers guards against an evacuation that comes
+// into force too late because the watch that should have returned it is never answered. Nothing
+// but the watch itself shows the fault here; an entry also sees it in its reads of the tables.
+func TestEvacuationAppliesInTimeWhileTheStoreRejectsWatchers(t *testing.T) {
+	const bound = 5 * time.Second
+	for _, fault := range []storeFault{silent, busy} {
+		for _, zones := range [][]int{{3, 3, 2}, {10, 10, 10}} {
+			failures := lateChangesOf(duty.EvacuationsPlan(bound), 10, bound, fault, 0.38, zones...)
+			qt.Check(t, len(failures), qt.Equals, 0, qt.Commentf("%s, %v: %s", fault, zones, strings.Join(failures[:min(3, len(failures))], "; ")))
+		}
+	}
+}
+
 // TestOneReaderPerZone checks that, without faults, the number of calls to the store
 // does not grow with the number of entries.
 func TestOneReaderPerZone(t *testing.T) {
--- a/internal/duty/plan.go
+++ b/internal/duty/plan.go
@@ -16,8 +16,29 @@
 	maxWatchTimeout = 1100 * time.Millisecond
 	// maxProofAge bounds the age of the proof for the same reason.
 	maxProofAge = 2900 * time.Millisecond
+	// evacuationWatchShare is the watch timeout for evacuations as a fraction of the time
+	// within which one must be in effect. A watch returns as soon as there is one. If the
+	// response is lost, the rest is enough to notice that the call is overdue, and for
+	// another process to read the store and forward the change. A longer watch would save
+	// calls and miss the bound then.
+	evacuationWatchShare = 0.7
+	// evacuationProofMargin is added to two watch timeouts, the age of a proof in normal
+	// operation, to get the age at which each process reads the store itself.
+	evacuationProofMargin = time.Second
+	// defaultEvacuationBound applies while the settings name no bound.
+	defaultEvacuationBound = 5 * time.Second
 )
 
+// EvacuationsPlan returns the plan for evacuations of availability zones, which must be in
+// effect within bound.
+func EvacuationsPlan(bound time.Duration) Plan {
+	if bound <= 0 {
+		bound = defaultEvacuationBound
+	}
+	watchTimeout := time.Duration(evacuationWatchShare * float64(bound))
+	return Plan{WatchTimeout: watchTimeout, MaxProofAge: 2*watchTimeout + evacuationProofMargin}
+}
+
 // TablesPlan returns the plan for a collection whose changes must be in effect within
 // apply.
 func TablesPlan(apply time.Duration) Plan {
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -25,6 +25,9 @@
 	// agentHeartbeatEvery is the number of heartbeats to entries per heartbeat to
 	// agents.
 	agentHeartbeatEvery = 4
+	// agentCollections is the number of the first collections of which agents are told: those
+	// that they replicate.
+	agentCollections = 3
 	// maxPeerLoadAge is how long the load that another entry has reported is used.
 	maxPeerLoadAge = 1200 * time.Millisecond
 	// maxReadyProofAge is the age of the proof that the tables are current beyond which
@@ -236,6 +239,7 @@
 	if toAgents {
 		message.Loads, message.Hosts, message.ZoneLoads, message.LeavingBackends = nil, nil, nil, nil
 		message.Crashes, message.ClearedParts, message.PartRecords = nil, nil, nil
+		message.Collections = message.Collections[:min(len(message.Collections), agentCollections)]
 		zone := self.AvailabilityZone
 		if smallFleet {
 			zone = ""
@@ -277,7 +281,7 @@
 // updateReadiness recomputes whether this entry accepts requests. The caller holds mu.
 func (h *heartbeater) updateReadiness() {
 	table, age := h.view.tablesAndProofAge()
-	ready := table != nil && age <= maxReadyProofAge && !h.frontend.shutdown.hasBegun() && h.frontend.blockGate.hasRead(clock.Now())
+	ready := table != nil && age <= maxReadyProofAge && !h.frontend.shutdown.hasBegun() && h.frontend.blockGate.hasRead(clock.Now()) && h.frontend.knowsEvacuations(clock.Now())
 	if ready != h.ready {
 		h.log.WithFields(logrus.Fields{"ready": ready, "proof_age_ms": age.Milliseconds()}).Info("readiness changed")
 	}
@@ -329,6 +333,9 @@
 	h.recordReleaseAges(m)
 	h.puller.MessageReceived(ctx, m)
 	h.frontend.blockGate.messageReceived(m)
+	if gate := h.frontend.evacuationGate; gate != nil {
+		gate.messageReceived(m)
+	}
 }
 
 // recordLeavingEngine records that an engine leaves, if its agent reports it.
--- a/internal/relay/blockgate.go
+++ b/internal/relay/blockgate.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,8 +15,8 @@
 )
 
 const (
-	// maxBlocksWait bounds how long a request waits until this entry knows which parts are
-	// blocked, longer than peerNewsTimeout; blocksCheckInterval is the time between two
+	// maxBlocksWait bounds how long a request waits until this entry knows the collection,
+	// longer than peerNewsTimeout; blocksCheckInterval is the time between two
 	// checks.
 	maxBlocksWait       = 700 * time.Millisecond
 	blocksCheckInterval = 10 * time.Millisecond
@@ -27,13 +29,16 @@
 	reasonBlocksUnknown     = "blocks_unknown"
 )
 
-// blockGate holds back requests until this entry knows which parts the others have blocked:
-// after its start, and after a pause. It is safe for concurrent use.
+// blockGate holds back requests until this entry knows what the others know of a collection,
+// such as the parts that they have blocked: after its start, and after a pause. It is safe for
+// concurrent use.
 type blockGate struct {
+	// kind is the collection; empty for the blocked parts.
+	kind   platform.Kind
 	copies *copies.Copies
 	view   *view
 	// learnBy is when a starting entry serves requests although it could not read the
-	// blocked parts: the store is unavailable, and no other entry knows them.
+	// collection: the store is unavailable, and no other entry knows it.
 	learnBy time.Time
 
 	mu sync.Mutex
@@ -42,14 +47,14 @@
 }
 
 // messageReceived notes that a message of another entry was handled. It counts if its
-// sender had no newer copy of the blocked parts.
+// sender had no newer copy of the collection.
 func (g *blockGate) messageReceived(m *beat.Message) {
-	index := len(platform.Kinds) - 1
+	index := slices.Index(platform.Kinds, g.collection())
 	if m.ComposedAfter.IsZero() || len(m.Collections) <= index {
 		return
 	}
 	state := m.Collections[index]
-	if content := (replica.Revision{Era: state.Era, Number: state.Content}); state.Known && content.After(g.copies.CollectionState(platform.Blocks).Content) {
+	if content := (replica.Revision{Era: state.Era, Number: state.Content}); state.Known && content.After(g.copies.CollectionState(g.collection()).Content) {
 		return
 	}
 	g.mu.Lock()
@@ -59,13 +64,16 @@
 	}
 }
 
-// hasRead reports whether this entry has read the blocked parts since its start, from the
+// collection returns the collection that the gate waits for.
+func (g *blockGate) collection() platform.Kind { return cmp.Or(g.kind, platform.Blocks) }
+
+// hasRead reports whether this entry has read the collection since its start, from the
 // store or from another entry, or has given up.
 func (g *blockGate) hasRead(now time.Time) bool {
-	return !now.Before(g.learnBy) || g.copies.CollectionState(platform.Blocks).Known
+	return !now.Before(g.learnBy) || g.copies.CollectionState(g.collection()).Known
 }
 
-// isOpen reports whether this entry knows the blocked parts. It returns false if it has just
+// isOpen reports whether this entry knows the collection. It returns false if it has just
 // started or was paused, and has not learned them since.
 func (g *blockGate) isOpen(now time.Time) bool {
 	if !g.hasRead(now) {
--- a/internal/relay/blocks_test.go
+++ b/internal/relay/blocks_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -136,7 +137,7 @@
 	c.Assert(gate.isOpen(now), qt.IsFalse)
 	message := func(content int64, composed time.Time) *beat.Message {
 		states := make([]beat.CollectionState, len(platform.Kinds))
-		states[len(states)-1] = beat.CollectionState{Known: true, Content: content}
+		states[slices.Index(platform.Kinds, platform.Blocks)] = beat.CollectionState{Known: true, Content: content}
 		return &beat.Message{Collections: states, ComposedAfter: composed}
 	}
 	gate.messageReceived(message(0, now.Add(-time.Millisecond)))
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -81,10 +81,11 @@
 // shortest watch timeout, and another entry becomes the watcher of all collections.
 func newPlans(bounds platform.Bounds) map[platform.Kind]copies.Plan {
 	return map[platform.Kind]copies.Plan{
-		platform.Tables:   {Plan: duty.TablesPlan(bounds.ConfigApplyTime), CheckInterval: dutyCheckInterval, BatchDelay: 100 * time.Millisecond},
-		platform.Backends: {Plan: duty.Plan{WatchTimeout: backendsWatchTimeout, MaxProofAge: 4 * time.Second}, CheckInterval: dutyCheckInterval, BatchDelay: 350 * time.Millisecond},
-		platform.Releases: {Plan: duty.Plan{WatchTimeout: releasesWatchTimeout, MaxProofAge: 8 * time.Second}, CheckInterval: dutyCheckInterval, BatchDelay: 100 * time.Millisecond},
-		platform.Blocks:   {Plan: duty.Plan{WatchTimeout: blocksWatchTimeout, MaxProofAge: 3 * blocksWatchTimeout}, CheckInterval: dutyCheckInterval, BatchDelay: 350 * time.Millisecond},
+		platform.Tables:      {Plan: duty.TablesPlan(bounds.ConfigApplyTime), CheckInterval: dutyCheckInterval, BatchDelay: 100 * time.Millisecond},
+		platform.Backends:    {Plan: duty.Plan{WatchTimeout: backendsWatchTimeout, MaxProofAge: 4 * time.Second}, CheckInterval: dutyCheckInterval, BatchDelay: 350 * time.Millisecond},
+		platform.Releases:    {Plan: duty.Plan{WatchTimeout: releasesWatchTimeout, MaxProofAge: 8 * time.Second}, CheckInterval: dutyCheckInterval, BatchDelay: 100 * time.Millisecond},
+		platform.Evacuations: {Plan: duty.EvacuationsPlan(bounds.EvacuateTime), CheckInterval: dutyCheckInterval, BatchDelay: 100 * time.Millisecond},
+		platform.Blocks:      {Plan: duty.Plan{WatchTimeout: blocksWatchTimeout, MaxProofAge: 3 * blocksWatchTimeout}, CheckInterval: dutyCheckInterval, BatchDelay: 350 * time.Millisecond},
 	}
 }
 
@@ -171,16 +172,18 @@
 	e.metrics.Gauge("tables_proof_age_seconds", "Age of the proof that the tables are current.", func() float64 { return e.view.proofAge().Seconds() })
 	registerNoticeGauges(e.metrics, e.scheduler)
 	registerBlockGauges(e.metrics, e.blocker)
+	registerEvacuationGauge(e.metrics, e.scheduler)
 	store := platform.NewStoreClient(s.StoreAddress, newStoreTransport())
 	store.OnCall = func(method string, kind platform.Kind) { counts.storeCalls.WithLabelValues(method, string(kind)).Inc() }
 	e.copies = copies.New(copies.Config{
-		Store: store, Plans: newPlans(s.Bounds), Log: log, ShouldWatch: e.heartbeats.shouldWatch, ListRank: e.heartbeats.listRank, StoreAvailabilityChanged: e.heartbeats.triggerSend,
+		Store: store, Plans: newPlans(s.Bounds), Kinds: entryKinds(s.Bounds), Log: log, ShouldWatch: e.heartbeats.shouldWatch, ListRank: e.heartbeats.listRank, StoreAvailabilityChanged: e.heartbeats.triggerSend,
 		Changed: func(kind platform.Kind) {
 			e.view.handleChange(kind)
 			e.heartbeats.triggerSend()
 		},
 	})
 	e.view.copies, e.heartbeats.copies, e.frontend.blockGate.copies = e.copies, e.copies, e.copies
+	e.frontend.evacuationGate = newEvacuationGate(s.Bounds, e.view, e.copies)
 	e.saver = newBlockSaver(e.blocker, e.copies, store, e.heartbeats.blockRank, log)
 	e.blocker.decided, e.blocker.claimTrial, e.blocker.turn = e.heartbeats.announceBlocks, e.saver.claimTrial, e.heartbeats.blockRank
 	e.metrics.Gauge("store_era", "Latest era of the store's revisions that this process knows of; it rises when the store is restored from an older copy.", func() float64 { return float64(e.copies.Era()) })
--- a/internal/relay/frontend.go
+++ b/internal/relay/frontend.go
@@ -39,9 +39,11 @@
 	scheduler *scheduler
 	blocker   *blocker
 	blockGate *blockGate
-	sender    *sender
-	log       *logrus.Entry
-	metrics   *frontendMetrics
+	// evacuationGate is nil where the platform requests no evacuations.
+	evacuationGate *blockGate
+	sender         *sender
+	log            *logrus.Entry
+	metrics        *frontendMetrics
 	// zone is this entry's availability zone.
 	zone string
 	// returningCallers detects callers that retry after a rejection.
@@ -75,23 +77,24 @@
 }
 
 var remedies = map[string]string{
-	"no_tables":         "come back after the time in Retry-After",
-	"stale_tables":      "come back after the time in Retry-After",
-	"no_route":          "check the host and the path against the table of routes",
-	"unknown_key":       "send a key that a customer holds",
-	"body_too_big":      "send a smaller body",
-	"body_too_slow":     "send the body without pauses",
-	"bad_target":        "send the path of the request, not a whole URL",
-	reasonNoHome:        "come back after the time in Retry-After; see whether the home regions of the route and the customer have instances",
-	reasonInstancesWait: "come back after the time in Retry-After",
-	reasonBlocksUnknown: "come back after the time in Retry-After",
-	reasonBlocked:       "send the prompt without the part that crashes instances, or ask the operators to lift the block",
-	reasonLeaving:       "send the request to another entry",
-	reasonSuspected:     "come back after the time in Retry-After",
-	"overload":          "come back after the time in Retry-After",
-	"no_instance":       "come back after the time in Retry-After",
-	"unknown":           "the request may have run; ask before it is sent again",
-	"timeout":           "the request may have run; ask before it is sent again",
+	"no_tables":              "come back after the time in Retry-After",
+	"stale_tables":           "come back after the time in Retry-After",
+	"no_route":               "check the host and the path against the table of routes",
+	"unknown_key":            "send a key that a customer holds",
+	"body_too_big":           "send a smaller body",
+	"body_too_slow":          "send the body without pauses",
+	"bad_target":             "send the path of the request, not a whole URL",
+	reasonNoHome:             "come back after the time in Retry-After; see whether the home regions of the route and the customer have instances",
+	reasonInstancesWait:      "come back after the time in Retry-After",
+	reasonBlocksUnknown:      "come back after the time in Retry-After",
+	reasonEvacuationsUnknown: "come back after the time in Retry-After",
+	reasonBlocked:            "send the prompt without the part that crashes instances, or ask the operators to lift the block",
+	reasonLeaving:            "send the request to another entry",
+	reasonSuspected:          "come back after the time in Retry-After",
+	"overload":               "come back after the time in Retry-After",
+	"no_instance":            "come back after the time in Retry-After",
+	"unknown":                "the request may have run; ask before it is sent again",
+	"timeout":                "the request may have run; ask before it is sent again",
 }
 
 // ServeHTTP implements http.Handler.
@@ -185,6 +188,9 @@
 	if refused := x.admitWhileStopping(); refused != nil {
 		return refused
 	}
+	if refused := x.admitZones(); refused != nil {
+		return refused
+	}
 	if refused := x.admitParts(); refused != nil {
 		return refused
 	}
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -114,6 +114,8 @@
 		v.decodeReleases()
 	case platform.Blocks:
 		v.decodeBlocks()
+	case platform.Evacuations:
+		v.decodeEvacuations()
 	}
 }
 
