--- a/internal/relay/evacuation_test.go
+++ b/internal/relay/evacuation_test.go
@@ -116,8 +116,11 @@
 	go func() { _, _, _ = f.get(homesRoute) }()
 	<-begun
 	f.evacuate("z2")
-	f.listZones(1, 2, 3)
+	f.listZones(1, 2)
 	close(release)
+	time.Sleep(200 * time.Millisecond)
+	c.Assert(f.arrived[1].Load(), qt.Equals, int64(0))
+	f.listZones(1, 2, 3)
 	waitUntil(c, func() bool { return f.arrived[2].Load() == 1 })
 	c.Assert(f.arrived[1].Load(), qt.Equals, int64(0))
 }
@@ -156,6 +159,22 @@
 	c.Assert(gate.isOpen(now), qt.IsTrue)
 }
 
+// TestEntryReadsEvacuationsOnlyWhereRequested guards against store calls and larger messages in
+// deployments without evacuations, and against an entry that does not wait for them elsewhere.
+func TestEntryReadsEvacuationsOnlyWhereRequested(t *testing.T) {
+	c := qt.New(t)
+	log := newTestBlocker().log
+	for _, bound := range []time.Duration{0, 5 * time.Second} {
+		socket, err := beat.Open("127.0.0.1", 0, log)
+		c.Assert(err, qt.IsNil)
+		e, err := newEntry(platform.Settings{IP: "127.0.0.1", Bounds: platform.Bounds{EvacuateTime: bound, ConfigApplyTime: 2 * time.Second}}, socket, log)
+		c.Assert(err, qt.IsNil)
+		states := len(copies.CollectionStates(e.copies))
+		c.Assert(states, qt.Equals, map[bool]int{false: len(platform.Kinds) - 1, true: len(platform.Kinds)}[bound > 0])
+		c.Assert(e.frontend.evacuationGate != nil, qt.Equals, bound > 0)
+	}
+}
+
 // TestWatcherAppliesEvacuationFromTheStore guards against evacuations that are read late or only
 // in part, that end when the store becomes unavailable, and that a deployment without them
 // reads.
