--- a/internal/relay/blockgate.go
+++ b/internal/relay/blockgate.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"plantainrelay/internal/beat"
@@ -40,6 +41,9 @@
 	// learnBy is when a starting entry serves requests although it could not read the
 	// collection: the store is unavailable, and no other entry knows it.
 	learnBy time.Time
+	// applied is set once the collection has been decoded and is in force, which is shortly
+	// after it was read; nil if reading it is enough.
+	applied *atomic.Bool
 
 	mu sync.Mutex
 	// heardAt is the latest time at which another entry knew no more than this one.
@@ -70,7 +74,10 @@
 // hasRead reports whether this entry has read the collection since its start, from the
 // store or from another entry, or has given up.
 func (g *blockGate) hasRead(now time.Time) bool {
-	return !now.Before(g.learnBy) || g.copies.CollectionState(g.collection()).Known
+	if !now.Before(g.learnBy) || g.applied != nil && g.applied.Load() {
+		return true
+	}
+	return g.applied == nil && g.copies.CollectionState(g.collection()).Known
 }
 
 // isOpen reports whether this entry knows the collection. It returns false if it has just
--- a/internal/relay/evacuation.go
+++ b/internal/relay/evacuation.go
@@ -36,7 +36,7 @@
 	if bounds.EvacuateTime <= 0 {
 		return nil
 	}
-	return &blockGate{kind: platform.Evacuations, copies: copies, view: view, learnBy: clock.Now().Add(bounds.StableTime)}
+	return &blockGate{kind: platform.Evacuations, copies: copies, view: view, applied: &view.evacuationsApplied, learnBy: clock.Now().Add(bounds.StableTime)}
 }
 
 // knowsEvacuations reports whether this entry has read the evacuations since its start, if there
@@ -60,6 +60,7 @@
 	snapshot, now := v.copies.Snapshot(platform.Evacuations), clock.Now()
 	zones := platform.DecodeEvacuations(snapshot.Documents)
 	last := v.scheduler.setEvacuated(zones)
+	v.evacuationsApplied.Store(true)
 	if slices.Equal(zones, last) {
 		return
 	}
--- a/internal/relay/evacuation_test.go
+++ b/internal/relay/evacuation_test.go
@@ -144,6 +144,13 @@
 	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(body, qt.Contains, reasonEvacuationsUnknown)
 	c.Assert(response.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	// What was read comes into force only when it is decoded.
+	held := copies.New(copies.Config{Log: f.frontend.log, Changed: func(platform.Kind) {}})
+	f.frontend.evacuationGate.copies, view.copies = held, held
+	f.evacuate()
+	c.Assert(held.CollectionState(platform.Evacuations).Known, qt.IsTrue)
+	c.Assert(f.frontend.evacuationGate.isOpen(clock.Now()), qt.IsFalse)
+	f.frontend.evacuationGate.copies, view.copies = h.copies, h.copies
 	f.evacuate()
 	c.Assert(h.isReady(), qt.IsTrue)
 	response, _, err = f.get(homesRoute)
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -26,6 +26,8 @@
 	log       *logrus.Entry
 	active    atomic.Pointer[activeTables]
 	releases  atomic.Pointer[placement.Releases]
+	// evacuationsApplied means that the evacuations were read once and are in force.
+	evacuationsApplied atomic.Bool
 	// onRelease is called for each release that was published after this process had
 	// started.
 	onRelease func(catalog.Release)
