--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -29,6 +29,8 @@
 	// Engine returns the description of the engines of a pool, nil for pools of
 	// plain services.
 	Engine func(pool string) *catalog.Engine
+	// Regions maps availability zones to regions.
+	Regions map[string]string
 }
 
 const (
@@ -174,14 +176,18 @@
 	entries         []string
 	self            string
 	entriesRevision int
-	random          *rand.Rand
-	lastTicket      uint64
+	// evacuations holds the evacuations by availability zone, evacuatedAt when the last one
+	// came into force.
+	evacuations map[string]evacuation
+	evacuatedAt time.Time
+	random      *rand.Rand
+	lastTicket  uint64
 }
 
 // New returns a Fleet without instances.
 func New(config Config) *Fleet {
 	return &Fleet{
-		config: config, instances: map[string]*instance{}, byHost: map[string]*instance{}, reports: map[string]receivedReport{}, notices: map[InstanceStart]*notice{}, latestStart: map[string]int64{}, ownAttempts: map[uint64]*ownAttempt{}, zoneLoads: map[string]receivedZoneLoads{},
+		config: config, instances: map[string]*instance{}, byHost: map[string]*instance{}, reports: map[string]receivedReport{}, notices: map[InstanceStart]*notice{}, latestStart: map[string]int64{}, ownAttempts: map[uint64]*ownAttempt{}, zoneLoads: map[string]receivedZoneLoads{}, evacuations: map[string]evacuation{},
 		random: rand.New(rand.NewPCG(config.Seed, config.Seed+1)),
 	}
 }
@@ -376,6 +382,10 @@
 	AvoidSwitch bool
 	// Tried holds the IDs of the instances to which the request was sent already.
 	Tried map[string]bool
+	// Regions holds the only regions in which the request may be served if
+	// RegionsRestricted is set.
+	Regions           []string
+	RegionsRestricted bool
 }
 
 // Choice is the instance chosen for one attempt.
@@ -539,7 +549,7 @@
 		}
 	}
 	if mean, known := f.zoneLoad(inst, now); known {
-		total = max(total, mean.PendingPromptTokens)
+		total = f.withZoneMean(inst.AvailabilityZone, total, mean.PendingPromptTokens)
 	}
 	return total
 }
@@ -595,7 +605,7 @@
 
 // accepts reports whether the instance belongs to the pool and still accepts requests.
 func (f *Fleet) accepts(inst *instance, need Requirements) bool {
-	if inst.Pool != need.Pool || inst.Leaving || inst.addressReused || inst.saysLeaving() {
+	if inst.Pool != need.Pool || inst.Leaving || inst.addressReused || inst.saysLeaving() || !f.AllowsZone(inst.AvailabilityZone, need) {
 		return false
 	}
 	// A list entry may belong to an earlier start at this address.
@@ -640,7 +650,7 @@
 		}
 	}
 	if mean, known := f.zoneLoad(inst, now); known {
-		load = max(load, int(math.Round(mean.Utilization*float64(f.limit(inst)))))
+		load = f.withZoneMean(inst.AvailabilityZone, load, int(math.Round(mean.Utilization*float64(f.limit(inst)))))
 	}
 	return load
 }
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -25,6 +25,9 @@
 	// agentHeartbeatEvery is the number of heartbeats to entries per heartbeat to
 	// agents.
 	agentHeartbeatEvery = 4
+	// agentCollections is the number of the first collections of which agents are told: those
+	// that they replicate.
+	agentCollections = 3
 	// maxPeerLoadAge is how long the load that another entry has reported is used.
 	maxPeerLoadAge = 1200 * time.Millisecond
 	// maxReadyProofAge is the age of the proof that the tables are current beyond which
@@ -60,11 +63,17 @@
 	// update; placed receives a value when a request has been placed.
 	loadChanges chan string
 	placed      chan struct{}
+	// regions maps availability zones to regions.
+	regions map[string]string
 
 	mu        sync.Mutex
 	directory *peers.Directory
 	sequence  uint64
 	ready     bool
+	// noHomeAnswers counts the answers of the address directory without an entry in an
+	// allowed region since noHomeLoggedAt, when this was last logged.
+	noHomeAnswers  int
+	noHomeLoggedAt time.Time
 }
 
 // Run sends and receives until ctx ends.
@@ -230,6 +239,7 @@
 	if toAgents {
 		message.Loads, message.Hosts, message.ZoneLoads, message.LeavingBackends = nil, nil, nil, nil
 		message.Crashes, message.ClearedParts, message.PartRecords = nil, nil, nil
+		message.Collections = message.Collections[:min(len(message.Collections), agentCollections)]
 		zone := self.AvailabilityZone
 		if smallFleet {
 			zone = ""
@@ -271,7 +281,7 @@
 // updateReadiness recomputes whether this entry accepts requests. The caller holds mu.
 func (h *heartbeater) updateReadiness() {
 	table, age := h.view.tablesAndProofAge()
-	ready := table != nil && age <= maxReadyProofAge && !h.frontend.shutdown.hasBegun() && h.frontend.blockGate.hasRead(clock.Now())
+	ready := table != nil && age <= maxReadyProofAge && !h.frontend.shutdown.hasBegun() && h.frontend.blockGate.hasRead(clock.Now()) && h.frontend.knowsEvacuations(clock.Now())
 	if ready != h.ready {
 		h.log.WithFields(logrus.Fields{"ready": ready, "proof_age_ms": age.Milliseconds()}).Info("readiness changed")
 	}
@@ -299,10 +309,10 @@
 		return
 	}
 	h.mu.Lock()
-	current, isNew := h.directory.RecordMessage(peers.Entry{
+	current, isNew := h.directory.RecordMessage(h.withRegion(peers.Entry{
 		Instance: m.Instance, Host: m.Host, AvailabilityZone: m.AvailabilityZone, FrontAddress: m.FrontAddress,
 		Start: m.Start, Sequence: m.Sequence, Ready: m.Ready, Leaving: m.Leaving, StoreUnavailable: m.StoreUnavailable,
-	}, now)
+	}), now)
 	loadsCurrent := current && h.directory.AcceptLoads(m.Host, m.Start, m.Sequence)
 	h.directory.AddCandidates(m.Hosts, clock.Now())
 	h.mu.Unlock()
@@ -323,6 +333,9 @@
 	h.recordReleaseAges(m)
 	h.puller.MessageReceived(ctx, m)
 	h.frontend.blockGate.messageReceived(m)
+	if gate := h.frontend.evacuationGate; gate != nil {
+		gate.messageReceived(m)
+	}
 }
 
 // recordLeavingEngine records that an engine leaves, if its agent reports it.
@@ -369,15 +382,6 @@
 	return h.directory.ListRank(string(kind), clock.Now())
 }
 
-// frontAddresses returns the entry addresses to hand out to a caller in an availability
-// zone.
-func (h *heartbeater) frontAddresses(zone string) []string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.updateReadiness()
-	return h.directory.FrontAddresses(zone, platform.MaxAddresses, clock.Now())
-}
-
 // zoneHosts returns the hosts of the entries in an availability zone, or of all entries
 // when the zone has none.
 func (h *heartbeater) zoneHosts(zone string) []string {
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -79,10 +79,11 @@
 // shortest watch timeout, and another entry becomes the watcher of all collections.
 func newPlans(bounds platform.Bounds) map[platform.Kind]copies.Plan {
 	return map[platform.Kind]copies.Plan{
-		platform.Tables:   {Plan: duty.TablesPlan(bounds.ConfigApplyTime), CheckInterval: dutyCheckInterval, BatchDelay: 100 * time.Millisecond},
-		platform.Backends: {Plan: duty.Plan{WatchTimeout: backendsWatchTimeout, MaxProofAge: 4 * time.Second}, CheckInterval: dutyCheckInterval, BatchDelay: 350 * time.Millisecond},
-		platform.Releases: {Plan: duty.Plan{WatchTimeout: releasesWatchTimeout, MaxProofAge: 8 * time.Second}, CheckInterval: dutyCheckInterval, BatchDelay: 100 * time.Millisecond},
-		platform.Blocks:   {Plan: duty.Plan{WatchTimeout: blocksWatchTimeout, MaxProofAge: 3 * blocksWatchTimeout}, CheckInterval: dutyCheckInterval, BatchDelay: 350 * time.Millisecond},
+		platform.Tables:      {Plan: duty.TablesPlan(bounds.ConfigApplyTime), CheckInterval: dutyCheckInterval, BatchDelay: 100 * time.Millisecond},
+		platform.Backends:    {Plan: duty.Plan{WatchTimeout: backendsWatchTimeout, MaxProofAge: 4 * time.Second}, CheckInterval: dutyCheckInterval, BatchDelay: 350 * time.Millisecond},
+		platform.Releases:    {Plan: duty.Plan{WatchTimeout: releasesWatchTimeout, MaxProofAge: 8 * time.Second}, CheckInterval: dutyCheckInterval, BatchDelay: 100 * time.Millisecond},
+		platform.Evacuations: {Plan: duty.EvacuationsPlan(bounds.EvacuateTime), CheckInterval: dutyCheckInterval, BatchDelay: 100 * time.Millisecond},
+		platform.Blocks:      {Plan: duty.Plan{WatchTimeout: blocksWatchTimeout, MaxProofAge: 3 * blocksWatchTimeout}, CheckInterval: dutyCheckInterval, BatchDelay: 350 * time.Millisecond},
 	}
 }
 
@@ -160,7 +161,7 @@
 	e.scheduler = newScheduler(placement.New(placement.Config{
 		AvailabilityZone: s.AvailabilityZone, MaxPeerLoadAge: maxPeerLoadAge,
 		FailureBackoff: 500 * time.Millisecond, MaxFailureBackoff: 6 * time.Second, Seed: uint64(start),
-		Engine: func(pool string) *catalog.Engine { return e.view.engine(pool) },
+		Engine: func(pool string) *catalog.Engine { return e.view.engine(pool) }, Regions: s.Regions,
 	}), newRetryLimits(s.Bounds))
 	e.scheduler.retrySlackFrom = clock.Now().Add(s.Bounds.RetryWindow)
 	e.blocker = newBlocker(log, counts.blocks)
@@ -169,22 +170,24 @@
 	e.frontend = &frontend{view: e.view, scheduler: e.scheduler, blocker: e.blocker, blockGate: &blockGate{view: e.view, learnBy: clock.Now().Add(s.Bounds.StableTime)}, sender: newSender(), log: log, metrics: counts, zone: s.AvailabilityZone, returningCallers: newReturningCallerDetector(), shutdown: newShutdown()}
 	e.frontend.setBounds(s.Bounds)
 	e.limitClients(s, log)
-	e.heartbeats = &heartbeater{socket: socket, view: e.view, scheduler: e.scheduler, frontend: e.frontend, log: log, start: start, sendNow: make(chan struct{}, 1), loadChanges: make(chan string, maxPendingLoadChanges), placed: make(chan struct{}, 1)}
+	e.heartbeats = &heartbeater{socket: socket, view: e.view, scheduler: e.scheduler, frontend: e.frontend, log: log, start: start, regions: s.Regions, sendNow: make(chan struct{}, 1), loadChanges: make(chan string, maxPendingLoadChanges), placed: make(chan struct{}, 1)}
 	e.scheduler.loadChanged = e.heartbeats.recordLoadChange
 	e.scheduler.backendExpired, e.scheduler.minVersion = e.view.backendExpired, e.view.minVersion
 	e.metrics.Gauge("tables_proof_age_seconds", "Age of the proof that the tables are current.", func() float64 { return e.view.proofAge().Seconds() })
 	registerNoticeGauges(e.metrics, e.scheduler)
 	registerBlockGauges(e.metrics, e.blocker)
+	registerEvacuationGauge(e.metrics, e.scheduler)
 	store := platform.NewStoreClient(s.StoreAddress, newStoreTransport())
 	store.OnCall = func(method string, kind platform.Kind) { counts.storeCalls.WithLabelValues(method, string(kind)).Inc() }
 	e.copies = copies.New(copies.Config{
-		Store: store, Plans: newPlans(s.Bounds), Log: log, ShouldWatch: e.heartbeats.shouldWatch, ListRank: e.heartbeats.listRank, StoreAvailabilityChanged: e.heartbeats.triggerSend,
+		Store: store, Plans: newPlans(s.Bounds), Kinds: entryKinds(s.Bounds), Log: log, ShouldWatch: e.heartbeats.shouldWatch, ListRank: e.heartbeats.listRank, StoreAvailabilityChanged: e.heartbeats.triggerSend,
 		Changed: func(kind platform.Kind) {
 			e.view.handleChange(kind)
 			e.heartbeats.triggerSend()
 		},
 	})
 	e.view.copies, e.heartbeats.copies, e.frontend.blockGate.copies = e.copies, e.copies, e.copies
+	e.frontend.evacuationGate = newEvacuationGate(s.Bounds, e.view, e.copies)
 	e.saver = newBlockSaver(e.blocker, e.copies, store, e.heartbeats.blockRank, log)
 	e.blocker.decided, e.blocker.claimTrial, e.blocker.turn = e.heartbeats.announceBlocks, e.saver.claimTrial, e.heartbeats.blockRank
 	e.metrics.Gauge("store_era", "Latest era of the store's revisions that this process knows of; it rises when the store is restored from an older copy.", func() float64 { return float64(e.copies.Era()) })
@@ -284,19 +287,3 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
-
-func (e *entry) serveAddresses(w http.ResponseWriter, r *http.Request) {
-	addresses := e.heartbeats.frontAddresses(platform.CallerZone(r.URL.Query()))
-	if len(addresses) == 0 {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	raw, err := platform.EncodeAddresses(addresses, e.addressTTL)
-	if err != nil {
-		w.WriteHeader(http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	// An error means that the caller has disconnected and needs no response.
-	_, _ = w.Write(raw)
-}
--- a/internal/relay/frontend.go
+++ b/internal/relay/frontend.go
@@ -56,9 +56,11 @@
 	scheduler *scheduler
 	blocker   *blocker
 	blockGate *blockGate
-	sender    *sender
-	log       *logrus.Entry
-	metrics   *frontendMetrics
+	// evacuationGate is nil where the platform requests no evacuations.
+	evacuationGate *blockGate
+	sender         *sender
+	log            *logrus.Entry
+	metrics        *frontendMetrics
 	// zone is this entry's availability zone.
 	zone string
 	// returningCallers detects callers that retry after a rejection.
@@ -96,23 +98,25 @@
 }
 
 var remedies = map[string]string{
-	"no_tables":         "come back after the time in Retry-After",
-	"stale_tables":      "come back after the time in Retry-After",
-	"no_route":          "check the host and the path against the table of routes",
-	"unknown_key":       "send a key that a customer holds",
-	"body_too_big":      "send a smaller body",
-	"body_too_slow":     "send the body without pauses",
-	"bad_target":        "send the path of the request, not a whole URL",
-	reasonInstancesWait: "come back after the time in Retry-After",
-	reasonBlocksUnknown: "come back after the time in Retry-After",
-	reasonBlocked:       "send the prompt without the part that crashes instances, or ask the operators to lift the block",
-	reasonLeaving:       "send the request to another entry",
-	reasonSuspected:     "come back after the time in Retry-After",
-	"overload":          "come back after the time in Retry-After",
-	"no_instance":       "come back after the time in Retry-After",
-	reasonNoMemory:      "come back after the time in Retry-After",
-	"unknown":           "the request may have run; ask before it is sent again",
-	"timeout":           "the request may have run; ask before it is sent again",
+	"no_tables":              "come back after the time in Retry-After",
+	"stale_tables":           "come back after the time in Retry-After",
+	"no_route":               "check the host and the path against the table of routes",
+	"unknown_key":            "send a key that a customer holds",
+	"body_too_big":           "send a smaller body",
+	"body_too_slow":          "send the body without pauses",
+	"bad_target":             "send the path of the request, not a whole URL",
+	reasonNoHome:             "come back after the time in Retry-After; see whether the home regions of the route and the customer have instances",
+	reasonInstancesWait:      "come back after the time in Retry-After",
+	reasonBlocksUnknown:      "come back after the time in Retry-After",
+	reasonEvacuationsUnknown: "come back after the time in Retry-After",
+	reasonBlocked:            "send the prompt without the part that crashes instances, or ask the operators to lift the block",
+	reasonLeaving:            "send the request to another entry",
+	reasonSuspected:          "come back after the time in Retry-After",
+	"overload":               "come back after the time in Retry-After",
+	"no_instance":            "come back after the time in Retry-After",
+	reasonNoMemory:           "come back after the time in Retry-After",
+	"unknown":                "the request may have run; ask before it is sent again",
+	"timeout":                "the request may have run; ask before it is sent again",
 }
 
 // ServeHTTP implements http.Handler.
@@ -326,7 +330,10 @@
 		x.model, x.parts = engine.Model, x.call.SharedParts
 	}
 	x.setDeadline()
-	return x.admitWhileStopping()
+	if refused := x.admitWhileStopping(); refused != nil {
+		return refused
+	}
+	return x.admitZones()
 }
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
@@ -412,6 +419,11 @@
 	if len(x.attempts) > 0 {
 		fields["attempts"] = x.attempts
 	}
+	if x.route != nil {
+		if homes, restricted := x.homes(x.table); restricted {
+			fields["home_regions"] = homes
+		}
+	}
 	if x.wasInterrupted() && len(x.call.SharedParts) > 0 {
 		fields["shared_parts"] = x.call.SharedParts
 	}
