--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -51,7 +51,7 @@
 	// hold yet before it answers that it is busy. It ends before fetchTimeout: a depot that
 	// does not answer counts as gone, and its callers then turn to the origin, whose link is
 	// too narrow for more than one copy of a chunk.
-	answerTimeout = 400 * time.Millisecond
+	answerTimeout = 1200 * time.Millisecond
 	// callTimeout is the timeout of a call that carries no chunk.
 	callTimeout = 1200 * time.Millisecond
 	// AgentShare and EntryShare are the fractions of a link that uploads may use.
@@ -66,7 +66,7 @@
 	// maxOriginFetches limits the concurrent fetches of one depot from the origin,
 	// maxOriginFetchers the depots that fetch from it: the origin accepts a few
 	// dozen connections and resets any more.
-	maxOriginFetches  = 2
+	maxOriginFetches  = 3
 	maxOriginFetchers = 8
 )
 
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -60,7 +60,7 @@
 	entryTimeout = 6 * time.Second
 	// maxInFlight limits concurrent chunk fetches: a chunk takes about 35 ms of the
 	// instance's link, which it shares with the engine's requests.
-	maxInFlight = 2
+	maxInFlight = 3
 	// metricsPort serves /metrics. deploy/system.toml names the same port.
 	metricsPort = "9102"
 	// leaveDelay is how long a stopped agent still answers its peers.
