Placement: entries divide the requests that cold instances accept

An instance that has started, or slowed down, a short time ago accepts few requests per second from all entries together and crashes when it gets many more. The limit comes from ColdS and ColdPerS of a pool, the remaining time from ColdLeftMs of a list entry, the bound from ColdOvershoot and ColdSlack of the settings; pools without them are as before. Fleet.MarkCold marks the instances of a zone that comes back.

Each test in cold_test.go was seen failing without the rule that it guards. In the tests with 1 to 66 entries, with two and three parts that do not hear each other, and with an entry that is paused, no second has more than 18 requests.

--- a/internal/catalog/backend.go
+++ b/internal/catalog/backend.go
@@ -1,5 +1,11 @@
 package catalog
 
+import (
+	"time"
+
+	"plantainrelay/internal/replica"
+)
+
 // Backend is one backend server instance in the platform's list.
 type Backend struct {
 	// ID changes with most restarts; Start is the start time in Unix milliseconds.
@@ -15,6 +21,12 @@
 	Leaving bool
 	// LoadedVersions holds the versions of the completely loaded weights, by model.
 	LoadedVersions map[string]int64
+	// ColdLeft is how long the instance is still cold, as its list entry says; ColdReported is
+	// false if the entry does not say it. The entry was written some time before it was read.
+	ColdLeft     time.Duration
+	ColdReported bool
+	// ListRevision is the revision of the list entry.
+	ListRevision replica.Revision
 }
 
 // Release names the target version of a model's weights.
--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -122,6 +122,10 @@
 	OriginZone string
 	// Engine is set for pools of model engines.
 	Engine *Engine
+	// ColdTime is how long an instance is cold after its start, and ColdRequestsPerSecond the
+	// rate of requests that it accepts then; 0 if instances of the pool are never cold.
+	ColdTime              time.Duration
+	ColdRequestsPerSecond float64
 }
 
 // Limits bounds what a caller may send. Time limits are not part of it: the
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -29,6 +29,10 @@
 	// Engine returns the description of the engines of a pool, nil for pools of
 	// plain services.
 	Engine func(pool string) *catalog.Engine
+	// ColdLimit returns the limit on requests to cold instances of a pool, the zero value for
+	// none. ColdBound is the bound that the limit has to keep.
+	ColdLimit func(pool string) ColdLimit
+	ColdBound ColdBound
 }
 
 const (
@@ -148,6 +152,8 @@
 	servedVersion  int64
 	availableSince time.Time
 	share          entryShare
+	// cold is nil in pools without a limit on cold instances.
+	cold *coldState
 }
 
 // Fleet holds the state of all instances. It is not safe for concurrent use.
@@ -176,12 +182,20 @@
 	entriesRevision int
 	random          *rand.Rand
 	lastTicket      uint64
+	// coldStates holds what is known of starts that may be cold. It outlives their list
+	// entries. coldZones holds the zones that were marked as cold.
+	coldStates       map[InstanceStart]*coldState
+	coldZones        map[string]time.Time
+	coldUnknownUntil time.Time
+	coldSends        int
+	sharers          sharers
 }
 
 // New returns a Fleet without instances.
 func New(config Config) *Fleet {
 	return &Fleet{
 		config: config, instances: map[string]*instance{}, byHost: map[string]*instance{}, reports: map[string]receivedReport{}, notices: map[InstanceStart]*notice{}, latestStart: map[string]int64{}, ownAttempts: map[uint64]*ownAttempt{}, zoneLoads: map[string]receivedZoneLoads{},
+		coldStates: map[InstanceStart]*coldState{}, coldZones: map[string]time.Time{}, sharers: newColdSharers(),
 		random: rand.New(rand.NewPCG(config.Seed, config.Seed+1)),
 	}
 }
@@ -195,6 +209,8 @@
 	Leaving ChangeKind = "leaving"
 	Lapsed  ChangeKind = "lapsed"
 	Gone    ChangeKind = "gone"
+	Cold    ChangeKind = "cold"
+	Warm    ChangeKind = "warm"
 )
 
 // Change is a change in the known state of an instance.
@@ -202,6 +218,8 @@
 	ID   string
 	Pool string
 	Kind ChangeKind
+	// ColdLeft is how long an instance that has become cold counts as cold.
+	ColdLeft time.Duration
 }
 
 // SetList applies the platform's instance list and returns the changes. List
@@ -212,15 +230,16 @@
 	listed := map[string]bool{}
 	var changes []Change
 	// Other entries may use the instances of the first list already.
-	availableSince := now
-	if !f.listed {
+	availableSince, isFirstList := now, !f.listed
+	if isFirstList {
 		availableSince = time.Time{}
 	}
 	f.listed = true
 	for _, backend := range backends {
 		listed[backend.ID] = true
 		inst := f.instances[backend.ID]
-		if inst == nil || !isSameStart(inst.Backend, backend) {
+		isNew := inst == nil || !isSameStart(inst.Backend, backend)
+		if isNew {
 			inst = f.newInstance(backend)
 			f.instances[backend.ID] = inst
 			changes = append(changes, Change{ID: backend.ID, Pool: backend.Pool, Kind: Joined})
@@ -233,6 +252,7 @@
 			inst.lastReport = report.AgentReport
 		}
 		f.updateAvailability(inst, availableSince)
+		f.updateCold(inst, isNew && !isFirstList, now)
 	}
 	for id, inst := range f.instances {
 		if listed[id] {
@@ -249,7 +269,8 @@
 		changes = append(changes, Change{ID: id, Pool: inst.Pool, Kind: Gone})
 	}
 	f.rebuildIndexes()
-	return changes
+	f.pruneColdStates(now)
+	return append(changes, f.coldChanges(now)...)
 }
 
 // newInstance returns a listed instance that is not known, or not any more.
@@ -280,7 +301,8 @@
 }
 
 // Expire removes the instances that are missing from the list and whose
-// retention time has passed, and returns the changes.
+// retention time has passed, and returns the changes, with those of instances that are no longer
+// cold.
 func (f *Fleet) Expire(now time.Time) []Change {
 	var changes []Change
 	for id, inst := range f.instances {
@@ -292,7 +314,7 @@
 	if len(changes) > 0 {
 		f.rebuildIndexes()
 	}
-	return changes
+	return append(changes, f.coldChanges(now)...)
 }
 
 // UpdateReport records a report of the agent at host. A report that arrives after
@@ -386,7 +408,9 @@
 	Load, Limit, PendingPromptTokens int
 	// Slowdown is how many times slower than usual the engine runs, at least 1.
 	Slowdown float64
-	ticket   uint64
+	// Cold says that the instance counts as cold.
+	Cold   bool
+	ticket uint64
 }
 
 // Choose picks an instance with a free slot and counts the request there. It
@@ -409,6 +433,7 @@
 		Backend: best.Backend, Version: best.version(need.Model), Load: f.load(best, now), Limit: f.limit(best),
 		PendingPromptTokens: f.pendingPromptTokens(best, now), Slowdown: best.slowdown(), ticket: f.lastTicket,
 	}
+	choice.Cold = f.coldSent(best, choice.ticket, now)
 	best.ownRequests++
 	best.pendingPromptTokens[choice.ticket] = need.PromptTokens
 	f.ownAttempts[choice.ticket] = &ownAttempt{backend: best.Backend, promptTokens: need.PromptTokens}
@@ -445,6 +470,9 @@
 	if limit, settling := f.settlingLimit(inst, need, now); settling && inst.ownRequests >= limit {
 		return false
 	}
+	if !f.coldAllows(inst, now) {
+		return false
+	}
 	engine, pendingTokens := f.engine(inst.Pool), f.pendingPromptTokens(inst, now)
 	if engine == nil || engine.PromptTokensPerSecond <= 0 || need.MaxWait <= 0 || pendingTokens == 0 {
 		return true
@@ -675,6 +703,9 @@
 // of an attempt at an earlier start says nothing about the present one.
 func (f *Fleet) AttemptFinished(choice Choice, result Result, now time.Time) {
 	delete(f.ownAttempts, choice.ticket)
+	if result == NotUsed {
+		f.coldNotSent(choice)
+	}
 	inst := f.instances[choice.Backend.ID]
 	if inst == nil || !isSameStart(inst.Backend, choice.Backend) {
 		return
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -248,10 +248,15 @@
 
 func (h *heartbeater) recordLiveEntries(self string, others []peers.Entry) {
 	hosts := make([]string, 0, len(others)+1)
+	var leaving []string
 	for _, entry := range others {
 		hosts = append(hosts, entry.Host)
+		if entry.Leaving {
+			leaving = append(leaving, entry.Host)
+		}
 	}
 	h.scheduler.setEntries(self, append(hosts, self))
+	h.scheduler.recordEntries(self, hosts, leaving, clock.Now())
 }
 
 // replyToNewAgent answers an agent that does not know any entry yet.
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -157,7 +157,9 @@
 	e.scheduler = newScheduler(placement.New(placement.Config{
 		AvailabilityZone: s.AvailabilityZone, MaxPeerLoadAge: maxPeerLoadAge,
 		FailureBackoff: 500 * time.Millisecond, MaxFailureBackoff: 6 * time.Second, Seed: uint64(start),
-		Engine: func(pool string) *catalog.Engine { return e.view.engine(pool) },
+		Engine:    func(pool string) *catalog.Engine { return e.view.engine(pool) },
+		ColdLimit: func(pool string) placement.ColdLimit { return e.view.coldLimit(pool) },
+		ColdBound: placement.ColdBound{Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack},
 	}), newRetryLimits(s.Bounds))
 	e.scheduler.retrySlackFrom = clock.Now().Add(s.Bounds.RetryWindow)
 	e.blocker = newBlocker(log, counts.blocks)
@@ -170,6 +172,8 @@
 	e.scheduler.backendExpired, e.scheduler.minVersion = e.view.backendExpired, e.view.minVersion
 	e.metrics.Gauge("tables_proof_age_seconds", "Age of the proof that the tables are current.", func() float64 { return e.view.proofAge().Seconds() })
 	registerNoticeGauges(e.metrics, e.scheduler)
+	registerColdMetrics(e.metrics, e.scheduler)
+	e.scheduler.fleet.ExpectEntries(s.Seeds)
 	registerBlockGauges(e.metrics, e.blocker)
 	store := platform.NewStoreClient(s.StoreAddress, newStoreTransport())
 	store.OnCall = func(method string, kind platform.Kind) { counts.storeCalls.WithLabelValues(method, string(kind)).Inc() }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -86,6 +86,8 @@
 	// and for how long it wants no requests.
 	Leaving bool  `json:"leaving,omitempty"`
 	WaitMs  int64 `json:"wait_ms,omitempty"`
+	// Cold says that the instance counted as cold.
+	Cold bool `json:"cold,omitempty"`
 	// Crashed says that the instance crashed before it had responded, or soon after it had
 	// begun to.
 	Crashed bool `json:"crashed,omitempty"`
@@ -331,7 +333,7 @@
 	x.frontend.metrics.queueTime.Observe(queueTime.Seconds())
 	record := attemptRecord{
 		Instance: choice.Backend.ID, Zone: choice.Backend.AvailabilityZone, Version: choice.Version, MinVersion: t.need.MinVersion, Load: choice.Load, Limit: choice.Limit, Unread: choice.PendingPromptTokens,
-		QueueMs: queueTime.Milliseconds(), Reserved: slot.isReserved,
+		QueueMs: queueTime.Milliseconds(), Reserved: slot.isReserved, Cold: choice.Cold,
 	}
 	x.tried[choice.Backend.ID] = true
 	result = broken
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -175,9 +175,13 @@
 }
 
 func (v *view) logBackendChange(change placement.Change, revision replica.Revision, proofAge time.Duration) {
-	v.log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"backend": change.ID, "pool": change.Pool, "state": string(change.Kind), "revision": revision.Number, "era": revision.Era, "proof_age_ms": proofAge.Milliseconds(),
-	}).Info("backend server list changed")
+	}
+	if change.Kind == placement.Cold {
+		fields["cold_left_ms"] = change.ColdLeft.Milliseconds()
+	}
+	v.log.WithFields(fields).Info("backend server list changed")
 }
 
 func (v *view) decodeReleases() {
