Placement: loads that responses report count when instances are compared

Responses of some instances name running and waiting requests, slots and the processing time. The load raises what the entry knows itself, the processing time scales the score; the weight of a report falls to 0 within a second. A report changes no limit, so that it refuses no request, and without reports the choices are as before (docs/design/reported-load.md). A response that says that its instance is cold is used as well.

Each test in reported_test.go was seen failing without the rule that it guards.

--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -142,6 +142,13 @@
 	}
 }
 
+// RecordCold records that a start of an instance has said that it is cold for a time.
+func (f *Fleet) RecordCold(start InstanceStart, left time.Duration, now time.Time) {
+	if inst := f.instances[start.ID]; inst != nil && inst.Start == start.Start && inst.cold != nil {
+		f.extendCold(inst, now.Add(left), now)
+	}
+}
+
 // coldLimit returns the limit on requests to cold instances of a pool, and whether it has one.
 func (f *Fleet) coldLimit(pool string) (ColdLimit, bool) {
 	if f.config.ColdLimit == nil {
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -154,6 +154,8 @@
 	share          entryShare
 	// cold is nil in pools without a limit on cold instances.
 	cold *coldState
+	// reported is the last load that a response has reported.
+	reported reportedLoad
 }
 
 // Fleet holds the state of all instances. It is not safe for concurrent use.
@@ -409,8 +411,12 @@
 	// Slowdown is how many times slower than usual the engine runs, at least 1.
 	Slowdown float64
 	// Cold says that the instance counts as cold.
-	Cold   bool
-	ticket uint64
+	Cold bool
+	// ReportedLoad is the number of requests at the instance according to its last response,
+	// and ReportedAge the age of that report; 0 without a report that counts.
+	ReportedLoad int
+	ReportedAge  time.Duration
+	ticket       uint64
 }
 
 // Choose picks an instance with a free slot and counts the request there. It
@@ -434,6 +440,10 @@
 		PendingPromptTokens: f.pendingPromptTokens(best, now), Slowdown: best.slowdown(), ticket: f.lastTicket,
 	}
 	choice.Cold = f.coldSent(best, choice.ticket, now)
+	if best.reported.weight(now) > 0 {
+		choice.ReportedLoad, choice.ReportedAge = best.reported.requests(), now.Sub(best.reported.at)
+	}
+	best.reported.begun++
 	best.ownRequests++
 	best.pendingPromptTokens[choice.ticket] = need.PromptTokens
 	f.ownAttempts[choice.ticket] = &ownAttempt{backend: best.Backend, promptTokens: need.PromptTokens}
@@ -492,17 +502,17 @@
 // or the relative load of a plain service. The lowest score is best.
 func (f *Fleet) score(inst *instance, need Requirements, load, limit int, now time.Time) float64 {
 	otherZone := inst.AvailabilityZone != f.config.AvailabilityZone
-	share := float64(load) / float64(limit)
+	share, slowdown := f.share(inst, load, limit, now), inst.scoredSlowdown(now)
 	engine := f.engine(inst.Pool)
 	if engine == nil || engine.PromptTokensPerSecond <= 0 {
-		score := share + jitter.Seconds()*f.random.Float64()
+		score := share + (idleShare+share)*(slowdown-1) + jitter.Seconds()*f.random.Float64()
 		if otherZone {
 			score += crossZoneLoadPenalty
 		}
 		return score
 	}
-	wait := engine.PassTime() + time.Duration(float64(f.pendingPromptTokens(inst, now)+need.PromptTokens)/engine.PromptTokensPerSecond*float64(time.Second))
-	score := wait.Seconds()*inst.slowdown() + occupancyPenalty.Seconds()*share + jitter.Seconds()*f.random.Float64()
+	wait := engine.PassTime() + time.Duration(float64(f.scoredTokens(inst, need, now)+need.PromptTokens)/engine.PromptTokensPerSecond*float64(time.Second))
+	score := wait.Seconds()*slowdown + occupancyPenalty.Seconds()*share + jitter.Seconds()*f.random.Float64()
 	if otherZone {
 		score += crossZonePenalty.Seconds()
 	}
@@ -711,6 +721,7 @@
 		return
 	}
 	inst.ownRequests = max(inst.ownRequests-1, 0)
+	inst.reported.begun--
 	delete(inst.pendingPromptTokens, choice.ticket)
 	if inst.switching() && result != AddressReused {
 		return
--- a/internal/relay/cold_test.go
+++ b/internal/relay/cold_test.go
@@ -16,7 +16,7 @@
 // that a cold instance accepts.
 func TestColdInstanceServesTheMostUrgentFirst(t *testing.T) {
 	c := qt.New(t)
-	table := catalog.New(1, catalog.Limits{}, nil, []catalog.Pool{{Name: "p", ColdTime: time.Minute, ColdRequestsPerSecond: 4}}, nil)
+	table := catalog.New(1, catalog.Limits{}, nil, []catalog.Pool{{Name: "p", ColdTime: time.Minute, ColdRequestsPerSecond: 1}}, nil)
 	v := &view{}
 	v.active.Store(&activeTables{Table: table})
 	fleet := placement.New(placement.Config{ColdLimit: v.coldLimit})
@@ -35,7 +35,7 @@
 	first, later, urgent := queue(5), queue(5), queue(0)
 	c.Assert(first.placed, qt.HasLen, 1)
 	c.Assert(urgent.placed, qt.HasLen, 0)
-	time.Sleep(300 * time.Millisecond)
+	time.Sleep(1100 * time.Millisecond)
 	g.dispatchAll()
 	c.Assert(urgent.placed, qt.HasLen, 1)
 	c.Assert(later.placed, qt.HasLen, 0)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -88,6 +88,9 @@
 	WaitMs  int64 `json:"wait_ms,omitempty"`
 	// Cold says that the instance counted as cold.
 	Cold bool `json:"cold,omitempty"`
+	// ReportedLoad and ReportedMs are ReportedLoad and ReportedAge of the placement.Choice.
+	ReportedLoad int   `json:"reported_load,omitempty"`
+	ReportedMs   int64 `json:"reported_age_ms,omitempty"`
 	// Crashed says that the instance crashed before it had responded, or soon after it had
 	// begun to.
 	Crashed bool `json:"crashed,omitempty"`
@@ -334,6 +337,7 @@
 	record := attemptRecord{
 		Instance: choice.Backend.ID, Zone: choice.Backend.AvailabilityZone, Version: choice.Version, MinVersion: t.need.MinVersion, Load: choice.Load, Limit: choice.Limit, Unread: choice.PendingPromptTokens,
 		QueueMs: queueTime.Milliseconds(), Reserved: slot.isReserved, Cold: choice.Cold,
+		ReportedLoad: choice.ReportedLoad, ReportedMs: choice.ReportedAge.Milliseconds(),
 	}
 	x.tried[choice.Backend.ID] = true
 	result = broken
--- a/internal/relay/frontend.go
+++ b/internal/relay/frontend.go
@@ -42,6 +42,8 @@
 	sender    *sender
 	log       *logrus.Entry
 	metrics   *frontendMetrics
+	// invalidLoads limits the log lines about invalid reports of loads.
+	invalidLoads invalidLoadLog
 	// zone is this entry's availability zone.
 	zone string
 	// returningCallers detects callers that retry after a rejection.
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -24,6 +24,7 @@
 	closed        *prometheus.CounterVec
 	standbys      *prometheus.CounterVec
 	ownEnds       *prometheus.CounterVec
+	loadReports   *prometheus.CounterVec
 }
 
 // latencyBuckets are the bucket bounds of the latency histograms in seconds, from an
@@ -60,13 +61,14 @@
 			Namespace: metrics.Namespace, Name: "closed_responses_total", Help: "Responses that had begun and were closed before their end, by cause.",
 		}, []string{"cause"}),
 		notices:      newNoticeCounter(),
+		loadReports:  newLoadReportCounter(),
 		blocks:       newBlockMetrics(),
 		longestPause: histogram("longest_pause_seconds", "Longest pause between two events of a stream."),
 		firstEvent:   histogram("first_event_seconds", "Time from a request's arrival to the first event of its answer."),
 		duration:     histogram("request_seconds", "Time from a request's arrival to the end of its answer."),
 		queueTime:    histogram("queue_seconds", "Time that attempts waited for a place."),
 	}
-	m.Registry.MustRegister(f.refused, f.attempts, f.storeCalls, f.retries, f.responseBytes, f.notices, f.blocks.decisions, f.blocks.interruptions, f.panics, f.ownEnds, f.closed, f.standbys, f.longestPause, f.firstEvent, f.duration, f.queueTime)
+	m.Registry.MustRegister(f.refused, f.attempts, f.storeCalls, f.retries, f.responseBytes, f.notices, f.loadReports, f.blocks.decisions, f.blocks.interruptions, f.panics, f.ownEnds, f.closed, f.standbys, f.longestPause, f.firstEvent, f.duration, f.queueTime)
 	return f
 }
 
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -29,6 +29,7 @@
 
 // recordNotice records what a response says about the instance that has sent it.
 func (f *frontend) recordNotice(choice placement.Choice, info platform.ResponseInfo, record *attemptRecord) {
+	f.recordReportedLoad(choice, info)
 	log := f.log.WithFields(logrus.Fields{"backend": choice.Backend.ID, "pool": choice.Backend.Pool})
 	if info.InvalidWait != "" {
 		log.WithFields(logrus.Fields{"value": info.InvalidWait, "wait_ms": info.Wait.Milliseconds()}).Warning("a backend server asked for a wait that is not valid")
