--- a/internal/placement/evacuation.go
+++ b/internal/placement/evacuation.go
@@ -52,12 +52,23 @@
 }
 
 // returnToService lets the entries divide the slots of a zone's instances, as of those that
-// have just become available.
+// have just become available. Instances of pools with a limit for cold ones count as cold until
+// their list entries say that they are not: they may have become cold during the evacuation.
 func (f *Fleet) returnToService(zone string, now time.Time) {
+	coldUntil := now
 	for _, inst := range f.instances {
-		if inst.AvailabilityZone == zone && inst.available {
+		if inst.AvailabilityZone != zone {
+			continue
+		}
+		if inst.available {
 			inst.availableSince = now
 		}
+		if limit, hasLimit := f.coldLimit(inst.Pool); hasLimit {
+			coldUntil = later(coldUntil, now.Add(limit.Time))
+		}
+	}
+	if coldUntil.After(now) {
+		f.MarkCold(zone, coldUntil, now)
 	}
 }
 
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -31,6 +31,10 @@
 	Engine func(pool string) *catalog.Engine
 	// Regions maps availability zones to regions.
 	Regions map[string]string
+	// ColdLimit returns the limit on requests to cold instances of a pool, the zero value for
+	// none. ColdBound is the bound that the limit has to keep.
+	ColdLimit func(pool string) ColdLimit
+	ColdBound ColdBound
 }
 
 const (
@@ -150,6 +154,10 @@
 	servedVersion  int64
 	availableSince time.Time
 	share          entryShare
+	// cold is nil in pools without a limit on cold instances.
+	cold *coldState
+	// reported is the last load that a response has reported.
+	reported reportedLoad
 }
 
 // Fleet holds the state of all instances. It is not safe for concurrent use.
@@ -176,18 +184,26 @@
 	entries         []string
 	self            string
 	entriesRevision int
+	random          *rand.Rand
+	lastTicket      uint64
 	// evacuations holds the evacuations by availability zone, evacuatedAt when the last one
 	// came into force.
 	evacuations map[string]evacuation
 	evacuatedAt time.Time
-	random      *rand.Rand
-	lastTicket  uint64
+	// coldStates holds what is known of starts that may be cold. It outlives their list
+	// entries. coldZones holds the zones that were marked as cold.
+	coldStates       map[InstanceStart]*coldState
+	coldZones        map[string]time.Time
+	coldUnknownUntil time.Time
+	coldSends        int
+	sharers          sharers
 }
 
 // New returns a Fleet without instances.
 func New(config Config) *Fleet {
 	return &Fleet{
 		config: config, instances: map[string]*instance{}, byHost: map[string]*instance{}, reports: map[string]receivedReport{}, notices: map[InstanceStart]*notice{}, latestStart: map[string]int64{}, ownAttempts: map[uint64]*ownAttempt{}, zoneLoads: map[string]receivedZoneLoads{}, evacuations: map[string]evacuation{},
+		coldStates: map[InstanceStart]*coldState{}, coldZones: map[string]time.Time{}, sharers: newColdSharers(),
 		random: rand.New(rand.NewPCG(config.Seed, config.Seed+1)),
 	}
 }
@@ -201,6 +217,8 @@
 	Leaving ChangeKind = "leaving"
 	Lapsed  ChangeKind = "lapsed"
 	Gone    ChangeKind = "gone"
+	Cold    ChangeKind = "cold"
+	Warm    ChangeKind = "warm"
 )
 
 // Change is a change in the known state of an instance.
@@ -208,6 +226,8 @@
 	ID   string
 	Pool string
 	Kind ChangeKind
+	// ColdLeft is how long an instance that has become cold counts as cold.
+	ColdLeft time.Duration
 }
 
 // SetList applies the platform's instance list and returns the changes. List
@@ -218,15 +238,16 @@
 	listed := map[string]bool{}
 	var changes []Change
 	// Other entries may use the instances of the first list already.
-	availableSince := now
-	if !f.listed {
+	availableSince, isFirstList := now, !f.listed
+	if isFirstList {
 		availableSince = time.Time{}
 	}
 	f.listed = true
 	for _, backend := range backends {
 		listed[backend.ID] = true
 		inst := f.instances[backend.ID]
-		if inst == nil || !isSameStart(inst.Backend, backend) {
+		isNew := inst == nil || !isSameStart(inst.Backend, backend)
+		if isNew {
 			inst = f.newInstance(backend)
 			f.instances[backend.ID] = inst
 			changes = append(changes, Change{ID: backend.ID, Pool: backend.Pool, Kind: Joined})
@@ -239,6 +260,7 @@
 			inst.lastReport = report.AgentReport
 		}
 		f.updateAvailability(inst, availableSince)
+		f.updateCold(inst, isNew && !isFirstList, now)
 	}
 	for id, inst := range f.instances {
 		if listed[id] {
@@ -255,7 +277,8 @@
 		changes = append(changes, Change{ID: id, Pool: inst.Pool, Kind: Gone})
 	}
 	f.rebuildIndexes()
-	return changes
+	f.pruneColdStates(now)
+	return append(changes, f.coldChanges(now)...)
 }
 
 // newInstance returns a listed instance that is not known, or not any more.
@@ -286,7 +309,8 @@
 }
 
 // Expire removes the instances that are missing from the list and whose
-// retention time has passed, and returns the changes.
+// retention time has passed, and returns the changes, with those of instances that are no longer
+// cold.
 func (f *Fleet) Expire(now time.Time) []Change {
 	var changes []Change
 	for id, inst := range f.instances {
@@ -298,7 +322,7 @@
 	if len(changes) > 0 {
 		f.rebuildIndexes()
 	}
-	return changes
+	return append(changes, f.coldChanges(now)...)
 }
 
 // UpdateReport records a report of the agent at host. A report that arrives after
@@ -399,7 +423,13 @@
 	Load, Limit, PendingPromptTokens int
 	// Slowdown is how many times slower than usual the engine runs, at least 1.
 	Slowdown float64
-	ticket   uint64
+	// Cold says that the instance counts as cold.
+	Cold bool
+	// ReportedLoad is the number of requests at the instance according to its last response,
+	// and ReportedAge the age of that report; 0 without a report that counts.
+	ReportedLoad int
+	ReportedAge  time.Duration
+	ticket       uint64
 }
 
 // Choose picks an instance with a free slot and counts the request there. It
@@ -426,6 +456,11 @@
 		Backend: best.Backend, Version: best.version(need.Model), Load: f.load(best, now), Limit: f.limit(best),
 		PendingPromptTokens: f.pendingPromptTokens(best, now), Slowdown: best.slowdown(), ticket: f.lastTicket,
 	}
+	choice.Cold = f.coldSent(best, choice.ticket, now)
+	if best.reported.weight(now) > 0 {
+		choice.ReportedLoad, choice.ReportedAge = best.reported.requests(), now.Sub(best.reported.at)
+	}
+	best.reported.begun++
 	best.ownRequests++
 	best.pendingPromptTokens[choice.ticket] = need.PromptTokens
 	f.ownAttempts[choice.ticket] = &ownAttempt{backend: best.Backend, promptTokens: need.PromptTokens}
@@ -475,6 +510,9 @@
 	if limit, settling := f.settlingLimit(inst, need, now); settling && inst.ownRequests >= limit {
 		return false
 	}
+	if !f.coldAllows(inst, now) {
+		return false
+	}
 	engine, pendingTokens := f.engine(inst.Pool), f.pendingPromptTokens(inst, now)
 	if engine == nil || engine.PromptTokensPerSecond <= 0 || need.MaxWait <= 0 || pendingTokens == 0 {
 		return true
@@ -494,17 +532,17 @@
 // or the relative load of a plain service. The lowest score is best.
 func (f *Fleet) score(inst *instance, need Requirements, load, limit int, now time.Time) float64 {
 	otherZone := inst.AvailabilityZone != f.config.AvailabilityZone
-	share := float64(load) / float64(limit)
+	share, slowdown := f.share(inst, load, limit, now), inst.scoredSlowdown(now)
 	engine := f.engine(inst.Pool)
 	if engine == nil || engine.PromptTokensPerSecond <= 0 {
-		score := share + jitter.Seconds()*f.random.Float64()
+		score := share + (idleShare+share)*(slowdown-1) + jitter.Seconds()*f.random.Float64()
 		if otherZone {
 			score += crossZoneLoadPenalty
 		}
 		return score
 	}
-	wait := engine.PassTime() + time.Duration(float64(f.pendingPromptTokens(inst, now)+need.PromptTokens)/engine.PromptTokensPerSecond*float64(time.Second))
-	score := wait.Seconds()*inst.slowdown() + occupancyPenalty.Seconds()*share + jitter.Seconds()*f.random.Float64()
+	wait := engine.PassTime() + time.Duration(float64(f.scoredTokens(inst, need, now)+need.PromptTokens)/engine.PromptTokensPerSecond*float64(time.Second))
+	score := wait.Seconds()*slowdown + occupancyPenalty.Seconds()*share + jitter.Seconds()*f.random.Float64()
 	if otherZone {
 		score += crossZonePenalty.Seconds()
 	}
@@ -705,11 +743,15 @@
 // of an attempt at an earlier start says nothing about the present one.
 func (f *Fleet) AttemptFinished(choice Choice, result Result, now time.Time) {
 	delete(f.ownAttempts, choice.ticket)
+	if result == NotUsed {
+		f.coldNotSent(choice)
+	}
 	inst := f.instances[choice.Backend.ID]
 	if inst == nil || !isSameStart(inst.Backend, choice.Backend) {
 		return
 	}
 	inst.ownRequests = max(inst.ownRequests-1, 0)
+	inst.reported.begun--
 	delete(inst.pendingPromptTokens, choice.ticket)
 	if inst.switching() && result != AddressReused {
 		return
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -26,6 +26,7 @@
 	ownEnds       *prometheus.CounterVec
 	// directoryAnswers counts the answers of the address directory.
 	directoryAnswers *prometheus.CounterVec
+	loadReports      *prometheus.CounterVec
 }
 
 // latencyBuckets are the bucket bounds of the latency histograms in seconds, from an
@@ -65,13 +66,14 @@
 			Namespace: metrics.Namespace, Name: "closed_responses_total", Help: "Responses that had begun and were closed before their end, by cause.",
 		}, []string{"cause"}),
 		notices:      newNoticeCounter(),
+		loadReports:  newLoadReportCounter(),
 		blocks:       newBlockMetrics(),
 		longestPause: histogram("longest_pause_seconds", "Longest pause between two events of a stream."),
 		firstEvent:   histogram("first_event_seconds", "Time from a request's arrival to the first event of its answer."),
 		duration:     histogram("request_seconds", "Time from a request's arrival to the end of its answer."),
 		queueTime:    histogram("queue_seconds", "Time that attempts waited for a place."),
 	}
-	m.Registry.MustRegister(f.refused, f.attempts, f.storeCalls, f.retries, f.responseBytes, f.notices, f.blocks.decisions, f.blocks.interruptions, f.panics, f.ownEnds, f.directoryAnswers, f.closed, f.standbys, f.longestPause, f.firstEvent, f.duration, f.queueTime)
+	m.Registry.MustRegister(f.refused, f.attempts, f.storeCalls, f.retries, f.responseBytes, f.notices, f.blocks.decisions, f.blocks.interruptions, f.panics, f.ownEnds, f.directoryAnswers, f.loadReports, f.closed, f.standbys, f.longestPause, f.firstEvent, f.duration, f.queueTime)
 	return f
 }
 
