Relay: attempts at model engines carry the urgency of their class

Engines admit more urgent requests first only if the header says which ones are. The value is the position of the class among those that the tables give to the requests of the pool, so that priorities of any size fit the range of the header. Pools with a single class send nothing, as before.

Tests: TestClassRank, TestUrgencyIsSent and TestUrgencyOfAttempts failed with the header and the ranks left out.

--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -150,6 +150,8 @@
 	customersByKey map[string]Customer
 	// hasCustomers is set if any customer is configured; requests then need keys.
 	hasCustomers bool
+	// classesByPool holds the priority classes of the requests of each pool, sorted.
+	classesByPool map[string][]int
 }
 
 // New builds a table and its indexes.
@@ -172,6 +174,7 @@
 			t.customersByKey[key] = customer
 		}
 	}
+	t.classesByPool = classesByPool(routes, customers)
 	return t
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -260,10 +260,7 @@
 	if now := clock.Now(); len(x.attempts) > 0 {
 		startBy = now.Add(maxQueueTime)
 	}
-	priority := x.route.Priority
-	if x.customer.HasPriority {
-		priority = x.customer.Priority
-	}
+	priority := catalog.Class(x.route, x.customer)
 	if x.mustGoOn() {
 		priority = resumedPriority
 		if waitUntil := x.waitUntil(); waitUntil.After(startBy) {
@@ -617,5 +614,6 @@
 	if last, hasEvent := x.position.lastEvent(); hasEvent {
 		forward.LastEventID = strconv.FormatInt(last, 10)
 	}
+	forward.Urgency = x.urgency()
 	return newRequest(ctx, x.r, choice.Backend.Address, x.body, platform.ForwardHeader(x.r.Header, forward))
 }
