Admission: an order that starves no class, size or returning caller

A queue started the most urgent class first without a bound, passed the largest prompts whenever a smaller one fitted, and put callers that had been rejected before behind all fresh ones. With one class at 1.4 times the capacity, the next class was served nothing; of the largest tenth of prompts 0 to 2 in 100 were served.

NextFair rescues due requests of starved classes and sizes within a quarter of the starts, lets due returning callers go first while an overload is short, and rejects at once what cannot start in its time. Nothing changes where all requests of a queue have one class and one customer.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -7,7 +7,7 @@
 // comes the customer with the fewest requests in progress relative to its weight,
 // so that a customer that floods the pool only delays its own requests. A queued
 // request is shed when the queue is full or when it can't start early enough to
-// meet its deadline.
+// meet its deadline. With Config.FairOrder, order.go refines this order.
 package admission
 
 import (
@@ -27,6 +27,9 @@
 	MaxWait time.Duration
 	// Weights holds the weights of the customers; the default is 1.
 	Weights map[string]int
+	// FairOrder refines the order of NextFair and the choice of victims once requests of
+	// more than one class or customer have been offered.
+	FairOrder bool
 }
 
 // Ticket describes one request to the queue.
@@ -43,6 +46,9 @@
 	// StartBy, if set, is the latest useful start time. It replaces the estimate
 	// from the duration of earlier requests.
 	StartBy time.Time
+	// Size is the size of the request in tokens, 0 if unknown. Requests of one route are
+	// compared by it.
+	Size int
 }
 
 // Shed is a request that is rejected before it starts.
@@ -50,11 +56,30 @@
 	ID uint64
 	// RetryAfter is the time after which the queue is expected to accept it.
 	RetryAfter time.Duration
+	Reason     Reason
 }
 
+// Reason is why a request is shed.
+type Reason string
+
+// The reasons.
+const (
+	// QueueFull means that the queue was full, CustomerLimit that the customer had the
+	// maximum number of queued requests.
+	QueueFull     Reason = "queue_full"
+	CustomerLimit Reason = "customer_limit"
+	// Waited means that the request has waited as long as it could.
+	Waited Reason = "waited"
+	// Late means that too many requests go before it for it to start in its time.
+	Late Reason = "late"
+)
+
 type queuedRequest struct {
 	Ticket
 	queuedAt time.Time
+	// isLarge says that the request is one of the largest of its route, isChecked that
+	// it has been decided that it may start in its time.
+	isLarge, isChecked bool
 }
 
 // newestWeight is the weight of the newest duration in the moving average.
@@ -71,24 +96,31 @@
 	// averageDurationByRoute the same for each route.
 	averageDuration        time.Duration
 	averageDurationByRoute map[string]time.Duration
+	fairness               fairness
 }
 
 // New returns an empty queue.
 func New(config Config) *Queue {
-	return &Queue{config: config, runningByCustomer: map[string]int{}, averageDurationByRoute: map[string]time.Duration{}}
+	return &Queue{config: config, runningByCustomer: map[string]int{}, averageDurationByRoute: map[string]time.Duration{}, fairness: newFairness()}
 }
 
 // Offer adds a request to the queue. It returns the requests that are shed to
 // keep the limits, which may include the request itself.
 func (q *Queue) Offer(t Ticket, now time.Time) []Shed {
+	w := queuedRequest{Ticket: t, queuedAt: now, isLarge: q.fairness.recordOffer(t)}
 	if q.queuedOf(t.Customer) >= q.config.MaxPerCustomer {
-		return []Shed{{ID: t.ID, RetryAfter: q.estimateWait(len(q.queued))}}
+		q.fairness.recordResult(w, false, now)
+		return []Shed{{ID: t.ID, RetryAfter: q.estimateWait(len(q.queued)), Reason: CustomerLimit}}
 	}
-	q.queued = append(q.queued, queuedRequest{Ticket: t, queuedAt: now})
+	q.queued = append(q.queued, w)
 	if len(q.queued) <= q.config.MaxQueued {
 		return nil
 	}
-	return []Shed{q.remove(q.victim())}
+	victim := q.victim
+	if q.ordersFairly() {
+		victim = func() int { return q.fairVictim(now) }
+	}
+	return []Shed{q.remove(victim(), QueueFull, now)}
 }
 
 // victim returns the index of the request to shed: within the lowest priority
@@ -120,8 +152,9 @@
 	return left > right || (left == right && a.Customer == b.Customer)
 }
 
-func (q *Queue) remove(i int) Shed {
-	shed := Shed{ID: q.queued[i].ID, RetryAfter: q.estimateWait(len(q.queued))}
+func (q *Queue) remove(i int, reason Reason, now time.Time) Shed {
+	shed := Shed{ID: q.queued[i].ID, RetryAfter: q.estimateWait(len(q.queued)), Reason: reason}
+	q.fairness.recordResult(q.queued[i], false, now)
 	q.queued = slices.Delete(q.queued, i, i+1)
 	return shed
 }
@@ -135,7 +168,7 @@
 		if !found {
 			break
 		}
-		start = append(start, q.start(i))
+		start = append(start, q.start(i, now))
 	}
 	return start, shed
 }
@@ -153,15 +186,16 @@
 			return 0, false, shed
 		}
 		if startable(q.queued[i].ID) {
-			return q.start(i), true, shed
+			return q.start(i, now), true, shed
 		}
 		rejected[i] = true
 	}
 }
 
 // start removes the request from the queue and counts it as in progress.
-func (q *Queue) start(i int) uint64 {
+func (q *Queue) start(i int, now time.Time) uint64 {
 	next := q.queued[i]
+	q.fairness.recordResult(next, true, now)
 	q.queued = slices.Delete(q.queued, i, i+1)
 	q.Start(next.Customer)
 	return next.ID
@@ -189,7 +223,7 @@
 			i++
 			continue
 		}
-		shed = append(shed, q.remove(i))
+		shed = append(shed, q.remove(i, Waited, now))
 	}
 	return shed
 }
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -166,6 +166,7 @@
 	e.frontend = &frontend{view: e.view, scheduler: e.scheduler, blocker: e.blocker, blockGate: &blockGate{view: e.view, learnBy: clock.Now().Add(s.Bounds.StableTime)}, sender: newSender(), log: log, metrics: counts, zone: s.AvailabilityZone, returningCallers: newReturningCallerDetector(), shutdown: newShutdown()}
 	e.frontend.setBounds(s.Bounds)
 	e.heartbeats = &heartbeater{socket: socket, view: e.view, scheduler: e.scheduler, frontend: e.frontend, log: log, start: start, sendNow: make(chan struct{}, 1), loadChanges: make(chan string, maxPendingLoadChanges), placed: make(chan struct{}, 1)}
+	e.scheduler.requestShed = newShedCounter(e.metrics)
 	e.scheduler.loadChanged = e.heartbeats.recordLoadChange
 	e.scheduler.backendExpired, e.scheduler.minVersion = e.view.backendExpired, e.view.minVersion
 	e.metrics.Gauge("tables_proof_age_seconds", "Age of the proof that the tables are current.", func() float64 { return e.view.proofAge().Seconds() })
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -140,6 +140,8 @@
 	returns int
 	// closeCause is why no further attempt is made, for the log.
 	closeCause closeCause
+	// shedFor is why the queue has shed the request, for the log.
+	shedFor admission.Reason
 }
 
 // setDeadline sets the time at which the request is given up.
@@ -271,7 +273,7 @@
 		startBy = x.deadline
 	}
 	return &ticket{
-		Ticket: admission.Ticket{Customer: x.customer.Name, Route: x.route.Name, Class: priority, Retry: x.returning, Deadline: x.deadline, StartBy: startBy},
+		Ticket: admission.Ticket{Customer: x.customer.Name, Route: x.route.Name, Class: priority, Retry: x.returning, Deadline: x.deadline, StartBy: startBy, Size: x.call.PromptTokens},
 		need:   x.placementNeed(), maxReturnWait: time.Duration(returnWaitFactor * float64(x.route.Objective)),
 	}
 }
@@ -414,7 +416,7 @@
 
 // handleRejection ends a request that got no slot.
 func (x *exchange) handleRejection(ctx context.Context, r *rejection) dispatch.Action {
-	x.closeCause = closedForSlot
+	x.closeCause, x.shedFor = closedForSlot, r.shedFor
 	if len(x.attempts) > 0 && x.mayHaveRun() {
 		x.finish(ctx, dispatch.Unknown)
 		return dispatch.Action{}
--- a/internal/relay/frontend.go
+++ b/internal/relay/frontend.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/zeromicro/go-zero/rest/httpx"
 
+	"plantainrelay/internal/catalog"
 	"plantainrelay/internal/clock"
 	"plantainrelay/platform"
 )
@@ -249,6 +250,9 @@
 	if plan := x.frontend.shutdown.plan.Load(); plan != nil {
 		fields["since_signal_ms"] = clock.Now().Sub(plan.SignaledAt).Milliseconds()
 	}
+	if x.shedFor != "" {
+		fields["shed_for"], fields["class"] = x.shedFor, catalog.Class(x.route, x.customer)
+	}
 	if x.blockedPart != "" {
 		fields["blocked_part"] = x.blockedPart
 	}
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -48,8 +48,9 @@
 	// placed receives the chosen instance; it is closed when the request is shed.
 	placed     chan placement.Choice
 	retryAfter time.Duration
-	// reason is why the request was shed.
-	reason string
+	// reason is why the request was shed, shedFor the same in the terms of the queue.
+	reason  string
+	shedFor admission.Reason
 }
 
 // scheduler places queued requests on instances: it combines the admission queues with
@@ -80,13 +81,15 @@
 	// backendExpired is called for each instance that was missing from the list and is
 	// no longer kept.
 	backendExpired func(placement.Change)
+	// requestShed is called for each request that the queue sheds.
+	requestShed func(class int, reason admission.Reason)
 }
 
 func newScheduler(fleet *placement.Fleet, retries retryLimits) *scheduler {
 	return &scheduler{
 		fleet: fleet, queues: map[string]*admission.Queue{}, tickets: map[uint64]*ticket{}, retryBudgets: map[string]*dispatch.WindowBudget{},
 		retryLimits: retries, slackSharers: slackSharers{count: 1}, requestQueued: make(chan struct{}, 1), overloads: map[string]*overload{}, loadChanged: func(string, bool) {},
-		backendExpired: func(placement.Change) {}, minVersion: func(string, time.Time) int64 { return 0 },
+		backendExpired: func(placement.Change) {}, requestShed: func(int, admission.Reason) {}, minVersion: func(string, time.Time) int64 { return 0 },
 	}
 }
 
@@ -100,6 +103,8 @@
 type rejection struct {
 	retryAfter time.Duration
 	reason     string
+	// shedFor is why the queue has shed the request, if it has.
+	shedFor admission.Reason
 }
 
 // acquire waits for a slot. It returns a rejection when the request is shed or when ctx
@@ -162,7 +167,7 @@
 		if ok {
 			return choice, nil
 		}
-		return placement.Choice{}, &rejection{retryAfter: t.retryAfter, reason: t.reason}
+		return placement.Choice{}, t.rejection()
 	case <-ctx.Done():
 	}
 	s.mu.Lock()
@@ -174,14 +179,18 @@
 	// The request was placed or shed at the same time.
 	choice, ok := <-t.placed
 	if !ok {
-		return placement.Choice{}, &rejection{retryAfter: t.retryAfter, reason: t.reason}
+		return placement.Choice{}, t.rejection()
 	}
 	return choice, nil
 }
 
+func (t *ticket) rejection() *rejection {
+	return &rejection{retryAfter: t.retryAfter, reason: t.reason, shedFor: t.shedFor}
+}
+
 func (s *scheduler) queue(pool string) *admission.Queue {
 	if s.queues[pool] == nil {
-		s.queues[pool] = admission.New(admission.Config{MaxQueued: maxQueued, MaxPerCustomer: maxQueued, MaxWait: time.Minute})
+		s.queues[pool] = admission.New(admission.Config{MaxQueued: maxQueued, MaxPerCustomer: maxQueued, MaxWait: time.Minute, FairOrder: true})
 	}
 	return s.queues[pool]
 }
@@ -191,10 +200,10 @@
 	queue := s.queue(pool)
 	s.rejectWhileAllWait(pool, now)
 	for queue.Queued() > 0 {
-		id, found, shed := queue.NextStartable(func(id uint64) bool {
+		id, found, shed := queue.NextFair(func(id uint64) bool {
 			s.updateMinVersion(s.tickets[id], now)
 			return s.fleet.HasFreeSlot(s.tickets[id].need, now)
-		}, now)
+		}, func(id uint64) bool { return s.relax(s.tickets[id], now) }, now)
 		s.shed(shed, now)
 		if !found {
 			return
@@ -240,7 +249,8 @@
 		t := s.tickets[one.ID]
 		delete(s.tickets, one.ID)
 		maxDelay := maxReturnDelay(t, now)
-		t.retryAfter = maxDelay
+		t.retryAfter, t.shedFor = maxDelay, one.Reason
+		s.requestShed(t.Class, one.Reason)
 		if count, _ := s.fleet.Usable(t.need, now); count > 0 {
 			t.retryAfter = min(max(one.RetryAfter, s.extendOverload(t.need.Pool, now), minRetryAfter), maxDelay)
 		}
