Relay: queues are ordered by the customers' use of the whole fleet

Each entry divided its own slots between customers by its own requests in progress. A customer at all entries therefore had a multiple of the share of one that calls a single entry.

Reports count for nothing after maxPeerLoadAge. Tables with a single customer send nothing.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -30,6 +30,9 @@
 	// FairOrder refines the order of NextFair and the choice of victims once requests of
 	// more than one class or customer have been offered.
 	FairOrder bool
+	// MaxPeerAge is the age from which the requests in progress that another entry has
+	// reported count for nothing.
+	MaxPeerAge time.Duration
 }
 
 // Ticket describes one request to the queue.
@@ -76,6 +79,7 @@
 
 type queuedRequest struct {
 	Ticket
+	key      CustomerKey
 	queuedAt time.Time
 	// isLarge says that the request is one of the largest of its route, isChecked that
 	// it has been decided that it may start in its time.
@@ -97,17 +101,23 @@
 	averageDuration        time.Duration
 	averageDurationByRoute map[string]time.Duration
 	fairness               fairness
+	peers                  map[string]peerUsage
+	weightsByKey           map[CustomerKey]int
+	// contendedAt is when a request last had to wait.
+	contendedAt time.Time
 }
 
 // New returns an empty queue.
 func New(config Config) *Queue {
-	return &Queue{config: config, runningByCustomer: map[string]int{}, averageDurationByRoute: map[string]time.Duration{}, fairness: newFairness()}
+	q := &Queue{config: config, runningByCustomer: map[string]int{}, averageDurationByRoute: map[string]time.Duration{}, fairness: newFairness(), peers: map[string]peerUsage{}}
+	q.SetWeights(config.Weights)
+	return q
 }
 
 // Offer adds a request to the queue. It returns the requests that are shed to
 // keep the limits, which may include the request itself.
 func (q *Queue) Offer(t Ticket, now time.Time) []Shed {
-	w := queuedRequest{Ticket: t, queuedAt: now, isLarge: q.fairness.recordOffer(t)}
+	w := queuedRequest{Ticket: t, key: KeyOf(t.Customer), queuedAt: now, isLarge: q.fairness.recordOffer(t)}
 	if q.queuedOf(t.Customer) >= q.config.MaxPerCustomer {
 		q.fairness.recordResult(w, false, now)
 		return []Shed{{ID: t.ID, RetryAfter: q.estimateWait(len(q.queued)), Reason: CustomerLimit}}
--- a/internal/admission/order.go
+++ b/internal/admission/order.go
@@ -43,8 +43,10 @@
 	lastingOverload = 3 * time.Second
 	overloadEnd     = time.Second
 	// shareTolerance is how far a customer may be above its fair share, relative to it and
-	// beside one request, before its requests go after those of others.
+	// beside one request, before its requests go after those of others; belowShare is the part
+	// of it under which they go before them.
 	shareTolerance = 1.5
+	belowShare     = 0.5
 )
 
 // fairness holds what the refined order depends on.
@@ -216,9 +218,9 @@
 	// isRescuedClass and isRescuedSize say that the request is due and of a starved class or
 	// size.
 	isRescuedClass, isRescuedSize bool
-	// isAboveShare says that the customer has more than its fair share of the requests in
-	// progress.
-	isAboveShare bool
+	// standing is how many of the requests in progress the customer has, compared with its
+	// fair share.
+	standing standing
 	// isDueReturn says that the caller has been rejected before, and would soon be again.
 	isDueReturn bool
 	// usage is the number of the customer's requests in progress relative to its weight.
@@ -229,7 +231,7 @@
 
 // compare orders two candidates. Requests that must go on (negative classes) go first, then due
 // requests of starved classes, then by class. Within a class: due requests of a starved size,
-// customers within their share, due returning callers, first attempts, the customer with the
+// customers below their share and those above it last, due returning callers, first attempts, the customer with the
 // fewest requests in progress relative to its weight, and the oldest.
 func compare(a, b candidate) int {
 	return cmp.Or(
@@ -237,7 +239,7 @@
 		compareBool(a.isRescuedClass, b.isRescuedClass),
 		cmp.Compare(a.Class, b.Class),
 		compareBool(a.isRescuedSize, b.isRescuedSize),
-		compareBool(!a.isAboveShare, !b.isAboveShare),
+		cmp.Compare(a.standing, b.standing),
 		compareBool(a.isDueReturn, b.isDueReturn),
 		compareBool(!a.Retry, !b.Retry),
 		cmp.Compare(a.usage, b.usage),
@@ -260,7 +262,7 @@
 func (q *Queue) order(now time.Time) []candidate {
 	starved := q.fairness.starvedClasses(now)
 	mayRescue := q.fairness.credit >= 1
-	shares := q.shares()
+	shares := q.shares(now)
 	largeStarved := map[string]bool{}
 	candidates := make([]candidate, len(q.queued))
 	for i := range q.queued {
@@ -274,7 +276,7 @@
 			}
 			c.isRescuedSize = w.isLarge && largeStarved[w.Route]
 		}
-		c.isAboveShare, c.usage = shares.isAbove(w.Customer), shares.relative(w.Customer)
+		c.standing, c.usage = shares.standing(w.key), shares.relative(w.key)
 		c.isDueReturn = w.Retry && isDue && q.fairness.returnsGoFirst(w.Class, now)
 		candidates[i] = c
 	}
@@ -304,6 +306,11 @@
 // relaxed may accept an instance that makes the response late. Requests that cannot start in
 // their time are shed at once.
 func (q *Queue) NextFair(startable, relaxed func(id uint64) bool, now time.Time) (id uint64, found bool, shed []Shed) {
+	defer func() {
+		if !found && len(q.queued) > 0 {
+			q.contendedAt = now
+		}
+	}()
 	if !q.ordersFairly() {
 		return q.NextStartable(startable, now)
 	}
@@ -324,7 +331,9 @@
 	return 0, false, append(shed, q.shedLate(candidates, now)...)
 }
 
-func (c *candidate) mayRelax() bool { return c.isRescued() || c.isDueReturn && !c.isAboveShare }
+func (c *candidate) mayRelax() bool {
+	return c.isRescued() || c.isDueReturn && c.standing != aboveShare
+}
 
 // shedLate sheds the requests that have not been checked yet and that so many others precede
 // that they cannot start in their time. Starved classes and sizes are exempt: they are rescued
@@ -340,7 +349,7 @@
 		c := &candidates[i]
 		if !c.isChecked && c.Class >= 0 && !starved[c.Class] && !(c.isLarge && q.fairness.isLargeStarved(c.Route, now)) {
 			before := ahead
-			if c.Retry && !c.isAboveShare && q.fairness.returnsGoFirst(c.Class, now) {
+			if c.Retry && c.standing != aboveShare && q.fairness.returnsGoFirst(c.Class, now) {
 				before = countBeforeReturn(candidates, c)
 			}
 			left := c.latestStart(q.config.MaxWait).Sub(now)
@@ -377,13 +386,13 @@
 // customers above their share first, first attempts before returning callers, the newest request
 // of the customer with the most requests in progress and queued relative to its weight.
 func (q *Queue) fairVictim(now time.Time) int {
-	shares := q.shares()
+	shares := q.shares(now)
 	last := slices.MinFunc(q.order(now), func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(b.Class, a.Class),
-			compareBool(shares.isOverdrawn(a.Customer), shares.isOverdrawn(b.Customer)),
+			compareBool(shares.isOverdrawn(a.key), shares.isOverdrawn(b.key)),
 			compareBool(!a.Retry, !b.Retry),
-			cmp.Compare(shares.relativeDemand(b.Customer), shares.relativeDemand(a.Customer)),
+			cmp.Compare(shares.relativeDemand(b.key), shares.relativeDemand(a.key)),
 			cmp.Compare(b.index, a.index),
 		)
 	})
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -4,29 +4,42 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
+)
+
+// standing compares a customer's requests in progress with its fair share.
+type standing int
+
+// The standings, in the order in which their requests start.
+const (
+	clearlyBelowShare standing = iota
+	withinShare
+	aboveShare
 )
 
 // shares holds the requests of the customers at one time, and the weighted max-min fair share
-// of the requests in progress.
+// of the requests in progress. Requests in progress are those at all entries that report them.
 type shares struct {
-	running, demand map[string]float64
-	weight          func(customer string) int
+	running, demand map[CustomerKey]float64
+	weights         map[CustomerKey]int
 	// level is the fair number of requests in progress for each unit of weight.
 	level float64
 }
 
 // shares returns the shares of all customers with requests.
-func (q *Queue) shares() *shares {
-	s := &shares{running: map[string]float64{}, demand: map[string]float64{}, weight: q.weight}
-	for _, w := range q.queued {
-		s.demand[w.Customer]++
+func (q *Queue) shares(now time.Time) *shares {
+	s := &shares{running: map[CustomerKey]float64{}, demand: map[CustomerKey]float64{}, weights: q.weightsByKey}
+	for customer, running := range q.runningByCustomer {
+		s.running[KeyOf(customer)] += float64(running)
 	}
-	for customer := range q.runningByCustomer {
-		s.demand[customer] += 0
+	for i := range q.queued {
+		s.demand[q.queued[i].key]++
+		// The customer takes part also without requests in progress.
+		s.running[q.queued[i].key] += 0
 	}
-	for customer := range s.demand {
-		s.running[customer] = float64(q.runningByCustomer[customer])
-		s.demand[customer] += s.running[customer]
+	s.addPeers(q.peers, q.config.MaxPeerAge, now)
+	for customer, running := range s.running {
+		s.demand[customer] += running
 	}
 	s.level = s.fairLevel()
 	return s
@@ -35,14 +48,14 @@
 // fairLevel divides the requests in progress between the customers by their weights; what one
 // does not ask for goes to the others. It is infinite if each has all that it asks for.
 func (s *shares) fairLevel() float64 {
-	customers := make([]string, 0, len(s.demand))
+	customers := make([]CustomerKey, 0, len(s.demand))
 	remaining, weights := 0.0, 0.0
 	for customer := range s.demand {
 		customers = append(customers, customer)
 		remaining += s.running[customer]
-		weights += float64(s.weight(customer))
+		weights += s.weight(customer)
 	}
-	slices.SortFunc(customers, func(a, b string) int {
+	slices.SortFunc(customers, func(a, b CustomerKey) int {
 		return cmp.Or(cmp.Compare(s.relativeDemand(a), s.relativeDemand(b)), cmp.Compare(a, b))
 	})
 	for _, customer := range customers {
@@ -51,27 +64,39 @@
 			return level
 		}
 		remaining -= s.demand[customer]
-		weights -= float64(s.weight(customer))
+		weights -= s.weight(customer)
 	}
 	return math.Inf(1)
 }
 
+func (s *shares) weight(customer CustomerKey) float64 {
+	return float64(max(1, s.weights[customer]))
+}
+
 // relative returns the customer's requests in progress relative to its weight, relativeDemand
 // those in progress and queued.
-func (s *shares) relative(customer string) float64 {
-	return s.running[customer] / float64(s.weight(customer))
+func (s *shares) relative(customer CustomerKey) float64 {
+	return s.running[customer] / s.weight(customer)
 }
 
-func (s *shares) relativeDemand(customer string) float64 {
-	return s.demand[customer] / float64(s.weight(customer))
+func (s *shares) relativeDemand(customer CustomerKey) float64 {
+	return s.demand[customer] / s.weight(customer)
 }
 
-// isAbove reports whether the customer has clearly more requests in progress than its share.
-func (s *shares) isAbove(customer string) bool {
-	return s.running[customer] > shareTolerance*s.level*float64(s.weight(customer))+1
+func (s *shares) standing(customer CustomerKey) standing {
+	fair := s.level * s.weight(customer)
+	switch running := s.running[customer]; {
+	case math.IsInf(s.level, 1):
+		return withinShare
+	case running > shareTolerance*fair+1:
+		return aboveShare
+	case running < belowShare*fair:
+		return clearlyBelowShare
+	}
+	return withinShare
 }
 
 // isOverdrawn reports whether the customer asks for more than its share.
-func (s *shares) isOverdrawn(customer string) bool {
+func (s *shares) isOverdrawn(customer CustomerKey) bool {
 	return s.relativeDemand(customer) > s.level
 }
--- a/internal/beat/message.go
+++ b/internal/beat/message.go
@@ -123,6 +123,21 @@
 	Trials    int
 }
 
+// PoolUsage is the number of requests that an entry has in progress at a pool, by customer.
+// Pool and Customer are hashes of the names, so that names do not make messages long.
+type PoolUsage struct {
+	Pool uint32
+	// Top holds the customers with most of them, Rest is the number of the others'.
+	Top  []CustomerUsage
+	Rest int
+}
+
+// CustomerUsage is the number of a customer's requests in progress.
+type CustomerUsage struct {
+	Customer uint32
+	Count    int
+}
+
 // Message is one datagram.
 type Message struct {
 	Role Role
@@ -164,6 +179,9 @@
 	Crashes      []CrashedBackend
 	ClearedParts []ClearedPart
 	PartRecords  []PartRecord
+	// PoolUsages holds the requests in progress of the pools where requests had to wait a short
+	// time ago. Only regular messages to near entries have them.
+	PoolUsages []PoolUsage
 	// ComposedAt is the time on the sender's clock at which it started to compose the
 	// message. The ages in the message refer to that time, even if the sender is
 	// paused before it sends the message. Zero means the time of sending.
--- a/internal/beat/socket.go
+++ b/internal/beat/socket.go
@@ -73,6 +73,7 @@
 		return raw, err
 	}
 	small := *m
+	small.PoolUsages = nil
 	small.Loads, small.LoadsOmitted, small.LeavingBackends, small.Crashes, small.ClearedParts = nil, true, nil, nil, nil
 	if raw, err = encode(&small); err == nil && len(raw) > maxDatagram-maxTrailer {
 		err = failure.New(failure.Invalid, "report this", "a message to peers has %d bytes without its loads", len(raw))
--- a/internal/catalog/classes.go
+++ b/internal/catalog/classes.go
@@ -22,6 +22,9 @@
 	return rank, true
 }
 
+// HasSeveralCustomers reports whether requests may belong to different customers.
+func (t *Table) HasSeveralCustomers() bool { return t.customers > 1 }
+
 // classesByPool returns the classes that requests of each pool may have, sorted.
 func classesByPool(routes []Route, customers []Customer) map[string][]int {
 	var ofCustomers []int
--- a/internal/catalog/classes_test.go
+++ b/internal/catalog/classes_test.go
@@ -48,3 +48,11 @@
 	c.Assert(catalog.Class(route, catalog.Customer{Priority: 1}), qt.Equals, 3)
 	c.Assert(catalog.Class(route, catalog.Customer{HasPriority: true}), qt.Equals, 0)
 }
+
+func TestHasSeveralCustomers(t *testing.T) {
+	c := qt.New(t)
+	for count, want := range []bool{false, false, true} {
+		table := catalog.New(1, catalog.Limits{}, nil, nil, make([]catalog.Customer, count))
+		c.Check(table.HasSeveralCustomers(), qt.Equals, want, qt.Commentf("%d customers", count))
+	}
+}
--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -150,6 +150,8 @@
 	customersByKey map[string]Customer
 	// hasCustomers is set if any customer is configured; requests then need keys.
 	hasCustomers bool
+	// customers is the number of customers.
+	customers int
 	// classesByPool holds the priority classes of the requests of each pool, sorted.
 	classesByPool map[string][]int
 }
@@ -158,7 +160,7 @@
 func New(version int64, limits Limits, routes []Route, pools []Pool, customers []Customer) *Table {
 	t := &Table{
 		Version: version, Limits: limits, Pools: map[string]Pool{},
-		routesByHost: map[string][]Route{}, customersByKey: map[string]Customer{}, hasCustomers: len(customers) > 0,
+		routesByHost: map[string][]Route{}, customersByKey: map[string]Customer{}, hasCustomers: len(customers) > 0, customers: len(customers),
 	}
 	for _, pool := range pools {
 		t.Pools[pool.Name] = pool
--- a/internal/relay/beats.go
+++ b/internal/relay/beats.go
@@ -219,7 +219,9 @@
 	h.mu.Unlock()
 	h.frontend.blocker.addReports(message, now)
 	h.recordLiveEntries(self.Host, livePeers)
+	message.PoolUsages = h.customerUsages(now)
 	h.socket.Send(message, near)
+	message.PoolUsages = nil
 	if len(far) > 0 {
 		message.ZoneLoads = encodeZoneLoads(h.scheduler.zoneLoads())
 		if farLoadsLapse {
@@ -316,6 +318,9 @@
 	if loadsCurrent && !m.LoadsOmitted {
 		h.scheduler.recordPeerLoads(m.Host, decodeLoads(m.Loads), true, now)
 	}
+	if loadsCurrent {
+		h.scheduler.recordPeerUsages(m.Host, m.PoolUsages, now)
+	}
 	if len(m.ZoneLoads) > 0 {
 		h.scheduler.recordZoneLoads(m.AvailabilityZone, decodeZoneLoads(m.ZoneLoads), now)
 	}
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -190,7 +190,7 @@
 
 func (s *scheduler) queue(pool string) *admission.Queue {
 	if s.queues[pool] == nil {
-		s.queues[pool] = admission.New(admission.Config{MaxQueued: maxQueued, MaxPerCustomer: maxQueued, MaxWait: time.Minute, FairOrder: true})
+		s.queues[pool] = admission.New(admission.Config{MaxQueued: maxQueued, MaxPerCustomer: maxQueued, MaxWait: time.Minute, FairOrder: true, MaxPeerAge: maxPeerLoadAge})
 	}
 	return s.queues[pool]
 }
