--- a/internal/relay/urgency_test.go
+++ b/internal/relay/urgency_test.go
@@ -1,12 +1,14 @@
 package relay
 
 import (
+	"net/http"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"plantainrelay/internal/catalog"
 	"plantainrelay/platform"
+	"plantainrelay/platform/standin"
 )
 
 // TestUrgencyOfAttempts guards against attempts at model engines without their class, and
@@ -35,3 +37,16 @@
 	resumed.customer = catalog.Customer{HasPriority: true, Priority: 2}
 	c.Check(resumed.urgency(), qt.DeepEquals, &platform.UrgencyClass{Rank: 1, Resumed: true})
 }
+
+// TestCallerSetsNoUrgency guards against callers that move their requests forward.
+func TestCallerSetsNoUrgency(t *testing.T) {
+	c := qt.New(t)
+	sent := make(chan []string, 1)
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		sent <- r.Header.Values(standin.HeaderUrgency)
+		answerOK(w, r)
+	})
+	_, _, err := f.do(http.MethodPost, "/look/x", func(r *http.Request) { r.Header.Set(standin.HeaderUrgency, "0") })
+	c.Assert(err, qt.IsNil)
+	c.Assert(<-sent, qt.HasLen, 0)
+}
