Admission: sums of shares do not depend on the order of maps

The counts of other entries are aged, so that their sums are fractions, and the same requests could be ordered differently in two plays of one seed.

--- a/internal/admission/pool_test.go
+++ b/internal/admission/pool_test.go
@@ -127,7 +127,9 @@
 			}
 		}
 		for _, entry := range p.random.Perm(len(p.queues)) {
-			p.dispatch(entry, now)
+			if p.queues[entry].Queued() > 0 {
+				p.dispatch(entry, now)
+			}
 		}
 	}
 }
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -22,6 +23,8 @@
 type shares struct {
 	running, demand map[CustomerKey]float64
 	weights         map[CustomerKey]int
+	// customers holds all of them, sorted: sums of fractions depend on their order.
+	customers []CustomerKey
 	// level is the fair number of requests in progress for each unit of weight.
 	level float64
 	// even is the number of requests in progress for each unit of weight.
@@ -40,32 +43,23 @@
 		s.running[q.queued[i].key] += 0
 	}
 	s.addPeers(q.peers, q.config.MaxPeerAge, now)
-	for customer, running := range s.running {
-		s.demand[customer] += running
-	}
-	s.level = s.fairLevel()
+	s.customers = slices.Sorted(maps.Keys(s.running))
 	total, weights := 0.0, 0.0
-	for customer, running := range s.running {
-		total += running
+	for _, customer := range s.customers {
+		s.demand[customer] += s.running[customer]
+		total += s.running[customer]
 		weights += s.weight(customer)
 	}
 	s.even = total / max(weights, 1)
+	s.level = s.fairLevel(total, weights)
 	return s
 }
 
 // fairLevel divides the requests in progress between the customers by their weights; what one
 // does not ask for goes to the others. It is infinite if each has all that it asks for.
-func (s *shares) fairLevel() float64 {
-	customers := make([]CustomerKey, 0, len(s.demand))
-	remaining, weights := 0.0, 0.0
-	for customer := range s.demand {
-		customers = append(customers, customer)
-		remaining += s.running[customer]
-		weights += s.weight(customer)
-	}
-	slices.SortFunc(customers, func(a, b CustomerKey) int {
-		return cmp.Or(cmp.Compare(s.relativeDemand(a), s.relativeDemand(b)), cmp.Compare(a, b))
-	})
+func (s *shares) fairLevel(remaining, weights float64) float64 {
+	customers := slices.Clone(s.customers)
+	slices.SortStableFunc(customers, func(a, b CustomerKey) int { return cmp.Compare(s.relativeDemand(a), s.relativeDemand(b)) })
 	for _, customer := range customers {
 		level := remaining / weights
 		if s.relativeDemand(customer) > level {
@@ -112,12 +106,7 @@
 
 // hasDominant reports whether any customer is dominant.
 func (s *shares) hasDominant() bool {
-	for customer := range s.running {
-		if s.isDominant(customer) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(s.customers, s.isDominant)
 }
 
 // isOverdrawn reports whether the customer asks for more than its share.
--- a/internal/admission/usage.go
+++ b/internal/admission/usage.go
@@ -186,7 +186,8 @@
 // addPeers adds the requests in progress that other entries have reported.
 func (s *shares) addPeers(peers map[string]peerUsage, maxAge time.Duration, now time.Time) {
 	own := slices.Collect(maps.Keys(s.running))
-	for _, peer := range peers {
+	for _, name := range slices.Sorted(maps.Keys(peers)) {
+		peer := peers[name]
 		weight := peer.weightAt(now, maxAge)
 		if weight == 0 {
 			continue
