--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -171,6 +171,7 @@
 	e.frontend.setBounds(s.Bounds)
 	e.limitClients(s, log)
 	e.heartbeats = &heartbeater{socket: socket, view: e.view, scheduler: e.scheduler, frontend: e.frontend, log: log, start: start, regions: s.Regions, sendNow: make(chan struct{}, 1), loadChanges: make(chan string, maxPendingLoadChanges), placed: make(chan struct{}, 1)}
+	e.scheduler.requestShed = newShedCounter(e.metrics)
 	e.scheduler.loadChanged = e.heartbeats.recordLoadChange
 	e.scheduler.backendExpired, e.scheduler.minVersion = e.view.backendExpired, e.view.minVersion
 	e.metrics.Gauge("tables_proof_age_seconds", "Age of the proof that the tables are current.", func() float64 { return e.view.proofAge().Seconds() })
