--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -160,13 +160,17 @@
 	customersByKey map[string]Customer
 	// hasCustomers is set if any customer is configured; requests then need keys.
 	hasCustomers bool
+	// customers is the number of customers.
+	customers int
+	// classesByPool holds the priority classes of the requests of each pool, sorted.
+	classesByPool map[string][]int
 }
 
 // New builds a table and its indexes.
 func New(version int64, limits Limits, routes []Route, pools []Pool, customers []Customer) *Table {
 	t := &Table{
 		Version: version, Limits: limits, Pools: map[string]Pool{},
-		routesByHost: map[string][]Route{}, customersByKey: map[string]Customer{}, hasCustomers: len(customers) > 0,
+		routesByHost: map[string][]Route{}, customersByKey: map[string]Customer{}, hasCustomers: len(customers) > 0, customers: len(customers),
 	}
 	for _, pool := range pools {
 		t.Pools[pool.Name] = pool
@@ -182,6 +186,7 @@
 			t.customersByKey[key] = customer
 		}
 	}
+	t.classesByPool = classesByPool(routes, customers)
 	return t
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -145,6 +145,8 @@
 	returns int
 	// closeCause is why no further attempt is made, for the log.
 	closeCause closeCause
+	// shedFor is why the queue has shed the request, for the log.
+	shedFor admission.Reason
 }
 
 // setDeadline sets the time at which the request is given up.
@@ -269,10 +271,7 @@
 	if now := clock.Now(); len(x.attempts) > 0 {
 		startBy = now.Add(maxQueueTime)
 	}
-	priority := x.route.Priority
-	if x.customer.HasPriority {
-		priority = x.customer.Priority
-	}
+	priority := catalog.Class(x.route, x.customer)
 	if x.mustGoOn() {
 		priority = resumedPriority
 		if waitUntil := x.waitUntil(); waitUntil.After(startBy) {
@@ -283,7 +282,7 @@
 		startBy = x.deadline
 	}
 	return &ticket{
-		Ticket: admission.Ticket{Customer: x.customer.Name, Route: x.route.Name, Class: priority, Retry: x.returning, Deadline: x.deadline, StartBy: startBy},
+		Ticket: admission.Ticket{Customer: x.customer.Name, Route: x.route.Name, Class: priority, Retry: x.returning, Deadline: x.deadline, StartBy: startBy, Size: x.call.PromptTokens},
 		need:   x.placementNeed(), maxReturnWait: time.Duration(returnWaitFactor * float64(x.route.Objective)),
 		isRejectable: !x.mayHaveRun(), restrict: x.restrictRegions(),
 	}
@@ -428,7 +427,7 @@
 
 // handleRejection ends a request that got no slot.
 func (x *exchange) handleRejection(ctx context.Context, r *rejection) dispatch.Action {
-	x.closeCause = closedForSlot
+	x.closeCause, x.shedFor = closedForSlot, r.shedFor
 	if len(x.attempts) > 0 && x.mayHaveRun() {
 		x.finish(ctx, dispatch.Unknown)
 		return dispatch.Action{}
@@ -631,5 +630,6 @@
 	if last, hasEvent := x.position.lastEvent(); hasEvent {
 		forward.LastEventID = strconv.FormatInt(last, 10)
 	}
+	forward.Urgency = x.urgency()
 	return newRequest(ctx, x.r, choice.Backend.Address, x.body, platform.ForwardHeader(x.r.Header, forward))
 }
--- a/internal/relay/reported.go
+++ b/internal/relay/reported.go
@@ -65,7 +65,9 @@
 	if !found {
 		return
 	}
-	if load := info.Load; load != nil {
+	// Without the processing time, the report counts requests only, which entries tell each other
+	// sooner: with such reports, more requests went to instances that were about to be full.
+	if load := info.Load; load != nil && load.Slowdown > 0 {
 		s.fleet.RecordLoad(start, placement.InstanceLoad{Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Slowdown: load.Slowdown}, now)
 	}
 	if info.ColdLeft > 0 {
--- a/internal/relay/reported_test.go
+++ b/internal/relay/reported_test.go
@@ -39,6 +39,8 @@
 	c.Assert(reported(), qt.Equals, 0)
 	record(platform.ResponseInfo{Class: platform.Answered, Load: load})
 	c.Assert(reported(), qt.Equals, 5)
+	record(platform.ResponseInfo{Class: platform.Answered, Load: &platform.InstanceLoad{Running: 1, Slots: 4}})
+	c.Assert(reported(), qt.Equals, 5, qt.Commentf("a report without the processing time does not count"))
 	for range 20 {
 		record(platform.ResponseInfo{Class: platform.Answered, InvalidLoad: "3,2"})
 	}
