--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -201,7 +201,7 @@
 
 func (s *scheduler) queue(pool string) *admission.Queue {
 	if s.queues[pool] == nil {
-		s.queues[pool] = admission.New(admission.Config{MaxQueued: maxQueued, MaxPerCustomer: maxQueued, MaxWait: time.Minute, MaxPeerAge: maxPeerLoadAge})
+		s.queues[pool] = admission.New(admission.Config{MaxQueued: maxQueued, MaxPerCustomer: maxQueued, MaxWait: time.Minute, FairOrder: s.hasSeveralClasses(pool), MaxPeerAge: maxPeerLoadAge})
 	}
 	return s.queues[pool]
 }
