--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -108,6 +108,12 @@
 	PromptTokensPerSecond float64
 }
 
+// PromptPart is a part of a prompt that other requests may have in theirs.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
 // PassTime returns the duration of one pass of an engine that generates output.
 func (e *Engine) PassTime() time.Duration {
 	return time.Duration(max(e.Stride, 1)) * e.StepTime
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"plantainrelay/internal/catalog"
+	"plantainrelay/internal/promptcache"
 )
 
 // Config holds the limits of placement.
@@ -31,6 +32,9 @@
 	Engine func(pool string) *catalog.Engine
 	// Regions maps availability zones to regions.
 	Regions map[string]string
+	// PromptRetention is how long engines hold the beginning of a prompt after they have begun
+	// a request with it; 0 means that they hold none.
+	PromptRetention time.Duration
 }
 
 const (
@@ -115,6 +119,9 @@
 	backend         catalog.Backend
 	promptTokens    int
 	responseStarted bool
+	// version and prefix are those of the choice and its request.
+	version int64
+	prefix  promptcache.Chain
 }
 
 type peerLoad struct {
@@ -182,13 +189,15 @@
 	evacuatedAt time.Time
 	random      *rand.Rand
 	lastTicket  uint64
+	// held records the beginnings of prompts that engines still hold.
+	held *promptcache.Table
 }
 
 // New returns a Fleet without instances.
 func New(config Config) *Fleet {
 	return &Fleet{
 		config: config, instances: map[string]*instance{}, byHost: map[string]*instance{}, reports: map[string]receivedReport{}, notices: map[InstanceStart]*notice{}, latestStart: map[string]int64{}, ownAttempts: map[uint64]*ownAttempt{}, zoneLoads: map[string]receivedZoneLoads{}, evacuations: map[string]evacuation{},
-		random: rand.New(rand.NewPCG(config.Seed, config.Seed+1)),
+		random: rand.New(rand.NewPCG(config.Seed, config.Seed+1)), held: promptcache.New(config.PromptRetention),
 	}
 }
 
@@ -369,6 +378,8 @@
 	TargetVersion int64
 	// PromptTokens is the number of prompt tokens, 0 if unknown.
 	PromptTokens int
+	// Prefix holds the first parts of the prompt, which an engine may still hold.
+	Prefix promptcache.Chain
 	// MaxWait is the longest acceptable wait for the first event. An engine with a
 	// longer expected wait counts as full. 0 means no limit.
 	MaxWait time.Duration
@@ -397,6 +408,9 @@
 	// PendingPromptTokens the number of prompt tokens to be processed before this
 	// request's.
 	Load, Limit, PendingPromptTokens int
+	// HeldTokens is the number of tokens of the prompt that the engine is expected not to
+	// process again.
+	HeldTokens int
 	// Slowdown is how many times slower than usual the engine runs, at least 1.
 	Slowdown float64
 	ticket   uint64
@@ -424,11 +438,13 @@
 	f.lastTicket++
 	choice := Choice{
 		Backend: best.Backend, Version: best.version(need.Model), Load: f.load(best, now), Limit: f.limit(best),
-		PendingPromptTokens: f.pendingPromptTokens(best, now), Slowdown: best.slowdown(), ticket: f.lastTicket,
+		PendingPromptTokens: f.pendingPromptTokens(best, now), HeldTokens: f.heldTokens(best, need, now), Slowdown: best.slowdown(), ticket: f.lastTicket,
 	}
 	best.ownRequests++
+	// The whole prompt counts until its response starts, although the engine may hold a part of
+	// it: the next requests with that part then go to other engines.
 	best.pendingPromptTokens[choice.ticket] = need.PromptTokens
-	f.ownAttempts[choice.ticket] = &ownAttempt{backend: best.Backend, promptTokens: need.PromptTokens}
+	f.ownAttempts[choice.ticket] = &ownAttempt{backend: best.Backend, promptTokens: need.PromptTokens, version: choice.Version, prefix: need.Prefix}
 	return choice, true
 }
 
@@ -479,7 +495,7 @@
 	if engine == nil || engine.PromptTokensPerSecond <= 0 || need.MaxWait <= 0 || pendingTokens == 0 {
 		return true
 	}
-	return estimateFirstEvent(engine, pendingTokens+need.PromptTokens, inst.slowdown()) <= need.MaxWait
+	return estimateFirstEvent(engine, pendingTokens+need.PromptTokens-f.heldTokens(inst, need, now), inst.slowdown()) <= need.MaxWait
 }
 
 // estimateFirstEvent estimates the time to the first event: the current pass, the
@@ -503,7 +519,7 @@
 		}
 		return score
 	}
-	wait := engine.PassTime() + time.Duration(float64(f.pendingPromptTokens(inst, now)+need.PromptTokens)/engine.PromptTokensPerSecond*float64(time.Second))
+	wait := engine.PassTime() + time.Duration(float64(f.pendingPromptTokens(inst, now)+need.PromptTokens-f.heldTokens(inst, need, now))/engine.PromptTokensPerSecond*float64(time.Second))
 	score := wait.Seconds()*inst.slowdown() + occupancyPenalty.Seconds()*share + jitter.Seconds()*f.random.Float64()
 	if otherZone {
 		score += crossZonePenalty.Seconds()
@@ -514,6 +530,20 @@
 	return score
 }
 
+// heldTokens returns the number of the request's prompt tokens that the engine is expected to
+// hold. It is 0 if the size of the prompt is unknown.
+func (f *Fleet) heldTokens(inst *instance, need Requirements, now time.Time) int {
+	if len(need.Prefix) == 0 {
+		return 0
+	}
+	held := f.held.HeldTokens(heldBy(inst.Backend), inst.version(need.Model), need.Prefix, now)
+	return min(held, need.PromptTokens)
+}
+
+func heldBy(backend catalog.Backend) promptcache.Engine {
+	return promptcache.Engine{Instance: backend.ID, Start: backend.Start}
+}
+
 func (f *Fleet) engine(pool string) *catalog.Engine {
 	if f.config.Engine == nil {
 		return nil
@@ -572,6 +602,14 @@
 	}
 }
 
+// PromptProcessed records that an engine has begun the response to a request, and holds the
+// beginning of its prompt from now on.
+func (f *Fleet) PromptProcessed(choice Choice, now time.Time) {
+	if attempt := f.ownAttempts[choice.ticket]; attempt != nil && len(attempt.prefix) > 0 {
+		f.held.Record(heldBy(attempt.backend), attempt.version, attempt.prefix, now)
+	}
+}
+
 // HasFreeSlot reports whether Choose would find an instance for a request with these
 // requirements.
 func (f *Fleet) HasFreeSlot(need Requirements, now time.Time) bool {
--- a/internal/placement/share.go
+++ b/internal/placement/share.go
@@ -42,6 +42,9 @@
 	if available && (!inst.available || version != inst.servedVersion) {
 		inst.availableSince = now
 	}
+	if version != inst.servedVersion {
+		f.held.Forget(heldBy(inst.Backend))
+	}
 	inst.available, inst.servedVersion = available, version
 }
 
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -161,13 +161,13 @@
 	e.scheduler = newScheduler(placement.New(placement.Config{
 		AvailabilityZone: s.AvailabilityZone, MaxPeerLoadAge: maxPeerLoadAge,
 		FailureBackoff: 500 * time.Millisecond, MaxFailureBackoff: 6 * time.Second, Seed: uint64(start),
-		Engine: func(pool string) *catalog.Engine { return e.view.engine(pool) }, Regions: s.Regions,
+		Engine: func(pool string) *catalog.Engine { return e.view.engine(pool) }, Regions: s.Regions, PromptRetention: s.PromptRetention,
 	}), newRetryLimits(s.Bounds))
 	e.scheduler.retrySlackFrom = clock.Now().Add(s.Bounds.RetryWindow)
 	e.blocker = newBlocker(log, counts.blocks)
 	e.view = newView(e.scheduler, e.blocker, s.Bounds.VersionSwitchTime, s.Bounds.StableTime-stablePeriodMargin, log)
 	e.metrics.Registry.MustRegister(e.view.versionMetrics.minVersion, e.view.versionMetrics.target)
-	e.frontend = &frontend{view: e.view, scheduler: e.scheduler, blocker: e.blocker, blockGate: &blockGate{view: e.view, learnBy: clock.Now().Add(s.Bounds.StableTime)}, sender: newSender(), log: log, metrics: counts, zone: s.AvailabilityZone, returningCallers: newReturningCallerDetector(), shutdown: newShutdown()}
+	e.frontend = &frontend{view: e.view, scheduler: e.scheduler, blocker: e.blocker, blockGate: &blockGate{view: e.view, learnBy: clock.Now().Add(s.Bounds.StableTime)}, sender: newSender(), log: log, metrics: counts, zone: s.AvailabilityZone, returningCallers: newReturningCallerDetector(), shutdown: newShutdown(), usesHeldPrompts: s.PromptRetention > 0}
 	e.frontend.setBounds(s.Bounds)
 	e.limitClients(s, log)
 	e.heartbeats = &heartbeater{socket: socket, view: e.view, scheduler: e.scheduler, frontend: e.frontend, log: log, start: start, regions: s.Regions, sendNow: make(chan struct{}, 1), loadChanges: make(chan string, maxPendingLoadChanges), placed: make(chan struct{}, 1)}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -14,6 +14,7 @@
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/dispatch"
 	"plantainrelay/internal/placement"
+	"plantainrelay/internal/promptcache"
 	"plantainrelay/platform"
 )
 
@@ -58,8 +59,8 @@
 	forwardBufferBytes = 32 << 10
 )
 
-// attemptRecord describes one attempt for the request log. Load, Limit and Unread are
-// Load, Limit and PendingPromptTokens of the placement.Choice.
+// attemptRecord describes one attempt for the request log. Load, Limit, Unread
+// and HeldTokens are Load, Limit, PendingPromptTokens and HeldTokens of the placement.Choice.
 type attemptRecord struct {
 	Instance string `json:"instance"`
 	Zone     string `json:"availability_zone"`
@@ -69,6 +70,7 @@
 	Load       int   `json:"load"`
 	Limit      int   `json:"limit"`
 	Unread     int   `json:"unread,omitempty"`
+	HeldTokens int   `json:"held_tokens,omitempty"`
 	QueueMs    int64 `json:"queue_ms"`
 	// Reserved says that the slot was taken while the last attempt was still awaited.
 	Reserved bool   `json:"reserved,omitempty"`
@@ -108,6 +110,9 @@
 	model    string
 	// parts holds the IDs of the parts of the prompt that a model engine may crash at.
 	parts []string
+	// prefix is the beginning of the prompt that a model engine may still hold, empty while
+	// PromptReuse is off.
+	prefix promptcache.Chain
 	// blockedPart is the one because of which the request is refused. isTrial says that it
 	// is let through although one of its parts is blocked.
 	blockedPart string
@@ -230,7 +235,7 @@
 func (x *exchange) placementNeed() placement.Requirements {
 	need := placement.Requirements{
 		Pool: x.pool, Model: x.model, TargetVersion: x.frontend.view.releases.Load().TargetVersion(x.model),
-		PromptTokens: x.call.PromptTokens, RandomizeChoice: x.responseStarted, Tried: x.tried,
+		PromptTokens: x.call.PromptTokens, Prefix: x.prefix, RandomizeChoice: x.responseStarted, Tried: x.tried,
 	}
 	if x.model != "" && len(x.attempts) > 0 {
 		need.AvoidSwitch = x.decision.RemainingAttempts() == 0
@@ -335,10 +340,13 @@
 	started := clock.Now()
 	x.frontend.metrics.queueTime.Observe(queueTime.Seconds())
 	record := attemptRecord{
-		Instance: choice.Backend.ID, Zone: choice.Backend.AvailabilityZone, Version: choice.Version, MinVersion: t.need.MinVersion, Load: choice.Load, Limit: choice.Limit, Unread: choice.PendingPromptTokens,
+		Instance: choice.Backend.ID, Zone: choice.Backend.AvailabilityZone, Version: choice.Version, MinVersion: t.need.MinVersion, Load: choice.Load, Limit: choice.Limit, Unread: choice.PendingPromptTokens, HeldTokens: choice.HeldTokens,
 		QueueMs: queueTime.Milliseconds(), Reserved: slot.isReserved,
 	}
 	x.tried[choice.Backend.ID] = true
+	if len(x.prefix) > 0 {
+		x.frontend.metrics.countHeldPrompt(choice.HeldTokens)
+	}
 	result = broken
 	defer func() {
 		duration := clock.Now().Sub(started)
@@ -546,6 +554,9 @@
 // forward forwards the response of an instance.
 func (x *exchange) forward(response *http.Response, choice placement.Choice, watchdog *watchdog, record *attemptRecord) outcome {
 	x.responseBegan()
+	if response.StatusCode/100 == 2 && len(x.prefix) > 0 {
+		x.frontend.scheduler.promptProcessed(choice)
+	}
 	if x.route.Kind == catalog.Streaming && response.StatusCode == http.StatusOK {
 		return x.forwardStream(response, choice, watchdog, record)
 	}
--- a/internal/relay/frontend.go
+++ b/internal/relay/frontend.go
@@ -20,6 +20,7 @@
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/daemon"
 	"plantainrelay/internal/intake"
+	"plantainrelay/internal/promptcache"
 	"plantainrelay/platform"
 )
 
@@ -63,6 +64,8 @@
 	metrics        *frontendMetrics
 	// zone is this entry's availability zone.
 	zone string
+	// usesHeldPrompts says that engines hold the beginning of a prompt for some time.
+	usesHeldPrompts bool
 	// returningCallers detects callers that retry after a rejection.
 	returningCallers *returningCallerDetector
 	// revokeBound is the bound on revoked keys in nanoseconds; zero when there is none.
@@ -325,9 +328,12 @@
 		}
 		x.customer = customer
 	}
-	x.pool, x.model, x.parts = route.ChoosePool(newRandom()), "", nil
+	x.pool, x.model, x.parts, x.prefix = route.ChoosePool(newRandom()), "", nil, nil
 	if engine := table.Pools[x.pool].Engine; engine != nil {
 		x.model, x.parts = engine.Model, x.call.SharedParts
+		if f.usesHeldPrompts {
+			x.prefix = promptcache.NewChain(x.call.Prefix)
+		}
 	}
 	x.setDeadline()
 	if refused := x.admitWhileStopping(); refused != nil {
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -244,6 +244,14 @@
 	s.loadChanged(choice.Backend.ID, false)
 }
 
+// promptProcessed records that the instance has begun a response with success, for which it has
+// read the whole prompt.
+func (s *scheduler) promptProcessed(choice placement.Choice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.PromptProcessed(choice, clock.Now())
+}
+
 // shed rejects requests. While no instance is usable, callers are asked to retry when
 // one may be usable again.
 func (s *scheduler) shed(rejected []admission.Shed, now time.Time) {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -24,6 +24,10 @@
 	closed        *prometheus.CounterVec
 	standbys      *prometheus.CounterVec
 	ownEnds       *prometheus.CounterVec
+	// heldPrompts counts attempts by whether their instance was expected to hold the beginning
+	// of the prompt, heldTokens the tokens of these beginnings.
+	heldPrompts *prometheus.CounterVec
+	heldTokens  prometheus.Counter
 	// directoryAnswers counts the answers of the address directory.
 	directoryAnswers *prometheus.CounterVec
 }
@@ -64,6 +68,12 @@
 		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Name: "closed_responses_total", Help: "Responses that had begun and were closed before their end, by cause.",
 		}, []string{"cause"}),
+		heldPrompts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Name: "held_prompts_total", Help: "Attempts with shared prompt parts by whether the instance was expected to hold the first ones, hit or miss.",
+		}, []string{"result"}),
+		heldTokens: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Name: "held_prompt_tokens_total", Help: "Prompt tokens that instances were expected not to process again.",
+		}),
 		notices:      newNoticeCounter(),
 		blocks:       newBlockMetrics(),
 		longestPause: histogram("longest_pause_seconds", "Longest pause between two events of a stream."),
@@ -71,10 +81,21 @@
 		duration:     histogram("request_seconds", "Time from a request's arrival to the end of its answer."),
 		queueTime:    histogram("queue_seconds", "Time that attempts waited for a place."),
 	}
-	m.Registry.MustRegister(f.refused, f.attempts, f.storeCalls, f.retries, f.responseBytes, f.notices, f.blocks.decisions, f.blocks.interruptions, f.panics, f.ownEnds, f.directoryAnswers, f.closed, f.standbys, f.longestPause, f.firstEvent, f.duration, f.queueTime)
+	m.Registry.MustRegister(f.refused, f.attempts, f.storeCalls, f.retries, f.responseBytes, f.notices, f.blocks.decisions, f.blocks.interruptions, f.panics, f.ownEnds, f.directoryAnswers, f.closed, f.standbys, f.longestPause, f.firstEvent, f.duration, f.queueTime, f.heldPrompts, f.heldTokens)
 	return f
 }
 
+// countHeldPrompt counts an attempt whose instance was expected to hold a number of tokens of
+// the prompt.
+func (f *frontendMetrics) countHeldPrompt(tokens int) {
+	result := "hit"
+	if tokens == 0 {
+		result = "miss"
+	}
+	f.heldPrompts.WithLabelValues(result).Inc()
+	f.heldTokens.Add(float64(tokens))
+}
+
 func histogram(name, help string) prometheus.Histogram {
 	return prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: metrics.Namespace, Name: name, Help: help, Buckets: latencyBuckets})
 }
--- a/test/imports/imports_test.go
+++ b/test/imports/imports_test.go
@@ -19,7 +19,7 @@
 // arguments and return actions.
 var decisionPackages = []string{
 	"admission", "balance", "blocklist", "burn", "catalog", "dispatch", "drain", "duty", "intake", "member", "ownership",
-	"peers", "placement", "propagate", "replica", "rollout", "swarm", "table", "usage", "weights",
+	"peers", "placement", "promptcache", "propagate", "replica", "rollout", "swarm", "table", "usage", "weights",
 }
 
 // modulePrefix is the prefix of the import paths of this module's internal
