--- a/internal/placement/prompts_test.go
+++ b/internal/placement/prompts_test.go
@@ -65,8 +65,9 @@
 		c.Assert(second.Backend.ID, qt.Equals, first.Backend.ID)
 		c.Assert(second.HeldTokens, qt.Equals, 900)
 		c.Assert(serve(c, fleet, promptNeed("b", 900), epoch).HeldTokens, qt.Equals, 0)
-		longer := serve(c, fleet, promptNeed("a", 900), epoch)
-		c.Assert(longer.HeldTokens, qt.Equals, 900)
+		longer := need
+		longer.Prefix = promptcache.NewChain([]catalog.PromptPart{{ID: "a", Tokens: 900}, {ID: "c", Tokens: 50}})
+		c.Assert(serve(c, fleet, longer, epoch).HeldTokens, qt.Equals, 900)
 	}
 }
 
