--- a/internal/placement/prompts_test.go
+++ b/internal/placement/prompts_test.go
@@ -282,6 +282,22 @@
 	}
 }
 
+// TestLateResponseOfAnEarlierStartIsNoRecord guards against a prompt that counts as held by an engine
+// whose earlier start has read it, because that response is seen after the restart.
+func TestLateResponseOfAnEarlierStartIsNoRecord(t *testing.T) {
+	c := qt.New(t)
+	restarted := backend(0)
+	restarted.Start = 2
+	fleet := newPromptFleet(1, promptRetention, backend(0))
+	late, _ := fleet.Choose(promptNeed("a", 900), epoch)
+	fleet.SetList([]catalog.Backend{restarted}, time.Time{}, epoch)
+	fleet.PromptProcessed(late, epoch)
+	choice, found := fleet.Choose(promptNeed("a", 900), epoch)
+	c.Assert(found, qt.IsTrue)
+	c.Assert(choice.Backend.Start, qt.Equals, int64(2))
+	c.Assert(choice.HeldTokens, qt.Equals, 0)
+}
+
 // TestWithoutHeldPromptsTheChoiceIsUnchanged guards against other choices, or other random numbers,
 // where the setting is off or nothing is known.
 func TestWithoutHeldPromptsTheChoiceIsUnchanged(t *testing.T) {
