--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -174,9 +174,9 @@
 	e.limitClients(s, log)
 	e.heartbeats = &heartbeater{socket: socket, view: e.view, scheduler: e.scheduler, frontend: e.frontend, log: log, start: start, regions: s.Regions, sendNow: make(chan struct{}, 1), loadChanges: make(chan string, maxPendingLoadChanges), placed: make(chan struct{}, 1)}
 	e.scheduler.requestShed = newShedCounter(e.metrics)
-	e.scheduler.hasSeveralClasses = func(pool string) bool {
+	e.scheduler.ordersFairly = func(pool string) bool {
 		table := e.view.table()
-		return table != nil && table.HasSeveralClasses(pool)
+		return s.FairOrder && table != nil && table.HasSeveralClasses(pool)
 	}
 	e.scheduler.loadChanged = e.heartbeats.recordLoadChange
 	e.scheduler.backendExpired, e.scheduler.minVersion = e.view.backendExpired, e.view.minVersion
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -83,9 +83,8 @@
 	loadChanged func(id string, begun bool)
 	// minVersion returns the oldest version of a model's weights that may start a request.
 	minVersion func(model string, now time.Time) int64
-	// hasSeveralClasses reports whether the tables give the requests of a pool several classes.
-	// The order of its queue is refined then.
-	hasSeveralClasses func(pool string) bool
+	// ordersFairly reports whether the order of a pool's queue is refined (admission.Config).
+	ordersFairly func(pool string) bool
 	// backendExpired is called for each instance that was missing from the list and is
 	// no longer kept.
 	backendExpired func(placement.Change)
@@ -97,7 +96,7 @@
 	return &scheduler{
 		fleet: fleet, queues: map[string]*admission.Queue{}, tickets: map[uint64]*ticket{}, retryBudgets: map[string]*dispatch.WindowBudget{},
 		retryLimits: retries, slackSharers: slackSharers{count: 1}, requestQueued: make(chan struct{}, 1), overloads: map[string]*overload{}, loadChanged: func(string, bool) {},
-		hasSeveralClasses: func(string) bool { return true }, backendExpired: func(placement.Change) {}, requestShed: func(int, admission.Reason) {}, minVersion: func(string, time.Time) int64 { return 0 },
+		ordersFairly: func(string) bool { return true }, backendExpired: func(placement.Change) {}, requestShed: func(int, admission.Reason) {}, minVersion: func(string, time.Time) int64 { return 0 },
 	}
 }
 
@@ -201,7 +200,7 @@
 
 func (s *scheduler) queue(pool string) *admission.Queue {
 	if s.queues[pool] == nil {
-		s.queues[pool] = admission.New(admission.Config{MaxQueued: maxQueued, MaxPerCustomer: maxQueued, MaxWait: time.Minute, FairOrder: s.hasSeveralClasses(pool), MaxPeerAge: maxPeerLoadAge})
+		s.queues[pool] = admission.New(admission.Config{MaxQueued: maxQueued, MaxPerCustomer: maxQueued, MaxWait: time.Minute, FairOrder: s.ordersFairly(pool), MaxPeerAge: maxPeerLoadAge})
 	}
 	return s.queues[pool]
 }
@@ -209,7 +208,7 @@
 // dispatchWaiting assigns free slots to queued requests. The caller holds mu.
 func (s *scheduler) dispatchWaiting(pool string, now time.Time) {
 	queue := s.queue(pool)
-	queue.SetFairOrder(s.hasSeveralClasses(pool))
+	queue.SetFairOrder(s.ordersFairly(pool))
 	s.rejectWhileAllWait(pool, now)
 	for queue.Queued() > 0 {
 		id, found, shed := queue.NextFair(func(id uint64, terms admission.Terms) bool { return s.isStartable(s.tickets[id], terms, now) }, now)
