--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -143,8 +143,12 @@
 // MayRepeat reports whether a further attempt would follow if the last one were interrupted
 // now and the retry budget allowed it.
 func (r *Request) MayRepeat(now time.Time) bool {
-	isLastInterruption := r.config.MaxInterruptions > 0 && r.interruptions+1 >= r.config.MaxInterruptions
-	return !isLastInterruption && r.MayRepeatEnded(now)
+	return !r.isLastInterruption() && r.MayRepeatEnded(now)
+}
+
+// isLastInterruption reports whether no attempt would follow if the last one were interrupted.
+func (r *Request) isLastInterruption() bool {
+	return r.config.MaxInterruptions > 0 && r.interruptions+1 >= r.config.MaxInterruptions
 }
 
 // MayRepeatEnded is the same as MayRepeat for AttemptEnded.
@@ -154,8 +158,7 @@
 
 // RemainingAttempts returns how many attempts may be made beside the one in progress.
 func (r *Request) RemainingAttempts() int {
-	isLastInterruption := r.config.MaxInterruptions > 0 && r.interruptions+1 >= r.config.MaxInterruptions
-	if isLastInterruption || !r.config.Repeatable {
+	if r.isLastInterruption() || !r.config.Repeatable {
 		return 0
 	}
 	return max(r.config.MaxAttempts-r.attempts, 0)
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -329,8 +329,8 @@
 }
 
 // chooseTarget moves the target to the newest version, unless the fetch of an
-// earlier one is nearly complete and the newest one is not held yet. A version that was not released is left at once. The
-// caller holds mu.
+// earlier one is nearly complete and the newest one is not held yet. A version that was not
+// released is left at once. The caller holds mu.
 func (a *agent) chooseTarget(now time.Time) {
 	if !a.newestTarget.supersedes(a.target) {
 		return
--- a/internal/relay/evacuation_test.go
+++ b/internal/relay/evacuation_test.go
@@ -60,17 +60,7 @@
 		answerOK(w, r)
 	}, answerOK)
 	f.listZones(1)
-	statuses := make(chan int, 3)
-	for range 3 {
-		go func() {
-			response, _, err := f.get(homesRoute)
-			if err != nil {
-				statuses <- 0
-				return
-			}
-			statuses <- response.StatusCode
-		}()
-	}
+	statuses := f.getConcurrently(3)
 	waitUntil(c, func() bool { return f.arrived[0].Load() == 2 && f.frontend.scheduler.queuedRequests("s") == 1 })
 	f.evacuate("z1")
 	close(release)
--- a/internal/relay/homes_test.go
+++ b/internal/relay/homes_test.go
@@ -89,6 +89,23 @@
 	return f.do(http.MethodGet, path)
 }
 
+// getConcurrently sends requests of the route with homes, and returns where their statuses
+// arrive, 0 for one without a response.
+func (f *homesFixture) getConcurrently(count int) <-chan int {
+	statuses := make(chan int, count)
+	for range count {
+		go func() {
+			response, _, err := f.get(homesRoute)
+			if err != nil {
+				statuses <- 0
+				return
+			}
+			statuses <- response.StatusCode
+		}()
+	}
+	return statuses
+}
+
 // TestRequestsAreServedInTheirHomesOnly guards against a request that is served outside the
 // homes of its route or its customer after a change of the tables.
 func TestRequestsAreServedInTheirHomesOnly(t *testing.T) {
@@ -150,17 +167,7 @@
 	}
 	f := newHomesFixture(t, slow, answerOK)
 	f.setHomes([]string{"r1"}, nil)
-	statuses := make(chan int, 3)
-	for range 3 {
-		go func() {
-			response, _, err := f.get(homesRoute)
-			if err != nil {
-				statuses <- 0
-				return
-			}
-			statuses <- response.StatusCode
-		}()
-	}
+	statuses := f.getConcurrently(3)
 	// An instance with one slot takes two requests to a plain service.
 	waitUntil(c, func() bool { return f.arrived[0].Load() == 2 && f.frontend.scheduler.queuedRequests("s") == 1 })
 	f.setHomes([]string{"r2"}, nil)
