Loader: an order without a response stays pending until a report settles it

Cause: the agent took the end of a call as the end of its effect. It gave the order up after 0.8 s, and after 0.3 s more staged chunks of the next version, while the engine was silent and accepted the order when it went on. The record shows two staging calls of version 3 executed before the order.

An order now carries the number of orders in the engine's last report as its condition, and stays pending until a report shows that the engine has accepted an order since, has restarted or serves the version; until then no other version is staged. The report proves this whatever the length of the silence. The same assumption on related paths: staging calls are no longer given up with their fetch, one that ends without a response delays orders for other versions until the engine has answered a later report, and an agent that starts waits likewise for calls of an earlier agent.

TestOrderAcceptedLateLoadsOneVersion failed before (four of four chunks overwritten) and passes.

--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -244,6 +244,7 @@
 	}
 	store := platform.NewStoreClient(s.StoreAddress, remote)
 	a.copies = copies.New(copies.Config{Store: store, Plans: refreshPlans, Kinds: kinds, Log: log, Changed: a.decodeCollections})
+	a.stagingCalls.assumeEarlierCalls(clock.Now())
 	a.metrics = newAgentMetrics(a)
 	store.OnCall = func(method string, kind platform.Kind) { a.metrics.store.WithLabelValues(method, string(kind)).Inc() }
 	a.puller = copies.NewPuller(a.copies, a.client, s.PeerPort, maxConcurrentPulls, minPullIntervals, log)
@@ -329,10 +330,11 @@
 }
 
 // chooseTarget moves the target to the newest version, unless the fetch of an
-// earlier one is nearly complete and the newest one is not held yet. A version that was not
-// released is left at once. The caller holds mu.
+// earlier one is nearly complete and the newest one is not held yet, or the engine may still
+// accept an order to load the target. A version that was not released is left at once
+// otherwise. The caller holds mu.
 func (a *agent) chooseTarget(now time.Time) {
-	if !a.newestTarget.supersedes(a.target) {
+	if !a.newestTarget.supersedes(a.target) || a.stagingCalls.pendingVersion() != 0 {
 		return
 	}
 	isSameKind := a.newestTarget.isReleased == a.target.isReleased
--- a/internal/loader/distribution.go
+++ b/internal/loader/distribution.go
@@ -349,15 +349,10 @@
 // has become the target or is being ordered. A chunk that is not staged here is
 // staged by verifyStagedChunks before the engine loads.
 func (a *agent) stageChunk(ctx context.Context, wanted target, chunk int, data []byte) {
-	if a.currentTarget().version != wanted.version || !a.stagingCalls.begin(wanted.version) {
-		return
-	}
-	defer func() { a.stagingCalls.end(wanted.version, clock.Now()) }()
-	// The target may have changed before the call was recorded.
 	if a.currentTarget().version != wanted.version {
 		return
 	}
-	if err := a.engine.Stage(ctx, wanted.model, chunk, data); err != nil {
+	if err := a.stage(ctx, wanted, chunk, data); err != nil {
 		a.log.WithError(err).WithField("chunk", chunk).Debug("cannot stage a chunk")
 	}
 }
--- a/internal/loader/stages.go
+++ b/internal/loader/stages.go
@@ -4,37 +4,76 @@
 	"sync"
 	"time"
 
-	"plantainrelay/internal/clock"
+	"plantainrelay/platform"
 )
 
-// maxStagingDelay is how long after the end of a staging call, or of an order, the engine
-// may still execute it: a call that timed out here may have reached the engine.
+// maxStagingDelay is how long after the engine has answered a report it may still execute a
+// staging call that ended without a response before the report was requested.
 const maxStagingDelay = 300 * time.Millisecond
 
+// anyVersion stands for the version of calls of an earlier agent of this instance.
+const anyVersion = 0
+
 // stagingCalls tracks the calls that stage chunks, and the order to load them. The
 // staging area holds one copy of each chunk regardless of version, so a call for
-// another version overwrites a verified chunk. It is safe for concurrent use.
+// another version overwrites a verified chunk. The end of a call without a response says
+// nothing about its effect: the engine may execute it at any later time. It is safe for
+// concurrent use.
 type stagingCalls struct {
 	mu      sync.Mutex
 	running map[int64]int
 	lastEnd map[int64]time.Time
-	// ordered is the version of the last order. The engine may still accept it while
-	// orderRunning is set, and until orderedUntil.
-	ordered      int64
-	orderRunning bool
-	orderedUntil time.Time
+	// unanswered holds the versions of calls that ended without a response.
+	unanswered map[int64]unansweredCall
+	order      pendingOrder
+}
+
+// unansweredCall is the last staging call of a version that ended without a response.
+type unansweredCall struct {
+	endedAt time.Time
+	// executedBy is the time by which it was executed or never will be, zero if unknown.
+	executedBy time.Time
+}
+
+// mayExecuteAfter reports whether the call may be executed after the given time.
+func (u unansweredCall) mayExecuteAfter(at time.Time) bool {
+	return u.executedBy.IsZero() || u.executedBy.After(at)
+}
+
+// pendingOrder is an order that the engine may still accept.
+type pendingOrder struct {
+	// version is 0 if there is none.
+	version int64
+	// engineStart and orders are what the engine reported before the order was sent. It
+	// carries orders as its condition, so the engine refuses it after it has accepted
+	// another one.
+	engineStart, orders int64
+	isRunning           bool
+	// unansweredCalls counts its calls that ended without a response.
+	unansweredCalls int
 }
 
 func newStagingCalls() *stagingCalls {
-	return &stagingCalls{running: map[int64]int{}, lastEnd: map[int64]time.Time{}}
+	return &stagingCalls{running: map[int64]int{}, lastEnd: map[int64]time.Time{}, unanswered: map[int64]unansweredCall{}}
+}
+
+// assumeEarlierCalls records that an earlier agent of this instance may have ended before its
+// calls were answered.
+func (s *stagingCalls) assumeEarlierCalls(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unanswered[anyVersion] = unansweredCall{endedAt: now}
 }
 
-// begin records the start of a staging call. It returns false if the call must not be
-// made: the engine may still accept an order to load another version.
-func (s *stagingCalls) begin(version int64) bool {
+// begin records the start of a call that stages a chunk. It returns false if the call must not
+// be made, because the engine may still accept an order to load another version.
+func (s *stagingCalls) begin(version int64, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if version != s.ordered && (s.orderRunning || clock.Now().Before(s.orderedUntil)) {
+	if s.order.version != 0 && s.order.version != version {
+		return false
+	}
+	if earlier, found := s.unanswered[anyVersion]; found && earlier.mayExecuteAfter(now) {
 		return false
 	}
 	s.running[version]++
@@ -42,13 +81,16 @@
 }
 
 // end records the end of a staging call.
-func (s *stagingCalls) end(version int64, now time.Time) {
+func (s *stagingCalls) end(version int64, isAnswered bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.running[version]--; s.running[version] == 0 {
 		delete(s.running, version)
 	}
 	s.lastEnd[version] = now
+	if !isAnswered {
+		s.unanswered[version] = unansweredCall{endedAt: now}
+	}
 	for other, at := range s.lastEnd {
 		if now.Sub(at) > time.Minute {
 			delete(s.lastEnd, other)
@@ -56,28 +98,69 @@
 	}
 }
 
-// beginOrder records the start of an order to load a version. It returns false if the
-// order must not be sent: a call for another version may have been executed since the
-// given time.
-func (s *stagingCalls) beginOrder(version int64, since time.Time) bool {
+// beginOrder records the start of an order to load a version, which is to carry the number of
+// orders in the report as its condition. It returns false if the order must not be sent: a
+// call for another version may have been executed since the given time, or the engine may
+// still accept an order to load another version.
+func (s *stagingCalls) beginOrder(version int64, since time.Time, report platform.EngineReport) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.otherVersionExecuted(version, since) {
+	if s.order.version != 0 && s.order.version != version || s.otherVersionExecuted(version, since) {
 		return false
 	}
-	s.ordered, s.orderRunning = version, true
+	if s.order.version == 0 {
+		s.order = pendingOrder{version: version, engineStart: report.Start, orders: report.Orders}
+	}
+	s.order.isRunning = true
 	return true
 }
 
-// endOrder records the end of the order. An engine that has not answered may still accept
-// it.
-func (s *stagingCalls) endOrder(isAnswered bool, now time.Time) {
+// endOrder records the end of a call with the order. Without a response, the engine may still
+// accept it until a report shows that it has, or that it no longer can.
+func (s *stagingCalls) endOrder(isAnswered bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.orderRunning = false
+	s.order.isRunning = false
 	if !isAnswered {
-		s.orderedUntil = now.Add(maxStagingDelay)
+		s.order.unansweredCalls++
 	}
+	if s.order.unansweredCalls == 0 {
+		s.order = pendingOrder{}
+	}
+}
+
+// pendingVersion returns the version that the engine may still accept an order to load, 0 if
+// there is none.
+func (s *stagingCalls) pendingVersion() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.order.version
+}
+
+// reportReceived takes a report of the engine that was requested at the first time and
+// received at the second one. It returns the version of the pending order if the report shows
+// that the engine has accepted it or can't any more, 0 otherwise.
+func (s *stagingCalls) reportReceived(report platform.EngineReport, requestedAt, now time.Time) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for version, call := range s.unanswered {
+		switch {
+		case call.executedBy.IsZero() && call.endedAt.Before(requestedAt):
+			call.executedBy = now.Add(maxStagingDelay)
+			s.unanswered[version] = call
+		case !call.executedBy.IsZero() && now.Sub(call.executedBy) > time.Minute:
+			delete(s.unanswered, version)
+		}
+	}
+	order := s.order
+	if order.version == 0 || order.isRunning {
+		return 0
+	}
+	if report.Start == order.engineStart && report.Orders <= order.orders && report.LoadedVersion < order.version {
+		return 0
+	}
+	s.order = pendingOrder{}
+	return order.version
 }
 
 // otherVersionSince reports whether a call for another version may have been
@@ -96,7 +179,12 @@
 		}
 	}
 	for other, at := range s.lastEnd {
-		if other != version && at.Add(maxStagingDelay).After(since) {
+		if other != version && at.After(since) {
+			return true
+		}
+	}
+	for other, call := range s.unanswered {
+		if other != version && call.mayExecuteAfter(since) {
 			return true
 		}
 	}
--- a/internal/loader/switch.go
+++ b/internal/loader/switch.go
@@ -18,6 +18,9 @@
 const (
 	// engineCallTimeout is the timeout of a call to the engine on this instance.
 	engineCallTimeout = 800 * time.Millisecond
+	// stagingCallTimeout is the timeout of a call that stages a chunk. It is longer than any
+	// pause of a sound engine, since only a response tells that the call was executed.
+	stagingCallTimeout = 10 * time.Second
 	// maxSwitchFraction is the maximum fraction of an availability zone's engines
 	// that switch at the same time.
 	maxSwitchFraction = 0.34
@@ -37,6 +40,7 @@
 	switchRounds = 3
 	// neighborTimeout is how long a neighbor's report is used.
 	neighborTimeout = 2500 * time.Millisecond
+	engineRemedy    = "check the engine on this instance"
 	// orderRetryDelay is the delay after a failed order.
 	orderRetryDelay = 300 * time.Millisecond
 	// orderTimeout is how long after an order the engine may take to start on it;
@@ -91,6 +95,12 @@
 	}
 }
 
+func (a *agent) lastReport() platform.EngineReport {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.report
+}
+
 func (a *agent) isSwitching() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -136,7 +146,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
 	defer cancel()
+	requestedAt := clock.Now()
 	report, err := a.engine.Report(ctx, engine)
+	if err == nil {
+		a.settleCalls(report, requestedAt)
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if err != nil {
@@ -166,6 +180,16 @@
 	}
 }
 
+// settleCalls uses a report to decide which calls without a response the engine can no longer
+// execute.
+func (a *agent) settleCalls(report platform.EngineReport, requestedAt time.Time) {
+	if version := a.stagingCalls.reportReceived(report, requestedAt, clock.Now()); version > 0 {
+		a.log.WithFields(logrus.Fields{
+			"version": version, "born": report.Start, "orders": report.Orders, "loaded": report.LoadedVersion, "busy": report.Busy,
+		}).Info("the engine has accepted the order without a response, or can no longer accept it")
+	}
+}
+
 func engineState(report platform.EngineReport) rollout.EngineState {
 	return rollout.EngineState{Start: report.Start, Version: report.LoadedVersion}
 }
@@ -195,7 +219,7 @@
 	if !found || have.Count() < a.pool.Engine.Chunks {
 		return false, false
 	}
-	return true, a.report.LoadedVersion == 0 || a.maySwitch(now)
+	return true, a.report.LoadedVersion == 0 || a.stagingCalls.pendingVersion() == a.target.version || a.maySwitch(now)
 }
 
 // maySwitch decides whether an engine that is serving may stop in order to switch.
@@ -241,26 +265,32 @@
 		a.setSwitching(false)
 		return last
 	}
-	if !a.stillValid(verified) || !a.stagingCalls.beginOrder(verified.version, verified.at) {
+	start := report.Start
+	if report = a.lastReport(); report.Start != start {
+		log.WithField("new_start", report.Start).Info("the engine does not respond or has restarted; no order is sent")
+		a.setSwitching(false)
+		return last
+	}
+	if !a.stillValid(verified) || !a.stagingCalls.beginOrder(verified.version, verified.at, report) {
 		log.WithField("verified_ms", clock.Now().Sub(verified.at).Milliseconds()).Info("the verification of the staged chunks is no longer valid; verifying again")
 		a.setSwitching(false)
 		return last
 	}
 	ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
 	defer cancel()
-	err := a.engine.StartLoad(ctx, wanted.model, wanted.version, resumable)
-	a.stagingCalls.endOrder(!failure.Is(err, failure.NotReachable), clock.Now())
+	err := a.engine.StartLoad(ctx, platform.LoadOrder{Model: wanted.model, Version: wanted.version, Truncate: resumable, Orders: report.Orders})
+	a.stagingCalls.endOrder(!failure.Is(err, failure.NotReachable))
 	if err == nil {
 		a.metrics.loadOrders.WithLabelValues("accepted").Inc()
 		log.WithField("after_ms", clock.Now().Sub(wanted.learnedAt).Milliseconds()).Info("the engine accepted the order to load")
 		return loadOrder{version: wanted.version, engineStart: report.Start, sentAt: clock.Now()}
 	}
 	a.metrics.loadOrders.WithLabelValues(string(failure.KindOf(err))).Inc()
-	log.WithError(err).Warning("the engine did not accept the order to load")
 	if failure.Is(err, failure.NotReachable) {
-		// The order may have been accepted; the next reports show it.
+		log.WithError(err).WithField("orders", report.Orders).Warning("the order to load got no response; the target stays until a report shows what became of it")
 		return loadOrder{version: wanted.version, engineStart: report.Start, sentAt: clock.Now().Add(orderRetryDelay - orderTimeout)}
 	}
+	log.WithError(err).Warning("the engine did not accept the order to load")
 	a.setSwitching(false)
 	clock.Sleep(ctx, orderRetryDelay)
 	return last
@@ -276,9 +306,7 @@
 	limit := min(max(drainBy.Sub(began)/switchRounds, minDrain), maxDrain)
 	for clock.Sleep(ctx, pollInterval) {
 		a.readReport(ctx)
-		a.mu.Lock()
-		report := a.report
-		a.mu.Unlock()
+		report := a.lastReport()
 		elapsed := clock.Now().Sub(began)
 		if elapsed >= limit || (elapsed >= minDrain && report.Running+report.Queued == 0) {
 			return
@@ -338,15 +366,39 @@
 	if !held {
 		return false
 	}
-	if !a.stagingCalls.begin(wanted.version) {
-		return false
-	}
-	defer func() { a.stagingCalls.end(wanted.version, clock.Now()) }()
 	a.log.WithFields(logrus.Fields{"chunk": chunk, "version": wanted.version, "missing": err != nil}).Info("replacing a missing or corrupt staged chunk")
-	if err := a.engine.Stage(ctx, wanted.model, chunk, data); err != nil {
+	if err := a.stage(ctx, wanted, chunk, data); err != nil {
 		a.log.WithError(err).WithField("chunk", chunk).Warning("cannot stage a chunk")
 		return false
 	}
 	again, err := a.engine.ReadStaged(ctx, wanted.model, chunk)
 	return err == nil && weights.DigestOf(again) == digest
 }
+
+// stage puts a chunk of a version into the engine's staging area. The call goes on after ctx is
+// done, until the engine answers it: it may be executed at any time until then. A
+// failure.Conflict error means that it must not be made now.
+func (a *agent) stage(ctx context.Context, wanted target, chunk int, data []byte) error {
+	if !a.stagingCalls.begin(wanted.version, clock.Now()) {
+		return failure.New(failure.Conflict, "stage it later", "the engine may still execute an earlier call")
+	}
+	// The target may have changed before the call was recorded.
+	if a.currentTarget().version != wanted.version {
+		a.stagingCalls.end(wanted.version, true, clock.Now())
+		return failure.New(failure.Conflict, "stage the new target", "the target has changed")
+	}
+	done := make(chan error, 1)
+	go func() {
+		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stagingCallTimeout)
+		defer cancel()
+		err := a.engine.Stage(callCtx, wanted.model, chunk, data)
+		a.stagingCalls.end(wanted.version, !failure.Is(err, failure.NotReachable), clock.Now())
+		done <- err
+	}()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return failure.Wrap(ctx.Err(), failure.NotReachable, engineRemedy, "the engine has not answered yet")
+	}
+}
--- a/internal/relay/order_cut_test.go
+++ b/internal/relay/order_cut_test.go
@@ -39,7 +39,9 @@
 	for chunk := range f.configs[i].Weights.Chunks {
 		c.Assert(client.Stage(c.Context(), modelName, chunk, f.configs[i].Weights.Chunk(version, chunk)), qt.IsNil)
 	}
-	c.Assert(client.StartLoad(c.Context(), modelName, version, true), qt.IsNil)
+	report, err := client.Report(c.Context(), engine)
+	c.Assert(err, qt.IsNil)
+	c.Assert(client.StartLoad(c.Context(), platform.LoadOrder{Model: modelName, Version: version, Truncate: true, Orders: report.Orders}), qt.IsNil)
 	time.Sleep(switchTime)
 	tell(2, false)
 }
