Catalog: an empty list of customers allows no key

Cause: the tables compared the number of customers with 0, and the decoder returned the same value for an empty list and for tables without the list, where requests need no key.

Tables now know whether they have the list. "tables in force" logs needs_keys and customers. An empty HomeRegions stays without effect: the platform writes it for routes that are not restricted.

--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -164,19 +164,21 @@
 	Pools          map[string]Pool
 	routesByHost   map[string][]Route
 	customersByKey map[string]Customer
-	// hasCustomers is set if any customer is configured; requests then need keys.
-	hasCustomers bool
+	// listsCustomers is set if the tables have a list of customers, also an empty one; requests
+	// then need keys.
+	listsCustomers bool
 	// customers is the number of customers.
 	customers int
 	// classesByPool holds the priority classes of the requests of each pool, sorted.
 	classesByPool map[string][]int
 }
 
-// New builds a table and its indexes.
+// New builds a table and its indexes. Without a list of customers (nil) requests need no keys;
+// with an empty one they do, and no key is valid.
 func New(version int64, limits Limits, routes []Route, pools []Pool, customers []Customer) *Table {
 	t := &Table{
 		Version: version, Limits: limits, Pools: map[string]Pool{},
-		routesByHost: map[string][]Route{}, customersByKey: map[string]Customer{}, hasCustomers: len(customers) > 0, customers: len(customers),
+		routesByHost: map[string][]Route{}, customersByKey: map[string]Customer{}, listsCustomers: customers != nil, customers: len(customers),
 	}
 	for _, pool := range pools {
 		t.Pools[pool.Name] = pool
@@ -206,9 +208,12 @@
 	return nil, false
 }
 
+// ListsCustomers reports whether the tables have a list of customers, and how many are on it.
+func (t *Table) ListsCustomers() (listed bool, count int) { return t.listsCustomers, t.customers }
+
 // NeedsKey reports whether requests of the route have to carry a key.
 func (t *Table) NeedsKey(route *Route) bool {
-	return t.hasCustomers && !route.Anonymous
+	return t.listsCustomers && !route.Anonymous
 }
 
 // Resumable reports whether all streams that the pool serves may be continued by
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -144,8 +144,9 @@
 		return
 	}
 	v.active.Store(&activeTables{Table: table, content: snapshot.Content, proof: snapshot.Proof})
+	needsKeys, customers := table.ListsCustomers()
 	v.log.WithFields(logrus.Fields{
-		"version": table.Version, "revision": document.Revision.Number, "era": document.Revision.Era, "proof_age_ms": v.proofAge().Milliseconds(),
+		"version": table.Version, "needs_keys": needsKeys, "customers": customers, "revision": document.Revision.Number, "era": document.Revision.Era, "proof_age_ms": v.proofAge().Milliseconds(),
 	}).Info("tables in force")
 }
 
