--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -191,7 +191,10 @@
 	}
 	for _, customer := range customers {
 		for _, key := range customer.Keys {
-			t.customersByKey[key] = customer
+			// A request without a key carries the empty one.
+			if key != "" {
+				t.customersByKey[key] = customer
+			}
 		}
 	}
 	t.classesByPool = classesByPool(routes, customers)
--- a/internal/catalog/table_test.go
+++ b/internal/catalog/table_test.go
@@ -47,6 +47,14 @@
 	c.Assert(known, qt.IsFalse)
 }
 
+// TestEmptyKeyIsNoKey guards against requests without a key that are served for the customer that
+// the tables list with an empty one.
+func TestEmptyKeyIsNoKey(t *testing.T) {
+	c := qt.New(t)
+	_, known := table(catalog.Customer{Name: "firm", Keys: []string{"k", ""}}).Customer("")
+	c.Assert(known, qt.IsFalse)
+}
+
 func TestRequestsAreDistributedByWeight(t *testing.T) {
 	c := qt.New(t)
 	route := catalog.Route{Targets: []catalog.Target{{Pool: "a", Weight: 90}, {Pool: "b", Weight: 10}}}
