Blocklist: all parts of a prompt are suspects of a crash

Cause: at most 16 suspects of a crash were kept, of those without a response the last ones of the prompt, so the part was dropped from each crash although it is the only one that all have in common. A heartbeat left out any crash whose suspects exceed 3 KiB, and those after it.

All parts are kept, bounded by the sum over all crashes; without room, what the oldest crashes have in common with no other goes first, and of too many crashes one without anything in common. Heartbeats name first what crashes have in common, then parts without a response, then others of the rest each time, within the same 3 KiB. What crashes share and responses have not cleared can't be displaced by the number or the place of parts. Cleared parts are grouped by response.

TestCrashingPartAmongManyUnknownOthers (6 of 12 cases), TestSuspicionsAreBounded and TestEntriesCombineEvidenceOfLongPrompts failed before. TestMemoryIsBounded asserted that 16 of 100 suspects are kept, which is the fault; TestSuspicionsAreBounded bounds their sum, the records and what has to survive.

--- a/bench/simulation/blocks.go
+++ b/bench/simulation/blocks.go
@@ -14,8 +14,6 @@
 // The settings of package relay about blocked parts of prompts.
 const (
 	crashReportPeriod  = 1500 * time.Millisecond
-	maxCrashesReported = 12
-	maxClearedReported = 16
 	maxRecordsReported = 16
 	saveInterval       = 200 * time.Millisecond
 	saveRankDelay      = time.Second
@@ -32,6 +30,8 @@
 	lapseAfter = 5 * time.Second
 )
 
+var reportLimits = blocklist.ReportLimits{Crashes: 12, SuspectBytes: 3 << 10, ClearedBytes: 768}
+
 // blockReports is what a heartbeat tells about parts of prompts.
 type blockReports struct {
 	crashes []blocklist.Crash
@@ -178,7 +178,7 @@
 	}
 	since := now.Add(-crashReportPeriod)
 	return blockReports{
-		crashes: b.list.RecentCrashes(since, maxCrashesReported), cleared: b.list.RecentlyCleared(since, maxClearedReported), records: recordsOf(b.list.Unsaved(maxRecordsReported)),
+		crashes: b.list.RecentCrashes(since, reportLimits), cleared: b.list.RecentlyCleared(since, reportLimits), records: recordsOf(b.list.Unsaved(maxRecordsReported)),
 	}
 }
 
--- a/internal/beat/message.go
+++ b/internal/beat/message.go
@@ -106,12 +106,13 @@
 	Suspects []string
 }
 
-// ClearedPart is a part of prompts that a response has shown not to crash instances with
+// ClearedParts are parts of prompts that a response has shown not to crash instances with
 // this version of the weights.
-type ClearedPart struct {
-	Model, ID string
-	Version   int64
-	AgeMs     int64
+type ClearedParts struct {
+	Model   string
+	IDs     []string
+	Version int64
+	AgeMs   int64
 }
 
 // PartRecord is a decision about a part of prompts. A higher version replaces a lower one.
@@ -182,7 +183,7 @@
 	// Crashes and ClearedParts are what the sender has learned a short time ago,
 	// PartRecords the decisions that it has not seen in the store.
 	Crashes      []CrashedBackend
-	ClearedParts []ClearedPart
+	ClearedParts []ClearedParts
 	PartRecords  []PartRecord
 	// PoolUsages holds the requests in progress of the pools where requests had to wait a short
 	// time ago. Only regular messages to near entries have them.
--- a/internal/blocklist/blocklist.go
+++ b/internal/blocklist/blocklist.go
@@ -11,6 +11,10 @@
 // is blocked after at most maxCrashTimes of these at different times; not that no other part
 // is ever blocked. Complete responses, and crashes that a blocked part does not explain,
 // correct that.
+//
+// What tells the cause is what crashes have in common and responses have not cleared. All parts
+// of a request are suspects, wherever they stand in the prompt. If there is no room for more,
+// what old crashes have in common with no other one is dropped first.
 package blocklist
 
 import (
@@ -39,11 +43,11 @@
 	settleTime = 250 * time.Millisecond
 	// suspicionRetention is how long a crash counts.
 	suspicionRetention = time.Hour
-	// maxCrashes, maxSuspects and maxResponses bound the crashes, the suspected parts of one
-	// crash, and the parts with a response that are kept.
-	maxCrashes   = 256
-	maxSuspects  = 16
-	maxResponses = 2048
+	// maxCrashes, maxSuspicions and maxResponses bound the crashes, the pairs of a crash and a
+	// suspected part, and the parts with a response that are kept.
+	maxCrashes    = 256
+	maxSuspicions = 1 << 15
+	maxResponses  = 2048
 )
 
 // Part is a part of prompts, which the engines of a model process.
@@ -80,9 +84,10 @@
 	model    string
 	version  int64
 	at       time.Time
-	suspects []string
-	// hadSeveral says that several parts were suspected.
-	hadSeveral bool
+	suspects suspects
+	// hadSeveral says that several parts were suspected, isTruncated that some were dropped for
+	// lack of room, and isPartlyReported that they did not fit into one report.
+	hadSeveral, isTruncated, isPartlyReported bool
 	// explainedBy is the blocked part that was among the suspects. Then suspects holds only
 	// the parts that could not be told apart from it, and later reports of the crash are
 	// ignored.
@@ -92,7 +97,7 @@
 	learnedAt, changedAt time.Time
 }
 
-func (c *crash) isSuspected(id string) bool { return slices.Contains(c.suspects, id) }
+func (c *crash) isSuspected(id string) bool { return c.suspects.has(id) }
 
 // versionedPart is a part as processed with one version of the weights.
 type versionedPart struct {
@@ -113,6 +118,8 @@
 // clearing is a suspected part that a response has cleared.
 type clearing struct {
 	part versionedPart
+	// isCommon says that the part was suspected of several crashes.
+	isCommon bool
 	// at is the time of the response, learnedAt when this entry learned of it.
 	at, learnedAt time.Time
 }
@@ -121,8 +128,11 @@
 // concurrent use.
 type List struct {
 	crashes map[Start]*crash
-	// suspected counts the crashes of which a part is suspected.
-	suspected map[Part]int
+	// suspected counts the crashes of which a part is suspected; suspicions is the sum.
+	suspected  map[Part]int
+	suspicions int
+	// reports is the number of reports that were composed.
+	reports uint64
 	// responses holds the latest responses that have cleared a part.
 	responses *simplelru.LRU[Part, []response]
 	// exposures holds how often requests of this entry were answered or interrupted.
@@ -215,6 +225,7 @@
 		delete(l.probations, part.Part)
 		return
 	}
+	isCommon := l.suspected[part.Part] > 1
 	for _, known := range l.crashes {
 		if known.model == part.Model && known.version <= part.version && known.isSuspected(part.ID) && !known.at.After(at) {
 			l.removeSuspect(known, part.ID)
@@ -223,7 +234,7 @@
 	if l.suspected[part.Part] == 0 {
 		delete(l.probations, part.Part)
 	}
-	l.cleared = append(l.cleared, clearing{part: part, at: at, learnedAt: now})
+	l.cleared = append(l.cleared, clearing{part: part, isCommon: isCommon, at: at, learnedAt: now})
 	if excess := len(l.cleared) - maxCleared; excess > 0 {
 		l.cleared = slices.Delete(l.cleared, 0, excess)
 	}
@@ -240,14 +251,18 @@
 // IsSuspectedElsewhere reports whether one of the suspects of a crash, for which no response
 // is known, is suspected of another crash at a different time.
 func (l *List) IsSuspectedElsewhere(reported Crash) bool {
+	unanswered := slices.DeleteFunc(slices.Clone(reported.Suspects), func(id string) bool {
+		return l.suspected[Part{Model: reported.Model, ID: id}] == 0 || l.HasResponse(reported.Model, reported.Version, []string{id})
+	})
+	if len(unanswered) == 0 {
+		return false
+	}
 	for _, other := range l.crashes {
 		if gap := other.at.Sub(reported.At).Abs(); other.model != reported.Model || other.start == reported.Start || gap < independentAfter {
 			continue
 		}
-		for _, id := range reported.Suspects {
-			if other.isSuspected(id) && !l.HasResponse(reported.Model, reported.Version, []string{id}) {
-				return true
-			}
+		if slices.ContainsFunc(unanswered, other.isSuspected) {
+			return true
 		}
 	}
 	return false
@@ -274,69 +289,84 @@
 	l.forgetIfCleared(known)
 }
 
-// addSuspects adds the suspected parts of a crash that no later response has cleared. If
-// there are too many, the likeliest of all are kept.
+// addSuspects adds the suspected parts of a crash that no later response has cleared.
 func (l *List) addSuspects(known *crash, ids []string, now time.Time) {
-	added := slices.Clone(known.suspects)
 	for _, id := range ids {
-		if !slices.Contains(added, id) && !l.isCleared(versionedPart{Part: Part{Model: known.model, ID: id}, version: known.version}, known.at) {
-			added = append(added, id)
+		part := Part{Model: known.model, ID: id}
+		if known.isSuspected(id) || l.isCleared(versionedPart{Part: part, version: known.version}, known.at) {
+			continue
 		}
-	}
-	kept := l.likeliest(known, added)
-	for _, id := range known.suspects {
-		if !slices.Contains(kept, id) {
-			l.countSuspect(Part{Model: known.model, ID: id}, -1)
+		for l.suspicions >= maxSuspicions && l.makeSuspicionRoom(known) {
 		}
-	}
-	for _, id := range kept {
-		if !known.isSuspected(id) {
-			known.changedAt = now
-			l.countSuspect(Part{Model: known.model, ID: id}, 1)
-			l.delayProbes(Part{Model: known.model, ID: id}, now)
+		if l.suspicions >= maxSuspicions {
+			known.isTruncated = true
+			break
+		}
+		known.suspects.add(id)
+		known.changedAt = now
+		l.countSuspect(part, 1)
+		l.delayProbes(part, now)
+		if l.suspected[part] > 1 {
+			l.renewReports(id, now)
 		}
 	}
-	known.suspects, known.hadSeveral = kept, known.hadSeveral || len(added) > 1
+	known.hadSeveral = known.hadSeveral || known.suspects.size() > 1
 }
 
-// likeliest returns at most maxSuspects of the given parts in their order: those for which no
-// response is known, or whose latest one is the oldest. Among equals the later ones are
-// kept, which fewer requests share.
-func (l *List) likeliest(known *crash, ids []string) []string {
-	if len(ids) <= maxSuspects {
-		return ids
+// makeSuspicionRoom drops what the oldest other crash does not have in common with any. If all
+// of them have only that left, it drops the oldest one. It reports whether it dropped anything.
+func (l *List) makeSuspicionRoom(adding *crash) bool {
+	var whole, truncated *crash
+	for _, known := range l.crashes {
+		switch {
+		case known == adding || known.suspects.size() == 0:
+		case known.isTruncated:
+			truncated = older(truncated, known)
+		default:
+			whole = older(whole, known)
+		}
 	}
-	indexes := make([]int, len(ids))
-	respondedAt := make([]time.Time, len(ids))
-	for i, id := range ids {
-		indexes[i] = i
-		respondedAt[i] = l.lastResponse(versionedPart{Part: Part{Model: known.model, ID: id}, version: known.version})
+	switch {
+	case whole != nil:
+		l.truncate(whole)
+	case truncated != nil:
+		l.remove(truncated.start)
+	default:
+		return false
 	}
-	slices.SortFunc(indexes, func(a, b int) int {
-		return cmp.Or(respondedAt[a].Compare(respondedAt[b]), cmp.Compare(b, a))
-	})
-	indexes = slices.Sorted(slices.Values(indexes[:maxSuspects]))
-	kept := make([]string, 0, maxSuspects)
-	for _, i := range indexes {
-		kept = append(kept, ids[i])
+	return true
+}
+
+func older(a, b *crash) *crash {
+	if a == nil || b.at.Before(a.at) {
+		return b
 	}
-	return kept
+	return a
 }
 
-// lastResponse returns the time of the latest known response for a part, of engines with the
-// same or later weights.
-func (l *List) lastResponse(part versionedPart) (last time.Time) {
-	responses, _ := l.responses.Peek(part.Part)
-	for _, one := range responses {
-		if one.version >= part.version && one.at.After(last) {
-			last = one.at
+// truncate drops what a crash does not have in common with any other.
+func (l *List) truncate(known *crash) {
+	known.isTruncated = true
+	for _, id := range known.suspects.list() {
+		if l.suspected[Part{Model: known.model, ID: id}] == 1 {
+			l.removeSuspect(known, id)
+		}
+	}
+}
+
+// renewReports reports those crashes again that a part is suspected of, now also of another
+// one, and that others may not know it of.
+func (l *List) renewReports(id string, now time.Time) {
+	for _, known := range l.crashes {
+		if known.isPartlyReported && known.isSuspected(id) {
+			known.changedAt = now
 		}
 	}
-	return last
 }
 
 // countSuspect changes the number of crashes of which a part is suspected.
 func (l *List) countSuspect(part Part, change int) {
+	l.suspicions += change
 	if l.suspected[part] += change; l.suspected[part] <= 0 {
 		delete(l.suspected, part)
 	}
@@ -345,7 +375,7 @@
 // removeSuspect removes a suspected part of a crash, and the crash if it was the last one.
 func (l *List) removeSuspect(known *crash, id string) {
 	part := Part{Model: known.model, ID: id}
-	known.suspects = slices.DeleteFunc(known.suspects, func(other string) bool { return other == id })
+	known.suspects.remove(id)
 	l.countSuspect(part, -1)
 	l.forgetIfCleared(known)
 }
@@ -353,31 +383,43 @@
 // forgetIfCleared removes a crash of which no part is suspected. One that is explained is
 // kept, since further reports of it count against no part.
 func (l *List) forgetIfCleared(known *crash) {
-	if len(known.suspects) == 0 && known.explainedBy == "" {
+	if known.suspects.size() == 0 && known.explainedBy == "" {
 		delete(l.crashes, known.start)
 	}
 }
 
-// prune removes old crashes, and the oldest one if there are too many.
+// prune removes old crashes, and one if there are too many: the oldest one that has no
+// suspect in common with others, if there is one.
 func (l *List) prune(now time.Time) {
-	var oldest Start
-	var oldestAt time.Time
+	var byAge []*crash
 	for start, known := range l.crashes {
-		switch {
-		case now.Sub(known.at) > suspicionRetention:
+		if now.Sub(known.at) > suspicionRetention {
 			l.remove(start)
-		case oldestAt.IsZero() || known.at.Before(oldestAt):
-			oldest, oldestAt = start, known.at
+		} else {
+			byAge = append(byAge, known)
 		}
 	}
-	if len(l.crashes) >= maxCrashes {
-		l.remove(oldest)
+	if len(l.crashes) < maxCrashes {
+		return
 	}
+	slices.SortFunc(byAge, func(a, b *crash) int { return a.at.Compare(b.at) })
+	index := max(slices.IndexFunc(byAge, func(known *crash) bool { return !l.hasCommonSuspect(known) }), 0)
+	l.remove(byAge[index].start)
+}
+
+// hasCommonSuspect reports whether a suspect of a crash is suspected of another one, too.
+func (l *List) hasCommonSuspect(known *crash) bool {
+	for id := range known.suspects.index {
+		if l.suspected[Part{Model: known.model, ID: id}] > 1 {
+			return true
+		}
+	}
+	return false
 }
 
 func (l *List) remove(start Start) {
 	known := l.crashes[start]
-	for _, id := range slices.Clone(known.suspects) {
+	for _, id := range known.suspects.list() {
 		l.removeSuspect(known, id)
 	}
 	delete(l.crashes, start)
--- a/internal/blocklist/blocklist_test.go
+++ b/internal/blocklist/blocklist_test.go
@@ -322,12 +322,106 @@
 	c.Assert(l.HasResponse(model, 1, []string{"answered-2999"}), qt.IsTrue)
 	c.Assert(l.HasResponse(model, 1, []string{"answered-1"}), qt.IsFalse)
 	c.Assert(record(l, crashAt(9001, 60_000, "bad"), crashAt(9002, 60_300, "bad"), crashAt(9003, 60_600, "bad"), crashAt(9005, 60_900, "bad")), qt.DeepEquals, []string{"bad"})
-	long := make([]string, 100)
-	for i := range long {
-		long[i] = fmt.Sprint("part-", i)
+}
+
+// manyParts returns the IDs of parts that no other call returns.
+func manyParts(call, count int) []string {
+	ids := make([]string, count)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("%04x%04x", call, i)
+	}
+	return ids
+}
+
+// TestCrashingPartAmongManyUnknownOthers guards against a part that is never blocked because it
+// stands in prompts with more parts without a known response than are kept of a crash,
+// wherever it stands (review/9).
+func TestCrashingPartAmongManyUnknownOthers(t *testing.T) {
+	for _, others := range []int{17, 18, 300, 2000} {
+		for name, place := range map[string]int{"first": 0, "in the middle": others / 2, "last": others} {
+			t.Run(fmt.Sprintf("%d others, %s", others, name), func(t *testing.T) {
+				c := qt.New(t)
+				l := newList()
+				for i := range enough {
+					parts := manyParts(i, others)
+					record(l, crashAt(i, 1000*i, slices.Insert(slices.Clone(parts), place, "bad")...))
+					// A sound request shares the other parts.
+					l.RecordResponse(model, 1, parts, at(1000*i+600))
+				}
+				evaluate(l, at(1000*enough))
+				c.Assert(isBlocked(l, "bad"), qt.IsTrue)
+				c.Assert(l.BlockedParts(), qt.Equals, 1)
+			})
+		}
+	}
+}
+
+// TestSuspicionsAreBounded guards against memory and records in the store that grow with prompts
+// of thousands of parts which nothing clears, while instances crash all the time; and against
+// evidence that gets lost then: what crashes have in common is kept.
+func TestSuspicionsAreBounded(t *testing.T) {
+	const maxSuspicions = 1 << 15
+	c := qt.New(t)
+	l := newList()
+	for i := range 40 {
+		parts := manyParts(i, 4000)
+		if i%8 == 4 {
+			parts[0] = "bad"
+		}
+		l.RecordResponse(model, 1, []string{"sound"}, at(1000*i+600))
+		record(l, crashAt(i, 1000*i, parts...))
+		c.Assert(l.SuspectedParts() <= maxSuspicions, qt.IsTrue, qt.Commentf("%d", l.SuspectedParts()))
+		c.Assert(len(l.Records()) <= 1, qt.IsTrue, qt.Commentf("%d records", len(l.Records())))
+	}
+	c.Assert(isBlocked(l, "bad"), qt.IsTrue)
+	c.Assert(l.BlockedParts(), qt.Equals, 1)
+}
+
+// TestManyCrashesKeepWhatIsInCommon guards against a part whose crashes are forgotten because
+// hundreds of instances without anything in common crash between them.
+func TestManyCrashesKeepWhatIsInCommon(t *testing.T) {
+	c := qt.New(t)
+	l := newList()
+	record(l, crashAt(1, 0, "bad"), crashAt(2, 1000, "bad"))
+	for i := range 600 {
+		record(l, crashAt(10+i, 2000+i, manyParts(i, 2)...))
+	}
+	c.Assert(record(l, crashAt(3, 3000, "bad"), crashAt(4, 4000, "bad")), qt.DeepEquals, []string{"bad"})
+}
+
+// TestReportsCoverAllSuspects guards against a suspect that no other entry learns of, because
+// the suspects of a crash do not fit into one report, and against a report that lacks what
+// crashes have in common.
+func TestReportsCoverAllSuspects(t *testing.T) {
+	c := qt.New(t)
+	limits := blocklist.ReportLimits{Crashes: 12, SuspectBytes: 3 << 10, ClearedBytes: 100}
+	l := newList()
+	l.RecordCrash(crashAt(1, 0, manyParts(1, 1000)...), at(0))
+	// A receiver may get only each second report.
+	for _, step := range []int{1, 2, 3} {
+		told := map[string]bool{}
+		for report := range 60 {
+			size := 0
+			for _, id := range l.RecentCrashes(at(-1), limits)[0].Suspects {
+				size += len(id)
+				told[id] = told[id] || report%step == 0
+			}
+			c.Assert(size <= limits.SuspectBytes, qt.IsTrue)
+		}
+		missing := 0
+		for _, isTold := range told {
+			if !isTold {
+				missing++
+			}
+		}
+		c.Check(missing, qt.Equals, 0, qt.Commentf("each %d", step))
+		c.Check(told, qt.HasLen, 1000)
+	}
+	l.RecordCrash(crashAt(2, 1000, append(manyParts(2, 1000), manyParts(1, 1000)[700:703]...)...), at(1000))
+	for _, reported := range l.RecentCrashes(at(-1), limits) {
+		c.Check(reported.Suspects[:3], qt.DeepEquals, manyParts(1, 1000)[700:703], qt.Commentf("%v", reported.Start))
 	}
-	record(l, crashAt(9004, 61_000, long...))
-	c.Assert(l.RecentCrashes(at(61_000), 1)[0].Suspects, qt.HasLen, 16)
+	c.Check(l.RecentCrashes(at(999), limits), qt.HasLen, 2, qt.Commentf("what has become common is news"))
 }
 
 // TestReportsAreForRecentNews covers what one entry tells others, and that it does not go
@@ -336,21 +430,22 @@
 	c := qt.New(t)
 	l := newList()
 	record(l, crashAt(1, 0, "a"), crashAt(2, 2000, "b", "c"))
-	c.Assert(l.RecentCrashes(at(1000), 10), qt.DeepEquals, []blocklist.Crash{crashAt(2, 2000, "b", "c")})
+	limits := blocklist.ReportLimits{Crashes: 10, SuspectBytes: 100, ClearedBytes: 100}
+	c.Assert(l.RecentCrashes(at(1000), limits), qt.DeepEquals, []blocklist.Crash{crashAt(2, 2000, "b", "c")})
 	l.RecordCrash(crashAt(1, 0, "a"), at(2500))
-	c.Assert(l.RecentCrashes(at(1000), 10), qt.HasLen, 1)
-	c.Assert(l.RecentCrashes(at(0), 1), qt.HasLen, 1)
+	c.Assert(l.RecentCrashes(at(1000), limits), qt.HasLen, 1)
+	c.Assert(l.RecentCrashes(at(0), blocklist.ReportLimits{Crashes: 1, SuspectBytes: 100}), qt.HasLen, 1)
 
 	l.RecordResponse(model, 1, []string{"b", "never suspected"}, at(3000))
-	cleared := l.RecentlyCleared(at(2900), 10)
+	cleared := l.RecentlyCleared(at(2900), limits)
 	c.Assert(cleared, qt.DeepEquals, []blocklist.Cleared{{Part: blocklist.Part{Model: model, ID: "b"}, Version: 1, At: at(3000)}})
 	other := newList()
 	record(other, crashAt(2, 2000, "b"))
 	other.RecordCleared(cleared[0], at(3200))
 	c.Assert(other.SuspectedParts(), qt.Equals, 0)
-	c.Assert(other.RecentlyCleared(at(3100), 10), qt.HasLen, 1)
+	c.Assert(other.RecentlyCleared(at(3100), limits), qt.HasLen, 1)
 	other.RecordCleared(cleared[0], at(9000))
-	c.Assert(other.RecentlyCleared(at(8000), 10), qt.HasLen, 0)
+	c.Assert(other.RecentlyCleared(at(8000), limits), qt.HasLen, 0)
 }
 
 func TestWindows(t *testing.T) {
--- a/internal/blocklist/blocks.go
+++ b/internal/blocklist/blocks.go
@@ -11,6 +11,8 @@
 	// suspicionTimes is the number of times at which instances must have crashed before the
 	// suspicion of a part is recorded.
 	suspicionTimes = 2
+	// maxSuspicionRecords bounds the parts whose suspicion is recorded at the same time.
+	maxSuspicionRecords = 16
 	// maxBlocks bounds the parts whose records are kept.
 	maxBlocks = 1024
 	// trialDelay is the time from the decision to block a part until one request with it is
--- a/internal/blocklist/evaluate.go
+++ b/internal/blocklist/evaluate.go
@@ -45,9 +45,9 @@
 // instances, are victims.
 func (l *List) evaluate(model string, now time.Time) []Record {
 	l.explainCrashes(model)
-	candidates := l.candidates(model, now)
+	candidates, counted := l.candidates(model, now), interruptionCounts{}
 	for _, candidate := range candidates {
-		if candidate.times < suspicionTimes || candidate.times < l.requiredCrashTimes(candidate, now) {
+		if candidate.times < suspicionTimes || candidate.times < l.requiredCrashTimes(candidate, counted, now) {
 			continue
 		}
 		equals := l.equals(model, candidate)
@@ -57,8 +57,13 @@
 		return append(decisions, l.evaluate(model, now)...)
 	}
 	l.updateProbations(model, candidates)
-	for _, candidate := range candidates {
-		if candidate.times == candidates[0].times {
+	likeliest := slices.IndexFunc(candidates, func(candidate evidence) bool { return candidate.times < candidates[0].times })
+	if likeliest < 0 {
+		likeliest = len(candidates)
+	}
+	// So many parts that can't be told apart yet are not worth a record each in the store.
+	if likeliest <= maxSuspicionRecords {
+		for _, candidate := range candidates[:likeliest] {
 			l.suspect(Part{Model: model, ID: candidate.id}, candidate.times, now)
 		}
 	}
@@ -68,18 +73,22 @@
 // isSole reports whether responses have cleared other parts that were suspected of each of
 // the crashes, and none but this one is left.
 func (e evidence) isSole() bool {
-	return !slices.ContainsFunc(e.crashes, func(known *crash) bool { return len(known.suspects) > 1 || !known.hadSeveral })
+	return !slices.ContainsFunc(e.crashes, func(known *crash) bool { return known.suspects.size() > 1 || known.isTruncated || !known.hadSeveral })
 }
 
-// candidates returns the parts that are suspected of crashes, that of crashes at the most
-// times first. At least one crash must have no explanation yet.
+// candidates returns the parts that are suspected of several crashes, as far as known here or
+// from their records, that of crashes at the most times first. At least one crash must have no
+// explanation yet.
 func (l *List) candidates(model string, now time.Time) []evidence {
 	byID, unexplained := map[string][]*crash{}, map[string]bool{}
 	for _, known := range l.crashes {
 		if known.model != model || !known.isSettled(now) {
 			continue
 		}
-		for _, id := range known.suspects {
+		for id := range known.suspects.index {
+			if part := (Part{Model: model, ID: id}); l.suspected[part] < suspicionTimes && l.blocks[part] == nil {
+				continue
+			}
 			byID[id] = append(byID[id], known)
 			unexplained[id] = unexplained[id] || known.explainedBy == ""
 		}
@@ -115,7 +124,7 @@
 // is the most likely cause: parts at the beginning of a prompt are shared by more requests,
 // and these would have been answered.
 func (l *List) equals(model string, candidate evidence) []string {
-	return slices.DeleteFunc(slices.Clone(candidate.crashes[0].suspects), func(id string) bool {
+	return slices.DeleteFunc(candidate.crashes[0].suspects.list(), func(id string) bool {
 		if slices.ContainsFunc(candidate.crashes, func(known *crash) bool { return !known.isSuspected(id) }) {
 			return true
 		}
@@ -125,11 +134,14 @@
 
 // explainCrashes explains the crashes of which a part that is blocked is suspected.
 func (l *List) explainCrashes(model string) {
+	if !l.suspectsBlocked(model) {
+		return
+	}
 	for _, known := range l.crashes {
 		if known.model != model || known.explainedBy != "" {
 			continue
 		}
-		for _, id := range known.suspects {
+		for _, id := range known.suspects.list() {
 			if _, blocked := l.blockedRecord(Part{Model: model, ID: id}); blocked {
 				l.explain([]*crash{known}, []string{id})
 				break
@@ -138,6 +150,16 @@
 	}
 }
 
+// suspectsBlocked reports whether a blocked part is suspected of a crash.
+func (l *List) suspectsBlocked(model string) bool {
+	for part, known := range l.blocks {
+		if part.Model == model && known.isBlocked() && l.suspected[part] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // explain records that crashes are explained by the last one of the given parts, and
 // returns what has explained them before. The other parts cannot be told apart from it.
 func (l *List) explain(crashes []*crash, equals []string) (displaced map[string]bool) {
@@ -148,7 +170,7 @@
 			displaced[known.explainedBy] = true
 		}
 		known.explainedBy = cause
-		for _, id := range slices.Clone(known.suspects) {
+		for _, id := range known.suspects.list() {
 			if !slices.Contains(others, id) {
 				l.removeSuspect(known, id)
 			}
--- a/internal/blocklist/exposure.go
+++ b/internal/blocklist/exposure.go
@@ -92,6 +92,7 @@
 // Window after that.
 func (l *List) RecordInterruption(model string, version int64, parts []string, now time.Time) {
 	known := l.exposureOf(weights{model: model, version: version}, now)
+	known.interruptions = slices.DeleteFunc(known.interruptions, func(one interruption) bool { return now.Sub(one.at) >= exposurePeriod })
 	known.interruptions = append(known.interruptions, interruption{at: now, parts: parts})
 	if excess := len(known.interruptions) - maxInterruptions; excess > 0 {
 		known.interruptions = slices.Delete(known.interruptions, 0, excess)
@@ -113,33 +114,57 @@
 	return &e.buckets[index%exposureBuckets]
 }
 
-// count returns how many requests without a part were answered and interrupted during
-// exposurePeriod.
-func (e *exposure) count(part string, now time.Time) (responses, interruptions float64) {
+// answeredRecently returns how many requests were answered during exposurePeriod.
+func (e *exposure) answeredRecently(now time.Time) (responses float64) {
 	e.bucketAt(now)
 	for _, answered := range e.buckets {
 		responses += float64(answered)
 	}
-	for _, one := range e.interruptions {
-		if now.Sub(one.at) < exposurePeriod && !slices.Contains(one.parts, part) {
-			interruptions++
+	return responses
+}
+
+// interruptionCount is the number of requests that were interrupted during exposurePeriod, and
+// of those with each part.
+type interruptionCount struct {
+	all    int
+	byPart map[string]int
+}
+
+// interruptionCounts holds the counts for the weights that one evaluation has looked at.
+type interruptionCounts map[weights]interruptionCount
+
+// without returns how many requests without a part were interrupted by engines with these
+// weights.
+func (i interruptionCounts) without(part string, of weights, known *exposure, now time.Time) float64 {
+	count, found := i[of]
+	if !found {
+		count.byPart = map[string]int{}
+		for _, one := range known.interruptions {
+			if now.Sub(one.at) >= exposurePeriod {
+				continue
+			}
+			count.all++
+			for _, id := range one.parts {
+				count.byPart[id]++
+			}
 		}
+		i[of] = count
 	}
-	return responses, interruptions
+	return float64(count.all - count.byPart[part])
 }
 
 // requiredCrashTimes returns at how many different times instances must have crashed before
 // a part is blocked: the more of the other requests are on instances that crash, the more
 // crashes come together with any part. It is out of reach if the weights may not work.
-func (l *List) requiredCrashTimes(candidate evidence, now time.Time) int {
+func (l *List) requiredCrashTimes(candidate evidence, counted interruptionCounts, now time.Time) int {
 	of, found := l.workingWeights(candidate.crashes)
 	if !found {
 		return math.MaxInt
 	}
 	responses, interruptions := priorResponses, priorInterruptions
 	if known := l.exposures[of]; known != nil {
-		answered, interrupted := known.count(candidate.id, now)
-		responses, interruptions = responses+answered, interruptions+interrupted
+		responses += known.answeredRecently(now)
+		interruptions += counted.without(candidate.id, of, known, now)
 	}
 	chance := interruptions / (responses + interruptions)
 	times := math.Ceil(math.Log(maxChance) / math.Log(chance))
--- a/internal/relay/blockreports.go
+++ b/internal/relay/blockreports.go
@@ -9,43 +9,56 @@
 )
 
 const (
-	// maxCrashesPerMessage, maxClearedPerMessage and maxRecordsPerMessage bound what one
+	// maxCrashesPerMessage, maxClearingsPerMessage and maxRecordsPerMessage bound what one
 	// heartbeat tells about parts of prompts.
-	maxCrashesPerMessage = 12
-	maxClearedPerMessage = 16
-	maxRecordsPerMessage = 16
-	// maxSuspectBytes bounds the IDs of suspected parts in one heartbeat, which is not sent
-	// at all if it exceeds the size of a datagram.
+	maxCrashesPerMessage   = 12
+	maxClearingsPerMessage = 16
+	maxRecordsPerMessage   = 16
+	// maxSuspectBytes and maxClearedBytes bound the IDs of suspected and of cleared parts in one
+	// heartbeat, which is not sent at all if it exceeds the size of a datagram.
 	maxSuspectBytes = 3 << 10
+	maxClearedBytes = 768
 	// crashReportPeriod is how long after it has learned of it this entry tells others of a
 	// crash or of a part that was cleared: some heartbeats. Each of them tells others in
 	// turn.
 	crashReportPeriod = 1500 * time.Millisecond
 )
 
+var reportLimits = blocklist.ReportLimits{Crashes: maxCrashesPerMessage, SuspectBytes: maxSuspectBytes, ClearedBytes: maxClearedBytes}
+
 // addReports adds to a heartbeat what this entry has learned about parts of prompts.
 func (b *blocker) addReports(m *beat.Message, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	since := now.Add(-crashReportPeriod)
-	bytesLeft := maxSuspectBytes
-	for _, crash := range b.list.RecentCrashes(since, maxCrashesPerMessage) {
-		for _, id := range crash.Suspects {
-			bytesLeft -= len(id)
-		}
-		if bytesLeft < 0 {
-			break
-		}
+	for _, crash := range b.list.RecentCrashes(since, reportLimits) {
 		m.Crashes = append(m.Crashes, beat.CrashedBackend{
 			ID: crash.Start.Instance, Born: crash.Start.Born, Model: crash.Model, Version: crash.Version, AgeMs: now.Sub(crash.At).Milliseconds(), Suspects: crash.Suspects,
 		})
 	}
-	for _, cleared := range b.list.RecentlyCleared(since, maxClearedPerMessage) {
-		m.ClearedParts = append(m.ClearedParts, beat.ClearedPart{Model: cleared.Model, ID: cleared.ID, Version: cleared.Version, AgeMs: now.Sub(cleared.At).Milliseconds()})
-	}
+	m.ClearedParts = encodeCleared(b.list.RecentlyCleared(since, reportLimits), now)
 	m.PartRecords = encodeRecords(b.list.Unsaved(maxRecordsPerMessage))
 }
 
+// encodeCleared groups the parts that one response has cleared.
+func encodeCleared(cleared []blocklist.Cleared, now time.Time) []beat.ClearedParts {
+	var encoded []beat.ClearedParts
+	var at time.Time
+	for _, one := range cleared {
+		last := len(encoded) - 1
+		if last < 0 || encoded[last].Model != one.Model || encoded[last].Version != one.Version || !one.At.Equal(at) {
+			if len(encoded) == maxClearingsPerMessage {
+				break
+			}
+			at = one.At
+			encoded = append(encoded, beat.ClearedParts{Model: one.Model, Version: one.Version, AgeMs: now.Sub(one.At).Milliseconds()})
+			last++
+		}
+		encoded[last].IDs = append(encoded[last].IDs, one.ID)
+	}
+	return encoded
+}
+
 func encodeRecords(records []blocklist.UnsavedRecord) []beat.PartRecord {
 	var encoded []beat.PartRecord
 	for _, one := range records {
@@ -72,8 +85,10 @@
 		})
 	}
 	var cleared []blocklist.Cleared
-	for _, one := range m.ClearedParts[:min(len(m.ClearedParts), maxClearedPerMessage)] {
-		cleared = append(cleared, blocklist.Cleared{Part: blocklist.Part{Model: one.Model, ID: one.ID}, Version: one.Version, At: at(one.AgeMs)})
+	for _, one := range m.ClearedParts[:min(len(m.ClearedParts), maxClearingsPerMessage)] {
+		for _, id := range one.IDs {
+			cleared = append(cleared, blocklist.Cleared{Part: blocklist.Part{Model: one.Model, ID: id}, Version: one.Version, At: at(one.AgeMs)})
+		}
 	}
 	b.recordPeerCrashes(crashes, cleared, now)
 	var records []blocklist.Record
--- a/internal/relay/blocks.go
+++ b/internal/relay/blocks.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,8 @@
 // pendingRequest is a request that has no response yet.
 type pendingRequest struct {
 	cancel context.CancelCauseFunc
+	model  string
+	parts  []string
 	// responding is set while an instance is responding, canceled once the request was
 	// canceled because a part was blocked.
 	responding, canceled atomic.Bool
@@ -52,12 +55,12 @@
 
 	mu      sync.Mutex
 	list    *blocklist.List
-	pending map[blocklist.Part]map[*pendingRequest]bool
+	pending map[*pendingRequest]bool
 }
 
 func newBlocker(log *logrus.Entry, m *blockMetrics) *blocker {
 	return &blocker{
-		log: log, metrics: m, decided: func() {}, turn: func(blocklist.Part) (int, int) { return 0, 1 }, claimTrial: func(blocklist.Record) {}, list: blocklist.New(), pending: map[blocklist.Part]map[*pendingRequest]bool{},
+		log: log, metrics: m, decided: func() {}, turn: func(blocklist.Part) (int, int) { return 0, 1 }, claimTrial: func(blocklist.Record) {}, list: blocklist.New(), pending: map[*pendingRequest]bool{},
 	}
 }
 
@@ -92,23 +95,12 @@
 func (b *blocker) watch(model string, parts []string, request *pendingRequest) (end func()) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, id := range parts {
-		part := blocklist.Part{Model: model, ID: id}
-		if b.pending[part] == nil {
-			b.pending[part] = map[*pendingRequest]bool{}
-		}
-		b.pending[part][request] = true
-	}
+	request.model, request.parts = model, parts
+	b.pending[request] = true
 	return func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		for _, id := range parts {
-			part := blocklist.Part{Model: model, ID: id}
-			delete(b.pending[part], request)
-			if len(b.pending[part]) == 0 {
-				delete(b.pending, part)
-			}
-		}
+		delete(b.pending, request)
 	}
 }
 
@@ -244,8 +236,8 @@
 		if record.Lifted || record.Suspected {
 			continue
 		}
-		for request := range b.pending[record.Part] {
-			if !request.responding.Load() {
+		for request := range b.pending {
+			if request.model == record.Model && slices.Contains(request.parts, record.ID) && !request.responding.Load() {
 				request.canceled.Store(true)
 				request.cancel(errPartBlocked)
 			}
--- a/internal/relay/blocks_test.go
+++ b/internal/relay/blocks_test.go
@@ -270,6 +270,32 @@
 	c.Assert(letThrough, qt.Equals, 1)
 }
 
+// TestEntriesCombineEvidenceOfLongPrompts guards against a part that goes on crashing instances
+// because the suspects of a crash fit neither into what an entry keeps of it nor into one
+// message (review/9).
+func TestEntriesCombineEvidenceOfLongPrompts(t *testing.T) {
+	c := qt.New(t)
+	entries := []*blocker{newTestBlocker(), newTestBlocker(), newTestBlocker(), newTestBlocker()}
+	for i, entry := range entries {
+		parts := []string{crashPart}
+		for j := range 1000 {
+			parts = append(parts, fmt.Sprintf("%04x%04x", i, j))
+		}
+		entry.requestInterrupted(testCrash(fmt.Sprint("i-", i), time.Duration(3-i)*300*time.Millisecond, parts...))
+		// As many as in crashReportPeriod.
+		for range 7 {
+			exchangeReports(entries)
+		}
+		// A sound request shares the other parts.
+		entry.responseOutlived(modelName, 1, parts[1:])
+		exchangeReports(entries)
+	}
+	for i, entry := range entries {
+		c.Check(entry.isBlocked(), qt.IsTrue, qt.Commentf("entry %d", i))
+		c.Check(entry.list.BlockedParts(), qt.Equals, 1)
+	}
+}
+
 // TestReportsOfManySuspectsAreBounded guards against crashes that no other entry learns of,
 // because the IDs of their suspects do not fit in one message.
 func TestReportsOfManySuspectsAreBounded(t *testing.T) {
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -344,5 +344,5 @@
 	f := newEngineFixture(t, 1)
 	_, _, _ = f.write("crash", 20, "first", crashPart)
 	c.Assert(f.frontend.blocker.list.SuspectedParts(), qt.Equals, 2)
-	c.Assert(f.frontend.blocker.list.RecentCrashes(time.Time{}, 1)[0].Suspects, qt.DeepEquals, []string{"first", crashPart})
+	c.Assert(f.frontend.blocker.list.RecentCrashes(time.Time{}, reportLimits)[0].Suspects, qt.DeepEquals, []string{"first", crashPart})
 }
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -20,6 +20,9 @@
 // crashed.
 const confirmTimeout = 400 * time.Millisecond
 
+// maxLoggedParts bounds the parts of a prompt that one log line names.
+const maxLoggedParts = 512
+
 // admitParts returns the refusal of a request if a part of its prompt is blocked, unless the
 // request is let through on trial.
 func (x *exchange) admitParts() *refusal {
@@ -148,7 +151,7 @@
 	isRepeated := x.mayRepeatAfter(crash, progress)
 	x.frontend.log.WithFields(logrus.Fields{
 		"request": x.call.AttemptID, "backend": choice.Backend.ID, "born": choice.Backend.Start, "pool": x.pool, "version": choice.Version, "begun": progress.hasBegun(),
-		"since_ms": ended.Sub(since).Milliseconds(), "events": record.Events, "shared_parts": x.parts, "repeated": isRepeated,
+		"since_ms": ended.Sub(since).Milliseconds(), "events": record.Events, "shared_parts": loggedParts(x.parts), "parts": len(x.parts), "repeated": isRepeated,
 	}).Warning("a backend server crashed before it had responded, or soon after it had begun to")
 	x.frontend.blocker.requestInterrupted(crash)
 	next := "ended"
@@ -159,6 +162,9 @@
 	return !isRepeated
 }
 
+// loggedParts returns the parts of a prompt that one log line names.
+func loggedParts(parts []string) []string { return parts[:min(len(parts), maxLoggedParts)] }
+
 // mayRepeatAfter reports whether the request may be sent to another instance after a crash
 // that has interrupted it: if all parts of its prompt are known not to be the reason, or, as
 // long as no response had begun, if none of the others is suspected of a further crash. Most
--- a/internal/relay/frontend.go
+++ b/internal/relay/frontend.go
@@ -433,7 +433,7 @@
 		}
 	}
 	if x.wasInterrupted() && len(x.call.SharedParts) > 0 {
-		fields["shared_parts"] = x.call.SharedParts
+		fields["shared_parts"] = loggedParts(x.call.SharedParts)
 	}
 	if x.closeCause != "" && outcome == "broken_off" {
 		fields["cause"] = x.closeCause
