Relay: a response begins with its content, not with its header

An engine may send the header long before its first token. The response now begins with the first event, or with the first byte of a body; until then the crash counts. The same time decides from when on a response clears parts, and until when a request is canceled whose part gets blocked. A request is sent again as before: not if the header has just arrived.

--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -166,6 +166,14 @@
 	checkPartIsBlocked(t, bound, crashBeforeHeader)
 }
 
+// TestCrashLongAfterTheHeaderIsEvidence guards against requests that crash one instance after the
+// other because the instances send the header of a response long before its content: the
+// header is not the beginning (review/9).
+func TestCrashLongAfterTheHeaderIsEvidence(t *testing.T) {
+	const bound = 6
+	checkPartIsBlocked(t, bound, func(config *standin.BackendConfig) { config.CrashDelay = 290 * time.Millisecond })
+}
+
 // TestPendingRequestsAreSentAgainAfterACrash guards against sound requests that are given up
 // because they wait for a response of an instance that crashes, though nothing else speaks
 // against their parts, and against such a request that goes on from crash to crash.
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -85,8 +85,9 @@
 
 // responseProgress is what is known of the response to one attempt.
 type responseProgress struct {
-	// sentAt is when the attempt was begun, beganAt when the response did; it is zero before.
-	sentAt, beganAt time.Time
+	// sentAt is when the attempt was begun, beganAt when the content of the response did; it is
+	// zero before. Instances may send the header long before, at headerAt.
+	sentAt, headerAt, beganAt time.Time
 	// startedAt is the time beganAt without the time in which the machine was suspended, which
 	// is cheap to compare with.
 	startedAt time.Time
@@ -96,15 +97,18 @@
 	outlived bool
 }
 
-// responseBegan records that an instance has begun to respond.
+// responseBegan records, once for each attempt, that the content of a response has begun.
 func (x *exchange) responseBegan() {
+	if x.progress.hasBegun() {
+		return
+	}
 	x.progress.beganAt, x.progress.startedAt = clock.Now(), time.Now()
 	x.pending.responding.Store(true)
 }
 
 // noteProgress records that a response goes on. It is called for each event.
 func (x *exchange) noteProgress(choice placement.Choice, events int) {
-	if len(x.parts) == 0 || x.progress.outlived || !blocklist.Outlives(time.Since(x.progress.startedAt), events, choice.Slowdown) {
+	if len(x.parts) == 0 || x.progress.outlived || !x.progress.hasBegun() || !blocklist.Outlives(time.Since(x.progress.startedAt), events, choice.Slowdown) {
 		return
 	}
 	x.progress.outlived = true
@@ -148,7 +152,7 @@
 	crash := blocklist.Crash{
 		Start: blocklist.Start{Instance: choice.Backend.ID, Born: choice.Backend.Start}, Model: x.model, Version: choice.Version, At: ended, Suspects: x.parts,
 	}
-	isRepeated := x.mayRepeatAfter(crash, progress)
+	isRepeated := x.mayRepeatAfter(crash, progress.maySoonBegin(ended, blocklist.Window(choice.Slowdown)))
 	x.frontend.log.WithFields(logrus.Fields{
 		"request": x.call.AttemptID, "backend": choice.Backend.ID, "born": choice.Backend.Start, "pool": x.pool, "version": choice.Version, "begun": progress.hasBegun(),
 		"since_ms": ended.Sub(since).Milliseconds(), "events": record.Events, "shared_parts": loggedParts(x.parts), "parts": len(x.parts), "repeated": isRepeated,
@@ -167,13 +171,20 @@
 
 // mayRepeatAfter reports whether the request may be sent to another instance after a crash
 // that has interrupted it: if all parts of its prompt are known not to be the reason, or, as
-// long as no response had begun, if none of the others is suspected of a further crash. Most
-// of the requests that wait for a response when an instance crashes are not the reason.
-func (x *exchange) mayRepeatAfter(crash blocklist.Crash, progress responseProgress) bool {
+// long as its response had not begun or been about to, if none of the others is suspected of a
+// further crash. Most of the requests that wait for a response when an instance crashes are not
+// the reason.
+func (x *exchange) mayRepeatAfter(crash blocklist.Crash, hadBegun bool) bool {
 	if x.frontend.blocker.hasResponse(x.model, crash.Version, x.parts) {
 		return true
 	}
-	return !progress.hasBegun() && !x.frontend.blocker.isSuspectedElsewhere(crash)
+	return !hadBegun && !x.frontend.blocker.isSuspectedElsewhere(crash)
+}
+
+// maySoonBegin reports whether the content of the response has begun, or may be about to at the
+// given time: its header has just arrived.
+func (p *responseProgress) maySoonBegin(at time.Time, window time.Duration) bool {
+	return p.hasBegun() || !p.headerAt.IsZero() && at.Sub(p.headerAt) <= window
 }
 
 func (p *responseProgress) hasBegun() bool { return !p.beganAt.IsZero() }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -558,7 +558,9 @@
 
 // forward forwards the response of an instance.
 func (x *exchange) forward(response *http.Response, choice placement.Choice, watchdog *watchdog, record *attemptRecord) outcome {
-	x.responseBegan()
+	if x.progress.headerAt.IsZero() {
+		x.progress.headerAt = clock.Now()
+	}
 	if response.StatusCode/100 == 2 && len(x.prefix) > 0 {
 		x.frontend.scheduler.promptProcessed(choice)
 	}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -22,6 +22,7 @@
 	if response.ContentLength > maxResponseBytes {
 		return x.rejectOversized(record)
 	}
+	response.Body = &contentReader{ReadCloser: response.Body, began: x.responseBegan}
 	start, complete, unreserve, err := x.readStart(response)
 	defer unreserve()
 	record.bytes = len(start)
@@ -57,6 +58,20 @@
 	return x.forwardRemainder(response.Body, watchdog, record)
 }
 
+// contentReader reports when the content of a response begins.
+type contentReader struct {
+	io.ReadCloser
+	began func()
+}
+
+func (c *contentReader) Read(buffer []byte) (int, error) {
+	count, err := c.ReadCloser.Read(buffer)
+	if count > 0 {
+		c.began()
+	}
+	return count, err
+}
+
 // forwardRemainder forwards the rest of a large response while it is read.
 func (x *exchange) forwardRemainder(body io.Reader, watchdog *watchdog, record *attemptRecord) outcome {
 	buffer := make([]byte, forwardBufferBytes)
@@ -126,6 +141,9 @@
 			x.position.set(next.id)
 		}
 		x.lastEventAt = now
+		if !next.isBlank {
+			x.responseBegan()
+		}
 		record.Events++
 		x.noteProgress(choice, record.Events)
 		if !reader.buffered() {
