Relay: the memory of a large stream event is taken from the account of its request

Cause: one event is bounded by 256 KiB, but nothing bounded all of them: a limit of one response was multiplied by the number of connections. Without memory the stream ends like a broken one; a log line says why.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -104,6 +104,8 @@
 // forwardStream forwards the events of a response as they arrive.
 func (x *exchange) forwardStream(response *http.Response, choice placement.Choice, watchdog *watchdog, record *attemptRecord) outcome {
 	reader := newEventReader(response.Body)
+	reader.reserve = x.body.reserve
+	defer func() { x.body.unreserve(reader.reserved) }()
 	pauseTimeout := max(time.Duration(pauseFactor*float64(x.route.MaxPause)), minSilenceTimeout)
 	flusher := http.NewResponseController(x.w)
 	// Uses time.Now because it runs for each event: reading the boot clock is a system
@@ -115,6 +117,10 @@
 			x.noteComplete(choice, record.Events)
 			return x.finishStream(response)
 		}
+		if errors.Is(err, errEventTooLarge) || errors.Is(err, errNoEventMemory) {
+			x.frontend.log.WithError(err).WithFields(logrus.Fields{"request": x.call.AttemptID, "instance": record.Instance, "reserved": reader.reserved}).Warning("a stream is ended within an event")
+			return broken
+		}
 		if err != nil {
 			x.noteBreak(err)
 			return x.classifyFailure(watchdog, true)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -19,6 +19,9 @@
 // errEventTooLarge means that an event of a stream exceeds maxEventBytes.
 var errEventTooLarge = errors.New("a stream event exceeds the size limit; check the backend server")
 
+// errNoEventMemory means that no memory was left for the rest of an event.
+var errNoEventMemory = errors.New("no memory is left for a stream event; check the backend servers, or raise the machine's memory")
+
 // errNoEvent means that a block of lines in a stream is not an event.
 var errNoEvent = errors.New("a part of the stream is not an event; check the backend server")
 
@@ -58,6 +61,10 @@
 type eventReader struct {
 	reader *bufio.Reader
 	buffer []byte
+	// reserve, when set, takes memory for a buffer above readBufferBytes, and reserved is what
+	// it has taken.
+	reserve  func(bytes int64) bool
+	reserved int64
 }
 
 func newEventReader(source io.Reader) *eventReader {
@@ -72,9 +79,8 @@
 	current, hasField, lineStart := event{}, false, 0
 	for {
 		line, err := e.reader.ReadSlice('\n')
-		e.buffer = append(e.buffer, line...)
-		if len(e.buffer) > maxEventBytes {
-			return event{}, errEventTooLarge
+		if err := e.add(line); err != nil {
+			return event{}, err
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
@@ -103,6 +109,26 @@
 	}
 }
 
+// add appends a part of an event to the buffer.
+func (e *eventReader) add(part []byte) error {
+	size := len(e.buffer) + len(part)
+	if size > maxEventBytes {
+		return errEventTooLarge
+	}
+	if size > cap(e.buffer) {
+		size = min(max(size, 2*cap(e.buffer)), maxEventBytes)
+		if growth := int64(size) - e.reserved; size > readBufferBytes && e.reserve != nil {
+			if !e.reserve(growth) {
+				return errNoEventMemory
+			}
+			e.reserved += growth
+		}
+		e.buffer = append(make([]byte, 0, size), e.buffer...)
+	}
+	e.buffer = append(e.buffer, part...)
+	return nil
+}
+
 // isEventField reports whether a line is a field of an event or a comment.
 func isEventField(line []byte) bool {
 	name, _, _ := bytes.Cut(line, []byte(":"))
