Peer: large messages of all connections of a client are bounded together

A message of net/rpc may have 8 MiB, and package gob allocates what its length announces, on each open connection, also an idle one. All messages above 64 KiB that a client receives at one time now take their memory from 16 MiB; a message that finds none ends its connection.

TestLargeMessagesOfManyPeersAreBounded: the bound is new; 64 connections could announce 1 MiB each before. It also covers that the memory is given back after a whole message and a close.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"plantainrelay/internal/failure"
 )
 
@@ -23,6 +25,8 @@
 	idleTimeout time.Duration
 	mu          sync.Mutex
 	conns       map[string]*pooledConn
+	// large bounds the large messages that are received at one time.
+	large *semaphore.Weighted
 }
 
 // pooledConn is an open connection and the number of its calls in progress.
@@ -37,7 +41,7 @@
 
 // NewClient returns a Client without connections.
 func NewClient(security Security) *Client {
-	return &Client{security: security, idleTimeout: idleTimeout, conns: map[string]*pooledConn{}}
+	return &Client{security: security, idleTimeout: idleTimeout, conns: map[string]*pooledConn{}, large: semaphore.NewWeighted(maxLargeBytes)}
 }
 
 // Call calls method at address and decodes the result into reply. It returns
@@ -168,7 +172,7 @@
 		conn.Close()
 		return nil, err
 	}
-	return rpc.NewClient(&limitedConn{Conn: conn}), nil
+	return rpc.NewClient(&limitedConn{Conn: conn, large: c.large}), nil
 }
 
 // discard removes a broken connection from the pool and closes it.
--- a/internal/peer/limit.go
+++ b/internal/peer/limit.go
@@ -3,8 +3,11 @@
 import (
 	"cmp"
 	"net"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"plantainrelay/internal/failure"
 )
 
@@ -12,6 +15,10 @@
 	// maxMessageBytes bounds one message of net/rpc: the largest is a whole copy of the
 	// tables or of the list of instances.
 	maxMessageBytes = 8 << 20
+	// smallMessageBytes is the size up to which each connection may receive a message at any
+	// time. maxLargeBytes bounds all larger ones together that a client receives at one time.
+	smallMessageBytes = 64 << 10
+	maxLargeBytes     = 2 * maxMessageBytes
 	// messageTimeout is how long a message may take from its first byte to its last.
 	messageTimeout = 30 * time.Second
 )
@@ -25,6 +32,11 @@
 	net.Conn
 	// maxBytes bounds a message; 0 means maxMessageBytes.
 	maxBytes uint64
+	// large, when set, bounds the messages above smallMessageBytes of several connections, and
+	// held is what this one has taken of it.
+	large    *semaphore.Weighted
+	held     atomic.Int64
+	isClosed atomic.Bool
 	// lengthBytes is the number of bytes of the length that are still to come, length
 	// what they say so far, remaining the rest of the message after its length.
 	lengthBytes int
@@ -46,6 +58,35 @@
 	return count, err
 }
 
+// Close implements net.Conn.
+func (l *limitedConn) Close() error {
+	l.isClosed.Store(true)
+	l.release()
+	return l.Conn.Close()
+}
+
+// acquire takes memory for a message whose length is known.
+func (l *limitedConn) acquire() error {
+	if l.large == nil || l.remaining <= smallMessageBytes {
+		return nil
+	}
+	bytes := int64(l.remaining)
+	if !l.large.TryAcquire(bytes) {
+		return failure.New(failure.Refused, "ask again", "too many large messages arrive at the same time for one of %d bytes", bytes)
+	}
+	l.held.Store(bytes)
+	if l.isClosed.Load() {
+		l.release()
+	}
+	return nil
+}
+
+func (l *limitedConn) release() {
+	if held := l.held.Swap(0); held > 0 {
+		l.large.Release(held)
+	}
+}
+
 // Write implements net.Conn. A peer that does not read does not hold the message for good.
 func (l *limitedConn) Write(data []byte) (int, error) {
 	if err := l.SetWriteDeadline(time.Now().Add(messageTimeout)); err != nil {
@@ -59,8 +100,10 @@
 	for len(received) > 0 {
 		if l.remaining > 0 {
 			skipped := min(l.remaining, uint64(len(received)))
-			l.remaining -= skipped
 			received = received[skipped:]
+			if l.remaining -= skipped; l.remaining == 0 {
+				l.release()
+			}
 			continue
 		}
 		next := received[0]
@@ -83,6 +126,11 @@
 		if limit := cmp.Or(l.maxBytes, maxMessageBytes); l.length > limit || l.lengthBytes > 8 {
 			return failure.New(failure.Invalid, "check the process at the other end", "a peer announced a message of more than %d bytes", limit)
 		}
+		if l.lengthBytes == 0 {
+			if err := l.acquire(); err != nil {
+				return err
+			}
+		}
 	}
 	return nil
 }
--- a/internal/peer/limit_test.go
+++ b/internal/peer/limit_test.go
@@ -8,12 +8,14 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"testing"
 	"testing/iotest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/semaphore"
 	"pgregory.net/rapid"
 )
 
@@ -76,6 +78,41 @@
 	c.Check(err, qt.ErrorMatches, ".*more than 1024 bytes.*")
 }
 
+// TestLargeMessagesOfManyPeersAreBounded guards against memory for large messages that several
+// peers announce at the same time and never complete, and against memory that stays taken
+// after their connections have ended.
+func TestLargeMessagesOfManyPeersAreBounded(t *testing.T) {
+	const size = 1 << 20
+	c := qt.New(t)
+	large := semaphore.NewWeighted(maxLargeBytes)
+	announced := []byte{0xfd, size >> 16, size >> 8 & 0xff, size & 0xff}
+	var open []*limitedConn
+	for range 4 * maxLargeBytes / size {
+		ours, theirs := net.Pipe()
+		defer theirs.Close()
+		go func() { _, _ = theirs.Write(announced) }()
+		conn := &limitedConn{Conn: ours, large: large}
+		if _, err := io.ReadFull(conn, make([]byte, len(announced))); err == nil {
+			open = append(open, conn)
+		} else {
+			c.Check(err, qt.ErrorMatches, ".*too many large messages.*")
+			c.Check(conn.Close(), qt.IsNil)
+		}
+	}
+	c.Assert(open, qt.HasLen, maxLargeBytes/size)
+	c.Check(large.TryAcquire(1), qt.IsFalse)
+	small := append([]byte{0xfe, 0xff, 0xff}, make([]byte, 0xffff)...)
+	_, err := io.ReadAll(&limitedConn{Conn: readerConn{Reader: bytes.NewReader(small)}, large: large})
+	c.Check(err, qt.IsNil, qt.Commentf("a small message"))
+	for _, conn := range open {
+		c.Check(conn.Close(), qt.IsNil)
+	}
+	whole := append(slices.Clone(announced), make([]byte, size)...)
+	_, err = io.ReadAll(&limitedConn{Conn: readerConn{Reader: bytes.NewReader(whole)}, large: large})
+	c.Check(err, qt.IsNil)
+	c.Check(large.TryAcquire(maxLargeBytes), qt.IsTrue)
+}
+
 // TestLimitOfConnections guards against more connections than the process has descriptors
 // for, in their handshake or after it.
 func TestLimitOfConnections(t *testing.T) {
