Message: heads of responses are bounded by what the parser holds of them

Cause: the limit of a head counted its bytes. net/http keeps each line in a map, which takes up to 1 MB for 60 KB of short lines. The connection now counts the bytes and 128 bytes for each line while a head arrives, interim ones and those of later responses on it as well, and fails above 16 KiB. The own interface uses the same. Transports say whether their connections are used again, so that a body is never counted as a head.

--- a/internal/distribute/fetch.go
+++ b/internal/distribute/fetch.go
@@ -35,11 +35,11 @@
 
 func newChunkClient(security peer.Security, timeout time.Duration) *chunkClient {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         message.LimitHeads((&net.Dialer{Timeout: dialTimeout}).DialContext, true),
 		MaxIdleConnsPerHost: maxIdlePerSource,
 		DisableCompression:  true,
 
-		MaxResponseHeaderBytes: message.MaxResponseHeaderBytes,
+		MaxResponseHeaderBytes: message.MaxHeadMemory,
 		TLSClientConfig:        security.ClientTLS,
 	}
 	return &chunkClient{security: security, client: &http.Client{Transport: transport, Timeout: timeout}}
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -42,11 +42,11 @@
 // that was started.
 func NewHandler(gate *Gate, backend string, security peer.Security, usage metering.Recorder, log *logrus.Entry) *Handler {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         message.LimitHeads((&net.Dialer{Timeout: dialTimeout}).DialContext, true),
 		MaxIdleConnsPerHost: maxBackendConns,
 		DisableCompression:  true,
 
-		MaxResponseHeaderBytes: message.MaxResponseHeaderBytes,
+		MaxResponseHeaderBytes: message.MaxHeadMemory,
 	}
 	return &Handler{gate: gate, backend: backend, security: security, usage: usage, client: &http.Client{Transport: transport, CheckRedirect: returnRedirect}, log: log}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -38,11 +38,11 @@
 func newAttemptClient(security peer.Security) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:         message.LimitHeads((&net.Dialer{Timeout: dialTimeout}).DialContext, true),
 			MaxIdleConnsPerHost: maxIdleConnsPerAgent,
 			DisableCompression:  true,
 
-			MaxResponseHeaderBytes: message.MaxResponseHeaderBytes,
+			MaxResponseHeaderBytes: message.MaxHeadMemory,
 			TLSClientConfig:        security.ClientTLS,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -232,10 +232,9 @@
 
 func newAgent(s platform.Settings, socket *beat.Socket, log *logrus.Entry) *agent {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	local, remote, origin := platform.NewTransport(dialer), platform.NewTransport(dialer), platform.NewTransport(dialer)
-	local.MaxIdleConnsPerHost, remote.MaxIdleConnsPerHost = 4, 1
 	// The origin accepts few connections; idle ones would keep other clients out.
-	origin.DisableKeepAlives = true
+	local, remote, origin := platform.NewTransport(dialer), platform.NewTransport(dialer), platform.NewSingleUseTransport(dialer)
+	local.MaxIdleConnsPerHost, remote.MaxIdleConnsPerHost = 4, 1
 	a := &agent{
 		settings: s, log: log, socket: socket, client: peer.NewClient(peer.Security{}),
 		engine: platform.NewEngineClient(s.BackendAddress, local), origin: platform.NewOriginClient(origin),
--- /dev/null
+++ b/internal/message/heads_test.go
@@ -0,0 +1,138 @@
+package message_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/internal/message"
+)
+
+// serveResponses answers the requests on each connection with the given responses in turn, and
+// counts the connections.
+func serveResponses(t *testing.T, responses ...string) (address string, connections *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { listener.Close() })
+	connections = &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			answer(conn, responses)
+		}
+	}()
+	return listener.Addr().String(), connections
+}
+
+func answer(conn net.Conn, responses []string) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for _, response := range responses {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		// A body that cannot be read ends the connection.
+		_, _ = io.Copy(io.Discard, request.Body)
+		if _, err := io.WriteString(conn, response); err != nil {
+			return
+		}
+	}
+}
+
+func response(lines int, body string) string {
+	var text strings.Builder
+	text.WriteString("HTTP/1.1 200 OK\r\n")
+	for i := range lines {
+		fmt.Fprintf(&text, "x%d:\r\n", i)
+	}
+	fmt.Fprintf(&text, "Content-Length: %d\r\n\r\n%s", len(body), body)
+	return text.String()
+}
+
+// TestHeadsAreBoundedByWhatTheyHold guards against responses whose heads take many times their
+// bytes because they have many short lines, also as the second response on a connection and
+// after interim ones; and against limits that count the lines of bodies.
+func TestHeadsAreBoundedByWhatTheyHold(t *testing.T) {
+	const interim = "HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\n"
+	few, many := 50, message.MaxHeadMemory/100
+	body := strings.Repeat("a:\r\n", 10_000)
+	for name, test := range map[string]struct {
+		responses []string
+		fails     bool
+	}{
+		"few lines":                  {[]string{response(few, "ok")}, false},
+		"many lines":                 {[]string{response(many, "ok")}, true},
+		"a long line":                {[]string{"HTTP/1.1 200 OK\r\nx: " + strings.Repeat("x", message.MaxHeadMemory) + "\r\n\r\n"}, true},
+		"many lines, second":         {[]string{response(few, "ok"), response(many, "ok")}, true},
+		"interim heads":              {[]string{strings.Repeat(interim, 4) + response(few, "ok")}, false},
+		"interim heads, many lines":  {[]string{interim + response(many, "ok")}, true},
+		"many lines in an interim":   {[]string{strings.Replace(response(many, ""), "200 OK", "103 X", 1) + response(0, "ok")}, true},
+		"lines of a body":            {[]string{response(few, body), response(few, body)}, false},
+		"a body before another head": {[]string{response(few, body+"\r\n\r\n"), response(few, "ok")}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			address, connections := serveResponses(t, test.responses...)
+			client := &http.Client{Transport: &http.Transport{DialContext: message.LimitHeads((&net.Dialer{}).DialContext, true), DisableCompression: true}}
+			defer client.CloseIdleConnections()
+			for i := range test.responses {
+				got, err := client.Post("http://"+address, "text/plain", strings.NewReader("call"))
+				if err == nil {
+					_, err = io.Copy(io.Discard, got.Body)
+					got.Body.Close()
+				}
+				isLast := i == len(test.responses)-1
+				c.Assert(err != nil, qt.Equals, test.fails && isLast, qt.Commentf("response %d: %v", i, err))
+			}
+			c.Check(connections.Load(), qt.Equals, int64(1))
+		})
+	}
+}
+
+// TestEarlyResponseIsNotTakenForAHead guards against a body that is counted as a head because
+// the rest of the request is sent after the head of its response has arrived.
+func TestEarlyResponseIsNotTakenForAHead(t *testing.T) {
+	c := qt.New(t)
+	ours, theirs := net.Pipe()
+	conn, err := message.LimitHeads(func(context.Context, string, string) (net.Conn, error) { return ours, nil }, false)(t.Context(), "", "")
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	text := response(1, strings.Repeat("a:\r\n", 10_000))
+	go func() {
+		buffer := make([]byte, 16)
+		for sent := 0; sent < len(text); sent += 1000 {
+			if _, err := theirs.Write([]byte(text[sent:min(sent+1000, len(text))])); err != nil {
+				return
+			}
+			// Reads what the other side sends meanwhile.
+			if _, err := theirs.Read(buffer); err != nil {
+				return
+			}
+		}
+		theirs.Close()
+	}()
+	received := 0
+	for buffer := make([]byte, 1000); received < len(text); {
+		count, err := conn.Read(buffer)
+		c.Assert(err, qt.IsNil)
+		received += count
+		if _, err := conn.Write([]byte("body")); err != nil {
+			break
+		}
+	}
+	c.Assert(received, qt.Equals, len(text))
+}
--- a/internal/message/http.go
+++ b/internal/message/http.go
@@ -10,10 +10,6 @@
 // HeaderCompleteValue is the value of HeaderComplete on a complete response.
 const HeaderCompleteValue = "yes"
 
-// MaxResponseHeaderBytes bounds the header of a response from a backend server or from
-// another process of the fleet.
-const MaxResponseHeaderBytes = 64 << 10
-
 // HeaderRunning is the number of requests in progress on the responding instance. It
 // keeps entries up to date between two reads of the instance's state.
 const HeaderRunning = "X-Plantain-Running"
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -234,9 +234,7 @@
 // accepts only a few connections, and idle ones would block other clients.
 func newOriginTransport() http.RoundTripper {
 	dialer := &net.Dialer{Timeout: time.Second, Control: setUserTimeout}
-	transport := platform.NewTransport(dialer)
-	transport.DisableKeepAlives = true
-	return transport
+	return platform.NewSingleUseTransport(dialer)
 }
 
 func newStoreTransport() http.RoundTripper {
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -36,8 +36,7 @@
 
 func newSender() *sender {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
-	transport := platform.NewTransport(dialer)
-	transport.DisableKeepAlives = true
+	transport := platform.NewSingleUseTransport(dialer)
 	transport.ReadBufferSize, transport.WriteBufferSize = connBufferBytes, connBufferBytes
 	return &sender{transport: transport}
 }
