Loader: what an agent reads of its engine is bounded by the size of a chunk

Cause: a chunk may have 4 MiB whatever the tables say, and the agent reads one for each call of another agent before the limit of its uploads applies. A chunk is now bounded by its size in the tables, and those that are read for others at the same time by 8 MiB; beyond that the agent says that it is busy.

--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -401,7 +401,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 	began := clock.Now()
-	data, err := d.origin.Chunk(ctx, address, args.Model, args.Version, args.Chunk)
+	data, err := d.origin.Chunk(ctx, address, args.Model, args.Version, args.Chunk, platform.ChunkLimit(0))
 	if err == nil && weights.DigestOf(data) != digest {
 		err = failure.New(failure.Invalid, "ask again", "chunk %d of %s %d from the origin has another digest", args.Chunk, args.Model, args.Version)
 	}
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/semaphore"
 
 	"plantainrelay/internal/beat"
 	"plantainrelay/internal/catalog"
@@ -142,6 +143,7 @@
 	chunks       *chunkStore
 	stagingCalls *stagingCalls
 	uploads      *depot.UploadLimiter
+	stagedReads  *semaphore.Weighted
 	metrics      *agentMetrics
 	start        int64
 	sendNow      chan struct{}
@@ -238,7 +240,7 @@
 	a := &agent{
 		settings: s, log: log, socket: socket, client: peer.NewClient(peer.Security{}),
 		engine: platform.NewEngineClient(s.BackendAddress, local), origin: platform.NewOriginClient(origin),
-		chunks: newChunkStore(), stagingCalls: newStagingCalls(), uploads: depot.NewUploadLimiter(s.LinkBitsPerSecond, depot.AgentShare), start: time.Now().UnixNano(),
+		chunks: newChunkStore(), stagingCalls: newStagingCalls(), uploads: depot.NewUploadLimiter(s.LinkBitsPerSecond, depot.AgentShare), stagedReads: semaphore.NewWeighted(maxStagedReadBytes), start: time.Now().UnixNano(),
 		sendNow: make(chan struct{}, 1), entries: map[string]entryState{}, neighbors: map[string]neighbor{},
 	}
 	store := platform.NewStoreClient(s.StoreAddress, remote)
--- a/internal/loader/distribution.go
+++ b/internal/loader/distribution.go
@@ -254,7 +254,7 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
-		data, err := a.engine.ReadStaged(ctx, wanted.model, chunk)
+		data, err := a.engine.ReadStaged(ctx, wanted.model, chunk, a.chunkLimit())
 		cancel()
 		if err == nil && a.chunks.put(wanted.version, chunk, data) == stored {
 			count++
@@ -362,7 +362,7 @@
 		a.mu.Lock()
 		origin := a.table.Origin()
 		a.mu.Unlock()
-		data, err := a.origin.Chunk(ctx, origin, f.target.model, f.target.version, fetch.Chunk)
+		data, err := a.origin.Chunk(ctx, origin, f.target.model, f.target.version, fetch.Chunk, a.chunkLimit())
 		if err != nil {
 			a.log.WithError(err).WithField("chunk", fetch.Chunk).Info("cannot fetch a chunk from the origin")
 			return nil, swarm.Failed
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -14,6 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/semaphore"
 
 	"plantainrelay/internal/catalog"
 	"plantainrelay/internal/clock"
@@ -87,7 +88,7 @@
 	a := &agent{
 		settings: platform.Settings{IP: "10.0.0.1", AvailabilityZone: "z1"},
 		log:      log.WithField("test", t.Name()), engine: platform.NewEngineClient(strings.TrimPrefix(server.URL, "http://"), http.DefaultTransport),
-		chunks: newChunkStore(), stagingCalls: newStagingCalls(), uploads: depot.NewUploadLimiter(0, depot.AgentShare), sendNow: make(chan struct{}, 1),
+		chunks: newChunkStore(), stagingCalls: newStagingCalls(), uploads: depot.NewUploadLimiter(0, depot.AgentShare), stagedReads: semaphore.NewWeighted(maxStagedReadBytes), sendNow: make(chan struct{}, 1),
 		entries: map[string]entryState{}, neighbors: map[string]neighbor{}, pool: pool,
 		table:  catalog.New(1, catalog.Limits{}, nil, []catalog.Pool{pool}, nil),
 		target: target{model: model, version: 2, learnedAt: clock.Now()},
--- a/internal/loader/service.go
+++ b/internal/loader/service.go
@@ -18,6 +18,9 @@
 	// chunkTimeout is the timeout of the fetch of one chunk: many times what it
 	// takes on an instance's link, since others use the link, too.
 	chunkTimeout = 2500 * time.Millisecond
+	// maxStagedReadBytes bounds the chunks that are read from the engine's staging area for
+	// other agents at the same time.
+	maxStagedReadBytes = 8 << 20
 )
 
 // Service serves the chunks held here to other agents.
@@ -39,7 +42,13 @@
 func (s *Service) Chunk(args depot.ChunkArgs, reply *depot.ChunkReply) error {
 	data, found := s.agent.chunks.chunk(args.Version, args.Chunk)
 	if !found {
-		data, found = s.agent.readStagedChunk(args)
+		limit := s.agent.chunkLimit()
+		if !s.agent.stagedReads.TryAcquire(limit) {
+			reply.Busy = true
+			return nil
+		}
+		defer s.agent.stagedReads.Release(limit)
+		data, found = s.agent.readStagedChunk(args, limit)
 	}
 	if !found {
 		return failure.New(failure.NotFound, "ask another instance", "chunk %d of %s %d is not held", args.Chunk, args.Model, args.Version)
@@ -54,14 +63,14 @@
 
 // readStagedChunk reads a chunk that this process no longer holds from the engine's
 // staging area.
-func (a *agent) readStagedChunk(args depot.ChunkArgs) ([]byte, bool) {
+func (a *agent) readStagedChunk(args depot.ChunkArgs, limit int64) ([]byte, bool) {
 	manifest, known := a.chunks.manifest(args.Version)
 	if !known || args.Chunk < 0 || args.Chunk >= len(manifest.Digests) {
 		return nil, false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), engineCallTimeout)
 	defer cancel()
-	data, err := a.engine.ReadStaged(ctx, args.Model, args.Chunk)
+	data, err := a.engine.ReadStaged(ctx, args.Model, args.Chunk, limit)
 	if err != nil {
 		a.log.WithError(err).WithField("chunk", args.Chunk).Debug("cannot read a staged chunk")
 		return nil, false
--- a/internal/loader/switch.go
+++ b/internal/loader/switch.go
@@ -194,6 +194,16 @@
 	return rollout.EngineState{Start: report.Start, Version: report.LoadedVersion}
 }
 
+// chunkLimit returns the size above which bytes are no chunk of the engine's weights.
+func (a *agent) chunkLimit() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.pool.Engine == nil {
+		return platform.ChunkLimit(0)
+	}
+	return platform.ChunkLimit(a.pool.Engine.ChunkBytes)
+}
+
 func (a *agent) poolEngine() (catalog.Engine, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -354,7 +364,7 @@
 func (a *agent) verifyChunk(ctx context.Context, wanted target, chunk int, digest weights.Digest) bool {
 	ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
 	defer cancel()
-	staged, err := a.engine.ReadStaged(ctx, wanted.model, chunk)
+	staged, err := a.engine.ReadStaged(ctx, wanted.model, chunk, a.chunkLimit())
 	if err == nil && weights.DigestOf(staged) == digest {
 		return true
 	}
@@ -371,7 +381,7 @@
 		a.log.WithError(err).WithField("chunk", chunk).Warning("cannot stage a chunk")
 		return false
 	}
-	again, err := a.engine.ReadStaged(ctx, wanted.model, chunk)
+	again, err := a.engine.ReadStaged(ctx, wanted.model, chunk, a.chunkLimit())
 	return err == nil && weights.DigestOf(again) == digest
 }
 
--- a/test/hostile/hostile_test.go
+++ b/test/hostile/hostile_test.go
@@ -67,14 +67,21 @@
 // checkBounds checks the memory and the descriptors that the entry has used.
 func (e *entry) checkBounds() {
 	e.t.Helper()
-	e.checkRuns()
-	peak, descriptors := e.peakMemory(), e.maxOpen.Load()
-	e.t.Logf("peak memory %d MB, %d open descriptors", peak>>20, descriptors)
-	qt.Check(e.t, peak < memoryMb<<20, qt.IsTrue, qt.Commentf("peak memory %d MB, the machine has %d MB", peak>>20, memoryMb))
+	e.checkMemory()
+	descriptors := e.maxOpen.Load()
+	e.t.Logf("%d open descriptors", descriptors)
 	qt.Check(e.t, descriptors <= maxDescriptors-reservedDescriptors, qt.IsTrue,
 		qt.Commentf("%d open descriptors, %d may be used", descriptors, maxDescriptors-reservedDescriptors))
 }
 
+func (p *process) checkMemory() {
+	p.t.Helper()
+	p.checkRuns()
+	peak := p.peakMemory()
+	p.t.Logf("peak memory %d MB", peak>>20)
+	qt.Check(p.t, peak < memoryMb<<20, qt.IsTrue, qt.Commentf("peak memory %d MB, the machine has %d MB", peak>>20, memoryMb))
+}
+
 // repeat writes text until the other side closes the connection or the deadline ends.
 func repeat(conn net.Conn, text string) {
 	for {
--- a/test/hostile/process_test.go
+++ b/test/hostile/process_test.go
@@ -49,8 +49,8 @@
 	startTimeout = 30 * time.Second
 )
 
-// program is the path of plantain-entry.
-var program string
+// programs is the folder with the programs.
+var programs string
 
 func TestMain(m *testing.M) { os.Exit(runTests(m)) }
 
@@ -61,66 +61,85 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
-	program = filepath.Join(dir, "plantain-entry")
-	if out, err := exec.Command("go", "build", "-o", program, "plantainrelay/cmd/plantain-entry").CombinedOutput(); err != nil {
+	programs = dir
+	if out, err := exec.Command("go", "build", "-o", dir+"/", "plantainrelay/cmd/plantain-entry", "plantainrelay/cmd/plantain-agent").CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%s%v\n", out, err)
 		return 1
 	}
 	return m.Run()
 }
 
-// entry is a running plantain-entry with the stand-ins that it uses.
-type entry struct {
+// process is a running program.
+type process struct {
 	t       *testing.T
-	address string
 	cmd     *exec.Cmd
 	exited  chan struct{}
 	logPath string
+}
+
+// entry is a running plantain-entry with the stand-ins that it uses.
+type entry struct {
+	*process
+	address string
 	// maxOpen is the largest number of open descriptors that was seen.
 	maxOpen atomic.Int64
 }
 
 // startEntry starts an entry and waits until it serves. Bodies are limited to maxBody.
 func startEntry(t *testing.T, maxBody int64) *entry {
+	t.Helper()
+	store := standin.NewStore()
+	return startEntryAt(t, freeNetwork(t), store, store, newTable(maxBody), maxDescriptors)
+}
+
+// startEntryAt does so on the network 127.base.0.0/16, with a store that it reaches through a
+// handler, with these tables, and on a machine with so many descriptors.
+func startEntryAt(t *testing.T, base int, store *standin.Store, handler http.Handler, table standin.Table, descriptors int) *entry {
 	t.Helper()
 	c := qt.New(t)
-	base := freeNetwork(t)
 	ip := fmt.Sprintf("127.%d.1.1", base)
-	store := standin.NewStore()
-	dir := t.TempDir()
-	c.Assert(store.Put(standin.KindTables, standin.TableName, newTable(maxBody)), qt.IsNil)
+	c.Assert(store.Put(standin.KindTables, standin.TableName, table.Encode()), qt.IsNil)
 	startBackend(t, store, fmt.Sprintf("127.%d.1.101", base), smallPool, 0)
 	startBackend(t, store, fmt.Sprintf("127.%d.1.102", base), largePool, largeResponseBytes)
 	settings := standin.Settings{
-		Instance: "entry-a1", IP: ip, Zone: "a", Zones: map[string]string{"a": "north"}, Seeds: []string{ip}, Store: serve(t, store),
-		RevokeMs: 5000, VersionMs: 8000, GraceS: 8, MemoryMb: memoryMb, MaxDescriptors: maxDescriptors,
+		Instance: "entry-a1", IP: ip, Zone: "a", Zones: map[string]string{"a": "north"}, Seeds: []string{ip}, Store: serve(t, handler),
+		RevokeMs: 5000, VersionMs: 8000, GraceS: 8, MemoryMb: memoryMb, MaxDescriptors: descriptors,
 	}
-	path := filepath.Join(dir, "entry.toml")
+	e := &entry{process: startProgram(t, "plantain-entry", settings), address: net.JoinHostPort(ip, strconv.Itoa(standin.PortFront))}
+	e.awaitServed(startTimeout)
+	return e
+}
+
+// startProgram starts a program with its settings.
+func startProgram(t *testing.T, program string, settings standin.Settings) *process {
+	t.Helper()
+	c := qt.New(t)
+	dir := t.TempDir()
+	path := filepath.Join(dir, "settings.toml")
 	c.Assert(os.WriteFile(path, []byte(settings.Encode()), 0o600), qt.IsNil)
-	e := &entry{t: t, address: net.JoinHostPort(ip, strconv.Itoa(standin.PortFront)), exited: make(chan struct{}), logPath: filepath.Join(dir, "entry.log")}
-	output, err := os.Create(e.logPath)
+	p := &process{t: t, exited: make(chan struct{}), logPath: filepath.Join(dir, "log")}
+	output, err := os.Create(p.logPath)
 	c.Assert(err, qt.IsNil)
 	defer output.Close()
-	e.cmd = exec.Command(program, "platform")
-	e.cmd.Env = append(os.Environ(), standin.SettingsVariable+"="+path)
-	e.cmd.Stdout, e.cmd.Stderr = output, output
-	e.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	c.Assert(e.cmd.Start(), qt.IsNil)
+	p.cmd = exec.Command(filepath.Join(programs, program), "platform")
+	p.cmd.Env = append(os.Environ(), standin.SettingsVariable+"="+path)
+	p.cmd.Stdout, p.cmd.Stderr = output, output
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	c.Assert(p.cmd.Start(), qt.IsNil)
 	go func() {
 		// The exit status is in ProcessState.
-		_ = e.cmd.Wait()
-		close(e.exited)
+		_ = p.cmd.Wait()
+		close(p.exited)
 	}()
 	t.Cleanup(func() {
 		// An error means that the process has ended already.
-		_ = e.cmd.Process.Kill()
-		<-e.exited
+		_ = p.cmd.Process.Kill()
+		<-p.exited
 	})
-	e.awaitServed(startTimeout)
-	return e
+	return p
 }
 
-func newTable(maxBody int64) any {
+func newTable(maxBody int64) standin.Table {
 	route := func(name, pool string) standin.Route {
 		return standin.Route{Name: name, Host: host, PathPrefix: "/" + name + "/", Pool: pool, Kind: standin.NonIdempotent, Timeout: timeLimit, Objective: 300 * time.Millisecond}
 	}
@@ -128,7 +147,7 @@
 		Version: 3, Routes: []standin.Route{route("small", smallPool), route("large", largePool)},
 		Pools: []standin.Pool{{Name: smallPool, Slots: slots}, {Name: largePool, Slots: slots}},
 		Keys:  map[string][]string{"firm-1": {key}}, MaxBodyBytes: maxBody, MaxHeadBytes: maxHeadBytes,
-	}.Encode()
+	}
 }
 
 func startBackend(t *testing.T, store *standin.Store, ip, pool string, responseBytes int) {
@@ -229,19 +248,19 @@
 	}
 }
 
-func (e *entry) checkRuns() {
-	e.t.Helper()
+func (p *process) checkRuns() {
+	p.t.Helper()
 	select {
-	case <-e.exited:
-		e.t.Fatalf("the entry has ended: %v\n%s", e.cmd.ProcessState, e.logEnd())
+	case <-p.exited:
+		p.t.Fatalf("the process has ended: %v\n%s", p.cmd.ProcessState, p.logEnd())
 	default:
 	}
 }
 
-// logEnd returns the last lines of the entry's log.
-func (e *entry) logEnd() string {
+// logEnd returns the last lines of the process's log.
+func (p *process) logEnd() string {
 	// Without a log, the failure is reported without it.
-	text, _ := os.ReadFile(e.logPath)
+	text, _ := os.ReadFile(p.logPath)
 	return string(text[max(len(text)-4000, 0):])
 }
 
@@ -259,17 +278,17 @@
 	}
 }
 
-// peakMemory returns the largest resident size that the entry has had, in bytes.
-func (e *entry) peakMemory() int64 {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", e.cmd.Process.Pid))
-	qt.Assert(e.t, err, qt.IsNil)
+// peakMemory returns the largest resident size that the process has had, in bytes.
+func (p *process) peakMemory() int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	qt.Assert(p.t, err, qt.IsNil)
 	for line := range bytes.Lines(text) {
 		if value, found := bytes.CutPrefix(line, []byte("VmHWM:")); found {
 			kilobytes, err := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(string(value)), " kB"), 10, 64)
-			qt.Assert(e.t, err, qt.IsNil)
+			qt.Assert(p.t, err, qt.IsNil)
 			return kilobytes << 10
 		}
 	}
-	e.t.Fatal(errors.New("the status of the process has no VmHWM"))
+	p.t.Fatal(errors.New("the status of the process has no VmHWM"))
 	return 0
 }
