--- a/internal/blocklist/blocklist.go
+++ b/internal/blocklist/blocklist.go
@@ -19,6 +19,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -296,9 +297,7 @@
 		if known.isSuspected(id) || l.isCleared(versionedPart{Part: part, version: known.version}, known.at) {
 			continue
 		}
-		for l.suspicions >= maxSuspicions && l.makeSuspicionRoom(known) {
-		}
-		if l.suspicions >= maxSuspicions {
+		if !l.makeSuspicionRoom(known) {
 			known.isTruncated = true
 			break
 		}
@@ -313,27 +312,30 @@
 	known.hadSeveral = known.hadSeveral || known.suspects.size() > 1
 }
 
-// makeSuspicionRoom drops what the oldest other crash does not have in common with any. If all
-// of them have only that left, it drops the oldest one. It reports whether it dropped anything.
+// makeSuspicionRoom makes room for one more suspect of a crash. It drops what the oldest other
+// crash does not have in common with any, or, if all of them have only that left, the oldest one.
+// It returns false if there is no other.
 func (l *List) makeSuspicionRoom(adding *crash) bool {
-	var whole, truncated *crash
-	for _, known := range l.crashes {
+	for l.suspicions >= maxSuspicions {
+		var whole, truncated *crash
+		for _, known := range l.crashes {
+			switch {
+			case known == adding || known.suspects.size() == 0:
+			case known.isTruncated:
+				truncated = older(truncated, known)
+			default:
+				whole = older(whole, known)
+			}
+		}
 		switch {
-		case known == adding || known.suspects.size() == 0:
-		case known.isTruncated:
-			truncated = older(truncated, known)
+		case whole != nil:
+			l.truncate(whole)
+		case truncated != nil:
+			l.remove(truncated.start)
 		default:
-			whole = older(whole, known)
+			return false
 		}
 	}
-	switch {
-	case whole != nil:
-		l.truncate(whole)
-	case truncated != nil:
-		l.remove(truncated.start)
-	default:
-		return false
-	}
 	return true
 }
 
@@ -391,17 +393,15 @@
 // prune removes old crashes, and one if there are too many: the oldest one that has no
 // suspect in common with others, if there is one.
 func (l *List) prune(now time.Time) {
-	var byAge []*crash
 	for start, known := range l.crashes {
 		if now.Sub(known.at) > suspicionRetention {
 			l.remove(start)
-		} else {
-			byAge = append(byAge, known)
 		}
 	}
 	if len(l.crashes) < maxCrashes {
 		return
 	}
+	byAge := slices.Collect(maps.Values(l.crashes))
 	slices.SortFunc(byAge, func(a, b *crash) int { return a.at.Compare(b.at) })
 	index := max(slices.IndexFunc(byAge, func(known *crash) bool { return !l.hasCommonSuspect(known) }), 0)
 	l.remove(byAge[index].start)
