Blocklist: the more parts are suspected, the more crashes are required

The bound on that probability held for one part, whatever their number.

The bound is now divided by the number of suspected parts over 16.

--- a/internal/blocklist/evaluate.go
+++ b/internal/blocklist/evaluate.go
@@ -45,7 +45,8 @@
 // instances, are victims.
 func (l *List) evaluate(model string, now time.Time) []Record {
 	l.explainCrashes(model)
-	candidates, counted := l.candidates(model, now), interruptionCounts{}
+	candidates, parts := l.candidates(model, now)
+	counted := counts{parts: parts, interruptions: map[weights]interruptionCount{}}
 	for _, candidate := range candidates {
 		if candidate.times < suspicionTimes || candidate.times < l.requiredCrashTimes(candidate, counted, now) {
 			continue
@@ -78,8 +79,8 @@
 
 // candidates returns the parts that are suspected of several crashes, as far as known here or
 // from their records, that of crashes at the most times first. At least one crash must have no
-// explanation yet.
-func (l *List) candidates(model string, now time.Time) []evidence {
+// explanation yet. parts is the number of all parts that are suspected.
+func (l *List) candidates(model string, now time.Time) (candidates []evidence, parts int) {
 	byID, unexplained := map[string][]*crash{}, map[string]bool{}
 	for _, known := range l.crashes {
 		if known.model != model || !known.isSettled(now) {
@@ -87,13 +88,13 @@
 		}
 		for id := range known.suspects.index {
 			if part := (Part{Model: model, ID: id}); l.suspected[part] < suspicionTimes && l.blocks[part] == nil {
+				parts++
 				continue
 			}
 			byID[id] = append(byID[id], known)
 			unexplained[id] = unexplained[id] || known.explainedBy == ""
 		}
 	}
-	var candidates []evidence
 	for id, crashes := range byID {
 		if unexplained[id] {
 			candidates = append(candidates, evidence{id: id, crashes: crashes, times: l.suspectedCrashTimes(Part{Model: model, ID: id}, crashes)})
@@ -102,7 +103,7 @@
 	slices.SortFunc(candidates, func(a, b evidence) int {
 		return cmp.Or(cmp.Compare(b.times, a.times), cmp.Compare(len(b.crashes), len(a.crashes)), strings.Compare(a.id, b.id))
 	})
-	return candidates
+	return candidates, parts + len(byID)
 }
 
 // countIndependent sorts crashes by time, and returns the number of times, independentAfter
--- a/internal/blocklist/exposure.go
+++ b/internal/blocklist/exposure.go
@@ -15,8 +15,10 @@
 	// were suspected of these crashes.
 	minSoleCrashTimes = 3
 	// maxChance is the greatest probability with which requests with a part are on
-	// instances that crash only by chance, each time and without a response in between.
-	maxChance = 1e-4
+	// instances that crash only by chance, each time and without a response in between. It is
+	// for maxChanceParts suspected parts, and less for each of more.
+	maxChance      = 1e-4
+	maxChanceParts = 16
 	// exposurePeriod is the time over which it is counted how many requests are on
 	// instances that crash.
 	exposurePeriod  = 10 * time.Second
@@ -130,33 +132,48 @@
 	byPart map[string]int
 }
 
-// interruptionCounts holds the counts for the weights that one evaluation has looked at.
-type interruptionCounts map[weights]interruptionCount
+// counts holds what one evaluation has counted: the suspected parts, and the interruptions for
+// the weights that it has looked at.
+type counts struct {
+	parts         int
+	interruptions map[weights]interruptionCount
+}
 
-// without returns how many requests without a part were interrupted by engines with these
-// weights.
-func (i interruptionCounts) without(part string, of weights, known *exposure, now time.Time) float64 {
-	count, found := i[of]
+// interruptionsWithout returns how many requests without a part were interrupted by engines with
+// these weights.
+func (c counts) interruptionsWithout(part string, of weights, known *exposure, now time.Time) float64 {
+	count, found := c.interruptions[of]
 	if !found {
-		count.byPart = map[string]int{}
-		for _, one := range known.interruptions {
-			if now.Sub(one.at) >= exposurePeriod {
-				continue
-			}
-			count.all++
-			for _, id := range one.parts {
-				count.byPart[id]++
-			}
-		}
-		i[of] = count
+		count = known.countInterruptions(now)
+		c.interruptions[of] = count
 	}
 	return float64(count.all - count.byPart[part])
 }
 
+func (e *exposure) countInterruptions(now time.Time) interruptionCount {
+	count := interruptionCount{byPart: map[string]int{}}
+	for _, one := range e.interruptions {
+		if now.Sub(one.at) >= exposurePeriod {
+			continue
+		}
+		count.all++
+		for _, id := range one.parts {
+			count.byPart[id]++
+		}
+	}
+	return count
+}
+
+// maxChance returns the greatest probability of chance for one of the suspected parts: the
+// more there are, the more of them are on crashing instances by chance.
+func (c counts) maxChance() float64 {
+	return maxChance / max(1, float64(c.parts)/maxChanceParts)
+}
+
 // requiredCrashTimes returns at how many different times instances must have crashed before
-// a part is blocked: the more of the other requests are on instances that crash, the more
-// crashes come together with any part. It is out of reach if the weights may not work.
-func (l *List) requiredCrashTimes(candidate evidence, counted interruptionCounts, now time.Time) int {
+// a part is blocked: the more of the other requests are on instances that crash, and the more
+// parts are suspected, the more crashes come together with any part. It is out of reach if the weights may not work.
+func (l *List) requiredCrashTimes(candidate evidence, counted counts, now time.Time) int {
 	of, found := l.workingWeights(candidate.crashes)
 	if !found {
 		return math.MaxInt
@@ -164,10 +181,10 @@
 	responses, interruptions := priorResponses, priorInterruptions
 	if known := l.exposures[of]; known != nil {
 		responses += known.answeredRecently(now)
-		interruptions += counted.without(candidate.id, of, known, now)
+		interruptions += counted.interruptionsWithout(candidate.id, of, known, now)
 	}
 	chance := interruptions / (responses + interruptions)
-	times := math.Ceil(math.Log(maxChance) / math.Log(chance))
+	times := math.Ceil(math.Log(counted.maxChance()) / math.Log(chance))
 	if candidate.isSole() {
 		return int(min(max(times, minSoleCrashTimes), maxCrashTimes))
 	}
--- a/internal/blocklist/traffic_test.go
+++ b/internal/blocklist/traffic_test.go
@@ -28,7 +28,10 @@
 	// newParts is the share of requests with a part that hardly any other has; hotShare is
 	// the share of those with one popular part.
 	newParts, hotShare float64
-	requests           int
+	// longParts is the number of further parts of a prompt: most are shared by many requests, some
+	// by a few.
+	longParts int
+	requests  int
 	// crashedAt holds the times of the crashes of each of badParts, sentAt those at which
 	// requests with it were sent.
 	crashedAt, sentAt map[string][]time.Time
@@ -118,6 +121,13 @@
 	if t.random.Float64() < t.newParts {
 		q.parts = append(q.parts, fmt.Sprint("session-", t.requests/3))
 	}
+	for i := range t.longParts {
+		if i%4 == 0 {
+			q.parts = append(q.parts, fmt.Sprint("rare-", t.requests/3, "-", i))
+		} else {
+			q.parts = append(q.parts, fmt.Sprint("long-", i, "-", t.random.IntN(40)))
+		}
+	}
 	if t.random.Float64() < t.hotShare {
 		q.parts = append([]string{"hot"}, q.parts...)
 	}
@@ -268,6 +278,7 @@
 	"rare parts":      func(t *traffic) { t.newParts = 0.7 },
 	"one hot part":    func(t *traffic) { t.hotShare = 0.3 },
 	"all three kinds": func(t *traffic) { t.newParts, t.hotShare = 0.5, 0.15 },
+	"long prompts":    func(t *traffic) { t.longParts = 60 },
 }
 
 const (
