Message: a body is not taken for a head when the request goes on

Cause: a connection took every write for the beginning of a request, also one of the rest of a body, and counted what it read next as a head. net/http knows when it uses a connection for another request. All clients now use message.Transport, which learns it from there, so that they need not say either whether they keep connections. What wraps connections goes below it.

TestEarlyResponseIsNotTakenForAHead, now through a transport and also on a kept connection, failed before with the limit above; its former part, a connection that carries one request, is kept as a case.

--- a/internal/ctl/blocks.go
+++ b/internal/ctl/blocks.go
@@ -13,6 +13,7 @@
 
 	"plantainrelay/internal/blocklist"
 	"plantainrelay/internal/failure"
+	"plantainrelay/internal/message"
 	"plantainrelay/internal/replica"
 	"plantainrelay/platform"
 )
@@ -36,7 +37,7 @@
 	if o.store == "" {
 		return nil, failure.New(failure.Invalid, "pass --store IP:PORT; Platform.Address in the settings file of any process names it", "the address of the platform's store is missing")
 	}
-	return platform.NewStoreClient(o.store, platform.NewTransport(&net.Dialer{Timeout: storeTimeout})), nil
+	return platform.NewStoreClient(o.store, message.NewTransport(&net.Dialer{Timeout: storeTimeout})), nil
 }
 
 func blocksCommand(shared *options) *cobra.Command {
--- a/internal/distribute/fetch.go
+++ b/internal/distribute/fetch.go
@@ -34,14 +34,8 @@
 }
 
 func newChunkClient(security peer.Security, timeout time.Duration) *chunkClient {
-	transport := &http.Transport{
-		DialContext:         message.LimitHeads((&net.Dialer{Timeout: dialTimeout}).DialContext, true),
-		MaxIdleConnsPerHost: maxIdlePerSource,
-		DisableCompression:  true,
-
-		MaxResponseHeaderBytes: message.MaxHeadMemory,
-		TLSClientConfig:        security.ClientTLS,
-	}
+	transport := message.NewTransport(&net.Dialer{Timeout: dialTimeout})
+	transport.MaxIdleConnsPerHost, transport.TLSClientConfig = maxIdlePerSource, security.ClientTLS
 	return &chunkClient{security: security, client: &http.Client{Transport: transport, Timeout: timeout}}
 }
 
--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -41,13 +41,8 @@
 // accepts only requests that security authorizes, and reports to usage each attempt
 // that was started.
 func NewHandler(gate *Gate, backend string, security peer.Security, usage metering.Recorder, log *logrus.Entry) *Handler {
-	transport := &http.Transport{
-		DialContext:         message.LimitHeads((&net.Dialer{Timeout: dialTimeout}).DialContext, true),
-		MaxIdleConnsPerHost: maxBackendConns,
-		DisableCompression:  true,
-
-		MaxResponseHeaderBytes: message.MaxHeadMemory,
-	}
+	transport := message.NewTransport(&net.Dialer{Timeout: dialTimeout})
+	transport.MaxIdleConnsPerHost = maxBackendConns
 	return &Handler{gate: gate, backend: backend, security: security, usage: usage, client: &http.Client{Transport: transport, CheckRedirect: returnRedirect}, log: log}
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -36,15 +36,10 @@
 )
 
 func newAttemptClient(security peer.Security) *http.Client {
+	transport := message.NewTransport(&net.Dialer{Timeout: dialTimeout})
+	transport.MaxIdleConnsPerHost, transport.TLSClientConfig = maxIdleConnsPerAgent, security.ClientTLS
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         message.LimitHeads((&net.Dialer{Timeout: dialTimeout}).DialContext, true),
-			MaxIdleConnsPerHost: maxIdleConnsPerAgent,
-			DisableCompression:  true,
-
-			MaxResponseHeaderBytes: message.MaxHeadMemory,
-			TLSClientConfig:        security.ClientTLS,
-		},
+		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -25,6 +25,7 @@
 	"plantainrelay/internal/duty"
 	"plantainrelay/internal/intake"
 	"plantainrelay/internal/logging"
+	"plantainrelay/internal/message"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/ring"
 	"plantainrelay/internal/rollout"
@@ -235,7 +236,7 @@
 func newAgent(s platform.Settings, socket *beat.Socket, log *logrus.Entry) *agent {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	// The origin accepts few connections; idle ones would keep other clients out.
-	local, remote, origin := platform.NewTransport(dialer), platform.NewTransport(dialer), platform.NewSingleUseTransport(dialer)
+	local, remote, origin := message.NewTransport(dialer), message.NewTransport(dialer), platform.NewSingleUseTransport(dialer)
 	local.MaxIdleConnsPerHost, remote.MaxIdleConnsPerHost = 4, 1
 	a := &agent{
 		settings: s, log: log, socket: socket, client: peer.NewClient(peer.Security{}),
--- a/internal/message/heads.go
+++ b/internal/message/heads.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"net"
 	"sync/atomic"
@@ -33,40 +32,19 @@
 // with the connection.
 type headConn struct {
 	net.Conn
-	// isReused says that a request may follow on a response, isNext that one has been sent.
-	isReused bool
-	isNext   atomic.Bool
-	head     headScanner
+	// isNext says that the response to another request follows.
+	isNext atomic.Bool
+	head   headScanner
 }
 
-// Dial connects to an address, as http.Transport does.
-type Dial func(ctx context.Context, network, address string) (net.Conn, error)
-
-// LimitHeads returns a dial function whose connections fail within the head of a response that
-// takes more than MaxHeadMemory, and at the end of a head whose framing net/http would misread.
-// isReused says that a connection carries several requests, one after the other.
-func LimitHeads(dial Dial, isReused bool) Dial {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &headConn{Conn: conn, isReused: isReused}, nil
-	}
-}
-
-// Write implements net.Conn.
-func (c *headConn) Write(data []byte) (int, error) {
-	if c.isReused {
-		c.isNext.Store(true)
-	}
-	return c.Conn.Write(data)
-}
+// expectResponse has to be called before each request that is sent. It must not be called before
+// the response to the one before it has been read.
+func (c *headConn) expectResponse() { c.isNext.Store(true) }
 
 // Read implements net.Conn.
 func (c *headConn) Read(data []byte) (int, error) {
 	count, err := c.Conn.Read(data)
-	if c.isNext.Swap(false) && c.head.isComplete {
+	if c.isNext.Swap(false) {
 		c.head = headScanner{}
 	}
 	if scanErr := c.head.scan(data[:count]); scanErr != nil {
--- a/internal/message/heads_test.go
+++ b/internal/message/heads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -87,7 +88,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			address, connections := serveResponses(t, test.responses...)
-			client := &http.Client{Transport: &http.Transport{DialContext: message.LimitHeads((&net.Dialer{}).DialContext, true), DisableCompression: true}}
+			client := &http.Client{Transport: message.NewTransport(&net.Dialer{})}
 			defer client.CloseIdleConnections()
 			for i := range test.responses {
 				got, err := client.Post("http://"+address, "text/plain", strings.NewReader("call"))
@@ -103,36 +104,53 @@
 	}
 }
 
-// TestEarlyResponseIsNotTakenForAHead guards against a body that is counted as a head because
-// the rest of the request is sent after the head of its response has arrived.
-func TestEarlyResponseIsNotTakenForAHead(t *testing.T) {
-	c := qt.New(t)
-	ours, theirs := net.Pipe()
-	conn, err := message.LimitHeads(func(context.Context, string, string) (net.Conn, error) { return ours, nil }, false)(t.Context(), "", "")
-	c.Assert(err, qt.IsNil)
-	defer conn.Close()
-	text := response(1, strings.Repeat("a:\r\n", 10_000))
-	go func() {
-		buffer := make([]byte, 16)
-		for sent := 0; sent < len(text); sent += 1000 {
-			if _, err := theirs.Write([]byte(text[sent:min(sent+1000, len(text))])); err != nil {
-				return
-			}
-			// Reads what the other side sends meanwhile.
-			if _, err := theirs.Read(buffer); err != nil {
-				return
-			}
+// pipeTo returns a transport whose only connection is served by serve.
+func pipeTo(serve func(net.Conn)) *message.Transport {
+	transport := message.NewTransport(&net.Dialer{})
+	transport.WrapDial(func(message.Dial) message.Dial {
+		return func(context.Context, string, string) (net.Conn, error) {
+			ours, theirs := net.Pipe()
+			go serve(theirs)
+			return ours, nil
 		}
-		theirs.Close()
-	}()
-	received := 0
-	for buffer := make([]byte, 1000); received < len(text); {
-		count, err := conn.Read(buffer)
-		c.Assert(err, qt.IsNil)
-		received += count
-		if _, err := conn.Write([]byte("body")); err != nil {
-			break
+	})
+	return transport
+}
+
+// respondEarly reads the beginning of a request, and sends the text in small parts; it reads a
+// part of the rest of the request after each.
+func respondEarly(conn net.Conn, text string) {
+	buffer := make([]byte, 512)
+	for sent := 0; sent < len(text); sent += 1000 {
+		if _, err := conn.Read(buffer); err != nil {
+			return
+		}
+		if _, err := io.WriteString(conn, text[sent:min(sent+1000, len(text))]); err != nil {
+			return
 		}
 	}
-	c.Assert(received, qt.Equals, len(text))
+	// Reads on until the other side closes the connection.
+	_, _ = io.Copy(io.Discard, conn)
+}
+
+// TestEarlyResponseIsNotTakenForAHead guards against a body that is counted as a head because
+// the rest of the request is sent after the head of its response has arrived, on connections
+// that are kept, and on those that are not.
+func TestEarlyResponseIsNotTakenForAHead(t *testing.T) {
+	body := strings.Repeat("a:\r\n", 10_000)
+	for _, isKept := range []bool{true, false} {
+		t.Run(fmt.Sprintf("kept %t", isKept), func(t *testing.T) {
+			c := qt.New(t)
+			transport := pipeTo(func(conn net.Conn) { respondEarly(conn, response(1, body)) })
+			transport.DisableKeepAlives = !isKept
+			defer transport.CloseIdleConnections()
+			client := &http.Client{Transport: transport}
+			got, err := client.Post("http://server/", "text/plain", bytes.NewReader(make([]byte, 1<<20)))
+			c.Assert(err, qt.IsNil)
+			defer got.Body.Close()
+			received, err := io.ReadAll(got.Body)
+			c.Assert(err, qt.IsNil)
+			c.Assert(string(received) == body, qt.IsTrue, qt.Commentf("%d bytes", len(received)))
+		})
+	}
 }
--- /dev/null
+++ b/internal/message/transport.go
@@ -0,0 +1,48 @@
+package message
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// Dial connects to an address, as http.Transport does.
+type Dial = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Transport is an http.Transport for responses of servers that may be faulty. A request fails
+// when the head of its response takes more than MaxHeadMemory, or when net/http would misread
+// the framing of the response. All clients of this project use it; the functions of the
+// http.Transport that connect are not to be replaced.
+type Transport struct {
+	*http.Transport
+	dial Dial
+}
+
+// NewTransport returns a transport that connects with dialer and keeps connections.
+func NewTransport(dialer *net.Dialer) *Transport {
+	t := &Transport{Transport: &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: MaxHeadMemory}, dial: dialer.DialContext}
+	t.DialContext = t.connect
+	return t
+}
+
+// WrapDial replaces the function that connects. It has to be called before the first request.
+func (t *Transport) WrapDial(wrap func(Dial) Dial) { t.dial = wrap(t.dial) }
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*headConn); ok {
+			conn.expectResponse()
+		}
+	}}
+	return t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+}
+
+func (t *Transport) connect(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := t.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &headConn{Conn: conn}, nil
+}
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -32,9 +32,8 @@
 
 // countReads counts what the fixture reads from its instances.
 func (f *fixture) countReads() *atomic.Int64 {
-	transport := f.frontend.sender.transport
-	dial, read := standin.CountReads(transport.DialContext)
-	transport.DialContext = dial
+	count, read := standin.CountReads()
+	f.frontend.sender.transport.WrapDial(count)
 	return read
 }
 
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -23,6 +23,7 @@
 	"plantainrelay/internal/failure"
 	"plantainrelay/internal/intake"
 	"plantainrelay/internal/logging"
+	"plantainrelay/internal/message"
 	"plantainrelay/internal/metrics"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/peers"
@@ -239,7 +240,7 @@
 
 func newStoreTransport() http.RoundTripper {
 	dialer := &net.Dialer{Timeout: dialTimeout, Control: setUserTimeout}
-	transport := platform.NewTransport(dialer)
+	transport := message.NewTransport(dialer)
 	transport.MaxIdleConnsPerHost = len(platform.Kinds)
 	return transport
 }
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -26,8 +26,7 @@
 	e.frontend.bodies, e.frontend.refusals = newBodyStore(e.limits), newRefusalLog(log)
 	e.connections = daemon.NewConnectionLimiter(e.limits.Clients, e.limits.Connections)
 	e.connections.OnClose = e.frontend.refusals.closedConnection
-	transport := e.frontend.sender.transport
-	transport.DialContext = e.connections.LimitDials(transport.DialContext)
+	e.frontend.sender.transport.WrapDial(e.connections.LimitDials)
 	e.metrics.Gauge("buffer_limit_bytes", "Largest size of the heads, bodies and responses in memory.", func() float64 { return float64(e.limits.BufferBytes) })
 	e.metrics.Gauge("buffer_held_bytes", "Size of the heads, bodies and responses in memory.", func() float64 {
 		held, _ := e.frontend.bodies.used()
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"plantainrelay/internal/message"
 	"plantainrelay/platform"
 
 	"golang.org/x/sys/unix"
@@ -31,7 +32,7 @@
 // connection, so that a late or duplicate response cannot be taken for the response to
 // another request, and no request is sent on a connection that the instance has closed.
 type sender struct {
-	transport *http.Transport
+	transport *message.Transport
 }
 
 func newSender() *sender {
