Message: heads are examined above TLS

Cause: the connection that examines heads lay below TLS and took encrypted bytes for a head, which has no visible end there. The transport now sets up TLS itself and examines what was decrypted.

TestBodiesOverTLSAreNotTakenForHeads failed before on its first response of 1 MB; it also covers a head above the limit and a certificate for another name.

--- a/internal/message/heads_test.go
+++ b/internal/message/heads_test.go
@@ -4,10 +4,13 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -154,3 +157,37 @@
 		})
 	}
 }
+
+// TestBodiesOverTLSAreNotTakenForHeads guards against limits that count the bytes of TLS, in
+// which a head has no visible end.
+func TestBodiesOverTLSAreNotTakenForHeads(t *testing.T) {
+	c := qt.New(t)
+	body := strings.Repeat("a:\r\n", 250_000)
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/many" {
+			for i := range message.MaxHeadMemory / 100 {
+				w.Header().Set(fmt.Sprintf("X%d", i), "")
+			}
+		}
+		_, _ = io.WriteString(w, body)
+	}))
+	defer server.Close()
+	trusted := x509.NewCertPool()
+	trusted.AddCert(server.Certificate())
+	transport := message.NewTransport(&net.Dialer{})
+	transport.TLSClientConfig = &tls.Config{RootCAs: trusted}
+	client := &http.Client{Transport: transport}
+	defer client.CloseIdleConnections()
+	for range 10 {
+		got, err := client.Get(server.URL)
+		c.Assert(err, qt.IsNil)
+		received, err := io.ReadAll(got.Body)
+		got.Body.Close()
+		c.Assert(err, qt.IsNil)
+		c.Assert(len(received), qt.Equals, len(body))
+	}
+	_, err := client.Get(server.URL + "/many")
+	c.Assert(err, qt.ErrorMatches, ".*too many bytes or lines.*")
+	_, err = client.Get(strings.Replace(server.URL, "127.0.0.1", "localhost", 1))
+	c.Assert(err, qt.ErrorMatches, ".*not localhost.*")
+}
--- a/internal/message/transport.go
+++ b/internal/message/transport.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"time"
 )
 
+// tlsHandshakeTimeout bounds the set-up of TLS on a connection.
+const tlsHandshakeTimeout = 5 * time.Second
+
 // Dial connects to an address, as http.Transport does.
 type Dial = func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -22,7 +27,7 @@
 // NewTransport returns a transport that connects with dialer and keeps connections.
 func NewTransport(dialer *net.Dialer) *Transport {
 	t := &Transport{Transport: &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: MaxHeadMemory}, dial: dialer.DialContext}
-	t.DialContext = t.connect
+	t.DialContext, t.DialTLSContext = t.connect, t.connectTLS
 	return t
 }
 
@@ -46,3 +51,31 @@
 	}
 	return &headConn{Conn: conn}, nil
 }
+
+// connectTLS wraps the connection above TLS: what it examines is not encrypted.
+func (t *Transport) connectTLS(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := t.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	secured := tls.Client(conn, t.tlsConfig(address))
+	ctx, cancel := context.WithTimeout(ctx, tlsHandshakeTimeout)
+	defer cancel()
+	if err := secured.HandshakeContext(ctx); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return &headConn{Conn: secured}, nil
+}
+
+// tlsConfig returns TLSClientConfig with the name of the server at address, if it names none.
+func (t *Transport) tlsConfig(address string) *tls.Config {
+	config := t.TLSClientConfig.Clone()
+	if config == nil {
+		config = &tls.Config{MinVersion: tls.VersionTLS12}
+	}
+	if host, _, err := net.SplitHostPort(address); err == nil && config.ServerName == "" {
+		config.ServerName = host
+	}
+	return config
+}
