Message: a reset while the request is sent is no end of a response

The caller got the part as a complete response, for lookups, for requests that may run once and for streams. In the same way an engine's or the store's response to a call with a long body counted as accepted, and the gate of the own interface stored the part for later requests with the same key.

Cause: Linux reports the failure of a connection to one call. If that is the write of the request, the read that follows finds 0 bytes, as after an orderly end. The same holds for other failures, such as a timeout of unacknowledged bytes.

Change: a connection of message.Transport takes an end for orderly only after the write in progress has returned, which it ends, and only if no write was told of a failure. A write that was told began before the read that found the end, so the order holds without waiting for a time, and the kernel is asked nothing. Ending the write changes nothing else, since net/http closes the connection when a response has ended with it. Reads after a failure return the error of the write, which counts as a break like one that the read was told. httpc calls use the same transport now (a test forbids others).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -43,7 +43,7 @@
 	log := logging.New(os.Stderr, s.LogLevel, s.Instance, s.AvailabilityZone)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	daemon.ConfigureDefaultTransport(s.LoadTimeout)
+	daemon.ConfigureDefaultClient(s.LoadTimeout)
 	c, err := newComponents(s, log)
 	if err != nil {
 		return err
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	if err := c.tls.configureTransport(); err != nil {
+	if err := c.tls.configureClient(); err != nil {
 		return err
 	}
 	var body io.Reader = http.NoBody
--- a/internal/ctl/tls.go
+++ b/internal/ctl/tls.go
@@ -2,12 +2,14 @@
 
 import (
 	"crypto/tls"
+	"net"
 	"net/http"
 
 	"github.com/spf13/cobra"
 
 	"plantainrelay/internal/certs"
 	"plantainrelay/internal/failure"
+	"plantainrelay/internal/message"
 )
 
 // tlsFlags are the flags for an administration API that uses TLS.
@@ -24,9 +26,15 @@
 	flags.StringVar(&f.keyFile, "key-file", "", "PEM file of the key of your client certificate")
 }
 
-// configureTransport configures the default HTTP transport, which all calls of
-// this process use.
-func (f *tlsFlags) configureTransport() error {
+// configureClient configures the default HTTP client, which all calls of this
+// process use.
+func (f *tlsFlags) configureClient() error {
+	transport, ok := http.DefaultClient.Transport.(*message.Transport)
+	if !ok {
+		transport = message.NewTransport(&net.Dialer{Timeout: callTimeout})
+		transport.Proxy = http.ProxyFromEnvironment
+		http.DefaultClient.Transport = transport
+	}
 	if *f == (tlsFlags{}) {
 		return nil
 	}
@@ -44,8 +52,6 @@
 		}
 		config.Certificates = []tls.Certificate{pair}
 	}
-	if transport, ok := http.DefaultTransport.(*http.Transport); ok {
-		transport.TLSClientConfig = config
-	}
+	transport.TLSClientConfig = config
 	return nil
 }
--- a/internal/daemon/transport.go
+++ b/internal/daemon/transport.go
@@ -4,26 +4,22 @@
 	"net"
 	"net/http"
 	"time"
+
+	"plantainrelay/internal/message"
 )
 
 const (
 	dialTimeout         = 2 * time.Second
-	tlsHandshakeTimeout = 5 * time.Second
 	maxIdleConnsPerHost = 16
 )
 
-// ConfigureDefaultTransport sets limits on the default transport, which
+// ConfigureDefaultClient sets the transport and the limits of the default client, which
 // httpc.DoRequest uses. A request fails when the server has not sent its
 // response headers within responseHeaderTimeout; callers set shorter deadlines
 // in their contexts.
-func ConfigureDefaultTransport(responseHeaderTimeout time.Duration) {
-	transport, ok := http.DefaultTransport.(*http.Transport)
-	if !ok {
-		return
-	}
-	transport.Proxy = nil
-	transport.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
-	transport.TLSHandshakeTimeout = tlsHandshakeTimeout
+func ConfigureDefaultClient(responseHeaderTimeout time.Duration) {
+	transport := message.NewTransport(&net.Dialer{Timeout: dialTimeout})
 	transport.ResponseHeaderTimeout = responseHeaderTimeout
 	transport.MaxIdleConnsPerHost = maxIdleConnsPerHost
+	http.DefaultClient.Transport = transport
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,7 +42,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	daemon.ConfigureDefaultTransport(s.WatchWait + watchTimeoutMargin)
+	daemon.ConfigureDefaultClient(s.WatchWait + watchTimeoutMargin)
 	p, err := newComponents(s, log)
 	if err != nil {
 		return err
--- a/internal/message/transport.go
+++ b/internal/message/transport.go
@@ -17,7 +17,8 @@
 
 // Transport is an http.Transport for responses of servers that may be faulty. A request fails
 // when the head of its response takes more than MaxHeadMemory, or when net/http would misread
-// the framing of the response. All clients of this project use it; the functions of the
+// the framing of the response; a response that ends with its connection fails unless that ends in
+// order. All clients of this project use it; the functions of the
 // http.Transport that connect are not to be replaced.
 type Transport struct {
 	*http.Transport
@@ -49,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &headConn{Conn: conn}, nil
+	return &headConn{Conn: &endConn{Conn: conn}}, nil
 }
 
 // connectTLS wraps the connection above TLS: what it examines is not encrypted.
@@ -58,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	secured := tls.Client(conn, t.tlsConfig(address))
+	secured := tls.Client(&endConn{Conn: conn}, t.tlsConfig(address))
 	ctx, cancel := context.WithTimeout(ctx, tlsHandshakeTimeout)
 	defer cancel()
 	if err := secured.HandshakeContext(ctx); err != nil {
--- a/test/imports/imports_test.go
+++ b/test/imports/imports_test.go
@@ -115,6 +115,84 @@
 	return false
 }
 
+// clientPackage holds the only transport of HTTP clients. Others would take the part of a response
+// whose connection was reset, or a response with a malformed head, for a whole one.
+const clientPackage = "message"
+
+// TestClientsUseOneTransport guards against clients that do not check responses. Test programs may
+// have such clients.
+func TestClientsUseOneTransport(t *testing.T) {
+	c := qt.New(t)
+	checked := 0
+	for _, pattern := range []string{"../../internal/*/*.go", "../../platform/*.go", "../../cmd/*/*.go"} {
+		files, err := filepath.Glob(pattern)
+		c.Assert(err, qt.IsNil)
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") || filepath.Base(filepath.Dir(file)) == clientPackage {
+				continue
+			}
+			source, err := os.ReadFile(file)
+			c.Assert(err, qt.IsNil)
+			c.Check(otherTransports(t, file, string(source)), qt.HasLen, 0)
+			checked++
+		}
+	}
+	c.Assert(checked > 0, qt.IsTrue)
+}
+
+func TestOtherTransportsAreFound(t *testing.T) {
+	for _, source := range []string{
+		`package p; import "net/http"; var t = &http.Transport{}`,
+		`package p; import "net/http"; var t http.RoundTripper = http.DefaultTransport`,
+		`package p; import "net/http"; var r, err = http.Get("http://x")`,
+		`package p; import "net/http"; var c = &http.Client{}`,
+		`package p; import "net/http"; var r, err = http.ReadResponse(nil, nil)`,
+	} {
+		qt.Check(t, otherTransports(t, "sample.go", source), qt.HasLen, 1, qt.Commentf("%s", source))
+	}
+}
+
+// otherTransports finds uses of transports of net/http, and clients without a transport.
+func otherTransports(t *testing.T, name, source string) []string {
+	file, err := parser.ParseFile(token.NewFileSet(), name, source, parser.SkipObjectResolution)
+	qt.Assert(t, err, qt.IsNil)
+	forbidden := map[string]bool{"Transport": true, "DefaultTransport": true, "Get": true, "Head": true, "Post": true, "PostForm": true, "ReadResponse": true}
+	isHTTP := func(node ast.Node, name string) bool {
+		selector, ok := node.(*ast.SelectorExpr)
+		if !ok {
+			return false
+		}
+		base, ok := selector.X.(*ast.Ident)
+		return ok && base.Name == "http" && selector.Sel.Name == name
+	}
+	var found []string
+	ast.Inspect(file, func(node ast.Node) bool {
+		switch typed := node.(type) {
+		case *ast.SelectorExpr:
+			if forbidden[typed.Sel.Name] && isHTTP(typed, typed.Sel.Name) {
+				found = append(found, name+" uses http."+typed.Sel.Name)
+			}
+		case *ast.CompositeLit:
+			if isHTTP(typed.Type, "Client") && !setsField(typed, "Transport") {
+				found = append(found, name+" has a client without a transport")
+			}
+		}
+		return true
+	})
+	return found
+}
+
+func setsField(literal *ast.CompositeLit, name string) bool {
+	for _, element := range literal.Elts {
+		if pair, ok := element.(*ast.KeyValueExpr); ok {
+			if key, ok := pair.Key.(*ast.Ident); ok && key.Name == name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // platformNames are names from the interfaces of the users' platform. Only
 // platform/ may use them.
 var platformNames = []string{
