Message: a head with a line that has no valid name is no answer

A line that begins with a space after the seal gave the caller a seal that the server had not given. Interim heads and trailers were not checked either. Names with control bytes were refused in all cases tried.

Cause: net/http keeps a name with spaces as it is, joins a line that begins with a space to the one before it, and drops interim heads; what remains cannot be checked any more. One name with a space was checked there (those of the framing), by each reader.

Change: the connection of message.Transport, which follows heads for their size, also checks each line of a final and an interim head and of the trailers, before net/http reads it: its name is a token (RFC 9110, 5.6.2) and ends with a colon. Continued lines are refused, which RFC 9112, 5.2 allows. For the trailers it follows the sizes of chunks; for interim heads it requires the form of a status line. It fails for good: bufio drops an error within a line, and read on before. The check by each reader goes, since this one covers it. Such an attempt is broken: it is sent again by the kind of its route, or its caller gets 502.

TestSoundResponsesArrive guards odd but sound heads, chunks and trailers.

--- a/internal/gate/serve.go
+++ b/internal/gate/serve.go
@@ -167,10 +167,6 @@
 		e.handler.log.WithFields(logrus.Fields{logging.FieldAttempt: e.attempt, "status": response.StatusCode}).Error("discarded a response with an invalid status; check the backend server")
 		panic(http.ErrAbortHandler)
 	}
-	if message.HasUnknownFraming(response.Header) {
-		e.handler.log.WithField(logging.FieldAttempt, e.attempt).Error("discarded a response whose length is unknown: a header has a space before its colon; check the backend server")
-		panic(http.ErrAbortHandler)
-	}
 	if !e.fromAdmittedWeights(response) {
 		e.handler.log.WithField(logging.FieldAttempt, e.attempt).Error("discarded a response that came from weights that are not admitted")
 		e.handler.gate.reportMismatch(e.admitted)
--- a/internal/message/fuzz_test.go
+++ b/internal/message/fuzz_test.go
@@ -1,11 +1,19 @@
 package message_test
 
 import (
+	"bufio"
 	"bytes"
+	"context"
 	"encoding/gob"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/net/http/httpguts"
+
 	"plantainrelay/internal/burn"
 	"plantainrelay/internal/member"
 	"plantainrelay/internal/message"
@@ -145,3 +153,63 @@
 	snapshot.PoolOf("a")
 	table.Validate(&snapshot.Tables)
 }
+
+// FuzzResponses sends bytes as a response. Where the transport of this project takes them for a
+// whole response, that of net/http does, too, with the same content, and all names are valid.
+func FuzzResponses(f *testing.F) {
+	for _, response := range soundResponses() {
+		f.Add([]byte(response.raw), response.method == http.MethodHead)
+	}
+	for _, line := range malformedLines {
+		for _, raw := range withMalformedLine(line) {
+			f.Add([]byte(raw), false)
+		}
+	}
+	f.Fuzz(func(t *testing.T, raw []byte, isHead bool) {
+		respond := func(conn net.Conn) {
+			defer conn.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = conn.Write(raw)
+			}
+		}
+		checked := pipeTo(respond)
+		plain := &http.Transport{DisableCompression: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
+			ours, theirs := net.Pipe()
+			go respond(theirs)
+			return ours, nil
+		}}
+		response, body, err := roundTrip(t, checked, isHead)
+		if err != nil {
+			return
+		}
+		reference, referenceBody, err := roundTrip(t, plain, isHead)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, response.StatusCode, qt.Equals, reference.StatusCode)
+		qt.Check(t, response.Header, qt.DeepEquals, reference.Header)
+		qt.Check(t, response.Trailer, qt.DeepEquals, reference.Trailer)
+		qt.Check(t, body, qt.DeepEquals, referenceBody)
+		for _, header := range []http.Header{response.Header, response.Trailer} {
+			for name := range header {
+				qt.Check(t, httpguts.ValidHeaderFieldName(name), qt.IsTrue, qt.Commentf("%q", name))
+			}
+		}
+	})
+}
+
+// roundTrip sends a request on a new connection and reads the whole response.
+func roundTrip(t *testing.T, transport http.RoundTripper, isHead bool) (*http.Response, []byte, error) {
+	method := http.MethodGet
+	if isHead {
+		method = http.MethodHead
+	}
+	request, err := http.NewRequestWithContext(t.Context(), method, "http://server/", http.NoBody)
+	qt.Assert(t, err, qt.IsNil)
+	request.Close = true
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response, body, err
+}
--- a/internal/message/http.go
+++ b/internal/message/http.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"io"
 	"net/http"
-	"strings"
 )
 
 // HeaderCompleteValue is the value of HeaderComplete on a complete response.
@@ -40,16 +39,3 @@
 func IsFinal(status int) bool {
 	return status >= http.StatusOK && status < 600
 }
-
-// HasUnknownFraming reports whether a header that frames the body of a response has a space
-// before its colon. net/http keeps such a name as it is and ignores it, so that the body seems
-// to end with the connection, wherever that is.
-func HasUnknownFraming(header http.Header) bool {
-	for name := range header {
-		trimmed := strings.TrimRight(name, " ")
-		if trimmed != name && (strings.EqualFold(trimmed, "Content-Length") || strings.EqualFold(trimmed, "Transfer-Encoding")) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/message/transport.go
+++ b/internal/message/transport.go
@@ -15,11 +15,14 @@
 // Dial connects to an address, as http.Transport does.
 type Dial = func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Transport is an http.Transport for responses of servers that may be faulty. A request fails
-// when the head of its response takes more than MaxHeadMemory, or when net/http would misread
-// the framing of the response; a response that ends with its connection fails unless that ends in
-// order. All clients of this project use it; the functions of the
-// http.Transport that connect are not to be replaced.
+// Transport is an http.Transport for responses of servers that may be faulty. A request fails, or
+// the body of its response does, when
+//   - a head or the trailers take more than MaxHeadMemory, or have a line without a valid name,
+//   - net/http would misread the framing of the response,
+//   - the response has no length and its connection does not end in order.
+//
+// All clients of this project use it. The functions of the http.Transport that connect are not to
+// be replaced.
 type Transport struct {
 	*http.Transport
 	dial Dial
@@ -38,8 +41,8 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*headConn); ok {
-			conn.expectResponse()
+		if conn, ok := info.Conn.(*responseConn); ok {
+			conn.expectResponse(request.Method)
 		}
 	}}
 	return t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
@@ -50,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &headConn{Conn: &endConn{Conn: conn}}, nil
+	return &responseConn{Conn: &endConn{Conn: conn}}, nil
 }
 
 // connectTLS wraps the connection above TLS: what it examines is not encrypted.
@@ -66,7 +69,7 @@
 		conn.Close()
 		return nil, err
 	}
-	return &headConn{Conn: secured}, nil
+	return &responseConn{Conn: secured}, nil
 }
 
 // tlsConfig returns TLSClientConfig with the name of the server at address, if it names none.
