Message: a reset that one read was told stays for the next

No case is known in which a caller got such a part: a head without its last line and trailers without theirs are errors for other reasons. The connection now keeps the failure, as it does for a write.

TestResetThatAReadWasToldStays got io.EOF from the second read before.

--- a/internal/message/ends.go
+++ b/internal/message/ends.go
@@ -19,13 +19,15 @@
 var pastTime = time.Unix(1, 0)
 
 // endConn is a connection whose reads return io.EOF after an orderly end only. The kernel reports
-// a reset, or another failure of a connection, to one call. If that is a write, the next read finds
-// an end that cannot be told from an orderly one.
+// a reset, or another failure of a connection, to one call. The next read finds an end that cannot
+// be told from an orderly one. Calls of Read must not overlap.
 type endConn struct {
 	net.Conn
-	// writing is held by a write. failure, which it guards, is what a write was told.
-	writing sync.Mutex
-	failure error
+	// readFailure is what a read was told.
+	readFailure error
+	// writing is held by a write. writeFailure, which it guards, is what a write was told.
+	writing      sync.Mutex
+	writeFailure error
 	// hasEnded says that a read has found the end.
 	hasEnded atomic.Bool
 }
@@ -36,7 +38,7 @@
 	defer c.writing.Unlock()
 	count, err := c.Conn.Write(data)
 	if isConnectionFailure(err) {
-		c.failure = err
+		c.writeFailure = err
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.hasEnded.Load() {
 		err = errEnded
@@ -44,17 +46,23 @@
 	return count, err
 }
 
-// isConnectionFailure reports whether a write has failed because the connection has. Failures
-// that follow an orderly end, or that were reported before, are EPIPE.
+// isConnectionFailure reports whether a call has failed because the connection has. To a write,
+// failures that follow an orderly end, or that were reported before, are EPIPE.
 func isConnectionFailure(err error) bool {
 	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
 }
 
 // Read implements net.Conn. Its error after a failure of the connection wraps that of the write.
 func (c *endConn) Read(data []byte) (int, error) {
+	if c.readFailure != nil {
+		return 0, c.readFailure
+	}
 	count, err := c.Conn.Read(data)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		err = c.endError()
+	case isConnectionFailure(err):
+		c.readFailure = err
 	}
 	return count, err
 }
@@ -69,8 +77,8 @@
 	}
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	if c.failure != nil {
-		return fmt.Errorf("the connection failed while the request was sent: %w", c.failure)
+	if c.writeFailure != nil {
+		return fmt.Errorf("the connection failed while the request was sent: %w", c.writeFailure)
 	}
 	return io.EOF
 }
--- a/internal/message/ends_test.go
+++ b/internal/message/ends_test.go
@@ -188,3 +188,21 @@
 		})
 	}
 }
+
+// TestResetThatAReadWasToldStays guards against a read that finds an orderly end after another
+// read was told of a reset: bufio drops an error within a line and reads again.
+func TestResetThatAReadWasToldStays(t *testing.T) {
+	c := qt.New(t)
+	conn := connectTo(c, func(conn *net.TCPConn) {
+		_, _ = io.WriteString(conn, unframed)
+		reset(conn)
+	})
+	received, err := io.ReadAll(conn)
+	c.Check(string(received), qt.Equals, unframed)
+	c.Assert(err, qt.ErrorIs, syscall.ECONNRESET)
+	for range 3 {
+		count, err := conn.Read(make([]byte, 100))
+		c.Assert(count, qt.Equals, 0)
+		c.Assert(err, qt.ErrorIs, syscall.ECONNRESET)
+	}
+}
