--- a/internal/gate/framing_test.go
+++ b/internal/gate/framing_test.go
@@ -15,12 +15,15 @@
 )
 
 // TestCutResponseIsNotMarkedComplete guards against a response of the backend server that was
-// cut in its head or body, or whose framing is unknown, and is marked as complete or stored.
+// cut in its head or body, or whose framing, status or head is malformed, and is marked as complete
+// or stored.
 func TestCutResponseIsNotMarkedComplete(t *testing.T) {
 	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nanswer"
 	responses := []string{
 		"HTTP/1.1 200 OK\r\nContent-Length : 6\r\n\r\nans", "HTTP/1.1 200 OK\r\ncontent-length  : 6\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n6\r\nans", "HTTP/1.1 103 Early Hints\r\n\r\n",
+		"HTTP/1.1 000 OK\r\nContent-Length: 6\r\n\r\nanswer", "HTTP/1.1 099 OK\r\n\r\nanswer", "HTTP/1.1 600 OK\r\nContent-Length: 6\r\n\r\nanswer",
+		"HTTP/1.1 200 OK\r\nFoo Bar: x\r\nContent-Length: 6\r\n\r\nanswer", "HTTP/1.1 200 OK\r\nFoo: x\r\n y: z\r\nContent-Length: 6\r\n\r\nanswer",
 	}
 	for cut := range whole {
 		responses = append(responses, whole[:cut])
