Relay: the log of a request says why an attempt is broken

An answer that is refused because of its head, or whose connection failed, left "broken" and no reason in the log. The record of the attempt has the error now, at most 200 bytes of it. TestLogSaysWhyAnAttemptIsBroken covers it; the field is new.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -55,6 +55,8 @@
 	maxResponseBytes = 16 << 20
 	// maxInterruptions bounds the instances at which one request is interrupted.
 	maxInterruptions = 2
+	// maxLoggedError bounds the error of an attempt in the request log: it may quote the response.
+	maxLoggedError = 200
 	// forwardBufferBytes is the size of the buffer for the rest of a large response.
 	forwardBufferBytes = 32 << 10
 )
@@ -79,6 +81,8 @@
 	PauseMs  int64  `json:"max_pause_ms,omitempty"`
 	Ms       int64  `json:"ms"`
 	Outcome  string `json:"outcome"`
+	// Error is why the response is not complete, of a broken attempt, at most maxLoggedError bytes.
+	Error string `json:"error,omitempty"`
 	// EndedFor is why the attempt was ended by this entry or the instance's agent, if it was.
 	EndedFor endReason `json:"ended_for,omitempty"`
 	// StartLimitMs is the time in which the instance had to start the request because of the
@@ -536,7 +540,7 @@
 	response, sent, err := x.frontend.sender.send(request)
 	if err != nil {
 		x.noteBreak(err)
-		return x.classifyFailure(watchdog, sent)
+		return x.classifyFailure(watchdog, sent, err, record)
 	}
 	defer response.Body.Close()
 	x.startWatchdog.stop()
@@ -581,8 +585,9 @@
 	}).Warning("discarded a response that does not belong to the request or has an invalid status; check the backend server")
 }
 
-// classifyFailure returns the outcome of an attempt that has no complete response.
-func (x *exchange) classifyFailure(watchdog *watchdog, sent bool) outcome {
+// classifyFailure returns the outcome of an attempt that has no complete response because of err,
+// which is recorded unless the outcome says more.
+func (x *exchange) classifyFailure(watchdog *watchdog, sent bool, err error, record *attemptRecord) outcome {
 	switch {
 	case x.r.Context().Err() != nil:
 		return callerDisconnected
@@ -595,6 +600,8 @@
 	case watchdog.fired():
 		return silent
 	}
+	text := err.Error()
+	record.Error = text[:min(len(text), maxLoggedError)]
 	return broken
 }
 
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -15,6 +15,9 @@
 	"plantainrelay/platform"
 )
 
+// errLateEvent means that an event arrived after its attempt had been given up.
+var errLateEvent = errors.New("an event arrived after the attempt had been given up")
+
 // forwardResponse forwards a response that is not a stream. Up to maxBufferedBytes are
 // read before any byte is forwarded, so that a shorter response that breaks off can
 // still be replaced by that of another instance.
@@ -28,7 +31,7 @@
 	record.bytes = len(start)
 	if err != nil {
 		x.noteBreak(err)
-		return x.classifyFailure(watchdog, true)
+		return x.classifyFailure(watchdog, true, err, record)
 	}
 	if response.StatusCode >= http.StatusInternalServerError && x.route.Kind == catalog.Idempotent && x.reserveRepeatNow() {
 		return failed
@@ -88,7 +91,7 @@
 			return answered
 		}
 		if err != nil {
-			return x.classifyFailure(watchdog, true)
+			return x.classifyFailure(watchdog, true, err, record)
 		}
 	}
 }
@@ -123,7 +126,7 @@
 		}
 		if err != nil {
 			x.noteBreak(err)
-			return x.classifyFailure(watchdog, true)
+			return x.classifyFailure(watchdog, true, err, record)
 		}
 		if last, hasEvent := x.position.lastEvent(); next.hasID && hasEvent && next.id <= last {
 			return broken
@@ -132,7 +135,7 @@
 			return x.rejectOversized(record)
 		}
 		if !next.isBlank && !watchdog.extend(pauseTimeout) {
-			return x.classifyFailure(watchdog, true)
+			return x.classifyFailure(watchdog, true, errLateEvent, record)
 		}
 		now := time.Now()
 		if record.Events > 0 {
--- a/internal/relay/names_test.go
+++ b/internal/relay/names_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"plantainrelay/platform/standin"
 )
@@ -35,6 +37,24 @@
 	return responses
 }
 
+// TestLogSaysWhyAnAttemptIsBroken covers the reason in the log of a request.
+func TestLogSaysWhyAnAttemptIsBroken(t *testing.T) {
+	c := qt.New(t)
+	var reached atomic.Int32
+	f := newFixture(t, rawScript(&reached, 0, sealed("HTTP/1.1 200 OK", "Foo Bar: x\r\n", "answer")))
+	f.allowNoRetries()
+	log := logtest.NewLocal(f.frontend.log.Logger)
+	_, _, err := f.do(http.MethodPost, "/look/x")
+	c.Assert(err, qt.IsNil)
+	ended := log.LastEntry()
+	c.Assert(ended.Message, qt.Equals, "request ended")
+	attempts, ok := ended.Data["attempts"].([]attemptRecord)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(attempts, qt.HasLen, 1)
+	c.Assert(attempts[0].Outcome, qt.Equals, string(broken))
+	c.Assert(attempts[0].Error, qt.Matches, ".*no valid name.*")
+}
+
 // TestMalformedNamesAreNoAnswer guards against a response with a malformed line in its head that
 // reaches the caller, with that line or without it: what the server meant is not known.
 func TestMalformedNamesAreNoAnswer(t *testing.T) {
