--- a/internal/message/ends_test.go
+++ b/internal/message/ends_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"syscall"
 	"testing"
@@ -23,6 +27,14 @@
 
 // connectTo returns a connection of a transport to a server that calls serve.
 func connectTo(c *qt.C, serve func(conn *net.TCPConn)) net.Conn {
+	conn, err := message.NewTransport(&net.Dialer{}).DialContext(c.Context(), "tcp", listen(c, serve))
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// listen starts a server that calls serve for its first connection, and returns its address.
+func listen(c *qt.C, serve func(conn *net.TCPConn)) string {
 	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { listener.Close() })
@@ -34,10 +46,7 @@
 		defer conn.Close()
 		serve(conn)
 	}()
-	conn, err := message.NewTransport(&net.Dialer{}).DialContext(c.Context(), "tcp", listener.Addr().String())
-	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { conn.Close() })
-	return conn
+	return listener.Addr().String()
 }
 
 // reset makes the end of a connection a reset.
@@ -66,6 +75,29 @@
 	c.Assert(err, qt.ErrorIs, syscall.ECONNRESET)
 }
 
+// TestResetOverTLSIsNoEnd guards against the same over TLS: crypto/tls takes an end between two
+// records for the end of the data.
+func TestResetOverTLSIsNoEnd(t *testing.T) {
+	c := qt.New(t)
+	certified := httptest.NewTLSServer(http.NotFoundHandler())
+	defer certified.Close()
+	trusted := x509.NewCertPool()
+	trusted.AddCert(certified.Certificate())
+	address := listen(c, func(conn *net.TCPConn) {
+		_, _ = io.WriteString(tls.Server(conn, certified.TLS), unframed)
+		reset(conn)
+	})
+	transport := message.NewTransport(&net.Dialer{})
+	transport.TLSClientConfig = &tls.Config{RootCAs: trusted}
+	conn, err := transport.DialTLSContext(t.Context(), "tcp", address)
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	c.Assert(writeUntilError(conn), qt.ErrorIs, syscall.ECONNRESET)
+	received, err := io.ReadAll(conn)
+	c.Check(string(received), qt.Equals, unframed)
+	c.Assert(err, qt.ErrorIs, syscall.ECONNRESET)
+}
+
 // TestResetAfterTheEndIsNoFailure guards against a whole response that counts as cut because the
 // connection was reset after its end, and a write was told.
 func TestResetAfterTheEndIsNoFailure(t *testing.T) {
