Tests: servers reset connections only once they are set up

Cause: a fault of the test. Its server reset the connection while the client's connect was still in progress, which is no case of the test.

--- a/internal/message/ends_test.go
+++ b/internal/message/ends_test.go
@@ -25,9 +25,15 @@
 	unframed     = unframedHead + "a part"
 )
 
-// connectTo returns a connection of a transport to a server that calls serve.
+// connectTo returns a connection of a transport to a server that calls serve. The server waits
+// until the connection is set up: a reset would make that fail.
 func connectTo(c *qt.C, serve func(conn *net.TCPConn)) net.Conn {
-	conn, err := message.NewTransport(&net.Dialer{}).DialContext(c.Context(), "tcp", listen(c, serve))
+	connected := make(chan struct{})
+	defer close(connected)
+	conn, err := message.NewTransport(&net.Dialer{}).DialContext(c.Context(), "tcp", listen(c, func(conn *net.TCPConn) {
+		<-connected
+		serve(conn)
+	}))
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { conn.Close() })
 	return conn
@@ -83,13 +89,18 @@
 	defer certified.Close()
 	trusted := x509.NewCertPool()
 	trusted.AddCert(certified.Certificate())
+	connected := make(chan struct{})
 	address := listen(c, func(conn *net.TCPConn) {
-		_, _ = io.WriteString(tls.Server(conn, certified.TLS), unframed)
+		secured := tls.Server(conn, certified.TLS)
+		_ = secured.Handshake()
+		<-connected
+		_, _ = io.WriteString(secured, unframed)
 		reset(conn)
 	})
 	transport := message.NewTransport(&net.Dialer{})
 	transport.TLSClientConfig = &tls.Config{RootCAs: trusted}
 	conn, err := transport.DialTLSContext(t.Context(), "tcp", address)
+	close(connected)
 	c.Assert(err, qt.IsNil)
 	defer conn.Close()
 	c.Assert(writeUntilError(conn), qt.ErrorIs, syscall.ECONNRESET)
