--- a/internal/loader/agent.go
+++ b/internal/loader/agent.go
@@ -236,7 +236,7 @@
 func newAgent(s platform.Settings, socket *beat.Socket, log *logrus.Entry) *agent {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	// The origin accepts few connections; idle ones would keep other clients out.
-	local, remote, origin := message.NewTransport(dialer), message.NewTransport(dialer), platform.NewSingleUseTransport(dialer)
+	local, remote, origin := message.NewTransport(dialer), message.NewTransport(dialer), message.NewSingleUseTransport(dialer)
 	local.MaxIdleConnsPerHost, remote.MaxIdleConnsPerHost = 4, 1
 	a := &agent{
 		settings: s, log: log, socket: socket, client: peer.NewClient(peer.Security{}),
--- a/internal/message/heads.go
+++ b/internal/message/heads.go
@@ -31,7 +31,8 @@
 	errCodedHTTP10 = errors.New("an HTTP/1.0 response has a transfer coding; check the server")
 	// errHeadTooLarge means that the head of a response exceeds MaxHeadMemory.
 	errHeadTooLarge = errors.New("the head of a response has too many bytes or lines; check the server")
-	// errStatusLine means that it is not known whether a head is an interim one.
+	// errStatusLine means that a status line does not begin as statusLineStart says, so that it is
+	// not known whether net/http takes its head for an interim one.
 	errStatusLine = errors.New("the status line of a response is malformed; check the server")
 	// errFieldLine means that a line of a head has no name that is a token (RFC 9110, 5.6.2), or
 	// continues the line before it.
--- a/internal/message/transport.go
+++ b/internal/message/transport.go
@@ -35,6 +35,13 @@
 	return t
 }
 
+// NewSingleUseTransport is like NewTransport, with a connection of its own for each request.
+func NewSingleUseTransport(dialer *net.Dialer) *Transport {
+	t := NewTransport(dialer)
+	t.DisableKeepAlives = true
+	return t
+}
+
 // WrapDial replaces the function that connects. It has to be called before the first request.
 func (t *Transport) WrapDial(wrap func(Dial) Dial) { t.dial = wrap(t.dial) }
 
--- a/internal/relay/bodies.go
+++ b/internal/relay/bodies.go
@@ -196,6 +196,9 @@
 
 // unreserve gives back what reserve has taken.
 func (b *body) unreserve(bytes int64) {
+	if bytes == 0 {
+		return
+	}
 	b.store.mu.Lock()
 	defer b.store.mu.Unlock()
 	b.store.budget.Return(b.account, bytes)
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -235,7 +235,7 @@
 // accepts only a few connections, and idle ones would block other clients.
 func newOriginTransport() http.RoundTripper {
 	dialer := &net.Dialer{Timeout: time.Second, Control: setUserTimeout}
-	return platform.NewSingleUseTransport(dialer)
+	return message.NewSingleUseTransport(dialer)
 }
 
 func newStoreTransport() http.RoundTripper {
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"plantainrelay/internal/message"
-	"plantainrelay/platform"
 
 	"golang.org/x/sys/unix"
 )
@@ -37,7 +36,7 @@
 
 func newSender() *sender {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
-	transport := platform.NewSingleUseTransport(dialer)
+	transport := message.NewSingleUseTransport(dialer)
 	transport.ReadBufferSize, transport.WriteBufferSize = connBufferBytes, connBufferBytes
 	return &sender{transport: transport}
 }
