Tests: one server for raw responses, one execution, one walk over sources

Without the check of ends, TestResetThatAWriteWasToldIsNoEnd and its like fail as before, without the check of names TestMalformedLinesAreErrors and its like, and both rules of imports find an added violation.

--- a/internal/gate/framing_test.go
+++ b/internal/gate/framing_test.go
@@ -14,6 +14,15 @@
 	"plantainrelay/internal/peer"
 )
 
+// newExecution returns an attempt that was started at the backend server.
+func newExecution(c *qt.C, backend string) (*execution, *httptest.ResponseRecorder) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	g := openGate(c, Config{MaxRunning: 10, MaxRecords: 10, MaxStoredResponse: 100})
+	recorder := httptest.NewRecorder()
+	return &execution{handler: NewHandler(g, backend, peer.Security{}, nil, logrus.NewEntry(log)), attempt: "a", w: recorder}, recorder
+}
+
 // TestCutResponseIsNotMarkedComplete guards against a response of the backend server that was
 // cut in its head or body, or whose framing, status or head is malformed, and is marked as complete
 // or stored.
@@ -37,11 +46,7 @@
 			_, _ = io.WriteString(conn, raw)
 			conn.Close()
 		}))
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		g := openGate(c, Config{MaxRunning: 10, MaxRecords: 10, MaxStoredResponse: 100})
-		recorder := httptest.NewRecorder()
-		e := &execution{handler: NewHandler(g, backend.URL, peer.Security{}, nil, logrus.NewEntry(log)), attempt: "a", w: recorder}
+		e, recorder := newExecution(c, backend.URL)
 		request := httptest.NewRequest(http.MethodPost, "/booking", nil)
 		c.Check(func() { e.serve(request, "/booking", nil, time.Now().Add(time.Minute)) }, qt.PanicMatches, http.ErrAbortHandler.Error(), qt.Commentf("%q", raw))
 		c.Check(e.stored, qt.IsNil)
--- a/internal/gate/reset_test.go
+++ b/internal/gate/reset_test.go
@@ -2,30 +2,23 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/sirupsen/logrus"
 
 	"plantainrelay/internal/message"
-	"plantainrelay/internal/peer"
 	"plantainrelay/test/earlyserver"
 )
 
 // newUpload returns the execution of an attempt with a long body.
 func newUpload(c *qt.C, backend *earlyserver.Server) (run *execution, recorder *httptest.ResponseRecorder, serve func()) {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	handler := NewHandler(openGate(c, Config{MaxRunning: 10, MaxRecords: 10, MaxStoredResponse: 100}), "http://"+backend.Address(), peer.Security{}, nil, logrus.NewEntry(log))
-	transport, ok := handler.client.Transport.(*message.Transport)
+	run, recorder = newExecution(c, "http://"+backend.Address())
+	transport, ok := run.handler.client.Transport.(*message.Transport)
 	c.Assert(ok, qt.IsTrue)
 	transport.WrapDial(earlyserver.SmallBuffers)
-	recorder = httptest.NewRecorder()
-	run = &execution{handler: handler, attempt: "a", w: recorder}
 	return run, recorder, func() {
 		run.serve(httptest.NewRequest(http.MethodPost, "/booking", nil), "/booking", make([]byte, earlyserver.RequestBytes), time.Now().Add(time.Minute))
 	}
--- a/internal/message/ends_test.go
+++ b/internal/message/ends_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
@@ -87,8 +86,6 @@
 	c := qt.New(t)
 	certified := httptest.NewTLSServer(http.NotFoundHandler())
 	defer certified.Close()
-	trusted := x509.NewCertPool()
-	trusted.AddCert(certified.Certificate())
 	connected := make(chan struct{})
 	address := listen(c, func(conn *net.TCPConn) {
 		secured := tls.Server(conn, certified.TLS)
@@ -97,9 +94,7 @@
 		_, _ = io.WriteString(secured, unframed)
 		reset(conn)
 	})
-	transport := message.NewTransport(&net.Dialer{})
-	transport.TLSClientConfig = &tls.Config{RootCAs: trusted}
-	conn, err := transport.DialTLSContext(t.Context(), "tcp", address)
+	conn, err := newTrustingTransport(certified).DialTLSContext(t.Context(), "tcp", address)
 	close(connected)
 	c.Assert(err, qt.IsNil)
 	defer conn.Close()
@@ -208,11 +203,8 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			scripted := &scriptedConn{sent: &bytesOnce{unframed}, writing: make(chan struct{}), deadline: make(chan struct{}), write: test.write, noLimits: test.noLimits}
-			transport := message.NewTransport(&net.Dialer{})
-			transport.WrapDial(func(message.Dial) message.Dial {
-				return func(context.Context, string, string) (net.Conn, error) { return scripted, nil }
-			})
-			conn, err := transport.DialContext(t.Context(), "tcp", "")
+			dial := func(context.Context, string, string) (net.Conn, error) { return scripted, nil }
+			conn, err := newTransportOver(dial).DialContext(t.Context(), "tcp", "")
 			c.Assert(err, qt.IsNil)
 			written := make(chan error, 1)
 			go func() {
--- a/internal/message/fuzz_test.go
+++ b/internal/message/fuzz_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"encoding/gob"
 	"io"
 	"net"
@@ -172,17 +171,11 @@
 				_, _ = conn.Write(raw)
 			}
 		}
-		checked := pipeTo(respond)
-		plain := &http.Transport{DisableCompression: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
-			ours, theirs := net.Pipe()
-			go respond(theirs)
-			return ours, nil
-		}}
-		response, body, err := roundTrip(t, checked, isHead)
+		response, body, err := roundTrip(t, newTransportOver(dialPipe(respond)), isHead)
 		if err != nil {
 			return
 		}
-		reference, referenceBody, err := roundTrip(t, plain, isHead)
+		reference, referenceBody, err := roundTrip(t, &http.Transport{DisableCompression: true, DialContext: dialPipe(respond)}, isHead)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, response.StatusCode, qt.Equals, reference.StatusCode)
 		qt.Check(t, response.Header, qt.DeepEquals, reference.Header)
--- a/internal/message/heads_test.go
+++ b/internal/message/heads_test.go
@@ -1,7 +1,6 @@
 package message_test
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"crypto/tls"
@@ -12,51 +11,14 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"plantainrelay/internal/message"
+	"plantainrelay/test/rawserver"
 )
 
-// serveResponses answers the requests on each connection with the given responses in turn, and
-// counts the connections.
-func serveResponses(t *testing.T, responses ...string) (address string, connections *atomic.Int64) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { listener.Close() })
-	connections = &atomic.Int64{}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			connections.Add(1)
-			answer(conn, responses)
-		}
-	}()
-	return listener.Addr().String(), connections
-}
-
-func answer(conn net.Conn, responses []string) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	for _, response := range responses {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		// A body that cannot be read ends the connection.
-		_, _ = io.Copy(io.Discard, request.Body)
-		if _, err := io.WriteString(conn, response); err != nil {
-			return
-		}
-	}
-}
-
 func response(lines int, body string) string {
 	var text strings.Builder
 	text.WriteString("HTTP/1.1 200 OK\r\n")
@@ -90,11 +52,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			address, connections := serveResponses(t, test.responses...)
+			server := rawserver.Start(t, test.responses...)
 			client := &http.Client{Transport: message.NewTransport(&net.Dialer{})}
 			defer client.CloseIdleConnections()
 			for i := range test.responses {
-				got, err := client.Post("http://"+address, "text/plain", strings.NewReader("call"))
+				got, err := client.Post("http://"+server.Address(), "text/plain", strings.NewReader("call"))
 				if err == nil {
 					_, err = io.Copy(io.Discard, got.Body)
 					got.Body.Close()
@@ -102,21 +64,33 @@
 				isLast := i == len(test.responses)-1
 				c.Assert(err != nil, qt.Equals, test.fails && isLast, qt.Commentf("response %d: %v", i, err))
 			}
-			c.Check(connections.Load(), qt.Equals, int64(1))
+			c.Check(server.Connections(), qt.Equals, 1)
 		})
 	}
 }
 
-// pipeTo returns a transport whose only connection is served by serve.
-func pipeTo(serve func(net.Conn)) *message.Transport {
+// dialPipe returns a dial function whose connections are served by serve.
+func dialPipe(serve func(net.Conn)) message.Dial {
+	return func(context.Context, string, string) (net.Conn, error) {
+		ours, theirs := net.Pipe()
+		go serve(theirs)
+		return ours, nil
+	}
+}
+
+// newTransportOver returns a transport that connects with dial.
+func newTransportOver(dial message.Dial) *message.Transport {
 	transport := message.NewTransport(&net.Dialer{})
-	transport.WrapDial(func(message.Dial) message.Dial {
-		return func(context.Context, string, string) (net.Conn, error) {
-			ours, theirs := net.Pipe()
-			go serve(theirs)
-			return ours, nil
-		}
-	})
+	transport.WrapDial(func(message.Dial) message.Dial { return dial })
+	return transport
+}
+
+// newTrustingTransport returns a transport that trusts the certificate of the server.
+func newTrustingTransport(server *httptest.Server) *message.Transport {
+	trusted := x509.NewCertPool()
+	trusted.AddCert(server.Certificate())
+	transport := message.NewTransport(&net.Dialer{})
+	transport.TLSClientConfig = &tls.Config{RootCAs: trusted}
 	return transport
 }
 
@@ -144,7 +118,7 @@
 	for _, isKept := range []bool{true, false} {
 		t.Run(fmt.Sprintf("kept %t", isKept), func(t *testing.T) {
 			c := qt.New(t)
-			transport := pipeTo(func(conn net.Conn) { respondEarly(conn, response(1, body)) })
+			transport := newTransportOver(dialPipe(func(conn net.Conn) { respondEarly(conn, response(1, body)) }))
 			transport.DisableKeepAlives = !isKept
 			defer transport.CloseIdleConnections()
 			client := &http.Client{Transport: transport}
@@ -172,11 +146,7 @@
 		_, _ = io.WriteString(w, body)
 	}))
 	defer server.Close()
-	trusted := x509.NewCertPool()
-	trusted.AddCert(server.Certificate())
-	transport := message.NewTransport(&net.Dialer{})
-	transport.TLSClientConfig = &tls.Config{RootCAs: trusted}
-	client := &http.Client{Transport: transport}
+	client := &http.Client{Transport: newTrustingTransport(server)}
 	defer client.CloseIdleConnections()
 	for range 10 {
 		got, err := client.Get(server.URL)
--- a/internal/message/names_test.go
+++ b/internal/message/names_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"plantainrelay/internal/message"
+	"plantainrelay/test/rawserver"
 )
 
 // malformedLines are lines of heads without a valid name.
@@ -64,10 +65,9 @@
 			t.Run(fmt.Sprintf("%q, %s", line, name), func(t *testing.T) {
 				t.Parallel()
 				for _, size := range []int{16, 4096} {
-					address, _ := serveResponses(t, raw)
 					transport := message.NewTransport(&net.Dialer{})
 					transport.ReadBufferSize = size
-					_, err := get(&http.Client{Transport: transport}, http.MethodGet, address)
+					_, err := get(&http.Client{Transport: transport}, http.MethodGet, rawserver.Start(t, raw).Address())
 					qt.Check(t, err, qt.IsNotNil)
 				}
 			})
@@ -117,20 +117,20 @@
 		for _, size := range []int{16, 4096} {
 			t.Run(fmt.Sprintf("%s, %d", name, size), func(t *testing.T) {
 				c := qt.New(t)
-				address, connections := serveResponses(t, test.raw, test.raw, malformed)
+				server := rawserver.Start(t, test.raw, test.raw, malformed)
 				transport := message.NewTransport(&net.Dialer{})
 				transport.ReadBufferSize = size
 				defer transport.CloseIdleConnections()
 				client := &http.Client{Transport: transport}
 				for range 2 {
-					body, err := get(client, test.method, address)
+					body, err := get(client, test.method, server.Address())
 					c.Assert(err, qt.IsNil)
 					c.Assert(body, qt.Equals, test.body)
 				}
 				// net/http repeats requests with some other methods on another connection.
-				_, err := get(client, http.MethodPost, address)
+				_, err := get(client, http.MethodPost, server.Address())
 				c.Assert(err, qt.ErrorMatches, ".*no valid name.*")
-				c.Assert(connections.Load(), qt.Equals, int64(1))
+				c.Assert(server.Connections(), qt.Equals, 1)
 			})
 		}
 	}
--- a/test/imports/imports_test.go
+++ b/test/imports/imports_test.go
@@ -39,10 +39,20 @@
 }
 
 func TestDecisionPackagesDoNoIO(t *testing.T) {
+	var patterns []string
+	for _, name := range decisionPackages {
+		patterns = append(patterns, filepath.Join("..", "..", "internal", name, "*.go"))
+	}
+	checkSources(t, patterns, violations)
+}
+
+// checkSources checks that find returns nothing for each of the files, tests left out, and that
+// there are such files.
+func checkSources(t *testing.T, patterns []string, find func(t *testing.T, name, source string) []string) {
 	c := qt.New(t)
 	checked := 0
-	for _, name := range decisionPackages {
-		files, err := filepath.Glob(filepath.Join("..", "..", "internal", name, "*.go"))
+	for _, pattern := range patterns {
+		files, err := filepath.Glob(pattern)
 		c.Assert(err, qt.IsNil)
 		for _, file := range files {
 			if strings.HasSuffix(file, "_test.go") {
@@ -50,7 +60,7 @@
 			}
 			source, err := os.ReadFile(file)
 			c.Assert(err, qt.IsNil)
-			c.Check(violations(t, file, string(source)), qt.HasLen, 0)
+			c.Check(find(t, file, string(source)), qt.HasLen, 0)
 			checked++
 		}
 	}
@@ -122,22 +132,12 @@
 // TestClientsUseOneTransport guards against clients that do not check responses. Test programs may
 // have such clients.
 func TestClientsUseOneTransport(t *testing.T) {
-	c := qt.New(t)
-	checked := 0
-	for _, pattern := range []string{"../../internal/*/*.go", "../../platform/*.go", "../../cmd/*/*.go"} {
-		files, err := filepath.Glob(pattern)
-		c.Assert(err, qt.IsNil)
-		for _, file := range files {
-			if strings.HasSuffix(file, "_test.go") || filepath.Base(filepath.Dir(file)) == clientPackage {
-				continue
-			}
-			source, err := os.ReadFile(file)
-			c.Assert(err, qt.IsNil)
-			c.Check(otherTransports(t, file, string(source)), qt.HasLen, 0)
-			checked++
+	checkSources(t, []string{"../../internal/*/*.go", "../../platform/*.go", "../../cmd/*/*.go"}, func(t *testing.T, name, source string) []string {
+		if filepath.Base(filepath.Dir(name)) == clientPackage {
+			return nil
 		}
-	}
-	c.Assert(checked > 0, qt.IsTrue)
+		return otherTransports(t, name, source)
+	})
 }
 
 func TestOtherTransportsAreFound(t *testing.T) {
