Metrics and logs: the version in force, and each pull of a collection

Change: the runtime's memory metrics are left out; active_tables_version and collection_pulls_total are new; a pull logs its peer, revision, time, size and the pulls beside it, also when it fails. No logic is changed.

--- a/internal/copies/pull.go
+++ b/internal/copies/pull.go
@@ -53,6 +53,8 @@
 	client *peer.Client
 	port   int
 	log    *logrus.Entry
+	// OnPull is called after each pull. It has to be set before the first one.
+	OnPull func(kind platform.Kind, succeeded bool)
 	// minIntervals holds the minimum time between two pulls of a collection, and
 	// lastPulls the start of the last successful one.
 	minIntervals map[platform.Kind]time.Duration
@@ -71,6 +73,7 @@
 	p := &Puller{
 		copies: copies, client: client, port: port, maxConcurrent: maxConcurrent, log: log,
 		minIntervals: minIntervals, lastPulls: map[platform.Kind]time.Time{}, inProgress: map[platform.Kind]map[string]time.Time{},
+		OnPull: func(platform.Kind, bool) {},
 	}
 	for _, kind := range platform.Kinds {
 		p.inProgress[kind] = map[string]time.Time{}
@@ -145,14 +148,27 @@
 	var reply PullReply
 	asked, since := clock.Now(), p.copies.AsOf(kind)
 	err := p.client.Call(ctx, beat.Address(host, p.port), pullMethod, PullArgs{Kind: string(kind), Since: since.Number, Era: since.Era}, &reply)
+	fields := logrus.Fields{
+		"peer": host, "collection": string(kind), "since": since.Number, "era": since.Era, "ms": clock.Now().Sub(asked).Milliseconds(), "in_progress": p.pullsInProgress(kind),
+	}
 	if err != nil {
-		p.log.WithError(err).WithFields(logrus.Fields{"peer": host, "collection": string(kind)}).Warning("changes could not be pulled from a peer")
+		p.log.WithError(err).WithFields(fields).Warning("changes could not be pulled from a peer")
 	} else {
+		fields["as_of"], fields["bytes"] = reply.Change.AsOf, reply.Change.size()
+		p.log.WithFields(fields).Info("changes pulled from a peer")
 		p.copies.ApplyFromPeer(kind, decodeChange(reply.Change), asked.Add(-reply.Age), host)
 	}
+	p.OnPull(kind, err == nil)
 	p.end(kind, host, asked, err == nil)
 }
 
+// pullsInProgress returns the number of pulls of a collection that have not ended.
+func (p *Puller) pullsInProgress(kind platform.Kind) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.inProgress[kind])
+}
+
 // CollectionStates returns the states of this process's collections for its messages, up to
 // the last one that it replicates.
 func CollectionStates(copies *Copies) []beat.CollectionState {
--- a/internal/copies/wire.go
+++ b/internal/copies/wire.go
@@ -70,3 +70,14 @@
 	}
 	return decoded
 }
+
+// size returns the bytes of the documents' bodies.
+func (c *PulledChange) size() int {
+	size := 0
+	for _, documents := range [][]PulledDocument{c.Documents, c.Retained} {
+		for _, document := range documents {
+			size += len(document.Body)
+		}
+	}
+	return size
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -19,10 +19,13 @@
 	Registry *prometheus.Registry
 }
 
-// New returns a registry with the metrics of the process and the Go runtime.
+// New returns a registry with the metrics of the process and a few of the Go runtime.
+// Those of its memory are left out: a monitoring system that keeps only the beginning of
+// each scrape would store little else.
 func New() *Metrics {
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	runtime := collectors.NewGoCollector(collectors.WithGoCollectorMemStatsMetricsDisabled())
+	registry.MustRegister(runtime, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return &Metrics{Registry: registry}
 }
 
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -181,6 +182,12 @@
 	}
 	e.scheduler.loadChanged = e.heartbeats.recordLoadChange
 	e.scheduler.backendExpired, e.scheduler.minVersion = e.view.backendExpired, e.view.minVersion
+	e.metrics.Gauge("active_tables_version", "Version of the tables in force; 0 before the first ones.", func() float64 {
+		if table := e.view.table(); table != nil {
+			return float64(table.Version)
+		}
+		return 0
+	})
 	e.metrics.Gauge("tables_proof_age_seconds", "Age of the proof that the tables are current.", func() float64 { return e.view.proofAge().Seconds() })
 	registerNoticeGauges(e.metrics, e.scheduler)
 	registerColdMetrics(e.metrics, e.scheduler)
@@ -203,6 +210,9 @@
 	e.metrics.Gauge("store_era", "Latest era of the store's revisions that this process knows of; it rises when the store is restored from an older copy.", func() float64 { return float64(e.copies.Era()) })
 	client := peer.NewClient(peer.Security{})
 	e.heartbeats.puller = copies.NewPuller(e.copies, client, s.PeerPort, maxConcurrentPulls, nil, log)
+	e.heartbeats.puller.OnPull = func(kind platform.Kind, succeeded bool) {
+		counts.pulls.WithLabelValues(string(kind), strconv.FormatBool(succeeded)).Inc()
+	}
 	weightsDepot, err := depot.New(depot.Config{
 		Host: s.IP, Port: s.PeerPort, Uploads: depot.NewUploadLimiter(s.LinkBitsPerSecond, depot.EntryShare), Upstream: e.upstream,
 	}, platform.NewOriginClient(newOriginTransport()), client, log)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -31,6 +31,8 @@
 	// directoryAnswers counts the answers of the address directory.
 	directoryAnswers *prometheus.CounterVec
 	loadReports      *prometheus.CounterVec
+	// pulls counts the pulls of collections from peers.
+	pulls *prometheus.CounterVec
 }
 
 // latencyBuckets are the bucket bounds of the latency histograms in seconds, from an
@@ -48,6 +50,9 @@
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Name: "store_calls_total", Help: "Calls of the platform's store by collection.",
 		}, []string{"method", "collection"}),
+		pulls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metrics.Namespace, Name: "collection_pulls_total", Help: "Pulls of collections from peers by whether they succeeded.",
+		}, []string{"collection", "succeeded"}),
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metrics.Namespace, Name: "repeats_total", Help: "Further attempts asked of the retry budget by its answer.",
 		}, []string{"granted"}),
@@ -83,7 +88,7 @@
 		duration:     histogram("request_seconds", "Time from a request's arrival to the end of its answer."),
 		queueTime:    histogram("queue_seconds", "Time that attempts waited for a place."),
 	}
-	m.Registry.MustRegister(f.refused, f.attempts, f.storeCalls, f.retries, f.responseBytes, f.notices, f.blocks.decisions, f.blocks.interruptions, f.panics, f.ownEnds, f.directoryAnswers, f.loadReports, f.heldPrompts, f.heldTokens, f.closed, f.standbys, f.longestPause, f.firstEvent, f.duration, f.queueTime)
+	m.Registry.MustRegister(f.pulls, f.refused, f.attempts, f.storeCalls, f.retries, f.responseBytes, f.notices, f.blocks.decisions, f.blocks.interruptions, f.panics, f.ownEnds, f.directoryAnswers, f.loadReports, f.heldPrompts, f.heldTokens, f.closed, f.standbys, f.longestPause, f.firstEvent, f.duration, f.queueTime)
 	return f
 }
 
