Copies: a failing test of changes over connections that have gone silent

A process whose connections to its peers have gone silent since the last change asks one of them, another one 300 ms later, and nobody else until the first call has ended after 1 s.

--- /dev/null
+++ b/internal/copies/silent_test.go
@@ -0,0 +1,143 @@
+package copies
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"plantainrelay/internal/beat"
+	"plantainrelay/internal/clock"
+	"plantainrelay/internal/peer"
+	"plantainrelay/internal/replica"
+	"plantainrelay/platform"
+)
+
+// silentProxy forwards connections to an address until they are silenced: then it keeps them
+// open and discards what arrives on them. Later connections are forwarded.
+type silentProxy struct {
+	upstream string
+	mu       sync.Mutex
+	open     []*silentStream
+}
+
+// silentStream is one direction of a connection.
+type silentStream struct {
+	to     net.Conn
+	mu     sync.Mutex
+	silent bool
+}
+
+// Write implements io.Writer.
+func (s *silentStream) Write(data []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.silent {
+		return len(data), nil
+	}
+	return s.to.Write(data)
+}
+
+func startSilentProxy(c *qt.C, address, upstream string) *silentProxy {
+	listener, err := net.Listen("tcp", address)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { listener.Close() })
+	p := &silentProxy{upstream: upstream}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go p.forward(conn)
+		}
+	}()
+	return p
+}
+
+func (p *silentProxy) forward(conn net.Conn) {
+	upstream, err := net.Dial("tcp", p.upstream)
+	if err != nil {
+		conn.Close()
+		return
+	}
+	streams := []*silentStream{{to: upstream}, {to: conn}}
+	p.mu.Lock()
+	p.open = append(p.open, streams...)
+	p.mu.Unlock()
+	var group sync.WaitGroup
+	// The errors are those of connections that end with the test.
+	group.Go(func() { _, _ = io.Copy(streams[0], conn); upstream.Close() })
+	group.Go(func() { _, _ = io.Copy(streams[1], upstream); conn.Close() })
+	group.Wait()
+}
+
+// silence silences the open connections.
+func (p *silentProxy) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, stream := range p.open {
+		stream.mu.Lock()
+		stream.silent = true
+		stream.mu.Unlock()
+	}
+}
+
+// startPeers starts processes with copies that are served at hosts, behind proxies at port.
+func startPeers(c *qt.C, port int, hosts []string) ([]*Copies, []*silentProxy) {
+	var all []*Copies
+	var proxies []*silentProxy
+	for _, host := range hosts {
+		held := New(Config{Log: testLog(), Changed: func(platform.Kind) {}})
+		server := peer.NewServer(peer.Security{}, testLog())
+		c.Assert(server.Register(ServiceName, NewService(held)), qt.IsNil)
+		upstream := beat.Address("127.0.0.1", freePort(c))
+		c.Assert(server.Listen(upstream), qt.IsNil)
+		all, proxies = append(all, held), append(proxies, startSilentProxy(c, beat.Address(host, port), upstream))
+	}
+	return all, proxies
+}
+
+// tablesAt returns the change to a revision of the tables.
+func tablesAt(number int64, body []byte) replica.Change {
+	revision := replica.Revision{Number: number}
+	return replica.Change{Whole: true, AsOf: revision, Documents: []replica.Document{{Name: platform.TableName, Revision: revision, Body: body}}}
+}
+
+// TestChangeArrivesAlthoughConnectionsAreSilent guards against a change of the tables that comes
+// into force late because the connections to the peers have gone silent since the last change.
+func TestChangeArrivesAlthoughConnectionsAreSilent(t *testing.T) {
+	// The shortest bound on a change is 2 s. Half of it belongs to the process that reads the
+	// store.
+	const bound = time.Second
+	c := qt.New(t)
+	port := freePort(c)
+	var hosts []string
+	for i := range 7 {
+		hosts = append(hosts, fmt.Sprintf("127.0.1.%d", i+1))
+	}
+	others, proxies := startPeers(c, port, hosts)
+	own := New(Config{Log: testLog(), Changed: func(platform.Kind) {}})
+	puller := NewPuller(own, peer.NewClient(peer.Security{}), port, 2, nil, testLog())
+	for i, host := range hosts {
+		others[i].ApplyFromPeer(platform.Tables, tablesAt(1, []byte("{}")), clock.Now(), "store")
+		puller.pull(t.Context(), platform.Tables, host)
+	}
+	for i, proxy := range proxies {
+		proxy.silence()
+		others[i].ApplyFromPeer(platform.Tables, tablesAt(2, []byte("{}")), clock.Now(), "store")
+	}
+	began := time.Now()
+	const beatInterval = 200 * time.Millisecond
+	for turn := 0; own.AsOf(platform.Tables).Number < 2 && time.Since(began) < 3*bound; turn++ {
+		sender := turn % len(hosts)
+		puller.MessageReceived(t.Context(), &beat.Message{Host: hosts[sender], Collections: CollectionStates(others[sender])})
+		time.Sleep(beatInterval / time.Duration(len(hosts)))
+	}
+	c.Assert(own.AsOf(platform.Tables).Number, qt.Equals, int64(2))
+	c.Assert(time.Since(began) < bound, qt.IsTrue, qt.Commentf("after %s", time.Since(began)))
+}
