--- a/internal/copies/silent_test.go
+++ b/internal/copies/silent_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,13 +22,16 @@
 // open and discards what arrives on them. Later connections are forwarded.
 type silentProxy struct {
 	upstream string
+	// forwarded counts the bytes in both directions.
+	forwarded atomic.Int64
 	mu       sync.Mutex
 	open     []*silentStream
 }
 
 // silentStream is one direction of a connection.
 type silentStream struct {
-	to     net.Conn
+	to        net.Conn
+	forwarded *atomic.Int64
 	mu     sync.Mutex
 	silent bool
 }
@@ -39,6 +43,7 @@
 	if s.silent {
 		return len(data), nil
 	}
+	s.forwarded.Add(int64(len(data)))
 	return s.to.Write(data)
 }
 
@@ -65,7 +70,7 @@
 		conn.Close()
 		return
 	}
-	streams := []*silentStream{{to: upstream}, {to: conn}}
+	streams := []*silentStream{{to: upstream, forwarded: &p.forwarded}, {to: conn, forwarded: &p.forwarded}}
 	p.mu.Lock()
 	p.open = append(p.open, streams...)
 	p.mu.Unlock()
