Platform: a silent connection to the store is not followed by another one

Each collection keeps a connection; when all go silent, every call that uses a kept one ends by its timeout, one after the other. The tests of package relay are adapted to the settings of the puller. Test: TestStoreIsReadOnANewConnectionAfterATimeout failed before: the second call hung until its timeout of 10 s as well.

--- a/internal/copies/silent_test.go
+++ b/internal/copies/silent_test.go
@@ -1,9 +1,12 @@
 package copies
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,9 +17,11 @@
 	"plantainrelay/internal/beat"
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/duty"
+	"plantainrelay/internal/message"
 	"plantainrelay/internal/peer"
 	"plantainrelay/internal/replica"
 	"plantainrelay/platform"
+	"plantainrelay/platform/standin"
 )
 
 // silentProxy forwards connections to an address until they are silenced: then it keeps them
@@ -157,3 +162,31 @@
 	c.Assert(own.AsOf(platform.Tables).Number, qt.Equals, int64(2))
 	c.Assert(time.Since(began) < bound, qt.IsTrue, qt.Commentf("after %s", time.Since(began)))
 }
+
+// TestStoreIsReadOnANewConnectionAfterATimeout guards against copies that are late because one
+// kept connection to the store after the other turns out to be silent.
+func TestStoreIsReadOnANewConnectionAfterATimeout(t *testing.T) {
+	const kept = 4
+	c := qt.New(t)
+	server := httptest.NewServer(standin.NewStore())
+	c.Cleanup(server.Close)
+	address := beat.Address("127.0.3.1", freePort(c))
+	proxy := startSilentProxy(c, address, strings.TrimPrefix(server.URL, "http://"))
+	transport := message.NewTransport(&net.Dialer{})
+	transport.MaxIdleConnsPerHost = kept
+	store := platform.NewStoreClient(address, transport)
+	watch := func(timeout time.Duration) error {
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		defer cancel()
+		_, err := store.Watch(ctx, platform.Tables, replica.Revision{Number: 1}, time.Millisecond)
+		return err
+	}
+	var calls sync.WaitGroup
+	for range kept {
+		calls.Go(func() { qt.Check(t, watch(10*time.Second), qt.IsNil) })
+	}
+	calls.Wait()
+	proxy.silence()
+	c.Assert(watch(200*time.Millisecond), qt.IsNotNil)
+	c.Assert(watch(10*time.Second), qt.IsNil)
+}
--- a/internal/relay/entry.go
+++ b/internal/relay/entry.go
@@ -71,6 +71,10 @@
 	blocksWatchTimeout = 25 * time.Second
 	// maxConcurrentPulls allows a pull from another peer whenever the last one hangs.
 	maxConcurrentPulls = int(duty.PullTimeout/duty.PullHedgeDelay) + 1
+	// storeIdleTimeout is how long an unused connection to the store is kept. The watcher of
+	// a collection uses its own one all the time; one that has been unused for longer may
+	// have gone silent.
+	storeIdleTimeout = time.Second
 	// dutyCheckInterval is the time between two checks of which entry is the watcher of
 	// a collection and how old the proof of the copy is.
 	dutyCheckInterval = 100 * time.Millisecond
@@ -253,7 +257,7 @@
 func newStoreTransport() http.RoundTripper {
 	dialer := &net.Dialer{Timeout: dialTimeout, Control: setUserTimeout}
 	transport := message.NewTransport(dialer)
-	transport.MaxIdleConnsPerHost = len(platform.Kinds)
+	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout = len(platform.Kinds), storeIdleTimeout
 	return transport
 }
 
--- a/internal/relay/notices_test.go
+++ b/internal/relay/notices_test.go
@@ -155,7 +155,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	return &heartbeater{
 		socket: socket, view: f.frontend.view, copies: f.frontend.view.copies, scheduler: f.frontend.scheduler, frontend: f.frontend, log: f.frontend.log,
-		puller:    copies.NewPuller(f.frontend.view.copies, peer.NewClient(peer.Security{}), port, 1, nil, f.frontend.log),
+		puller:    copies.NewPuller(copies.PullerConfig{Port: port, MaxConcurrent: 1, Log: f.frontend.log}, f.frontend.view.copies, peer.NewClient(peer.Security{})),
 		directory: peers.New(peers.Config{ProbeTimeout: time.Minute}, peers.Entry{Host: host, Start: 1}, []string{"127.0.0.1", "127.0.0.2"}, clock.Now()),
 		start:     1, sendNow: make(chan struct{}, 1),
 	}
