Copies: peers get differences of large documents

Cause: the tables are one document, and each change sent the whole of it, uncompressed, to every process that asked, over links of 25 Mbit/s between regions and 28 Mbit/s of an entry. Change: a document of 4 KB or more goes to a peer as the difference from the version that the peer names, or compressed where that version is not kept; package delta encodes with zstd, which takes the earlier version as a dictionary. The latest versions are kept, up to 1 MB beside the last one, and each form is computed once: a process passes on what it has received. Processes of earlier versions send and get whole documents as before. New library: github.com/klauspost/compress, until now an indirect one.

--- a/internal/copies/copies.go
+++ b/internal/copies/copies.go
@@ -53,6 +53,8 @@
 
 type collectionCopy struct {
 	replica *replica.Replica
+	// encodings holds the documents for peers.
+	encodings *encodings
 	// notifyMu is held during a call of Config.Changed.
 	notifyMu sync.Mutex
 	failedAt time.Time
@@ -110,7 +112,7 @@
 	}
 	c := &Copies{config: config, plans: config.Plans, copies: map[platform.Kind]*collectionCopy{}}
 	for _, kind := range config.Kinds {
-		c.copies[kind] = &collectionCopy{replica: replica.New(), reader: duty.NewReader(c.plans[kind].Plan, clock.Now())}
+		c.copies[kind] = &collectionCopy{replica: replica.New(), encodings: newEncodings(), reader: duty.NewReader(c.plans[kind].Plan, clock.Now())}
 	}
 	return c
 }
@@ -118,6 +120,9 @@
 // replicates reports whether this process keeps a copy of a collection.
 func (c *Copies) replicates(kind platform.Kind) bool { return c.copies[kind] != nil }
 
+// encodings returns the documents of a collection for peers.
+func (c *Copies) encodings(kind platform.Kind) *encodings { return c.copies[kind].encodings }
+
 // SetPlans replaces the plans of all collections.
 func (c *Copies) SetPlans(plans map[platform.Kind]Plan) {
 	c.mu.Lock()
@@ -298,6 +303,7 @@
 	collection := c.copies[kind]
 	known, content := collection.replica.Known(), collection.replica.Content()
 	documents := collection.replica.Apply(change, proof)
+	collection.encodings.update(documents)
 	changed := len(documents) > 0 || (!known && collection.replica.Known()) || content != collection.replica.Content()
 	fields := logrus.Fields{
 		"collection": string(kind), "source": source, "era": change.AsOf.Era, "as_of": change.AsOf.Number, "content": collection.replica.Content().Number,
--- a/internal/copies/large_test.go
+++ b/internal/copies/large_test.go
@@ -10,6 +10,7 @@
 
 	"plantainrelay/internal/clock"
 	"plantainrelay/internal/duty"
+	"plantainrelay/internal/replica"
 	"plantainrelay/platform"
 	"plantainrelay/platform/standin"
 )
@@ -90,3 +91,47 @@
 		t.Run(fmt.Sprint(i), func(t *testing.T) { pulledBytes(t, pair[0], pair[1]) })
 	}
 }
+
+// TestDifferenceFromAnotherVersionIsNotUsed guards against tables that are put together from the
+// wrong version: the process then asks for the whole document.
+func TestDifferenceFromAnotherVersionIsNotUsed(t *testing.T) {
+	c := qt.New(t)
+	one, two, three := largeTable(1, 100), largeTable(2, 120), largeTable(3, 140)
+	held := newEncodings()
+	var versions []replica.Document
+	for i, table := range []standin.Table{one, two, three} {
+		document := replica.Document{Name: "main", Revision: replica.Revision{Number: int64(i + 1)}, Body: standin.EncodeDocument(table.Encode())}
+		versions = append(versions, document)
+		held.update([]replica.Document{document})
+	}
+	latest := encodeDocuments(versions[2:])[0]
+	sent, err := held.encode(latest, map[string]replica.Revision{"main": {Number: 1}})
+	c.Assert(err, qt.IsNil)
+	c.Assert(sent.BaseRevision, qt.Equals, int64(1))
+	received, err := decode(sent, map[string]replica.Document{"main": versions[0]})
+	c.Assert(err, qt.IsNil)
+	c.Assert(received, qt.DeepEquals, latest)
+	_, err = decode(sent, map[string]replica.Document{"main": versions[1]})
+	c.Assert(err, qt.ErrorMatches, ".*which this process did not have.*")
+	forged := versions[1]
+	forged.Revision.Number = 1
+	_, err = decode(sent, map[string]replica.Document{"main": forged})
+	c.Assert(err, qt.IsNotNil)
+	unknown, err := held.encode(latest, map[string]replica.Revision{"main": {Number: 9, Era: 1}})
+	c.Assert(err, qt.IsNil)
+	c.Assert(unknown.base(), qt.Equals, replica.Revision{})
+}
+
+// TestBasesAreBounded guards against a memory that grows with the number of changes.
+func TestBasesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	held := newEncodings()
+	for i := range 20 {
+		held.update([]replica.Document{{Name: "main", Revision: replica.Revision{Number: int64(i + 1)}, Body: make([]byte, maxBaseBytes/2-1)}})
+		held.update([]replica.Document{{Name: "huge", Revision: replica.Revision{Number: int64(i + 1)}, Body: make([]byte, 2*maxBaseBytes)}})
+	}
+	c.Assert(held.documents["main"].earlier, qt.HasLen, 2)
+	c.Assert(held.documents["huge"].earlier, qt.HasLen, 1)
+	held.update([]replica.Document{{Name: "main", Revision: replica.Revision{Number: 30}, Removed: true}})
+	c.Assert(held.documents["main"], qt.IsNil)
+}
--- a/internal/copies/pull.go
+++ b/internal/copies/pull.go
@@ -40,6 +40,17 @@
 		return failure.New(failure.NotFound, "ask another process", "this process has no copy of %s yet", args.Kind)
 	}
 	reply.Change, reply.Age = encodeChange(change), age
+	if !args.TakesEncoded {
+		return nil
+	}
+	bases := decodeBases(args.Bases)
+	for i, document := range reply.Change.Documents {
+		encoded, err := s.copies.encodings(platform.Kind(args.Kind)).encode(document, bases)
+		if err != nil {
+			return err
+		}
+		reply.Change.Documents[i] = encoded
+	}
 	return nil
 }
 
@@ -164,18 +175,35 @@
 	if pull.NewConnection {
 		p.client.Disconnect(address)
 	}
+	encodings := p.copies.encodings(kind)
+	bases := encodings.bases()
+	args := PullArgs{Kind: string(kind), Since: since.Number, Era: since.Era, TakesEncoded: true, Bases: encodeBases(bases)}
 	var reply PullReply
-	err := p.client.Call(ctx, address, pullMethod, PullArgs{Kind: string(kind), Since: since.Number, Era: since.Era}, &reply)
+	err := p.client.Call(ctx, address, pullMethod, args, &reply)
 	log := p.config.Log.WithFields(logrus.Fields{
-		"peer": pull.Host, "collection": string(kind), "since": since.Number, "era": since.Era, "ms": clock.Now().Sub(started).Milliseconds(),
+		"peer": pull.Host, "collection": string(kind), "since": since.Number, "era": since.Era,
 		"new_connection": pull.NewConnection, "in_progress": p.inProgress(kind),
 	})
+	received := reply.Change
+	if err == nil {
+		reply.Change, err = received.decode(bases)
+	}
+	if failure.Is(err, failure.Invalid) {
+		log.WithError(err).Warning("the changes that a peer sent cannot be decoded; pulling them as they are")
+		args.TakesEncoded, args.Bases, reply = false, nil, PullReply{}
+		err = p.client.Call(ctx, address, pullMethod, args, &reply)
+		received = reply.Change
+	}
+	log = log.WithField("ms", clock.Now().Sub(started).Milliseconds())
 	if err != nil {
 		log.WithError(err).Warning("changes could not be pulled from a peer")
 		return err
 	}
-	log.WithFields(logrus.Fields{"as_of": reply.Change.AsOf, "bytes": reply.Change.size()}).Info("changes pulled from a peer")
+	log.WithFields(logrus.Fields{"as_of": reply.Change.AsOf, "bytes": received.size()}).Info("changes pulled from a peer")
 	p.copies.ApplyFromPeer(kind, decodeChange(reply.Change), started.Add(-reply.Age), pull.Host)
+	for _, document := range received.Documents {
+		encodings.learn(document)
+	}
 	return nil
 }
 
--- a/test/imports/imports_test.go
+++ b/test/imports/imports_test.go
@@ -18,7 +18,7 @@
 // decisionPackages hold pure logic: they take events and the current time as
 // arguments and return actions.
 var decisionPackages = []string{
-	"admission", "balance", "blocklist", "burn", "catalog", "dispatch", "drain", "duty", "intake", "member", "ownership",
+	"admission", "balance", "blocklist", "burn", "catalog", "delta", "dispatch", "drain", "duty", "intake", "member", "ownership",
 	"peers", "placement", "promptcache", "propagate", "replica", "rollout", "swarm", "table", "usage", "weights",
 }
 
