Peer: a timeout on a kept connection closes the idle ones

Kept connections that have gone silent together are found out one after the other, each by the timeout of a call (2 s for a chunk). Change: when a call on a connection that was open before ends by its time limit, the idle connections of the client are closed, so that the next calls connect anew. A call on a new connection that ends so, as to a process that has died, closes none. Test: TestTimeoutOnAKeptConnectionClosesTheIdleOnes failed before.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -49,7 +49,7 @@
 // have been delivered, and failure.Refused if the method itself returned an
 // error. The caller must not read reply after an error.
 func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
-	client, err := c.acquireOrDial(ctx, address)
+	client, reused, err := c.acquireOrDial(ctx, address)
 	if err != nil {
 		return failure.Wrap(err, failure.NotReachable, "check that the instance runs and the link is up", "%s cannot be reached", address)
 	}
@@ -60,6 +60,10 @@
 		return c.callResult(address, client, call)
 	case <-ctx.Done():
 		c.retire(address, client)
+		if reused && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			// The others that are kept may have gone silent together with this one.
+			c.closeIdle()
+		}
 		return failure.Wrap(ctx.Err(), failure.Unknown, "ask again", "%s did not answer %s in time", address, method)
 	}
 }
@@ -77,20 +81,24 @@
 }
 
 // acquireOrDial returns the open connection to address, or a new one, and counts
-// a call in progress on it.
-func (c *Client) acquireOrDial(ctx context.Context, address string) (*pooledConn, error) {
+// a call in progress on it. reused reports whether it was open before.
+func (c *Client) acquireOrDial(ctx context.Context, address string) (client *pooledConn, reused bool, err error) {
 	if client := c.acquire(address); client != nil {
-		return client, nil
+		return client, true, nil
 	}
 	dialed, err := c.dial(ctx, address)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	client, unused := c.addConn(address, dialed)
-	for _, old := range unused {
-		old.Close()
+	closeAll(unused)
+	return client, false, nil
+}
+
+func closeAll(conns []*pooledConn) {
+	for _, conn := range conns {
+		conn.Close()
 	}
-	return client, nil
 }
 
 // addConn adds a new connection to the pool, unless another call has added one
@@ -105,7 +113,15 @@
 	}
 	client := &pooledConn{Client: dialed, activeCalls: 1, lastUsed: now}
 	c.conns[address] = client
-	return client, c.removeIdle(now)
+	return client, c.removeIdle(now.Add(-c.idleTimeout))
+}
+
+// closeIdle closes the connections without calls in progress.
+func (c *Client) closeIdle() {
+	c.mu.Lock()
+	unused := c.removeIdle(time.Now())
+	c.mu.Unlock()
+	closeAll(unused)
 }
 
 // acquire returns the open connection to address, or nil, and counts a call in
@@ -141,12 +157,12 @@
 	}
 }
 
-// removeIdle removes the idle connections from the pool and returns them. The
-// caller holds mu.
-func (c *Client) removeIdle(now time.Time) []*pooledConn {
+// removeIdle removes the connections that have not been used since the given time from
+// the pool and returns them. The caller holds mu.
+func (c *Client) removeIdle(since time.Time) []*pooledConn {
 	var unused []*pooledConn
 	for address, client := range c.conns {
-		if client.activeCalls == 0 && now.Sub(client.lastUsed) >= c.idleTimeout {
+		if client.activeCalls == 0 && !client.lastUsed.After(since) {
 			delete(c.conns, address)
 			unused = append(unused, client)
 		}
--- a/internal/peer/client_test.go
+++ b/internal/peer/client_test.go
@@ -94,3 +94,34 @@
 	qt.Check(t, client.conns, qt.HasLen, 1)
 	qt.Check(t, client.conns[addresses[1]].activeCalls, qt.Equals, 0)
 }
+
+// TestTimeoutOnAKeptConnectionClosesTheIdleOnes guards against calls to several processes that end
+// by their timeouts one after the other, because the connections to all of them have gone silent.
+func TestTimeoutOnAKeptConnectionClosesTheIdleOnes(t *testing.T) {
+	c := qt.New(t)
+	hanging, idle, release := freeAddress(t), freeAddress(t), make(chan struct{})
+	defer close(release)
+	serveEcho(t, idle)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	server := NewServer(Security{Key: []byte("key")}, logrus.NewEntry(log))
+	c.Assert(server.Register("Wait", waiter{release: release}), qt.IsNil)
+	c.Assert(server.Listen(hanging), qt.IsNil)
+	client := NewClient(Security{Key: []byte("key")})
+	wait := func() {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		var late string
+		c.Assert(client.Call(ctx, hanging, "Wait.Wait", "a", &late), qt.IsNotNil)
+	}
+	var reply string
+	c.Assert(client.Call(t.Context(), idle, "Echo.Echo", "a", &reply), qt.IsNil)
+	kept := client.conns[idle]
+	wait()
+	c.Assert(client.conns[idle], qt.Equals, kept, qt.Commentf("the connection that timed out was new"))
+	// A call to a method that does not exist is answered, and leaves a kept connection.
+	c.Assert(client.Call(t.Context(), hanging, "Wait.Unknown", "a", &reply), qt.IsNotNil)
+	wait()
+	c.Assert(client.conns, qt.HasLen, 0)
+	c.Assert(client.Call(t.Context(), idle, "Echo.Echo", "a", &reply), qt.IsNil)
+}
