Duty: the simulated fleet pulls as entries do, also over silent connections

The nodes of the model pulled from whoever spoke first, one at a time, and never failed. They now decide with duty.Pulls, and the connections between them can go silent. Measured: TestChangeAppliesInTimeOverSilentConnections holds half of the bound of 2 s on 8 and 66 entries while the store rejects those with the duty.

--- a/internal/duty/fleet_test.go
+++ b/internal/duty/fleet_test.go
@@ -26,6 +26,7 @@
 	answerSlack   = 700 * time.Millisecond
 	batchDelay    = 100 * time.Millisecond
 	checkInterval = 100 * time.Millisecond
+	maxPulls      = 4
 	collection    = "tables"
 )
 
@@ -44,10 +45,12 @@
 	reader      *duty.Reader
 	call        *storeCall
 	pausedUntil time.Time
-	pulling     bool
-	lastSent    time.Time
-	lastCheck   time.Time
-	sendNow     bool
+	pulls       *duty.Pulls
+	// silent holds the hosts to which this node has a connection that has gone silent.
+	silent    map[string]bool
+	lastSent  time.Time
+	lastCheck time.Time
+	sendNow   bool
 	// appliedAt is the time at which each revision was first in effect on the node.
 	appliedAt map[replica.Revision]time.Time
 	// era is the latest era of the store that the node knows of.
@@ -93,7 +96,7 @@
 			entry := peers.Entry{Host: fmt.Sprintf("10.%d.0.%d", zone, i), AvailabilityZone: fmt.Sprint(zone), Start: 1, Ready: true}
 			f.nodes = append(f.nodes, &node{
 				entry: entry, peers: peers.New(config, entry, []string{"10.0.0.0", "10.1.0.0"}, f.now), copy: replica.New(),
-				reader: duty.NewReader(plan, f.now), lastSent: f.now.Add(-f.randomBelow(beatInterval)), appliedAt: map[replica.Revision]time.Time{},
+				reader: duty.NewReader(plan, f.now), pulls: duty.NewPulls(duty.PullPlan{MaxConcurrent: maxPulls}), silent: map[string]bool{}, lastSent: f.now.Add(-f.randomBelow(beatInterval)), appliedAt: map[replica.Revision]time.Time{},
 			})
 		}
 	}
@@ -236,17 +239,58 @@
 	}
 	f.recordEra(to, content.Era)
 	to.copy.RecordProof(content, proof)
-	if !content.After(to.copy.Content()) && to.copy.Known() || to.pulling {
+	if content.After(to.copy.Content()) || !to.copy.Known() {
+		to.pulls.Reported(duty.Source{Host: from.entry.Host, Near: from.entry.AvailabilityZone == to.entry.AvailabilityZone, Content: content}, f.now)
+		f.startPulls(to)
+	}
+}
+
+// startPulls starts the pulls of a node that are due.
+func (f *fleet) startPulls(n *node) {
+	if n.copy.Known() {
+		n.pulls.Updated(n.copy.Content(), n.copy.Versions())
+	}
+	pull, due := n.pulls.Next(f.now)
+	if !due {
 		return
 	}
-	to.pulling = true
-	change, proven := from.copy.Since(to.copy.AsOf()), from.copy.Proof()
+	f.after(duty.PullHedgeDelay, func() { f.startPulls(n) })
+	started := f.now
+	if pull.NewConnection {
+		delete(n.silent, pull.Host)
+	}
+	if n.silent[pull.Host] {
+		f.after(duty.PullTimeout, func() {
+			delete(n.silent, pull.Host)
+			f.pullEnded(n, pull.Host, started, false)
+		})
+		return
+	}
+	from := f.nodes[slices.IndexFunc(f.nodes, func(other *node) bool { return other.entry.Host == pull.Host })]
+	change, proven := from.copy.Since(n.copy.AsOf()), from.copy.Proof()
 	f.after(pullDelay, func() {
-		to.pulling = false
-		f.apply(to, change, proven)
+		f.apply(n, change, proven)
+		f.pullEnded(n, pull.Host, started, true)
 	})
 }
 
+func (f *fleet) pullEnded(n *node, host string, started time.Time, succeeded bool) {
+	n.pulls.Ended(host, started, f.now, succeeded)
+	if !succeeded {
+		f.after(duty.PullRetryDelay, func() { f.startPulls(n) })
+	}
+	f.startPulls(n)
+}
+
+// silenceConnections silences the connections between all nodes.
+func (f *fleet) silenceConnections() {
+	for _, n := range f.nodes {
+		for _, other := range f.nodes {
+			n.silent[other.entry.Host] = true
+		}
+	}
+}
+
 // watchers returns the nodes that are assigned to watch the store now, one in each
 // availability zone.
 func (f *fleet) watchers() []string {
@@ -333,6 +377,29 @@
 	}
 }
 
+// TestChangeAppliesInTimeOverSilentConnections guards against a change that single entries have too
+// late because their connections to the others have gone silent since the last one.
+func TestChangeAppliesInTimeOverSilentConnections(t *testing.T) {
+	const bound = 2 * time.Second
+	for _, fault := range []storeFault{silent, busy} {
+		for _, zones := range [][]int{{3, 3, 2}, {26, 21, 19}} {
+			for seed := range uint64(60 / len(zones) / zones[0]) {
+				f := newFleet(seed, duty.TablesPlan(bound), zones...)
+				f.run(f.now.Add(5 * time.Second))
+				f.injectFault(fault, 0.38)
+				f.run(f.now.Add(time.Second + f.randomBelow(time.Second)))
+				f.silenceConnections()
+				f.run(f.now.Add(3*time.Second + f.randomBelow(time.Second)))
+				f.revision.Number++
+				confirmed := f.now
+				f.run(f.now.Add(2 * bound))
+				took := f.propagationTime(f.revision, confirmed)
+				qt.Check(t, took <= bound/2, qt.IsTrue, qt.Commentf("%s, %v, seed %d: in effect after %s", fault, zones, seed, took))
+			}
+		}
+	}
+}
+
 // TestEvacuationAppliesInTimeWhileTheStoreRejectsWatchers guards against an evacuation that comes
 // into force too late because the watch that should have returned it is never answered. Nothing
 // but the watch itself shows the fault here; an entry also sees it in its reads of the tables.
