Duty: the only peer that has a change is asked again, on a new connection

Change: when a pull hangs, another peer goes first as before; without another one the same peer is asked on a new connection.

--- a/internal/copies/pull.go
+++ b/internal/copies/pull.go
@@ -155,11 +155,10 @@
 
 // pull makes one pull, and starts those that are due after it.
 func (p *Puller) pull(ctx context.Context, kind platform.Kind, pull duty.Pull) {
-	started := clock.Now()
-	err := p.request(ctx, kind, pull, started)
+	err := p.request(ctx, kind, pull)
 	p.config.OnPull(kind, err == nil)
 	p.mu.Lock()
-	p.pulls[kind].Ended(pull.Host, started, clock.Now(), err == nil)
+	p.pulls[kind].Ended(pull, clock.Now(), err == nil)
 	p.mu.Unlock()
 	if err != nil {
 		time.AfterFunc(duty.PullRetryDelay, func() { p.startPulls(ctx, kind) })
@@ -168,7 +167,8 @@
 }
 
 // request asks a peer for the changes that this process lacks and applies them.
-func (p *Puller) request(ctx context.Context, kind platform.Kind, pull duty.Pull, started time.Time) error {
+func (p *Puller) request(ctx context.Context, kind platform.Kind, pull duty.Pull) error {
+	started := clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, duty.PullTimeout)
 	defer cancel()
 	address, since := beat.Address(pull.Host, p.config.Port), p.copies.AsOf(kind)
--- a/internal/copies/restore_test.go
+++ b/internal/copies/restore_test.go
@@ -206,20 +206,22 @@
 	held := New(Config{Log: testLog(), Changed: func(platform.Kind) {}})
 	held.ApplyFromPeer(platform.Tables, replica.Change{Whole: true, AsOf: replica.Revision{Number: 9}}, clock.Now(), "peer")
 	p := NewPuller(PullerConfig{MaxConcurrent: 1, MinIntervals: map[platform.Kind]time.Duration{platform.Tables: time.Hour}, Log: testLog()}, held, nil)
-	begin := func(host string, content replica.Revision) bool {
+	begin := func(host string, content replica.Revision) (duty.Pull, bool) {
 		p.reported(platform.Tables, duty.Source{Host: host, Content: content})
-		_, begun := p.next(platform.Tables)
-		return begun
+		return p.next(platform.Tables)
 	}
 	// A pull in progress keeps MessageReceived from starting one; another one succeeds.
 	pulls, now := p.pulls[platform.Tables], clock.Now()
-	c.Assert(begin("hanging", replica.Revision{Number: 10}), qt.IsTrue)
-	pulls.Ended("other", now, now, true)
+	hanging, begun := begin("hanging", replica.Revision{Number: 10})
+	c.Assert(begun, qt.IsTrue)
+	pulls.Ended(duty.Pull{Host: "other", Started: now}, now, true)
 	p.MessageReceived(c.Context(), &beat.Message{Host: "peer", Collections: []beat.CollectionState{{Known: true, Content: 3, Era: 1}}})
-	pulls.Ended("hanging", now, now, false)
-	c.Assert(begin("peer", replica.Revision{Era: 1, Number: 3}), qt.IsTrue)
-	pulls.Ended("peer", now, now, true)
-	c.Assert(begin("late", replica.Revision{Era: 1, Number: 4}), qt.IsFalse, qt.Commentf("the interval is in force"))
+	pulls.Ended(hanging, now, false)
+	pull, begun := begin("peer", replica.Revision{Era: 1, Number: 3})
+	c.Assert(begun, qt.IsTrue)
+	pulls.Ended(pull, now, true)
+	_, begun = begin("late", replica.Revision{Era: 1, Number: 4})
+	c.Assert(begun, qt.IsFalse, qt.Commentf("the interval is in force"))
 }
 
 // TestErasPassThroughRPC checks that nothing of a change is lost between two processes.
--- a/internal/duty/fleet_test.go
+++ b/internal/duty/fleet_test.go
@@ -255,14 +255,13 @@
 		return
 	}
 	f.after(duty.PullHedgeDelay, func() { f.startPulls(n) })
-	started := f.now
 	if pull.NewConnection {
 		delete(n.silent, pull.Host)
 	}
 	if n.silent[pull.Host] {
 		f.after(duty.PullTimeout, func() {
 			delete(n.silent, pull.Host)
-			f.pullEnded(n, pull.Host, started, false)
+			f.pullEnded(n, pull, false)
 		})
 		return
 	}
@@ -270,12 +269,12 @@
 	change, proven := from.copy.Since(n.copy.AsOf()), from.copy.Proof()
 	f.after(pullDelay, func() {
 		f.apply(n, change, proven)
-		f.pullEnded(n, pull.Host, started, true)
+		f.pullEnded(n, pull, true)
 	})
 }
 
-func (f *fleet) pullEnded(n *node, host string, started time.Time, succeeded bool) {
-	n.pulls.Ended(host, started, f.now, succeeded)
+func (f *fleet) pullEnded(n *node, pull duty.Pull, succeeded bool) {
+	n.pulls.Ended(pull, f.now, succeeded)
 	if !succeeded {
 		f.after(duty.PullRetryDelay, func() { f.startPulls(n) })
 	}
--- a/internal/duty/pulls.go
+++ b/internal/duty/pulls.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"plantainrelay/internal/replica"
@@ -39,7 +40,8 @@
 
 // Pull is a pull to start.
 type Pull struct {
-	Host string
+	Host    string
+	Started time.Time
 	// NewConnection means that an existing connection to the peer must not be used: others
 	// have gone silent.
 	NewConnection bool
@@ -49,10 +51,9 @@
 // hangs does not delay the next one by more than PullHedgeDelay, as long as MaxConcurrent
 // is at least PullTimeout/PullHedgeDelay. It is not safe for concurrent use.
 type Pulls struct {
-	plan    PullPlan
-	sources map[string]*knownSource
-	// inProgress holds the start times of the pulls in progress, by host.
-	inProgress map[string]time.Time
+	plan       PullPlan
+	sources    map[string]*knownSource
+	inProgress []Pull
 	// lastSuccess is the start of the last successful pull; zero before the first one.
 	lastSuccess time.Time
 	// failing means that a pull has failed since the last successful one.
@@ -67,11 +68,13 @@
 	retryAt time.Time
 	// failed means that the last pull got no answer.
 	failed bool
+	// running is the number of pulls in progress.
+	running int
 }
 
 // NewPulls returns the decisions of a process without sources.
 func NewPulls(plan PullPlan) *Pulls {
-	return &Pulls{plan: plan, sources: map[string]*knownSource{}, inProgress: map[string]time.Time{}}
+	return &Pulls{plan: plan, sources: map[string]*knownSource{}}
 }
 
 // Reported records that a peer has newer documents.
@@ -107,8 +110,8 @@
 	if !p.lastSuccess.IsZero() && now.Sub(p.lastSuccess) < p.plan.MinInterval || len(p.inProgress) >= p.plan.MaxConcurrent {
 		return Pull{}, false
 	}
-	for _, started := range p.inProgress {
-		if now.Sub(started) < PullHedgeDelay {
+	for _, running := range p.inProgress {
+		if now.Sub(running.Started) < PullHedgeDelay {
 			return Pull{}, false
 		}
 	}
@@ -116,13 +119,14 @@
 	if source == nil {
 		return Pull{}, false
 	}
-	pull := Pull{Host: source.Host, NewConnection: p.failing || len(p.inProgress) > 0}
-	p.inProgress[source.Host] = now
+	pull := Pull{Host: source.Host, Started: now, NewConnection: p.failing || len(p.inProgress) > 0}
+	p.inProgress = append(p.inProgress, pull)
 	return pull, true
 }
 
-// best returns the source to ask: one that has not failed, in the own availability zone if
-// possible, and of these the one that reported last, since it has been asked by the fewest.
+// best returns the source to ask: one that is not being asked and has not failed, in the own
+// availability zone if possible, and of these the one that reported last, since it has been
+// asked by the fewest.
 func (p *Pulls) best(now time.Time) *knownSource {
 	var best *knownSource
 	for host, source := range p.sources {
@@ -130,9 +134,10 @@
 			delete(p.sources, host)
 			continue
 		}
-		if _, asked := p.inProgress[host]; asked || now.Before(source.retryAt) {
+		if now.Before(source.retryAt) {
 			continue
 		}
+		source.running = p.running(host)
 		if best == nil || source.compare(best) < 0 {
 			best = source
 		}
@@ -140,10 +145,21 @@
 	return best
 }
 
+// running returns the number of pulls from host in progress.
+func (p *Pulls) running(host string) int {
+	count := 0
+	for _, running := range p.inProgress {
+		if running.Host == host {
+			count++
+		}
+	}
+	return count
+}
+
 // compare returns a negative number if s is to be asked before other.
 func (s *knownSource) compare(other *knownSource) int {
 	return cmp.Or(
-		compareBool(other.failed, s.failed), compareBool(s.Near, other.Near),
+		cmp.Compare(s.running, other.running), compareBool(other.failed, s.failed), compareBool(s.Near, other.Near),
 		other.reportedAt.Compare(s.reportedAt), cmp.Compare(s.Host, other.Host),
 	)
 }
@@ -159,14 +175,14 @@
 	return 1
 }
 
-// Ended records the end of a pull from host that was started at the given time.
-func (p *Pulls) Ended(host string, started, now time.Time, succeeded bool) {
-	delete(p.inProgress, host)
+// Ended records the end of a pull.
+func (p *Pulls) Ended(pull Pull, now time.Time, succeeded bool) {
+	p.inProgress = slices.DeleteFunc(p.inProgress, func(running Pull) bool { return running == pull })
 	p.failing = !succeeded
 	if succeeded {
-		p.lastSuccess = started
+		p.lastSuccess = pull.Started
 	}
-	if source := p.sources[host]; source != nil {
+	if source := p.sources[pull.Host]; source != nil {
 		source.failed, source.retryAt = !succeeded, now.Add(PullRetryDelay)
 	}
 }
