Copies: the answer of a pull is read only after the call has succeeded

Cause: found by reading: after a timeout the answer was copied although it may still arrive on a connection that another call keeps open. Test: TestAnswerAfterTheTimeoutIsNotUsed, with the race detector, failed before (data race).

--- a/internal/copies/pull.go
+++ b/internal/copies/pull.go
@@ -184,15 +184,17 @@
 		"peer": pull.Host, "collection": string(kind), "since": since.Number, "era": since.Era,
 		"new_connection": pull.NewConnection, "in_progress": p.inProgress(kind),
 	})
-	received := reply.Change
+	var received PulledChange
 	if err == nil {
+		received = reply.Change
 		reply.Change, err = received.decode(bases)
 	}
 	if failure.Is(err, failure.Invalid) {
 		log.WithError(err).Warning("the changes that a peer sent cannot be decoded; pulling them as they are")
 		args.TakesEncoded, args.Bases, reply = false, nil, PullReply{}
-		err = p.client.Call(ctx, address, pullMethod, args, &reply)
-		received = reply.Change
+		if err = p.client.Call(ctx, address, pullMethod, args, &reply); err == nil {
+			received = reply.Change
+		}
 	}
 	log = log.WithField("ms", clock.Now().Sub(started).Milliseconds())
 	if err != nil {
--- a/internal/copies/silent_test.go
+++ b/internal/copies/silent_test.go
@@ -30,20 +30,24 @@
 	upstream string
 	// forwarded counts the bytes in both directions.
 	forwarded atomic.Int64
-	mu        sync.Mutex
-	open      []*silentStream
+	// delay is how long, in nanoseconds, bytes wait in each direction.
+	delay atomic.Int64
+	mu    sync.Mutex
+	open  []*silentStream
 }
 
 // silentStream is one direction of a connection.
 type silentStream struct {
 	to        net.Conn
 	forwarded *atomic.Int64
+	delay     *atomic.Int64
 	mu        sync.Mutex
 	silent    bool
 }
 
 // Write implements io.Writer.
 func (s *silentStream) Write(data []byte) (int, error) {
+	time.Sleep(time.Duration(s.delay.Load()))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.silent {
@@ -76,7 +80,7 @@
 		conn.Close()
 		return
 	}
-	streams := []*silentStream{{to: upstream, forwarded: &p.forwarded}, {to: conn, forwarded: &p.forwarded}}
+	streams := []*silentStream{{to: upstream, forwarded: &p.forwarded, delay: &p.delay}, {to: conn, forwarded: &p.forwarded, delay: &p.delay}}
 	p.mu.Lock()
 	p.open = append(p.open, streams...)
 	p.mu.Unlock()
@@ -190,3 +194,26 @@
 	c.Assert(watch(200*time.Millisecond), qt.IsNotNil)
 	c.Assert(watch(10*time.Second), qt.IsNil)
 }
+
+// TestAnswerAfterTheTimeoutIsNotUsed guards against reading an answer while it still arrives.
+func TestAnswerAfterTheTimeoutIsNotUsed(t *testing.T) {
+	c := qt.New(t)
+	port := freePort(c)
+	const host = "127.0.4.1"
+	others, proxies := startPeers(c, port, []string{host})
+	others[0].ApplyFromPeer(platform.Tables, tablesAt(1, []byte("{}")), clock.Now(), "store")
+	own := New(Config{Log: testLog(), Changed: func(platform.Kind) {}})
+	puller := newTestPuller(own, port)
+	puller.pull(t.Context(), platform.Tables, duty.Pull{Host: host})
+	others[0].ApplyFromPeer(platform.Tables, tablesAt(2, []byte("{}")), clock.Now(), "store")
+	proxies[0].delay.Store(int64(duty.PullTimeout * 11 / 20))
+	var other sync.WaitGroup
+	other.Go(func() {
+		// A later call keeps the connection open until the answer arrives.
+		time.Sleep(duty.PullTimeout / 2)
+		puller.pull(t.Context(), platform.Releases, duty.Pull{Host: host})
+	})
+	puller.pull(t.Context(), platform.Tables, duty.Pull{Host: host})
+	other.Wait()
+	c.Assert(own.AsOf(platform.Tables).Number, qt.Equals, int64(1))
+}
--- a/internal/duty/pulls.go
+++ b/internal/duty/pulls.go
@@ -159,18 +159,18 @@
 // compare returns a negative number if s is to be asked before other.
 func (s *knownSource) compare(other *knownSource) int {
 	return cmp.Or(
-		cmp.Compare(s.running, other.running), compareBool(other.failed, s.failed), compareBool(s.Near, other.Near),
+		cmp.Compare(s.running, other.running), cmp.Compare(s.distance(), other.distance()),
 		other.reportedAt.Compare(s.reportedAt), cmp.Compare(s.Host, other.Host),
 	)
 }
 
-// compareBool returns -1 if only a is true, and 1 if only b is.
-func compareBool(a, b bool) int {
+// distance ranks sources of the own availability zone first, and those that have failed last.
+func (s *knownSource) distance() int {
 	switch {
-	case a == b:
+	case s.failed:
+		return 2
+	case s.Near:
 		return 0
-	case a:
-		return -1
 	}
 	return 1
 }
