Simulation: processes pull by duty.Pulls

The model had the earlier rules of pulls in a copy of its own (the first peer that speaks, a second one after 300 ms, one or two at once). It now drives the decisions of the product, with the numbers of pulls that entries and agents have.

--- a/bench/simulation/copies.go
+++ b/bench/simulation/copies.go
@@ -11,8 +11,6 @@
 const (
 	responseSlack        = 700 * time.Millisecond
 	backoffCheckInterval = 50 * time.Millisecond
-	pullTimeout          = time.Second
-	pullHedgeDelay       = 300 * time.Millisecond
 )
 
 // plan holds the settings that keep one collection current, as in package copies.
@@ -31,18 +29,18 @@
 
 // collection is a process's copy of one collection.
 type collection struct {
-	replica  *replica.Replica
-	reader   *duty.Reader
-	plan     plan
-	lastPull time.Time
-	pulls    map[string]time.Time
+	replica *replica.Replica
+	reader  *duty.Reader
+	plan    plan
+	pulls   *duty.Pulls
+	// peers holds the processes that have reported newer documents, by host.
+	peers map[string]*process
 }
 
 // copies keeps the copies of one incarnation current, like package copies.
 type copies struct {
 	process     *process
 	collections [collections]*collection
-	maxPulls    int
 	// shouldWatch is nil for a process that is never the assigned watcher. changed is
 	// called after a collection has changed.
 	shouldWatch              func(kind int) bool
@@ -51,9 +49,12 @@
 }
 
 func newCopies(p *process, plans [collections]plan, maxPulls int) *copies {
-	c := &copies{process: p, maxPulls: maxPulls, shouldWatch: func(int) bool { return false }, storeAvailabilityChanged: func() {}}
+	c := &copies{process: p, shouldWatch: func(int) bool { return false }, storeAvailabilityChanged: func() {}}
 	for kind, plan := range plans {
-		c.collections[kind] = &collection{replica: replica.New(), reader: duty.NewReader(plan.Plan, p.world.now), plan: plan, pulls: map[string]time.Time{}}
+		c.collections[kind] = &collection{
+			replica: replica.New(), reader: duty.NewReader(plan.Plan, p.world.now), plan: plan,
+			pulls: duty.NewPulls(duty.PullPlan{MinInterval: plan.minPullInterval, MaxConcurrent: maxPulls}), peers: map[string]*process{},
+		}
 	}
 	return c
 }
@@ -188,38 +189,36 @@
 		if !composedAfter.IsZero() {
 			held.replica.RecordProof(state.content, composedAfter.Add(-state.age))
 		}
-		newer := !held.replica.Known() || state.content.After(held.replica.Content())
-		if newer && held.tryBeginPull(from.host, c.maxPulls, c.now()) {
-			c.pull(kind, from)
+		if !held.replica.Known() || state.content.After(held.replica.Content()) {
+			held.peers[from.host] = from
+			held.pulls.Reported(duty.Source{Host: from.host, Near: from.zone == c.process.zone, Content: state.content}, c.now())
+			c.startPulls(kind)
 		}
 	}
 }
 
-func (h *collection) tryBeginPull(host string, limit int, now time.Time) bool {
-	if !h.lastPull.IsZero() && now.Sub(h.lastPull) < h.plan.minPullInterval {
-		return false
-	}
-	if _, asked := h.pulls[host]; asked || len(h.pulls) >= limit {
-		return false
+// startPulls starts the pulls of a collection that are due.
+func (c *copies) startPulls(kind int) {
+	held := c.collections[kind]
+	if held.replica.Known() {
+		held.pulls.Updated(held.replica.Content(), 0)
 	}
-	for _, at := range h.pulls {
-		if now.Sub(at) < pullHedgeDelay {
-			return false
-		}
+	if pull, due := held.pulls.Next(c.now()); due {
+		c.process.after(duty.PullHedgeDelay, func() { c.startPulls(kind) })
+		c.pull(kind, pull)
 	}
-	h.pulls[host] = now
-	return true
 }
 
 // pull asks a peer for the changes of a collection.
-func (c *copies) pull(kind int, from *process) {
+func (c *copies) pull(kind int, pull duty.Pull) {
 	w, held, asked, ended := c.process.world, c.collections[kind], c.now(), false
-	since := held.replica.AsOf()
+	from, since := held.peers[pull.Host], held.replica.AsOf()
 	end := func(succeeded bool) {
 		ended = true
-		delete(held.pulls, from.host)
-		if succeeded {
-			held.lastPull = asked
+		held.pulls.Ended(pull, c.now(), succeeded)
+		if !succeeded {
+			c.process.after(duty.PullRetryDelay, func() { c.startPulls(kind) })
+			c.startPulls(kind)
 		}
 	}
 	life := c.process.life
@@ -238,12 +237,13 @@
 					if !ended {
 						end(true)
 						c.apply(kind, change, asked.Add(-age), from.host)
+						c.startPulls(kind)
 					}
 				})
 			})
 		})
 	})
-	c.process.after(pullTimeout, func() {
+	c.process.after(duty.PullTimeout, func() {
 		if !ended {
 			end(false)
 		}
