--- a/bench/simulation/entry.go
+++ b/bench/simulation/entry.go
@@ -20,7 +20,7 @@
 	steadyHostsPerMessage  = 4
 	discoveryPeriod        = 30 * time.Second
 	dutyCheckInterval      = 100 * time.Millisecond
-	entryMaxPulls          = int(duty.PullTimeout/duty.PullHedgeDelay) + 1
+	entryMaxPulls          = 2
 	maxNearbyPeers         = 16
 	waitingInterval        = 15 * time.Millisecond
 )
