--- a/review/_harness3/cases/main.go
+++ b/review/_harness3/cases/main.go
@@ -23,6 +23,7 @@
 	"reload":  figureLeavesSettings,
 	"target":  pathWithTwoSlashes,
 	"options": serverWideOptions,
+	"move":    storeMoves,
 }
 
 func main() {
--- a/review/_harness3/rig/rig.go
+++ b/review/_harness3/rig/rig.go
@@ -41,11 +41,12 @@
 	// Trouble is false when the case has to run without its disruption.
 	Trouble bool
 
-	dir, base string
-	started   time.Time
-	mu        sync.Mutex
-	record    *os.File
-	processes []*Process
+	dir, base    string
+	storeServers []*http.Server
+	started      time.Time
+	mu           sync.Mutex
+	record       *os.File
+	processes    []*Process
 }
 
 // New returns a rig that writes to record.txt in the given folder.
@@ -62,14 +63,29 @@
 		Store: standin.NewStore(), Trouble: os.Getenv("TROUBLE") != "0", dir: dir, started: time.Now(), record: record,
 		base: fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250)),
 	}
+	return r, r.AddStoreAddress()
+}
+
+// AddStoreAddress makes the store serve one more address, which is StoreAddress from now on.
+func (r *Rig) AddStoreAddress() error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return err
 	}
 	r.StoreAddress = listener.Addr().String()
 	server := &http.Server{Handler: r.Store, ReadHeaderTimeout: time.Minute}
+	r.storeServers = append(r.storeServers, server)
 	go func() { _ = server.Serve(listener) }()
-	return r, nil
+	return nil
+}
+
+// LeaveOldStoreAddresses makes the store serve StoreAddress only.
+func (r *Rig) LeaveOldStoreAddresses() {
+	last := len(r.storeServers) - 1
+	for _, server := range r.storeServers[:last] {
+		server.Close()
+	}
+	r.storeServers = r.storeServers[last:]
 }
 
 // IP returns the loopback address of a machine.
