--- a/review/_harness3/cases/main.go
+++ b/review/_harness3/cases/main.go
@@ -24,6 +24,7 @@
 	"target":  pathWithTwoSlashes,
 	"options": serverWideOptions,
 	"move":    storeMoves,
+	"power":   allLosePower,
 }
 
 func main() {
--- a/review/_harness3/rig/rig.go
+++ b/review/_harness3/rig/rig.go
@@ -188,6 +188,22 @@
 // Exited is closed when the process has ended.
 func (p *Process) Exited() <-chan struct{} { return p.exited }
 
+// SignalAll sends a signal to all processes.
+func (r *Rig) SignalAll(signal syscall.Signal) {
+	r.mu.Lock()
+	processes := r.processes
+	r.mu.Unlock()
+	for _, p := range processes {
+		// A process that has ended needs none.
+		_ = p.Signal(signal)
+	}
+	if signal == syscall.SIGKILL {
+		for _, p := range processes {
+			<-p.exited
+		}
+	}
+}
+
 // Log returns the log of a process.
 func (r *Rig) Log(p *Process) string {
 	raw, _ := os.ReadFile(filepath.Join(r.dir, p.Name+".log"))
