--- a/review/_harness3/cases/main.go
+++ b/review/_harness3/cases/main.go
@@ -20,9 +20,9 @@
 // run runs a case with a rig, and returns whether the rule was broken.
 var cases = map[string]func(*rig.Rig) (broken bool, err error){
 	"heads":   manySmallLines,
-	"reload":  figureLeavesSettings,
 	"target":  pathWithTwoSlashes,
 	"power":   allLosePower,
+	"errors":  errorBesideAPause,
 	"standby": freezeAroundTheBound,
 }
 
