--- a/review/_harness3/cases/main.go
+++ b/review/_harness3/cases/main.go
@@ -19,7 +19,7 @@
 	memoryMb = 284
 )
 
-// run runs a case with a rig, and returns whether the rule was broken.
+// cases holds the cases by name. They return whether the rule was broken.
 var cases = map[string]func(*rig.Rig) (broken bool, err error){
 	"target":  pathWithTwoSlashes,
 	"reload":  figureLeavesSettings,
