--- a/review/_harness3/cases/main.go
+++ b/review/_harness3/cases/main.go
@@ -1,4 +1,5 @@
-// Command cases runs one case of the review: cases NAME FOLDER. It exits with 1 if the rule was
+// Command cases runs one case of the review: cases NAME RECORD. It writes to the file RECORD what was
+// sent, answered and run. It exits with 1 if the rule was
 // broken, 0 if it held and 2 if the case could not run.
 package main
 
@@ -30,14 +31,14 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: cases NAME FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: cases NAME RECORD")
 		os.Exit(rig.ExitNotRun)
 	}
 	os.Exit(runCase(cases[os.Args[1]], os.Args[2]))
 }
 
-func runCase(run func(*rig.Rig) (bool, error), folder string) int {
-	r, err := rig.New(folder)
+func runCase(run func(*rig.Rig) (bool, error), record string) int {
+	r, err := rig.New(record)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return rig.ExitNotRun
--- a/review/_harness3/rig/rig.go
+++ b/review/_harness3/rig/rig.go
@@ -48,9 +48,9 @@
 	processes []*Process
 }
 
-// New returns a rig that writes to record.txt in the given folder.
-func New(folder string) (*Rig, error) {
-	record, err := os.Create(filepath.Join(folder, "record.txt"))
+// New returns a rig that writes its record to the given file.
+func New(path string) (*Rig, error) {
+	record, err := os.Create(path)
 	if err != nil {
 		return nil, err
 	}
