--- a/review/_harness3/cases/main.go
+++ b/review/_harness3/cases/main.go
@@ -1,6 +1,6 @@
 // Command cases runs one case of the review: cases NAME RECORD. It writes to the file RECORD what was
-// sent, answered and run. It exits with 1 if the rule was
-// broken, 0 if it held and 2 if the case could not run.
+// sent, answered and run. It exits with 1 if the rule was broken, 0 if it held and 2 if the case could
+// not run.
 package main
 
 import (
